Lay out the module: error kinds, bundle, block hashes, store interface

Cause: nothing existed. The first packages are those that every other one needs: the closed list of error kinds with its table of answers, the bundle with its checker, signer and holder, the chained block hashes, the interface of the platform's store, and the contract of a selection policy.

No tests yet.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+# The one door to every task of this repository.
+
+GOLANGCI_LINT_VERSION := v2.12.2
+BIN := $(CURDIR)/bin
+GOLANGCI_LINT := $(BIN)/golangci-lint-$(GOLANGCI_LINT_VERSION)
+GO ?= go
+SEED ?= 1
+
+.PHONY: all build fmt lint unit test demo bench measure clean
+
+all: build
+
+build:
+	$(GO) build -o $(BIN)/gentianstep ./cmd/gentianstep
+	$(GO) build -o $(BIN)/standin ./cmd/standin
+
+$(GOLANGCI_LINT):
+	GOBIN=$(BIN) $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
+	mv $(BIN)/golangci-lint $@
+
+fmt: $(GOLANGCI_LINT)
+	$(GOLANGCI_LINT) fmt
+
+lint: $(GOLANGCI_LINT)
+	$(GOLANGCI_LINT) fmt --diff
+	$(GOLANGCI_LINT) run
+
+unit: build
+	GENTIANSTEP_BIN=$(BIN) $(GO) test -race -count=1 -timeout 20m ./...
+
+test: lint unit
+
+demo: build
+	scripts/demo.sh
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/internal/bundle/checker/check_policy.go
@@ -0,0 +1,73 @@
+package checker
+
+import "slices"
+
+// SelectionNames lists the selection policies that a bundle may ask for.
+var SelectionNames = []string{"round_robin", "least_loaded", "prefix_hash", "prefix_cost"}
+
+func (p Policy) check() error {
+	if !slices.Contains(SelectionNames, p.Selection.Name) {
+		return invalid("policy.selection.name", "got %q, takes one of %v", p.Selection.Name, SelectionNames)
+	}
+	durations := []struct {
+		path  string
+		value Duration
+	}{
+		{"policy.selection.lookup_timeout", p.Selection.LookupTimeout},
+		{"policy.admission.max_wait", p.Admission.MaxWait},
+		{"policy.admission.batch_max_wait", p.Admission.BatchMaxWait},
+		{"policy.attempts.cooldown", p.Attempts.Cooldown},
+		{"policy.streams.first_byte_timeout", p.Streams.FirstByteTimeout},
+		{"policy.streams.idle_timeout", p.Streams.IdleTimeout},
+		{"policy.streams.total_timeout", p.Streams.TotalTimeout},
+		{"policy.streams.caller_write_timeout", p.Streams.CallerWriteTimeout},
+		{"policy.placement.lease_ttl", p.Placement.LeaseTTL},
+		{"policy.placement.order_timeout", p.Placement.OrderTimeout},
+		{"policy.placement.min_dwell", p.Placement.MinDwell},
+	}
+	for _, d := range durations {
+		if d.value <= 0 {
+			return invalid(d.path, "got %s, takes more than 0s", d.value.Std())
+		}
+	}
+	counts := []struct {
+		path  string
+		value int
+	}{
+		{"policy.admission.queue_length", p.Admission.QueueLength},
+		{"policy.attempts.max_attempts", p.Attempts.MaxAttempts},
+		{"policy.placement.max_loads", p.Placement.MaxLoads},
+	}
+	for _, c := range counts {
+		if c.value < 1 {
+			return invalid(c.path, "got %d, takes 1 or more", c.value)
+		}
+	}
+	return p.checkRanges()
+}
+
+func (p Policy) checkRanges() error {
+	shares := []struct {
+		path  string
+		value float64
+	}{
+		{"policy.admission.batch_share", p.Admission.BatchShare},
+		{"policy.attempts.retry_budget", p.Attempts.RetryBudget},
+		{"policy.attempts.max_ejected", p.Attempts.MaxEjected},
+	}
+	for _, s := range shares {
+		if !(s.value >= 0 && s.value <= 1) {
+			return invalid(s.path, "got %g, takes 0 to 1", s.value)
+		}
+	}
+	if !(p.Selection.RecomputePrice >= 0) {
+		return invalid("policy.selection.recompute_price", "got %g, takes 0 or more", p.Selection.RecomputePrice)
+	}
+	if p.Selection.CrossingPrice < 0 || p.Selection.CrossingLatency < 0 {
+		return invalid("policy.selection", "crossing_price and crossing_latency take 0s or more")
+	}
+	if p.Streams.MaxResumes < 0 {
+		return invalid("policy.streams.max_resumes", "got %d, takes 0 or more", p.Streams.MaxResumes)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/bundle/checker/duration.go
@@ -0,0 +1,27 @@
+package checker
+
+import (
+	"fmt"
+	"time"
+)
+
+// Duration is a time.Duration written as text, such as "250ms".
+type Duration time.Duration
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("parse duration: %w", err)
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// Std returns the duration as the standard type.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
--- /dev/null
+++ b/internal/failure/classifier/kind.go
@@ -0,0 +1,52 @@
+// Package classifier holds the closed list of error kinds and the answer that
+// belongs to each of them.
+package classifier
+
+// Kind names one class of failure. The list is closed: every error that
+// reaches a caller or an operator carries one of these kinds.
+type Kind string
+
+// Kinds that callers see.
+const (
+	InvalidRequest      Kind = "invalid_request"
+	Unauthenticated     Kind = "unauthenticated"
+	Forbidden           Kind = "forbidden"
+	NotFound            Kind = "not_found"
+	TooLarge            Kind = "too_large"
+	TooManyConnections  Kind = "too_many_connections"
+	RateLimited         Kind = "rate_limited"
+	Overloaded          Kind = "overloaded"
+	DeadlineUnmeetable  Kind = "deadline_unmeetable"
+	NoUpstream          Kind = "no_upstream"
+	NoBundle            Kind = "no_bundle"
+	UpstreamFailed      Kind = "upstream_failed"
+	UpstreamRefused     Kind = "upstream_refused"
+	OutcomeUnknown      Kind = "outcome_unknown"
+	StreamBroken        Kind = "stream_broken"
+	IdempotencyConflict Kind = "idempotency_conflict"
+	AlreadyClaimed      Kind = "already_claimed"
+	StoreUnavailable    Kind = "store_unavailable"
+	ShuttingDown        Kind = "shutting_down"
+	Timeout             Kind = "timeout"
+	CallerGone          Kind = "caller_gone"
+	CallerTooSlow       Kind = "caller_too_slow"
+	Internal            Kind = "internal"
+)
+
+// Kinds that operators and peers see.
+const (
+	BundleUnsigned        Kind = "bundle_unsigned"
+	BundleTampered        Kind = "bundle_tampered"
+	BundleWrongDeployment Kind = "bundle_wrong_deployment"
+	BundleStale           Kind = "bundle_stale"
+	BundleUnknownKey      Kind = "bundle_unknown_key"
+	BundleUnknownField    Kind = "bundle_unknown_field"
+	BundleInvalid         Kind = "bundle_invalid"
+	BundleConflict        Kind = "bundle_conflict"
+	SettingsInvalid       Kind = "settings_invalid"
+	PeerRefused           Kind = "peer_refused"
+	MessageInvalid        Kind = "message_invalid"
+	LeaseLost             Kind = "lease_lost"
+	FencingRefused        Kind = "fencing_refused"
+	RevisionConflict      Kind = "revision_conflict"
+)
--- /dev/null
+++ b/internal/routing/selector/request.go
@@ -0,0 +1,23 @@
+// Package selector chooses the upstream of a request. It does no I/O and
+// reads no clock.
+package selector
+
+import "gentianstep.example/gentianstep/internal/caching/hasher"
+
+// Request is what a selection knows of one request.
+type Request struct {
+	ID             string
+	Organisation   string
+	Model          string
+	WeightsVersion string
+	// Region and AvailabilityZone are those of the router that decides.
+	Region           string
+	AvailabilityZone string
+	// Chain holds the block hashes of the prompt, the first block first.
+	Chain []hasher.Hash
+	// PromptBytes is the size of the prompt, MaxTokens the longest answer.
+	PromptBytes int
+	MaxTokens   int
+	// Interactive is false for batch work.
+	Interactive bool
+}
