Serve a request from end to end in separate processes

Cause: no path from a caller to an upstream existed. Change: router and controller processes, a feed between them over WebSocket with CBOR, the bundle signed off, published by compare-and-swap and spread, engine, plain-service and platform stand-ins, and `make demo` which starts them on loopback. The router chooses engines in turn for now.

Ruled out: one process a VM. A split lets control work crash or be replaced without cutting streams and keeps its cost apart; the router then needs one connection to a controller, which is small.

--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,48 @@
+// Command standin runs stand-ins of the systems that surround gentianstep.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+)
+
+// command is one subcommand with what it does.
+type command struct {
+	parser *flaggy.Subcommand
+	run    func(ctx context.Context) error
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := run(ctx); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "standin:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context) error {
+	flaggy.SetName("standin")
+	flaggy.SetDescription("Stands in for the platform, engines and plain services in tests.")
+	commands := []command{
+		newPlatformCommand(),
+		newEngineCommand(),
+		newServiceCommand(),
+	}
+	for _, c := range commands {
+		flaggy.AttachSubcommand(c.parser, 1)
+	}
+	flaggy.Parse()
+	for _, c := range commands {
+		if c.parser.Used {
+			return c.run(ctx)
+		}
+	}
+	flaggy.ShowHelpAndExit("")
+	return nil
+}
--- /dev/null
+++ b/internal/peering/messenger/conn.go
@@ -0,0 +1,128 @@
+package messenger
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+
+	"gentianstep.example/gentianstep/internal/failure/classifier"
+)
+
+// Path is the HTTP path at which controllers accept connections.
+const Path = "/v1/peer"
+
+// maxMessageBytes bounds one message; a bundle is the largest.
+const maxMessageBytes = 2 << 20
+
+// writeTimeout bounds one write to a peer.
+const writeTimeout = 5 * time.Second
+
+var (
+	encoding = newEncoding()
+	decoding = newDecoding()
+)
+
+func newEncoding() cbor.EncMode {
+	mode, err := cbor.EncOptions{Time: cbor.TimeUnixMicro}.EncMode()
+	if err != nil {
+		panic(fmt.Sprintf("cbor options: %v", err))
+	}
+	return mode
+}
+
+func newDecoding() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		MaxArrayElements: 1 << 17,
+		MaxNestedLevels:  16,
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+	}.DecMode()
+	if err != nil {
+		panic(fmt.Sprintf("cbor options: %v", err))
+	}
+	return mode
+}
+
+// Encode returns the CBOR form of m.
+func Encode(m Message) ([]byte, error) {
+	data, err := encoding.Marshal(m)
+	if err != nil {
+		return nil, fmt.Errorf("encode message: %w", err)
+	}
+	return data, nil
+}
+
+// Decode reads a message from its CBOR form and checks it.
+func Decode(data []byte) (Message, error) {
+	var m Message
+	if err := decoding.Unmarshal(data, &m); err != nil {
+		return Message{}, classifier.Wrap(classifier.MessageInvalid, err, "not a message")
+	}
+	if err := m.Check(); err != nil {
+		return Message{}, classifier.Wrap(classifier.MessageInvalid, err, "message refused")
+	}
+	return m, nil
+}
+
+// Conn is one connection to another process of the system. One goroutine may
+// read while others write.
+type Conn struct {
+	ws *websocket.Conn
+}
+
+// Dial connects to the controller at url.
+func Dial(ctx context.Context, client *http.Client, url string) (*Conn, error) {
+	ws, response, err := websocket.Dial(ctx, url+Path, &websocket.DialOptions{HTTPClient: client})
+	if response != nil && response.Body != nil {
+		_ = response.Body.Close()
+	}
+	if err != nil {
+		return nil, fmt.Errorf("dial peer: %w", err)
+	}
+	return newConn(ws), nil
+}
+
+// Accept takes over an incoming connection.
+func Accept(w http.ResponseWriter, r *http.Request) (*Conn, error) {
+	ws, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return nil, fmt.Errorf("accept peer: %w", err)
+	}
+	return newConn(ws), nil
+}
+
+func newConn(ws *websocket.Conn) *Conn {
+	ws.SetReadLimit(maxMessageBytes)
+	return &Conn{ws: ws}
+}
+
+// Write sends m.
+func (c *Conn) Write(ctx context.Context, m Message) error {
+	data, err := Encode(m)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	if err := c.ws.Write(ctx, websocket.MessageBinary, data); err != nil {
+		return fmt.Errorf("write to peer: %w", err)
+	}
+	return nil
+}
+
+// Read returns the next message.
+func (c *Conn) Read(ctx context.Context) (Message, error) {
+	_, data, err := c.ws.Read(ctx)
+	if err != nil {
+		return Message{}, fmt.Errorf("read from peer: %w", err)
+	}
+	return Decode(data)
+}
+
+// Close ends the connection at once.
+func (c *Conn) Close() {
+	_ = c.ws.CloseNow()
+}
--- /dev/null
+++ b/internal/standin/generator/config.go
@@ -0,0 +1,29 @@
+// Package generator stands in for a model engine: it batches requests, keeps a
+// bounded cache of prompt blocks and streams numbered tokens.
+package generator
+
+import (
+	"time"
+
+	"gentianstep.example/gentianstep/internal/upstream/observer"
+)
+
+// Config holds what an Engine is built from.
+type Config struct {
+	Name   string
+	Models []observer.LoadedModel
+	// Slots is the number of requests that run side by side.
+	Slots int
+	// CacheBlocks bounds the prefix cache.
+	CacheBlocks int
+	// PrefillPerBlock is the time to compute one missing block.
+	PrefillPerBlock time.Duration
+	// TokenInterval is the time between two tokens of one stream.
+	TokenInterval time.Duration
+	// ChecksFencing makes the engine refuse orders with an old fencing number.
+	ChecksFencing bool
+	// LoadTime is the time to load one version of a model's weights.
+	LoadTime time.Duration
+	// Incarnation tells this start of the engine from earlier ones.
+	Incarnation uint64
+}
--- /dev/null
+++ b/internal/standin/generator/writer.go
@@ -0,0 +1,119 @@
+package generator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"gentianstep.example/gentianstep/internal/caching/hasher"
+	"gentianstep.example/gentianstep/internal/streaming/encoder"
+)
+
+// bytesPerToken is the size of a prompt token in the usage counts.
+const bytesPerToken = 4
+
+// writer sends one answer to one connection.
+type writer struct {
+	w       http.ResponseWriter
+	stream  *stream
+	request encoder.Request
+	chat    bool
+}
+
+// copy sends the tokens from offset on, streamed or as one answer.
+func (o writer) copy(ctx context.Context, offset int) {
+	if !o.request.Stream {
+		o.whole(ctx, offset)
+		return
+	}
+	controller := http.NewResponseController(o.w)
+	for n := offset; ; n++ {
+		token, more, err := o.stream.next(ctx, n)
+		if err != nil {
+			return
+		}
+		if !more {
+			o.event(n+1, o.last(n))
+			_, _ = fmt.Fprintf(o.w, "data: %s\n\n", encoder.Done)
+			return
+		}
+		o.event(n+1, o.chunk(token))
+		if controller.Flush() != nil {
+			return
+		}
+	}
+}
+
+func (o writer) whole(ctx context.Context, offset int) {
+	var text strings.Builder
+	for n := offset; ; n++ {
+		token, more, err := o.stream.next(ctx, n)
+		if err != nil {
+			return
+		}
+		if !more {
+			answer := o.last(n)
+			o.setText(&answer.Choices[0], text.String(), false)
+			writeJSON(o.w, answer)
+			return
+		}
+		text.WriteString(token)
+	}
+}
+
+func (o writer) event(id int, c encoder.Chunk) {
+	data, err := json.Marshal(c)
+	if err != nil {
+		return
+	}
+	_, _ = fmt.Fprintf(o.w, "id: %d\ndata: %s\n\n", id, data)
+}
+
+func (o writer) chunk(text string) encoder.Chunk {
+	choice := encoder.Choice{}
+	o.setText(&choice, text, true)
+	return encoder.Chunk{ID: o.stream.id, Object: o.object(), Model: o.request.Model, Choices: []encoder.Choice{choice}}
+}
+
+func (o writer) setText(choice *encoder.Choice, text string, delta bool) {
+	switch {
+	case o.chat && delta:
+		choice.Delta = &encoder.Message{Role: "assistant", Content: text}
+	case o.chat:
+		choice.Message = &encoder.Message{Role: "assistant", Content: text}
+	default:
+		choice.Text = text
+	}
+}
+
+func (o writer) object() string {
+	switch {
+	case o.chat && o.request.Stream:
+		return "chat.completion.chunk"
+	case o.chat:
+		return "chat.completion"
+	}
+	return "text_completion"
+}
+
+// last returns the chunk that ends an answer of n tokens.
+func (o writer) last(n int) encoder.Chunk {
+	o.stream.mu.Lock()
+	u := *o.stream.usage
+	o.stream.mu.Unlock()
+	prompt := u.promptBytes / bytesPerToken
+	reason := "length"
+	c := o.chunk("")
+	c.Choices[0].FinishReason = &reason
+	c.Usage = &encoder.Usage{
+		PromptTokens:     prompt,
+		CompletionTokens: n,
+		TotalTokens:      prompt + n,
+		PromptTokensDetails: encoder.PromptTokensDetails{
+			CachedTokens: u.cachedBlocks * hasher.BlockBytes / bytesPerToken,
+		},
+	}
+	return c
+}
--- /dev/null
+++ b/internal/standin/keeper/keeper.go
@@ -0,0 +1,213 @@
+// Package keeper stands in for the platform's key-value service and VM list.
+package keeper
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"gentianstep.example/gentianstep/internal/platform/storer"
+)
+
+// Keeper is a key-value service in memory. It implements storer.Store and
+// storer.VMLister.
+type Keeper struct {
+	mu       sync.Mutex
+	revision uint64
+	entries  map[string]storer.Entry
+	leases   map[uint64]*grant
+	nextID   uint64
+	vms      []storer.VM
+	changed  chan struct{}
+}
+
+// grant is a lease with its time to live.
+type grant struct {
+	lease storer.Lease
+	ttl   time.Duration
+}
+
+var (
+	_ storer.Store    = (*Keeper)(nil)
+	_ storer.VMLister = (*Keeper)(nil)
+)
+
+// New returns an empty Keeper.
+func New() *Keeper {
+	return &Keeper{
+		entries: make(map[string]storer.Entry),
+		leases:  make(map[uint64]*grant),
+		changed: make(chan struct{}),
+	}
+}
+
+// Get implements storer.Store.
+func (k *Keeper) Get(_ context.Context, key string) (storer.Entry, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.expire(time.Now())
+	entry, ok := k.entries[key]
+	if !ok {
+		return storer.Entry{}, storer.ErrNotFound
+	}
+	return entry, nil
+}
+
+// Put implements storer.Store.
+func (k *Keeper) Put(_ context.Context, key string, value []byte, opts storer.PutOptions) (uint64, error) {
+	if len(value) > storer.MaxValueBytes {
+		return 0, storer.ErrTooLarge
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.expire(time.Now())
+	if k.entries[key].Revision != opts.IfRevision {
+		return 0, storer.ErrConflict
+	}
+	if opts.LeaseID != 0 && k.leases[opts.LeaseID] == nil {
+		return 0, storer.ErrLeaseGone
+	}
+	k.revision++
+	k.entries[key] = storer.Entry{
+		Key:      key,
+		Value:    slices.Clone(value),
+		Revision: k.revision,
+		LeaseID:  opts.LeaseID,
+	}
+	k.announce()
+	return k.revision, nil
+}
+
+// Delete implements storer.Store.
+func (k *Keeper) Delete(_ context.Context, key string, ifRevision uint64) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.expire(time.Now())
+	entry, ok := k.entries[key]
+	if !ok {
+		return storer.ErrNotFound
+	}
+	if entry.Revision != ifRevision {
+		return storer.ErrConflict
+	}
+	k.remove(key)
+	return nil
+}
+
+// List implements storer.Store.
+func (k *Keeper) List(_ context.Context, prefix string) ([]storer.Entry, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.expire(time.Now())
+	entries := make([]storer.Entry, 0)
+	for key, entry := range k.entries {
+		if strings.HasPrefix(key, prefix) {
+			entries = append(entries, entry)
+		}
+	}
+	slices.SortFunc(entries, func(a, b storer.Entry) int { return strings.Compare(a.Key, b.Key) })
+	return entries, nil
+}
+
+// Watch implements storer.Store.
+func (k *Keeper) Watch(ctx context.Context, key string, after uint64) (storer.Entry, error) {
+	for {
+		k.mu.Lock()
+		k.expire(time.Now())
+		entry := k.entries[key]
+		changed := k.changed
+		k.mu.Unlock()
+		if entry.Revision > after {
+			return entry, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return storer.Entry{}, ctx.Err()
+		}
+	}
+}
+
+// Grant implements storer.Store.
+func (k *Keeper) Grant(_ context.Context, ttl time.Duration) (storer.Lease, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.nextID++
+	g := &grant{
+		lease: storer.Lease{ID: k.nextID, Deadline: time.Now().Add(ttl)},
+		ttl:   ttl,
+	}
+	k.leases[k.nextID] = g
+	return g.lease, nil
+}
+
+// Renew implements storer.Store.
+func (k *Keeper) Renew(_ context.Context, id uint64) (storer.Lease, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.expire(time.Now())
+	g := k.leases[id]
+	if g == nil {
+		return storer.Lease{}, storer.ErrLeaseGone
+	}
+	g.lease.Deadline = time.Now().Add(g.ttl)
+	return g.lease, nil
+}
+
+// Revoke implements storer.Store.
+func (k *Keeper) Revoke(_ context.Context, id uint64) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.expire(time.Now())
+	if k.leases[id] == nil {
+		return storer.ErrLeaseGone
+	}
+	k.end(id)
+	return nil
+}
+
+// VMs implements storer.VMLister.
+func (k *Keeper) VMs(context.Context) ([]storer.VM, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return slices.Clone(k.vms), nil
+}
+
+// SetVMs replaces the VM list.
+func (k *Keeper) SetVMs(vms []storer.VM) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.vms = slices.Clone(vms)
+}
+
+// expire ends the leases whose deadline is past.
+func (k *Keeper) expire(now time.Time) {
+	for id, g := range k.leases {
+		if now.After(g.lease.Deadline) {
+			k.end(id)
+		}
+	}
+}
+
+// end removes a lease and the keys that live by it.
+func (k *Keeper) end(id uint64) {
+	delete(k.leases, id)
+	for key, entry := range k.entries {
+		if entry.LeaseID == id {
+			k.remove(key)
+		}
+	}
+}
+
+func (k *Keeper) remove(key string) {
+	k.revision++
+	delete(k.entries, key)
+	k.announce()
+}
+
+func (k *Keeper) announce() {
+	close(k.changed)
+	k.changed = make(chan struct{})
+}
--- /dev/null
+++ b/internal/standin/keeper/server.go
@@ -0,0 +1,161 @@
+package keeper
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"gentianstep.example/gentianstep/internal/platform/storer"
+)
+
+// watchLimit is the longest wait of one watch call.
+const watchLimit = 30 * time.Second
+
+// Handler serves a Keeper over HTTP.
+func Handler(k *Keeper) http.Handler {
+	s := server{keeper: k}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+storer.PathKeys+"{key}", s.get)
+	mux.HandleFunc("PUT "+storer.PathKeys+"{key}", s.put)
+	mux.HandleFunc("DELETE "+storer.PathKeys+"{key}", s.remove)
+	mux.HandleFunc("GET "+storer.PathWatch+"{key}", s.watch)
+	mux.HandleFunc("GET "+storer.PathList+"{prefix}", s.list)
+	mux.HandleFunc("POST "+storer.PathLeases, s.grant)
+	mux.HandleFunc("PUT "+storer.PathLeases+"/{id}", s.renew)
+	mux.HandleFunc("DELETE "+storer.PathLeases+"/{id}", s.revoke)
+	mux.HandleFunc("GET "+storer.PathVMs, s.vms)
+	mux.HandleFunc("PUT "+storer.PathVMs, s.setVMs)
+	return mux
+}
+
+type server struct {
+	keeper *Keeper
+}
+
+func (s server) get(w http.ResponseWriter, r *http.Request) {
+	entry, err := s.keeper.Get(r.Context(), r.PathValue("key"))
+	answer(w, entry, err)
+}
+
+func (s server) put(w http.ResponseWriter, r *http.Request) {
+	var body storer.PutRequest
+	if !decode(w, r, &body) {
+		return
+	}
+	opts := storer.PutOptions{IfRevision: body.IfRevision, LeaseID: body.LeaseID}
+	revision, err := s.keeper.Put(r.Context(), r.PathValue("key"), body.Value, opts)
+	answer(w, storer.PutAnswer{Revision: revision}, err)
+}
+
+func (s server) remove(w http.ResponseWriter, r *http.Request) {
+	revision, err := strconv.ParseUint(r.URL.Query().Get("if_revision"), 10, 64)
+	if err != nil {
+		http.Error(w, "if_revision: takes a number", http.StatusBadRequest)
+		return
+	}
+	answer(w, struct{}{}, s.keeper.Delete(r.Context(), r.PathValue("key"), revision))
+}
+
+func (s server) watch(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		http.Error(w, "after: takes a number", http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), watchLimit)
+	defer cancel()
+	entry, err := s.keeper.Watch(ctx, r.PathValue("key"), after)
+	if errors.Is(err, context.DeadlineExceeded) {
+		err = storer.ErrNotChanged
+	}
+	answer(w, entry, err)
+}
+
+func (s server) list(w http.ResponseWriter, r *http.Request) {
+	entries, err := s.keeper.List(r.Context(), r.PathValue("prefix"))
+	answer(w, entries, err)
+}
+
+func (s server) grant(w http.ResponseWriter, r *http.Request) {
+	var body storer.GrantRequest
+	if !decode(w, r, &body) {
+		return
+	}
+	lease, err := s.keeper.Grant(r.Context(), body.TTL())
+	answer(w, lease, err)
+}
+
+func (s server) renew(w http.ResponseWriter, r *http.Request) {
+	lease, err := s.keeper.Renew(r.Context(), leaseID(r))
+	answer(w, lease, err)
+}
+
+func (s server) revoke(w http.ResponseWriter, r *http.Request) {
+	answer(w, struct{}{}, s.keeper.Revoke(r.Context(), leaseID(r)))
+}
+
+func (s server) vms(w http.ResponseWriter, r *http.Request) {
+	vms, err := s.keeper.VMs(r.Context())
+	answer(w, vms, err)
+}
+
+func (s server) setVMs(w http.ResponseWriter, r *http.Request) {
+	var vms []storer.VM
+	if !decode(w, r, &vms) {
+		return
+	}
+	s.keeper.SetVMs(vms)
+	answer(w, struct{}{}, nil)
+}
+
+// leaseID returns the lease named in the path, 0 where it is not a number.
+func leaseID(r *http.Request) uint64 {
+	id, err := strconv.ParseUint(r.PathValue("id"), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return id
+}
+
+func decode(w http.ResponseWriter, r *http.Request, body any) bool {
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 2*storer.MaxValueBytes)).Decode(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func answer(w http.ResponseWriter, body any, err error) {
+	status := statusOf(err)
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	if status == http.StatusNotModified {
+		return
+	}
+	if err != nil {
+		body = map[string]string{"error": err.Error()}
+	}
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func statusOf(err error) int {
+	switch {
+	case err == nil:
+		return http.StatusOK
+	case errors.Is(err, storer.ErrNotFound):
+		return http.StatusNotFound
+	case errors.Is(err, storer.ErrConflict):
+		return http.StatusConflict
+	case errors.Is(err, storer.ErrLeaseGone):
+		return http.StatusGone
+	case errors.Is(err, storer.ErrNotChanged):
+		return http.StatusNotModified
+	case errors.Is(err, storer.ErrTooLarge):
+		return http.StatusRequestEntityTooLarge
+	}
+	return http.StatusInternalServerError
+}
--- /dev/null
+++ b/internal/standin/recorder/recorder.go
@@ -0,0 +1,81 @@
+// Package recorder stands in for a plain service and keeps a ledger of the
+// calls that ran.
+package recorder
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+
+	"gentianstep.example/gentianstep/internal/streaming/encoder"
+)
+
+// maxBodyBytes bounds one call.
+const maxBodyBytes = 1 << 20
+
+// Entry is one call that ran.
+type Entry struct {
+	Number         int    `json:"number"`
+	Method         string `json:"method"`
+	Path           string `json:"path"`
+	RequestID      string `json:"request_id"`
+	IdempotencyKey string `json:"idempotency_key,omitempty"`
+	Body           string `json:"body"`
+}
+
+// Recorder is a plain service that runs every call and remembers it.
+type Recorder struct {
+	name   string
+	mu     sync.Mutex
+	ledger []Entry
+}
+
+// New returns a Recorder with an empty ledger.
+func New(name string) *Recorder {
+	return &Recorder{name: name}
+}
+
+// Ledger returns the calls that ran, in order.
+func (r *Recorder) Ledger() []Entry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Entry{}, r.ledger...)
+}
+
+// ServeHTTP implements http.Handler.
+func (r *Recorder) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	if request.URL.Path == "/v1/control/ledger" {
+		answer(w, r.Ledger())
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, request.Body, maxBodyBytes))
+	if err != nil {
+		w.Header().Set(encoder.HeaderNotRun, "true")
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	entry := r.record(request, string(body))
+	w.Header().Set(encoder.HeaderRequestID, entry.RequestID)
+	answer(w, map[string]any{"service": r.name, "number": entry.Number})
+}
+
+func (r *Recorder) record(request *http.Request, body string) Entry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	entry := Entry{
+		Number:         len(r.ledger) + 1,
+		Method:         request.Method,
+		Path:           request.URL.Path,
+		RequestID:      request.Header.Get(encoder.HeaderRequestID),
+		IdempotencyKey: request.Header.Get(encoder.HeaderIdempotencyKey),
+		Body:           body,
+	}
+	r.ledger = append(r.ledger, entry)
+	return entry
+}
+
+func answer(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/internal/streaming/encoder/request.go
@@ -0,0 +1,74 @@
+// Package encoder defines the completion requests and answers that callers,
+// routers and engines exchange.
+package encoder
+
+import (
+	"encoding/json"
+	"strings"
+
+	"gentianstep.example/gentianstep/internal/failure/classifier"
+)
+
+// Message is one turn of a chat.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Request asks for a completion of a prompt or of a chat.
+type Request struct {
+	Model     string    `json:"model"`
+	Prompt    string    `json:"prompt,omitempty"`
+	Messages  []Message `json:"messages,omitempty"`
+	MaxTokens int       `json:"max_tokens,omitempty"`
+	Stream    bool      `json:"stream,omitempty"`
+	// Priority is "interactive" or "batch"; empty takes the organisation's.
+	Priority string `json:"priority,omitempty"`
+}
+
+// DefaultMaxTokens is the answer length of requests that name none.
+const DefaultMaxTokens = 256
+
+// DecodeRequest reads a request from its JSON form and checks it.
+func DecodeRequest(body []byte) (Request, error) {
+	var r Request
+	if err := json.Unmarshal(body, &r); err != nil {
+		return Request{}, classifier.Wrap(classifier.InvalidRequest, err, "the body is not a completion request in JSON")
+	}
+	if r.MaxTokens == 0 {
+		r.MaxTokens = DefaultMaxTokens
+	}
+	return r, r.Check()
+}
+
+// Check reports the first fault of the request.
+func (r Request) Check() error {
+	switch {
+	case r.Model == "":
+		return classifier.New(classifier.InvalidRequest, "model: got none, takes the name of a model")
+	case r.Prompt == "" && len(r.Messages) == 0:
+		return classifier.New(classifier.InvalidRequest, "prompt: got none, takes a prompt or messages")
+	case r.Prompt != "" && len(r.Messages) > 0:
+		return classifier.New(classifier.InvalidRequest, "prompt: takes either a prompt or messages, got both")
+	case r.MaxTokens < 0:
+		return classifier.New(classifier.InvalidRequest, "max_tokens: got %d, takes 1 or more", r.MaxTokens)
+	case r.Priority != "" && r.Priority != "interactive" && r.Priority != "batch":
+		return classifier.New(classifier.InvalidRequest, "priority: got %q, takes interactive or batch", r.Priority)
+	}
+	return nil
+}
+
+// Text returns the prompt text that the engine's cache is keyed by.
+func (r Request) Text() string {
+	if len(r.Messages) == 0 {
+		return r.Prompt
+	}
+	var text strings.Builder
+	for _, m := range r.Messages {
+		text.WriteString(m.Role)
+		text.WriteByte(0)
+		text.WriteString(m.Content)
+		text.WriteByte(0)
+	}
+	return text.String()
+}
