Choose an upstream by estimated cost

Cause: only round_robin existed, and the router needs the policies that a bundle may name.

Change: selector.New makes round_robin, least_loaded, prefix_hash or prefix_cost from the bundle's selection policy, the largest share of ejected upstreams and a seeded random source. prefix_cost adds up wait, prefill (or import of kept cache where that is quicker), distance, a price for recomputed blocks that another live candidate holds, and a price for bytes between regions, and takes the lowest. Suspect candidates are left out unless all are.

Not yet: affinity without an index, near-equals, margins. Not measured yet.

--- a/internal/routing/selector/candidate.go
+++ b/internal/routing/selector/candidate.go
@@ -20,11 +20,23 @@
 	ReportedAt time.Time
 	// HeldBlocks is the number of leading blocks of the request believed cached.
 	HeldBlocks int
+	// UnsureBlocks is the number of further leading blocks that were believed
+	// cached before a gap in the cache events of the upstream.
+	UnsureBlocks int
 	// ImportableBlocks is the number of leading blocks that can be imported
 	// from the store of kept cache rather than computed.
 	ImportableBlocks int
+	// ImportPerBlock is the time to import one block; zero allows no import.
+	ImportPerBlock time.Duration
 	// PrefillPerBlock is the observed time to compute one block.
 	PrefillPerBlock time.Duration
+	// ServiceTime is the observed time that a request holds a slot.
+	ServiceTime time.Duration
 	// Suspect is true while the upstream cools down after failures.
 	Suspect bool
 }
+
+// load returns the number of requests per slot.
+func (c *Candidate) load() float64 {
+	return (c.Queued + c.Running) / float64(max(c.Slots, 1))
+}
--- a/internal/routing/selector/decision.go
+++ b/internal/routing/selector/decision.go
@@ -1,26 +1,39 @@
 package selector
 
-import "time"
+// MaxCosts is the largest number of candidates whose costs a decision lists.
+const MaxCosts = 8
 
-// Cost is one candidate's estimated cost, split into its parts.
-type Cost struct {
-	Name      string        `json:"name"`
-	Wait      time.Duration `json:"wait"`
-	Prefill   time.Duration `json:"prefill"`
-	Distance  time.Duration `json:"distance"`
-	Recompute time.Duration `json:"recompute"`
-	Crossing  time.Duration `json:"crossing"`
-	Total     time.Duration `json:"total"`
-}
+// Reasons of a decision.
+const (
+	ReasonNoCandidate  = "no_candidate"
+	ReasonNextInTurn   = "next_in_turn"
+	ReasonLeastLoaded  = "least_loaded"
+	ReasonPrefixHome   = "prefix_home"
+	ReasonHomeOverflow = "home_overflow"
+	ReasonLowestCost   = "lowest_cost"
+	ReasonNearEqual    = "near_equal"
+)
 
 // Decision is the outcome of a selection.
 type Decision struct {
+	// Policy is the name of the policy that decided.
+	Policy string `json:"policy"`
 	// Chosen is the name of the upstream, empty where there is none.
 	Chosen string `json:"chosen"`
 	// Reason says in a few words why it was chosen.
 	Reason string `json:"reason"`
-	// Costs lists every candidate that was considered.
+	// Costs lists the cheapest candidates, the cheapest first, and the chosen
+	// one; at most MaxCosts of them.
 	Costs []Cost `json:"costs"`
+	// Considered is the number of candidates whose costs were compared.
+	Considered int `json:"considered"`
+	// Suspects is the number of candidates left out as suspect.
+	Suspects int `json:"suspects"`
 	// Missing is the number of blocks the chosen upstream has to compute.
 	Missing int `json:"missing"`
+	// HeldElsewhere is the number of missing blocks that another live
+	// candidate holds.
+	HeldElsewhere int `json:"held_elsewhere"`
+	// Crossing is true where the chosen upstream is in another region.
+	Crossing bool `json:"crossing"`
 }
--- a/internal/routing/selector/policy.go
+++ b/internal/routing/selector/policy.go
@@ -2,6 +2,14 @@
 
 import "time"
 
+// Names by which a bundle asks for a policy.
+const (
+	nameRoundRobin  = "round_robin"
+	nameLeastLoaded = "least_loaded"
+	namePrefixHash  = "prefix_hash"
+	namePrefixCost  = "prefix_cost"
+)
+
 // Policy chooses one of the candidates of a request. A policy may keep soft
 // state and is used by one goroutine at a time.
 type Policy interface {
--- /dev/null
+++ b/internal/routing/selector/pricer.go
@@ -0,0 +1,124 @@
+package selector
+
+import (
+	"time"
+
+	"gentianstep.example/gentianstep/internal/bundle/checker"
+)
+
+const (
+	// defaultPrefillPerBlock stands for a prefill time not yet observed.
+	defaultPrefillPerBlock = 2 * time.Millisecond
+	// defaultServiceTime stands for a service time not yet observed.
+	defaultServiceTime = time.Second
+	// availabilityZoneDistance is the added time to another availability zone
+	// of the same region.
+	availabilityZoneDistance = 500 * time.Microsecond
+	// unsureShare is the share of unsure blocks that counts as held.
+	unsureShare = 0.5
+	// bytesPerToken is the assumed size of one token of an answer.
+	bytesPerToken = 4
+	// bytesPerMegabyte is the unit of the crossing price.
+	bytesPerMegabyte = 1 << 20
+)
+
+// pricer computes the cost of candidates for one request.
+type pricer struct {
+	weights checker.SelectionPolicy
+	request *Request
+	// bestHeld is the largest number of leading blocks that a live candidate holds.
+	bestHeld int
+	// crossingPrice is the price of the request's bytes between regions.
+	crossingPrice time.Duration
+}
+
+func newPricer(weights checker.SelectionPolicy, r *Request) pricer {
+	size := float64(r.PromptBytes+r.MaxTokens*bytesPerToken) / bytesPerMegabyte
+	return pricer{
+		weights:       weights,
+		request:       r,
+		crossingPrice: scale(weights.CrossingPrice.Std(), size),
+	}
+}
+
+func scale(d time.Duration, factor float64) time.Duration {
+	return time.Duration(float64(d) * factor)
+}
+
+// cost returns the cost of c with its parts.
+func (p *pricer) cost(c *Candidate) Cost {
+	perBlock := prefillPerBlock(c)
+	cost := Cost{
+		Name:      c.Name,
+		Wait:      wait(c, perBlock),
+		Prefill:   p.prefill(c, perBlock),
+		Distance:  p.distance(c),
+		Recompute: p.recompute(c, perBlock),
+	}
+	if c.Region != p.request.Region {
+		cost.Crossing = p.crossingPrice
+	}
+	cost.Total = cost.Wait + cost.Prefill + cost.Distance + cost.Recompute + cost.Crossing
+	return cost
+}
+
+func prefillPerBlock(c *Candidate) time.Duration {
+	if c.PrefillPerBlock <= 0 {
+		return defaultPrefillPerBlock
+	}
+	return c.PrefillPerBlock
+}
+
+// wait estimates the time until c starts on a new request: the prefill work
+// before it, and the slots that have to become free.
+func wait(c *Candidate, perBlock time.Duration) time.Duration {
+	w := scale(perBlock, c.QueuedBlocks)
+	over := c.Queued + c.Running + 1 - float64(c.Slots)
+	if over <= 0 {
+		return w
+	}
+	service := c.ServiceTime
+	if service <= 0 {
+		service = defaultServiceTime
+	}
+	return w + scale(service, over/float64(max(c.Slots, 1)))
+}
+
+// prefill estimates the time to make the missing blocks of the request ready,
+// by computing all of them or by importing what was kept and computing the rest.
+func (p *pricer) prefill(c *Candidate, perBlock time.Duration) time.Duration {
+	missing := p.missing(c)
+	compute := scale(perBlock, missing)
+	held := float64(len(p.request.Chain)) - missing
+	imported := min(float64(c.ImportableBlocks), float64(len(p.request.Chain))) - held
+	if c.ImportPerBlock <= 0 || imported <= 0 {
+		return compute
+	}
+	return min(compute, scale(c.ImportPerBlock, imported)+scale(perBlock, missing-imported))
+}
+
+// missing returns the expected number of blocks that c lacks.
+func (p *pricer) missing(c *Candidate) float64 {
+	held := float64(c.HeldBlocks) + unsureShare*float64(c.UnsureBlocks)
+	return max(float64(len(p.request.Chain))-held, 0)
+}
+
+func (p *pricer) distance(c *Candidate) time.Duration {
+	switch {
+	case c.Region != p.request.Region:
+		return p.weights.CrossingLatency.Std()
+	case c.AvailabilityZone != p.request.AvailabilityZone:
+		return availabilityZoneDistance
+	}
+	return 0
+}
+
+// heldElsewhere returns the number of blocks that c would compute although
+// another live candidate holds them.
+func (p *pricer) heldElsewhere(c *Candidate) int {
+	return max(min(p.bestHeld, len(p.request.Chain))-c.HeldBlocks, 0)
+}
+
+func (p *pricer) recompute(c *Candidate, perBlock time.Duration) time.Duration {
+	return scale(perBlock, p.weights.RecomputePrice*float64(p.heldElsewhere(c)))
+}
