Estimate the load of upstreams between late reports

Cause: reports are late and other routers act on the same ones.

Change: estimator ages each report towards the mean of all reports (a silent upstream must not look idle), adds own sends since the report times a peer factor, never goes below own requests in flight, and learns prefill per block and service time as moving averages.

Ruled out: decay towards zero, by which a silent upstream looks free.

--- /dev/null
+++ b/internal/routing/estimator/belief.go
@@ -0,0 +1,78 @@
+package estimator
+
+import (
+	"time"
+
+	"gentianstep.example/gentianstep/internal/routing/selector"
+)
+
+const (
+	// requestMemory is the age at which a reported number of requests counts half.
+	requestMemory = 4 * time.Second
+	// blockMemory is the age at which a reported number of blocks counts half.
+	blockMemory = time.Second
+)
+
+// belief is what is known of one upstream.
+type belief struct {
+	upstream Upstream
+	report   Report
+	// inFlight counts the router's own requests, computingBlocks their blocks
+	// before the first token.
+	inFlight        int
+	computingBlocks int
+	// newSends and newBlocks are the part of those that the report is older than.
+	newSends  int
+	newBlocks int
+	prefill   average
+	service   average
+	// suspectUntil is the end of the cooldown after a failure.
+	suspectUntil time.Time
+}
+
+// restart forgets what belonged to an older incarnation.
+func (b *belief) restart() {
+	b.inFlight = 0
+	b.computingBlocks = 0
+	b.newSends = 0
+	b.newBlocks = 0
+}
+
+// aged returns the reported value moved towards mean by its age.
+func aged(reported, mean float64, age, memory time.Duration) float64 {
+	if age <= 0 {
+		return reported
+	}
+	trust := float64(memory) / float64(memory+age)
+	return mean + (reported-mean)*trust
+}
+
+// fill writes the candidate of b into c. The means are those of all reports.
+func (b *belief) fill(c *selector.Candidate, now time.Time, cfg *Config, m mean) {
+	slots := float64(max(b.upstream.Slots, 1))
+	requests, blocks := m.load*slots, m.blocks
+	if !b.report.ReportedAt.IsZero() {
+		age := now.Sub(b.report.ReportedAt)
+		requests = aged(float64(b.report.Queued+b.report.Running), requests, age, requestMemory)
+		blocks = aged(float64(b.report.QueuedBlocks), blocks, age, blockMemory)
+	}
+	requests += cfg.PeerFactor * float64(b.newSends)
+	blocks += cfg.PeerFactor * float64(b.newBlocks)
+	requests = max(requests, float64(b.inFlight))
+	running := min(requests, slots)
+	*c = selector.Candidate{
+		Name:             b.upstream.Name,
+		Region:           b.upstream.Region,
+		AvailabilityZone: b.upstream.AvailabilityZone,
+		Incarnation:      b.report.Incarnation,
+		Slots:            b.upstream.Slots,
+		Queued:           requests - running,
+		Running:          running,
+		QueuedBlocks:     max(blocks, float64(b.computingBlocks)),
+		ReportedAt:       b.report.ReportedAt,
+		ImportPerBlock:   cfg.ImportPerBlock,
+		PrefillPerBlock:  b.prefill.or(cfg.PrefillPerBlock),
+		ServiceTime:      b.service.or(cfg.ServiceTime),
+		Suspect:          now.Before(b.suspectUntil),
+	}
+}
