--- /dev/null
+++ b/internal/caching/indexer/block.go
@@ -0,0 +1,30 @@
+package indexer
+
+import "gentianstep.example/gentianstep/internal/caching/hasher"
+
+// maxBlockIndex is the largest place of a block in its chain.
+const maxBlockIndex = 1 << 20
+
+// Block is one cached block of a chain.
+type Block struct {
+	Hash hasher.Hash `json:"hash" cbor:"hash"`
+	// Family is the hash of the first checkpoint of the chain; the blocks
+	// before that checkpoint have none and carry 0.
+	Family hasher.Hash `json:"family,omitempty" cbor:"family,omitempty"`
+	// Index is the place of the block in the chain, counted from 0.
+	Index int `json:"index" cbor:"index"`
+}
+
+// BlocksOf returns the blocks of chain from the place first on.
+func BlocksOf(chain []hasher.Hash, first int) []Block {
+	family, _ := hasher.Family(chain)
+	blocks := make([]Block, 0, max(len(chain)-first, 0))
+	for i := first; i < len(chain); i++ {
+		b := Block{Hash: chain[i], Index: i}
+		if i >= hasher.CheckpointBlocks-1 {
+			b.Family = family
+		}
+		blocks = append(blocks, b)
+	}
+	return blocks
+}
--- a/internal/routing/estimator/belief.go
+++ b/internal/routing/estimator/belief.go
@@ -17,6 +17,9 @@
 type belief struct {
 	upstream Upstream
 	report   Report
+	// at is the place of the upstream in the last list of candidates, -1
+	// where it was left out.
+	at int
 	// inFlight counts the router's own requests, computingBlocks their blocks
 	// before the first token.
 	inFlight        int
--- a/internal/routing/estimator/estimator.go
+++ b/internal/routing/estimator/estimator.go
@@ -210,9 +210,11 @@
 	}
 	buf = slices.Grow(buf[:0], len(e.beliefs))
 	for _, b := range e.beliefs {
+		b.at = -1
 		if accept != nil && !accept(b.upstream.Name) {
 			continue
 		}
+		b.at = len(buf)
 		buf = buf[:len(buf)+1]
 		b.fill(&buf[len(buf)-1], now, &e.cfg, e.mean)
 	}
