Evaluate the selection policies in virtual time

Cause: choices of the cost need figures under one load with fixed seeds.

Change: a table-driven test drives routers with their own beliefs, late load reports (each 1 s, 0.4 s late) and late cache events (0.3 s) against a small fake of upstream caches, prefill and slots, and logs hit rate, blocks computed though another upstream held them, share of crossings and waits.

--- /dev/null
+++ b/internal/routing/selector/evaluation_test.go
@@ -0,0 +1,325 @@
+package selector_test
+
+import (
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gentianstep.example/gentianstep/internal/bundle/checker"
+	"gentianstep.example/gentianstep/internal/caching/hasher"
+	"gentianstep.example/gentianstep/internal/caching/indexer"
+	"gentianstep.example/gentianstep/internal/routing/estimator"
+	"gentianstep.example/gentianstep/internal/routing/selector"
+)
+
+const (
+	perBlock   = 2 * time.Millisecond
+	eventLag   = 300 * time.Millisecond
+	reportStep = time.Second
+	reportLag  = 400 * time.Millisecond
+	regionHop  = 30 * time.Millisecond
+	decodeMean = 600 * time.Millisecond
+)
+
+// scenario is one row of testdata/evaluation.json.
+type scenario struct {
+	Name           string           `json:"name"`
+	Policy         string           `json:"policy"`
+	Routers        int              `json:"routers"`
+	Upstreams      int              `json:"upstreams"`
+	Slots          int              `json:"slots"`
+	CacheBlocks    int              `json:"cache_blocks"`
+	Rate           float64          `json:"rate"`
+	RecomputePrice float64          `json:"recompute_price"`
+	Seconds        int              `json:"seconds"`
+	Index          bool             `json:"index"`
+	MinHit         float64          `json:"min_hit"`
+	MaxElsewhere   float64          `json:"max_elsewhere"`
+	MaxCrossing    float64          `json:"max_crossing"`
+	MaxP95         checker.Duration `json:"max_p95"`
+}
+
+// engine is a fake upstream: a cache of blocks, one prefill at a time, slots.
+type engine struct {
+	name, region     string
+	cache            map[hasher.Hash]uint64 // value: last use
+	busyUntil        time.Time
+	queue            []*job
+	running, waiting int // requests in a slot; blocks before their first token
+	used, seq        uint64
+	held             map[hasher.Hash]int // index of each block
+	stored, evicted  []hasher.Hash
+}
+
+type job struct {
+	chain  []hasher.Hash
+	sentAt time.Time
+	router *router
+	ticket estimator.Ticket
+	region string
+}
+
+type router struct {
+	region string
+	est    *estimator.Estimator
+	policy selector.Policy
+	buf    []selector.Candidate
+}
+
+type timer struct {
+	at time.Time
+	n  int
+	do func()
+}
+type timers []timer
+
+func (t timers) Len() int { return len(t) }
+func (t timers) Less(i, j int) bool {
+	return t[i].at.Before(t[j].at) || t[i].at.Equal(t[j].at) && t[i].n < t[j].n
+}
+func (t timers) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)   { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() any     { x := (*t)[len(*t)-1]; *t = (*t)[:len(*t)-1]; return x }
+
+// fleet is one run in virtual time.
+type fleet struct {
+	scenario
+	now                              time.Time
+	timers                           timers
+	n                                int
+	random                           *rand.Rand
+	engines                          []*engine
+	routers                          []*router
+	index                            *indexer.Index
+	waits                            []time.Duration
+	blocks, hit, elsewhere, crossing int
+}
+
+func (f *fleet) after(d time.Duration, do func()) {
+	f.n++
+	heap.Push(&f.timers, timer{at: f.now.Add(d), n: f.n, do: do})
+}
+
+func newFleet(s scenario, seed uint64) *fleet {
+	f := &fleet{scenario: s, now: time.Unix(0, 0), random: rand.New(rand.NewPCG(seed, 1)), index: indexer.New(indexer.Config{})}
+	regions := []string{"a", "b", "c"}
+	ups := make([]estimator.Upstream, 0, s.Upstreams)
+	for i := range s.Upstreams {
+		e := &engine{name: fmt.Sprintf("u%03d", i), region: regions[i%3], cache: map[hasher.Hash]uint64{}, held: map[hasher.Hash]int{}}
+		f.engines = append(f.engines, e)
+		ups = append(ups, estimator.Upstream{Name: e.name, Region: e.region, Slots: s.Slots})
+	}
+	for i := range s.Routers {
+		policy, err := selector.New(selector.Config{
+			Selection: checker.SelectionPolicy{
+				Name: s.Policy, RecomputePrice: s.RecomputePrice,
+				CrossingPrice: checker.Duration(time.Second), CrossingLatency: checker.Duration(regionHop),
+			},
+			Random: rand.New(rand.NewPCG(seed, uint64(i+2))),
+		})
+		if err != nil {
+			panic(err)
+		}
+		est := estimator.New(estimator.Config{PeerFactor: peerFactor(s.Routers)})
+		est.SetUpstreams(ups)
+		f.routers = append(f.routers, &router{region: regions[i%3], est: est, policy: policy})
+	}
+	return f
+}
+
+func peerFactor(routers int) float64 { return 1 + float64(routers-1)/3 }
+
+// chain returns a prompt nested in levels: catalogue, range, customer, question.
+func (f *fleet) chain() []hasher.Hash {
+	zipf := func(n int) uint64 { return rand.NewZipf(f.random, 1.2, 2, uint64(n-1)).Uint64() }
+	org, rng, customer, question := zipf(8), zipf(12), zipf(20), f.random.Uint64()
+	var chain []hasher.Hash
+	h := uint64(1)
+	for _, level := range []struct {
+		id     uint64
+		blocks int
+	}{{org, 26}, {rng, 22}, {customer, 15}, {question, 5}} {
+		h = h*0x9e3779b97f4a7c15 ^ (level.id+1)*0xbf58476d1ce4e5b9
+		for range level.blocks {
+			h = (h ^ h>>29) * 0x94d049bb133111eb
+			chain = append(chain, hasher.Hash(h^h>>32))
+		}
+	}
+	return chain
+}
+
+func (f *fleet) arrive() {
+	f.after(time.Duration(f.random.ExpFloat64()/f.Rate*float64(time.Second)), f.arrive)
+	r := f.routers[f.random.IntN(len(f.routers))]
+	req := selector.Request{Region: r.region, Chain: f.chain(), MaxTokens: 200}
+	req.PromptBytes = len(req.Chain) * hasher.BlockBytes
+	r.buf = r.est.Candidates(f.now, r.buf, nil)
+	if f.Index {
+		r.est.Hold(r.buf, f.index.Lookup(f.now, hasher.Checkpoints(req.Chain), nil))
+	}
+	d := r.policy.Select(f.now, req, r.buf)
+	i := slices.IndexFunc(f.engines, func(e *engine) bool { return e.name == d.Chosen })
+	e := f.engines[i]
+	j := &job{chain: req.Chain, sentAt: f.now, router: r, region: r.region}
+	j.ticket = r.est.Sent(f.now, estimator.Send{Upstream: e.name, Blocks: d.Missing})
+	e.queue = append(e.queue, j)
+	e.waiting += d.Missing
+	f.start(e)
+}
+
+// start moves queued requests into free slots; prefill is one after the other.
+func (f *fleet) start(e *engine) {
+	for len(e.queue) > 0 && e.running < f.Slots {
+		j := e.queue[0]
+		e.queue = e.queue[1:]
+		e.running++
+		held := 0
+		for held < len(j.chain) && e.cache[j.chain[held]] > 0 {
+			held++
+		}
+		missing := len(j.chain) - held
+		f.count(e, j, held)
+		for k := len(j.chain) - 1; k >= 0; k-- {
+			f.touch(e, j.chain[k], k)
+		}
+		f.evict(e)
+		if e.busyUntil.Before(f.now) {
+			e.busyUntil = f.now
+		}
+		e.busyUntil = e.busyUntil.Add(time.Duration(missing) * perBlock)
+		f.after(e.busyUntil.Sub(f.now), func() { f.firstToken(e, j, missing) })
+	}
+}
+
+func (f *fleet) count(e *engine, j *job, held int) {
+	f.blocks += len(j.chain)
+	f.hit += held
+	best := held
+	for _, other := range f.engines {
+		n := 0
+		for n < len(j.chain) && other.cache[j.chain[n]] > 0 {
+			n++
+		}
+		best = max(best, n)
+	}
+	f.elsewhere += best - held
+	if e.region != j.region {
+		f.crossing++
+	}
+}
+
+func (f *fleet) touch(e *engine, h hasher.Hash, k int) {
+	e.used++
+	if e.cache[h] == 0 {
+		e.held[h] = k
+		if hasher.IsCheckpoint(k) {
+			e.stored = append(e.stored, h)
+		}
+	}
+	e.cache[h] = e.used
+}
+
+// evict drops the least recently used tenth once the cache is full.
+func (f *fleet) evict(e *engine) {
+	if len(e.cache) > f.CacheBlocks {
+		uses := make([]uint64, 0, len(e.cache))
+		for _, use := range e.cache {
+			uses = append(uses, use)
+		}
+		slices.Sort(uses)
+		limit := uses[len(uses)/10]
+		for h, use := range e.cache {
+			if use < limit {
+				if hasher.IsCheckpoint(e.held[h]) {
+					e.evicted = append(e.evicted, h)
+				}
+				delete(e.cache, h)
+				delete(e.held, h)
+			}
+		}
+		slices.Sort(e.evicted)
+	}
+	e.seq++
+	u := indexer.Update{Kind: indexer.Change, Upstream: e.name, Incarnation: 1, Seq: e.seq, Model: "m", WeightsVersion: "1", Stored: e.stored, Evicted: e.evicted}
+	e.stored, e.evicted = nil, nil
+	f.after(eventLag, func() { f.index.Apply(f.now, u) })
+}
+
+func (f *fleet) firstToken(e *engine, j *job, missing int) {
+	wait := f.now.Sub(j.sentAt)
+	if e.region != j.region {
+		wait += regionHop
+	}
+	f.waits = append(f.waits, wait)
+	e.waiting -= missing
+	j.router.est.FirstToken(f.now, j.ticket, missing)
+	f.after(time.Duration(f.random.ExpFloat64()*float64(decodeMean)), func() {
+		e.running--
+		j.router.est.Done(f.now, j.ticket)
+		f.start(e)
+	})
+}
+
+func (f *fleet) report() {
+	f.after(reportStep, f.report)
+	for _, e := range f.engines {
+		r := estimator.Report{Upstream: e.name, Incarnation: 1, Queued: len(e.queue), Running: e.running, QueuedBlocks: int(max(e.busyUntil.Sub(f.now), 0) / perBlock), ReportedAt: f.now}
+		f.after(reportLag, func() {
+			for _, router := range f.routers {
+				router.est.Report(r)
+			}
+		})
+	}
+}
+
+func (f *fleet) run() {
+	f.after(0, f.arrive)
+	f.after(0, f.report)
+	end := f.now.Add(time.Duration(f.Seconds) * time.Second)
+	for f.now.Before(end) {
+		next := heap.Pop(&f.timers).(timer)
+		f.now = next.at
+		next.do()
+	}
+}
+
+func share(part, whole int) float64 { return float64(part) / float64(max(whole, 1)) }
+
+func TestEvaluation(t *testing.T) {
+	t.Parallel()
+	data, err := os.ReadFile("testdata/evaluation.json")
+	is.New(t).NoErr(err)
+	var rows []scenario
+	is.New(t).NoErr(json.Unmarshal(data, &rows))
+	for _, row := range rows {
+		t.Run(row.Name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			var waits []time.Duration
+			var hit, elsewhere, crossing float64
+			const seeds = 3
+			for seed := uint64(1); seed <= seeds; seed++ {
+				f := newFleet(row, seed)
+				f.run()
+				waits = append(waits, f.waits...)
+				hit += share(f.hit, f.blocks) / seeds
+				elsewhere += share(f.elsewhere, f.blocks) / seeds
+				crossing += share(f.crossing, len(f.waits)) / seeds
+			}
+			slices.Sort(waits)
+			p50, p95 := waits[len(waits)/2], waits[len(waits)*95/100]
+			t.Logf("%-28s hit=%.3f elsewhere=%.3f crossing=%.3f p50=%s p95=%s n=%d", row.Name, hit, elsewhere, crossing, p50.Round(time.Millisecond), p95.Round(time.Millisecond), len(waits))
+			is.True(hit >= row.MinHit)
+			is.True(elsewhere <= row.MaxElsewhere)
+			is.True(crossing <= row.MaxCrossing)
+			is.True(p95 <= row.MaxP95.Std())
+		})
+	}
+}
