Price recomputation against holders of the own region only

Cause: with the price counted against holders anywhere, 47 of 100 requests crossed regions, since recomputing once at home looked twice as dear as crossing for ever.

Change: only what a live candidate of the router's region holds makes a recomputed block dearer, so that a region builds its own copy.

--- a/internal/routing/selector/explain.go
+++ b/internal/routing/selector/explain.go
@@ -10,7 +10,7 @@
 // costs of the cheapest candidates among indexes.
 func explain(cfg Config, r *Request, candidates []Candidate, indexes []int32, chosen int32, policy, reason string) Decision {
 	p := newPricer(cfg.Selection, r)
-	p.bestHeld = bestHeld(candidates, indexes)
+	p.bestHeld = bestHeld(candidates, indexes, r.Region)
 	d := outcome(&p, candidates, indexes, chosen)
 	d.Policy = policy
 	d.Reason = reason
@@ -22,10 +22,14 @@
 	return d
 }
 
-func bestHeld(candidates []Candidate, indexes []int32) int {
+// bestHeld returns the largest number of leading blocks that a candidate of
+// region holds.
+func bestHeld(candidates []Candidate, indexes []int32, region string) int {
 	best := 0
 	for _, i := range indexes {
-		best = max(best, candidates[i].HeldBlocks)
+		if candidates[i].Region == region {
+			best = max(best, candidates[i].HeldBlocks)
+		}
 	}
 	return best
 }
--- a/internal/routing/selector/prefix_cost.go
+++ b/internal/routing/selector/prefix_cost.go
@@ -19,7 +19,7 @@
 	}
 	p.live = live(p.live, candidates, p.cfg.MaxEjected)
 	price := newPricer(p.cfg.Selection, &r)
-	price.bestHeld = bestHeld(candidates, p.live)
+	price.bestHeld = bestHeld(candidates, p.live, r.Region)
 	p.totals = p.totals[:0]
 	lowest := 0
 	for at, i := range p.live {
