Cross regions only beyond a margin

Cause: a remote upstream that was barely cheaper took work over a slow and paid link, on loads that are a second old.

Change: another region must be cheaper than the best of the own region by the crossing latency and the price of the bytes once more.

--- a/internal/routing/selector/prefix_cost.go
+++ b/internal/routing/selector/prefix_cost.go
@@ -21,17 +21,32 @@
 	price := newPricer(p.cfg.Selection, &r)
 	price.bestHeld = bestHeld(candidates, p.live, r.Region)
 	p.totals = p.totals[:0]
-	lowest := 0
-	for at, i := range p.live {
+	for _, i := range p.live {
 		p.totals = append(p.totals, price.cost(&candidates[i]).Total)
-		if p.totals[at] < p.totals[lowest] {
-			lowest = at
-		}
 	}
-	chosen := p.live[lowest]
+	chosen := p.live[p.lowest(&price, candidates)]
 	d := outcome(&price, candidates, p.live, chosen)
 	d.Policy = namePrefixCost
 	d.Reason = ReasonLowestCost
 	d.Costs = cheapest(&price, candidates, p.live, p.totals, chosen)
 	return d
 }
+
+// lowest returns the place in live of the lowest total. Another region has to
+// be cheaper than the own one by a margin.
+func (p *PrefixCost) lowest(price *pricer, candidates []Candidate) int {
+	local, remote := -1, -1
+	for at, i := range p.live {
+		best := &remote
+		if candidates[i].Region == price.request.Region {
+			best = &local
+		}
+		if *best < 0 || p.totals[at] < p.totals[*best] {
+			*best = at
+		}
+	}
+	if local < 0 || remote >= 0 && p.totals[remote]+price.margin() < p.totals[local] {
+		return remote
+	}
+	return local
+}
--- a/internal/routing/selector/pricer.go
+++ b/internal/routing/selector/pricer.go
@@ -122,3 +122,8 @@
 func (p *pricer) recompute(c *Candidate, perBlock time.Duration) time.Duration {
 	return scale(perBlock, p.weights.RecomputePrice*float64(p.heldElsewhere(c)))
 }
+
+// margin is how much cheaper another region has to be.
+func (p *pricer) margin() time.Duration {
+	return p.weights.CrossingLatency.Std() + p.crossingPrice
+}
