Read cache events and keep the prefix index in the controllers

Cause: routers had no way to know which upstream holds which prefix, and every controller polled every upstream.

Change: the engine stand-in publishes its cache events; the controllers of a region share out its upstreams and the families of the index by rendezvous hashing. One goroutine, the coordinator, owns the soft state of a controller. A lookup of a router goes to its controller and from there to the owner at most once, whatever the two believe of the members. The version of a bundle travels before the bundle between controllers.

Ruled out: passing a question on until a controller believes itself the owner; two controllers with different members would pass it to and fro.

--- a/internal/operating/starter/controller.go
+++ b/internal/operating/starter/controller.go
@@ -3,70 +3,138 @@
 import (
 	"context"
 	"net/http"
-	"net/netip"
 
 	"github.com/sirupsen/logrus"
 
+	"gentianstep.example/gentianstep/internal/bundle/checker"
 	"gentianstep.example/gentianstep/internal/bundle/holder"
 	"gentianstep.example/gentianstep/internal/bundle/publisher"
+	"gentianstep.example/gentianstep/internal/controlling/coordinator"
 	"gentianstep.example/gentianstep/internal/controlling/poller"
 	"gentianstep.example/gentianstep/internal/controlling/watcher"
 	"gentianstep.example/gentianstep/internal/operating/configurer"
+	"gentianstep.example/gentianstep/internal/peering/connector"
 	"gentianstep.example/gentianstep/internal/peering/distributor"
 	"gentianstep.example/gentianstep/internal/peering/messenger"
-	"gentianstep.example/gentianstep/internal/peering/subscriber"
 	"gentianstep.example/gentianstep/internal/platform/dialer"
 	"gentianstep.example/gentianstep/internal/upstream/observer"
+	"gentianstep.example/gentianstep/internal/upstream/reader"
 )
 
+// control is a controller with its parts.
+type control struct {
+	settings    *configurer.Settings
+	log         *logrus.Entry
+	client      *http.Client
+	bundles     *holder.Holder
+	spread      *distributor.Distributor
+	peers       *connector.Group
+	coordinator *coordinator.Coordinator
+	poll        *poller.Poller
+	watch       *watcher.Watcher
+}
+
 // Controller runs a controller until ctx ends.
 func Controller(ctx context.Context, settings *configurer.Settings, log *logrus.Entry) error {
-	bundles := holder.New(holder.Config{Verifier: settings.Verifier()})
-	client := &http.Client{Transport: newTransport()}
-	platform := dialer.New(dialer.Config{Address: settings.Platform.Address, Client: client})
-	spread := distributor.New(distributor.Config{
-		Hello:  hello(settings, messenger.Controller),
-		Holder: bundles,
-		Log:    log,
-	})
-	watch := watcher.New(watcher.Config{
-		Store:  platform,
-		Key:    publisher.HeadKey(settings.Deployment),
-		Holder: bundles,
-		Log:    log,
-	})
-	poll := poller.New(poller.Config{
-		Holder:   bundles,
-		Observer: observer.New(observer.Config{Client: client}),
-		OnReports: func(reports []observer.Report) {
-			spread.Broadcast(messenger.Message{Reports: &messenger.Reports{Reports: reports}})
-		},
-		Log: log,
-	})
-	peers, err := listen(ctx, "peers", settings.Controller.PeerAddress, peerHandler(spread))
+	c := newControl(settings, log)
+	peers, err := listen(ctx, "peers", settings.Controller.PeerAddress, c.peerHandler())
 	if err != nil {
 		return err
 	}
-	operators, err := listen(ctx, "operators", settings.Controller.OperatorAddress, statusHandler(settings, bundles))
+	operators, err := listen(ctx, "operators", settings.Controller.OperatorAddress, statusHandler(settings, c.bundles))
 	if err != nil {
 		return err
 	}
-	loops := []func(context.Context){watch.Run, spread.Run, poll.Run}
-	for _, peer := range settings.Controller.Peers {
-		loops = append(loops, subscriber.New(subscriber.Config{
+	log.WithField("address", settings.Controller.PeerAddress).Info("controller started")
+	return serve(ctx, []*server{peers, operators},
+		c.watch.Run,
+		c.spread.Run,
+		c.coordinator.Run,
+		c.poll.Run,
+		c.runPeers,
+		(&bundleFeed{holder: c.bundles, take: c.coordinator.Bundle}).run,
+	)
+}
+
+func newControl(settings *configurer.Settings, log *logrus.Entry) *control {
+	c := &control{settings: settings, log: log}
+	c.client = &http.Client{Transport: newTransport()}
+	c.bundles = holder.New(holder.Config{Verifier: settings.Verifier()})
+	c.spread = distributor.New(distributor.Config{
+		Hello:     hello(settings, messenger.Controller),
+		Holder:    c.bundles,
+		OnMessage: c.fromLink,
+		Log:       log,
+	})
+	c.peers = connector.NewGroup(connector.GroupConfig{
+		Connector: connector.Config{
 			Hello:     hello(settings, messenger.Controller),
-			Addresses: []netip.AddrPort{peer},
-			Holder:    bundles,
-			Client:    client,
+			Holder:    c.bundles,
+			OnDown:    func(peer messenger.Hello) { c.coordinator.Lost(peer.Node) },
+			OnMessage: c.fromPeer,
+			Client:    c.client,
 			Log:       log,
-		}).Run)
+		},
+		OnMembers: c.members,
+	})
+	c.coordinator = coordinator.New(coordinator.Config{
+		Self:    coordinator.Member{Node: settings.Node, Region: settings.Region},
+		Peers:   c.peers,
+		Routers: c.spread,
+		Readers: c,
+		Log:     log,
+	})
+	c.poll = poller.New(poller.Config{
+		Observer:  observer.New(observer.Config{Client: c.client}),
+		OnReports: c.coordinator.Reports,
+		Log:       log,
+	})
+	c.watch = watcher.New(watcher.Config{
+		Store:  dialer.New(dialer.Config{Address: settings.Platform.Address, Client: c.client}),
+		Key:    publisher.HeadKey(settings.Deployment),
+		Holder: c.bundles,
+		Log:    log,
+	})
+	return c
+}
+
+// Start implements coordinator.Readers.
+func (c *control) Start(ctx context.Context, u checker.Upstream) {
+	c.poll.Add(ctx, u)
+	go reader.New(reader.Config{
+		Upstream: u.Name,
+		Address:  u.Address,
+		Client:   c.client,
+		OnEvent:  c.coordinator.Event,
+		Log:      c.log,
+	}).Run(ctx)
+}
+
+func (c *control) runPeers(ctx context.Context) {
+	c.peers.Run(ctx, otherControllers(c.settings))
+}
+
+// fromLink takes a message of a router or controller that connected here.
+func (c *control) fromLink(l *distributor.Link, m messenger.Message) {
+	c.coordinator.Message(l.Peer.Role, m, l.Send)
+}
+
+// fromPeer takes a message on a connection that this controller opened.
+func (c *control) fromPeer(m messenger.Message) {
+	c.coordinator.Message(messenger.Controller, m, func(messenger.Message) bool { return false })
+}
+
+func (c *control) members(hellos []messenger.Hello) {
+	members := make([]coordinator.Member, 0, 1+len(hellos))
+	members = append(members, coordinator.Member{Node: c.settings.Node, Region: c.settings.Region})
+	for _, hello := range hellos {
+		members = append(members, coordinator.Member{Node: hello.Node, Region: hello.Region})
 	}
-	log.WithField("address", settings.Controller.PeerAddress).Info("controller started")
-	return serve(ctx, []*server{peers, operators}, loops...)
+	c.coordinator.Members(members)
 }
 
-func peerHandler(spread *distributor.Distributor) http.Handler {
+func (c *control) peerHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(messenger.Path, spread)
+	mux.Handle(messenger.Path, c.spread)
 	return mux
 }
--- a/internal/operating/starter/router.go
+++ b/internal/operating/starter/router.go
@@ -11,8 +11,8 @@
 
 	"gentianstep.example/gentianstep/internal/bundle/holder"
 	"gentianstep.example/gentianstep/internal/operating/configurer"
+	"gentianstep.example/gentianstep/internal/peering/connector"
 	"gentianstep.example/gentianstep/internal/peering/messenger"
-	"gentianstep.example/gentianstep/internal/peering/subscriber"
 	"gentianstep.example/gentianstep/internal/routing/selector"
 	"gentianstep.example/gentianstep/internal/serving/dispatcher"
 	"gentianstep.example/gentianstep/internal/serving/receiver"
@@ -38,13 +38,17 @@
 	if err != nil {
 		return err
 	}
-	feed := subscriber.New(subscriber.Config{
+	feed := connector.New(connector.Config{
 		Hello:     hello(settings, messenger.Router),
 		Addresses: controllers(settings),
 		Holder:    bundles,
-		OnReports: dispatch.Observe,
-		Client:    &http.Client{Transport: newTransport()},
-		Log:       log,
+		OnMessage: func(m messenger.Message) {
+			if m.Reports != nil {
+				dispatch.Observe(m.Reports.Reports)
+			}
+		},
+		Client: &http.Client{Transport: newTransport()},
+		Log:    log,
 	})
 	callers, err := listen(ctx, "callers", settings.Router.CallerAddress, handler)
 	if err != nil {
@@ -93,10 +97,26 @@
 }
 
 func hello(settings *configurer.Settings, role messenger.Role) messenger.Hello {
-	return messenger.Hello{Deployment: settings.Deployment, Node: settings.Node, Role: role}
+	return messenger.Hello{
+		Deployment: settings.Deployment,
+		Node:       settings.Node,
+		Role:       role,
+		Region:     settings.Region,
+	}
 }
 
 // controllers lists this VM's controller first, then the others.
 func controllers(settings *configurer.Settings) []netip.AddrPort {
-	return append([]netip.AddrPort{settings.Controller.PeerAddress}, settings.Controller.Peers...)
+	return append([]netip.AddrPort{settings.Controller.PeerAddress}, otherControllers(settings)...)
+}
+
+// otherControllers lists the controllers of other VMs.
+func otherControllers(settings *configurer.Settings) []netip.AddrPort {
+	var others []netip.AddrPort
+	for _, peer := range settings.Controller.Peers {
+		if peer != settings.Controller.PeerAddress {
+			others = append(others, peer)
+		}
+	}
+	return others
 }
--- /dev/null
+++ b/internal/peering/connector/connector.go
@@ -0,0 +1,103 @@
+package connector
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"gentianstep.example/gentianstep/internal/failure/classifier"
+	"gentianstep.example/gentianstep/internal/peering/messenger"
+)
+
+const (
+	dialTimeout = 2 * time.Second
+	firstRetry  = 100 * time.Millisecond
+	lastRetry   = 3 * time.Second
+)
+
+// Connector keeps one connection to the first controller that answers.
+type Connector struct {
+	cfg     Config
+	session atomic.Pointer[session]
+}
+
+// New returns a Connector that is not connected.
+func New(cfg Config) *Connector {
+	return &Connector{cfg: cfg.withDefaults()}
+}
+
+// Send queues m for the other end and reports whether it was queued.
+func (c *Connector) Send(m messenger.Message) bool {
+	s := c.session.Load()
+	return s != nil && s.send(m)
+}
+
+// Run connects again after every failure until ctx ends.
+func (c *Connector) Run(ctx context.Context) {
+	wait := firstRetry
+	for ctx.Err() == nil {
+		for _, address := range c.cfg.Addresses {
+			if c.meet(ctx, address) {
+				wait = firstRetry
+				break
+			}
+		}
+		select {
+		case <-time.After(wait/2 + rand.N(wait/2)):
+		case <-ctx.Done():
+		}
+		wait = min(2*wait, lastRetry)
+	}
+}
+
+// meet reports whether a connection was made; it returns when that ends.
+func (c *Connector) meet(ctx context.Context, address netip.AddrPort) bool {
+	log := c.cfg.Log.WithField("controller", address)
+	s, err := c.connect(ctx, address)
+	if err != nil {
+		log.WithError(err).Debug("controller not reached")
+		return false
+	}
+	defer s.conn.Close()
+	log.WithField("peer", s.peer.Node).Info("controller connected")
+	c.session.Store(s)
+	c.cfg.OnUp(s.peer)
+	err = s.run(ctx)
+	c.session.Store(nil)
+	c.cfg.OnDown(s.peer)
+	log.WithError(err).Info("controller connection ended")
+	return true
+}
+
+func (c *Connector) connect(ctx context.Context, address netip.AddrPort) (*session, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := messenger.Dial(ctx, c.cfg.Client, "http://"+address.String())
+	if err != nil {
+		return nil, err
+	}
+	peer, err := c.greet(ctx, conn)
+	if err != nil {
+		conn.Close()
+		return nil, err
+	}
+	return newSession(c.cfg, conn, peer), nil
+}
+
+func (c *Connector) greet(ctx context.Context, conn *messenger.Conn) (messenger.Hello, error) {
+	hello := c.cfg.Hello
+	hello.BundleVersion = c.cfg.Holder.Version()
+	if err := conn.Write(ctx, messenger.Message{Hello: &hello}); err != nil {
+		return messenger.Hello{}, err
+	}
+	answer, err := conn.Read(ctx)
+	if err != nil {
+		return messenger.Hello{}, err
+	}
+	if answer.Hello == nil || answer.Hello.Deployment != hello.Deployment || answer.Hello.Role != messenger.Controller {
+		return messenger.Hello{}, classifier.New(classifier.PeerRefused, "takes a hello of a controller of deployment %s", hello.Deployment)
+	}
+	return *answer.Hello, nil
+}
--- a/internal/peering/distributor/distributor.go
+++ b/internal/peering/distributor/distributor.go
@@ -15,40 +15,38 @@
 	"gentianstep.example/gentianstep/internal/peering/messenger"
 )
 
-// outgoingLimit bounds the messages that wait for one connection.
-const outgoingLimit = 64
-
 // Config holds what a Distributor is built from.
 type Config struct {
 	Hello  messenger.Hello
 	Holder *holder.Holder
-	Log    *logrus.Entry
+	// OnMessage takes every message that is not about the bundle. It must not
+	// block.
+	OnMessage func(l *Link, m messenger.Message)
+	Log       *logrus.Entry
 }
 
 // Distributor spreads the bundle in force and engine reports to its connections.
 type Distributor struct {
-	hello  messenger.Hello
-	holder *holder.Holder
-	log    *logrus.Entry
+	hello     messenger.Hello
+	holder    *holder.Holder
+	onMessage func(l *Link, m messenger.Message)
+	log       *logrus.Entry
 
 	mu    sync.Mutex
-	links map[*link]struct{}
-}
-
-// link is one accepted connection.
-type link struct {
-	conn  *messenger.Conn
-	hello messenger.Hello
-	out   chan messenger.Message
+	links map[*Link]struct{}
 }
 
 // New returns a Distributor without connections.
 func New(cfg Config) *Distributor {
+	if cfg.OnMessage == nil {
+		cfg.OnMessage = func(*Link, messenger.Message) {}
+	}
 	return &Distributor{
-		hello:  cfg.Hello,
-		holder: cfg.Holder,
-		log:    cfg.Log,
-		links:  make(map[*link]struct{}),
+		hello:     cfg.Hello,
+		holder:    cfg.Holder,
+		onMessage: cfg.OnMessage,
+		log:       cfg.Log,
+		links:     make(map[*Link]struct{}),
 	}
 }
 
@@ -69,30 +67,31 @@
 	}
 	d.add(l)
 	defer d.remove(l)
-	go d.runWriter(ctx, l)
-	if err := d.read(ctx, l); err != nil {
-		d.log.WithError(err).WithField("peer", l.hello.Node).Debug("peer connection ended")
+	go l.run(ctx)
+	if err := d.serve(ctx, l); err != nil {
+		d.log.WithError(err).WithField("peer", l.Peer.Node).Debug("peer connection ended")
 	}
 }
 
 // greet exchanges the first messages and sends the bundle in force if the
 // other end lacks it.
-func (d *Distributor) greet(ctx context.Context, conn *messenger.Conn) (*link, error) {
-	first, err := conn.Read(ctx)
+func (d *Distributor) greet(ctx context.Context, conn *messenger.Conn) (*Link, error) {
+	l := &Link{distributor: d, conn: conn, out: make(chan messenger.Message, outgoingLimit)}
+	first, err := l.read(ctx)
 	if err != nil {
 		return nil, err
 	}
 	if first.Hello == nil || first.Hello.Deployment != d.hello.Deployment {
 		return nil, classifier.New(classifier.PeerRefused, "takes a hello of deployment %s first", d.hello.Deployment)
 	}
+	l.Peer = *first.Hello
 	hello := d.hello
 	hello.BundleVersion = d.holder.Version()
 	if err := conn.Write(ctx, messenger.Message{Hello: &hello}); err != nil {
 		return nil, err
 	}
-	l := &link{conn: conn, hello: *first.Hello, out: make(chan messenger.Message, outgoingLimit)}
-	if first.Hello.BundleVersion < d.holder.Version() {
-		l.send(d.offer())
+	if l.Peer.BundleVersion < d.holder.Version() {
+		l.Send(d.offer())
 	}
 	return l, nil
 }
@@ -101,44 +100,21 @@
 	return messenger.Message{BundleOffer: &messenger.BundleOffer{Envelope: d.holder.Current().Envelope}}
 }
 
-func (d *Distributor) add(l *link) {
+func (d *Distributor) add(l *Link) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.links[l] = struct{}{}
 }
 
-func (d *Distributor) remove(l *link) {
+func (d *Distributor) remove(l *Link) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.links, l)
 }
 
-// send queues m and drops it where the other end is too slow; every message
-// is repeated in a later state.
-func (l *link) send(m messenger.Message) {
-	select {
-	case l.out <- m:
-	default:
-	}
-}
-
-func (d *Distributor) runWriter(ctx context.Context, l *link) {
-	for {
-		select {
-		case m := <-l.out:
-			if err := l.conn.Write(ctx, m); err != nil {
-				l.conn.Close()
-				return
-			}
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-func (d *Distributor) read(ctx context.Context, l *link) error {
+func (d *Distributor) serve(ctx context.Context, l *Link) error {
 	for {
-		m, err := l.conn.Read(ctx)
+		m, err := l.read(ctx)
 		if err != nil {
 			return err
 		}
@@ -146,16 +122,28 @@
 	}
 }
 
-func (d *Distributor) handle(l *link, m messenger.Message) {
+func (d *Distributor) handle(l *Link, m messenger.Message) {
 	switch {
-	case m.BundleHead != nil && m.BundleHead.Version < d.holder.Version():
-		l.send(d.offer())
-	case m.BundleHead != nil && m.BundleHead.Version > d.holder.Version():
-		l.send(messenger.Message{BundleWant: &messenger.BundleWant{}})
+	case m.BundleHead != nil:
+		d.compare(l, m.BundleHead.Version)
 	case m.BundleWant != nil && d.holder.Version() > 0:
-		l.send(d.offer())
+		l.Send(d.offer())
+	case m.BundleWant != nil:
 	case m.BundleOffer != nil:
 		d.accept(m.BundleOffer)
+	default:
+		d.onMessage(l, m)
+	}
+}
+
+// compare brings the end with the lower version up to date.
+func (d *Distributor) compare(l *Link, version uint64) {
+	mine := d.holder.Version()
+	if version < mine {
+		l.Send(d.offer())
+	}
+	if version > mine {
+		l.Send(messenger.Message{BundleWant: &messenger.BundleWant{}})
 	}
 }
 
@@ -171,8 +159,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for l := range d.links {
-		if l.hello.Role == messenger.Router {
-			l.send(m)
+		if l.Peer.Role == messenger.Router {
+			l.Send(m)
 		}
 	}
 }
@@ -181,7 +169,7 @@
 func (d *Distributor) Run(ctx context.Context) {
 	for {
 		changed := d.holder.Changed()
-		if current := d.holder.Current(); current != nil {
+		if d.holder.Current() != nil {
 			d.spread()
 		}
 		select {
@@ -192,11 +180,18 @@
 	}
 }
 
+// spread sends the bundle to routers and only its version to controllers,
+// which ask for it once where they lack it.
 func (d *Distributor) spread() {
-	m := d.offer()
+	offer := d.offer()
+	head := messenger.Message{BundleHead: &messenger.BundleHead{Version: d.holder.Version()}}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for l := range d.links {
-		l.send(m)
+		if l.Peer.Role == messenger.Router {
+			l.Send(offer)
+			continue
+		}
+		l.Send(head)
 	}
 }
--- a/internal/peering/messenger/message.go
+++ b/internal/peering/messenger/message.go
@@ -6,6 +6,8 @@
 	"fmt"
 
 	"gentianstep.example/gentianstep/internal/bundle/signer"
+	"gentianstep.example/gentianstep/internal/caching/hasher"
+	"gentianstep.example/gentianstep/internal/caching/indexer"
 	"gentianstep.example/gentianstep/internal/upstream/observer"
 )
 
@@ -18,11 +20,19 @@
 	Controller Role = "controller"
 )
 
+const (
+	// maxCheckpoints bounds the checkpoints of one lookup.
+	maxCheckpoints = 1 << 14
+	// maxBatch bounds the reports, updates and holdings of one message.
+	maxBatch = 1 << 14
+)
+
 // Hello is the first message on every connection, from both ends.
 type Hello struct {
 	Deployment string `cbor:"1,keyasint"`
 	Node       string `cbor:"2,keyasint"`
 	Role       Role   `cbor:"3,keyasint"`
+	Region     string `cbor:"5,keyasint,omitempty"`
 	// BundleVersion is the version in force at the sender, 0 for none.
 	BundleVersion uint64 `cbor:"4,keyasint"`
 }
@@ -45,13 +55,34 @@
 	Reports []observer.Report `cbor:"1,keyasint"`
 }
 
+// IndexUpdates carries changes of the receiver's part of the prefix index.
+type IndexUpdates struct {
+	Updates []indexer.Update `cbor:"1,keyasint"`
+}
+
+// Lookup asks which upstreams hold the leading blocks of a prompt.
+type Lookup struct {
+	// ID names the lookup on its connection.
+	ID          uint64        `cbor:"1,keyasint"`
+	Checkpoints []hasher.Hash `cbor:"2,keyasint"`
+}
+
+// LookupReply answers the lookup of that id.
+type LookupReply struct {
+	ID       uint64            `cbor:"1,keyasint"`
+	Holdings []indexer.Holding `cbor:"2,keyasint"`
+}
+
 // Message is one message; exactly one of its fields is set.
 type Message struct {
-	Hello       *Hello       `cbor:"1,keyasint,omitempty"`
-	BundleHead  *BundleHead  `cbor:"2,keyasint,omitempty"`
-	BundleWant  *BundleWant  `cbor:"3,keyasint,omitempty"`
-	BundleOffer *BundleOffer `cbor:"4,keyasint,omitempty"`
-	Reports     *Reports     `cbor:"5,keyasint,omitempty"`
+	Hello        *Hello        `cbor:"1,keyasint,omitempty"`
+	BundleHead   *BundleHead   `cbor:"2,keyasint,omitempty"`
+	BundleWant   *BundleWant   `cbor:"3,keyasint,omitempty"`
+	BundleOffer  *BundleOffer  `cbor:"4,keyasint,omitempty"`
+	Reports      *Reports      `cbor:"5,keyasint,omitempty"`
+	IndexUpdates *IndexUpdates `cbor:"6,keyasint,omitempty"`
+	Lookup       *Lookup       `cbor:"7,keyasint,omitempty"`
+	LookupReply  *LookupReply  `cbor:"8,keyasint,omitempty"`
 }
 
 // Check reports the first fault of the message.
@@ -63,6 +94,9 @@
 		m.BundleWant != nil,
 		m.BundleOffer != nil,
 		m.Reports != nil,
+		m.IndexUpdates != nil,
+		m.Lookup != nil,
+		m.LookupReply != nil,
 	} {
 		if present {
 			set++
@@ -71,15 +105,62 @@
 	if set != 1 {
 		return fmt.Errorf("message: got %d parts, takes exactly one", set)
 	}
-	if m.Hello != nil && (m.Hello.Deployment == "" || m.Hello.Node == "") {
+	return m.checkPart()
+}
+
+// checkPart checks the part that is set. Index updates check themselves when
+// they are decoded.
+func (m Message) checkPart() error {
+	switch {
+	case m.Hello != nil:
+		return m.Hello.Check()
+	case m.Reports != nil:
+		return m.Reports.Check()
+	case m.Lookup != nil:
+		return m.Lookup.Check()
+	case m.IndexUpdates != nil:
+		return checkBatch("index updates", len(m.IndexUpdates.Updates))
+	case m.LookupReply != nil:
+		return checkBatch("holdings", len(m.LookupReply.Holdings))
+	}
+	return nil
+}
+
+// Check reports the first fault of the hello.
+func (h Hello) Check() error {
+	if h.Deployment == "" || h.Node == "" {
 		return fmt.Errorf("hello: takes a deployment and a node")
 	}
-	if m.Reports != nil {
-		for _, report := range m.Reports.Reports {
-			if err := report.Check(); err != nil {
-				return err
-			}
+	if h.Role != Router && h.Role != Controller {
+		return fmt.Errorf("hello: role: got %q, takes %q or %q", h.Role, Router, Controller)
+	}
+	return nil
+}
+
+// Check reports the first fault of the reports.
+func (r Reports) Check() error {
+	if err := checkBatch("reports", len(r.Reports)); err != nil {
+		return err
+	}
+	for _, report := range r.Reports {
+		if err := report.Check(); err != nil {
+			return err
 		}
 	}
 	return nil
 }
+
+// Check reports the first fault of the lookup.
+func (l Lookup) Check() error {
+	if n := len(l.Checkpoints); n < 1 || n > maxCheckpoints {
+		return fmt.Errorf("lookup: got %d checkpoints, takes 1 to %d", n, maxCheckpoints)
+	}
+	return nil
+}
+
+func checkBatch(what string, n int) error {
+	if n > maxBatch {
+		return fmt.Errorf("%s: got %d, takes at most %d", what, n, maxBatch)
+	}
+	return nil
+}
--- a/internal/standin/generator/cache.go
+++ b/internal/standin/generator/cache.go
@@ -6,18 +6,26 @@
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"gentianstep.example/gentianstep/internal/caching/hasher"
+	"gentianstep.example/gentianstep/internal/caching/indexer"
+	"gentianstep.example/gentianstep/internal/upstream/observer"
 )
 
+// cached is a block in the cache with the weights that computed it.
+type cached struct {
+	block indexer.Block
+	model observer.LoadedModel
+}
+
 // cache holds computed blocks and evicts the least recently used one.
 type cache struct {
-	blocks  *simplelru.LRU[hasher.Hash, struct{}]
-	evicted []hasher.Hash
+	blocks  *simplelru.LRU[hasher.Hash, cached]
+	evicted []cached
 }
 
 func newCache(size int) *cache {
 	c := &cache{}
-	blocks, err := simplelru.NewLRU(size, func(h hasher.Hash, _ struct{}) {
-		c.evicted = append(c.evicted, h)
+	blocks, err := simplelru.NewLRU(size, func(_ hasher.Hash, b cached) {
+		c.evicted = append(c.evicted, b)
 	})
 	if err != nil {
 		panic(fmt.Sprintf("cache of %d blocks: %v", size, err))
@@ -38,14 +46,16 @@
 
 // store marks all blocks of chain as just used, the first one as the latest,
 // and returns the blocks that are new and those that had to go.
-func (c *cache) store(chain []hasher.Hash) (stored, evicted []hasher.Hash) {
+func (c *cache) store(model observer.LoadedModel, chain []hasher.Hash) (stored, evicted []cached) {
 	c.evicted = nil
-	for i := len(chain) - 1; i >= 0; i-- {
-		if _, ok := c.blocks.Get(chain[i]); ok {
+	blocks := indexer.BlocksOf(chain, 0)
+	for i := len(blocks) - 1; i >= 0; i-- {
+		if _, ok := c.blocks.Get(blocks[i].Hash); ok {
 			continue
 		}
-		c.blocks.Add(chain[i], struct{}{})
-		stored = append(stored, chain[i])
+		b := cached{block: blocks[i], model: model}
+		c.blocks.Add(b.block.Hash, b)
+		stored = append(stored, b)
 	}
 	return stored, c.evicted
 }
--- a/internal/standin/generator/config.go
+++ b/internal/standin/generator/config.go
@@ -24,6 +24,8 @@
 	ChecksFencing bool
 	// LoadTime is the time to load one version of a model's weights.
 	LoadTime time.Duration
+	// EventDelay is how late cache events are published.
+	EventDelay time.Duration
 	// Incarnation tells this start of the engine from earlier ones.
 	Incarnation uint64
 }
--- a/internal/standin/generator/engine.go
+++ b/internal/standin/generator/engine.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"gentianstep.example/gentianstep/internal/caching/hasher"
+	"gentianstep.example/gentianstep/internal/caching/indexer"
 	"gentianstep.example/gentianstep/internal/upstream/observer"
 )
 
@@ -37,6 +38,7 @@
 	cfg     Config
 	slots   *slots
 	prefill chan struct{}
+	journal *journal
 
 	mu           sync.Mutex
 	cache        *cache
@@ -49,10 +51,14 @@
 
 // New returns an engine with an empty cache.
 func New(cfg Config) *Engine {
+	if cfg.EventDelay == 0 {
+		cfg.EventDelay = defaultEventDelay
+	}
 	return &Engine{
 		cfg:     cfg,
 		slots:   newSlots(cfg.Slots),
 		prefill: make(chan struct{}, 1),
+		journal: newJournal(cfg.Incarnation),
 		cache:   newCache(cfg.CacheBlocks),
 		models:  slices.Clone(cfg.Models),
 		streams: make(map[string]*stream),
@@ -114,7 +120,10 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.cache.store(j.chain)
+	model := observer.LoadedModel{Name: j.scope.Model, WeightsVersion: j.scope.WeightsVersion}
+	stored, evicted := e.cache.store(model, j.chain)
+	e.journal.add(indexer.Stored, stored)
+	e.journal.add(indexer.Evicted, evicted)
 	e.stats.PromptBlocks += len(j.chain)
 	e.stats.CachedBlocks += held
 	return usage{promptBytes: len(j.prompt), cachedBlocks: held}, nil
--- a/internal/standin/generator/server.go
+++ b/internal/standin/generator/server.go
@@ -25,6 +25,7 @@
 	mux.HandleFunc("GET /v1/streams/{id}", s.resume)
 	mux.HandleFunc("DELETE /v1/streams/{id}", s.cancel)
 	mux.HandleFunc("GET /v1/control/status", s.status)
+	mux.HandleFunc("GET /v1/control/events", s.events)
 	mux.HandleFunc("GET /v1/control/stats", s.stats)
 	mux.HandleFunc("POST /v1/control/leave", s.leave)
 	return mux
