Set the choice of an upstream apart behind an interface

Cause: the dispatcher chose upstreams, sent requests and relayed streams in one file, so work on the selection and on the path of a stream met in it.

Ruled out: a function type for the choice alone. Load beliefs and retry health also need to hear how an attempt went, so the callbacks belong beside it.

Change: Chooser chooses engines and service upstreams and hears Sent, FirstToken, Finished, Failed and Abandoned, exactly one of the last three per Sent. PolicyChooser holds what the dispatcher did before.

The callbacks other than Sent, Finished and Failed have no caller yet.

--- a/internal/operating/starter/router.go
+++ b/internal/operating/starter/router.go
@@ -26,13 +26,13 @@
 func Router(ctx context.Context, settings *configurer.Settings, log *logrus.Entry) error {
 	bundles := holder.New(holder.Config{Verifier: settings.Verifier()})
 	calls := caller.New(caller.Config{Transport: newTransport()})
-	dispatch := dispatcher.New(dispatcher.Config{
+	choose := dispatcher.NewPolicyChooser(dispatcher.PolicyChooserConfig{
 		Region:           settings.Region,
 		AvailabilityZone: settings.AvailabilityZone,
-		Caller:           calls,
 		Policy:           &selector.RoundRobin{},
 		Log:              log,
 	})
+	dispatch := dispatcher.New(dispatcher.Config{Caller: calls, Chooser: choose, Log: log})
 	receive := receiver.New(receiver.Config{Holder: bundles, Dispatcher: dispatch, Log: log})
 	handler, err := receive.Handler()
 	if err != nil {
@@ -42,7 +42,7 @@
 		Hello:     hello(settings, messenger.Router),
 		Addresses: controllers(settings),
 		Holder:    bundles,
-		OnReports: dispatch.Observe,
+		OnReports: choose.Observe,
 		Client:    &http.Client{Transport: newTransport()},
 		Log:       log,
 	})
--- a/internal/serving/dispatcher/dispatcher.go
+++ b/internal/serving/dispatcher/dispatcher.go
@@ -8,47 +8,31 @@
 	"fmt"
 	"io"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
-	"gentianstep.example/gentianstep/internal/bundle/checker"
-	"gentianstep.example/gentianstep/internal/caching/hasher"
 	"gentianstep.example/gentianstep/internal/failure/classifier"
-	"gentianstep.example/gentianstep/internal/routing/selector"
 	"gentianstep.example/gentianstep/internal/streaming/encoder"
 	"gentianstep.example/gentianstep/internal/streaming/parser"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
-	"gentianstep.example/gentianstep/internal/upstream/observer"
 )
 
 // Config holds what a Dispatcher is built from.
 type Config struct {
-	Region           string
-	AvailabilityZone string
-	Caller           *caller.Caller
-	Policy           selector.Policy
-	Log              *logrus.Entry
+	Caller  *caller.Caller
+	Chooser Chooser
+	Log     *logrus.Entry
 }
 
 // Dispatcher serves completion requests and calls of plain services.
 type Dispatcher struct {
-	cfg     Config
-	beliefs *beliefs
-
-	mu     sync.Mutex
-	policy selector.Policy
+	cfg Config
 }
 
-// New returns a Dispatcher that knows of no reports.
+// New returns a Dispatcher.
 func New(cfg Config) *Dispatcher {
-	return &Dispatcher{cfg: cfg, beliefs: newBeliefs(), policy: cfg.Policy}
-}
-
-// Observe takes reports of engines.
-func (d *Dispatcher) Observe(reports []observer.Report) {
-	d.beliefs.observe(reports)
+	return &Dispatcher{cfg: cfg}
 }
 
 // Complete serves j and hands its answer to sink. An error after the first
@@ -58,40 +42,25 @@
 	if err != nil {
 		return err
 	}
-	scope := hasher.Scope{
-		Organisation:   j.Organisation.Name,
-		Model:          j.Model.Name,
-		WeightsVersion: j.Model.WeightsVersion,
-	}
-	prompt := j.Request.Text()
-	request := selector.Request{
-		ID:               j.ID,
-		Organisation:     j.Organisation.Name,
-		Model:            j.Model.Name,
-		WeightsVersion:   j.Model.WeightsVersion,
-		Region:           d.cfg.Region,
-		AvailabilityZone: d.cfg.AvailabilityZone,
-		Chain:            hasher.Chain(scope, prompt),
-		PromptBytes:      len(prompt),
-		MaxTokens:        j.Request.MaxTokens,
-		Interactive:      j.Priority == checker.Interactive,
-	}
 	excluded := make(map[string]bool)
 	relay := &relay{id: j.ID, sink: sink}
 	var last error
 	for attempt := 1; attempt <= j.Bundle.Policy.Attempts.MaxAttempts; attempt++ {
-		target, err := d.choose(j, request, excluded, attempt)
+		choice, err := d.cfg.Chooser.Choose(ctx, j, attempt, excluded)
 		if err != nil {
 			return errors.Join(err, last)
 		}
-		err = d.attempt(ctx, target, j, attempt, body, relay)
+		d.cfg.Chooser.Sent(time.Now(), choice)
+		err = d.attempt(ctx, choice.Target, j, attempt, body, relay)
 		if err == nil {
+			d.cfg.Chooser.Finished(time.Now(), choice)
 			return nil
 		}
+		d.cfg.Chooser.Failed(time.Now(), choice, err)
 		if relay.passed > 0 || ctx.Err() != nil {
 			return classifier.Wrap(classifier.StreamBroken, err, "the answer broke off after %d chunks", relay.passed)
 		}
-		excluded[target.Name] = true
+		excluded[choice.Target.Name] = true
 		last = err
 	}
 	return classifier.Wrap(classifier.UpstreamFailed, last, "no attempt succeeded")
@@ -109,32 +78,6 @@
 	return body, nil
 }
 
-func (d *Dispatcher) choose(j Job, request selector.Request, excluded map[string]bool, attempt int) (caller.Target, error) {
-	candidates := d.beliefs.candidates(j.Bundle, j.Model, excluded)
-	d.mu.Lock()
-	decision := d.policy.Select(time.Now(), request, candidates)
-	name := d.policy.Name()
-	d.mu.Unlock()
-	d.cfg.Log.WithFields(logrus.Fields{
-		"event":          "route",
-		"request_id":     j.ID,
-		"attempt":        attempt,
-		"organisation":   j.Organisation.Name,
-		"model":          j.Model.Name,
-		"policy":         name,
-		"chosen":         decision.Chosen,
-		"reason":         decision.Reason,
-		"missing_blocks": decision.Missing,
-		"candidates":     len(candidates),
-		"costs":          decision.Costs,
-	}).Info("routing decision")
-	u, ok := j.Bundle.Upstream(decision.Chosen)
-	if !ok {
-		return caller.Target{}, classifier.New(classifier.NoUpstream, "no upstream serves model %s now", j.Model.Name)
-	}
-	return caller.Target{Name: u.Name, Address: u.Address}, nil
-}
-
 func (d *Dispatcher) attempt(ctx context.Context, target caller.Target, j Job, attempt int, body []byte, relay *relay) error {
 	response, err := d.cfg.Caller.Do(ctx, target, caller.Call{
 		RequestID:      j.ID,
--- a/internal/serving/dispatcher/service.go
+++ b/internal/serving/dispatcher/service.go
@@ -5,8 +5,6 @@
 	"io"
 	"net/http"
 
-	"github.com/sirupsen/logrus"
-
 	"gentianstep.example/gentianstep/internal/bundle/checker"
 	"gentianstep.example/gentianstep/internal/failure/classifier"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
@@ -37,20 +35,11 @@
 
 // Call runs j at one upstream of its service, once.
 func (d *Dispatcher) Call(ctx context.Context, j ServiceJob) (ServiceAnswer, error) {
-	u, ok := j.Bundle.Upstream(j.Service.Upstreams[0])
-	if !ok {
-		return ServiceAnswer{}, classifier.New(classifier.NoUpstream, "service %s has no upstream", j.Service.Name)
+	choice, err := d.cfg.Chooser.ChooseService(ctx, j, 1, nil)
+	if err != nil {
+		return ServiceAnswer{}, err
 	}
-	d.cfg.Log.WithFields(logrus.Fields{
-		"event":        "route",
-		"request_id":   j.ID,
-		"organisation": j.Organisation.Name,
-		"service":      j.Service.Name,
-		"chosen":       u.Name,
-		"reason":       "first_upstream",
-		"idempotent":   j.Service.Idempotent(j.Method, j.Path),
-	}).Info("routing decision")
-	response, err := d.cfg.Caller.Do(ctx, caller.Target{Name: u.Name, Address: u.Address}, caller.Call{
+	response, err := d.cfg.Caller.Do(ctx, choice.Target, caller.Call{
 		RequestID:      j.ID,
 		Attempt:        1,
 		Method:         j.Method,
