Measure selection policies through real processes

Cause: the decisions are judged by what real routers do under one load. Change: a fleet of engine stand-ins in one process with a registry of holders, a plan of a deployment on loopback, a load command that counts hits, recomputed blocks and first-token times, and a script that runs each policy in turn.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -33,6 +33,9 @@
 		newPlatformCommand(),
 		newEngineCommand(),
 		newServiceCommand(),
+		newPlanCommand(),
+		newFleetCommand(),
+		newLoadCommand(),
 	}
 	for _, c := range commands {
 		flaggy.AttachSubcommand(c.parser, 1)
--- a/internal/standin/generator/cache.go
+++ b/internal/standin/generator/cache.go
@@ -59,3 +59,10 @@
 	}
 	return stored, c.evicted
 }
+
+// clear drops every block and returns them.
+func (c *cache) clear() []cached {
+	c.evicted = nil
+	c.blocks.Purge()
+	return c.evicted
+}
--- a/internal/standin/generator/config.go
+++ b/internal/standin/generator/config.go
@@ -26,6 +26,8 @@
 	LoadTime time.Duration
 	// EventDelay is how late cache events are published.
 	EventDelay time.Duration
+	// Registry counts holders over several engines; nil counts this one alone.
+	Registry *Registry
 	// Incarnation tells this start of the engine from earlier ones.
 	Incarnation uint64
 }
--- a/internal/standin/generator/engine.go
+++ b/internal/standin/generator/engine.go
@@ -54,6 +54,9 @@
 	if cfg.EventDelay == 0 {
 		cfg.EventDelay = defaultEventDelay
 	}
+	if cfg.Registry == nil {
+		cfg.Registry = NewRegistry()
+	}
 	return &Engine{
 		cfg:     cfg,
 		slots:   newSlots(cfg.Slots),
@@ -111,6 +114,7 @@
 	defer func() { <-e.prefill }()
 	e.mu.Lock()
 	held := e.cache.held(j.chain)
+	elsewhere := e.cfg.Registry.held(j.chain[held:])
 	e.mu.Unlock()
 	missing := len(j.chain) - held
 	err := pause(ctx, time.Duration(missing+1)*e.cfg.PrefillPerBlock)
@@ -122,10 +126,12 @@
 	defer e.mu.Unlock()
 	model := observer.LoadedModel{Name: j.scope.Model, WeightsVersion: j.scope.WeightsVersion}
 	stored, evicted := e.cache.store(model, j.chain)
+	e.cfg.Registry.change(stored, evicted)
 	e.journal.add(indexer.Stored, stored)
 	e.journal.add(indexer.Evicted, evicted)
 	e.stats.PromptBlocks += len(j.chain)
 	e.stats.CachedBlocks += held
+	e.stats.RecomputedBlocks += elsewhere
 	return usage{promptBytes: len(j.prompt), cachedBlocks: held}, nil
 }
 
@@ -200,6 +206,27 @@
 	e.leaving = true
 }
 
+// Clear drops every block of the cache and says so in an event.
+func (e *Engine) Clear() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	evicted := e.cache.clear()
+	e.cfg.Registry.change(nil, evicted)
+	e.journal.add(indexer.Evicted, evicted)
+}
+
+// Crash ends every stream and takes the blocks out of the registry. The
+// engine must not be used afterwards.
+func (e *Engine) Crash() {
+	e.Leave()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, s := range e.streams {
+		s.cancel()
+	}
+	e.cfg.Registry.change(nil, e.cache.clear())
+}
+
 // Stats returns the engine's counters.
 func (e *Engine) Stats() Stats {
 	e.mu.Lock()
