Let the measured policies carry a recompute price; give prefixes a home region

Cause: every request reached a random region, so that each region needed its own copy of every prefix, which no caller population does. Change: the branch of one level has a home region that 95 of 100 of its requests reach first.

--- a/cmd/standin/fleet.go
+++ b/cmd/standin/fleet.go
@@ -30,7 +30,7 @@
 	parser.String(&dir, "d", "dir", "Folder to write to.")
 	parser.String(&name, "w", "workload", "Workload: vloerkuns or cyngor.")
 	parser.String(&key, "k", "public-key", "Public key of the bundle signer, as JSON.")
-	parser.String(&policies, "p", "policies", "Selection policies, one bundle version each.")
+	parser.String(&policies, "p", "policies", "Selection policies, one bundle version each; NAME=N sets the recompute price.")
 	parser.Int(&vms, "n", "vms", "Number of VMs.")
 	parser.Int(&basePort, "b", "base-port", "First port.")
 	return command{parser: parser, run: func(context.Context) error {
@@ -57,7 +57,11 @@
 		}
 	}
 	for i, policy := range policies {
-		b := plan.Bundle(w, uint64(i+1), policy)
+		selection, err := hoster.Selection(w, policy)
+		if err != nil {
+			return err
+		}
+		b := plan.Bundle(w, uint64(i+1), selection)
 		if err := b.Check(); err != nil {
 			return err
 		}
--- a/internal/standin/hoster/bundle.go
+++ b/internal/standin/hoster/bundle.go
@@ -1,6 +1,9 @@
 package hoster
 
 import (
+	"fmt"
+	"strconv"
+	"strings"
 	"time"
 
 	"gentianstep.example/gentianstep/internal/bundle/checker"
@@ -12,8 +15,8 @@
 	maxTokens      = 4096
 )
 
-// Bundle returns a bundle of the plan that selects by the named policy.
-func (p Plan) Bundle(w loader.Workload, version uint64, policy string) *checker.Bundle {
+// Bundle returns a bundle of the plan that selects by the given policy.
+func (p Plan) Bundle(w loader.Workload, version uint64, selection checker.SelectionPolicy) *checker.Bundle {
 	b := &checker.Bundle{
 		Deployment: p.Workload,
 		Version:    version,
@@ -25,7 +28,7 @@
 			MaxPromptBytes:    maxPromptBytes,
 			MaxTokens:         maxTokens,
 		}},
-		Policy: newPolicy(policy),
+		Policy: newPolicy(selection),
 	}
 	for _, region := range w.Regions {
 		b.Regions = append(b.Regions, checker.Region{Name: region, AvailabilityZones: []string{region + "1"}})
@@ -52,15 +55,31 @@
 	return b
 }
 
-func newPolicy(selection string) checker.Policy {
+// Selection returns the selection policy of that name with the weights of the
+// workload. A name may end in "=N" to set the recompute price.
+func Selection(w loader.Workload, text string) (checker.SelectionPolicy, error) {
+	name, price, priced := strings.Cut(text, "=")
+	s := checker.SelectionPolicy{
+		Name:            name,
+		RecomputePrice:  w.RecomputePrice,
+		CrossingPrice:   checker.Duration(200 * time.Millisecond),
+		CrossingLatency: checker.Duration(15 * time.Millisecond),
+		LookupTimeout:   checker.Duration(10 * time.Millisecond),
+	}
+	if !priced {
+		return s, nil
+	}
+	value, err := strconv.ParseFloat(price, 64)
+	if err != nil {
+		return s, fmt.Errorf("policy %q: %w", text, err)
+	}
+	s.RecomputePrice = value
+	return s, nil
+}
+
+func newPolicy(selection checker.SelectionPolicy) checker.Policy {
 	return checker.Policy{
-		Selection: checker.SelectionPolicy{
-			Name:            selection,
-			RecomputePrice:  0.5,
-			CrossingPrice:   checker.Duration(200 * time.Millisecond),
-			CrossingLatency: checker.Duration(15 * time.Millisecond),
-			LookupTimeout:   checker.Duration(10 * time.Millisecond),
-		},
+		Selection: selection,
 		Admission: checker.AdmissionPolicy{
 			QueueLength:  256,
 			MaxWait:      checker.Duration(3 * time.Second),
--- a/internal/standin/loader/arrival.go
+++ b/internal/standin/loader/arrival.go
@@ -60,16 +60,29 @@
 		Organisation: int(m.organisations.Uint64()),
 		Tail:         m.random.Uint64(),
 		MaxTokens:    w.MaxTokens,
-		Router:       m.random.IntN(routers),
 	}
 	shift := int(at / w.ShiftInterval)
 	for i, level := range w.Levels {
 		branch := int(m.branches[i].Uint64())
 		a.Path = append(a.Path, (branch+shift)%level.Branches)
 	}
+	a.Router = m.router(a, routers)
 	if m.random.Float64() < w.BatchShare {
 		a.Batch = true
 		a.MaxTokens = w.BatchMaxTokens
 	}
 	return a
 }
+
+// router returns the place of the router that the caller reaches. Routers
+// stand in the regions in turn.
+func (m *maker) router(a Arrival, routers int) int {
+	w := m.workload
+	regions := len(w.Regions)
+	if m.random.Float64() >= w.HomeShare || routers < regions {
+		return m.random.IntN(routers)
+	}
+	home := a.Path[w.HomeLevel] % regions
+	inRegion := (routers - home + regions - 1) / regions
+	return home + regions*m.random.IntN(inRegion)
+}
--- a/internal/standin/loader/workload.go
+++ b/internal/standin/loader/workload.go
@@ -28,6 +28,10 @@
 	Organisations    int
 	OrganisationSkew float64
 	Levels           []Level
+	// HomeLevel is the level whose branch has a home region, which its callers
+	// reach first; HomeShare is the share of requests that arrive there.
+	HomeLevel int
+	HomeShare float64
 	// TailBlocks is the part of a prompt that no other request shares.
 	TailBlocks int
 	MaxTokens  int
@@ -36,6 +40,8 @@
 	BatchMaxTokens int
 	// ShiftInterval is the time after which other branches become popular.
 	ShiftInterval time.Duration
+	// RecomputePrice is the bundle's price for blocks that are computed again.
+	RecomputePrice float64
 	// Rate is the number of requests a second at full committed capacity.
 	Rate float64
 }
@@ -54,10 +60,13 @@
 			{Name: "range", Blocks: 16, Branches: 10, Skew: 1.3},
 			{Name: "customer", Blocks: 20, Branches: 30, Skew: 1.2},
 		},
-		TailBlocks:    2,
-		MaxTokens:     24,
-		ShiftInterval: 15 * time.Second,
-		Rate:          150,
+		HomeLevel:      2,
+		HomeShare:      0.95,
+		TailBlocks:     2,
+		MaxTokens:      24,
+		ShiftInterval:  15 * time.Second,
+		RecomputePrice: 1,
+		Rate:           150,
 	}
 }
 
@@ -75,11 +84,14 @@
 			{Name: "site", Blocks: 60, Branches: 40, Skew: 1.2},
 			{Name: "job", Blocks: 16, Branches: 4, Skew: 1.2},
 		},
+		HomeLevel:      0,
+		HomeShare:      0.95,
 		TailBlocks:     2,
 		MaxTokens:      24,
 		BatchShare:     0.3,
 		BatchMaxTokens: 8,
 		ShiftInterval:  time.Minute,
+		RecomputePrice: 2,
 		Rate:           90,
 	}
 }
