Follow shared prefixes and remember own sends; weigh late loads better

Cause: without an index the home of a prompt was left in half of the selections. Printing the rejected homes showed why: prefill per block was learned as 3.5 to 8.4 ms where 2 ms is true, since the time to the first token holds waits; one own send of 68 blocks was counted as 249; and own sends were added on top of a mean that contains them already.

Change: homes by rendezvous with bounded load; replicator learns how many leading blocks are shared and how many replicas a prefix should have, rising at once and falling by one after a dwell time; coalescer remembers own sends for a second, so that simultaneous misses follow the first one; the estimator takes the larger of the mean and the own sends, learns prefill from the low samples and counts blocks of own sends once.

--- a/internal/caching/indexer/index.go
+++ b/internal/caching/indexer/index.go
@@ -167,8 +167,8 @@
 // Confirm notes that an upstream of that incarnation was seen to hold
 // checkpoints, such as by an answer that tells how many blocks it found cached.
 func (x *Index) Confirm(name, model string, incarnation uint64, checkpoints []hasher.Hash) bool {
-	up, ok := x.upstreams[name]
-	if !ok || up.incarnation != incarnation {
+	up := x.meet(name, incarnation)
+	if up == nil {
 		return false
 	}
 	n, ok := x.slot(up, slotKey{upstream: name, model: model})
@@ -180,3 +180,10 @@
 	}
 	return true
 }
+
+// Age demotes every record, as a gap of every upstream would.
+func (x *Index) Age(now time.Time) {
+	for n := range x.slots {
+		x.slots[n].demote(now, x.cfg.UnsureTTL)
+	}
+}
--- a/internal/routing/estimator/average.go
+++ b/internal/routing/estimator/average.go
@@ -2,8 +2,13 @@
 
 import "time"
 
-// weightOfSample is the weight of a new sample in a moving average.
-const weightOfSample = 0.2
+const (
+	// weightOfSample is the weight of a new sample in a moving average.
+	weightOfSample = 0.2
+	// weightOfExcess is the weight of a sample that is above the average where
+	// an excess is mostly something else than what is measured.
+	weightOfExcess = 0.02
+)
 
 // average is an exponentially weighted moving average of durations.
 type average time.Duration
@@ -16,6 +21,16 @@
 	*a += average(weightOfSample * float64(sample-time.Duration(*a)))
 }
 
+// addLow adds a sample that may contain a wait, so that the average follows the
+// low ones.
+func (a *average) addLow(sample time.Duration) {
+	if *a == 0 || sample <= time.Duration(*a) {
+		a.add(sample)
+		return
+	}
+	*a += average(weightOfExcess * float64(sample-time.Duration(*a)))
+}
+
 func (a average) or(fallback time.Duration) time.Duration {
 	if a == 0 {
 		return fallback
--- a/internal/routing/estimator/belief.go
+++ b/internal/routing/estimator/belief.go
@@ -8,9 +8,9 @@
 
 const (
 	// requestMemory is the age at which a reported number of requests counts half.
-	requestMemory = 4 * time.Second
+	requestMemory = time.Second
 	// blockMemory is the age at which a reported number of blocks counts half.
-	blockMemory = time.Second
+	blockMemory = 250 * time.Millisecond
 )
 
 // belief is what is known of one upstream.
@@ -41,26 +41,26 @@
 	b.newBlocks = 0
 }
 
-// aged returns the reported value moved towards mean by its age.
-func aged(reported, mean float64, age, memory time.Duration) float64 {
-	if age <= 0 {
-		return reported
-	}
-	trust := float64(memory) / float64(memory+age)
-	return mean + (reported-mean)*trust
+// estimate corrects a reported value. With age the report counts less and the
+// mean of all reports more, or what the own sends since the report stand for,
+// whichever is larger: the mean already contains usual arrivals.
+func estimate(reported, mean, sends float64, age, memory time.Duration) float64 {
+	trust := float64(memory) / float64(memory+max(age, 0))
+	return reported*trust + max(mean*(1-trust), sends)
 }
 
 // fill writes the candidate of b into c. The means are those of all reports.
 func (b *belief) fill(c *selector.Candidate, now time.Time, cfg *Config, m mean) {
 	slots := float64(max(b.upstream.Slots, 1))
-	requests, blocks := m.load*slots, m.blocks
+	newSends := cfg.PeerFactor * float64(b.newSends)
+	newBlocks := float64(b.newBlocks)
+	requests := max(m.load*slots, newSends)
+	blocks := max(m.blocks, newBlocks)
 	if !b.report.ReportedAt.IsZero() {
 		age := now.Sub(b.report.ReportedAt)
-		requests = aged(float64(b.report.Queued+b.report.Running), requests, age, requestMemory)
-		blocks = aged(float64(b.report.QueuedBlocks), blocks, age, blockMemory)
+		requests = estimate(float64(b.report.Queued+b.report.Running), m.load*slots, newSends, age, requestMemory)
+		blocks = estimate(float64(b.report.QueuedBlocks), m.blocks, newBlocks, age, blockMemory)
 	}
-	requests += cfg.PeerFactor * float64(b.newSends)
-	blocks += cfg.PeerFactor * float64(b.newBlocks)
 	requests = max(requests, float64(b.inFlight))
 	running := min(requests, slots)
 	*c = selector.Candidate{
--- a/internal/routing/estimator/estimator.go
+++ b/internal/routing/estimator/estimator.go
@@ -162,7 +162,7 @@
 	if computed < minSampleBlocks || elapsed <= 0 {
 		return
 	}
-	b.prefill.add(min(elapsed/time.Duration(computed), maxPrefillPerBlock))
+	b.prefill.addLow(min(elapsed/time.Duration(computed), maxPrefillPerBlock))
 }
 
 func (e *Estimator) endCompute(b *belief, f flight) {
--- a/internal/routing/estimator/hold.go
+++ b/internal/routing/estimator/hold.go
@@ -5,8 +5,9 @@
 	"gentianstep.example/gentianstep/internal/routing/selector"
 )
 
-// Hold writes what the prefix index knows into the candidates of the last call
-// of Candidates. What an older incarnation held does not count.
+// Hold adds what a prefix index knows to the candidates of the last call of
+// Candidates; the longer of two beliefs counts. What an older incarnation held
+// does not count.
 func (e *Estimator) Hold(candidates []selector.Candidate, holdings []indexer.Holding) {
 	for _, h := range holdings {
 		b, ok := e.byName[h.Upstream]
@@ -17,7 +18,8 @@
 		if h.Incarnation < c.Incarnation {
 			continue
 		}
-		c.HeldBlocks = h.HeldBlocks
-		c.UnsureBlocks = h.UnsureBlocks
+		reach := max(h.HeldBlocks+h.UnsureBlocks, c.HeldBlocks+c.UnsureBlocks)
+		c.HeldBlocks = max(h.HeldBlocks, c.HeldBlocks)
+		c.UnsureBlocks = reach - c.HeldBlocks
 	}
 }
--- a/internal/routing/selector/evaluation_test.go
+++ b/internal/routing/selector/evaluation_test.go
@@ -13,9 +13,11 @@
 	"github.com/matryer/is"
 
 	"gentianstep.example/gentianstep/internal/bundle/checker"
+	"gentianstep.example/gentianstep/internal/caching/coalescer"
 	"gentianstep.example/gentianstep/internal/caching/hasher"
 	"gentianstep.example/gentianstep/internal/caching/indexer"
 	"gentianstep.example/gentianstep/internal/routing/estimator"
+	"gentianstep.example/gentianstep/internal/routing/replicator"
 	"gentianstep.example/gentianstep/internal/routing/selector"
 )
 
@@ -70,6 +72,8 @@
 	region string
 	est    *estimator.Estimator
 	policy selector.Policy
+	own    *coalescer.Coalescer
+	heat   *replicator.Replicator
 	buf    []selector.Candidate
 }
 
@@ -94,7 +98,7 @@
 	now                              time.Time
 	timers                           timers
 	n                                int
-	random                           *rand.Rand
+	random, service                  *rand.Rand
 	engines                          []*engine
 	routers                          []*router
 	index                            *indexer.Index
@@ -108,7 +112,7 @@
 }
 
 func newFleet(s scenario, seed uint64) *fleet {
-	f := &fleet{scenario: s, now: time.Unix(0, 0), random: rand.New(rand.NewPCG(seed, 1)), index: indexer.New(indexer.Config{})}
+	f := &fleet{scenario: s, now: time.Unix(0, 0), random: rand.New(rand.NewPCG(seed, 0)), service: rand.New(rand.NewPCG(seed, 1)), index: indexer.New(indexer.Config{})}
 	regions := []string{"a", "b", "c"}
 	ups := make([]estimator.Upstream, 0, s.Upstreams)
 	for i := range s.Upstreams {
@@ -129,7 +133,11 @@
 		}
 		est := estimator.New(estimator.Config{PeerFactor: peerFactor(s.Routers)})
 		est.SetUpstreams(ups)
-		f.routers = append(f.routers, &router{region: regions[i%3], est: est, policy: policy})
+		heat, err := replicator.New(replicator.Config{PeerFactor: peerFactor(s.Routers)})
+		if err != nil {
+			panic(err)
+		}
+		f.routers = append(f.routers, &router{heat: heat, region: regions[i%3], est: est, policy: policy, own: coalescer.New(coalescer.Config{})})
 	}
 	return f
 }
@@ -159,16 +167,20 @@
 	f.after(time.Duration(f.random.ExpFloat64()/f.Rate*float64(time.Second)), f.arrive)
 	r := f.routers[f.random.IntN(len(f.routers))]
 	req := selector.Request{Region: r.region, Chain: f.chain(), MaxTokens: 200}
+	heat := r.heat.Observe(f.now, hasher.Checkpoints(req.Chain))
+	req.SharedBlocks, req.Replicas = heat.SharedBlocks, heat.Replicas
 	req.PromptBytes = len(req.Chain) * hasher.BlockBytes
 	r.buf = r.est.Candidates(f.now, r.buf, nil)
 	if f.Index {
 		r.est.Hold(r.buf, f.index.Lookup(f.now, hasher.Checkpoints(req.Chain), nil))
 	}
+	r.est.Hold(r.buf, r.own.Lookup(f.now, hasher.Checkpoints(req.Chain), nil))
 	d := r.policy.Select(f.now, req, r.buf)
 	i := slices.IndexFunc(f.engines, func(e *engine) bool { return e.name == d.Chosen })
 	e := f.engines[i]
 	j := &job{chain: req.Chain, sentAt: f.now, router: r, region: r.region}
 	j.ticket = r.est.Sent(f.now, estimator.Send{Upstream: e.name, Blocks: d.Missing})
+	r.own.Sent(f.now, e.name, "m", 1, hasher.Checkpoints(req.Chain))
 	e.queue = append(e.queue, j)
 	e.waiting += d.Missing
 	f.start(e)
@@ -260,7 +272,7 @@
 	f.waits = append(f.waits, wait)
 	e.waiting -= missing
 	j.router.est.FirstToken(f.now, j.ticket, missing)
-	f.after(time.Duration(f.random.ExpFloat64()*float64(decodeMean)), func() {
+	f.after(time.Duration(f.service.ExpFloat64()*float64(decodeMean)), func() {
 		e.running--
 		j.router.est.Done(f.now, j.ticket)
 		f.start(e)
--- a/internal/routing/selector/prefix_cost.go
+++ b/internal/routing/selector/prefix_cost.go
@@ -6,6 +6,7 @@
 type PrefixCost struct {
 	cfg    Config
 	live   []int32
+	pool   []int32
 	totals []time.Duration
 }
 
@@ -24,14 +25,27 @@
 	for _, i := range p.live {
 		p.totals = append(p.totals, price.cost(&candidates[i]).Total)
 	}
-	chosen := p.live[p.lowest(&price, candidates)]
+	lowest := p.lowest(&price, candidates)
+	chosen, reason := p.choose(&price, candidates, lowest)
 	d := outcome(&price, candidates, p.live, chosen)
 	d.Policy = namePrefixCost
-	d.Reason = ReasonLowestCost
+	d.Reason = reason
 	d.Costs = cheapest(&price, candidates, p.live, p.totals, chosen)
 	return d
 }
 
+// choose returns the index of the chosen candidate and the reason. The lowest
+// total is at the place lowest.
+func (p *PrefixCost) choose(price *pricer, candidates []Candidate, lowest int) (int32, string) {
+	r := price.request
+	if len(r.Chain) > 0 && price.bestHeld < homeDepth(r) {
+		if home, reason := p.home(price, candidates, lowest); home >= 0 {
+			return home, reason
+		}
+	}
+	return p.live[lowest], ReasonLowestCost
+}
+
 // lowest returns the place in live of the lowest total. Another region has to
 // be cheaper than the own one by a margin.
 func (p *PrefixCost) lowest(price *pricer, candidates []Candidate) int {
--- a/internal/routing/selector/request.go
+++ b/internal/routing/selector/request.go
@@ -15,6 +15,11 @@
 	AvailabilityZone string
 	// Chain holds the block hashes of the prompt, the first block first.
 	Chain []hasher.Hash
+	// SharedBlocks is the number of leading blocks that recent requests have
+	// in common, 0 where it is not known.
+	SharedBlocks int
+	// Replicas is the number of upstreams that should hold them; 0 stands for 1.
+	Replicas int
 	// PromptBytes is the size of the prompt, MaxTokens the longest answer.
 	PromptBytes int
 	MaxTokens   int
