Rank homes on a ladder of fixed prefix lengths

Cause: routers that had learned different shared depths chose different homes for one prefix.

Change: the leading 8, 16, 32 and so on blocks each halve the possible homes, and the last step orders those that are left, so that prompts which share more blocks share more of their homes, and routers agree without a message. The ladder ends at half of the prompt, or where more is known to be shared.

--- a/internal/routing/selector/home.go
+++ b/internal/routing/selector/home.go
@@ -15,13 +15,13 @@
 func (p *PrefixCost) home(price *pricer, candidates []Candidate, lowest int) (int32, string) {
 	r := price.request
 	p.pool = sameRegion(p.pool[:0], p.live, candidates, r.Region)
-	depth := homeDepth(r)
-	key := r.Chain[depth-1]
+	depth := r.homeDepth()
+	p.ladder.climb(r)
 	limit := max(boundedLoad*meanLoad(candidates, p.pool), freeLoad)
 	credit := scale(prefillPerBlock(&candidates[p.live[lowest]]), float64(depth)*(1+price.weights.RecomputePrice))
 	worst := p.totals[lowest] + credit
-	first := highest(key, p.pool, candidates, anyOf)
-	home := highest(key, p.pool, candidates, func(i int32) bool {
+	first := p.ladder.highest(p.pool, candidates, anyOf)
+	home := p.ladder.highest(p.pool, candidates, func(i int32) bool {
 		c := &candidates[i]
 		return c.load() <= limit && price.cost(c).Total <= worst
 	})
@@ -31,14 +31,6 @@
 	return home, ReasonHomeOverflow
 }
 
-// homeDepth returns the number of leading blocks that name the home of r.
-func homeDepth(r *Request) int {
-	if r.SharedBlocks > 0 {
-		return min(r.SharedBlocks, len(r.Chain))
-	}
-	return min(homeBlocks, len(r.Chain))
-}
-
 func meanLoad(candidates []Candidate, indexes []int32) float64 {
 	sum := 0.0
 	for _, i := range indexes {
--- a/internal/routing/selector/prefix_cost.go
+++ b/internal/routing/selector/prefix_cost.go
@@ -7,6 +7,7 @@
 	cfg    Config
 	live   []int32
 	pool   []int32
+	ladder ladder
 	totals []time.Duration
 }
 
@@ -38,7 +39,7 @@
 // total is at the place lowest.
 func (p *PrefixCost) choose(price *pricer, candidates []Candidate, lowest int) (int32, string) {
 	r := price.request
-	if len(r.Chain) > 0 && price.bestHeld < homeDepth(r) {
+	if r.homeDepth() > 0 && price.bestHeld < r.homeDepth() {
 		if home, reason := p.home(price, candidates, lowest); home >= 0 {
 			return home, reason
 		}
--- a/internal/routing/selector/rank.go
+++ b/internal/routing/selector/rank.go
@@ -9,7 +9,12 @@
 // score returns the rendezvous score of an upstream for key. The upstream with
 // the highest score is the home of key, the next one its first overflow.
 func score(key hasher.Hash, name string) uint64 {
-	x := uint64(key) ^ xxhash.Sum64String(name)
+	return mix(key, xxhash.Sum64String(name))
+}
+
+// mix joins the hash of a prefix and that of a name.
+func mix(key hasher.Hash, sum uint64) uint64 {
+	x := uint64(key) ^ sum
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
 	x ^= x >> 33
--- a/internal/routing/selector/request.go
+++ b/internal/routing/selector/request.go
@@ -26,3 +26,8 @@
 	// Interactive is false for batch work.
 	Interactive bool
 }
+
+// homeDepth returns the number of leading blocks that name the home of r.
+func (r *Request) homeDepth() int {
+	return min(max(r.SharedBlocks, len(r.Chain)/2), len(r.Chain))
+}
