Choose among near-equal costs by prefix or at random

Cause: several routers that act on one late report all choose the same lowest cost.

Change: candidates within 4 ms and 5 of 100 of the lowest cost count as equal. Where blocks are missing, the first missing block ranks them, so that routers agree on who computes it; otherwise the less loaded of two random ones is taken.

--- a/internal/routing/selector/prefix_cost.go
+++ b/internal/routing/selector/prefix_cost.go
@@ -44,7 +44,7 @@
 			return home, reason
 		}
 	}
-	return p.live[lowest], ReasonLowestCost
+	return p.nearEqual(price, candidates, lowest)
 }
 
 // lowest returns the place in live of the lowest total. Another region has to
