Spread a hot prefix over as many homes as its rate asks for

Cause: a hot prefix without a known holder went to one home until its load bound, and only then to the next.

Change: the first homes of the ladder, as many as the replicator asks for, share the prefix, the cheapest first.

--- a/internal/routing/selector/evaluation_test.go
+++ b/internal/routing/selector/evaluation_test.go
@@ -42,6 +42,7 @@
 	RecomputePrice float64          `json:"recompute_price"`
 	Seconds        int              `json:"seconds"`
 	Index          bool             `json:"index"`
+	HotShare       float64          `json:"hot_share"`
 	MinHit         float64          `json:"min_hit"`
 	MaxElsewhere   float64          `json:"max_elsewhere"`
 	MaxCrossing    float64          `json:"max_crossing"`
@@ -148,6 +149,9 @@
 func (f *fleet) chain() []hasher.Hash {
 	zipf := func(n int) uint64 { return rand.NewZipf(f.random, 1.2, 2, uint64(n-1)).Uint64() }
 	org, rng, customer, question := zipf(8), zipf(12), zipf(20), f.random.Uint64()
+	if f.random.Float64() < f.HotShare {
+		org, rng, customer = 0, 0, 0
+	}
 	var chain []hasher.Hash
 	h := uint64(1)
 	for _, level := range []struct {
--- a/internal/routing/selector/home.go
+++ b/internal/routing/selector/home.go
@@ -20,15 +20,21 @@
 	limit := max(boundedLoad*meanLoad(candidates, p.pool), freeLoad)
 	credit := scale(prefillPerBlock(&candidates[p.live[lowest]]), float64(depth)*(1+price.weights.RecomputePrice))
 	worst := p.totals[lowest] + credit
-	first := p.ladder.highest(p.pool, candidates, anyOf)
-	home := p.ladder.highest(p.pool, candidates, func(i int32) bool {
+	accept := func(i int32) bool {
 		c := &candidates[i]
 		return c.load() <= limit && price.cost(c).Total <= worst
-	})
-	if home == first {
+	}
+	p.homes = p.ladder.top(p.homes[:0], p.pool, candidates, max(r.Replicas, 1))
+	home := int32(-1)
+	for _, i := range p.homes {
+		if accept(i) && (home < 0 || price.cost(&candidates[i]).Total < price.cost(&candidates[home]).Total) {
+			home = i
+		}
+	}
+	if home >= 0 {
 		return home, ReasonPrefixHome
 	}
-	return home, ReasonHomeOverflow
+	return p.ladder.highest(p.pool, candidates, accept), ReasonHomeOverflow
 }
 
 func meanLoad(candidates []Candidate, indexes []int32) float64 {
--- a/internal/routing/selector/ladder.go
+++ b/internal/routing/selector/ladder.go
@@ -18,6 +18,8 @@
 // those that are left. Routers agree on it without any message.
 type ladder struct {
 	steps []hasher.Hash
+	// scores is the memory of top.
+	scores []uint64
 }
 
 // climb sets the steps for r.
@@ -62,3 +64,25 @@
 	}
 	return best
 }
+
+// top appends to buf the n indexes with the highest scores, the highest first.
+func (l *ladder) top(buf, indexes []int32, candidates []Candidate, n int) []int32 {
+	l.scores = l.scores[:0]
+	for _, i := range indexes {
+		s := l.score(candidates[i].Name)
+		if len(buf) == n && s <= l.scores[n-1] {
+			continue
+		}
+		if len(buf) < n {
+			buf = append(buf, i)
+			l.scores = append(l.scores, s)
+		}
+		place := len(buf) - 1
+		for place > 0 && l.scores[place-1] < s {
+			buf[place], l.scores[place] = buf[place-1], l.scores[place-1]
+			place--
+		}
+		buf[place], l.scores[place] = i, s
+	}
+	return buf
+}
--- a/internal/routing/selector/prefix_cost.go
+++ b/internal/routing/selector/prefix_cost.go
@@ -7,6 +7,7 @@
 	cfg    Config
 	live   []int32
 	pool   []int32
+	homes  []int32
 	ladder ladder
 	totals []time.Duration
 }
