Grow a hot prefix before its holders are loaded

Cause: once one upstream held a hot prefix, more copies were made only when its wait had become dearer than a recomputation, or by crossing regions.

Change: the homes are used while fewer candidates of the region hold the prefix than the replicator asks for, not only while none does.

--- a/internal/routing/selector/prefix_cost.go
+++ b/internal/routing/selector/prefix_cost.go
@@ -40,7 +40,7 @@
 // total is at the place lowest.
 func (p *PrefixCost) choose(price *pricer, candidates []Candidate, lowest int) (int32, string) {
 	r := price.request
-	if r.homeDepth() > 0 && price.bestHeld < r.homeDepth() {
+	if r.homeDepth() > 0 && (price.bestHeld < r.homeDepth() || p.holders(price, candidates) < r.Replicas) {
 		if home, reason := p.home(price, candidates, lowest); home >= 0 {
 			return home, reason
 		}
@@ -66,3 +66,16 @@
 	}
 	return local
 }
+
+// holders counts the candidates of the own region that hold all that names the
+// home.
+func (p *PrefixCost) holders(price *pricer, candidates []Candidate) int {
+	n := 0
+	depth := price.request.homeDepth()
+	for _, i := range p.live {
+		if candidates[i].Region == price.request.Region && candidates[i].HeldBlocks >= depth {
+			n++
+		}
+	}
+	return n
+}
