Price other regions only where they could win

Cause: two thirds of the candidates are in other regions and seldom win.

Change: the own region is priced first; where its best cost is below the least that a crossing adds, no upstream of another region is priced, and the decision says how many were. An option keeps the blocks held, so that the count of holders does not touch the candidates again.

--- a/internal/routing/selector/bench_test.go
+++ b/internal/routing/selector/bench_test.go
@@ -11,7 +11,7 @@
 	"gentianstep.example/gentianstep/internal/routing/selector"
 )
 
-func benchInput(n int) (selector.Request, []selector.Candidate) {
+func benchInput(n, held int) (selector.Request, []selector.Candidate) {
 	random := rand.New(rand.NewPCG(1, 1))
 	r := selector.Request{Region: "a", SharedBlocks: 96, Replicas: 2, PromptBytes: 200 * hasher.BlockBytes}
 	for range 200 {
@@ -25,7 +25,7 @@
 			PrefillPerBlock: 2 * time.Millisecond, ServiceTime: time.Second,
 		}
 		if random.IntN(10) == 0 {
-			candidates[i].HeldBlocks = random.IntN(25) * 4
+			candidates[i].HeldBlocks = held
 		}
 	}
 	return r, candidates
@@ -33,16 +33,17 @@
 
 func BenchmarkSelect(b *testing.B) {
 	for _, name := range checker.SelectionNames {
-		for _, n := range []int{12, 100, 740} {
-			b.Run(fmt.Sprintf("%s/%d", name, n), func(b *testing.B) {
+		for _, row := range [][2]int{{12, 192}, {100, 192}, {740, 192}, {740, 48}} {
+			n, held := row[0], row[1]
+			b.Run(fmt.Sprintf("%s/%d/held=%d", name, n, held), func(b *testing.B) {
 				p, err := selector.New(selector.Config{
-					Selection: checker.SelectionPolicy{Name: name, RecomputePrice: 1, CrossingLatency: checker.Duration(30 * time.Millisecond)},
+					Selection: checker.SelectionPolicy{Name: name, RecomputePrice: 1, CrossingLatency: checker.Duration(30 * time.Millisecond), CrossingPrice: checker.Duration(time.Second)},
 					Random:    rand.New(rand.NewPCG(1, 1)),
 				})
 				if err != nil {
 					b.Fatal(err)
 				}
-				r, candidates := benchInput(n)
+				r, candidates := benchInput(n, held)
 				b.ReportAllocs()
 				for b.Loop() {
 					p.Select(time.Time{}, r, candidates)
--- a/internal/routing/selector/decision.go
+++ b/internal/routing/selector/decision.go
@@ -25,7 +25,8 @@
 	// Costs lists the cheapest candidates, the cheapest first, and the chosen
 	// one; at most MaxCosts of them.
 	Costs []Cost `json:"costs"`
-	// Considered is the number of candidates whose costs were compared.
+	// Considered is the number of candidates whose costs were compared. Other
+	// regions are not priced where the own one cannot lose to them.
 	Considered int `json:"considered"`
 	// Suspects is the number of candidates left out as suspect.
 	Suspects int `json:"suspects"`
--- a/internal/routing/selector/explain.go
+++ b/internal/routing/selector/explain.go
@@ -6,13 +6,13 @@
 )
 
 // explain returns the decision for the candidate at the place chosen, with the
-// costs of the cheapest options.
+// costs of the cheapest options that were priced.
 func (f *field) explain(p *pricer, candidates []Candidate, chosen int) Decision {
 	c := &candidates[f.options[chosen].at]
 	return Decision{
 		Chosen:        c.Name,
 		Costs:         f.cheapest(p, candidates, chosen),
-		Considered:    len(f.options),
+		Considered:    f.priced,
 		Suspects:      len(candidates) - len(f.options),
 		Missing:       max(len(p.request.Chain)-c.HeldBlocks, 0),
 		HeldElsewhere: p.heldElsewhere(c),
@@ -26,6 +26,9 @@
 	var top [MaxCosts]int
 	n := 0
 	for at := range f.options {
+		if !f.options[at].priced {
+			continue
+		}
 		total := f.options[at].total
 		if n == MaxCosts && total >= f.options[top[n-1]].total {
 			continue
--- a/internal/routing/selector/home.go
+++ b/internal/routing/selector/home.go
@@ -10,7 +10,7 @@
 
 // wantsHome tells whether fewer local candidates hold the shared part of the
 // prompt than should.
-func (p *PrefixCost) wantsHome(r *Request, candidates []Candidate) bool {
+func (p *PrefixCost) wantsHome(r *Request) bool {
 	depth := r.homeDepth()
 	if depth == 0 {
 		return false
@@ -18,7 +18,7 @@
 	holders := 0
 	for i := range p.field.options {
 		o := &p.field.options[i]
-		if o.local && candidates[o.at].HeldBlocks >= depth {
+		if o.local && int(o.held) >= depth {
 			holders++
 		}
 	}
--- a/internal/routing/selector/near_equal.go
+++ b/internal/routing/selector/near_equal.go
@@ -24,7 +24,7 @@
 	p.equals = p.equals[:0]
 	for at := range f.options {
 		o := &f.options[at]
-		if o.total <= limit && o.local == best.local {
+		if o.priced && o.total <= limit && o.local == best.local {
 			p.equals = append(p.equals, int32(at))
 		}
 	}
--- a/internal/routing/selector/option.go
+++ b/internal/routing/selector/option.go
@@ -6,9 +6,13 @@
 type option struct {
 	// at is the index of the candidate.
 	at int32
+	// held is the number of leading blocks that it holds.
+	held int32
 	// local is true in the region of the router.
 	local bool
-	total time.Duration
+	// priced is false where the total is not known, since it cannot be chosen.
+	priced bool
+	total  time.Duration
 }
 
 // field is the live candidates of one selection and what they have in common.
@@ -20,6 +24,8 @@
 	bestHeld int
 	// localLoad is the sum of the loads of the local ones.
 	localLoad float64
+	// priced is the number of options with a total.
+	priced int
 }
 
 // fill takes up the candidates that may be chosen. Suspect ones are left out
@@ -40,7 +46,7 @@
 			continue
 		}
 		local := c.Region == r.Region
-		f.options = append(f.options, option{at: int32(i), local: local})
+		f.options = append(f.options, option{at: int32(i), held: int32(c.HeldBlocks), local: local})
 		if !local {
 			continue
 		}
@@ -51,29 +57,43 @@
 }
 
 // price sets the totals and returns the place of the lowest. Another region has
-// to be cheaper than the own one by a margin.
+// to be cheaper than the own one by a margin; where no upstream of another region
+// can be, none is priced.
 func (f *field) price(p *pricer, candidates []Candidate) int {
-	local, remote := -1, -1
-	for at := range f.options {
-		o := &f.options[at]
-		o.total = p.total(&candidates[o.at], o.local)
-		best := &remote
-		if o.local {
-			best = &local
-		}
-		if *best < 0 || o.total < f.options[*best].total {
-			*best = at
-		}
-	}
+	local := f.priceAll(p, candidates, true)
 	if local < 0 {
-		return remote
+		return f.priceAll(p, candidates, false)
 	}
-	if remote >= 0 && f.options[remote].total+p.margin() < f.options[local].total {
+	bound := f.options[local].total - p.margin()
+	if bound <= p.crossingLatency+p.crossingPrice {
+		return local
+	}
+	remote := f.priceAll(p, candidates, false)
+	if remote >= 0 && f.options[remote].total < bound {
 		return remote
 	}
 	return local
 }
 
+// priceAll prices the options of the own region or those of the others, and
+// returns the place of the lowest, or -1.
+func (f *field) priceAll(p *pricer, candidates []Candidate, local bool) int {
+	lowest := -1
+	for at := range f.options {
+		o := &f.options[at]
+		if o.local != local {
+			continue
+		}
+		o.total = p.total(&candidates[o.at], local)
+		o.priced = true
+		f.priced++
+		if lowest < 0 || o.total < f.options[lowest].total {
+			lowest = at
+		}
+	}
+	return lowest
+}
+
 // near tells whether o is in the region that is chosen from where the own one
 // comes first: the own one, or any where the own one has no candidate.
 func (f *field) near(o *option) bool { return o.local || f.locals == 0 }
--- a/internal/routing/selector/prefix_cost.go
+++ b/internal/routing/selector/prefix_cost.go
@@ -33,7 +33,7 @@
 // choose returns the place of the chosen option and the reason. The lowest total
 // is at the place lowest.
 func (p *PrefixCost) choose(price *pricer, candidates []Candidate, lowest int) (int, string) {
-	if p.wantsHome(price.request, candidates) {
+	if p.wantsHome(price.request) {
 		if home, reason := p.home(price, candidates, lowest); home >= 0 {
 			return home, reason
 		}
