--- a/internal/routing/selector/request.go
+++ b/internal/routing/selector/request.go
@@ -15,9 +15,19 @@
 	AvailabilityZone string
 	// Chain holds the block hashes of the prompt, the first block first.
 	Chain []hasher.Hash
+	// SharedBlocks is the number of leading blocks that recent requests have
+	// in common, 0 where it is not known.
+	SharedBlocks int
+	// Replicas is the number of upstreams that should hold them; 0 stands for 1.
+	Replicas int
 	// PromptBytes is the size of the prompt, MaxTokens the longest answer.
 	PromptBytes int
 	MaxTokens   int
 	// Interactive is false for batch work.
 	Interactive bool
 }
+
+// homeDepth returns the number of leading blocks that name the home of r.
+func (r *Request) homeDepth() int {
+	return min(max(r.SharedBlocks, len(r.Chain)/2), len(r.Chain))
+}
