--- a/internal/operating/starter/router.go
+++ b/internal/operating/starter/router.go
@@ -2,101 +2,121 @@
 
 import (
 	"context"
+	"hash/fnv"
 	"net/http"
 	"net/netip"
-	"time"
 
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sync/errgroup"
 
 	"gentianstep.example/gentianstep/internal/bundle/holder"
 	"gentianstep.example/gentianstep/internal/operating/configurer"
+	"gentianstep.example/gentianstep/internal/peering/connector"
+	"gentianstep.example/gentianstep/internal/peering/inquirer"
 	"gentianstep.example/gentianstep/internal/peering/messenger"
-	"gentianstep.example/gentianstep/internal/peering/subscriber"
-	"gentianstep.example/gentianstep/internal/routing/selector"
+	"gentianstep.example/gentianstep/internal/serving/chooser"
 	"gentianstep.example/gentianstep/internal/serving/dispatcher"
 	"gentianstep.example/gentianstep/internal/serving/receiver"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
 )
 
-// drainTimeout bounds the wait for open streams at a planned stop.
-const drainTimeout = 10 * time.Minute
+// router is a router with its parts.
+type router struct {
+	bundles  *holder.Holder
+	feed     *connector.Connector
+	inquire  *inquirer.Inquirer
+	choose   *chooser.Chooser
+	dispatch *dispatcher.Dispatcher
+	receive  *receiver.Receiver
+}
 
 // Router runs a router until ctx ends and its streams are done.
 func Router(ctx context.Context, settings *configurer.Settings, log *logrus.Entry) error {
-	bundles := holder.New(holder.Config{Verifier: settings.Verifier()})
-	calls := caller.New(caller.Config{Transport: newTransport()})
-	choose := dispatcher.NewPolicyChooser(dispatcher.PolicyChooserConfig{
-		Region:           settings.Region,
-		AvailabilityZone: settings.AvailabilityZone,
-		Policy:           &selector.RoundRobin{},
-		Log:              log,
-	})
-	dispatch := dispatcher.New(dispatcher.Config{Caller: calls, Chooser: choose, Log: log})
-	receive := receiver.New(receiver.Config{Holder: bundles, Dispatcher: dispatch, Log: log})
-	handler, err := receive.Handler()
+	r := newRouter(settings, log)
+	handler, err := r.receive.Handler()
 	if err != nil {
 		return err
 	}
-	feed := subscriber.New(subscriber.Config{
-		Hello:     hello(settings, messenger.Router),
-		Addresses: controllers(settings),
-		Holder:    bundles,
-		OnReports: choose.Observe,
-		Client:    &http.Client{Transport: newTransport()},
-		Log:       log,
-	})
 	callers, err := listen(ctx, "callers", settings.Router.CallerAddress, handler)
 	if err != nil {
 		return err
 	}
-	operators, err := listen(ctx, "operators", settings.Router.OperatorAddress, statusHandler(settings, bundles))
+	operators, err := listen(ctx, "operators", settings.Router.OperatorAddress, statusHandler(settings, r.bundles))
 	if err != nil {
 		return err
 	}
 	log.WithField("address", settings.Router.CallerAddress).Info("router started")
-	return serve(ctx, []*server{callers, operators}, feed.Run)
+	return serve(ctx, []*server{callers, operators},
+		r.feed.Run,
+		(&bundleFeed{holder: r.bundles, take: r.choose.Bundle}).run,
+	)
 }
 
-// serve runs servers and loops until ctx ends, then lets open requests finish.
-func serve(ctx context.Context, servers []*server, loops ...func(context.Context)) error {
-	group, ctx := errgroup.WithContext(ctx)
-	for _, s := range servers {
-		group.Go(s.run)
-	}
-	for _, loop := range loops {
-		group.Go(func() error {
-			loop(ctx)
-			return nil
-		})
-	}
-	group.Go(func() error {
-		<-ctx.Done()
-		drain, cancel := context.WithTimeout(context.Background(), drainTimeout)
-		defer cancel()
-		for _, s := range servers {
-			if err := s.http.Shutdown(drain); err != nil {
-				return err
-			}
-		}
-		return nil
+func newRouter(settings *configurer.Settings, log *logrus.Entry) *router {
+	r := &router{}
+	r.bundles = holder.New(holder.Config{Verifier: settings.Verifier()})
+	r.feed = connector.New(connector.Config{
+		Hello:     hello(settings, messenger.Router),
+		Addresses: controllers(settings),
+		Holder:    r.bundles,
+		OnMessage: r.fromController,
+		Client:    &http.Client{Transport: newTransport()},
+		Log:       log,
+	})
+	r.inquire = inquirer.New(inquirer.Config{Send: r.feed.Send})
+	r.choose = chooser.New(chooser.Config{
+		Region:           settings.Region,
+		AvailabilityZone: settings.AvailabilityZone,
+		Index:            r.inquire,
+		Seed:             seedOf(settings.Node),
+		Log:              log,
+	})
+	r.dispatch = dispatcher.New(dispatcher.Config{
+		Caller:  caller.New(caller.Config{Transport: newTransport()}),
+		Chooser: r.choose,
+		Log:     log,
 	})
-	return group.Wait()
+	r.receive = receiver.New(receiver.Config{Holder: r.bundles, Dispatcher: r.dispatch, Log: log})
+	return r
 }
 
-func newTransport() *http.Transport {
-	return &http.Transport{
-		MaxIdleConnsPerHost: 64,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+// fromController takes a message of the controller.
+func (r *router) fromController(m messenger.Message) {
+	switch {
+	case m.Reports != nil:
+		r.choose.Reports(m.Reports.Reports)
+	case m.LookupReply != nil:
+		r.inquire.Reply(*m.LookupReply)
 	}
 }
 
+// seedOf gives every node its own random choices.
+func seedOf(node string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(node))
+	return h.Sum64()
+}
+
 func hello(settings *configurer.Settings, role messenger.Role) messenger.Hello {
-	return messenger.Hello{Deployment: settings.Deployment, Node: settings.Node, Role: role}
+	return messenger.Hello{
+		Deployment: settings.Deployment,
+		Node:       settings.Node,
+		Role:       role,
+		Region:     settings.Region,
+	}
 }
 
 // controllers lists this VM's controller first, then the others.
 func controllers(settings *configurer.Settings) []netip.AddrPort {
-	return append([]netip.AddrPort{settings.Controller.PeerAddress}, settings.Controller.Peers...)
+	return append([]netip.AddrPort{settings.Controller.PeerAddress}, otherControllers(settings)...)
+}
+
+// otherControllers lists the controllers of other VMs.
+func otherControllers(settings *configurer.Settings) []netip.AddrPort {
+	var others []netip.AddrPort
+	for _, peer := range settings.Controller.Peers {
+		if peer != settings.Controller.PeerAddress {
+			others = append(others, peer)
+		}
+	}
+	return others
 }
--- a/internal/serving/dispatcher/rotation.go
+++ b/internal/serving/chooser/rotation.go
@@ -1,4 +1,4 @@
-package dispatcher
+package chooser
 
 import (
 	"sync"
