Resume, continue or end streams explicitly; claim idempotency keys

Cause: a broken stream ended the answer, an engine that had died or gone silent held the caller for ever, and a non-idempotent call was judged "sent" by the header callback of net/http, which comes after a long request line has left.

Ruled out: one shared transport (idle connections of one upstream could not be closed together); resuming on a pooled connection; a keep-alive connection for plain services (net/http may send again on it, and a doubled answer could be taken for the next one).

Engines take continue_tokens and continue_text; the stand-in checks them, sends keep-alive comments and cancels by attempt. Plain services get a connection per call; serving/claimer claims idempotency keys. Writes to callers have deadlines. The query of a service call is passed on; it was dropped.

--- a/internal/operating/starter/router.go
+++ b/internal/operating/starter/router.go
@@ -13,7 +13,9 @@
 	"gentianstep.example/gentianstep/internal/peering/connector"
 	"gentianstep.example/gentianstep/internal/peering/inquirer"
 	"gentianstep.example/gentianstep/internal/peering/messenger"
+	"gentianstep.example/gentianstep/internal/platform/dialer"
 	"gentianstep.example/gentianstep/internal/serving/chooser"
+	"gentianstep.example/gentianstep/internal/serving/claimer"
 	"gentianstep.example/gentianstep/internal/serving/dispatcher"
 	"gentianstep.example/gentianstep/internal/serving/receiver"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
@@ -71,14 +73,24 @@
 		Log:              log,
 	})
 	r.dispatch = dispatcher.New(dispatcher.Config{
-		Caller:  caller.New(caller.Config{Transport: newTransport()}),
+		Caller:  caller.New(caller.Config{}),
 		Chooser: r.choose,
+		Claims:  newClaimer(settings, log),
 		Log:     log,
 	})
 	r.receive = receiver.New(receiver.Config{Holder: r.bundles, Dispatcher: r.dispatch, Log: log})
 	return r
 }
 
+// newClaimer returns what claims idempotency keys in the platform's service.
+func newClaimer(settings *configurer.Settings, log *logrus.Entry) *claimer.Claimer {
+	store := dialer.New(dialer.Config{
+		Address: settings.Platform.Address,
+		Client:  &http.Client{Transport: newTransport()},
+	})
+	return claimer.New(claimer.Config{Store: store, Log: log})
+}
+
 // fromController takes a message of the controller.
 func (r *router) fromController(m messenger.Message) {
 	switch {
--- a/internal/serving/receiver/call.go
+++ b/internal/serving/receiver/call.go
@@ -26,9 +26,11 @@
 		r.fail(ctx, a.id, err)
 		return
 	}
+	out := newOutput(ctx, job.Bundle.Policy.Streams)
+	defer out.end()
 	ctx.ContentType(answer.ContentType)
 	ctx.StatusCode(answer.Status)
-	_, _ = ctx.Write(answer.Body)
+	_ = out.write(answer.Body)
 }
 
 func newServiceJob(ctx iris.Context, a admission) (dispatcher.ServiceJob, error) {
@@ -52,6 +54,7 @@
 		Service:        service,
 		Method:         ctx.Method(),
 		Path:           "/" + ctx.Params().Get("path"),
+		Query:          ctx.Request().URL.RawQuery,
 		ContentType:    ctx.GetHeader("Content-Type"),
 		IdempotencyKey: ctx.GetHeader(encoder.HeaderIdempotencyKey),
 		Body:           body,
--- a/internal/serving/receiver/complete.go
+++ b/internal/serving/receiver/complete.go
@@ -81,7 +81,7 @@
 
 // streamSink writes each chunk as a server-sent event.
 type streamSink struct {
-	ctx     iris.Context
+	out     output
 	started bool
 }
 
@@ -92,7 +92,7 @@
 	if err != nil {
 		return fmt.Errorf("encode chunk: %w", err)
 	}
-	return s.write(fmt.Sprintf("id: %d\ndata: %s\n\n", n, data))
+	return s.out.write(fmt.Appendf(nil, "id: %d\ndata: %s\n\n", n, data))
 }
 
 func (s *streamSink) start() {
@@ -100,25 +100,18 @@
 		return
 	}
 	s.started = true
-	s.ctx.ContentType("text/event-stream")
-	s.ctx.Header("Cache-Control", "no-store")
-	s.ctx.StatusCode(http.StatusOK)
-}
-
-func (s *streamSink) write(event string) error {
-	if _, err := s.ctx.WriteString(event); err != nil {
-		return classifier.Wrap(classifier.CallerGone, err, "the caller went away")
-	}
-	s.ctx.ResponseWriter().Flush()
-	return nil
+	s.out.ctx.ContentType("text/event-stream")
+	s.out.ctx.Header("Cache-Control", "no-store")
+	s.out.ctx.StatusCode(http.StatusOK)
 }
 
 func (r *Receiver) stream(ctx iris.Context, job dispatcher.Job) {
-	sink := &streamSink{ctx: ctx}
+	sink := &streamSink{out: newOutput(ctx, job.Bundle.Policy.Streams)}
+	defer sink.out.end()
 	err := r.cfg.Dispatcher.Complete(ctx.Request().Context(), job, sink)
 	switch {
 	case err == nil:
-		_ = sink.write("data: " + encoder.Done + "\n\n")
+		_ = sink.out.write([]byte("data: " + encoder.Done + "\n\n"))
 	case !sink.started:
 		r.fail(ctx, job.ID, err)
 	default:
@@ -159,5 +152,14 @@
 		r.fail(ctx, job.ID, err)
 		return
 	}
-	_ = ctx.JSON(sink.answer())
+	data, err := json.Marshal(sink.answer())
+	if err != nil {
+		r.fail(ctx, job.ID, fmt.Errorf("encode answer: %w", err))
+		return
+	}
+	out := newOutput(ctx, job.Bundle.Policy.Streams)
+	defer out.end()
+	ctx.ContentType("application/json")
+	ctx.StatusCode(http.StatusOK)
+	_ = out.write(data)
 }
--- a/internal/serving/receiver/fail.go
+++ b/internal/serving/receiver/fail.go
@@ -72,5 +72,5 @@
 	if err != nil {
 		return
 	}
-	_ = sink.write(fmt.Sprintf("event: error\ndata: %s\n\n", data))
+	_ = sink.out.write(fmt.Appendf(nil, "event: error\ndata: %s\n\n", data))
 }
--- a/internal/standin/generator/engine.go
+++ b/internal/standin/generator/engine.go
@@ -76,6 +76,9 @@
 	if !slices.Contains(e.models, wanted) {
 		return errWrongVersion
 	}
+	if earlier := e.streams[j.stream.id]; earlier != nil {
+		earlier.stop()
+	}
 	e.streams[j.stream.id] = j.stream
 	e.queuedBlocks += len(j.chain)
 	e.stats.Requests++
@@ -163,13 +166,13 @@
 	return e.streams[id]
 }
 
-// cancel stops the work for request id and reports whether there was any.
-func (e *Engine) cancel(id string) bool {
+// cancel stops the work for an attempt at request id and reports whether there
+// was any.
+func (e *Engine) cancel(id, attempt string) bool {
 	s := e.stream(id)
-	if s == nil {
+	if s == nil || (attempt != "" && attempt != s.attempt) || !s.stop() {
 		return false
 	}
-	s.cancel()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.stats.Cancelled++
--- a/internal/standin/generator/server.go
+++ b/internal/standin/generator/server.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"gentianstep.example/gentianstep/internal/caching/hasher"
 	"gentianstep.example/gentianstep/internal/streaming/encoder"
@@ -47,6 +48,10 @@
 		return
 	}
 	j, ctx := s.newJob(r, request)
+	if !continues(j, request) {
+		refuse(w, http.StatusUnprocessableEntity, errors.New("continue_text is not the start of the answer"))
+		return
+	}
 	if err := s.engine.start(ctx, j); err != nil {
 		refuse(w, refusalStatus(err), err)
 		return
@@ -76,10 +81,20 @@
 		chain:       hasher.Chain(scope, text),
 		interactive: r.Header.Get(encoder.HeaderPriority) != "batch",
 		maxTokens:   request.MaxTokens,
-		stream:      newStream(id, r.Header.Get(encoder.HeaderAttempt), cancel),
+		firstToken:  request.ContinueTokens,
+		stream:      newStream(id, r.Header.Get(encoder.HeaderAttempt), request.ContinueTokens, cancel),
 	}, ctx
 }
 
+// continues reports whether the text to go on from is the start of the answer.
+func continues(j *job, request encoder.Request) bool {
+	var start strings.Builder
+	for n := range j.firstToken {
+		start.WriteString(Token(j.prompt, j.scope.WeightsVersion, n))
+	}
+	return start.String() == request.ContinueText
+}
+
 // head writes the headers that tie an answer to its request.
 func (s server) head(w http.ResponseWriter, r *http.Request, streamed bool) {
 	h := w.Header()
@@ -97,7 +112,8 @@
 func (s server) resume(w http.ResponseWriter, r *http.Request) {
 	stream := s.engine.stream(r.PathValue("id"))
 	offset, err := strconv.Atoi(r.URL.Query().Get("offset"))
-	if stream == nil || err != nil || offset < 0 {
+	attempt := r.URL.Query().Get(encoder.ParamAttempt)
+	if stream == nil || err != nil || offset < stream.first || (attempt != "" && attempt != stream.attempt) {
 		refuse(w, http.StatusNotFound, errors.New("no such stream or offset"))
 		return
 	}
@@ -108,7 +124,7 @@
 }
 
 func (s server) cancel(w http.ResponseWriter, r *http.Request) {
-	if !s.engine.cancel(r.PathValue("id")) {
+	if !s.engine.cancel(r.PathValue("id"), r.URL.Query().Get(encoder.ParamAttempt)) {
 		refuse(w, http.StatusNotFound, errors.New("no such stream"))
 		return
 	}
--- a/internal/standin/generator/writer.go
+++ b/internal/standin/generator/writer.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
+	"time"
 
 	"gentianstep.example/gentianstep/internal/caching/hasher"
 	"gentianstep.example/gentianstep/internal/streaming/encoder"
@@ -14,6 +16,9 @@
 // bytesPerToken is the size of a prompt token in the usage counts.
 const bytesPerToken = 4
 
+// keepAliveInterval is the longest silence of a live stream.
+const keepAliveInterval = 500 * time.Millisecond
+
 // writer sends one answer to one connection.
 type writer struct {
 	w       http.ResponseWriter
@@ -29,8 +34,11 @@
 		return
 	}
 	controller := http.NewResponseController(o.w)
+	if controller.Flush() != nil {
+		return
+	}
 	for n := offset; ; n++ {
-		token, more, err := o.stream.next(ctx, n)
+		token, more, err := o.await(ctx, n)
 		if err != nil {
 			return
 		}
@@ -46,6 +54,24 @@
 	}
 }
 
+// await returns token n and keeps the connection alive until it exists.
+func (o writer) await(ctx context.Context, n int) (string, bool, error) {
+	for {
+		waiting, cancel := context.WithTimeout(ctx, keepAliveInterval)
+		token, more, err := o.stream.next(waiting, n)
+		cancel()
+		if !errors.Is(err, context.DeadlineExceeded) || ctx.Err() != nil {
+			return token, more, err
+		}
+		if _, err := fmt.Fprint(o.w, ": keep-alive\n\n"); err != nil {
+			return "", false, err
+		}
+		if err := http.NewResponseController(o.w).Flush(); err != nil {
+			return "", false, err
+		}
+	}
+}
+
 func (o writer) whole(ctx context.Context, offset int) {
 	var text strings.Builder
 	for n := offset; ; n++ {
--- a/internal/streaming/encoder/header.go
+++ b/internal/streaming/encoder/header.go
@@ -12,3 +12,13 @@
 	HeaderUpstream       = "X-Upstream"
 	HeaderIdempotencyKey = "Idempotency-Key"
 )
+
+// Path and query parameters by which engines let a stream be resumed and
+// cancelled.
+const (
+	PathStreams  = "/v1/streams/"
+	ParamOffset  = "offset"
+	ParamModel   = "model"
+	ParamChat    = "chat"
+	ParamAttempt = "attempt"
+)
--- a/internal/streaming/encoder/request.go
+++ b/internal/streaming/encoder/request.go
@@ -24,6 +24,11 @@
 	Stream    bool      `json:"stream,omitempty"`
 	// Priority is "interactive" or "batch"; empty takes the organisation's.
 	Priority string `json:"priority,omitempty"`
+	// ContinueTokens is the number of tokens of the answer that exist already,
+	// and ContinueText is their text. Routers set them to have an engine go on
+	// with an answer that another engine began; callers leave them out.
+	ContinueTokens int    `json:"continue_tokens,omitempty"`
+	ContinueText   string `json:"continue_text,omitempty"`
 }
 
 // DefaultMaxTokens is the answer length of requests that name none.
@@ -52,6 +57,8 @@
 		return classifier.New(classifier.InvalidRequest, "prompt: takes either a prompt or messages, got both")
 	case r.MaxTokens < 0:
 		return classifier.New(classifier.InvalidRequest, "max_tokens: got %d, takes 1 or more", r.MaxTokens)
+	case r.ContinueTokens < 0 || r.ContinueTokens > r.MaxTokens:
+		return classifier.New(classifier.InvalidRequest, "continue_tokens: got %d, takes 0 to max_tokens", r.ContinueTokens)
 	case r.Priority != "" && r.Priority != "interactive" && r.Priority != "batch":
 		return classifier.New(classifier.InvalidRequest, "priority: got %q, takes interactive or batch", r.Priority)
 	}
--- a/internal/streaming/parser/event.go
+++ b/internal/streaming/parser/event.go
@@ -3,6 +3,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"strconv"
@@ -17,8 +18,11 @@
 	Data string
 }
 
-// maxLineBytes bounds one line of a stream.
-const maxLineBytes = 1 << 20
+// MaxEventBytes bounds one event of a stream.
+const MaxEventBytes = 64 << 10
+
+// ErrTooLarge reports an event over MaxEventBytes.
+var ErrTooLarge = errors.New("event is too large")
 
 // Reader reads the events of one stream in order.
 type Reader struct {
@@ -28,7 +32,7 @@
 // NewReader returns a Reader of r.
 func NewReader(r io.Reader) *Reader {
 	lines := bufio.NewScanner(r)
-	lines.Buffer(nil, maxLineBytes)
+	lines.Buffer(nil, MaxEventBytes)
 	return &Reader{lines: lines}
 }
 
@@ -37,6 +41,7 @@
 func (r *Reader) Next() (Event, error) {
 	var event Event
 	started := false
+	size := 0
 	for r.lines.Scan() {
 		line := r.lines.Text()
 		if line == "" && started {
@@ -46,11 +51,17 @@
 			continue
 		}
 		started = true
+		size += len(line)
+		if size > MaxEventBytes {
+			return Event{}, ErrTooLarge
+		}
 		if err := event.add(line); err != nil {
 			return Event{}, err
 		}
 	}
-	if err := r.lines.Err(); err != nil {
+	if err := r.lines.Err(); errors.Is(err, bufio.ErrTooLong) {
+		return Event{}, ErrTooLarge
+	} else if err != nil {
 		return Event{}, fmt.Errorf("read event: %w", err)
 	}
 	if started {
--- a/internal/upstream/caller/call.go
+++ b/internal/upstream/caller/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 )
 
 // Target is the upstream that a call goes to.
@@ -10,9 +11,10 @@
 	Address netip.AddrPort
 }
 
-// Call is one attempt at a request.
+// Call is one exchange with an upstream.
 type Call struct {
-	RequestID      string
+	RequestID string
+	// Attempt tells the exchanges of one request apart.
 	Attempt        int
 	Method         string
 	Path           string
@@ -22,4 +24,13 @@
 	IdempotencyKey string
 	ContentType    string
 	Body           []byte
+	// NewConnection keeps the call off pooled connections.
+	NewConnection bool
+	// Identified requires the answer to name the request and the attempt.
+	Identified bool
+	// FirstByteBy is the deadline of the first byte of the answer.
+	FirstByteBy time.Time
+	// IdleTimeout bounds the silence within an answer, and the wait for the
+	// head of an answer on a connection that was used before.
+	IdleTimeout time.Duration
 }
--- a/internal/upstream/caller/caller.go
+++ b/internal/upstream/caller/caller.go
@@ -7,76 +7,120 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
-	"sync/atomic"
+	"time"
 
 	"gentianstep.example/gentianstep/internal/streaming/encoder"
 )
 
+// connectTimeout bounds the opening of a connection.
+const connectTimeout = 2 * time.Second
+
 // Config holds what a Caller is built from.
 type Config struct {
-	Transport http.RoundTripper
+	// Dial opens connections; nil takes TCP.
+	Dial DialFunc
 }
 
 // Caller sends requests to upstreams.
 type Caller struct {
-	client *http.Client
+	pool    *pool
+	cancels chan struct{}
 }
 
 // New returns a Caller that never follows a redirect.
 func New(cfg Config) *Caller {
-	return &Caller{client: &http.Client{
-		Transport:     cfg.Transport,
-		CheckRedirect: refuseRedirect,
-	}}
+	dial := cfg.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: connectTimeout}).DialContext
+	}
+	return &Caller{pool: newPool(dial), cancels: make(chan struct{}, maxCancels)}
 }
 
+// Close closes the idle connections.
+func (c *Caller) Close() { c.pool.close() }
+
+// CloseIdle closes the idle connections to target, which are suspect together
+// once one of them has gone silent.
+func (c *Caller) CloseIdle(target Target) { c.pool.closeIdle(target.Address) }
+
 func refuseRedirect(*http.Request, []*http.Request) error {
 	return http.ErrUseLastResponse
 }
 
-// Do sends call to target once and returns the answer's head. The caller
-// closes its body. An error is always a *Failure.
-func (c *Caller) Do(ctx context.Context, target Target, call Call) (*http.Response, error) {
-	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{
-		WroteHeaderField: func(string, []string) { sent.Store(true) },
-	}
-	request, err := newRequest(httptrace.WithClientTrace(ctx, trace), target, call)
+// Do sends call to target once and returns the answer's head. An error is
+// always a *Failure.
+func (c *Caller) Do(ctx context.Context, target Target, call Call) (*Answer, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	e := &exchange{}
+	request, err := newRequest(httptrace.WithClientTrace(ctx, e.trace()), target, call)
 	if err != nil {
+		cancel(nil)
 		return nil, &Failure{Upstream: target.Name, NotRun: true, Err: err}
 	}
-	response, err := c.client.Do(request)
+	client := &http.Client{
+		Transport:     c.pool.transport(target.Address, call.NewConnection),
+		CheckRedirect: refuseRedirect,
+	}
+	dog := newWatchdog(call.FirstByteBy, cancel)
+	e.onReuse = func() { dog.expect(earlier(call.FirstByteBy, time.Now().Add(call.IdleTimeout))) }
+	response, err := client.Do(request) //nolint:bodyclose // Answer closes it.
+	dog.rest()
 	if err != nil {
-		return nil, &Failure{Upstream: target.Name, NotRun: !sent.Load(), Err: err}
+		if cause := context.Cause(ctx); cause != nil {
+			err = cause
+		}
+		sent := e.end()
+		cancel(nil)
+		return nil, &Failure{Upstream: target.Name, Sent: sent, NotRun: !sent, Reused: e.wasReused(), Err: err}
+	}
+	answer := &Answer{
+		Status:      response.StatusCode,
+		Header:      response.Header,
+		Reused:      e.wasReused(),
+		ctx:         ctx,
+		cancel:      cancel,
+		body:        response.Body,
+		exchange:    e,
+		watchdog:    dog,
+		firstByteBy: call.FirstByteBy,
+		idleTimeout: call.IdleTimeout,
 	}
-	if err := matches(response, call); err != nil {
-		_ = response.Body.Close()
-		return nil, &Failure{Upstream: target.Name, Err: err}
+	if err := matches(response.Header, call); err != nil {
+		answer.Discard()
+		return nil, &Failure{Upstream: target.Name, Sent: true, Reused: answer.Reused, Err: err}
 	}
-	return response, nil
+	return answer, nil
 }
 
-// errCrossed reports an answer that belongs to another request.
-var errCrossed = errors.New("answer belongs to another request")
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
 
 // matches checks that the answer names the request and the attempt it is for.
-func matches(response *http.Response, call Call) error {
-	id := response.Header.Get(encoder.HeaderRequestID)
-	if id != "" && id != call.RequestID {
-		return fmt.Errorf("request %q: %w", id, errCrossed)
+func matches(header http.Header, call Call) error {
+	id := header.Get(encoder.HeaderRequestID)
+	if id != call.RequestID && (id != "" || call.Identified) {
+		return fmt.Errorf("request %q: %w", id, ErrCrossed)
 	}
-	attempt := response.Header.Get(encoder.HeaderAttempt)
-	if attempt != "" && attempt != strconv.Itoa(call.Attempt) {
-		return fmt.Errorf("attempt %q: %w", attempt, errCrossed)
+	attempt := header.Get(encoder.HeaderAttempt)
+	if attempt != strconv.Itoa(call.Attempt) && (attempt != "" || call.Identified) {
+		return fmt.Errorf("attempt %q: %w", attempt, ErrCrossed)
 	}
 	return nil
 }
 
 // newRequest builds a request whose body the transport cannot send twice.
 func newRequest(ctx context.Context, target Target, call Call) (*http.Request, error) {
+	if !target.Address.IsValid() {
+		return nil, errors.New("upstream has no address")
+	}
 	body := io.NopCloser(bytes.NewReader(call.Body))
 	url := "http://" + target.Address.String() + call.Path
 	request, err := http.NewRequestWithContext(ctx, call.Method, url, body)
--- a/internal/upstream/caller/failure.go
+++ b/internal/upstream/caller/failure.go
@@ -1,6 +1,17 @@
 package caller
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+)
+
+// Causes of failures that the rest of the system tells apart.
+var (
+	// ErrSilent reports a connection that gave no byte in time.
+	ErrSilent = errors.New("connection is silent")
+	// ErrCrossed reports an answer that belongs to another request.
+	ErrCrossed = errors.New("answer belongs to another request")
+)
 
 // Failure is a failed contact with an upstream. Only failures that the contact
 // itself produced have this type.
@@ -11,6 +22,10 @@
 	// NotRun is true where no byte of the request was sent, or the upstream
 	// said that it refused the request before running it.
 	NotRun bool
+	// Sent is true where a byte of the request may have left.
+	Sent bool
+	// Reused is true where the connection had served an earlier request.
+	Reused bool
 	Err    error
 }
 
--- /dev/null
+++ b/internal/upstream/caller/pool.go
@@ -0,0 +1,102 @@
+package caller
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+const (
+	// maxUpstreams bounds the upstreams whose connections are pooled.
+	maxUpstreams = 2048
+	// maxIdlePerUpstream bounds the idle connections to one upstream.
+	maxIdlePerUpstream = 64
+	// idleConnectionTimeout is how long an unused connection is kept.
+	idleConnectionTimeout = 30 * time.Second
+	// maxHeaderBytes bounds the head of an answer.
+	maxHeaderBytes = 64 << 10
+)
+
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// pool keeps the connections of each upstream apart, so that those of one can
+// be closed together.
+type pool struct {
+	dial  DialFunc
+	fresh *http.Transport
+
+	mu         sync.Mutex
+	transports *simplelru.LRU[netip.AddrPort, *http.Transport]
+}
+
+func newPool(dial DialFunc) *pool {
+	p := &pool{dial: dial}
+	p.fresh = p.newTransport()
+	p.fresh.DisableKeepAlives = true
+	transports, err := simplelru.NewLRU(maxUpstreams, func(_ netip.AddrPort, t *http.Transport) {
+		t.CloseIdleConnections()
+	})
+	if err != nil {
+		panic(fmt.Sprintf("pool of %d upstreams: %v", maxUpstreams, err))
+	}
+	p.transports = transports
+	return p
+}
+
+func (p *pool) newTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:            p.connect,
+		MaxIdleConnsPerHost:    maxIdlePerUpstream,
+		IdleConnTimeout:        idleConnectionTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		DisableCompression:     true,
+	}
+}
+
+func (p *pool) connect(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := p.dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &connection{Conn: conn}, nil
+}
+
+// transport returns what carries a call to address.
+func (p *pool) transport(address netip.AddrPort, newConnection bool) *http.Transport {
+	if newConnection {
+		return p.fresh
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t, ok := p.transports.Get(address)
+	if !ok {
+		t = p.newTransport()
+		p.transports.Add(address, t)
+	}
+	return t
+}
+
+// closeIdle closes the idle connections to address.
+func (p *pool) closeIdle(address netip.AddrPort) {
+	p.mu.Lock()
+	t, ok := p.transports.Get(address)
+	p.mu.Unlock()
+	if ok {
+		t.CloseIdleConnections()
+	}
+}
+
+// close closes all idle connections.
+func (p *pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.transports.Purge()
+	p.fresh.CloseIdleConnections()
+}
