--- a/internal/serving/dispatcher/exchange.go
+++ b/internal/serving/dispatcher/exchange.go
@@ -129,7 +129,7 @@
 		return &caller.Failure{
 			Upstream: s.choice.Target.Name,
 			Status:   answer.Status,
-			NotRun:   answer.Header.Get(encoder.HeaderNotRun) == "true",
+			NotRun:   answer.NotRun(),
 			Sent:     true,
 			Reused:   answer.Reused,
 		}
--- /dev/null
+++ b/internal/serving/dispatcher/fixture_test.go
@@ -0,0 +1,165 @@
+package dispatcher_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"gentianstep.example/gentianstep/internal/bundle/checker"
+	"gentianstep.example/gentianstep/internal/failure/classifier"
+	"gentianstep.example/gentianstep/internal/serving/dispatcher"
+	"gentianstep.example/gentianstep/internal/standin/generator"
+	"gentianstep.example/gentianstep/internal/streaming/encoder"
+	"gentianstep.example/gentianstep/internal/upstream/caller"
+	"gentianstep.example/gentianstep/internal/upstream/observer"
+)
+
+const (
+	modelName = "tile-match"
+	weights   = "w1"
+)
+
+// readRows reads the rows of a table under testdata.
+func readRows[T any](t *testing.T, name string) []T {
+	t.Helper()
+	data, err := os.ReadFile("testdata/" + name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var rows []T
+	if err := json.Unmarshal(data, &rows); err != nil {
+		t.Fatalf("%s: %v", name, err)
+	}
+	return rows
+}
+
+func addressOf(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 80)
+}
+
+func newEngine(name string, incarnation uint64) *generator.Engine {
+	return generator.New(generator.Config{
+		Name:            name,
+		Models:          []observer.LoadedModel{{Name: modelName, WeightsVersion: weights}},
+		Slots:           8,
+		CacheBlocks:     64,
+		PrefillPerBlock: time.Millisecond,
+		TokenInterval:   10 * time.Millisecond,
+		Incarnation:     incarnation,
+	})
+}
+
+func quiet() *logrus.Entry {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return logrus.NewEntry(log)
+}
+
+func streamPolicy() checker.StreamPolicy {
+	return checker.StreamPolicy{
+		FirstByteTimeout:   checker.Duration(10 * time.Second),
+		IdleTimeout:        checker.Duration(3 * time.Second),
+		TotalTimeout:       checker.Duration(2 * time.Minute),
+		CallerWriteTimeout: checker.Duration(5 * time.Second),
+		MaxResumes:         3,
+	}
+}
+
+func newJob(id, prompt string, tokens int) dispatcher.Job {
+	return dispatcher.Job{
+		ID: id,
+		Bundle: &checker.Bundle{Policy: checker.Policy{
+			Attempts: checker.AttemptPolicy{MaxAttempts: 3},
+			Streams:  streamPolicy(),
+		}},
+		Organisation: checker.Organisation{Name: "kliek-teels"},
+		Model:        checker.Model{Name: modelName, WeightsVersion: weights, ContinueElsewhere: true},
+		Priority:     checker.Interactive,
+		Path:         "/v1/completions",
+		Request:      encoder.Request{Model: modelName, Prompt: prompt, MaxTokens: tokens, Stream: true},
+	}
+}
+
+// answerOf returns the one right answer of n tokens.
+func answerOf(prompt string, n int) string {
+	var text string
+	for i := range n {
+		text += generator.Token(prompt, weights, i)
+	}
+	return text
+}
+
+// inOrder chooses the first upstream that is not excluded and checks that each
+// attempt is told to have ended once.
+type inOrder struct {
+	upstreams int
+	start     int
+
+	mu   sync.Mutex
+	open map[dispatcher.Choice]int
+	ends map[string]int
+}
+
+func newInOrder(upstreams int) *inOrder {
+	return &inOrder{upstreams: upstreams, open: make(map[dispatcher.Choice]int), ends: make(map[string]int)}
+}
+
+func (c *inOrder) choose(id string, attempt int, excluded map[string]bool) (dispatcher.Choice, error) {
+	for i := range c.upstreams {
+		i = (i + c.start) % c.upstreams
+		name := fmt.Sprintf("up-%d", i)
+		if !excluded[name] {
+			return dispatcher.Choice{RequestID: id, Attempt: attempt, Target: caller.Target{Name: name, Address: addressOf(i)}}, nil
+		}
+	}
+	return dispatcher.Choice{}, classifier.New(classifier.NoUpstream, "none is left")
+}
+
+func (c *inOrder) Choose(_ context.Context, j dispatcher.Job, attempt int, excluded map[string]bool) (dispatcher.Choice, error) {
+	return c.choose(j.ID, attempt, excluded)
+}
+
+func (c *inOrder) ChooseService(_ context.Context, j dispatcher.ServiceJob, attempt int, excluded map[string]bool) (dispatcher.Choice, error) {
+	return c.choose(j.ID, attempt, excluded)
+}
+
+func (c *inOrder) Sent(_ time.Time, choice dispatcher.Choice) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open[choice]++
+}
+
+func (c *inOrder) FirstToken(time.Time, dispatcher.Choice) {}
+
+func (c *inOrder) Finished(_ time.Time, choice dispatcher.Choice) { c.end("finished", choice) }
+
+func (c *inOrder) Failed(_ time.Time, choice dispatcher.Choice, _ error) { c.end("failed", choice) }
+
+func (c *inOrder) Abandoned(_ time.Time, choice dispatcher.Choice) { c.end("abandoned", choice) }
+
+func (c *inOrder) end(how string, choice dispatcher.Choice) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open[choice]--
+	c.ends[how]++
+}
+
+// balanced reports whether every attempt that was sent has ended once.
+func (c *inOrder) balanced() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, n := range c.open {
+		if n != 0 {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/serving/dispatcher/service.go
+++ b/internal/serving/dispatcher/service.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -12,7 +11,6 @@
 	"gentianstep.example/gentianstep/internal/bundle/checker"
 	"gentianstep.example/gentianstep/internal/failure/classifier"
 	"gentianstep.example/gentianstep/internal/serving/claimer"
-	"gentianstep.example/gentianstep/internal/streaming/encoder"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
 )
 
@@ -220,7 +218,7 @@
 		return ServiceAnswer{}, err
 	}
 	defer answer.Discard()
-	if answer.Status >= http.StatusBadRequest && answer.Header.Get(encoder.HeaderNotRun) == "true" {
+	if answer.NotRun() {
 		return ServiceAnswer{}, &caller.Failure{Upstream: choice.Target.Name, Status: answer.Status, Sent: true, NotRun: true}
 	}
 	body, err := io.ReadAll(io.LimitReader(answer, maxServiceAnswerBytes+1))
--- a/internal/upstream/caller/answer.go
+++ b/internal/upstream/caller/answer.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"gentianstep.example/gentianstep/internal/streaming/encoder"
 )
 
 // finishTimeout bounds the wait for the end of a body that should be over.
@@ -49,6 +51,15 @@
 	return n, err
 }
 
+// NotRun reports whether the upstream said that it refused this request before
+// running it. On a used connection the refusal must name the request.
+func (a *Answer) NotRun() bool {
+	if a.Status < http.StatusBadRequest || a.Header.Get(encoder.HeaderNotRun) != "true" {
+		return false
+	}
+	return !a.Reused || a.Header.Get(encoder.HeaderRequestID) != ""
+}
+
 // Finish ends an answer that was read to its end. Its connection is kept for
 // later calls only if nothing else came on it.
 func (a *Answer) Finish() error {
--- a/internal/upstream/caller/call.go
+++ b/internal/upstream/caller/call.go
@@ -26,7 +26,8 @@
 	Body           []byte
 	// NewConnection keeps the call off pooled connections.
 	NewConnection bool
-	// Identified requires the answer to name the request and the attempt.
+	// Identified requires an answer of status 200 to name the request and the
+	// attempt. Names that an answer gives have to be right in any case.
 	Identified bool
 	// FirstByteBy is the deadline of the first byte of the answer.
 	FirstByteBy time.Time
--- a/internal/upstream/caller/caller.go
+++ b/internal/upstream/caller/caller.go
@@ -89,6 +89,7 @@
 		firstByteBy: call.FirstByteBy,
 		idleTimeout: call.IdleTimeout,
 	}
+	call.Identified = call.Identified && response.StatusCode == http.StatusOK
 	if err := matches(response.Header, call); err != nil {
 		answer.Discard()
 		return nil, &Failure{Upstream: target.Name, Sent: true, Reused: answer.Reused, Err: err}
