--- a/internal/serving/dispatcher/network_test.go
+++ b/internal/serving/dispatcher/network_test.go
@@ -21,6 +21,8 @@
 	server   *http.Server
 	conns    []*link
 	frozen   bool
+	// cutAfter breaks each new connection after that many bytes, -1 never.
+	cutAfter int
 }
 
 // link is a connection that can go silent.
@@ -28,6 +30,7 @@
 	net.Conn
 	mu     sync.Mutex
 	silent bool
+	left   int
 	closed chan struct{}
 	once   sync.Once
 }
@@ -50,7 +53,7 @@
 func (h *host) Addr() net.Addr { return &net.TCPAddr{} }
 
 func (n *network) serve(address string, handler http.Handler) {
-	h := &host{incoming: make(chan net.Conn, 64), server: &http.Server{Handler: handler}}
+	h := &host{incoming: make(chan net.Conn, 64), server: &http.Server{Handler: handler}, cutAfter: -1}
 	n.mu.Lock()
 	n.hosts[address] = h
 	n.mu.Unlock()
@@ -65,7 +68,7 @@
 		return nil, syscall.ECONNREFUSED
 	}
 	near, far := net.Pipe()
-	l := &link{Conn: near, silent: h.frozen, closed: make(chan struct{})}
+	l := &link{Conn: near, silent: h.frozen, left: h.cutAfter, closed: make(chan struct{})}
 	h.conns = append(h.conns, l)
 	h.incoming <- far
 	return l, nil
@@ -124,7 +127,12 @@
 	if l.isSilent() {
 		return len(data), nil
 	}
-	return l.Conn.Write(data)
+	if l.left < 0 || len(data) <= l.left {
+		return l.Conn.Write(data)
+	}
+	n, _ := l.Conn.Write(data[:l.left])
+	_ = l.Close()
+	return n, syscall.ECONNRESET
 }
 
 // Read implements net.Conn.
--- a/internal/serving/dispatcher/stream_test.go
+++ b/internal/serving/dispatcher/stream_test.go
@@ -167,6 +167,7 @@
 	}}
 	if row.AtChunk == 0 {
 		b.act(row.Do, cancel)
+		synctest.Wait()
 	}
 	start := time.Now()
 	err := b.dispatch.Complete(ctx, job, sink)
--- a/internal/standin/disrupter/disrupter.go
+++ b/internal/standin/disrupter/disrupter.go
@@ -3,6 +3,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"sync"
 
@@ -100,6 +101,7 @@
 	case Redirect:
 		http.Redirect(w, r, r.URL.Path, http.StatusTemporaryRedirect)
 	case Silent:
+		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 	default:
 		panic(http.ErrAbortHandler)
--- a/internal/standin/recorder/recorder.go
+++ b/internal/standin/recorder/recorder.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 
 	"gentianstep.example/gentianstep/internal/streaming/encoder"
@@ -76,6 +77,12 @@
 }
 
 func answer(w http.ResponseWriter, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(body)
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	_, _ = w.Write(data)
 }
