Prove that a failed call tells whether a byte left and is never sent twice

Cause: net/http sends a request again on a broken used connection where the method is idempotent or an idempotency key is present and the body is empty or can be rewound.

--- /dev/null
+++ b/internal/upstream/caller/caller_test.go
@@ -0,0 +1,183 @@
+package caller_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gentianstep.example/gentianstep/internal/upstream/caller"
+)
+
+// script is what a server does on one connection.
+type script struct {
+	// Serve is the number of whole requests to answer with 200 first.
+	Serve int `json:"serve"`
+	// ReadBytes is how much more to read before the act, -1 a whole request.
+	ReadBytes int `json:"read_bytes"`
+	// Answer is raw text to write then.
+	Answer string `json:"answer"`
+	// Hold keeps the connection open and silent; otherwise it is closed.
+	Hold bool `json:"hold"`
+}
+
+// row is one call, or two on one connection, to a scripted server.
+type row struct {
+	Name   string `json:"name"`
+	Method string `json:"method"`
+	Key    string `json:"key"`
+	Body   string `json:"body"`
+	// Refuse makes the server refuse connections.
+	Refuse bool `json:"refuse"`
+	// Pooled sends a first call, so that the second one finds its connection.
+	Pooled  bool     `json:"pooled"`
+	Scripts []script `json:"scripts"`
+	// Sent, Reused and Silent are those of the failure to expect.
+	Sent   bool `json:"sent"`
+	Reused bool `json:"reused"`
+	Silent bool `json:"silent"`
+	// Status is the answer to expect where it is not 0.
+	Status int `json:"status"`
+	// Received is the number of requests whose header reached the server whole.
+	Received int `json:"received"`
+}
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+// server follows its scripts and counts what it receives.
+type server struct {
+	refuse  bool
+	scripts []script
+
+	mu       sync.Mutex
+	received int
+}
+
+func (s *server) dial(context.Context, string, string) (net.Conn, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refuse {
+		return nil, syscall.ECONNREFUSED
+	}
+	next := script{ReadBytes: -1, Answer: okAnswer}
+	if len(s.scripts) > 0 {
+		next = s.scripts[0]
+		s.scripts = s.scripts[1:]
+	}
+	near, far := net.Pipe()
+	go s.run(far, next)
+	return near, nil
+}
+
+func (s *server) run(conn net.Conn, next script) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for range next.Serve {
+		if !s.receive(reader) {
+			return
+		}
+		_, _ = io.WriteString(conn, okAnswer)
+	}
+	if next.ReadBytes < 0 {
+		s.receive(reader)
+	} else {
+		_, _ = io.CopyN(io.Discard, reader, int64(next.ReadBytes))
+	}
+	_, _ = io.WriteString(conn, next.Answer)
+	if next.Hold {
+		_, _ = io.Copy(io.Discard, reader)
+	}
+}
+
+func (s *server) receive(reader *bufio.Reader) bool {
+	request, err := http.ReadRequest(reader)
+	if err != nil {
+		return false
+	}
+	s.mu.Lock()
+	s.received++
+	s.mu.Unlock()
+	_, _ = io.Copy(io.Discard, request.Body)
+	return true
+}
+
+func readRows(t *testing.T, name string) []row {
+	t.Helper()
+	data, err := os.ReadFile("testdata/" + name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var rows []row
+	if err := json.Unmarshal(data, &rows); err != nil {
+		t.Fatal(err)
+	}
+	return rows
+}
+
+func TestFailuresTellWhetherAByteLeft(t *testing.T) {
+	t.Parallel()
+	for _, name := range []string{"positions.json", "resend.json"} {
+		for _, r := range readRows(t, name) {
+			t.Run(r.Name, func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) { runRow(t, r) })
+			})
+		}
+	}
+}
+
+func runRow(t *testing.T, r row) {
+	is := is.New(t)
+	s := &server{refuse: r.Refuse, scripts: r.Scripts}
+	c := caller.New(caller.Config{Dial: s.dial})
+	defer synctest.Wait()
+	defer c.Close()
+	target := caller.Target{Name: "up", Address: netip.MustParseAddrPort("10.0.0.1:80")}
+	call := caller.Call{
+		RequestID:      "request",
+		Attempt:        1,
+		Method:         r.Method,
+		Path:           "/orders",
+		IdempotencyKey: r.Key,
+		Body:           []byte(r.Body),
+		NewConnection:  !r.Pooled,
+		IdleTimeout:    3 * time.Second,
+	}
+	if r.Pooled {
+		call.FirstByteBy = time.Now().Add(10 * time.Second)
+		first, err := c.Do(t.Context(), target, call)
+		is.NoErr(err)
+		is.NoErr(first.Finish())
+		synctest.Wait()
+	}
+	call.FirstByteBy = time.Now().Add(10 * time.Second)
+	answer, err := c.Do(t.Context(), target, call)
+	if err == nil {
+		answer.Discard()
+	}
+	synctest.Wait()
+	is.Equal(s.received, r.Received) // never more than was sent for
+	if r.Status != 0 {
+		is.NoErr(err)
+		is.Equal(answer.Status, r.Status)
+		return
+	}
+	var failure *caller.Failure
+	is.True(errors.As(err, &failure))
+	is.Equal(failure.Sent, r.Sent)
+	is.Equal(failure.NotRun, !r.Sent)
+	is.Equal(failure.Reused, r.Reused)
+	is.Equal(errors.Is(err, caller.ErrSilent), r.Silent)
+}
