--- a/internal/serving/claimer/claimer.go
+++ b/internal/serving/claimer/claimer.go
@@ -94,10 +94,10 @@
 	switch {
 	case err == nil:
 		return revision, nil
-	case errors.Is(err, storer.ErrConflict):
-		return a.settle(ctx, err)
+	case sure(err):
+		return 0, unavailable(errors.Join(lost, err))
 	}
-	return 0, unavailable(errors.Join(lost, err))
+	return a.settle(ctx, errors.Join(lost, err))
 }
 
 // settle reads the claim that stands and compares it with the own one.
