--- a/internal/serving/dispatcher/network_test.go
+++ b/internal/serving/dispatcher/network_test.go
@@ -106,7 +106,7 @@
 
 func (n *network) close() {
 	n.mu.Lock()
-	var addresses []string
+	addresses := make([]string, 0, len(n.hosts))
 	for address := range n.hosts {
 		addresses = append(addresses, address)
 	}
