Prove refusals and slow callers at the router's HTTP side

An error of a kind that is not listed now answers as internal; the row "unlisted error" was red before (no_such_kind != internal).

--- a/internal/failure/classifier/error.go
+++ b/internal/failure/classifier/error.go
@@ -53,11 +53,14 @@
 	return errors.As(err, &e) && e.Kind == kind
 }
 
-// KindOf returns the kind of err, Internal where it has none.
+// KindOf returns the kind of err, Internal where it has none that is listed.
 func KindOf(err error) Kind {
 	var e *Error
-	if errors.As(err, &e) {
-		return e.Kind
+	if !errors.As(err, &e) {
+		return Internal
 	}
-	return Internal
+	if _, listed := answers[e.Kind]; !listed {
+		return Internal
+	}
+	return e.Kind
 }
--- /dev/null
+++ b/internal/serving/receiver/fixture_test.go
@@ -0,0 +1,225 @@
+package receiver_test
+
+import (
+	"context"
+	"crypto/ed25519"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"gentianstep.example/gentianstep/internal/bundle/checker"
+	"gentianstep.example/gentianstep/internal/bundle/holder"
+	"gentianstep.example/gentianstep/internal/bundle/signer"
+	"gentianstep.example/gentianstep/internal/serving/dispatcher"
+	"gentianstep.example/gentianstep/internal/serving/receiver"
+	"gentianstep.example/gentianstep/internal/upstream/caller"
+)
+
+const callerKey = "caller-key"
+
+var upstreamAddress = netip.MustParseAddrPort("10.0.0.1:80")
+
+// pipes is a listener whose connections are pipes.
+type pipes struct {
+	incoming chan net.Conn
+	mu       sync.Mutex
+	closed   bool
+	read     int
+}
+
+func newPipes() *pipes { return &pipes{incoming: make(chan net.Conn, 8)} }
+
+// Accept implements net.Listener.
+func (p *pipes) Accept() (net.Conn, error) {
+	conn, ok := <-p.incoming
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return conn, nil
+}
+
+// Close implements net.Listener.
+func (p *pipes) Close() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.closed {
+		close(p.incoming)
+	}
+	p.closed = true
+	return nil
+}
+
+// Addr implements net.Listener.
+func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (p *pipes) dial(context.Context, string, string) (net.Conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, syscall.ECONNREFUSED
+	}
+	near, far := net.Pipe()
+	p.incoming <- far
+	return &countedConn{Conn: near, pipes: p}, nil
+}
+
+// bytesRead returns what the dialling side has read over all connections.
+func (p *pipes) bytesRead() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.read
+}
+
+// countedConn counts what is read from it.
+type countedConn struct {
+	net.Conn
+	pipes *pipes
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	c.pipes.mu.Lock()
+	c.pipes.read += n
+	c.pipes.mu.Unlock()
+	return n, err
+}
+
+// serve runs a server over pipes until the returned function is called.
+func serve(p *pipes, handler http.Handler) func() {
+	s := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	go func() { _ = s.Serve(p) }()
+	return func() { _ = s.Close() }
+}
+
+func quiet() *logrus.Entry {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return logrus.NewEntry(log)
+}
+
+func testBundle() checker.Bundle {
+	sum := sha256.Sum256([]byte(callerKey))
+	d := func(v time.Duration) checker.Duration { return checker.Duration(v) }
+	upstream := checker.Upstream{
+		Address: upstreamAddress, Region: "jhb-a", AvailabilityZone: "jhb-a1", Slots: 8,
+	}
+	engine, desk := upstream, upstream
+	engine.Name, engine.Kind, engine.Models = "up-0", checker.Engine, []string{"tile-match"}
+	desk.Name, desk.Kind = "desk-0", checker.PlainService
+	return checker.Bundle{
+		Deployment: "test",
+		Version:    1,
+		Regions:    []checker.Region{{Name: "jhb-a", AvailabilityZones: []string{"jhb-a1"}}},
+		Organisations: []checker.Organisation{{
+			Name: "kliek-teels", KeyHashes: []string{hex.EncodeToString(sum[:])}, Weight: 1,
+			Priority: checker.Interactive, Models: []string{"tile-match"}, Services: []string{"sample-desk"},
+		}},
+		Models: []checker.Model{
+			{Name: "tile-match", WeightsVersion: "w1", MinReplicas: 1, ContinueElsewhere: true, MaxPromptBytes: 1000, MaxTokens: 4096},
+			{Name: "other", WeightsVersion: "w1", MinReplicas: 1, MaxPromptBytes: 1000, MaxTokens: 4096},
+		},
+		Upstreams: []checker.Upstream{engine, desk},
+		Services: []checker.Service{
+			{Name: "sample-desk", Upstreams: []string{"desk-0"}},
+			{Name: "other-desk", Upstreams: []string{"desk-0"}},
+		},
+		Policy: checker.Policy{
+			Selection: checker.SelectionPolicy{Name: "round_robin", LookupTimeout: d(time.Millisecond)},
+			Admission: checker.AdmissionPolicy{QueueLength: 8, MaxWait: d(time.Second), BatchMaxWait: d(time.Second), BatchShare: 0.5},
+			Attempts:  checker.AttemptPolicy{MaxAttempts: 3, RetryBudget: 1, Cooldown: d(time.Second), MaxEjected: 0.5},
+			Streams: checker.StreamPolicy{
+				FirstByteTimeout: d(10 * time.Second), IdleTimeout: d(3 * time.Second), TotalTimeout: d(10 * time.Minute),
+				CallerWriteTimeout: d(5 * time.Second), MaxResumes: 3,
+			},
+			Placement: checker.PlacementPolicy{MaxLoads: 1, LeaseTTL: d(time.Second), OrderTimeout: d(time.Second), MinDwell: d(time.Second)},
+		},
+	}
+}
+
+// newHolder returns a holder with the test bundle in force, if wanted.
+func newHolder(t *testing.T, inForce bool) *holder.Holder {
+	t.Helper()
+	key, err := signer.NewPrivateKey("ops-1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := holder.New(holder.Config{Verifier: signer.Verifier{
+		Deployment: "test",
+		Keys:       map[string]ed25519.PublicKey{"ops-1": key.Public().PublicKey},
+		Threshold:  1,
+	}})
+	if !inForce {
+		return h
+	}
+	document, err := json.Marshal(testBundle())
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := signer.Envelope{Document: document}
+	e.Sign(key.ID, key.Key())
+	if err := h.Offer(time.Now(), e); err != nil {
+		t.Fatal(err)
+	}
+	return h
+}
+
+// only chooses one upstream, or refuses with err.
+type only struct{ err error }
+
+func (c only) choose(id string, attempt int, excluded map[string]bool) (dispatcher.Choice, error) {
+	if c.err != nil {
+		return dispatcher.Choice{}, c.err
+	}
+	if excluded["up-0"] {
+		return dispatcher.Choice{}, errNone
+	}
+	return dispatcher.Choice{RequestID: id, Attempt: attempt, Target: caller.Target{Name: "up-0", Address: upstreamAddress}}, nil
+}
+
+// Choose implements dispatcher.Chooser.
+func (c only) Choose(_ context.Context, j dispatcher.Job, attempt int, excluded map[string]bool) (dispatcher.Choice, error) {
+	return c.choose(j.ID, attempt, excluded)
+}
+
+// ChooseService implements dispatcher.Chooser.
+func (c only) ChooseService(_ context.Context, j dispatcher.ServiceJob, attempt int, excluded map[string]bool) (dispatcher.Choice, error) {
+	return c.choose(j.ID, attempt, excluded)
+}
+
+// Sent implements dispatcher.Chooser.
+func (c only) Sent(time.Time, dispatcher.Choice) {}
+
+// FirstToken implements dispatcher.Chooser.
+func (c only) FirstToken(time.Time, dispatcher.Choice) {}
+
+// Finished implements dispatcher.Chooser.
+func (c only) Finished(time.Time, dispatcher.Choice) {}
+
+// Failed implements dispatcher.Chooser.
+func (c only) Failed(time.Time, dispatcher.Choice, error) {}
+
+// Abandoned implements dispatcher.Chooser.
+func (c only) Abandoned(time.Time, dispatcher.Choice) {}
+
+// newHandler returns the routes of a router whose upstreams dial reaches.
+func newHandler(t *testing.T, h *holder.Holder, dial caller.DialFunc, choose dispatcher.Chooser) (http.Handler, *caller.Caller) {
+	t.Helper()
+	calls := caller.New(caller.Config{Dial: dial})
+	dispatch := dispatcher.New(dispatcher.Config{Caller: calls, Chooser: choose, Log: quiet()})
+	handler, err := receiver.New(receiver.Config{Holder: h, Dispatcher: dispatch, Log: quiet()}).Handler()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return handler, calls
+}
