Arrange the command line by subject

The flat keys, sign and publish gave no way to look at what is published, and usage errors of the flag library ended in a panic trace.

bundle init|check|sign|publish|show|history|diff, keys new, check, status, explain and version replace them, one file each. Exit codes: 0 done, 1 failed, 2 wrong usage, 3 conflict with another operator's publish. publish reads back where the outcome is open, so a repeat and a lost answer both end in 0. sign adds a signature to a signed bundle, for thresholds above one. diff compares by path, list entries by name.

status asks every controller that settings name over the peer protocol (StatusWant, Status); routers tell the time of their version in BundleHead. Ruled out: asking operator ports over HTTP, since settings name only the peer addresses of other VMs.

The scenarios in testdata/commands run the real binary. Seen red: the flag library took the word version for its own flag (three rows), and a publish whose answer was lost ended in 1 before the read back.

history shows the newest version only until the publisher keeps older ones.

--- a/cmd/gentianstep/bundle.go
+++ b/cmd/gentianstep/bundle.go
@@ -1,13 +1,8 @@
 package main
 
 import (
-	"context"
 	"encoding/json"
-	"fmt"
 	"net/http"
-	"os"
-
-	"github.com/integrii/flaggy"
 
 	"gentianstep.example/gentianstep/internal/bundle/checker"
 	"gentianstep.example/gentianstep/internal/bundle/publisher"
@@ -16,57 +11,44 @@
 	"gentianstep.example/gentianstep/internal/platform/dialer"
 )
 
-func newSignCommand() command {
-	var bundlePath, keyPath, out string
-	parser := flaggy.NewSubcommand("sign")
-	parser.Description = "Sign a bundle off."
-	parser.String(&bundlePath, "b", "bundle", "Path of the bundle.")
-	parser.String(&keyPath, "k", "key", "Path of the private key file.")
-	parser.String(&out, "o", "out", "Path of the signed bundle to write.")
-	return command{parser: parser, run: func(context.Context) error {
-		document, err := os.ReadFile(bundlePath)
-		if err != nil {
-			return fmt.Errorf("read bundle: %w", err)
-		}
-		if _, err := checker.Decode(document); err != nil {
-			return err
-		}
-		data, err := os.ReadFile(keyPath)
-		if err != nil {
-			return fmt.Errorf("read key: %w", err)
-		}
-		key, err := signer.DecodePrivateKey(data)
-		if err != nil {
-			return err
-		}
-		e := signer.Envelope{Document: document}
-		e.Sign(key.ID, key.Key())
-		return writeNew(out, e)
-	}}
+func newBundleCommand() command {
+	return newGroup("bundle", "Make, check, sign off and publish bundles.",
+		newBundleInitCommand(),
+		newBundleCheckCommand(),
+		newBundleSignCommand(),
+		newBundlePublishCommand(),
+		newBundleShowCommand(),
+		newBundleHistoryCommand(),
+		newBundleDiffCommand(),
+	)
+}
+
+// readBundle reads a bundle file, signed or not, and checks its document. A
+// file without signatures yields an envelope without them.
+func readBundle(path string) (signer.Envelope, *checker.Bundle, error) {
+	data, err := readInput(path)
+	if err != nil {
+		return signer.Envelope{}, nil, err
+	}
+	e, signed := decodeSigned(data)
+	if !signed {
+		e = signer.Envelope{Document: data}
+	}
+	b, err := checker.Decode(e.Document)
+	return e, b, err
+}
+
+// decodeSigned reads a signed bundle and reports whether data is one.
+func decodeSigned(data []byte) (signer.Envelope, bool) {
+	var e signer.Envelope
+	if err := json.Unmarshal(data, &e); err != nil {
+		return signer.Envelope{}, false
+	}
+	return e, len(e.Document) > 0
 }
 
-func newPublishCommand() command {
-	var signedPath string
-	settingsPath := "settings.json"
-	parser := flaggy.NewSubcommand("publish")
-	parser.Description = "Publish a signed bundle."
-	parser.String(&signedPath, "b", "bundle", "Path of the signed bundle.")
-	parser.String(&settingsPath, "s", "settings", "Path of the settings file.")
-	return command{parser: parser, run: func(ctx context.Context) error {
-		settings, err := configurer.Load(settingsPath)
-		if err != nil {
-			return err
-		}
-		data, err := os.ReadFile(signedPath)
-		if err != nil {
-			return fmt.Errorf("read signed bundle: %w", err)
-		}
-		var e signer.Envelope
-		if err := json.Unmarshal(data, &e); err != nil {
-			return fmt.Errorf("read signed bundle: %w", err)
-		}
-		store := dialer.New(dialer.Config{Address: settings.Platform.Address, Client: http.DefaultClient})
-		p := publisher.New(publisher.Config{Store: store, Verifier: settings.Verifier()})
-		return p.Publish(ctx, e)
-	}}
+// newPublisher returns a publisher to the store that the settings name.
+func newPublisher(settings *configurer.Settings) *publisher.Publisher {
+	store := dialer.New(dialer.Config{Address: settings.Platform.Address, Client: http.DefaultClient})
+	return publisher.New(publisher.Config{Store: store, Verifier: settings.Verifier()})
 }
--- /dev/null
+++ b/cmd/gentianstep/bundle_init.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"context"
+	_ "embed"
+
+	"github.com/integrii/flaggy"
+
+	"gentianstep.example/gentianstep/internal/bundle/checker"
+)
+
+// exampleBundle is a complete bundle to start from.
+//
+//go:embed bundle.example.json
+var exampleBundle []byte
+
+func newBundleInitCommand() command {
+	var deployment, out string
+	parser := flaggy.NewSubcommand("init")
+	parser.Description = "Write a first bundle to edit."
+	parser.String(&deployment, "d", "deployment", "Name of the deployment.")
+	parser.String(&out, "o", "out", "Path of the bundle to write.")
+	return command{parser: parser, run: func(context.Context) error {
+		if err := require("deployment", deployment, "the deployment of the settings"); err != nil {
+			return err
+		}
+		if err := require("out", out, "the path of a new file"); err != nil {
+			return err
+		}
+		b, err := checker.Decode(exampleBundle)
+		if err != nil {
+			return err
+		}
+		b.Deployment = deployment
+		if err := b.Check(); err != nil {
+			return err
+		}
+		document, err := checker.Encode(b)
+		if err != nil {
+			return err
+		}
+		if err := writeNew(out, document); err != nil {
+			return err
+		}
+		return printLine("%s: wrote version %d of %s", out, b.Version, deployment)
+	}}
+}
--- a/cmd/gentianstep/demo_test.go
+++ b/cmd/gentianstep/demo_test.go
@@ -20,15 +20,8 @@
 	is := is.New(t)
 	ctx, cancel := context.WithTimeout(t.Context(), demoTimeout)
 	defer cancel()
-	bin := t.TempDir()
-	for _, program := range []string{"gentianstep", "standin"} {
-		build := exec.CommandContext(ctx, "go", "build", "-o", bin+"/"+program, "../"+program)
-		output, err := build.CombinedOutput()
-		is.NoErr(err) // the program builds
-		is.Equal(string(output), "")
-	}
 	demo := exec.CommandContext(ctx, "../../scripts/demo.sh")
-	demo.Env = append(demo.Environ(), "BIN="+bin, "BASE_PORT="+strconv.Itoa(freePortRange(t)))
+	demo.Env = append(demo.Environ(), "BIN="+programs, "BASE_PORT="+strconv.Itoa(freePortRange(t)))
 	output, err := demo.CombinedOutput()
 	if err != nil {
 		t.Fatalf("demo: %v\n%s", err, output)
--- a/cmd/gentianstep/exit.go
+++ b/cmd/gentianstep/exit.go
@@ -7,7 +7,7 @@
 	switch classifier.KindOf(err) {
 	case classifier.BundleConflict:
 		return exitConflict
-	case classifier.SettingsInvalid, classifier.InvalidRequest:
+	case classifier.InvalidRequest:
 		return exitUsage
 	}
 	return exitFailed
--- a/cmd/gentianstep/main.go
+++ b/cmd/gentianstep/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 
 	"github.com/integrii/flaggy"
@@ -19,42 +20,49 @@
 	exitConflict = 3
 )
 
-// command is one subcommand with what it does.
-type command struct {
-	parser *flaggy.Subcommand
-	run    func(ctx context.Context) error
-}
-
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	os.Exit(run(ctx))
+	os.Exit(run(ctx, os.Args[1:]))
 }
 
-func run(ctx context.Context) int {
-	flaggy.SetName("gentianstep")
-	flaggy.SetDescription("Routes language-model traffic with long shared prompts.")
-	commands := []command{
-		newRouterCommand(),
-		newControllerCommand(),
-		newKeysCommand(),
-		newSignCommand(),
-		newPublishCommand(),
-	}
+func run(ctx context.Context, args []string) int {
+	parser := flaggy.NewParser("gentianstep")
+	parser.Description = "Routes language-model traffic with long shared prompts."
+	parser.DisableShowVersionWithVersion() // it would also take the subcommand's name
+	parser.ShowCompletion = false
+	commands := newCommands()
 	for _, c := range commands {
-		flaggy.AttachSubcommand(c.parser, 1)
+		parser.AttachSubcommand(c.parser, 1)
 	}
-	flaggy.Parse()
-	for _, c := range commands {
-		if !c.parser.Used {
-			continue
-		}
-		if err := c.run(ctx); err != nil {
-			_, _ = fmt.Fprintln(os.Stderr, "gentianstep:", err)
-			return exitCode(err)
-		}
-		return exitDone
+	if slices.Equal(args, []string{"--version"}) {
+		args = []string{"version"}
+	}
+	if err := parser.ParseArgs(args); err != nil {
+		parser.ShowHelpWithMessage(err.Error())
+		return exitUsage
+	}
+	c := used(commands)
+	if c == nil {
+		parser.ShowHelpWithMessage("takes a subcommand")
+		return exitUsage
+	}
+	if err := c.run(ctx); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "gentianstep:", err)
+		return exitCode(err)
+	}
+	return exitDone
+}
+
+func newCommands() []command {
+	return []command{
+		newBundleCommand(),
+		newKeysCommand(),
+		newCheckCommand(),
+		newStatusCommand(),
+		newExplainCommand(),
+		newRouterCommand(),
+		newControllerCommand(),
+		newVersionCommand(),
 	}
-	flaggy.ShowHelp("")
-	return exitUsage
 }
--- a/cmd/gentianstep/router.go
+++ b/cmd/gentianstep/router.go
@@ -1,47 +1,7 @@
 package main
 
-import (
-	"context"
-	"os"
-
-	"github.com/integrii/flaggy"
-	"github.com/sirupsen/logrus"
-
-	"gentianstep.example/gentianstep/internal/operating/configurer"
-	"gentianstep.example/gentianstep/internal/operating/logger"
-	"gentianstep.example/gentianstep/internal/operating/starter"
-)
+import "gentianstep.example/gentianstep/internal/operating/starter"
 
 func newRouterCommand() command {
 	return newProcessCommand("router", "Serve callers.", starter.Router)
 }
-
-func newControllerCommand() command {
-	return newProcessCommand("controller", "Watch the bundle and the upstreams for the routers.", starter.Controller)
-}
-
-type process func(ctx context.Context, settings *configurer.Settings, log *logrus.Entry) error
-
-func newProcessCommand(name, description string, start process) command {
-	path := "settings.json"
-	parser := flaggy.NewSubcommand(name)
-	parser.Description = description
-	parser.String(&path, "s", "settings", "Path of the settings file.")
-	return command{parser: parser, run: func(ctx context.Context) error {
-		settings, err := configurer.Load(path)
-		if err != nil {
-			return err
-		}
-		log, err := logger.New(logger.Config{
-			Output:  os.Stderr,
-			Format:  settings.Log.Format,
-			Level:   settings.Log.Level,
-			Node:    settings.Node,
-			Process: name,
-		})
-		if err != nil {
-			return err
-		}
-		return start(ctx, settings, log)
-	}}
-}
--- /dev/null
+++ b/internal/operating/explainer/explainer.go
@@ -0,0 +1,85 @@
+// Package explainer keeps the last routing decisions of a router and shows
+// them by request.
+package explainer
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+
+	"gentianstep.example/gentianstep/internal/failure/classifier"
+)
+
+// Event is the value of the log field "event" in a routing decision.
+const Event = "route"
+
+// Config holds what an Explainer is built from.
+type Config struct {
+	// Size is the number of decisions that are kept.
+	Size int
+}
+
+// Explainer is a bounded ring of the last routing decisions. It is a hook of
+// the log, so that what it shows is what was logged.
+type Explainer struct {
+	mu   sync.Mutex
+	ring []Decision
+	next int
+}
+
+var _ logrus.Hook = (*Explainer)(nil)
+
+// New returns an empty Explainer.
+func New(cfg Config) *Explainer {
+	return &Explainer{ring: make([]Decision, 0, max(cfg.Size, 1))}
+}
+
+// Levels implements logrus.Hook.
+func (e *Explainer) Levels() []logrus.Level { return []logrus.Level{logrus.InfoLevel} }
+
+// Fire implements logrus.Hook.
+func (e *Explainer) Fire(entry *logrus.Entry) error {
+	if entry.Data["event"] != Event {
+		return nil
+	}
+	d := Decision{"time": entry.Time}
+	for name, value := range entry.Data {
+		d[name] = value
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.ring) < cap(e.ring) {
+		e.ring = append(e.ring, d)
+		return nil
+	}
+	e.ring[e.next] = d
+	e.next = (e.next + 1) % len(e.ring)
+	return nil
+}
+
+// Find returns the decisions that were taken for a request, the oldest first.
+func (e *Explainer) Find(requestID string) []Decision {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var found []Decision
+	for i := range e.ring {
+		d := e.ring[(e.next+i)%len(e.ring)]
+		if d.RequestID() == requestID {
+			found = append(found, d)
+		}
+	}
+	return found
+}
+
+// ServeHTTP answers GET /explain/{id}.
+func (e *Explainer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	found := e.Find(r.PathValue("id"))
+	if len(found) == 0 {
+		http.Error(w, string(classifier.NotFound)+": no decision for this request is kept", http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(found)
+}
--- /dev/null
+++ b/internal/operating/explainer/log.go
@@ -0,0 +1,32 @@
+package explainer
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+)
+
+// maxLineBytes bounds one line of a log.
+const maxLineBytes = 4 << 20
+
+// FindInLog returns the decisions for a request from a log in JSON. Lines that
+// are not JSON are passed over.
+func FindInLog(r io.Reader, requestID string) ([]Decision, error) {
+	var found []Decision
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, maxLineBytes)
+	for lines.Scan() {
+		var d Decision
+		if json.Unmarshal(lines.Bytes(), &d) != nil {
+			continue
+		}
+		if d["event"] == Event && d.RequestID() == requestID {
+			found = append(found, d)
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return nil, fmt.Errorf("read log: %w", err)
+	}
+	return found, nil
+}
--- /dev/null
+++ b/internal/operating/inspector/report.go
@@ -0,0 +1,90 @@
+package inspector
+
+import (
+	"fmt"
+	"io"
+	"net/netip"
+	"text/tabwriter"
+	"time"
+)
+
+// Row is what one process said of itself.
+type Row struct {
+	Node          string    `json:"node"`
+	Process       string    `json:"process"`
+	Region        string    `json:"region"`
+	BundleVersion uint64    `json:"bundle_version"`
+	InForceSince  time.Time `json:"in_force_since"`
+	AgeSeconds    float64   `json:"age_seconds"`
+	// Behind is true where a newer version is in force elsewhere.
+	Behind bool `json:"behind"`
+}
+
+// Silence is a controller that gave no answer.
+type Silence struct {
+	Address netip.AddrPort `json:"address"`
+	Reason  string         `json:"reason"`
+}
+
+// Report is the state of the bundle on all processes that were reached.
+type Report struct {
+	// Newest is the highest version in force anywhere, 0 for none.
+	Newest uint64    `json:"newest"`
+	Rows   []Row     `json:"rows"`
+	Silent []Silence `json:"silent"`
+}
+
+// Uniform reports whether every controller answered and every process has the
+// same bundle in force.
+func (r Report) Uniform() bool {
+	if len(r.Silent) > 0 || r.Newest == 0 {
+		return false
+	}
+	for _, row := range r.Rows {
+		if row.Behind {
+			return false
+		}
+	}
+	return true
+}
+
+// WriteTable writes the report for a person.
+func (r Report) WriteTable(w io.Writer) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "NODE\tPROCESS\tREGION\tBUNDLE\tIN FORCE SINCE\tAGE\tSTATE")
+	for _, row := range r.Rows {
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%s\t%s\t%s\n",
+			row.Node, row.Process, row.Region, row.BundleVersion, row.since(), row.age(), row.state())
+	}
+	for _, s := range r.Silent {
+		_, _ = fmt.Fprintf(table, "%s\tcontroller\t-\t-\t-\t-\tno answer: %s\n", s.Address, s.Reason)
+	}
+	if err := table.Flush(); err != nil {
+		return fmt.Errorf("write table: %w", err)
+	}
+	return nil
+}
+
+func (row Row) since() string {
+	if row.InForceSince.IsZero() {
+		return "-"
+	}
+	return row.InForceSince.UTC().Format(time.RFC3339)
+}
+
+func (row Row) age() string {
+	if row.InForceSince.IsZero() {
+		return "-"
+	}
+	return (time.Duration(row.AgeSeconds) * time.Second).String()
+}
+
+func (row Row) state() string {
+	switch {
+	case row.BundleVersion == 0:
+		return "no bundle"
+	case row.Behind:
+		return "behind"
+	}
+	return "newest"
+}
--- a/internal/peering/connector/session.go
+++ b/internal/peering/connector/session.go
@@ -86,6 +86,15 @@
 	s.send(messenger.Message{BundleOffer: &messenger.BundleOffer{Envelope: current.Envelope}})
 }
 
+// head returns the version in force here and since when.
+func (s *session) head() messenger.BundleHead {
+	current := s.cfg.Holder.Current()
+	if current == nil {
+		return messenger.BundleHead{}
+	}
+	return messenger.BundleHead{Version: current.Bundle.Version, Since: current.Since}
+}
+
 // writer sends the queued messages of a session and repeats the bundle version
 // in force, so that each end learns of a higher one even where an offer was
 // dropped.
@@ -114,7 +123,7 @@
 	case m := <-w.session.out:
 		return m, true
 	case <-tick:
-		head := messenger.BundleHead{Version: w.session.cfg.Holder.Version()}
+		head := w.session.head()
 		return messenger.Message{BundleHead: &head}, true
 	case <-ctx.Done():
 		return messenger.Message{}, false
--- a/internal/peering/distributor/distributor.go
+++ b/internal/peering/distributor/distributor.go
@@ -103,6 +103,7 @@
 func (d *Distributor) add(l *Link) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	l.head = messenger.BundleHead{Version: l.Peer.BundleVersion}
 	d.links[l] = struct{}{}
 }
 
@@ -124,7 +125,10 @@
 
 func (d *Distributor) handle(l *Link, m messenger.Message) {
 	switch {
+	case m.StatusWant != nil:
+		l.Send(messenger.Message{Status: d.status()})
 	case m.BundleHead != nil:
+		d.note(l, *m.BundleHead)
 		d.compare(l, m.BundleHead.Version)
 	case m.BundleWant != nil && d.holder.Version() > 0:
 		l.Send(d.offer())
--- a/internal/peering/distributor/link.go
+++ b/internal/peering/distributor/link.go
@@ -23,6 +23,8 @@
 	distributor *Distributor
 	conn        *messenger.Conn
 	out         chan messenger.Message
+	// head is the version last heard of; the Distributor's mutex guards it.
+	head messenger.BundleHead
 }
 
 // Send queues m and reports whether it was queued. Where the other end is too
--- a/internal/peering/messenger/message.go
+++ b/internal/peering/messenger/message.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"gentianstep.example/gentianstep/internal/bundle/signer"
 	"gentianstep.example/gentianstep/internal/caching/hasher"
@@ -18,6 +19,8 @@
 const (
 	Router     Role = "router"
 	Controller Role = "controller"
+	// Operator is a command line that asks for the state of a controller.
+	Operator Role = "operator"
 )
 
 const (
@@ -37,9 +40,10 @@
 	BundleVersion uint64 `cbor:"4,keyasint"`
 }
 
-// BundleHead tells the version in force at the sender.
+// BundleHead tells the version in force at the sender and since when.
 type BundleHead struct {
-	Version uint64 `cbor:"1,keyasint"`
+	Version uint64    `cbor:"1,keyasint"`
+	Since   time.Time `cbor:"2,keyasint,omitzero"`
 }
 
 // BundleWant asks for the bundle in force at the other end.
@@ -73,6 +77,23 @@
 	Holdings []indexer.Holding `cbor:"2,keyasint"`
 }
 
+// StatusWant asks a controller for its state and that of its routers.
+type StatusWant struct{}
+
+// Status answers a StatusWant.
+type Status struct {
+	Nodes []NodeStatus `cbor:"1,keyasint"`
+}
+
+// NodeStatus is the bundle in force on one process.
+type NodeStatus struct {
+	Node          string    `cbor:"1,keyasint"`
+	Role          Role      `cbor:"2,keyasint"`
+	Region        string    `cbor:"3,keyasint"`
+	BundleVersion uint64    `cbor:"4,keyasint"`
+	Since         time.Time `cbor:"5,keyasint,omitzero"`
+}
+
 // Message is one message; exactly one of its fields is set.
 type Message struct {
 	Hello        *Hello        `cbor:"1,keyasint,omitempty"`
@@ -83,6 +104,8 @@
 	IndexUpdates *IndexUpdates `cbor:"6,keyasint,omitempty"`
 	Lookup       *Lookup       `cbor:"7,keyasint,omitempty"`
 	LookupReply  *LookupReply  `cbor:"8,keyasint,omitempty"`
+	StatusWant   *StatusWant   `cbor:"20,keyasint,omitempty"`
+	Status       *Status       `cbor:"21,keyasint,omitempty"`
 }
 
 // Check reports the first fault of the message.
@@ -97,6 +120,8 @@
 		m.IndexUpdates != nil,
 		m.Lookup != nil,
 		m.LookupReply != nil,
+		m.StatusWant != nil,
+		m.Status != nil,
 	} {
 		if present {
 			set++
@@ -122,6 +147,8 @@
 		return checkBatch("index updates", len(m.IndexUpdates.Updates))
 	case m.LookupReply != nil:
 		return checkBatch("holdings", len(m.LookupReply.Holdings))
+	case m.Status != nil:
+		return checkBatch("nodes", len(m.Status.Nodes))
 	}
 	return nil
 }
@@ -131,8 +158,8 @@
 	if h.Deployment == "" || h.Node == "" {
 		return fmt.Errorf("hello: takes a deployment and a node")
 	}
-	if h.Role != Router && h.Role != Controller {
-		return fmt.Errorf("hello: role: got %q, takes %q or %q", h.Role, Router, Controller)
+	if h.Role != Router && h.Role != Controller && h.Role != Operator {
+		return fmt.Errorf("hello: role: got %q, takes %q, %q or %q", h.Role, Router, Controller, Operator)
 	}
 	return nil
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -42,7 +42,7 @@
 
 REGIONS=(jhb-a cpt-a dbn-a)
 STEP="make keys"
-PUBLIC=$("$BIN/gentianstep" keys --id ops-1 --out "$DIR/ops-1.key")
+PUBLIC=$("$BIN/gentianstep" keys new --id ops-1 --out "$DIR/ops-1.key")
 CALLER_KEY=demo-caller-key
 CALLER_HASH=$(printf %s "$CALLER_KEY" | sha256sum | cut -d' ' -f1)
 
@@ -111,8 +111,8 @@
 wait_for "http://127.0.0.1:$(port 0)/v1/vms"
 
 STEP="sign and publish the bundle"
-"$BIN/gentianstep" sign --bundle "$DIR/bundle.json" --key "$DIR/ops-1.key" --out "$DIR/signed.json"
-"$BIN/gentianstep" publish --bundle "$DIR/signed.json" --settings "$DIR/vm-1.json"
+"$BIN/gentianstep" bundle sign --bundle "$DIR/bundle.json" --key "$DIR/ops-1.key" --out "$DIR/signed.json"
+"$BIN/gentianstep" bundle publish --bundle "$DIR/signed.json" --settings "$DIR/vm-1.json"
 for i in 1 2 3; do
   wait_for "http://127.0.0.1:$(port $((10 * i + 1)))/ready"
   curl -fsS "http://127.0.0.1:$(port $((10 * i + 1)))/status"
