Name the path of every refused setting

An unknown field was named without its path, a host name in place of an IP number gave the parser's own words, and half of the values were not checked.

Each section has its own file and check. checkShape walks the document beside the types first; ruled out: DisallowUnknownFields, which knows no path and takes fields in any case. New settings: router drain_delay, drain_timeout, max_connections and body_timeout, controller max_connections, and the files of the tls section. They are durations since they tell of the place, not of state.

The commented example docs/settings.example.jsonc is checked field by field; a field taken out of it was named by the test.

--- a/internal/operating/configurer/settings.go
+++ b/internal/operating/configurer/settings.go
@@ -3,7 +3,7 @@
 package configurer
 
 import (
-	"net/netip"
+	"fmt"
 )
 
 // Settings is the content of one settings file.
@@ -18,49 +18,69 @@
 	Controller       ControllerSettings `json:"controller"`
 	Platform         PlatformSettings   `json:"platform"`
 	Trust            TrustSettings      `json:"trust"`
+	TLS              TLSSettings        `json:"tls"`
 	Log              LogSettings        `json:"log"`
 }
 
-// RouterSettings say where the router listens.
-type RouterSettings struct {
-	// CallerAddress takes requests of callers.
-	CallerAddress netip.AddrPort `json:"caller_address"`
-	// OperatorAddress serves health, status and metrics.
-	OperatorAddress netip.AddrPort `json:"operator_address"`
+// defaults returns the settings that a file need not name.
+func defaults() Settings {
+	return Settings{
+		Router:     defaultRouter(),
+		Controller: defaultController(),
+		Trust:      TrustSettings{Threshold: 1},
+		Log:        LogSettings{Format: "json", Level: "info"},
+	}
 }
 
-// ControllerSettings say where the controller listens and where its peers do.
-type ControllerSettings struct {
-	// PeerAddress takes connections of routers and of other controllers.
-	PeerAddress     netip.AddrPort `json:"peer_address"`
-	OperatorAddress netip.AddrPort `json:"operator_address"`
-	// Peers are first addresses of other controllers.
-	Peers []netip.AddrPort `json:"peers"`
+// Check reports the first fault of the settings.
+func (s *Settings) Check() error {
+	names := []struct{ path, value string }{
+		{"deployment", s.Deployment},
+		{"node", s.Node},
+		{"region", s.Region},
+		{"availability_zone", s.AvailabilityZone},
+	}
+	for _, n := range names {
+		if err := checkName(n.path, n.value); err != nil {
+			return err
+		}
+	}
+	checks := []func() error{
+		s.Router.check,
+		s.Controller.check,
+		s.checkListeners,
+		s.Platform.check,
+		s.Trust.check,
+		s.TLS.check,
+		s.Log.check,
+	}
+	for _, check := range checks {
+		if err := check(); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
-// PlatformSettings say where the platform's service is.
-type PlatformSettings struct {
-	Address netip.AddrPort `json:"address"`
+// checkListeners reports two listeners of one VM on the same address.
+func (s *Settings) checkListeners() error {
+	listeners := []listener{
+		{"router.caller_address", s.Router.CallerAddress},
+		{"router.operator_address", s.Router.OperatorAddress},
+		{"controller.peer_address", s.Controller.PeerAddress},
+		{"controller.operator_address", s.Controller.OperatorAddress},
+	}
+	for i, a := range listeners {
+		for _, b := range listeners[:i] {
+			if a.address == b.address && a.address.Port() != 0 {
+				return invalid(a.path, "got %s, which %s has already", a.address, b.path)
+			}
+		}
+	}
+	return nil
 }
 
-// TrustSettings say whose bundles are accepted.
-type TrustSettings struct {
-	BundleKeys []BundleKey `json:"bundle_keys"`
-	// Threshold is the number of different signers that a bundle needs.
-	Threshold int `json:"threshold"`
-}
-
-// BundleKey is the public key of a signer of bundles.
-type BundleKey struct {
-	ID string `json:"id"`
-	// PublicKey is an Ed25519 public key in base64.
-	PublicKey []byte `json:"public_key"`
-}
-
-// LogSettings say what the log looks like.
-type LogSettings struct {
-	// Format is "json" or "text".
-	Format string `json:"format"`
-	// Level is "debug", "info", "warning" or "error".
-	Level string `json:"level"`
+// String keeps settings out of logs by accident.
+func (s *Settings) String() string {
+	return fmt.Sprintf("settings of %s in %s", s.Node, s.Deployment)
 }
