--- a/internal/operating/configurer/configurer_test.go
+++ b/internal/operating/configurer/configurer_test.go
@@ -119,7 +119,7 @@
 	fields, _ := example.(map[string]any)
 	var paths []string
 	for field := range t.Fields() {
-		name := field.Tag.Get("json")
+		name := fieldName(field)
 		value, ok := fields[name]
 		if !ok {
 			paths = append(paths, join(path, name))
--- a/internal/operating/configurer/controller.go
+++ b/internal/operating/configurer/controller.go
@@ -15,7 +15,7 @@
 	// Peers are first addresses of other controllers.
 	Peers []netip.AddrPort `json:"peers"`
 	// MaxConnections bounds the open connections of routers and controllers.
-	MaxConnections int `json:"max_connections"`
+	MaxConnections int `json:"max_connections,omitzero"`
 }
 
 func defaultController() ControllerSettings {
--- a/internal/operating/configurer/router.go
+++ b/internal/operating/configurer/router.go
@@ -22,13 +22,13 @@
 	OperatorAddress netip.AddrPort `json:"operator_address"`
 	// DrainDelay is how long a stopping router goes on accepting, until the
 	// balancer has taken it out.
-	DrainDelay checker.Duration `json:"drain_delay"`
+	DrainDelay checker.Duration `json:"drain_delay,omitzero"`
 	// DrainTimeout is the longest wait for open requests after that.
-	DrainTimeout checker.Duration `json:"drain_timeout"`
+	DrainTimeout checker.Duration `json:"drain_timeout,omitzero"`
 	// MaxConnections bounds the open connections of callers.
-	MaxConnections int `json:"max_connections"`
+	MaxConnections int `json:"max_connections,omitzero"`
 	// BodyTimeout bounds the time in which a caller sends a request.
-	BodyTimeout checker.Duration `json:"body_timeout"`
+	BodyTimeout checker.Duration `json:"body_timeout,omitzero"`
 }
 
 func defaultRouter() RouterSettings {
--- a/internal/operating/configurer/settings.go
+++ b/internal/operating/configurer/settings.go
@@ -18,7 +18,7 @@
 	Controller       ControllerSettings `json:"controller"`
 	Platform         PlatformSettings   `json:"platform"`
 	Trust            TrustSettings      `json:"trust"`
-	TLS              TLSSettings        `json:"tls"`
+	TLS              TLSSettings        `json:"tls,omitzero"`
 	Log              LogSettings        `json:"log"`
 }
 
--- a/internal/operating/configurer/shape.go
+++ b/internal/operating/configurer/shape.go
@@ -54,7 +54,7 @@
 	}
 	known := make(map[string]reflect.Type, t.NumField())
 	for field := range t.Fields() {
-		known[field.Tag.Get("json")] = field.Type
+		known[fieldName(field)] = field.Type
 	}
 	for name := range fields {
 		if _, ok := known[name]; !ok {
@@ -62,7 +62,7 @@
 		}
 	}
 	for field := range t.Fields() {
-		name := field.Tag.Get("json")
+		name := fieldName(field)
 		value, ok := fields[name]
 		if !ok {
 			continue
@@ -131,3 +131,9 @@
 	}
 	return text
 }
+
+// fieldName returns the name of a field in JSON.
+func fieldName(field reflect.StructField) string {
+	name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+	return name
+}
