Stop routers without cutting a request; add metrics, TLS and listener limits

A router that was told to stop closed its listener at once, while the balancer still sent requests to it.

lifecycle fails readiness first, goes on accepting for router.drain_delay with Connection: close on every answer, closes the listener, finishes open requests within router.drain_timeout and only then ends its loops. Ruled out: turning keep-alive off at once, which closes idle connections that the balancer is about to use. drain_delay is a duration in the settings since it tells how slow the balancer of the place is.

meter exports closed lists of names in the text form of Prometheus; a hook of the log counts what is logged, so that no package has to call it. The log takes lines from info on whatever level is written. explainer keeps the last routing decisions for /explain/{id}. certifier reads certificates again when their files change, at a handshake and at most once a second. limiter bounds the connections of a listener, tells those over the limit so, and bounds the time for a body; its deadline goes once the body is whole, since the server would take a caller for gone that passes it during a stream. receiver names a slow body caller_too_slow and a lost one caller_gone in place of too_large.

Tests with real processes.

--- a/cmd/gentianstep/bundle.go
+++ b/cmd/gentianstep/bundle.go
@@ -1,14 +1,14 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
-	"net/http"
 
 	"gentianstep.example/gentianstep/internal/bundle/checker"
 	"gentianstep.example/gentianstep/internal/bundle/publisher"
 	"gentianstep.example/gentianstep/internal/bundle/signer"
 	"gentianstep.example/gentianstep/internal/operating/configurer"
-	"gentianstep.example/gentianstep/internal/platform/dialer"
+	"gentianstep.example/gentianstep/internal/operating/starter"
 )
 
 func newBundleCommand() command {
@@ -48,7 +48,20 @@
 }
 
 // newPublisher returns a publisher to the store that the settings name.
-func newPublisher(settings *configurer.Settings) *publisher.Publisher {
-	store := dialer.New(dialer.Config{Address: settings.Platform.Address, Client: http.DefaultClient})
-	return publisher.New(publisher.Config{Store: store, Verifier: settings.Verifier()})
+func newPublisher(settings *configurer.Settings) (*publisher.Publisher, error) {
+	store, err := starter.NewStore(settings)
+	if err != nil {
+		return nil, err
+	}
+	return publisher.New(publisher.Config{Store: store, Verifier: settings.Verifier()}), nil
+}
+
+// newestBundle returns the newest published bundle and its revision, which is
+// 0 before the first publish.
+func newestBundle(ctx context.Context, settings *configurer.Settings) (signer.Envelope, uint64, error) {
+	p, err := newPublisher(settings)
+	if err != nil {
+		return signer.Envelope{}, 0, err
+	}
+	return p.Head(ctx)
 }
--- a/cmd/gentianstep/bundle_diff.go
+++ b/cmd/gentianstep/bundle_diff.go
@@ -58,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e, revision, err := newPublisher(settings).Head(ctx)
+	e, revision, err := newestBundle(ctx, settings)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/gentianstep/bundle_history.go
+++ b/cmd/gentianstep/bundle_history.go
@@ -44,7 +44,7 @@
 }
 
 func history(ctx context.Context, settings *configurer.Settings) ([]publishedVersion, error) {
-	e, revision, err := newPublisher(settings).Head(ctx)
+	e, revision, err := newestBundle(ctx, settings)
 	if err != nil || revision == 0 {
 		return []publishedVersion{}, err
 	}
--- a/cmd/gentianstep/bundle_publish.go
+++ b/cmd/gentianstep/bundle_publish.go
@@ -39,7 +39,11 @@
 		if err != nil {
 			return err
 		}
-		if err := publish(ctx, newPublisher(settings), e); err != nil {
+		p, err := newPublisher(settings)
+		if err != nil {
+			return err
+		}
+		if err := publish(ctx, p, e); err != nil {
 			return err
 		}
 		if asJSON {
--- a/cmd/gentianstep/bundle_show.go
+++ b/cmd/gentianstep/bundle_show.go
@@ -20,7 +20,7 @@
 		if err != nil {
 			return err
 		}
-		e, revision, err := newPublisher(settings).Head(ctx)
+		e, revision, err := newestBundle(ctx, settings)
 		if err != nil {
 			return err
 		}
--- a/internal/operating/inspector/inspector.go
+++ b/internal/operating/inspector/inspector.go
@@ -24,8 +24,6 @@
 	// Addresses are the controllers to ask.
 	Addresses []netip.AddrPort
 	Client    *http.Client
-	// Scheme is "http" or "https".
-	Scheme string
 }
 
 // Inspector asks every controller once.
@@ -65,7 +63,7 @@
 func (i *Inspector) ask(ctx context.Context, address netip.AddrPort) ([]messenger.NodeStatus, error) {
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
-	conn, err := messenger.Dial(ctx, i.cfg.Client, i.cfg.Scheme+"://"+address.String())
+	conn, err := messenger.Dial(ctx, i.cfg.Client, "http://"+address.String())
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/operating/limiter/handler.go
@@ -0,0 +1,112 @@
+package limiter
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"gentianstep.example/gentianstep/internal/failure/classifier"
+	"gentianstep.example/gentianstep/internal/streaming/encoder"
+)
+
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// ConnContext serves http.Server, so that a Handler knows the connection.
+func ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	if encrypted, ok := conn.(*tls.Conn); ok {
+		conn = encrypted.NetConn()
+	}
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// HandlerConfig holds what a Handler is built from.
+type HandlerConfig struct {
+	Next http.Handler
+	// BodyTimeout bounds the time in which a request is sent.
+	BodyTimeout time.Duration
+	Log         *logrus.Entry
+}
+
+// Handler refuses requests on connections over the limit and bounds the time
+// for which it waits for a body.
+type Handler struct {
+	cfg HandlerConfig
+}
+
+// NewHandler returns a Handler.
+func NewHandler(cfg HandlerConfig) *Handler {
+	return &Handler{cfg: cfg}
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(*Conn); ok && c.Over {
+		h.refuse(w, classifier.New(classifier.TooManyConnections, "too many connections are open"))
+		return
+	}
+	if r.Body != nil && r.Body != http.NoBody {
+		control := http.NewResponseController(w)
+		if control.SetReadDeadline(time.Now().Add(h.cfg.BodyTimeout)) == nil {
+			r.Body = &timedBody{ReadCloser: r.Body, control: control}
+		}
+	}
+	h.cfg.Next.ServeHTTP(w, r)
+}
+
+// timedBody takes the read deadline away once the body is whole: past it the
+// server would take the caller for gone and cancel a stream that goes on.
+type timedBody struct {
+	io.ReadCloser
+	control *http.ResponseController
+}
+
+// Read implements io.Reader.
+func (b *timedBody) Read(data []byte) (int, error) {
+	n, err := b.ReadCloser.Read(data)
+	if errors.Is(err, io.EOF) {
+		_ = b.control.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
+
+// refusal is the body of an error answer, as the other answers of a router.
+type refusal struct {
+	Error refusalDetail `json:"error"`
+}
+
+type refusalDetail struct {
+	Kind              classifier.Kind `json:"kind"`
+	Message           string          `json:"message"`
+	RequestID         string          `json:"request_id"`
+	NotRun            bool            `json:"not_run"`
+	RetryAfterSeconds int             `json:"retry_after_seconds"`
+}
+
+func (h *Handler) refuse(w http.ResponseWriter, err *classifier.Error) {
+	answer := classifier.AnswerOf(err.Kind)
+	detail := refusalDetail{
+		Kind:              err.Kind,
+		Message:           err.Detail,
+		RequestID:         uuid.NewString(),
+		NotRun:            answer.NotRun,
+		RetryAfterSeconds: int(answer.RetryAfter.Seconds()),
+	}
+	h.cfg.Log.WithField("request_id", detail.RequestID).WithField("kind", err.Kind).Info("request refused")
+	w.Header().Set("Connection", "close")
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Retry-After", strconv.Itoa(detail.RetryAfterSeconds))
+	w.Header().Set(encoder.HeaderRequestID, detail.RequestID)
+	w.Header().Set(encoder.HeaderNotRun, strconv.FormatBool(detail.NotRun))
+	w.WriteHeader(answer.Status)
+	_ = json.NewEncoder(w).Encode(refusal{Error: detail})
+}
--- a/internal/operating/logger/logger.go
+++ b/internal/operating/logger/logger.go
@@ -27,10 +27,29 @@
 	}
 	log := logrus.New()
 	log.SetOutput(cfg.Output)
-	log.SetLevel(level)
-	log.SetFormatter(&logrus.JSONFormatter{})
-	if cfg.Format == "text" {
-		log.SetFormatter(&logrus.TextFormatter{FullTimestamp: true})
-	}
+	log.SetLevel(max(level, logrus.InfoLevel))
+	log.SetFormatter(&levelFormatter{level: level, next: newFormatter(cfg.Format)})
 	return log.WithFields(logrus.Fields{"node": cfg.Node, "process": cfg.Process}), nil
 }
+
+func newFormatter(format string) logrus.Formatter {
+	if format == "text" {
+		return &logrus.TextFormatter{FullTimestamp: true}
+	}
+	return &logrus.JSONFormatter{}
+}
+
+// levelFormatter writes nothing for lines below its level. Hooks see every
+// line from info on, whatever is written.
+type levelFormatter struct {
+	level logrus.Level
+	next  logrus.Formatter
+}
+
+// Format implements logrus.Formatter.
+func (f *levelFormatter) Format(entry *logrus.Entry) ([]byte, error) {
+	if entry.Level > f.level {
+		return nil, nil
+	}
+	return f.next.Format(entry)
+}
--- /dev/null
+++ b/internal/operating/meter/export.go
@@ -0,0 +1,78 @@
+package meter
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// quantiles are exported for each summary.
+var quantiles = []float64{0.5, 0.95, 0.99}
+
+// Write writes all metrics in the text form of Prometheus.
+func (m *Meter) Write(w io.Writer) error {
+	var text bytes.Buffer
+	var last Name
+	for _, key := range m.keys() {
+		name, value, _ := strings.Cut(key, "\x00")
+		if Name(name) != last {
+			last = Name(name)
+			d := descriptions[last]
+			fmt.Fprintf(&text, "# HELP %s %s\n# TYPE %s %s\n", name, d.help, name, d.form)
+		}
+		writeSeries(&text, series{Name(name), value}, m.registry.Get(key))
+	}
+	if _, err := text.WriteTo(w); err != nil {
+		return fmt.Errorf("write metrics: %w", err)
+	}
+	return nil
+}
+
+func (m *Meter) keys() []string {
+	var keys []string
+	m.registry.Each(func(key string, _ any) { keys = append(keys, key) })
+	slices.Sort(keys)
+	return keys
+}
+
+func writeSeries(w io.Writer, s series, entry any) {
+	switch e := entry.(type) {
+	case metrics.Counter:
+		fmt.Fprintf(w, "%s %d\n", s, e.Count())
+	case metrics.Gauge:
+		fmt.Fprintf(w, "%s %d\n", s, e.Value())
+	case *durations:
+		sample := e.Snapshot()
+		for i, value := range sample.Percentiles(quantiles) {
+			fmt.Fprintf(w, "%s{quantile=%q} %s\n", s.name, fmt.Sprint(quantiles[i]), seconds(value))
+		}
+		fmt.Fprintf(w, "%s_sum %s\n", s.name, seconds(float64(e.total.Count())))
+		fmt.Fprintf(w, "%s_count %d\n", s.name, sample.Count())
+	}
+}
+
+// String returns the series as it is named in the text form.
+func (s series) String() string {
+	label := descriptions[s.name].label
+	if label == "" {
+		return string(s.name)
+	}
+	return fmt.Sprintf("%s{%s=%q}", s.name, label, s.value)
+}
+
+func seconds(nanoseconds float64) string {
+	return strconv.FormatFloat(nanoseconds/float64(time.Second), 'g', -1, 64)
+}
+
+// ServeHTTP answers with all metrics.
+func (m *Meter) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	_ = m.Write(w)
+}
--- /dev/null
+++ b/internal/operating/meter/meter_test.go
@@ -0,0 +1,63 @@
+package meter
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+)
+
+func TestExport(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	m := New()
+	m.Count(Requests, "200", 2)
+	m.Count(Requests, "429", 1)
+	m.Set(BundleVersion, "", 7)
+	m.Set(Connections, "callers", 3)
+	m.Observe(FirstByteSeconds, 250*time.Millisecond)
+	log := logrus.New()
+	log.SetOutput(new(strings.Builder))
+	log.AddHook(Hook{Meter: m})
+	log.WithField("kind", "bundle_tampered").Warn("bundle refused")
+	log.WithField("event", "route").WithField("reason", "lowest_cost").Info("routing decision")
+	var text strings.Builder
+	is.NoErr(m.Write(&text))
+	want, err := os.ReadFile("testdata/export.txt")
+	is.NoErr(err)
+	is.Equal(text.String(), string(want))
+}
+
+func TestHandlerCountsAndKeepsFlushing(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	m := New()
+	answer := httptest.NewRecorder()
+	m.Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusTeapot)
+		_, _ = w.Write([]byte("a"))
+		w.(http.Flusher).Flush()
+	})).ServeHTTP(answer, httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/", nil))
+	is.True(answer.Flushed)
+	var text strings.Builder
+	is.NoErr(m.Write(&text))
+	is.True(strings.Contains(text.String(), `gentianstep_requests_total{status="418"} 1`))
+	is.True(strings.Contains(text.String(), "gentianstep_first_byte_seconds_count 1"))
+}
+
+func TestEveryMetricIsDocumented(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	page, err := os.ReadFile("../../../docs/METRICS.md")
+	is.NoErr(err)
+	for _, name := range Names() {
+		if !strings.Contains(string(page), "`"+string(name)+"`") {
+			t.Errorf("docs/METRICS.md lacks %s", name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/operating/meter/name.go
@@ -0,0 +1,62 @@
+package meter
+
+// Name is the name of a metric. The list is closed and docs/METRICS.md
+// describes each of them.
+type Name string
+
+// Names of metrics, with their units.
+const (
+	Requests           Name = "gentianstep_requests_total"
+	Failures           Name = "gentianstep_failures_total"
+	FirstByteSeconds   Name = "gentianstep_first_byte_seconds"
+	RequestSeconds     Name = "gentianstep_request_seconds"
+	RouteDecisions     Name = "gentianstep_route_decisions_total"
+	BundleVersion      Name = "gentianstep_bundle_version"
+	BundleSinceSeconds Name = "gentianstep_bundle_in_force_since_seconds"
+	Connections        Name = "gentianstep_connections"
+	ConnectionsRefused Name = "gentianstep_connections_refused_total"
+	Stopping           Name = "gentianstep_stopping"
+	Goroutines         Name = "gentianstep_goroutines"
+	HeapBytes          Name = "gentianstep_heap_bytes"
+)
+
+// form is how a metric is exported.
+type form string
+
+const (
+	counter form = "counter"
+	gauge   form = "gauge"
+	summary form = "summary"
+)
+
+// description is what is known of a metric beside its values.
+type description struct {
+	form form
+	help string
+	// label names the one label, empty for none.
+	label string
+}
+
+var descriptions = map[Name]description{
+	Requests:           {counter, "Requests of callers by HTTP status.", "status"},
+	Failures:           {counter, "Failures by error kind.", "kind"},
+	FirstByteSeconds:   {summary, "Seconds from a request's arrival to the first byte of its answer.", ""},
+	RequestSeconds:     {summary, "Seconds from a request's arrival to the end of its answer.", ""},
+	RouteDecisions:     {counter, "Routing decisions by reason.", "reason"},
+	BundleVersion:      {gauge, "Version of the bundle in force, 0 for none.", ""},
+	BundleSinceSeconds: {gauge, "Unix time in seconds at which the bundle came into force, 0 for none.", ""},
+	Connections:        {gauge, "Open connections by listener.", "listener"},
+	ConnectionsRefused: {counter, "Connections over the limit by listener.", "listener"},
+	Stopping:           {gauge, "1 while the process shuts down, else 0.", ""},
+	Goroutines:         {gauge, "Goroutines of the process.", ""},
+	HeapBytes:          {gauge, "Bytes of live and unswept heap.", ""},
+}
+
+// Names returns every name of a metric in no particular order.
+func Names() []Name {
+	names := make([]Name, 0, len(descriptions))
+	for name := range descriptions {
+		names = append(names, name)
+	}
+	return names
+}
--- a/internal/operating/starter/controller.go
+++ b/internal/operating/starter/controller.go
@@ -13,10 +13,10 @@
 	"gentianstep.example/gentianstep/internal/controlling/poller"
 	"gentianstep.example/gentianstep/internal/controlling/watcher"
 	"gentianstep.example/gentianstep/internal/operating/configurer"
+	"gentianstep.example/gentianstep/internal/operating/meter"
 	"gentianstep.example/gentianstep/internal/peering/connector"
 	"gentianstep.example/gentianstep/internal/peering/distributor"
 	"gentianstep.example/gentianstep/internal/peering/messenger"
-	"gentianstep.example/gentianstep/internal/platform/dialer"
 	"gentianstep.example/gentianstep/internal/upstream/observer"
 	"gentianstep.example/gentianstep/internal/upstream/reader"
 )
@@ -36,29 +36,63 @@
 
 // Controller runs a controller until ctx ends.
 func Controller(ctx context.Context, settings *configurer.Settings, log *logrus.Entry) error {
-	c := newControl(settings, log)
-	peers, err := listen(ctx, "peers", settings.Controller.PeerAddress, c.peerHandler())
+	certificates, err := newCertifiers(settings, log)
 	if err != nil {
 		return err
 	}
-	operators, err := listen(ctx, "operators", settings.Controller.OperatorAddress, statusHandler(settings, c.bundles))
+	c := newControl(settings, certificates, log)
+	g := &gate{}
+	m := meter.New()
+	log.Logger.AddHook(meter.Hook{Meter: m})
+	peers, err := listen(ctx, serverConfig{
+		name:           "peers",
+		address:        settings.Controller.PeerAddress,
+		handler:        limited(c.peerHandler(), log),
+		maxConnections: settings.Controller.MaxConnections,
+		certifier:      certificates.processes,
+		meter:          m,
+	})
+	if err != nil {
+		return err
+	}
+	o := &operators{settings: settings, bundles: c.bundles, gate: g, meter: m}
+	operatorServer, err := listen(ctx, serverConfig{
+		name:           "operators",
+		address:        settings.Controller.OperatorAddress,
+		handler:        limited(o.handler(), log),
+		maxConnections: maxOperatorConnections,
+		meter:          m,
+	})
 	if err != nil {
 		return err
 	}
 	log.WithField("address", settings.Controller.PeerAddress).Info("controller started")
-	return serve(ctx, []*server{peers, operators},
+	l := lifecycle{
+		gate:      g,
+		front:     peers,
+		operators: operatorServer,
+		loops:     c.loops(),
+		timeout:   operatorsTimeout,
+		log:       log,
+	}
+	return l.run(ctx)
+}
+
+// loops returns what a controller runs beside its servers.
+func (c *control) loops() []func(context.Context) {
+	return []func(context.Context){
 		c.watch.Run,
 		c.spread.Run,
 		c.coordinator.Run,
 		c.poll.Run,
 		c.runPeers,
 		(&bundleFeed{holder: c.bundles, take: c.coordinator.Bundle}).run,
-	)
+	}
 }
 
-func newControl(settings *configurer.Settings, log *logrus.Entry) *control {
+func newControl(settings *configurer.Settings, certificates certifiers, log *logrus.Entry) *control {
 	c := &control{settings: settings, log: log}
-	c.client = &http.Client{Transport: newTransport()}
+	c.client = &http.Client{Transport: newRoundTripper(certificates.upstreams)}
 	c.bundles = holder.New(holder.Config{Verifier: settings.Verifier()})
 	c.spread = distributor.New(distributor.Config{
 		Hello:     hello(settings, messenger.Controller),
@@ -72,7 +106,7 @@
 			Holder:    c.bundles,
 			OnDown:    func(peer messenger.Hello) { c.coordinator.Lost(peer.Node) },
 			OnMessage: c.fromPeer,
-			Client:    c.client,
+			Client:    &http.Client{Transport: newRoundTripper(certificates.processes)},
 			Log:       log,
 		},
 		OnMembers: c.members,
@@ -90,7 +124,7 @@
 		Log:       log,
 	})
 	c.watch = watcher.New(watcher.Config{
-		Store:  dialer.New(dialer.Config{Address: settings.Platform.Address, Client: c.client}),
+		Store:  newPlatform(settings, certificates),
 		Key:    publisher.HeadKey(settings.Deployment),
 		Holder: c.bundles,
 		Log:    log,
--- a/internal/operating/starter/router.go
+++ b/internal/operating/starter/router.go
@@ -10,6 +10,9 @@
 
 	"gentianstep.example/gentianstep/internal/bundle/holder"
 	"gentianstep.example/gentianstep/internal/operating/configurer"
+	"gentianstep.example/gentianstep/internal/operating/explainer"
+	"gentianstep.example/gentianstep/internal/operating/limiter"
+	"gentianstep.example/gentianstep/internal/operating/meter"
 	"gentianstep.example/gentianstep/internal/peering/connector"
 	"gentianstep.example/gentianstep/internal/peering/inquirer"
 	"gentianstep.example/gentianstep/internal/peering/messenger"
@@ -19,6 +22,9 @@
 	"gentianstep.example/gentianstep/internal/upstream/caller"
 )
 
+// keptDecisions is the number of routing decisions that a router can explain.
+const keptDecisions = 4096
+
 // router is a router with its parts.
 type router struct {
 	bundles  *holder.Holder
@@ -31,27 +37,75 @@
 
 // Router runs a router until ctx ends and its streams are done.
 func Router(ctx context.Context, settings *configurer.Settings, log *logrus.Entry) error {
-	r := newRouter(settings, log)
+	certificates, err := newCertifiers(settings, log)
+	if err != nil {
+		return err
+	}
+	r := newRouter(settings, certificates, log)
 	handler, err := r.receive.Handler()
 	if err != nil {
 		return err
 	}
-	callers, err := listen(ctx, "callers", settings.Router.CallerAddress, handler)
+	g := &gate{}
+	m := meter.New()
+	decisions := explainer.New(explainer.Config{Size: keptDecisions})
+	log.Logger.AddHook(meter.Hook{Meter: m})
+	log.Logger.AddHook(decisions)
+	callers, err := listen(ctx, serverConfig{
+		name:           "callers",
+		address:        settings.Router.CallerAddress,
+		handler:        callerHandler(settings, g, m, handler, log),
+		maxConnections: settings.Router.MaxConnections,
+		certifier:      certificates.callers,
+		meter:          m,
+	})
 	if err != nil {
 		return err
 	}
-	operators, err := listen(ctx, "operators", settings.Router.OperatorAddress, statusHandler(settings, r.bundles))
+	o := &operators{settings: settings, bundles: r.bundles, gate: g, meter: m, decisions: decisions}
+	operatorServer, err := listen(ctx, serverConfig{
+		name:           "operators",
+		address:        settings.Router.OperatorAddress,
+		handler:        limited(o.handler(), log),
+		maxConnections: maxOperatorConnections,
+		meter:          m,
+	})
 	if err != nil {
 		return err
 	}
 	log.WithField("address", settings.Router.CallerAddress).Info("router started")
-	return serve(ctx, []*server{callers, operators},
+	l := lifecycle{
+		gate:      g,
+		front:     callers,
+		operators: operatorServer,
+		loops:     r.loops(),
+		delay:     settings.Router.DrainDelay.Std(),
+		timeout:   settings.Router.DrainTimeout.Std(),
+		log:       log,
+	}
+	return l.run(ctx)
+}
+
+// callerHandler puts the limits and metrics of the callers' listener around
+// the handler of requests.
+func callerHandler(settings *configurer.Settings, g *gate, m *meter.Meter, next http.Handler, log *logrus.Entry) http.Handler {
+	limited := limiter.NewHandler(limiter.HandlerConfig{
+		Next:        next,
+		BodyTimeout: settings.Router.BodyTimeout.Std(),
+		Log:         log,
+	})
+	return m.Handler(g.handler(limited))
+}
+
+// loops returns what a router runs beside its servers.
+func (r *router) loops() []func(context.Context) {
+	return []func(context.Context){
 		r.feed.Run,
 		(&bundleFeed{holder: r.bundles, take: r.choose.Bundle}).run,
-	)
+	}
 }
 
-func newRouter(settings *configurer.Settings, log *logrus.Entry) *router {
+func newRouter(settings *configurer.Settings, certificates certifiers, log *logrus.Entry) *router {
 	r := &router{}
 	r.bundles = holder.New(holder.Config{Verifier: settings.Verifier()})
 	r.feed = connector.New(connector.Config{
@@ -59,7 +113,7 @@
 		Addresses: controllers(settings),
 		Holder:    r.bundles,
 		OnMessage: r.fromController,
-		Client:    &http.Client{Transport: newTransport()},
+		Client:    &http.Client{Transport: newRoundTripper(certificates.processes)},
 		Log:       log,
 	})
 	r.inquire = inquirer.New(inquirer.Config{Send: r.feed.Send})
@@ -71,7 +125,7 @@
 		Log:              log,
 	})
 	r.dispatch = dispatcher.New(dispatcher.Config{
-		Caller:  caller.New(caller.Config{Transport: newTransport()}),
+		Caller:  caller.New(caller.Config{Transport: newRoundTripper(certificates.upstreams)}),
 		Chooser: r.choose,
 		Log:     log,
 	})
--- a/internal/operating/starter/server.go
+++ b/internal/operating/starter/server.go
@@ -3,12 +3,19 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
 	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"gentianstep.example/gentianstep/internal/operating/certifier"
+	"gentianstep.example/gentianstep/internal/operating/limiter"
+	"gentianstep.example/gentianstep/internal/operating/meter"
 )
 
 const (
@@ -17,6 +24,19 @@
 	maxHeader     = 32 << 10
 )
 
+// serverConfig holds what a server is built from.
+type serverConfig struct {
+	// name labels the listener in errors and metrics.
+	name    string
+	address netip.AddrPort
+	handler http.Handler
+	// maxConnections bounds the open connections.
+	maxConnections int
+	// certifier encrypts the connections; nil leaves them plain.
+	certifier *certifier.Certifier
+	meter     *meter.Meter
+}
+
 // server is one listener with its handler.
 type server struct {
 	name     string
@@ -24,23 +44,38 @@
 	http     *http.Server
 }
 
-func listen(ctx context.Context, name string, address netip.AddrPort, handler http.Handler) (*server, error) {
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address.String())
+func listen(ctx context.Context, cfg serverConfig) (*server, error) {
+	plain, err := (&net.ListenConfig{}).Listen(ctx, "tcp", cfg.address.String())
 	if err != nil {
-		return nil, fmt.Errorf("listen for %s: %w", name, err)
+		return nil, fmt.Errorf("listen for %s: %w", cfg.name, err)
+	}
+	var listener net.Listener = limiter.NewListener(limiter.ListenerConfig{
+		Listener: plain,
+		Name:     cfg.name,
+		Limit:    cfg.maxConnections,
+		Meter:    cfg.meter,
+	})
+	if cfg.certifier != nil {
+		listener = tls.NewListener(listener, cfg.certifier.Server())
 	}
 	return &server{
-		name:     name,
+		name:     cfg.name,
 		listener: listener,
 		http: &http.Server{
-			Handler:           handler,
+			Handler:           cfg.handler,
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    maxHeader,
+			ConnContext:       limiter.ConnContext,
 		},
 	}, nil
 }
 
+// limited puts the limits of a listener for peers or operators around next.
+func limited(next http.Handler, log *logrus.Entry) http.Handler {
+	return limiter.NewHandler(limiter.HandlerConfig{Next: next, BodyTimeout: headerTimeout, Log: log})
+}
+
 // run serves until the server is shut down.
 func (s *server) run() error {
 	err := s.http.Serve(s.listener)
@@ -49,3 +84,18 @@
 	}
 	return fmt.Errorf("serve %s: %w", s.name, err)
 }
+
+// shutdown stops accepting and waits for open requests; after timeout it cuts
+// them and says so.
+func (s *server) shutdown(timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	err := s.http.Shutdown(ctx)
+	if err != nil {
+		s.close()
+	}
+	return err
+}
+
+// close cuts everything at once.
+func (s *server) close() { _ = s.http.Close() }
--- /dev/null
+++ b/internal/operating/starter/stop_test.go
@@ -0,0 +1,149 @@
+package starter_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gentianstep.example/gentianstep/internal/bundle/checker"
+	"gentianstep.example/gentianstep/internal/operating/configurer"
+	"gentianstep.example/gentianstep/internal/testing/launcher"
+)
+
+const (
+	// noticeInterval is how late the balancer sees that a router is not ready.
+	noticeInterval = 700 * time.Millisecond
+	testDrainDelay = 2 * time.Second
+	stopTimeout    = 30 * time.Second
+	longStream     = 100
+	callers        = 12
+)
+
+// balancer hands out the routers that were ready when it last looked.
+type balancer struct {
+	d *launcher.Deployment
+
+	mu    sync.Mutex
+	ready []string
+	next  int
+}
+
+func (b *balancer) run(ctx context.Context) {
+	ticker := time.NewTicker(noticeInterval)
+	defer ticker.Stop()
+	for {
+		b.look(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (b *balancer) look(ctx context.Context) {
+	var ready []string
+	for i, vm := range b.d.VMs {
+		if launcher.Answers(ctx, "http://"+vm.Settings.Router.OperatorAddress.String()+"/ready") {
+			ready = append(ready, b.d.URL(i, ""))
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ready = ready
+}
+
+func (b *balancer) pick() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.next++
+	return b.ready[b.next%len(b.ready)]
+}
+
+func (b *balancer) sees(base string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, ready := range b.ready {
+		if ready == base {
+			return true
+		}
+	}
+	return false
+}
+
+// load sends streams through a balancer until its context ends.
+type load struct {
+	b      *balancer
+	mu     sync.Mutex
+	whole  int
+	failed []error
+}
+
+func (l *load) run(ctx context.Context) {
+	client := newClient()
+	defer client.CloseIdleConnections()
+	for ctx.Err() == nil {
+		err := complete(context.WithoutCancel(ctx), client, l.b.pick(), longStream)
+		l.mu.Lock()
+		if err != nil {
+			l.failed = append(l.failed, err)
+		} else {
+			l.whole++
+		}
+		l.mu.Unlock()
+	}
+}
+
+func TestPlannedStopCutsNoRequest(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := launcher.Deploy(t, launcher.Shape{
+		VMs:     3,
+		Engines: 3, Services: 1,
+		Settings: func(_ int, s *configurer.Settings) {
+			s.Router.DrainDelay = checker.Duration(testDrainDelay)
+		},
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	b := &balancer{d: d}
+	b.look(ctx)
+	l := &load{b: b}
+	var wg sync.WaitGroup
+	wg.Go(func() { b.run(ctx) })
+	for range callers {
+		wg.Go(func() { l.run(ctx) })
+	}
+	for i := range d.VMs {
+		stopRouter(t, d, i)
+		d.StartRouter(i)
+		d.WaitReady(d.VMs[i])
+		launcher.Until(t, stopTimeout, "balancer sees the router", func() bool { return b.sees(d.URL(i, "")) })
+	}
+	cancel()
+	wg.Wait()
+	t.Logf("%d streams whole, %d failed", l.whole, len(l.failed))
+	is.True(l.whole > 0)
+	is.Equal(l.failed, nil) // no stream was cut or refused
+}
+
+// stopRouter asks the router of VM i to stop and waits for its end.
+func stopRouter(t *testing.T, d *launcher.Deployment, i int) {
+	t.Helper()
+	router := d.VMs[i].Router
+	router.Terminate()
+	launcher.Until(t, stopTimeout, "router ends", func() bool {
+		select {
+		case <-router.Ended():
+			return true
+		default:
+			return false
+		}
+	})
+	if err := router.Err(); err != nil {
+		t.Errorf("router %d: %v\n%s", i, err, router.Output())
+	}
+}
--- /dev/null
+++ b/internal/operating/starter/transport.go
@@ -0,0 +1,88 @@
+package starter
+
+import (
+	"net/http"
+
+	"github.com/sirupsen/logrus"
+
+	"gentianstep.example/gentianstep/internal/operating/certifier"
+	"gentianstep.example/gentianstep/internal/operating/configurer"
+)
+
+// maxIdlePerHost bounds the connections kept open to one other process.
+const maxIdlePerHost = 64
+
+// newTransport returns a transport that encrypts with c, or with nothing.
+func newTransport(c *certifier.Certifier) *http.Transport {
+	t := &http.Transport{
+		MaxIdleConnsPerHost: maxIdlePerHost,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+	if c != nil {
+		t.DialTLSContext = c.DialContext
+	}
+	return t
+}
+
+// encrypting turns requests for http into requests for https, so that the
+// packages that build addresses need not know of encryption.
+type encrypting struct {
+	next http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (e encrypting) RoundTrip(r *http.Request) (*http.Response, error) {
+	target := *r.URL
+	target.Scheme = "https"
+	encrypted := *r
+	encrypted.URL = &target
+	return e.next.RoundTrip(&encrypted)
+}
+
+// newRoundTripper returns a transport for plain addresses that encrypts where
+// c is given.
+func newRoundTripper(c *certifier.Certifier) http.RoundTripper {
+	if c == nil {
+		return newTransport(nil)
+	}
+	return encrypting{next: newTransport(c)}
+}
+
+// certifiers are the certificates of each part of the settings, nil for none.
+type certifiers struct {
+	callers   *certifier.Certifier
+	processes *certifier.Certifier
+	platform  *certifier.Certifier
+	upstreams *certifier.Certifier
+}
+
+func newCertifiers(settings *configurer.Settings, log *logrus.Entry) (certifiers, error) {
+	var c certifiers
+	files := settings.TLS
+	parts := []struct {
+		to  **certifier.Certifier
+		cfg certifier.Config
+	}{
+		{&c.callers, certifier.Config{CertificateFile: files.Callers.CertificateFile, KeyFile: files.Callers.KeyFile}},
+		{&c.processes, certifier.Config{
+			CertificateFile: files.Processes.CertificateFile,
+			KeyFile:         files.Processes.KeyFile,
+			CAFile:          files.Processes.CAFile,
+		}},
+		{&c.platform, certifier.Config{CAFile: files.Platform.CAFile}},
+		{&c.upstreams, certifier.Config{CAFile: files.Upstreams.CAFile}},
+	}
+	for _, part := range parts {
+		if part.cfg == (certifier.Config{}) {
+			continue
+		}
+		part.cfg.Log = log
+		made, err := certifier.New(part.cfg)
+		if err != nil {
+			return certifiers{}, err
+		}
+		*part.to = made
+	}
+	return c, nil
+}
--- a/internal/serving/receiver/receiver.go
+++ b/internal/serving/receiver/receiver.go
@@ -2,9 +2,11 @@
 package receiver
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 
 	"github.com/google/uuid"
@@ -86,8 +88,14 @@
 
 func readBody(ctx iris.Context) ([]byte, error) {
 	body, err := io.ReadAll(http.MaxBytesReader(ctx.ResponseWriter(), ctx.Request().Body, maxBodyBytes))
-	if err != nil {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.As(err, &tooLarge):
 		return nil, classifier.Wrap(classifier.TooLarge, err, "the body is over %d bytes", maxBodyBytes)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, classifier.Wrap(classifier.CallerTooSlow, err, "the body did not arrive in time")
 	}
-	return body, nil
+	return nil, classifier.Wrap(classifier.CallerGone, err, "the body did not arrive")
 }
--- a/internal/testing/launcher/deployment.go
+++ b/internal/testing/launcher/deployment.go
@@ -1,6 +1,7 @@
 package launcher
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -63,6 +64,8 @@
 	EngineArgs []string
 	// Change alters the bundle before it is signed.
 	Change func(b *checker.Bundle)
+	// Settings alters the settings of VM i before they are written.
+	Settings func(i int, s *configurer.Settings)
 }
 
 // Deploy starts a deployment and waits until its routers are ready.
@@ -81,7 +84,7 @@
 		shape.Change(&d.Bundle)
 	}
 	d.makeKey()
-	d.prepareVMs(shape.VMs)
+	d.prepareVMs(shape)
 	for i := range d.VMs {
 		d.StartController(i)
 		d.StartRouter(i)
@@ -122,8 +125,8 @@
 	d.t.Helper()
 	plain, signed := d.versionPath("bundle"), d.versionPath("signed")
 	d.writeJSON(plain, d.Bundle)
-	d.command("sign", "--bundle", plain, "--key", filepath.Join(d.dir, "ops-1.key"), "--out", signed)
-	d.command("publish", "--bundle", signed, "--settings", d.VMs[0].SettingsPath)
+	d.command("bundle", "sign", "--bundle", plain, "--key", filepath.Join(d.dir, "ops-1.key"), "--out", signed)
+	d.command("bundle", "publish", "--bundle", signed, "--settings", d.VMs[0].SettingsPath)
 }
 
 func (d *Deployment) startPlatform() {
@@ -160,15 +163,15 @@
 
 func (d *Deployment) makeKey() {
 	d.t.Helper()
-	text := d.command("keys", "--id", "ops-1", "--out", filepath.Join(d.dir, "ops-1.key"))
+	text := d.command("keys", "new", "--id", "ops-1", "--out", filepath.Join(d.dir, "ops-1.key"))
 	if err := json.Unmarshal(text, &d.key); err != nil {
 		d.t.Fatalf("public key %q: %v", text, err)
 	}
 }
 
-func (d *Deployment) prepareVMs(n int) {
-	peers := make([]netip.AddrPort, 0, n)
-	for range n {
+func (d *Deployment) prepareVMs(shape Shape) {
+	peers := make([]netip.AddrPort, 0, shape.VMs)
+	for range shape.VMs {
 		peers = append(peers, FreeAddress(d.t))
 	}
 	for i, peer := range peers {
@@ -186,6 +189,9 @@
 				Log:              configurer.LogSettings{Format: "json", Level: "info"},
 			},
 		}
+		if shape.Settings != nil {
+			shape.Settings(i, &vm.Settings)
+		}
 		d.writeJSON(vm.SettingsPath, vm.Settings)
 		d.VMs = append(d.VMs, vm)
 	}
@@ -205,9 +211,11 @@
 func (d *Deployment) command(args ...string) []byte {
 	d.t.Helper()
 	command := exec.CommandContext(d.t.Context(), d.Programs.Gentianstep, args...)
+	var stderr bytes.Buffer
+	command.Stderr = &stderr
 	out, err := command.Output()
 	if err != nil {
-		d.t.Fatalf("gentianstep %v: %v\n%s", args, err, out)
+		d.t.Fatalf("gentianstep %v: %v\n%s", args, err, stderr.String())
 	}
 	return out
 }
