--- a/internal/operating/starter/caller_test.go
+++ b/internal/operating/starter/caller_test.go
@@ -84,3 +84,12 @@
 	t.Helper()
 	return context.WithTimeout(t.Context(), limit)
 }
+
+func contains(text []byte, parts ...string) bool {
+	for _, part := range parts {
+		if !strings.Contains(string(text), part) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/operating/starter/tls_test.go
@@ -0,0 +1,57 @@
+package starter_test
+
+import (
+	"crypto/tls"
+	"net/http"
+	"net/netip"
+	"os/exec"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"gentianstep.example/gentianstep/internal/operating/configurer"
+	"gentianstep.example/gentianstep/internal/testing/issuer"
+	"gentianstep.example/gentianstep/internal/testing/launcher"
+)
+
+func TestEncryptedDeployment(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	dir := t.TempDir()
+	loopback := netip.MustParseAddr("127.0.0.1")
+	processes, front := issuer.New(t, dir, "processes"), issuer.New(t, dir, "front")
+	stranger := issuer.New(t, dir, "stranger")
+	process, caller := processes.Issue("process", loopback), front.Issue("caller", loopback)
+	wrong := stranger.Issue("wrong", loopback)
+	d := launcher.Deploy(t, launcher.Shape{
+		VMs:      3,
+		Engines:  1,
+		Services: 1,
+		Settings: func(i int, s *configurer.Settings) {
+			s.TLS.Callers = configurer.ServerFiles{CertificateFile: caller.Certificate, KeyFile: caller.Key}
+			s.TLS.Processes = configurer.ProcessFiles{
+				CertificateFile: process.Certificate,
+				KeyFile:         process.Key,
+				CAFile:          processes.File,
+			}
+			if i == 2 {
+				s.TLS.Processes.CertificateFile = wrong.Certificate
+				s.TLS.Processes.KeyFile = wrong.Key
+				s.TLS.Processes.CAFile = stranger.File
+			}
+		},
+	})
+	client := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: front.Pool(), MinVersion: tls.VersionTLS12}}}
+	base := "https://" + d.VMs[0].Settings.Router.CallerAddress.String()
+	is.NoErr(complete(t.Context(), client, base, 3))
+	is.True(complete(t.Context(), newClient(), d.URL(0, ""), 3) != nil) // no caller is served unencrypted
+	status := exec.CommandContext(t.Context(), d.Programs.Gentianstep, "status", "--settings", d.VMs[0].SettingsPath)
+	table, err := status.CombinedOutput()
+	is.True(err != nil)
+	is.True(contains(table, "vm-0", "router"))
+	is.True(contains(table, "vm-1", "router"))
+	is.True(contains(table, "no answer", "certificate")) // the VM of another authority is not trusted
+	status = exec.CommandContext(t.Context(), d.Programs.Gentianstep, "status", "--settings", d.VMs[2].SettingsPath)
+	table, _ = status.CombinedOutput()
+	is.True(!contains(table, "vm-0")) // nor does it learn anything of the others
+}
