--- a/internal/operating/limiter/handler.go
+++ b/internal/operating/limiter/handler.go
@@ -4,8 +4,6 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
-	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -55,30 +53,12 @@
 		return
 	}
 	if r.Body != nil && r.Body != http.NoBody {
-		control := http.NewResponseController(w)
-		if control.SetReadDeadline(time.Now().Add(h.cfg.BodyTimeout)) == nil {
-			r.Body = &timedBody{ReadCloser: r.Body, control: control}
-		}
+		// The server takes the deadline away when the body is whole.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(h.cfg.BodyTimeout))
 	}
 	h.cfg.Next.ServeHTTP(w, r)
 }
 
-// timedBody takes the read deadline away once the body is whole: past it the
-// server would take the caller for gone and cancel a stream that goes on.
-type timedBody struct {
-	io.ReadCloser
-	control *http.ResponseController
-}
-
-// Read implements io.Reader.
-func (b *timedBody) Read(data []byte) (int, error) {
-	n, err := b.ReadCloser.Read(data)
-	if errors.Is(err, io.EOF) {
-		_ = b.control.SetReadDeadline(time.Time{})
-	}
-	return n, err
-}
-
 // refusal is the body of an error answer, as the other answers of a router.
 type refusal struct {
 	Error refusalDetail `json:"error"`
--- a/internal/standin/hoster/plan.go
+++ b/internal/standin/hoster/plan.go
@@ -14,10 +14,10 @@
 
 // Port offsets from the base port of a plan.
 const (
-	platformPort   = 0
-	hosterPort     = 1
-	firstVMPort    = 10
-	portsPerVM     = 10
+	platformPort    = 0
+	hosterPort      = 1
+	firstVMPort     = 10
+	portsPerVM      = 10
 	firstEnginePort = 200
 )
 
