Give every test process its own loopback address

Cause: tests took a free port, closed it and handed it to a process; other packages' tests and outgoing connections could take it in between (seen once: TestLimits, router not ready within 20 s). Change: addresses are made from the process id, ports from below the range of outgoing connections.

--- a/internal/operating/starter/tls_test.go
+++ b/internal/operating/starter/tls_test.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/tls"
 	"net/http"
-	"net/netip"
 	"os/exec"
 	"testing"
 
@@ -18,7 +17,7 @@
 	t.Parallel()
 	is := is.New(t)
 	dir := t.TempDir()
-	loopback := netip.MustParseAddr("127.0.0.1")
+	loopback := launcher.Host()
 	processes, front := issuer.New(t, dir, "processes"), issuer.New(t, dir, "front")
 	stranger := issuer.New(t, dir, "stranger")
 	process, caller := processes.Issue("process", loopback), front.Issue("caller", loopback)
--- a/internal/testing/launcher/wait.go
+++ b/internal/testing/launcher/wait.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -42,13 +44,36 @@
 	return response.StatusCode == http.StatusOK
 }
 
+const (
+	// firstPort is the first port that tests use. It lies below the ports
+	// that outgoing connections take.
+	firstPort = 10000
+	lastPort  = 30000
+)
+
+// ports counts the ports that this process gave out.
+var ports atomic.Uint32
+
+// Host returns a loopback address that no other running test process uses: it
+// is made from the process id.
+func Host() netip.Addr {
+	id := os.Getpid()
+	return netip.AddrFrom4([4]byte{127, byte(64 + id>>16&63), byte(id >> 8), byte(id)})
+}
+
 // FreeAddress returns a loopback address that nothing listens on.
 func FreeAddress(t testing.TB) netip.AddrPort {
 	t.Helper()
-	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range lastPort - firstPort {
+		port := firstPort + ports.Add(1)%(lastPort-firstPort)
+		address := netip.AddrPortFrom(Host(), uint16(port))
+		listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", address.String())
+		if err != nil {
+			continue
+		}
+		_ = listener.Close()
+		return address
 	}
-	defer func() { _ = listener.Close() }()
-	return netip.MustParseAddrPort(listener.Addr().String())
+	t.Fatal("no free address")
+	return netip.AddrPort{}
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -6,6 +6,7 @@
 BIN=${BIN:-bin}
 DIR=$(mktemp -d)
 PIDS=()
+HOST=${HOST:-127.0.0.1}
 BASE_PORT=${BASE_PORT:-21000}
 STEP="start"
 
@@ -48,7 +49,7 @@
 
 STEP="write settings"
 PEERS=""
-for i in 1 2 3; do PEERS+="\"127.0.0.1:$(port $((10 * i + 2)))\","; done
+for i in 1 2 3; do PEERS+="\"$HOST:$(port $((10 * i + 2)))\","; done
 for i in 1 2 3; do
   cat >"$DIR/vm-$i.json" <<SETTINGS
 {
@@ -56,9 +57,9 @@
   "node": "vm-$i",
   "region": "${REGIONS[i - 1]}",
   "availability_zone": "${REGIONS[i - 1]}1",
-  "router": {"caller_address": "127.0.0.1:$(port $((10 * i)))", "operator_address": "127.0.0.1:$(port $((10 * i + 1)))"},
-  "controller": {"peer_address": "127.0.0.1:$(port $((10 * i + 2)))", "operator_address": "127.0.0.1:$(port $((10 * i + 3)))", "peers": [${PEERS%,}]},
-  "platform": {"address": "127.0.0.1:$(port 0)"},
+  "router": {"caller_address": "$HOST:$(port $((10 * i)))", "operator_address": "$HOST:$(port $((10 * i + 1)))"},
+  "controller": {"peer_address": "$HOST:$(port $((10 * i + 2)))", "operator_address": "$HOST:$(port $((10 * i + 3)))", "peers": [${PEERS%,}]},
+  "platform": {"address": "$HOST:$(port 0)"},
   "trust": {"bundle_keys": [$PUBLIC], "threshold": 1}
 }
 SETTINGS
@@ -68,9 +69,9 @@
 UPSTREAMS=""
 for i in 1 2 3; do
   for j in 1 2; do
-    UPSTREAMS+="{\"name\": \"tile-$i$j\", \"kind\": \"engine\", \"address\": \"127.0.0.1:$(port $((100 + 10 * i + j)))\", \"region\": \"${REGIONS[i - 1]}\", \"availability_zone\": \"${REGIONS[i - 1]}1\", \"models\": [\"tile-match\"], \"slots\": 8, \"checks_fencing\": true},"
+    UPSTREAMS+="{\"name\": \"tile-$i$j\", \"kind\": \"engine\", \"address\": \"$HOST:$(port $((100 + 10 * i + j)))\", \"region\": \"${REGIONS[i - 1]}\", \"availability_zone\": \"${REGIONS[i - 1]}1\", \"models\": [\"tile-match\"], \"slots\": 8, \"checks_fencing\": true},"
   done
-  UPSTREAMS+="{\"name\": \"desk-$i\", \"kind\": \"plain_service\", \"address\": \"127.0.0.1:$(port $((200 + i)))\", \"region\": \"${REGIONS[i - 1]}\", \"availability_zone\": \"${REGIONS[i - 1]}1\", \"slots\": 8, \"checks_fencing\": false},"
+  UPSTREAMS+="{\"name\": \"desk-$i\", \"kind\": \"plain_service\", \"address\": \"$HOST:$(port $((200 + i)))\", \"region\": \"${REGIONS[i - 1]}\", \"availability_zone\": \"${REGIONS[i - 1]}1\", \"slots\": 8, \"checks_fencing\": false},"
 done
 cat >"$DIR/bundle.json" <<BUNDLE
 {
@@ -96,33 +97,33 @@
 BUNDLE
 
 STEP="start stand-ins"
-start platform "$BIN/standin" platform --address "127.0.0.1:$(port 0)"
+start platform "$BIN/standin" platform --address "$HOST:$(port 0)"
 for i in 1 2 3; do
   for j in 1 2; do
-    start "engine-$i$j" "$BIN/standin" engine --name "tile-$i$j" --address "127.0.0.1:$(port $((100 + 10 * i + j)))"
+    start "engine-$i$j" "$BIN/standin" engine --name "tile-$i$j" --address "$HOST:$(port $((100 + 10 * i + j)))"
   done
-  start "desk-$i" "$BIN/standin" service --name "desk-$i" --address "127.0.0.1:$(port $((200 + i)))"
+  start "desk-$i" "$BIN/standin" service --name "desk-$i" --address "$HOST:$(port $((200 + i)))"
 done
 STEP="start routers and controllers"
 for i in 1 2 3; do
   start "controller-$i" "$BIN/gentianstep" controller --settings "$DIR/vm-$i.json"
   start "router-$i" "$BIN/gentianstep" router --settings "$DIR/vm-$i.json"
 done
-wait_for "http://127.0.0.1:$(port 0)/v1/vms"
+wait_for "http://$HOST:$(port 0)/v1/vms"
 
 STEP="sign and publish the bundle"
 "$BIN/gentianstep" bundle sign --bundle "$DIR/bundle.json" --key "$DIR/ops-1.key" --out "$DIR/signed.json"
 "$BIN/gentianstep" bundle publish --bundle "$DIR/signed.json" --settings "$DIR/vm-1.json"
 for i in 1 2 3; do
-  wait_for "http://127.0.0.1:$(port $((10 * i + 1)))/ready"
-  curl -fsS "http://127.0.0.1:$(port $((10 * i + 1)))/status"
+  wait_for "http://$HOST:$(port $((10 * i + 1)))/ready"
+  curl -fsS "http://$HOST:$(port $((10 * i + 1)))/status"
 done
 
 SHEET=$(printf 'catalogue sheet, glazed wall tile, row %04d. ' $(seq 1 200))
 for i in 1 2; do
   STEP="streamed prompt $i"
   echo "--- streamed prompt $i"
-  curl -fsSN -H "Authorization: Bearer $CALLER_KEY" "http://127.0.0.1:$(port 10)/v1/completions" \
+  curl -fsSN -H "Authorization: Bearer $CALLER_KEY" "http://$HOST:$(port 10)/v1/completions" \
     -d "{\"model\": \"tile-match\", \"prompt\": \"$SHEET match photo $i\", \"max_tokens\": 8, \"stream\": true}" >"$DIR/answer"
   grep -q 'data: \[DONE\]' "$DIR/answer"
   tail -n 4 "$DIR/answer"
@@ -130,7 +131,7 @@
 STEP="sample order"
 echo "--- sample order"
 curl -fsS -H "Authorization: Bearer $CALLER_KEY" -H "Idempotency-Key: order-1" \
-  "http://127.0.0.1:$(port 10)/v1/services/sample-desk/orders" -d '{"tile": "T-100"}'
+  "http://$HOST:$(port 10)/v1/services/sample-desk/orders" -d '{"tile": "T-100"}'
 STEP="read the decisions"
 echo "--- routing decisions"
 grep -h '"event":"route"' "$DIR"/router-*.log
