--- a/cmd/standin/engine.go
+++ b/cmd/standin/engine.go
@@ -8,6 +8,7 @@
 
 	"github.com/integrii/flaggy"
 
+	"gentianstep.example/gentianstep/internal/standin/disrupter"
 	"gentianstep.example/gentianstep/internal/standin/generator"
 	"gentianstep.example/gentianstep/internal/upstream/observer"
 )
@@ -41,7 +42,7 @@
 		}
 		cfg.Models = loaded
 		cfg.Incarnation = uint64(time.Now().UnixNano())
-		return serve(ctx, address, generator.Handler(generator.New(cfg)))
+		return serve(ctx, address, disrupter.New(generator.Handler(generator.New(cfg))))
 	}}
 }
 
--- a/cmd/standin/service.go
+++ b/cmd/standin/service.go
@@ -5,6 +5,7 @@
 
 	"github.com/integrii/flaggy"
 
+	"gentianstep.example/gentianstep/internal/standin/disrupter"
 	"gentianstep.example/gentianstep/internal/standin/recorder"
 )
 
@@ -16,6 +17,6 @@
 	parser.String(&address, "a", "address", "IP number and port to listen on.")
 	parser.String(&name, "n", "name", "Name of the service.")
 	return command{parser: parser, run: func(ctx context.Context) error {
-		return serve(ctx, address, recorder.New(name))
+		return serve(ctx, address, disrupter.New(recorder.New(name)))
 	}}
 }
--- a/internal/standin/disrupter/disrupter.go
+++ b/internal/standin/disrupter/disrupter.go
@@ -56,7 +56,7 @@
 	}
 	out := &writer{ResponseWriter: w, request: r, fault: f}
 	if f.Place == AfterRun {
-		d.next.ServeHTTP(discarded(), r)
+		d.next.ServeHTTP(discard{header: make(http.Header)}, r)
 		out.act()
 		return
 	}
--- a/internal/standin/disrupter/writer.go
+++ b/internal/standin/disrupter/writer.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"net/http/httptest"
 	"strings"
 
 	"gentianstep.example/gentianstep/internal/streaming/encoder"
@@ -130,5 +129,16 @@
 	}
 }
 
-// discarded returns a writer whose answer goes nowhere.
-func discarded() http.ResponseWriter { return httptest.NewRecorder() }
+// discard is a writer whose answer goes nowhere.
+type discard struct {
+	header http.Header
+}
+
+// Header implements http.ResponseWriter.
+func (d discard) Header() http.Header { return d.header }
+
+// Write implements http.ResponseWriter.
+func (d discard) Write(data []byte) (int, error) { return len(data), nil }
+
+// WriteHeader implements http.ResponseWriter.
+func (d discard) WriteHeader(int) {}
--- a/internal/testing/launcher/deployment.go
+++ b/internal/testing/launcher/deployment.go
@@ -1,6 +1,7 @@
 package launcher
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -77,6 +78,9 @@
 	for i := range shape.Services {
 		d.startService(i)
 	}
+	if shape.Services == 0 {
+		d.Bundle.Services = nil
+	}
 	if shape.Change != nil {
 		shape.Change(&d.Bundle)
 	}
@@ -205,9 +209,11 @@
 func (d *Deployment) command(args ...string) []byte {
 	d.t.Helper()
 	command := exec.CommandContext(d.t.Context(), d.Programs.Gentianstep, args...)
+	var complaints bytes.Buffer
+	command.Stderr = &complaints
 	out, err := command.Output()
 	if err != nil {
-		d.t.Fatalf("gentianstep %v: %v\n%s", args, err, out)
+		d.t.Fatalf("gentianstep %v: %v\n%s", args, err, complaints.Bytes())
 	}
 	return out
 }
