--- a/internal/routing/selector/prefix_cost.go
+++ b/internal/routing/selector/prefix_cost.go
@@ -2,11 +2,14 @@
 
 import "time"
 
-// PrefixCost chooses the candidate with the lowest estimated cost.
+// PrefixCost chooses the candidate with the lowest estimated cost, the home of
+// the prompt where too few are known to hold it, and one of the near-equals.
 type PrefixCost struct {
 	cfg    Config
-	live   []int32
-	totals []time.Duration
+	field  field
+	ladder ladder
+	homes  []int32
+	equals []int32
 }
 
 // Name implements Policy.
@@ -17,36 +20,23 @@
 	if len(candidates) == 0 {
 		return Decision{Policy: namePrefixCost, Reason: ReasonNoCandidate}
 	}
-	p.live = live(p.live, candidates, p.cfg.MaxEjected)
-	price := newPricer(p.cfg.Selection, &r)
-	price.bestHeld = bestHeld(candidates, p.live, r.Region)
-	p.totals = p.totals[:0]
-	for _, i := range p.live {
-		p.totals = append(p.totals, price.cost(&candidates[i]).Total)
-	}
-	chosen := p.live[p.lowest(&price, candidates)]
-	d := outcome(&price, candidates, p.live, chosen)
+	p.field.fill(&r, candidates, p.cfg.MaxEjected)
+	price := newPricer(p.cfg.Selection, &r, p.field.bestHeld)
+	lowest := p.field.price(&price, candidates)
+	chosen, reason := p.choose(&price, candidates, lowest)
+	d := p.field.explain(&price, candidates, chosen)
 	d.Policy = namePrefixCost
-	d.Reason = ReasonLowestCost
-	d.Costs = cheapest(&price, candidates, p.live, p.totals, chosen)
+	d.Reason = reason
 	return d
 }
 
-// lowest returns the place in live of the lowest total. Another region has to
-// be cheaper than the own one by a margin.
-func (p *PrefixCost) lowest(price *pricer, candidates []Candidate) int {
-	local, remote := -1, -1
-	for at, i := range p.live {
-		best := &remote
-		if candidates[i].Region == price.request.Region {
-			best = &local
-		}
-		if *best < 0 || p.totals[at] < p.totals[*best] {
-			*best = at
+// choose returns the place of the chosen option and the reason. The lowest total
+// is at the place lowest.
+func (p *PrefixCost) choose(price *pricer, candidates []Candidate, lowest int) (int, string) {
+	if p.wantsHome(price.request) {
+		if home, reason := p.home(price, candidates, lowest); home >= 0 {
+			return home, reason
 		}
 	}
-	if local < 0 || remote >= 0 && p.totals[remote]+price.margin() < p.totals[local] {
-		return remote
-	}
-	return local
+	return p.nearEqual(price, candidates, lowest)
 }
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -34,7 +34,7 @@
   PIDS+=($!)
 }
 
-PUBLIC=$("$BIN/gentianstep" keys --id ops-1 --out "$DIR/ops-1.key")
+PUBLIC=$("$BIN/gentianstep" keys new --id ops-1 --out "$DIR/ops-1.key")
 "$BIN/standin" plan --dir "$DIR" --workload "$WORKLOAD" --public-key "$PUBLIC" \
   --vms "$VMS" --base-port "$BASE_PORT" --policies "$POLICIES"
 start platform "$BIN/standin" platform --address "127.0.0.1:$BASE_PORT"
@@ -48,8 +48,8 @@
 version=0
 for policy in ${POLICIES//,/ }; do
   version=$((version + 1))
-  "$BIN/gentianstep" sign --bundle "$DIR/bundle-$version.json" --key "$DIR/ops-1.key" --out "$DIR/signed-$version.json"
-  "$BIN/gentianstep" publish --bundle "$DIR/signed-$version.json" --settings "$DIR/vm-1.json"
+  "$BIN/gentianstep" bundle sign --bundle "$DIR/bundle-$version.json" --key "$DIR/ops-1.key" --out "$DIR/signed-$version.json"
+  "$BIN/gentianstep" bundle publish --bundle "$DIR/signed-$version.json" --settings "$DIR/vm-1.json"
   sleep 2
   "$BIN/standin" load --plan "$DIR/plan.json" --policy "$policy" "$@" >>"$RESULTS"
 done
