--- a/internal/operating/starter/inspector.go
+++ b/internal/operating/starter/inspector.go
@@ -21,7 +21,7 @@
 	return inspector.New(inspector.Config{
 		Hello:     hello(settings, messenger.Operator),
 		Addresses: controllers(settings),
-		Client:    &http.Client{Transport: newRoundTripper(certificates.processes)},
+		Client:    &http.Client{Transport: newTransport(certificates.processes)},
 	}), nil
 }
 
@@ -35,7 +35,7 @@
 }
 
 func newPlatform(settings *configurer.Settings, certificates certifiers) *dialer.Dialer {
-	client := &http.Client{Transport: newRoundTripper(certificates.platform)}
+	client := &http.Client{Transport: newTransport(certificates.platform)}
 	return dialer.New(dialer.Config{Address: settings.Platform.Address, Client: client})
 }
 
--- a/internal/operating/starter/router.go
+++ b/internal/operating/starter/router.go
@@ -17,9 +17,9 @@
 	"gentianstep.example/gentianstep/internal/peering/inquirer"
 	"gentianstep.example/gentianstep/internal/peering/messenger"
 	"gentianstep.example/gentianstep/internal/serving/chooser"
+	"gentianstep.example/gentianstep/internal/serving/claimer"
 	"gentianstep.example/gentianstep/internal/serving/dispatcher"
 	"gentianstep.example/gentianstep/internal/serving/receiver"
-	"gentianstep.example/gentianstep/internal/upstream/caller"
 )
 
 // keptDecisions is the number of routing decisions that a router can explain.
@@ -113,7 +113,7 @@
 		Addresses: controllers(settings),
 		Holder:    r.bundles,
 		OnMessage: r.fromController,
-		Client:    &http.Client{Transport: newRoundTripper(certificates.processes)},
+		Client:    &http.Client{Transport: newTransport(certificates.processes)},
 		Log:       log,
 	})
 	r.inquire = inquirer.New(inquirer.Config{Send: r.feed.Send})
@@ -125,14 +125,20 @@
 		Log:              log,
 	})
 	r.dispatch = dispatcher.New(dispatcher.Config{
-		Caller:  caller.New(caller.Config{Transport: newRoundTripper(certificates.upstreams)}),
+		Caller:  newCaller(certificates.upstreams),
 		Chooser: r.choose,
+		Claims:  newClaimer(settings, certificates, log),
 		Log:     log,
 	})
 	r.receive = receiver.New(receiver.Config{Holder: r.bundles, Dispatcher: r.dispatch, Log: log})
 	return r
 }
 
+// newClaimer returns what claims idempotency keys in the platform's service.
+func newClaimer(settings *configurer.Settings, certificates certifiers, log *logrus.Entry) *claimer.Claimer {
+	return claimer.New(claimer.Config{Store: newPlatform(settings, certificates), Log: log})
+}
+
 // fromController takes a message of the controller.
 func (r *router) fromController(m messenger.Message) {
 	switch {
--- a/internal/operating/starter/transport.go
+++ b/internal/operating/starter/transport.go
@@ -7,12 +7,14 @@
 
 	"gentianstep.example/gentianstep/internal/operating/certifier"
 	"gentianstep.example/gentianstep/internal/operating/configurer"
+	"gentianstep.example/gentianstep/internal/upstream/caller"
 )
 
 // maxIdlePerHost bounds the connections kept open to one other process.
 const maxIdlePerHost = 64
 
-// newTransport returns a transport that encrypts with c, or with nothing.
+// newTransport returns a transport for plain addresses that encrypts with c,
+// or not at all where c is nil.
 func newTransport(c *certifier.Certifier) *http.Transport {
 	t := &http.Transport{
 		MaxIdleConnsPerHost: maxIdlePerHost,
@@ -20,33 +22,19 @@
 		DisableCompression:  true,
 	}
 	if c != nil {
-		t.DialTLSContext = c.DialContext
+		t.DialContext = c.DialContext
 	}
 	return t
 }
 
-// encrypting turns requests for http into requests for https, so that the
-// packages that build addresses need not know of encryption.
-type encrypting struct {
-	next http.RoundTripper
-}
-
-// RoundTrip implements http.RoundTripper.
-func (e encrypting) RoundTrip(r *http.Request) (*http.Response, error) {
-	target := *r.URL
-	target.Scheme = "https"
-	encrypted := *r
-	encrypted.URL = &target
-	return e.next.RoundTrip(&encrypted)
-}
-
-// newRoundTripper returns a transport for plain addresses that encrypts where
-// c is given.
-func newRoundTripper(c *certifier.Certifier) http.RoundTripper {
-	if c == nil {
-		return newTransport(nil)
+// newCaller returns a caller of upstreams that encrypts with c, or not at all
+// where c is nil.
+func newCaller(c *certifier.Certifier) *caller.Caller {
+	var cfg caller.Config
+	if c != nil {
+		cfg.Dial = c.DialContext
 	}
-	return encrypting{next: newTransport(c)}
+	return caller.New(cfg)
 }
 
 // certifiers are the certificates of each part of the settings, nil for none.
