Bench what a router adds to a request

standin bench sends the same open-loop load straight to an engine and through a router, in rounds by both ways in turn, the first not counted, and prints the median over the rounds, the processes' cores and memory idle and under load.

--- a/Makefile
+++ b/Makefile
@@ -33,5 +33,8 @@
 demo: build
 	scripts/demo.sh
 
+bench: build
+	scripts/bench.sh
+
 clean:
 	rm -rf $(BIN)
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -33,6 +33,7 @@
 		newPlatformCommand(),
 		newEngineCommand(),
 		newServiceCommand(),
+		newBenchCommand(),
 		newPlanCommand(),
 		newFleetCommand(),
 		newLoadCommand(),
