--- a/internal/operating/certifier/certifier.go
+++ b/internal/operating/certifier/certifier.go
@@ -20,6 +20,9 @@
 // checkInterval bounds how often the files are looked at.
 const checkInterval = time.Second
 
+// connectTimeout bounds the opening of a connection.
+const connectTimeout = 2 * time.Second
+
 // Config holds what a Certifier is built from.
 type Config struct {
 	// CertificateFile and KeyFile are shown to the other end; a client may do
@@ -161,7 +164,8 @@
 	return config
 }
 
-// DialContext opens an encrypted connection, for http.Transport.
+// DialContext opens an encrypted connection for a transport that itself sends
+// in the plain, so that no address has to say that it is encrypted.
 func (c *Certifier) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	host, _, err := net.SplitHostPort(address)
 	if err != nil {
@@ -172,7 +176,8 @@
 	if m.certificate != nil {
 		config.Certificates = []tls.Certificate{*m.certificate}
 	}
-	conn, err := (&tls.Dialer{Config: config}).DialContext(ctx, network, address)
+	dialer := &tls.Dialer{NetDialer: &net.Dialer{Timeout: connectTimeout}, Config: config}
+	conn, err := dialer.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, fmt.Errorf("dial with TLS: %w", err)
 	}
--- a/internal/operating/starter/controller.go
+++ b/internal/operating/starter/controller.go
@@ -92,7 +92,7 @@
 
 func newControl(settings *configurer.Settings, certificates certifiers, log *logrus.Entry) *control {
 	c := &control{settings: settings, log: log}
-	c.client = &http.Client{Transport: newRoundTripper(certificates.upstreams)}
+	c.client = &http.Client{Transport: newTransport(certificates.upstreams)}
 	c.bundles = holder.New(holder.Config{Verifier: settings.Verifier()})
 	c.spread = distributor.New(distributor.Config{
 		Hello:     hello(settings, messenger.Controller),
@@ -106,7 +106,7 @@
 			Holder:    c.bundles,
 			OnDown:    func(peer messenger.Hello) { c.coordinator.Lost(peer.Node) },
 			OnMessage: c.fromPeer,
-			Client:    &http.Client{Transport: newRoundTripper(certificates.processes)},
+			Client:    &http.Client{Transport: newTransport(certificates.processes)},
 			Log:       log,
 		},
 		OnMembers: c.members,
