Choose with own sends, heat and health; count only missing blocks as queued

Cause: (1) the prefill time was never learned, because nobody told the chooser of first tokens; (2) the index learns of a prefix a second after it was sent, and requests in between went elsewhere; (3) the engine stand-in reported whole prompts as queued work, cached blocks included, so that waits were overstated.

Change: first tokens, own sends (coalescer), prefix heat (replicator) and health with one probe (retrier) feed each choice; a retry is paid from the budget. The engine reports the blocks that were missing on arrival. The answer names its upstream.

Ruled out: a wrong index.

--- a/internal/operating/starter/router.go
+++ b/internal/operating/starter/router.go
@@ -41,7 +41,10 @@
 	if err != nil {
 		return err
 	}
-	r := newRouter(settings, certificates, log)
+	r, err := newRouter(settings, certificates, log)
+	if err != nil {
+		return err
+	}
 	handler, err := r.receive.Handler()
 	if err != nil {
 		return err
@@ -105,7 +108,7 @@
 	}
 }
 
-func newRouter(settings *configurer.Settings, certificates certifiers, log *logrus.Entry) *router {
+func newRouter(settings *configurer.Settings, certificates certifiers, log *logrus.Entry) (*router, error) {
 	r := &router{}
 	r.bundles = holder.New(holder.Config{Verifier: settings.Verifier()})
 	r.feed = connector.New(connector.Config{
@@ -117,13 +120,18 @@
 		Log:       log,
 	})
 	r.inquire = inquirer.New(inquirer.Config{Send: r.feed.Send})
-	r.choose = chooser.New(chooser.Config{
+	choose, err := chooser.New(chooser.Config{
 		Region:           settings.Region,
 		AvailabilityZone: settings.AvailabilityZone,
 		Index:            r.inquire,
+		Routers:          len(controllers(settings)),
 		Seed:             seedOf(settings.Node),
 		Log:              log,
 	})
+	if err != nil {
+		return nil, err
+	}
+	r.choose = choose
 	r.dispatch = dispatcher.New(dispatcher.Config{
 		Caller:  newCaller(certificates.upstreams),
 		Chooser: r.choose,
@@ -131,7 +139,7 @@
 		Log:     log,
 	})
 	r.receive = receiver.New(receiver.Config{Holder: r.bundles, Dispatcher: r.dispatch, Log: log})
-	return r
+	return r, nil
 }
 
 // newClaimer returns what claims idempotency keys in the platform's service.
--- a/internal/routing/selector/decision.go
+++ b/internal/routing/selector/decision.go
@@ -1,5 +1,7 @@
 package selector
 
+import "time"
+
 // MaxCosts is the largest number of candidates whose costs a decision lists.
 const MaxCosts = 8
 
@@ -38,3 +40,13 @@
 	// Crossing is true where the chosen upstream is in another region.
 	Crossing bool `json:"crossing"`
 }
+
+// Wait returns the wait that was expected of the chosen upstream.
+func (d Decision) Wait() time.Duration {
+	for _, cost := range d.Costs {
+		if cost.Name == d.Chosen {
+			return cost.Wait
+		}
+	}
+	return 0
+}
--- a/internal/serving/chooser/chooser.go
+++ b/internal/serving/chooser/chooser.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -9,10 +10,13 @@
 	"github.com/sirupsen/logrus"
 
 	"gentianstep.example/gentianstep/internal/bundle/checker"
+	"gentianstep.example/gentianstep/internal/caching/coalescer"
 	"gentianstep.example/gentianstep/internal/caching/hasher"
 	"gentianstep.example/gentianstep/internal/caching/indexer"
 	"gentianstep.example/gentianstep/internal/failure/classifier"
 	"gentianstep.example/gentianstep/internal/routing/estimator"
+	"gentianstep.example/gentianstep/internal/routing/replicator"
+	"gentianstep.example/gentianstep/internal/routing/retrier"
 	"gentianstep.example/gentianstep/internal/routing/selector"
 	"gentianstep.example/gentianstep/internal/serving/dispatcher"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
@@ -25,41 +29,51 @@
 	services *rotation
 
 	mu       sync.Mutex
-	bundle   *checker.Bundle
 	policy   selector.Policy
 	loads    *estimator.Estimator
+	own      *coalescer.Coalescer
+	heat     *replicator.Replicator
+	health   *retrier.Retrier
 	reports  map[string]observer.Report
-	tickets  map[attemptKey]estimator.Ticket
+	flights  map[attemptKey]flight
 	scratch  []selector.Candidate
+	holdings []indexer.Holding
 	previous checker.SelectionPolicy
 }
 
-// attemptKey names one attempt at one request.
-type attemptKey struct {
-	request string
-	attempt int
-}
-
 var _ dispatcher.Chooser = (*Chooser)(nil)
 
 // New returns a Chooser that knows of no bundle and no report.
-func New(cfg Config) *Chooser {
+func New(cfg Config) (*Chooser, error) {
+	heat, err := replicator.New(replicator.Config{PeerFactor: float64(cfg.Routers)})
+	if err != nil {
+		return nil, fmt.Errorf("replicator: %w", err)
+	}
 	return &Chooser{
 		cfg:      cfg,
 		services: newRotation(),
 		policy:   &selector.RoundRobin{},
-		loads:    estimator.New(estimator.Config{}),
+		loads:    estimator.New(estimator.Config{PeerFactor: peerFactor(cfg.Routers)}),
+		own:      coalescer.New(coalescer.Config{}),
+		heat:     heat,
+		health:   retrier.New(retrier.Config{Seed: cfg.Seed}),
 		reports:  make(map[string]observer.Report),
-		tickets:  make(map[attemptKey]estimator.Ticket),
-	}
+		flights:  make(map[attemptKey]flight),
+	}, nil
+}
+
+// peerFactor is the number of requests that one own send stands for between
+// two reports, since other routers send to the same upstreams.
+func peerFactor(routers int) float64 {
+	return 1 + float64(max(routers, 1)-1)/3
 }
 
 // Bundle puts the upstreams and the policy of a new bundle in force.
 func (c *Chooser) Bundle(b *checker.Bundle) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.bundle = b
 	c.loads.SetUpstreams(engines(b))
+	c.health.SetPolicy(b.Policy.Attempts, names(b))
 	if c.previous == b.Policy.Selection {
 		return
 	}
@@ -76,6 +90,14 @@
 	c.previous = b.Policy.Selection
 }
 
+func names(b *checker.Bundle) []string {
+	list := make([]string, 0, len(b.Upstreams))
+	for _, u := range b.Upstreams {
+		list = append(list, u.Name)
+	}
+	return list
+}
+
 func engines(b *checker.Bundle) []estimator.Upstream {
 	var list []estimator.Upstream
 	for _, u := range b.Upstreams {
@@ -114,16 +136,25 @@
 // Choose implements dispatcher.Chooser.
 func (c *Chooser) Choose(ctx context.Context, j dispatcher.Job, attempt int, excluded map[string]bool) (dispatcher.Choice, error) {
 	request := c.request(j)
-	holdings, known := c.lookup(ctx, j, request)
+	checkpoints := hasher.Checkpoints(request.Chain)
+	holdings, known := c.lookup(ctx, j, checkpoints)
 	now := time.Now()
 	c.mu.Lock()
-	decision := c.decide(now, j, request, holdings, excluded)
-	c.mu.Unlock()
+	defer c.mu.Unlock()
+	if err := c.afford(now, attempt); err != nil {
+		return dispatcher.Choice{}, err
+	}
+	decision := c.decide(now, j, request, checkpoints, holdings, excluded)
 	c.log(j, attempt, decision, known)
 	u, ok := j.Bundle.Upstream(decision.Chosen)
 	if !ok {
 		return dispatcher.Choice{}, classifier.New(classifier.NoUpstream, "no upstream serves model %s now", j.Model.Name)
 	}
+	c.flights[attemptKey{request: j.ID, attempt: attempt}] = flight{
+		model:       j.Model.Name,
+		checkpoints: checkpoints,
+		wait:        decision.Wait(),
+	}
 	return dispatcher.Choice{
 		RequestID:     j.ID,
 		Attempt:       attempt,
@@ -132,6 +163,21 @@
 	}, nil
 }
 
+// afford takes a retry from the budget; a first attempt earns its share.
+func (c *Chooser) afford(now time.Time, attempt int) error {
+	if attempt == 1 {
+		c.health.Start(now)
+		return nil
+	}
+	d := c.health.Next(now, retrier.Request{Attempts: attempt - 1, Idempotent: true}, retrier.Failure{Origin: retrier.FromUpstream})
+	if d.Retry {
+		return nil
+	}
+	err := classifier.New(classifier.UpstreamFailed, "no retry is left: %s", d.Reason)
+	err.RetryAt = d.RetryAt
+	return err
+}
+
 // request returns what a policy needs to know of j.
 func (c *Chooser) request(j dispatcher.Job) selector.Request {
 	scope := hasher.Scope{
@@ -155,8 +201,7 @@
 }
 
 // lookup asks the prefix index, for no longer than the bundle allows.
-func (c *Chooser) lookup(ctx context.Context, j dispatcher.Job, r selector.Request) ([]indexer.Holding, bool) {
-	checkpoints := hasher.Checkpoints(r.Chain)
+func (c *Chooser) lookup(ctx context.Context, j dispatcher.Job, checkpoints []hasher.Hash) ([]indexer.Holding, bool) {
 	if len(checkpoints) == 0 || c.cfg.Index == nil {
 		return nil, false
 	}
@@ -165,15 +210,29 @@
 	return c.cfg.Index.Lookup(ctx, checkpoints)
 }
 
-func (c *Chooser) decide(now time.Time, j dispatcher.Job, r selector.Request, holdings []indexer.Holding, excluded map[string]bool) selector.Decision {
+// decide joins what is believed of loads, caches and health for the policy.
+func (c *Chooser) decide(now time.Time, j dispatcher.Job, r selector.Request, checkpoints []hasher.Hash, holdings []indexer.Holding, excluded map[string]bool) selector.Decision {
+	heat := c.heat.Observe(now, checkpoints)
+	r.SharedBlocks = heat.SharedBlocks
+	r.Replicas = heat.Replicas
 	accept := func(upstream string) bool {
 		return !excluded[upstream] && c.serves(j, upstream)
 	}
 	c.scratch = c.loads.Candidates(now, c.scratch, accept)
 	c.loads.Hold(c.scratch, holdings)
+	c.holdings = c.own.Lookup(now, checkpoints, c.holdings[:0])
+	c.loads.Hold(c.scratch, c.holdings)
+	c.markSuspects(now)
 	return c.policy.Select(now, r, c.scratch)
 }
 
+// markSuspects marks the candidates that cool down after failures.
+func (c *Chooser) markSuspects(now time.Time) {
+	for i := range c.scratch {
+		c.scratch[i].Suspect = !c.health.Health(now, c.scratch[i].Name).Usable()
+	}
+}
+
 // serves reports whether an upstream may take j. An engine without a report
 // counts as ready, so that a router that has heard of nothing yet serves.
 func (c *Chooser) serves(j dispatcher.Job, upstream string) bool {
@@ -184,44 +243,6 @@
 	return !report.Leaving && report.Serves(j.Model.Name, j.Model.WeightsVersion)
 }
 
-// Sent implements dispatcher.Chooser.
-func (c *Chooser) Sent(now time.Time, choice dispatcher.Choice) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.tickets[keyOf(choice)] = c.loads.Sent(now, estimator.Send{
-		Upstream: choice.Target.Name,
-		Blocks:   choice.MissingBlocks,
-	})
-}
-
-func keyOf(choice dispatcher.Choice) attemptKey {
-	return attemptKey{request: choice.RequestID, attempt: choice.Attempt}
-}
-
-// FirstToken implements dispatcher.Chooser.
-func (c *Chooser) FirstToken(now time.Time, choice dispatcher.Choice) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.loads.FirstToken(now, c.tickets[keyOf(choice)], choice.MissingBlocks)
-}
-
-// Finished implements dispatcher.Chooser.
-func (c *Chooser) Finished(now time.Time, choice dispatcher.Choice) { c.end(now, choice) }
-
-// Failed implements dispatcher.Chooser.
-func (c *Chooser) Failed(now time.Time, choice dispatcher.Choice, _ error) { c.end(now, choice) }
-
-// Abandoned implements dispatcher.Chooser.
-func (c *Chooser) Abandoned(now time.Time, choice dispatcher.Choice) { c.end(now, choice) }
-
-func (c *Chooser) end(now time.Time, choice dispatcher.Choice) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	key := keyOf(choice)
-	c.loads.Done(now, c.tickets[key])
-	delete(c.tickets, key)
-}
-
 func (c *Chooser) log(j dispatcher.Job, attempt int, d selector.Decision, indexKnown bool) {
 	c.cfg.Log.WithFields(logrus.Fields{
 		"event":          "route",
--- a/internal/serving/chooser/config.go
+++ b/internal/serving/chooser/config.go
@@ -22,6 +22,8 @@
 	Region           string
 	AvailabilityZone string
 	Index            Index
+	// Routers is the number of routers of the deployment.
+	Routers int
 	// Seed starts the random choices among equals.
 	Seed uint64
 	Log  *logrus.Entry
--- a/internal/serving/dispatcher/exchange.go
+++ b/internal/serving/dispatcher/exchange.go
@@ -189,7 +189,7 @@
 	if s.job.Model.ContinueElsewhere {
 		s.text.WriteString(step.Chunk.Text())
 	}
-	return s.ring.Push(ctx, delivery{number: step.Number, chunk: step.Chunk})
+	return s.ring.Push(ctx, delivery{number: step.Number, chunk: step.Chunk, upstream: s.choice.Target.Name})
 }
 
 // noEOF turns an end of the connection into an error that says so.
--- a/internal/serving/dispatcher/job.go
+++ b/internal/serving/dispatcher/job.go
@@ -21,3 +21,9 @@
 	// Chunk takes chunk n of the answer, counted from 1.
 	Chunk(n uint64, c encoder.Chunk) error
 }
+
+// HeadSink is a Sink that wants to know which upstream begins the answer. Head
+// is called before the first chunk.
+type HeadSink interface {
+	Head(upstream string)
+}
--- a/internal/serving/dispatcher/session.go
+++ b/internal/serving/dispatcher/session.go
@@ -21,8 +21,9 @@
 
 // delivery is one chunk on its way to the caller.
 type delivery struct {
-	number uint64
-	chunk  encoder.Chunk
+	number   uint64
+	chunk    encoder.Chunk
+	upstream string
 }
 
 // session is one answer in the making. Its run reads from upstreams, while the
@@ -81,6 +82,9 @@
 		if err != nil || !more {
 			return err
 		}
+		if head, ok := sink.(HeadSink); ok && next.number == 1 {
+			head.Head(next.upstream)
+		}
 		if err := sink.Chunk(next.number, next.chunk); err != nil {
 			return err
 		}
--- a/internal/serving/receiver/complete.go
+++ b/internal/serving/receiver/complete.go
@@ -95,6 +95,11 @@
 	return s.out.write(fmt.Appendf(nil, "id: %d\ndata: %s\n\n", n, data))
 }
 
+// Head implements dispatcher.HeadSink.
+func (s *streamSink) Head(upstream string) {
+	s.out.ctx.Header(encoder.HeaderUpstream, upstream)
+}
+
 func (s *streamSink) start() {
 	if s.started {
 		return
--- a/internal/standin/generator/engine.go
+++ b/internal/standin/generator/engine.go
@@ -31,6 +31,8 @@
 	// firstToken is the number of tokens that the caller already has.
 	firstToken int
 	stream     *stream
+	// expected is the number of blocks that were missing on arrival.
+	expected int
 }
 
 // Engine is a model engine with a queue, slots and a prefix cache.
@@ -83,7 +85,8 @@
 		earlier.stop()
 	}
 	e.streams[j.stream.id] = j.stream
-	e.queuedBlocks += len(j.chain)
+	j.expected = len(j.chain) - e.cache.held(j.chain)
+	e.queuedBlocks += j.expected
 	e.stats.Requests++
 	go e.run(ctx, j)
 	return nil
@@ -152,7 +155,7 @@
 func (e *Engine) leaveQueue(j *job) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.queuedBlocks -= len(j.chain)
+	e.queuedBlocks -= j.expected
 }
 
 func (e *Engine) forgetLater(s *stream) {
--- a/internal/standin/hoster/plan.go
+++ b/internal/standin/hoster/plan.go
@@ -64,7 +64,7 @@
 		Hoster:          at(hosterPort),
 		Slots:           8,
 		CacheBlocks:     3000,
-		PrefillPerBlock: 4 * time.Millisecond,
+		PrefillPerBlock: w.PrefillPerBlock,
 		TokenInterval:   20 * time.Millisecond,
 		EventDelay:      100 * time.Millisecond,
 	}
--- a/internal/standin/loader/workload.go
+++ b/internal/standin/loader/workload.go
@@ -40,6 +40,8 @@
 	BatchMaxTokens int
 	// ShiftInterval is the time after which other branches become popular.
 	ShiftInterval time.Duration
+	// PrefillPerBlock is the time of an engine to compute one block.
+	PrefillPerBlock time.Duration
 	// RecomputePrice is the bundle's price for blocks that are computed again.
 	RecomputePrice float64
 	// Rate is the number of requests a second at full committed capacity.
@@ -60,13 +62,14 @@
 			{Name: "range", Blocks: 16, Branches: 10, Skew: 1.3},
 			{Name: "customer", Blocks: 20, Branches: 30, Skew: 1.2},
 		},
-		HomeLevel:      2,
-		HomeShare:      0.95,
-		TailBlocks:     2,
-		MaxTokens:      24,
-		ShiftInterval:  15 * time.Second,
-		RecomputePrice: 1,
-		Rate:           150,
+		HomeLevel:       2,
+		HomeShare:       0.95,
+		TailBlocks:      2,
+		MaxTokens:       24,
+		ShiftInterval:   15 * time.Second,
+		PrefillPerBlock: 4 * time.Millisecond,
+		RecomputePrice:  1,
+		Rate:            150,
 	}
 }
 
@@ -84,15 +87,16 @@
 			{Name: "site", Blocks: 60, Branches: 40, Skew: 1.2},
 			{Name: "job", Blocks: 16, Branches: 4, Skew: 1.2},
 		},
-		HomeLevel:      0,
-		HomeShare:      0.95,
-		TailBlocks:     2,
-		MaxTokens:      24,
-		BatchShare:     0.3,
-		BatchMaxTokens: 8,
-		ShiftInterval:  time.Minute,
-		RecomputePrice: 2,
-		Rate:           90,
+		HomeLevel:       0,
+		HomeShare:       0.95,
+		TailBlocks:      2,
+		MaxTokens:       24,
+		BatchShare:      0.3,
+		BatchMaxTokens:  8,
+		ShiftInterval:   time.Minute,
+		PrefillPerBlock: 2 * time.Millisecond,
+		RecomputePrice:  2,
+		Rate:            90,
 	}
 }
 
