Name a home by the fewest blocks that one upstream can serve

Cause: the home of a prompt was named by the deepest shared prefix, a single customer or job, so that every upstream computed the catalogue and range above it again.

Change: the replicator names the home by the fewest leading blocks whose requests make up at most half of what an upstream gets on average, with hysteresis; only a prefix that is too hot as a whole gets replicas. One own send now stands for 1 + (routers-1)/8 requests rather than 1 + (routers-1)/3.

--- a/internal/routing/replicator/config.go
+++ b/internal/routing/replicator/config.go
@@ -5,7 +5,7 @@
 const (
 	defaultMaxPrefixes    = 1 << 16
 	defaultHalfLife       = 10 * time.Second
-	defaultReplicaRate    = 4
+	defaultHomeShare      = 0.5
 	defaultMinDwell       = 10 * time.Second
 	defaultMaxReplicas    = 64
 	defaultSharedRequests = 1.5
@@ -17,11 +17,9 @@
 	MaxPrefixes int
 	// HalfLife is the age at which a request counts half in a rate.
 	HalfLife time.Duration
-	// ReplicaRate is the rate, in requests per second over the whole region,
-	// that one more replica carries.
-	ReplicaRate float64
-	// PeerFactor is the number of routers that share the requests of a region.
-	PeerFactor float64
+	// HomeShare is the share of an upstream's average load that the requests of
+	// one prefix may make up.
+	HomeShare float64
 	// MinDwell is the shortest time before the number of replicas falls.
 	MinDwell time.Duration
 	// MaxReplicas bounds the replicas of one prefix.
@@ -38,8 +36,8 @@
 	if c.HalfLife <= 0 {
 		c.HalfLife = defaultHalfLife
 	}
-	if c.ReplicaRate <= 0 {
-		c.ReplicaRate = defaultReplicaRate
+	if c.HomeShare <= 0 {
+		c.HomeShare = defaultHomeShare
 	}
 	if c.MinDwell <= 0 {
 		c.MinDwell = defaultMinDwell
@@ -50,6 +48,5 @@
 	if c.SharedRequests <= 0 {
 		c.SharedRequests = defaultSharedRequests
 	}
-	c.PeerFactor = max(c.PeerFactor, 1)
 	return c
 }
--- a/internal/routing/replicator/prefix.go
+++ b/internal/routing/replicator/prefix.go
@@ -11,6 +11,8 @@
 	weight   float64
 	seenAt   time.Time
 	replicas int
+	// hot is true while one upstream cannot serve all of its requests.
+	hot bool
 	// fallAt is the deadline before which the number of replicas does not fall.
 	fallAt time.Time
 }
@@ -22,9 +24,17 @@
 	p.seenAt = now
 }
 
-// rate returns the requests per second that the weight stands for.
-func (p *prefix) rate(halfLife time.Duration) float64 {
-	return p.weight * math.Ln2 / halfLife.Seconds()
+// coolShare is the share of the limit below which a hot prefix is whole again.
+const coolShare = 0.5
+
+// split makes the prefix hot above limit, and whole again well below it.
+func (p *prefix) split(limit float64) {
+	switch {
+	case p.weight > limit:
+		p.hot = true
+	case p.weight < coolShare*limit:
+		p.hot = false
+	}
 }
 
 const (
@@ -33,18 +43,18 @@
 	fallShare = 0.75
 )
 
-// replicate moves the number of replicas by the rate. It rises at once and
-// falls by one at a time, after the dwell time and only when the rate is well
-// below what the smaller number carries.
-func (p *prefix) replicate(now time.Time, rate float64, cfg *Config) {
-	want := int(math.Ceil(rate / cfg.ReplicaRate))
+// replicate moves the number of replicas by the load, counted in what one
+// replica carries. It rises at once and falls by one at a time, after the dwell
+// time and only when the load is well below what the smaller number carries.
+func (p *prefix) replicate(now time.Time, load float64, cfg *Config) {
+	want := int(math.Ceil(load))
 	want = min(max(want, 1), cfg.MaxReplicas)
 	if want > p.replicas {
 		p.replicas = want
 		p.fallAt = now.Add(cfg.MinDwell)
 		return
 	}
-	low := rate < fallShare*cfg.ReplicaRate*float64(p.replicas-1)
+	low := load < fallShare*float64(p.replicas-1)
 	if !low {
 		p.fallAt = now.Add(cfg.MinDwell)
 		return
--- a/internal/routing/selector/evaluation_test.go
+++ b/internal/routing/selector/evaluation_test.go
@@ -134,16 +134,17 @@
 		}
 		est := estimator.New(estimator.Config{PeerFactor: peerFactor(s.Routers)})
 		est.SetUpstreams(ups)
-		heat, err := replicator.New(replicator.Config{PeerFactor: peerFactor(s.Routers)})
+		heat, err := replicator.New(replicator.Config{})
 		if err != nil {
 			panic(err)
 		}
+		heat.SetUpstreams(s.Upstreams / 3)
 		f.routers = append(f.routers, &router{heat: heat, region: regions[i%3], est: est, policy: policy, own: coalescer.New(coalescer.Config{})})
 	}
 	return f
 }
 
-func peerFactor(routers int) float64 { return 1 + float64(routers-1)/3 }
+func peerFactor(routers int) float64 { return 1 + float64(routers-1)/8 }
 
 // chain returns a prompt nested in levels: catalogue, range, customer, question.
 func (f *fleet) chain() []hasher.Hash {
@@ -172,7 +173,7 @@
 	r := f.routers[f.random.IntN(len(f.routers))]
 	req := selector.Request{Region: r.region, Chain: f.chain(), MaxTokens: 200}
 	heat := r.heat.Observe(f.now, hasher.Checkpoints(req.Chain))
-	req.SharedBlocks, req.Replicas = heat.SharedBlocks, heat.Replicas
+	req.HomeBlocks, req.SharedBlocks, req.Replicas = heat.HomeBlocks, heat.SharedBlocks, heat.Replicas
 	req.PromptBytes = len(req.Chain) * hasher.BlockBytes
 	r.buf = r.est.Candidates(f.now, r.buf, nil)
 	if f.Index {
--- a/internal/routing/selector/request.go
+++ b/internal/routing/selector/request.go
@@ -15,6 +15,9 @@
 	AvailabilityZone string
 	// Chain holds the block hashes of the prompt, the first block first.
 	Chain []hasher.Hash
+	// HomeBlocks is the number of leading blocks that name the home, 0 where it
+	// is not known.
+	HomeBlocks int
 	// SharedBlocks is the number of leading blocks that recent requests have
 	// in common, 0 where it is not known.
 	SharedBlocks int
@@ -29,5 +32,8 @@
 
 // homeDepth returns the number of leading blocks that name the home of r.
 func (r *Request) homeDepth() int {
+	if r.HomeBlocks > 0 {
+		return min(r.HomeBlocks, len(r.Chain))
+	}
 	return min(max(r.SharedBlocks, len(r.Chain)/2), len(r.Chain))
 }
--- a/internal/serving/chooser/chooser.go
+++ b/internal/serving/chooser/chooser.go
@@ -45,7 +45,7 @@
 
 // New returns a Chooser that knows of no bundle and no report.
 func New(cfg Config) (*Chooser, error) {
-	heat, err := replicator.New(replicator.Config{PeerFactor: float64(cfg.Routers)})
+	heat, err := replicator.New(replicator.Config{})
 	if err != nil {
 		return nil, fmt.Errorf("replicator: %w", err)
 	}
@@ -65,14 +65,16 @@
 // peerFactor is the number of requests that one own send stands for between
 // two reports, since other routers send to the same upstreams.
 func peerFactor(routers int) float64 {
-	return 1 + float64(max(routers, 1)-1)/3
+	return 1 + float64(max(routers, 1)-1)/8
 }
 
 // Bundle puts the upstreams and the policy of a new bundle in force.
 func (c *Chooser) Bundle(b *checker.Bundle) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.loads.SetUpstreams(engines(b))
+	upstreams := engines(b)
+	c.loads.SetUpstreams(upstreams)
+	c.heat.SetUpstreams(c.local(upstreams))
 	c.health.SetPolicy(b.Policy.Attempts, names(b))
 	if c.previous == b.Policy.Selection {
 		return
@@ -114,6 +116,17 @@
 	return list
 }
 
+// local counts the upstreams of the router's region.
+func (c *Chooser) local(upstreams []estimator.Upstream) int {
+	n := 0
+	for _, u := range upstreams {
+		if u.Region == c.cfg.Region {
+			n++
+		}
+	}
+	return n
+}
+
 // Reports takes reports of engines.
 func (c *Chooser) Reports(reports []observer.Report) {
 	c.mu.Lock()
@@ -213,6 +226,7 @@
 // decide joins what is believed of loads, caches and health for the policy.
 func (c *Chooser) decide(now time.Time, j dispatcher.Job, r selector.Request, checkpoints []hasher.Hash, holdings []indexer.Holding, excluded map[string]bool) selector.Decision {
 	heat := c.heat.Observe(now, checkpoints)
+	r.HomeBlocks = heat.HomeBlocks
 	r.SharedBlocks = heat.SharedBlocks
 	r.Replicas = heat.Replicas
 	accept := func(upstream string) bool {
