--- a/internal/caching/forwarder/bench_test.go
+++ b/internal/caching/forwarder/bench_test.go
@@ -16,7 +16,7 @@
 func BenchmarkPush(b *testing.B) {
 	for _, n := range []int{3, 30, 137} {
 		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
-			var members []string
+			members := make([]string, 0, n)
 			for i := range n {
 				members = append(members, fmt.Sprintf("10.0.0.%d:7000", i))
 			}
--- a/internal/caching/forwarder/forwarder.go
+++ b/internal/caching/forwarder/forwarder.go
@@ -95,7 +95,7 @@
 		case sequencer.Deliver:
 			f.apply(step.Event)
 		case sequencer.Gap:
-			f.gap()
+			f.gap(step.Seq)
 		case sequencer.Restart:
 			f.restart()
 		}
@@ -173,10 +173,11 @@
 	clear(f.batches)
 }
 
-// gap tells every owner that events were lost. What was held is not told again
+// gap tells every owner that events before next were lost. What was held is not told again
 // to a new owner, since its evictions may be among the lost ones.
-func (f *Forwarder) gap() {
+func (f *Forwarder) gap(next uint64) {
 	f.flushBatches()
+	f.seq = next - 1
 	clear(f.held)
 	f.tellAll(f.update(indexer.Gap, ""))
 }
--- a/internal/caching/indexer/index.go
+++ b/internal/caching/indexer/index.go
@@ -59,7 +59,7 @@
 		return false
 	}
 	if u.Kind == Gap {
-		x.demote(now, up.slots)
+		x.demote(now, up.slots, u.Seq)
 		x.stats.Applied++
 		return true
 	}
@@ -103,9 +103,12 @@
 	}
 }
 
-func (x *Index) demote(now time.Time, slots []uint16) {
+// demote makes the records of slots unsure that know nothing newer than seq.
+func (x *Index) demote(now time.Time, slots []uint16, seq uint64) {
 	for _, n := range slots {
-		x.slots[n].demote(now, x.cfg.UnsureTTL)
+		if x.slots[n].seq <= seq {
+			x.slots[n].demote(now, x.cfg.UnsureTTL)
+		}
 	}
 	x.stats.Gaps++
 }
--- a/internal/caching/indexer/update.go
+++ b/internal/caching/indexer/update.go
@@ -33,6 +33,7 @@
 	Incarnation uint64     `json:"incarnation" cbor:"incarnation"`
 	// Seq is that of the last event that the update contains. An update older
 	// than the one before it is dropped, and so is a change that is not newer.
+	// For a gap it is that of the last lost event.
 	Seq            uint64        `json:"seq" cbor:"seq"`
 	Model          string        `json:"model,omitempty" cbor:"model,omitempty"`
 	WeightsVersion string        `json:"weights_version,omitempty" cbor:"weights_version,omitempty"`
--- a/internal/caching/sequencer/sequencer.go
+++ b/internal/caching/sequencer/sequencer.go
@@ -73,7 +73,7 @@
 	}
 	if seq == s.next {
 		s.next++
-		steps = append(steps, Step[E]{Kind: Deliver, Event: event})
+		steps = append(steps, Step[E]{Kind: Deliver, Seq: seq, Event: event})
 		return s.drain(now, steps)
 	}
 	return s.hold(now, seq, event, steps)
@@ -89,14 +89,14 @@
 	clear(s.pending)
 	s.giveUpAt = time.Time{}
 	if !first {
-		return []Step[E]{{Kind: Restart}}
+		return []Step[E]{{Kind: Restart, Seq: s.next}}
 	}
 	if seq == 1 {
 		return nil
 	}
 	s.next = seq
 	s.stats.Gaps++
-	return []Step[E]{{Kind: Gap}}
+	return []Step[E]{{Kind: Gap, Seq: s.next}}
 }
 
 // hold keeps an event that came before the one that is due.
@@ -131,7 +131,7 @@
 	}
 	s.next = lowest
 	s.stats.Gaps++
-	return s.drain(now, append(steps, Step[E]{Kind: Gap}))
+	return s.drain(now, append(steps, Step[E]{Kind: Gap, Seq: s.next}))
 }
 
 // drain delivers the waiting events that are due.
@@ -143,8 +143,8 @@
 			break
 		}
 		delete(s.pending, s.next)
+		steps = append(steps, Step[E]{Kind: Deliver, Seq: s.next, Event: event})
 		s.next++
-		steps = append(steps, Step[E]{Kind: Deliver, Event: event})
 	}
 	if s.next != before && len(s.pending) > 0 {
 		s.giveUpAt = now.Add(s.cfg.MaxDelay)
--- a/internal/caching/sequencer/step.go
+++ b/internal/caching/sequencer/step.go
@@ -16,6 +16,8 @@
 // Step is one thing to do, in the order of the stream.
 type Step[E any] struct {
 	Kind StepKind
+	// Seq is the number of the event, or of the first one after a gap.
+	Seq uint64
 	// Event is set for Deliver.
 	Event E
 }
