--- a/internal/routing/selector/home.go
+++ b/internal/routing/selector/home.go
@@ -18,7 +18,7 @@
 	holders := 0
 	for i := range p.field.options {
 		o := &p.field.options[i]
-		if o.local && int(o.held) >= depth {
+		if p.field.near(o) && int(o.held) >= depth {
 			holders++
 		}
 	}
@@ -35,8 +35,9 @@
 	p.ladder.climb(r)
 	mean := f.localLoad / float64(max(f.locals, 1))
 	limit := max(boundedLoad*mean, freeLoad)
-	perBlock := prefillPerBlock(&candidates[f.options[lowest].at])
-	worst := f.options[lowest].total + scale(perBlock, float64(r.homeDepth())*(1+price.recomputePrice))
+	best := f.options[lowest]
+	gain := float64(p.gain(r)) * (1 + price.recomputePrice)
+	worst := best.total + scale(prefillPerBlock(&candidates[best.at]), gain)
 	accept := func(o *option) bool {
 		return candidates[o.at].load() <= limit && o.total <= worst
 	}
@@ -58,5 +59,15 @@
 	return int(p.homes[0]), ReasonHomeOverflow
 }
 
+// gain returns the number of blocks that later requests find at a home: those
+// that no local candidate holds, or all of them where one more replica is wanted.
+func (p *PrefixCost) gain(r *Request) int {
+	depth := r.homeDepth()
+	if p.field.bestHeld >= depth {
+		return depth
+	}
+	return depth - p.field.bestHeld
+}
+
 // anyOption accepts every option.
 func anyOption(*option) bool { return true }
