--- /dev/null
+++ b/internal/membership/tracker/bench_test.go
@@ -0,0 +1,52 @@
+package tracker
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkMembership runs a steady network of each size in virtual time,
+// kills one node and reports what the others sent and when they knew.
+func BenchmarkMembership(b *testing.B) {
+	for _, size := range []int{9, 50, 410} {
+		for _, loss := range []float64{0, 0.05} {
+			b.Run(fmt.Sprintf("size=%d/loss=%g", size, loss), func(b *testing.B) {
+				for b.Loop() {
+					measure(b, size, loss)
+				}
+			})
+		}
+	}
+}
+
+func measure(b *testing.B, size int, loss float64) {
+	n := newNetwork(size, loss, 1)
+	started := n.now
+	if !n.run(n.now.Add(5*time.Minute), n.converged) {
+		b.Fatal("the network did not converge")
+	}
+	b.ReportMetric(n.now.Sub(started).Seconds(), "converge_s")
+	n.run(started.Add(10*time.Minute), nil)
+	n.messages, n.bytes, n.largest, n.falseDeaths = 0, 0, 0, 0
+	const steady = 10 * time.Minute
+	begin := time.Now()
+	n.run(n.now.Add(steady), nil)
+	nodeSeconds := float64(size) * steady.Seconds()
+	b.ReportMetric(float64(n.messages)/nodeSeconds, "messages/node/s")
+	b.ReportMetric(float64(n.bytes)/nodeSeconds, "bytes/node/s")
+	b.ReportMetric(float64(time.Since(begin).Microseconds())/nodeSeconds, "cpu_us/node/s")
+	b.ReportMetric(float64(n.largest), "largest_bytes")
+	b.ReportMetric(float64(n.falseDeaths), "false_deaths")
+	killedAt := n.now
+	dead := size / 2
+	n.nodes[dead].up = false
+	n.run(n.now.Add(2*time.Minute), func() bool {
+		return n.all(dead, func(s State) bool { return s == Dead })
+	})
+	b.ReportMetric(n.firstDead[dead].Sub(killedAt).Seconds(), "detect_s")
+	b.ReportMetric(n.now.Sub(killedAt).Seconds(), "spread_s")
+	if len(n.faults) > 0 {
+		b.Fatal(n.faults[0])
+	}
+}
