--- /dev/null
+++ b/internal/routing/admitter/bench_test.go
@@ -0,0 +1,35 @@
+package admitter
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"gentianstep.example/gentianstep/internal/bundle/checker"
+)
+
+// BenchmarkArriveFinish times one arrival and one end in a full queue.
+func BenchmarkArriveFinish(b *testing.B) {
+	for _, organisations := range []int{8, 59, 590} {
+		b.Run(fmt.Sprintf("organisations=%d", organisations), func(b *testing.B) {
+			policy := checker.AdmissionPolicy{QueueLength: 1200, MaxWait: checker.Duration(time.Hour)}
+			a := New(Config{Policy: policy, Slots: 60})
+			now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+			var running []string
+			next := 0
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				next++
+				r := Request{ID: strconv.Itoa(next), Organisation: strconv.Itoa(next % organisations), Cost: 500}
+				if a.Arrive(now, r).Outcome == Admitted {
+					running = append(running, r.ID)
+				}
+				if len(a.waiting) < policy.QueueLength {
+					continue
+				}
+				running = append(running[1:], a.Finish(now, running[0]).Admitted...)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/routing/limiter/bench_test.go
@@ -0,0 +1,31 @@
+package limiter
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkAllow times one decision beside the reports of many routers.
+func BenchmarkAllow(b *testing.B) {
+	for _, routers := range []int{9, 50, 410} {
+		b.Run(fmt.Sprintf("routers=%d/organisations=590", routers), func(b *testing.B) {
+			l := New()
+			limits := make(map[string]float64)
+			names := make([]string, 590)
+			for i := range names {
+				names[i] = fmt.Sprint(i)
+				limits[names[i]] = 1e6
+			}
+			l.SetLimits(limits)
+			l.SetMembers(routers, routers)
+			now := start
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(time.Millisecond)
+				name := names[i%len(names)]
+				l.ObserveUse(now, Use{Peer: fmt.Sprint(i % routers), Organisation: name, Rate: 1, Routers: 1})
+				l.Allow(now, name)
+			}
+		})
+	}
+}
