--- /dev/null
+++ b/cmd/gentianstep/bundle.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+
+	"gentianstep.example/gentianstep/internal/bundle/checker"
+	"gentianstep.example/gentianstep/internal/bundle/publisher"
+	"gentianstep.example/gentianstep/internal/bundle/signer"
+	"gentianstep.example/gentianstep/internal/operating/configurer"
+	"gentianstep.example/gentianstep/internal/operating/starter"
+)
+
+func newBundleCommand() command {
+	return newGroup("bundle", "Make, check, sign off and publish bundles.",
+		newBundleInitCommand(),
+		newBundleCheckCommand(),
+		newBundleSignCommand(),
+		newBundlePublishCommand(),
+		newBundleShowCommand(),
+		newBundleHistoryCommand(),
+		newBundleDiffCommand(),
+	)
+}
+
+// readBundle reads a bundle file, signed or not, and checks its document. A
+// file without signatures yields an envelope without them.
+func readBundle(path string) (signer.Envelope, *checker.Bundle, error) {
+	data, err := readInput(path)
+	if err != nil {
+		return signer.Envelope{}, nil, err
+	}
+	e, signed := decodeSigned(data)
+	if !signed {
+		e = signer.Envelope{Document: data}
+	}
+	b, err := checker.Decode(e.Document)
+	return e, b, err
+}
+
+// decodeSigned reads a signed bundle and reports whether data is one.
+func decodeSigned(data []byte) (signer.Envelope, bool) {
+	var e signer.Envelope
+	if err := json.Unmarshal(data, &e); err != nil {
+		return signer.Envelope{}, false
+	}
+	return e, len(e.Document) > 0
+}
+
+// newPublisher returns a publisher to the store that the settings name.
+func newPublisher(settings *configurer.Settings) (*publisher.Publisher, error) {
+	store, err := starter.NewStore(settings)
+	if err != nil {
+		return nil, err
+	}
+	return publisher.New(publisher.Config{Store: store, Verifier: settings.Verifier()}), nil
+}
+
+// newestBundle returns the newest published bundle and its revision, which is
+// 0 before the first publish.
+func newestBundle(ctx context.Context, settings *configurer.Settings) (signer.Envelope, uint64, error) {
+	p, err := newPublisher(settings)
+	if err != nil {
+		return signer.Envelope{}, 0, err
+	}
+	return p.Head(ctx)
+}
--- /dev/null
+++ b/cmd/gentianstep/main.go
@@ -0,0 +1,68 @@
+// Command gentianstep routes language-model traffic.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"slices"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+)
+
+// Exit codes of every subcommand.
+const (
+	exitDone     = 0
+	exitFailed   = 1
+	exitUsage    = 2
+	exitConflict = 3
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	os.Exit(run(ctx, os.Args[1:]))
+}
+
+func run(ctx context.Context, args []string) int {
+	parser := flaggy.NewParser("gentianstep")
+	parser.Description = "Routes language-model traffic with long shared prompts."
+	parser.DisableShowVersionWithVersion() // it would also take the subcommand's name
+	parser.ShowCompletion = false
+	commands := newCommands()
+	for _, c := range commands {
+		parser.AttachSubcommand(c.parser, 1)
+	}
+	if slices.Equal(args, []string{"--version"}) {
+		args = []string{"version"}
+	}
+	if err := parser.ParseArgs(args); err != nil {
+		parser.ShowHelpWithMessage(err.Error())
+		return exitUsage
+	}
+	c := used(commands)
+	if c == nil {
+		parser.ShowHelpWithMessage("takes a subcommand")
+		return exitUsage
+	}
+	if err := c.run(ctx); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "gentianstep:", err)
+		return exitCode(err)
+	}
+	return exitDone
+}
+
+func newCommands() []command {
+	return []command{
+		newBundleCommand(),
+		newKeysCommand(),
+		newCheckCommand(),
+		newStatusCommand(),
+		newExplainCommand(),
+		newRouterCommand(),
+		newControllerCommand(),
+		newVersionCommand(),
+	}
+}
--- /dev/null
+++ b/internal/operating/configurer/load.go
@@ -0,0 +1,44 @@
+package configurer
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"os"
+	"reflect"
+
+	"gentianstep.example/gentianstep/internal/failure/classifier"
+)
+
+// Load reads the settings file at path and checks it.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, classifier.Wrap(classifier.SettingsInvalid, err, "settings file")
+	}
+	return Decode(data)
+}
+
+// Decode reads settings from their JSON form and checks them.
+func Decode(data []byte) (*Settings, error) {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	var document json.RawMessage
+	if err := decoder.Decode(&document); err != nil {
+		return nil, classifier.Wrap(classifier.SettingsInvalid, err, "settings are not valid JSON")
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return nil, classifier.New(classifier.SettingsInvalid, "settings: data after the document")
+	}
+	if err := checkShape("", document, reflect.TypeFor[Settings]()); err != nil {
+		return nil, err
+	}
+	s := defaults()
+	if err := json.Unmarshal(document, &s); err != nil {
+		return nil, classifier.Wrap(classifier.SettingsInvalid, err, "settings are not valid JSON")
+	}
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	return &s, nil
+}
--- /dev/null
+++ b/internal/operating/starter/controller.go
@@ -0,0 +1,174 @@
+package starter
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/sirupsen/logrus"
+
+	"gentianstep.example/gentianstep/internal/bundle/checker"
+	"gentianstep.example/gentianstep/internal/bundle/holder"
+	"gentianstep.example/gentianstep/internal/bundle/publisher"
+	"gentianstep.example/gentianstep/internal/controlling/coordinator"
+	"gentianstep.example/gentianstep/internal/controlling/poller"
+	"gentianstep.example/gentianstep/internal/controlling/watcher"
+	"gentianstep.example/gentianstep/internal/operating/configurer"
+	"gentianstep.example/gentianstep/internal/operating/meter"
+	"gentianstep.example/gentianstep/internal/peering/connector"
+	"gentianstep.example/gentianstep/internal/peering/distributor"
+	"gentianstep.example/gentianstep/internal/peering/messenger"
+	"gentianstep.example/gentianstep/internal/upstream/observer"
+	"gentianstep.example/gentianstep/internal/upstream/reader"
+)
+
+// control is a controller with its parts.
+type control struct {
+	settings    *configurer.Settings
+	log         *logrus.Entry
+	client      *http.Client
+	bundles     *holder.Holder
+	spread      *distributor.Distributor
+	peers       *connector.Group
+	coordinator *coordinator.Coordinator
+	poll        *poller.Poller
+	watch       *watcher.Watcher
+}
+
+// Controller runs a controller until ctx ends.
+func Controller(ctx context.Context, settings *configurer.Settings, log *logrus.Entry) error {
+	certificates, err := newCertifiers(settings, log)
+	if err != nil {
+		return err
+	}
+	c := newControl(settings, certificates, log)
+	g := &gate{}
+	m := meter.New()
+	log.Logger.AddHook(meter.Hook{Meter: m})
+	peers, err := listen(ctx, serverConfig{
+		name:           "peers",
+		address:        settings.Controller.PeerAddress,
+		handler:        limited(c.peerHandler(), log),
+		maxConnections: settings.Controller.MaxConnections,
+		certifier:      certificates.processes,
+		meter:          m,
+	})
+	if err != nil {
+		return err
+	}
+	o := &operators{settings: settings, bundles: c.bundles, gate: g, meter: m}
+	operatorServer, err := listen(ctx, serverConfig{
+		name:           "operators",
+		address:        settings.Controller.OperatorAddress,
+		handler:        limited(o.handler(), log),
+		maxConnections: maxOperatorConnections,
+		meter:          m,
+	})
+	if err != nil {
+		return err
+	}
+	log.WithField("address", settings.Controller.PeerAddress).Info("controller started")
+	l := lifecycle{
+		gate:      g,
+		front:     peers,
+		operators: operatorServer,
+		loops:     c.loops(),
+		timeout:   operatorsTimeout,
+		log:       log,
+	}
+	return l.run(ctx)
+}
+
+// loops returns what a controller runs beside its servers.
+func (c *control) loops() []func(context.Context) {
+	return []func(context.Context){
+		c.watch.Run,
+		c.spread.Run,
+		c.coordinator.Run,
+		c.poll.Run,
+		c.runPeers,
+		(&bundleFeed{holder: c.bundles, take: c.coordinator.Bundle}).run,
+	}
+}
+
+func newControl(settings *configurer.Settings, certificates certifiers, log *logrus.Entry) *control {
+	c := &control{settings: settings, log: log}
+	c.client = &http.Client{Transport: newTransport(certificates.upstreams)}
+	c.bundles = holder.New(holder.Config{Verifier: settings.Verifier()})
+	c.spread = distributor.New(distributor.Config{
+		Hello:     hello(settings, messenger.Controller),
+		Holder:    c.bundles,
+		OnMessage: c.fromLink,
+		Log:       log,
+	})
+	c.peers = connector.NewGroup(connector.GroupConfig{
+		Connector: connector.Config{
+			Hello:     hello(settings, messenger.Controller),
+			Holder:    c.bundles,
+			OnDown:    func(peer messenger.Hello) { c.coordinator.Lost(peer.Node) },
+			OnMessage: c.fromPeer,
+			Client:    &http.Client{Transport: newTransport(certificates.processes)},
+			Log:       log,
+		},
+		OnMembers: c.members,
+	})
+	c.coordinator = coordinator.New(coordinator.Config{
+		Self:    coordinator.Member{Node: settings.Node, Region: settings.Region},
+		Peers:   c.peers,
+		Routers: c.spread,
+		Readers: c,
+		Log:     log,
+	})
+	c.poll = poller.New(poller.Config{
+		Observer:  observer.New(observer.Config{Client: c.client}),
+		OnReports: c.coordinator.Reports,
+		Log:       log,
+	})
+	c.watch = watcher.New(watcher.Config{
+		Store:  newPlatform(settings, certificates),
+		Key:    publisher.HeadKey(settings.Deployment),
+		Holder: c.bundles,
+		Log:    log,
+	})
+	return c
+}
+
+// Start implements coordinator.Readers.
+func (c *control) Start(ctx context.Context, u checker.Upstream) {
+	c.poll.Add(ctx, u)
+	go reader.New(reader.Config{
+		Upstream: u.Name,
+		Address:  u.Address,
+		Client:   c.client,
+		OnEvent:  c.coordinator.Event,
+		Log:      c.log,
+	}).Run(ctx)
+}
+
+func (c *control) runPeers(ctx context.Context) {
+	c.peers.Run(ctx, otherControllers(c.settings))
+}
+
+// fromLink takes a message of a router or controller that connected here.
+func (c *control) fromLink(l *distributor.Link, m messenger.Message) {
+	c.coordinator.Message(l.Peer.Role, m, l.Send)
+}
+
+// fromPeer takes a message on a connection that this controller opened.
+func (c *control) fromPeer(m messenger.Message) {
+	c.coordinator.Message(messenger.Controller, m, func(messenger.Message) bool { return false })
+}
+
+func (c *control) members(hellos []messenger.Hello) {
+	members := make([]coordinator.Member, 0, 1+len(hellos))
+	members = append(members, coordinator.Member{Node: c.settings.Node, Region: c.settings.Region})
+	for _, hello := range hellos {
+		members = append(members, coordinator.Member{Node: hello.Node, Region: hello.Region})
+	}
+	c.coordinator.Members(members)
+}
+
+func (c *control) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(messenger.Path, c.spread)
+	return mux
+}
--- a/internal/routing/selector/round_robin.go
+++ b/internal/routing/selector/round_robin.go
@@ -4,22 +4,31 @@
 
 // RoundRobin chooses the candidates in turn. It is a baseline.
 type RoundRobin struct {
-	next int
+	next  int
+	field field
 }
 
 // Name implements Policy.
-func (p *RoundRobin) Name() string { return "round_robin" }
+func (p *RoundRobin) Name() string { return nameRoundRobin }
 
 // Select implements Policy.
 func (p *RoundRobin) Select(_ time.Time, r Request, candidates []Candidate) Decision {
 	if len(candidates) == 0 {
-		return Decision{Reason: "no_candidate"}
+		return Decision{Policy: nameRoundRobin, Reason: ReasonNoCandidate}
 	}
-	chosen := candidates[p.next%len(candidates)]
+	f := &p.field
+	f.fill(&r, candidates, 1)
+	o := f.options[p.next%len(f.options)]
 	p.next++
+	c := &candidates[o.at]
 	return Decision{
-		Chosen:  chosen.Name,
-		Reason:  "next_in_turn",
-		Missing: len(r.Chain) - chosen.HeldBlocks,
+		Policy:        nameRoundRobin,
+		Chosen:        c.Name,
+		Reason:        ReasonNextInTurn,
+		Considered:    len(f.options),
+		Suspects:      len(candidates) - len(f.options),
+		Missing:       max(len(r.Chain)-c.HeldBlocks, 0),
+		HeldElsewhere: max(f.bestHeld-c.HeldBlocks, 0),
+		Crossing:      !o.local,
 	}
 }
--- /dev/null
+++ b/internal/serving/chooser/config.go
@@ -0,0 +1,28 @@
+// Package chooser chooses the upstream of each attempt from what the router
+// believes of loads, caches and health.
+package chooser
+
+import (
+	"context"
+
+	"github.com/sirupsen/logrus"
+
+	"gentianstep.example/gentianstep/internal/caching/hasher"
+	"gentianstep.example/gentianstep/internal/caching/indexer"
+)
+
+// Index answers which upstreams hold leading checkpoints of a prompt.
+type Index interface {
+	// Lookup returns false where no answer came before ctx ended.
+	Lookup(ctx context.Context, checkpoints []hasher.Hash) ([]indexer.Holding, bool)
+}
+
+// Config holds what a Chooser is built from.
+type Config struct {
+	Region           string
+	AvailabilityZone string
+	Index            Index
+	// Seed starts the random choices among equals.
+	Seed uint64
+	Log  *logrus.Entry
+}
--- /dev/null
+++ b/internal/serving/chooser/service.go
@@ -0,0 +1,36 @@
+package chooser
+
+import (
+	"context"
+
+	"github.com/sirupsen/logrus"
+
+	"gentianstep.example/gentianstep/internal/failure/classifier"
+	"gentianstep.example/gentianstep/internal/serving/dispatcher"
+	"gentianstep.example/gentianstep/internal/upstream/caller"
+)
+
+// ChooseService implements dispatcher.Chooser.
+func (c *Chooser) ChooseService(_ context.Context, j dispatcher.ServiceJob, attempt int, excluded map[string]bool) (dispatcher.Choice, error) {
+	u, reason, ok := c.services.next(j.Bundle, j.Service, c.cfg.Region, excluded)
+	c.cfg.Log.WithFields(logrus.Fields{
+		"event":          "route",
+		"request_id":     j.ID,
+		"attempt":        attempt,
+		"organisation":   j.Organisation.Name,
+		"service":        j.Service.Name,
+		"bundle_version": j.Bundle.Version,
+		"policy":         "round_robin",
+		"chosen":         u.Name,
+		"reason":         reason,
+		"idempotent":     j.Service.Idempotent(j.Method, j.Path),
+	}).Info("routing decision")
+	if !ok {
+		return dispatcher.Choice{}, classifier.New(classifier.NoUpstream, "no upstream of service %s is left", j.Service.Name)
+	}
+	return dispatcher.Choice{
+		RequestID: j.ID,
+		Attempt:   attempt,
+		Target:    caller.Target{Name: u.Name, Address: u.Address},
+	}, nil
+}
