Time the demand window; name admission lines by their event

Cause: demand_window trades interactive waits against batch work, and no command showed the trade. The log line of an admission named itself by another field than all the others do.

Change: BenchmarkDemandWindow runs the batch rows for several windows. The field is event, as elsewhere.

--- a/internal/routing/admitter/bench_test.go
+++ b/internal/routing/admitter/bench_test.go
@@ -33,3 +33,24 @@
 		})
 	}
 }
+
+// BenchmarkDemandWindow shows what batch work gets and what interactive work
+// waits for each length of the window.
+func BenchmarkDemandWindow(b *testing.B) {
+	for _, l := range readRows[load](b, "testdata/loads.json") {
+		if l.Without == "" {
+			continue
+		}
+		for _, window := range []time.Duration{0, time.Second, 5 * time.Second, 20 * time.Second, time.Minute} {
+			l.DemandWindow = checker.Duration(window)
+			b.Run(l.Name+"/"+window.String(), func(b *testing.B) {
+				for b.Loop() {
+					f := newFake(l, "")
+					f.run()
+					b.ReportMetric(float64(f.meanWait())/float64(time.Millisecond), "wait_ms")
+					b.ReportMetric(float64(f.sources[len(f.sources)-1].done), "batch_done")
+				}
+			})
+		}
+	}
+}
--- a/internal/routing/admitter/load_test.go
+++ b/internal/routing/admitter/load_test.go
@@ -8,7 +8,7 @@
 	"github.com/matryer/is"
 )
 
-func readRows[T any](t *testing.T, path string) []T {
+func readRows[T any](t testing.TB, path string) []T {
 	t.Helper()
 	data, err := os.ReadFile(path)
 	is.New(t).NoErr(err)
--- a/internal/serving/gatekeeper/verdict.go
+++ b/internal/serving/gatekeeper/verdict.go
@@ -39,7 +39,7 @@
 	wait := now.Sub(t.arrivedAt)
 	g.meter.count(outcome, wait)
 	g.log.WithFields(logrus.Fields{
-		"decision":     "admission",
+		"event":        "admission",
 		"request_id":   t.id,
 		"organisation": t.organisation,
 		"priority":     t.priority,
