Prove timeouts, keep-alive comments, incarnation and weights of streams

Change: five more rows: an answer over total_timeout, two silent engines until total_timeout, a prompt that takes longer than first_byte_timeout while the engine sends comments, a resume answered by another incarnation, and an answer of other weights. An engine that answers with other weights is told to stop its work.

--- a/internal/serving/dispatcher/exchange.go
+++ b/internal/serving/dispatcher/exchange.go
@@ -136,6 +136,7 @@
 	}
 	if answer.Header.Get(encoder.HeaderWeightsVersion) != s.job.Model.WeightsVersion {
 		b.Refused = true
+		s.stop()
 		return errWeights
 	}
 	incarnation := answer.Header.Get(encoder.HeaderIncarnation)
--- a/internal/serving/dispatcher/fixture_test.go
+++ b/internal/serving/dispatcher/fixture_test.go
@@ -46,12 +46,16 @@
 }
 
 func newEngine(name string, incarnation uint64) *generator.Engine {
+	return newEngineOf(name, incarnation, 1)
+}
+
+func newEngineOf(name string, incarnation uint64, prefillMillis int) *generator.Engine {
 	return generator.New(generator.Config{
 		Name:            name,
 		Models:          []observer.LoadedModel{{Name: modelName, WeightsVersion: weights}},
 		Slots:           8,
 		CacheBlocks:     64,
-		PrefillPerBlock: time.Millisecond,
+		PrefillPerBlock: time.Duration(prefillMillis) * time.Millisecond,
 		TokenInterval:   10 * time.Millisecond,
 		Incarnation:     incarnation,
 	})
--- a/internal/serving/dispatcher/session.go
+++ b/internal/serving/dispatcher/session.go
@@ -181,9 +181,13 @@
 	if b.Refused || b.Lost || s.postAttempt == 0 {
 		return
 	}
-	if !s.visitSent(b) {
-		return
+	if s.visitSent(b) {
+		s.stop()
 	}
+}
+
+// stop has the upstream give up the current attempt.
+func (s *session) stop() {
 	if s.d.cfg.Caller.Cancel(s.choice.Target, s.job.ID, s.postAttempt) {
 		s.d.counters.cancelled.Inc(1)
 		return
--- a/internal/serving/dispatcher/stream_test.go
+++ b/internal/serving/dispatcher/stream_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
 
+	"gentianstep.example/gentianstep/internal/bundle/checker"
 	"gentianstep.example/gentianstep/internal/failure/classifier"
 	"gentianstep.example/gentianstep/internal/serving/dispatcher"
 	"gentianstep.example/gentianstep/internal/standin/disrupter"
@@ -34,6 +35,10 @@
 	// request where that is 0.
 	Do      string `json:"do"`
 	AtChunk uint64 `json:"at_chunk"`
+	// PrefillMillis is the time that engines compute a prompt, 0 takes 1.
+	PrefillMillis int `json:"prefill_millis"`
+	// TotalMillis is total_timeout, 0 takes that of the other rows.
+	TotalMillis int `json:"total_millis"`
 	// Pinned forbids to continue elsewhere.
 	Pinned bool `json:"pinned"`
 	// Kind is the error to expect, empty for a whole answer.
@@ -68,7 +73,7 @@
 	}
 	b := &bench{net: newNetwork(), chooser: newInOrder(n), counters: metrics.NewRegistry()}
 	for i := range n {
-		engine := newEngine(fmt.Sprintf("up-%d", i), 1)
+		engine := newEngineOf(fmt.Sprintf("up-%d", i), 1, max(1, row.PrefillMillis))
 		b.engines = append(b.engines, engine)
 		b.net.serve(addressOf(i).String(), generator.Handler(engine))
 	}
@@ -160,6 +165,9 @@
 	defer cancel()
 	job := newJob("request", row.Name, streamTokens)
 	job.Model.ContinueElsewhere = !row.Pinned
+	if row.TotalMillis > 0 {
+		job.Bundle.Policy.Streams.TotalTimeout = checker.Duration(time.Duration(row.TotalMillis) * time.Millisecond)
+	}
 	sink := &taker{is: is, id: "request", onPass: func(n uint64) {
 		if n == row.AtChunk {
 			b.act(row.Do, cancel)
--- a/internal/standin/disrupter/fault.go
+++ b/internal/standin/disrupter/fault.go
@@ -36,6 +36,10 @@
 	Crossed Kind = "crossed"
 	// Late sends a head that names an earlier attempt.
 	Late Kind = "late"
+	// Restarted sends a head that names another incarnation.
+	Restarted Kind = "restarted"
+	// OtherWeights sends a head that names another weights version.
+	OtherWeights Kind = "other_weights"
 	// Double sends a second whole answer after the first one.
 	Double Kind = "double"
 )
--- a/internal/standin/disrupter/writer.go
+++ b/internal/standin/disrupter/writer.go
@@ -113,6 +113,10 @@
 		w.Header().Set(encoder.HeaderRequestID, "other")
 	case Late:
 		w.Header().Set(encoder.HeaderAttempt, "0")
+	case Restarted:
+		w.Header().Set(encoder.HeaderIncarnation, "other")
+	case OtherWeights:
+		w.Header().Set(encoder.HeaderWeightsVersion, "other")
 	case Double:
 	default:
 		if w.fault.Place == AtEvent {
