--- /dev/null
+++ b/internal/streaming/sequencer/bench_test.go
@@ -0,0 +1,34 @@
+package sequencer_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"gentianstep.example/gentianstep/internal/streaming/parser"
+	"gentianstep.example/gentianstep/internal/streaming/sequencer"
+)
+
+// BenchmarkChunk reads one chunk of a stream and checks its place.
+func BenchmarkChunk(b *testing.B) {
+	const chunks = 1000
+	var stream strings.Builder
+	for n := range chunks {
+		fmt.Fprintf(&stream, "id: %d\ndata: {\"id\":\"r\",\"object\":\"text_completion\",\"model\":\"m\",\"choices\":[{\"index\":0,\"text\":\"w1234 \",\"finish_reason\":null}]}\n\n", n+1)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for done := 0; done < b.N; done += chunks {
+		events := parser.NewReader(strings.NewReader(stream.String()))
+		s := sequencer.New(sequencer.Config{RequestID: "r", MaxTokens: chunks})
+		for range chunks {
+			event, err := events.Next()
+			if err != nil {
+				b.Fatal(err)
+			}
+			if _, err := s.Take(event); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+}
