--- a/internal/operating/starter/router.go
+++ b/internal/operating/starter/router.go
@@ -20,7 +20,6 @@
 	"gentianstep.example/gentianstep/internal/serving/claimer"
 	"gentianstep.example/gentianstep/internal/serving/dispatcher"
 	"gentianstep.example/gentianstep/internal/serving/receiver"
-	"gentianstep.example/gentianstep/internal/upstream/caller"
 )
 
 // keptDecisions is the number of routing decisions that a router can explain.
@@ -114,7 +113,7 @@
 		Addresses: controllers(settings),
 		Holder:    r.bundles,
 		OnMessage: r.fromController,
-		Client:    &http.Client{Transport: newRoundTripper(certificates.processes)},
+		Client:    &http.Client{Transport: newTransport(certificates.processes)},
 		Log:       log,
 	})
 	r.inquire = inquirer.New(inquirer.Config{Send: r.feed.Send})
@@ -126,7 +125,7 @@
 		Log:              log,
 	})
 	r.dispatch = dispatcher.New(dispatcher.Config{
-		Caller:  newCaller(certificates),
+		Caller:  newCaller(certificates.upstreams),
 		Chooser: r.choose,
 		Claims:  newClaimer(settings, certificates, log),
 		Log:     log,
@@ -135,14 +134,6 @@
 	return r
 }
 
-// newCaller returns what sends requests to upstreams.
-func newCaller(certificates certifiers) *caller.Caller {
-	if certificates.upstreams == nil {
-		return caller.New(caller.Config{})
-	}
-	return caller.New(caller.Config{Dial: certificates.upstreams.DialContext})
-}
-
 // newClaimer returns what claims idempotency keys in the platform's service.
 func newClaimer(settings *configurer.Settings, certificates certifiers, log *logrus.Entry) *claimer.Claimer {
 	return claimer.New(claimer.Config{Store: newPlatform(settings, certificates), Log: log})
