Count what befalls answers in the metrics of the process

Cause: the dispatcher kept counters in a registry that nothing exported.

Ruled out: counting log lines; duplicates and cancellations have none.

Change: the dispatcher tells of occurrences from a closed list, and the meter exports them as gentianstep_answer_events_total by event.

Result: go test -race ./internal/serving/... ./internal/operating/... passes.

--- a/internal/operating/meter/name.go
+++ b/internal/operating/meter/name.go
@@ -11,6 +11,7 @@
 	FirstByteSeconds   Name = "gentianstep_first_byte_seconds"
 	RequestSeconds     Name = "gentianstep_request_seconds"
 	RouteDecisions     Name = "gentianstep_route_decisions_total"
+	AnswerEvents       Name = "gentianstep_answer_events_total"
 	BundleVersion      Name = "gentianstep_bundle_version"
 	BundleSinceSeconds Name = "gentianstep_bundle_in_force_since_seconds"
 	Connections        Name = "gentianstep_connections"
@@ -43,6 +44,7 @@
 	FirstByteSeconds:   {summary, "Seconds from a request's arrival to the first byte of its answer.", ""},
 	RequestSeconds:     {summary, "Seconds from a request's arrival to the end of its answer.", ""},
 	RouteDecisions:     {counter, "Routing decisions by reason.", "reason"},
+	AnswerEvents:       {counter, "What befell answers on their way, by event.", "event"},
 	BundleVersion:      {gauge, "Version of the bundle in force, 0 for none.", ""},
 	BundleSinceSeconds: {gauge, "Unix time in seconds at which the bundle came into force, 0 for none.", ""},
 	Connections:        {gauge, "Open connections by listener.", "listener"},
--- a/internal/operating/starter/router.go
+++ b/internal/operating/starter/router.go
@@ -41,13 +41,13 @@
 	if err != nil {
 		return err
 	}
-	r := newRouter(settings, certificates, log)
+	m := meter.New()
+	r := newRouter(settings, certificates, m, log)
 	handler, err := r.receive.Handler()
 	if err != nil {
 		return err
 	}
 	g := &gate{}
-	m := meter.New()
 	decisions := explainer.New(explainer.Config{Size: keptDecisions})
 	log.Logger.AddHook(meter.Hook{Meter: m})
 	log.Logger.AddHook(decisions)
@@ -105,7 +105,7 @@
 	}
 }
 
-func newRouter(settings *configurer.Settings, certificates certifiers, log *logrus.Entry) *router {
+func newRouter(settings *configurer.Settings, certificates certifiers, m *meter.Meter, log *logrus.Entry) *router {
 	r := &router{}
 	r.bundles = holder.New(holder.Config{Verifier: settings.Verifier()})
 	r.feed = connector.New(connector.Config{
@@ -128,6 +128,7 @@
 		Caller:  newCaller(certificates.upstreams),
 		Chooser: r.choose,
 		Claims:  newClaimer(settings, certificates, log),
+		Count:   func(o dispatcher.Occurrence, n int) { m.Count(meter.AnswerEvents, string(o), int64(n)) },
 		Log:     log,
 	})
 	r.receive = receiver.New(receiver.Config{Holder: r.bundles, Dispatcher: r.dispatch, Log: log})
--- a/internal/serving/dispatcher/dispatcher.go
+++ b/internal/serving/dispatcher/dispatcher.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 
-	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"gentianstep.example/gentianstep/internal/failure/classifier"
@@ -23,22 +22,18 @@
 	// refuses such calls.
 	Claims Claims
 	Log    *logrus.Entry
-	// Metrics takes the counters; nil keeps them private.
-	Metrics metrics.Registry
+	// Count is told of occurrences; nil ignores them.
+	Count func(o Occurrence, n int)
 }
 
 // Dispatcher serves completion requests and calls of plain services.
 type Dispatcher struct {
-	cfg      Config
-	counters counters
+	cfg Config
 }
 
 // New returns a Dispatcher.
 func New(cfg Config) *Dispatcher {
-	if cfg.Metrics == nil {
-		cfg.Metrics = metrics.NewRegistry()
-	}
-	return &Dispatcher{cfg: cfg, counters: newCounters(cfg.Metrics)}
+	return &Dispatcher{cfg: cfg}
 }
 
 // Complete serves j and hands its answer to sink. An error after the first
--- a/internal/serving/dispatcher/fixture_test.go
+++ b/internal/serving/dispatcher/fixture_test.go
@@ -101,6 +101,26 @@
 	return text
 }
 
+// tally counts occurrences.
+type tally struct {
+	mu     sync.Mutex
+	counts map[dispatcher.Occurrence]int
+}
+
+func newTally() *tally { return &tally{counts: make(map[dispatcher.Occurrence]int)} }
+
+func (c *tally) add(o dispatcher.Occurrence, n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts[o] += n
+}
+
+func (c *tally) of(o dispatcher.Occurrence) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.counts[o]
+}
+
 // inOrder chooses the first upstream that is not excluded and checks that each
 // attempt is told to have ended once.
 type inOrder struct {
--- a/internal/serving/dispatcher/parallel_test.go
+++ b/internal/serving/dispatcher/parallel_test.go
@@ -11,7 +11,6 @@
 	"testing"
 
 	"github.com/matryer/is"
-	"github.com/rcrowley/go-metrics"
 
 	"gentianstep.example/gentianstep/internal/serving/dispatcher"
 	"gentianstep.example/gentianstep/internal/standin/disrupter"
@@ -44,12 +43,12 @@
 	}
 	calls := caller.New(caller.Config{Dial: addresses.dial})
 	t.Cleanup(calls.Close)
-	counters := metrics.NewRegistry()
+	counters := newTally()
 	routers := make([]*dispatcher.Dispatcher, engines)
 	for i := range routers {
 		choose := newInOrder(engines)
 		choose.start = i
-		routers[i] = dispatcher.New(dispatcher.Config{Caller: calls, Chooser: choose, Log: quiet(), Metrics: counters})
+		routers[i] = dispatcher.New(dispatcher.Config{Caller: calls, Chooser: choose, Log: quiet(), Count: counters.add})
 	}
 	var group sync.WaitGroup
 	var mu sync.Mutex
@@ -72,9 +71,9 @@
 	}
 	group.Wait()
 	t.Logf("%d of %d answers whole, %d crossed ones dropped", whole, parallelCallers*requestsPerCaller,
-		metrics.GetOrRegisterCounter("answers_crossed", counters).Count())
+		counters.of(dispatcher.Crossed))
 	is.True(whole*10 >= parallelCallers*requestsPerCaller*9) // nearly all in spite of the faults
-	is.True(metrics.GetOrRegisterCounter("answers_crossed", counters).Count() > 0)
+	is.True(counters.of(dispatcher.Crossed) > 0)
 }
 
 // checkOwn checks that an answer is the caller's own, whole or honestly broken.
--- a/internal/serving/dispatcher/service.go
+++ b/internal/serving/dispatcher/service.go
@@ -162,6 +162,7 @@
 	} else {
 		c.d.cfg.Chooser.Failed(time.Now(), choice, err)
 	}
+	c.d.count(ServiceCallBroke, 1)
 	c.d.cfg.Log.WithError(err).WithFields(logrus.Fields{
 		"event":      "service_break",
 		"request_id": c.job.ID,
--- a/internal/serving/dispatcher/session.go
+++ b/internal/serving/dispatcher/session.go
@@ -91,7 +91,7 @@
 func (s *session) run(ctx context.Context) {
 	defer close(s.done)
 	s.ring.End(s.serve(ctx))
-	s.d.counters.duplicates.Inc(int64(s.seq.Duplicates()))
+	s.d.count(DuplicateChunk, s.seq.Duplicates())
 }
 
 func (s *session) serve(ctx context.Context) error {
@@ -155,7 +155,7 @@
 	}).Warn("exchange with upstream failed")
 	if decision.Action == resumer.Resume {
 		s.resumes++
-		s.d.counters.resumed.Inc(1)
+		s.d.count(Resumed, 1)
 		return decision.Action
 	}
 	s.leave(decision, b, cause)
@@ -165,7 +165,7 @@
 // leave ends the visit of an upstream that gave no whole answer.
 func (s *session) leave(decision resumer.Decision, b resumer.Break, cause error) {
 	if decision.Action == resumer.Continue {
-		s.d.counters.continued.Inc(1)
+		s.d.count(Continued, 1)
 	}
 	s.cancel(b)
 	if !decision.Blame {
@@ -189,10 +189,10 @@
 // stop has the upstream give up the current attempt.
 func (s *session) stop() {
 	if s.d.cfg.Caller.Cancel(s.choice.Target, s.job.ID, s.postAttempt) {
-		s.d.counters.cancelled.Inc(1)
+		s.d.count(Cancelled, 1)
 		return
 	}
-	s.d.counters.uncancelled.Inc(1)
+	s.d.count(CancelDropped, 1)
 }
 
 // visitSent reports whether the upstream may have the request.
@@ -207,13 +207,13 @@
 	s.refused = s.refused || b.Refused
 	s.sent = s.sent || (b.Sent && !notRun(cause))
 	if b.Silent {
-		s.d.counters.silent.Inc(1)
+		s.d.count(Silent, 1)
 	}
 	if b.Silent || b.Reused {
 		s.d.cfg.Caller.CloseIdle(s.choice.Target)
 	}
 	if crossed(cause) {
-		s.d.counters.crossed.Inc(1)
+		s.d.count(Crossed, 1)
 	}
 }
 
@@ -237,7 +237,7 @@
 	passed := s.seq.Passed()
 	switch {
 	case passed > 0:
-		s.d.counters.broken.Inc(1)
+		s.d.count(Broken, 1)
 		return classifier.Wrap(classifier.StreamBroken, s.last, "the answer broke off after %d chunks", passed)
 	case s.final:
 		return classifier.Wrap(classifier.InvalidRequest, s.last, "the engine does not take the request")
--- a/internal/serving/dispatcher/stream_test.go
+++ b/internal/serving/dispatcher/stream_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/rcrowley/go-metrics"
 
 	"gentianstep.example/gentianstep/internal/bundle/checker"
 	"gentianstep.example/gentianstep/internal/failure/classifier"
@@ -47,8 +46,8 @@
 	Passed int `json:"passed"`
 	// Requests are the requests that each engine began, after a warming one.
 	Requests  []int `json:"requests"`
-	Resumed   int64 `json:"resumed"`
-	Continued int64 `json:"continued"`
+	Resumed   int   `json:"resumed"`
+	Continued int   `json:"continued"`
 	// Cancelled is the number of streams that the engines cancelled.
 	Cancelled int `json:"cancelled"`
 	// WithinMillis bounds the time of the answer.
@@ -63,7 +62,7 @@
 	caller   *caller.Caller
 	chooser  *inOrder
 	dispatch *dispatcher.Dispatcher
-	counters metrics.Registry
+	counters *tally
 }
 
 func newBench(row streamRow) *bench {
@@ -71,7 +70,7 @@
 	if n == 0 {
 		n = 2
 	}
-	b := &bench{net: newNetwork(), chooser: newInOrder(n), counters: metrics.NewRegistry()}
+	b := &bench{net: newNetwork(), chooser: newInOrder(n), counters: newTally()}
 	for i := range n {
 		engine := newEngineOf(fmt.Sprintf("up-%d", i), 1, max(1, row.PrefillMillis))
 		b.engines = append(b.engines, engine)
@@ -79,7 +78,7 @@
 	}
 	b.caller = caller.New(caller.Config{Dial: b.net.dial})
 	b.dispatch = dispatcher.New(dispatcher.Config{
-		Caller: b.caller, Chooser: b.chooser, Log: quiet(), Metrics: b.counters,
+		Caller: b.caller, Chooser: b.chooser, Log: quiet(), Count: b.counters.add,
 	})
 	return b
 }
@@ -217,7 +216,7 @@
 		}
 	}
 	is.Equal(cancelled, row.Cancelled)
-	is.Equal(metrics.GetOrRegisterCounter("streams_resumed", b.counters).Count(), row.Resumed)
-	is.Equal(metrics.GetOrRegisterCounter("streams_continued", b.counters).Count(), row.Continued)
+	is.Equal(b.counters.of(dispatcher.Resumed), row.Resumed)
+	is.Equal(b.counters.of(dispatcher.Continued), row.Continued)
 	is.True(b.chooser.balanced()) // each attempt ended once
 }
