--- a/internal/serving/dispatcher/claims_test.go
+++ b/internal/serving/dispatcher/claims_test.go
@@ -19,6 +19,7 @@
 	"gentianstep.example/gentianstep/internal/standin/disrupter"
 	"gentianstep.example/gentianstep/internal/standin/keeper"
 	"gentianstep.example/gentianstep/internal/standin/recorder"
+	"gentianstep.example/gentianstep/internal/testing/piper"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
 )
 
@@ -66,9 +67,9 @@
 	return s.Store.Put(ctx, key, value, opts)
 }
 
-func newRouter(net *network, store storer.Store) *dispatcher.Dispatcher {
+func newRouter(net *piper.Network, store storer.Store) *dispatcher.Dispatcher {
 	return dispatcher.New(dispatcher.Config{
-		Caller:  caller.New(caller.Config{Dial: net.dial}),
+		Caller:  caller.New(caller.Config{Dial: net.Dial}),
 		Chooser: newInOrder(1),
 		Log:     quiet(),
 		Claims:  claimer.New(claimer.Config{Store: store, Log: quiet()}),
@@ -79,10 +80,10 @@
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		net, ledger, store := newNetwork(), recorder.New("up-0"), keeper.New()
-		net.serve(addressOf(0).String(), ledger)
+		net, ledger, store := piper.New(), recorder.New("up-0"), keeper.New()
+		net.Serve(addressOf(0).String(), ledger)
 		defer synctest.Wait()
-		defer net.close()
+		defer net.Close()
 		job := newServiceJob("POST", "/orders", "order-1", "{}")
 		pausedErr := make(chan error, 1)
 		paused := newRouter(net, pausedStore{store})
@@ -102,10 +103,10 @@
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		net, ledger, store := newNetwork(), recorder.New("up-0"), keeper.New()
-		net.serve(addressOf(0).String(), ledger)
+		net, ledger, store := piper.New(), recorder.New("up-0"), keeper.New()
+		net.Serve(addressOf(0).String(), ledger)
 		defer synctest.Wait()
-		defer net.close()
+		defer net.Close()
 		job := newServiceJob("POST", "/orders", "order-1", "{}")
 		digest := claimer.NewDigest(job.Service.Name, job.Method, job.Path, job.ContentType, job.Body)
 		_, err := claimer.New(claimer.Config{Store: store, Log: quiet()}).Claim(t.Context(), job.Organisation.Name, "order-1", digest)
@@ -131,12 +132,12 @@
 
 func runManyRouters(t *testing.T, random *rand.Rand) {
 	is := is.New(t)
-	net, ledger, store := newNetwork(), recorder.New("up-0"), keeper.New()
+	net, ledger, store := piper.New(), recorder.New("up-0"), keeper.New()
 	d := disrupter.New(ledger)
 	is.NoErr(d.Inject(randomFaults(random, 40)...))
-	net.serve(addressOf(0).String(), d)
+	net.Serve(addressOf(0).String(), d)
 	defer synctest.Wait()
-	defer net.close()
+	defer net.Close()
 	routers := make([]*dispatcher.Dispatcher, 0, 3)
 	for range 3 {
 		seeded := rand.New(rand.NewPCG(random.Uint64(), 2))
--- a/internal/serving/dispatcher/service_test.go
+++ b/internal/serving/dispatcher/service_test.go
@@ -16,6 +16,7 @@
 	"gentianstep.example/gentianstep/internal/standin/disrupter"
 	"gentianstep.example/gentianstep/internal/standin/keeper"
 	"gentianstep.example/gentianstep/internal/standin/recorder"
+	"gentianstep.example/gentianstep/internal/testing/piper"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
 )
 
@@ -57,7 +58,7 @@
 
 // serviceBench is one router path before two servers of a plain service.
 type serviceBench struct {
-	net       *network
+	net       *piper.Network
 	recorders []*recorder.Recorder
 	chooser   *inOrder
 	dispatch  *dispatcher.Dispatcher
@@ -65,21 +66,21 @@
 
 func newServiceBench(t *testing.T, row serviceRow) *serviceBench {
 	t.Helper()
-	b := &serviceBench{net: newNetwork(), chooser: newInOrder(2)}
+	b := &serviceBench{net: piper.New(), chooser: newInOrder(2)}
 	for i, faults := range [][]disrupter.Fault{row.Faults, row.Faults1} {
 		r := recorder.New(fmt.Sprintf("up-%d", i))
 		d := disrupter.New(r)
 		is.New(t).NoErr(d.Inject(faults...))
 		b.recorders = append(b.recorders, r)
-		b.net.serve(addressOf(i).String(), d)
+		b.net.Serve(addressOf(i).String(), d)
 	}
 	for _, i := range row.Down {
-		b.net.stop(addressOf(i).String())
+		b.net.Stop(addressOf(i).String())
 	}
 	if row.CutAfter != 0 {
-		b.net.hosts[addressOf(0).String()].cutAfter = max(0, row.CutAfter)
+		b.net.Cut(addressOf(0).String(), max(0, row.CutAfter))
 	}
-	calls := caller.New(caller.Config{Dial: b.net.dial})
+	calls := caller.New(caller.Config{Dial: b.net.Dial})
 	b.dispatch = dispatcher.New(dispatcher.Config{
 		Caller: calls, Chooser: b.chooser, Log: quiet(),
 		Claims: claimer.New(claimer.Config{Store: keeper.New(), Log: quiet()}),
@@ -115,7 +116,7 @@
 	is := is.New(t)
 	b := newServiceBench(t, row)
 	defer synctest.Wait()
-	defer b.net.close()
+	defer b.net.Close()
 	job := newServiceJob(row.Method, row.Path, key, body)
 	start := time.Now()
 	answer, err := b.dispatch.Call(t.Context(), job)
--- a/internal/serving/dispatcher/stream_test.go
+++ b/internal/serving/dispatcher/stream_test.go
@@ -15,6 +15,7 @@
 	"gentianstep.example/gentianstep/internal/standin/disrupter"
 	"gentianstep.example/gentianstep/internal/standin/generator"
 	"gentianstep.example/gentianstep/internal/streaming/encoder"
+	"gentianstep.example/gentianstep/internal/testing/piper"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
 )
 
@@ -56,7 +57,7 @@
 
 // bench is one router path before engines.
 type bench struct {
-	net      *network
+	net      *piper.Network
 	engines  []*generator.Engine
 	retired  []*generator.Engine
 	caller   *caller.Caller
@@ -70,13 +71,13 @@
 	if n == 0 {
 		n = 2
 	}
-	b := &bench{net: newNetwork(), chooser: newInOrder(n), counters: newTally()}
+	b := &bench{net: piper.New(), chooser: newInOrder(n), counters: newTally()}
 	for i := range n {
 		engine := newEngineOf(fmt.Sprintf("up-%d", i), 1, max(1, row.PrefillMillis))
 		b.engines = append(b.engines, engine)
-		b.net.serve(addressOf(i).String(), generator.Handler(engine))
+		b.net.Serve(addressOf(i).String(), generator.Handler(engine))
 	}
-	b.caller = caller.New(caller.Config{Dial: b.net.dial})
+	b.caller = caller.New(caller.Config{Dial: b.net.Dial})
 	b.dispatch = dispatcher.New(dispatcher.Config{
 		Caller: b.caller, Chooser: b.chooser, Log: quiet(), Count: b.counters.add,
 	})
@@ -87,12 +88,12 @@
 func (b *bench) disrupt(is *is.I, i int, faults []disrupter.Fault) {
 	d := disrupter.New(generator.Handler(b.engines[i]))
 	is.NoErr(d.Inject(faults...))
-	b.net.hosts[addressOf(i).String()].server.Handler = d
+	b.net.Host(addressOf(i).String()).Handle(d)
 }
 
 func (b *bench) close() {
 	b.caller.Close()
-	b.net.close()
+	b.net.Close()
 	synctest.Wait()
 }
 
@@ -101,16 +102,16 @@
 	address := addressOf(0).String()
 	switch what {
 	case "kill":
-		b.net.stop(address)
+		b.net.Stop(address)
 	case "restart":
-		b.net.stop(address)
+		b.net.Stop(address)
 		b.retired = append(b.retired, b.engines[0])
 		b.engines[0] = newEngine("up-0", 2)
-		b.net.serve(address, generator.Handler(b.engines[0]))
+		b.net.Serve(address, generator.Handler(b.engines[0]))
 	case "lose_connections":
-		b.net.silence(address, false)
+		b.net.Lose(address, false)
 	case "freeze":
-		b.net.silence(address, true)
+		b.net.Lose(address, true)
 	case "caller_gone":
 		cancel()
 	}
--- a/internal/serving/receiver/fixture_test.go
+++ b/internal/serving/receiver/fixture_test.go
@@ -7,11 +7,8 @@
 	"encoding/hex"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
-	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -29,79 +26,6 @@
 
 var upstreamAddress = netip.MustParseAddrPort("10.0.0.1:80")
 
-// pipes is a listener whose connections are pipes.
-type pipes struct {
-	incoming chan net.Conn
-	mu       sync.Mutex
-	closed   bool
-	read     int
-}
-
-func newPipes() *pipes { return &pipes{incoming: make(chan net.Conn, 8)} }
-
-// Accept implements net.Listener.
-func (p *pipes) Accept() (net.Conn, error) {
-	conn, ok := <-p.incoming
-	if !ok {
-		return nil, net.ErrClosed
-	}
-	return conn, nil
-}
-
-// Close implements net.Listener.
-func (p *pipes) Close() error {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !p.closed {
-		close(p.incoming)
-	}
-	p.closed = true
-	return nil
-}
-
-// Addr implements net.Listener.
-func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
-
-func (p *pipes) dial(context.Context, string, string) (net.Conn, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.closed {
-		return nil, syscall.ECONNREFUSED
-	}
-	near, far := net.Pipe()
-	p.incoming <- far
-	return &countedConn{Conn: near, pipes: p}, nil
-}
-
-// bytesRead returns what the dialling side has read over all connections.
-func (p *pipes) bytesRead() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.read
-}
-
-// countedConn counts what is read from it.
-type countedConn struct {
-	net.Conn
-	pipes *pipes
-}
-
-// Read implements net.Conn.
-func (c *countedConn) Read(data []byte) (int, error) {
-	n, err := c.Conn.Read(data)
-	c.pipes.mu.Lock()
-	c.pipes.read += n
-	c.pipes.mu.Unlock()
-	return n, err
-}
-
-// serve runs a server over pipes until the returned function is called.
-func serve(p *pipes, handler http.Handler) func() {
-	s := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
-	go func() { _ = s.Serve(p) }()
-	return func() { _ = s.Close() }
-}
-
 func quiet() *logrus.Entry {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
--- a/internal/serving/receiver/slow_test.go
+++ b/internal/serving/receiver/slow_test.go
@@ -13,42 +13,45 @@
 	"github.com/matryer/is"
 
 	"gentianstep.example/gentianstep/internal/standin/generator"
+	"gentianstep.example/gentianstep/internal/testing/piper"
 	"gentianstep.example/gentianstep/internal/upstream/observer"
 )
 
 const (
 	slowTokens = 2000
+	// callerAddress is where the router listens.
+	callerAddress = "router"
 	// boundBytes is far under the size of a whole answer of slowTokens.
 	boundBytes = 32 << 10
 )
 
 // slowBench is a caller's own connection to a router before one engine.
 type slowBench struct {
-	engine   *generator.Engine
-	upstream *pipes
-	conn     net.Conn
-	close    func()
+	engine  *generator.Engine
+	network *piper.Network
+	conn    net.Conn
+	close   func()
 }
 
 func newSlowBench(t *testing.T) *slowBench {
 	t.Helper()
-	b := &slowBench{upstream: newPipes()}
+	b := &slowBench{network: piper.New()}
 	b.engine = generator.New(generator.Config{
 		Name: "up-0", Models: []observer.LoadedModel{{Name: "tile-match", WeightsVersion: "w1"}},
 		Slots: 8, CacheBlocks: 8, PrefillPerBlock: time.Millisecond, TokenInterval: 10 * time.Millisecond, Incarnation: 1,
 	})
-	closeEngine := serve(b.upstream, generator.Handler(b.engine))
-	handler, calls := newHandler(t, newHolder(t, true), b.upstream.dial, only{})
-	callers := newPipes()
-	closeRouter := serve(callers, handler)
-	near, far := net.Pipe()
-	callers.incoming <- far
-	b.conn = near
+	b.network.Serve(upstreamAddress.String(), generator.Handler(b.engine))
+	handler, calls := newHandler(t, newHolder(t, true), b.network.Dial, only{})
+	callers := piper.New()
+	callers.Serve(callerAddress, handler)
+	conn, err := callers.Dial(t.Context(), "tcp", callerAddress)
+	is.New(t).NoErr(err)
+	b.conn = conn
 	b.close = func() {
-		_ = near.Close()
-		closeRouter()
+		_ = conn.Close()
+		callers.Close()
 		calls.Close()
-		closeEngine()
+		b.network.Close()
 		synctest.Wait()
 	}
 	return b
@@ -74,11 +77,11 @@
 		_, err := answer.ReadString('\n')
 		is.NoErr(err)
 		time.Sleep(4 * time.Second)
-		is.True(b.upstream.bytesRead() < boundBytes) // the router holds a bounded part
+		is.True(b.network.BytesRead() < boundBytes) // the router holds a bounded part
 		is.Equal(b.engine.Stats().Cancelled, 0)
 		time.Sleep(2 * time.Second)
 		is.Equal(b.engine.Stats().Cancelled, 1) // cut after caller_write_timeout
-		is.True(b.upstream.bytesRead() < boundBytes)
+		is.True(b.network.BytesRead() < boundBytes)
 		rest, err := io.ReadAll(answer)
 		is.True(err != nil || !strings.Contains(string(rest), "[DONE]")) // no silent short answer
 	})
