Prove that failed and suspect connections serve no later request

A test for the idle connections of an upstream: only the first request after a loss meets the silence.

--- a/internal/serving/dispatcher/stream_test.go
+++ b/internal/serving/dispatcher/stream_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -221,3 +222,28 @@
 	is.Equal(b.counters.of(dispatcher.Continued), row.Continued)
 	is.True(b.chooser.balanced()) // each attempt ended once
 }
+
+func TestIdleConnectionsAreSuspectTogether(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(streamRow{Engines: 1})
+		defer b.close()
+		const warm = 3
+		var group sync.WaitGroup
+		for n := range warm {
+			id := fmt.Sprintf("warm-%d", n)
+			group.Go(func() {
+				_ = b.dispatch.Complete(t.Context(), newJob(id, id, streamTokens), &taker{is: is, id: id})
+			})
+		}
+		group.Wait()
+		b.act("lose_connections", nil)
+		for n, bound := range []time.Duration{4 * time.Second, time.Second, time.Second} {
+			id := fmt.Sprintf("request-%d", n)
+			start := time.Now()
+			is.NoErr(b.dispatch.Complete(t.Context(), newJob(id, id, streamTokens), &taker{is: is, id: id}))
+			is.True(time.Since(start) <= bound) // only the first request meets the silence
+		}
+	})
+}
--- a/internal/upstream/caller/caller_test.go
+++ b/internal/upstream/caller/caller_test.go
@@ -174,6 +174,9 @@
 		is.Equal(answer.Status, r.Status)
 		return
 	}
+	if !r.Refuse {
+		checkNotKept(t, c, target, call)
+	}
 	var failure *caller.Failure
 	is.True(errors.As(err, &failure))
 	is.Equal(failure.Sent, r.Sent)
@@ -181,3 +184,15 @@
 	is.Equal(failure.Reused, r.Reused)
 	is.Equal(errors.Is(err, caller.ErrSilent), r.Silent)
 }
+
+// checkNotKept checks that no later call goes out on a connection that failed.
+func checkNotKept(t *testing.T, c *caller.Caller, target caller.Target, call caller.Call) {
+	t.Helper()
+	is := is.New(t)
+	call.NewConnection = false
+	call.FirstByteBy = time.Now().Add(time.Second)
+	answer, err := c.Do(t.Context(), target, call)
+	is.NoErr(err)
+	is.True(!answer.Reused)
+	answer.Discard()
+}
