--- a/internal/serving/dispatcher/fixture_test.go
+++ b/internal/serving/dispatcher/fixture_test.go
@@ -46,12 +46,16 @@
 }
 
 func newEngine(name string, incarnation uint64) *generator.Engine {
+	return newEngineOf(name, incarnation, 1)
+}
+
+func newEngineOf(name string, incarnation uint64, prefillMillis int) *generator.Engine {
 	return generator.New(generator.Config{
 		Name:            name,
 		Models:          []observer.LoadedModel{{Name: modelName, WeightsVersion: weights}},
 		Slots:           8,
 		CacheBlocks:     64,
-		PrefillPerBlock: time.Millisecond,
+		PrefillPerBlock: time.Duration(prefillMillis) * time.Millisecond,
 		TokenInterval:   10 * time.Millisecond,
 		Incarnation:     incarnation,
 	})
@@ -97,6 +101,26 @@
 	return text
 }
 
+// tally counts occurrences.
+type tally struct {
+	mu     sync.Mutex
+	counts map[dispatcher.Occurrence]int
+}
+
+func newTally() *tally { return &tally{counts: make(map[dispatcher.Occurrence]int)} }
+
+func (c *tally) add(o dispatcher.Occurrence, n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts[o] += n
+}
+
+func (c *tally) of(o dispatcher.Occurrence) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.counts[o]
+}
+
 // inOrder chooses the first upstream that is not excluded and checks that each
 // attempt is told to have ended once.
 type inOrder struct {
