Run one store contract over the stand-in and the HTTP client

Cause: the store's contract was written down only as comments, and no fault of the platform could be brought about in a test.

Change: testdata/contract.json holds rows of calls and faults that run in virtual time over the stand-in in memory and over the dialer with the stand-in's HTTP handler. keeper.Faulty injects refusals, delays, lost answers, silent watches and rate limits, and counts calls. PUT /v1/control/faults and GET /v1/control/calls do the same in the stand-in's server. piper carries HTTP in memory, so that net/http runs in virtual time. storer.ErrRateLimited is a sure outcome: the call had no effect.

Ruled out: real sockets in these tests, since time then passes for real.

Seen red: listing with an empty prefix over HTTP answered not_found, since the path had no segment; the handler's pattern takes an empty prefix now.

--- a/internal/platform/dialer/dialer.go
+++ b/internal/platform/dialer/dialer.go
@@ -161,6 +161,8 @@
 		return storer.ErrNotChanged
 	case http.StatusRequestEntityTooLarge:
 		return storer.ErrTooLarge
+	case http.StatusTooManyRequests:
+		return storer.ErrRateLimited
 	}
 	return fmt.Errorf("platform: status %d", status)
 }
--- a/internal/platform/storer/store.go
+++ b/internal/platform/storer/store.go
@@ -81,6 +81,8 @@
 	ErrLeaseGone  = errors.New("lease has ended")
 	ErrNotChanged = errors.New("key has not changed")
 	ErrTooLarge   = errors.New("value is too large")
+	// ErrRateLimited refuses a call that came too soon; it had no effect.
+	ErrRateLimited = errors.New("too many calls")
 )
 
 // MaxValueBytes is the largest value the service takes.
--- /dev/null
+++ b/internal/standin/keeper/contract_test.go
@@ -0,0 +1,177 @@
+package keeper_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/netip"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gentianstep.example/gentianstep/internal/bundle/checker"
+	"gentianstep.example/gentianstep/internal/platform/dialer"
+	"gentianstep.example/gentianstep/internal/platform/storer"
+	"gentianstep.example/gentianstep/internal/standin/keeper"
+	"gentianstep.example/gentianstep/internal/standin/piper"
+)
+
+const defaultTimeout = 2 * time.Minute
+
+// step is one call of a row with what must come of it.
+type step struct {
+	Do      string           `json:"do"`
+	Key     string           `json:"key"`
+	Value   string           `json:"value"`
+	Size    int              `json:"size"`
+	If      string           `json:"if"`
+	Lease   string           `json:"lease"`
+	TTL     checker.Duration `json:"ttl"`
+	Timeout checker.Duration `json:"timeout"`
+	As      string           `json:"as"`
+	Want    string           `json:"want"`
+	Keys    string           `json:"keys"`
+	Faults  keeper.Faults    `json:"faults"`
+	Calls   keeper.Calls     `json:"calls"`
+}
+
+type row struct {
+	Name  string `json:"name"`
+	Steps []step `json:"steps"`
+}
+
+// result is what a call returned.
+type result struct {
+	entry storer.Entry
+	keys  []string
+	err   error
+}
+
+// bench runs the steps of one row against one implementation.
+type bench struct {
+	is        *is.I
+	store     storer.Store
+	faulty    func(keeper.Faults)
+	calls     func() keeper.Calls
+	revisions map[string]uint64
+	leases    map[string]uint64
+	waiting   map[string]chan result
+}
+
+func TestStoreContract(t *testing.T) {
+	t.Parallel()
+	data, err := os.ReadFile("testdata/contract.json")
+	is.New(t).NoErr(err)
+	var rows []row
+	is.New(t).NoErr(json.Unmarshal(data, &rows))
+	for _, r := range rows {
+		t.Run("in memory/"+r.Name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				f := keeper.NewFaulty(keeper.New())
+				run(t, r, &bench{store: f, faulty: f.Set, calls: f.Calls})
+			})
+		})
+		t.Run("over http/"+r.Name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { runOverHTTP(t, r) })
+		})
+	}
+}
+
+func runOverHTTP(t *testing.T, r row) {
+	pipe := piper.New(keeper.Handler(keeper.New()))
+	defer pipe.Stop()
+	d := dialer.New(dialer.Config{Address: netip.MustParseAddrPort("127.0.0.1:1"), Client: pipe.Client()})
+	control := control{is: is.New(t), client: pipe.Client()}
+	run(t, r, &bench{store: d, faulty: control.set, calls: control.calls})
+}
+
+func run(t *testing.T, r row, b *bench) {
+	b.is = is.New(t)
+	b.revisions = map[string]uint64{"": 0}
+	b.leases = map[string]uint64{"": 0}
+	b.waiting = make(map[string]chan result)
+	for i, s := range r.Steps {
+		if err := b.step(t.Context(), s); err != nil {
+			t.Fatalf("step %d, %s: %v", i, s.Do, err)
+		}
+	}
+}
+
+func (b *bench) step(ctx context.Context, s step) error {
+	switch s.Do {
+	case "advance":
+		time.Sleep(s.TTL.Std())
+		synctest.Wait()
+		return nil
+	case "faults":
+		b.faulty(s.Faults)
+		synctest.Wait()
+		return nil
+	case "calls":
+		return differ(b.calls(), s.Calls)
+	case "start":
+		b.start(ctx, s)
+		return nil
+	case "end":
+		return check(s, <-b.waiting[s.As])
+	}
+	return check(s, b.call(ctx, s))
+}
+
+// start watches in the background.
+func (b *bench) start(ctx context.Context, s step) {
+	done := make(chan result, 1)
+	b.waiting[s.As] = done
+	s.Do = "watch"
+	s.As = ""
+	go func() { done <- b.call(ctx, s) }()
+	synctest.Wait()
+}
+
+func (b *bench) call(ctx context.Context, s step) result {
+	timeout := s.Timeout.Std()
+	if timeout == 0 {
+		timeout = defaultTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var r result
+	var lease storer.Lease
+	switch s.Do {
+	case "put":
+		value := []byte(s.Value + strings.Repeat("x", s.Size))
+		opts := storer.PutOptions{IfRevision: b.revisions[s.If], LeaseID: b.leases[s.Lease]}
+		r.entry.Revision, r.err = b.store.Put(ctx, s.Key, value, opts)
+	case "get":
+		r.entry, r.err = b.store.Get(ctx, s.Key)
+	case "delete":
+		r.err = b.store.Delete(ctx, s.Key, b.revisions[s.If])
+	case "list":
+		var entries []storer.Entry
+		entries, r.err = b.store.List(ctx, s.Key)
+		for _, e := range entries {
+			r.keys = append(r.keys, e.Key)
+		}
+	case "watch":
+		r.entry, r.err = b.store.Watch(ctx, s.Key, b.revisions[s.If])
+	case "grant":
+		lease, r.err = b.store.Grant(ctx, s.TTL.Std())
+		b.leases[s.As] = lease.ID
+	case "renew":
+		_, r.err = b.store.Renew(ctx, b.leases[s.Lease])
+	case "revoke":
+		r.err = b.store.Revoke(ctx, b.leases[s.Lease])
+	default:
+		r.err = errors.New("unknown step " + s.Do)
+	}
+	if s.As != "" {
+		b.revisions[s.As] = r.entry.Revision
+	}
+	return r
+}
--- a/internal/standin/keeper/keeper.go
+++ b/internal/standin/keeper/keeper.go
@@ -11,6 +11,9 @@
 	"gentianstep.example/gentianstep/internal/platform/storer"
 )
 
+// watchLimit is the longest wait of one watch call.
+const watchLimit = 30 * time.Second
+
 // Keeper is a key-value service in memory. It implements storer.Store and
 // storer.VMLister.
 type Keeper struct {
@@ -113,6 +116,8 @@
 
 // Watch implements storer.Store.
 func (k *Keeper) Watch(ctx context.Context, key string, after uint64) (storer.Entry, error) {
+	limit := time.NewTimer(watchLimit)
+	defer limit.Stop()
 	for {
 		k.mu.Lock()
 		k.expire(time.Now())
@@ -124,6 +129,8 @@
 		}
 		select {
 		case <-changed:
+		case <-limit.C:
+			return storer.Entry{}, storer.ErrNotChanged
 		case <-ctx.Done():
 			return storer.Entry{}, ctx.Err()
 		}
--- a/internal/standin/keeper/server.go
+++ b/internal/standin/keeper/server.go
@@ -1,42 +1,59 @@
 package keeper
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	"net/http"
 	"strconv"
-	"time"
 
 	"gentianstep.example/gentianstep/internal/platform/storer"
 )
 
-// watchLimit is the longest wait of one watch call.
-const watchLimit = 30 * time.Second
+// Paths by which a test injects faults and counts calls.
+const (
+	PathFaults = "/v1/control/faults"
+	PathCalls  = "/v1/control/calls"
+)
 
-// Handler serves a Keeper over HTTP.
+// Handler serves a Keeper over HTTP, with the faults that are set over HTTP.
 func Handler(k *Keeper) http.Handler {
-	s := server{keeper: k}
+	s := server{keeper: k, store: NewFaulty(k)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+storer.PathKeys+"{key}", s.get)
 	mux.HandleFunc("PUT "+storer.PathKeys+"{key}", s.put)
 	mux.HandleFunc("DELETE "+storer.PathKeys+"{key}", s.remove)
 	mux.HandleFunc("GET "+storer.PathWatch+"{key}", s.watch)
-	mux.HandleFunc("GET "+storer.PathList+"{prefix}", s.list)
+	mux.HandleFunc("GET "+storer.PathList+"{prefix...}", s.list)
 	mux.HandleFunc("POST "+storer.PathLeases, s.grant)
 	mux.HandleFunc("PUT "+storer.PathLeases+"/{id}", s.renew)
 	mux.HandleFunc("DELETE "+storer.PathLeases+"/{id}", s.revoke)
 	mux.HandleFunc("GET "+storer.PathVMs, s.vms)
 	mux.HandleFunc("PUT "+storer.PathVMs, s.setVMs)
+	mux.HandleFunc("PUT "+PathFaults, s.setFaults)
+	mux.HandleFunc("GET "+PathCalls, s.calls)
 	return mux
 }
 
 type server struct {
 	keeper *Keeper
+	store  *Faulty
+}
+
+func (s server) setFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if !decode(w, r, &faults) {
+		return
+	}
+	s.store.Set(faults)
+	answer(w, struct{}{}, nil)
+}
+
+func (s server) calls(w http.ResponseWriter, _ *http.Request) {
+	answer(w, s.store.Calls(), nil)
 }
 
 func (s server) get(w http.ResponseWriter, r *http.Request) {
-	entry, err := s.keeper.Get(r.Context(), r.PathValue("key"))
+	entry, err := s.store.Get(r.Context(), r.PathValue("key"))
 	answer(w, entry, err)
 }
 
@@ -46,7 +63,7 @@
 		return
 	}
 	opts := storer.PutOptions{IfRevision: body.IfRevision, LeaseID: body.LeaseID}
-	revision, err := s.keeper.Put(r.Context(), r.PathValue("key"), body.Value, opts)
+	revision, err := s.store.Put(r.Context(), r.PathValue("key"), body.Value, opts)
 	answer(w, storer.PutAnswer{Revision: revision}, err)
 }
 
@@ -56,7 +73,7 @@
 		http.Error(w, "if_revision: takes a number", http.StatusBadRequest)
 		return
 	}
-	answer(w, struct{}{}, s.keeper.Delete(r.Context(), r.PathValue("key"), revision))
+	answer(w, struct{}{}, s.store.Delete(r.Context(), r.PathValue("key"), revision))
 }
 
 func (s server) watch(w http.ResponseWriter, r *http.Request) {
@@ -65,17 +82,12 @@
 		http.Error(w, "after: takes a number", http.StatusBadRequest)
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), watchLimit)
-	defer cancel()
-	entry, err := s.keeper.Watch(ctx, r.PathValue("key"), after)
-	if errors.Is(err, context.DeadlineExceeded) {
-		err = storer.ErrNotChanged
-	}
+	entry, err := s.store.Watch(r.Context(), r.PathValue("key"), after)
 	answer(w, entry, err)
 }
 
 func (s server) list(w http.ResponseWriter, r *http.Request) {
-	entries, err := s.keeper.List(r.Context(), r.PathValue("prefix"))
+	entries, err := s.store.List(r.Context(), r.PathValue("prefix"))
 	answer(w, entries, err)
 }
 
@@ -84,17 +96,17 @@
 	if !decode(w, r, &body) {
 		return
 	}
-	lease, err := s.keeper.Grant(r.Context(), body.TTL())
+	lease, err := s.store.Grant(r.Context(), body.TTL())
 	answer(w, lease, err)
 }
 
 func (s server) renew(w http.ResponseWriter, r *http.Request) {
-	lease, err := s.keeper.Renew(r.Context(), leaseID(r))
+	lease, err := s.store.Renew(r.Context(), leaseID(r))
 	answer(w, lease, err)
 }
 
 func (s server) revoke(w http.ResponseWriter, r *http.Request) {
-	answer(w, struct{}{}, s.keeper.Revoke(r.Context(), leaseID(r)))
+	answer(w, struct{}{}, s.store.Revoke(r.Context(), leaseID(r)))
 }
 
 func (s server) vms(w http.ResponseWriter, r *http.Request) {
@@ -130,6 +142,9 @@
 }
 
 func answer(w http.ResponseWriter, body any, err error) {
+	if errors.Is(err, ErrAnswerLost) {
+		panic(http.ErrAbortHandler)
+	}
 	status := statusOf(err)
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
@@ -156,6 +171,10 @@
 		return http.StatusNotModified
 	case errors.Is(err, storer.ErrTooLarge):
 		return http.StatusRequestEntityTooLarge
+	case errors.Is(err, storer.ErrRateLimited):
+		return http.StatusTooManyRequests
+	case errors.Is(err, ErrUnavailable):
+		return http.StatusServiceUnavailable
 	}
 	return http.StatusInternalServerError
 }
