Name the full path of every fault in a bundle

Cause: an unknown field was named without its path, a key given twice took its last value, names matched in any case, and a value of a wrong type was named without its index.

Change: the document is walked before it is decoded. A model may state previous_weights_version for a roll-out.

Seen red: before the walk, min_replicas of a wrong type was named as models.min_replicas; with the walk switched off the rows of unknown fields, keys given twice, other letters and wrong types failed.

--- a/internal/bundle/checker/check.go
+++ b/internal/bundle/checker/check.go
@@ -11,6 +11,9 @@
 // maxNameLength is the longest name of anything in a bundle, in bytes.
 const maxNameLength = 64
 
+// MaxVersion is the highest version number that every JSON reader keeps exact.
+const MaxVersion = 1 << 53
+
 // keyHashBytes is the size of a SHA-256 sum.
 const keyHashBytes = 32
 
@@ -23,8 +26,8 @@
 	if err := checkName("deployment", b.Deployment); err != nil {
 		return err
 	}
-	if b.Version == 0 {
-		return invalid("version", "got 0, takes 1 or more")
+	if b.Version == 0 || b.Version > MaxVersion {
+		return invalid("version", "got %d, takes 1 to %d", b.Version, uint64(MaxVersion))
 	}
 	checks := []func() error{
 		b.checkRegions,
@@ -108,6 +111,9 @@
 		if err := checkName(at+".weights_version", m.WeightsVersion); err != nil {
 			return err
 		}
+		if err := checkPreviousVersion(at+".previous_weights_version", m); err != nil {
+			return err
+		}
 		if m.MinReplicas < 1 {
 			return invalid(at+".min_replicas", "got %d, takes 1 or more", m.MinReplicas)
 		}
@@ -121,6 +127,16 @@
 	return nil
 }
 
+func checkPreviousVersion(path string, m Model) error {
+	if m.PreviousWeightsVersion == "" {
+		return nil
+	}
+	if m.PreviousWeightsVersion == m.WeightsVersion {
+		return invalid(path, "got %q, takes another version than weights_version", m.PreviousWeightsVersion)
+	}
+	return checkName(path, m.PreviousWeightsVersion)
+}
+
 func (b *Bundle) checkUpstreams() error {
 	if err := checkNames("upstreams", b.Upstreams, func(u Upstream) string { return u.Name }); err != nil {
 		return err
--- /dev/null
+++ b/internal/bundle/checker/check_test.go
@@ -0,0 +1,114 @@
+package checker_test
+
+import (
+	"encoding/json"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"gentianstep.example/gentianstep/internal/bundle/checker"
+	"gentianstep.example/gentianstep/internal/failure/classifier"
+)
+
+func TestBundleWithOneFaultIsRefusedByPath(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	document, err := os.ReadFile("testdata/bundle.json")
+	is.NoErr(err)
+	_, err = checker.Decode(document)
+	is.NoErr(err) // the bundle without a fault
+	data, err := os.ReadFile("testdata/rows.json")
+	is.NoErr(err)
+	var rows []struct {
+		Set   string          `json:"set"`
+		Value any             `json:"value"`
+		Want  string          `json:"want"`
+		Kind  classifier.Kind `json:"kind"`
+	}
+	is.NoErr(json.Unmarshal(data, &rows))
+	for _, row := range rows {
+		t.Run(row.Set, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			var root any
+			is.NoErr(json.Unmarshal(document, &root))
+			put(root, strings.Split(strings.ReplaceAll(row.Set, "[", ".["), "."), row.Value)
+			faulty, err := json.Marshal(root)
+			is.NoErr(err)
+			_, err = checker.Decode(faulty)
+			is.Equal(classifier.KindOf(err), row.Kind)
+			is.True(strings.Contains(err.Error(), ": "+row.Want)) // the error names the path
+		})
+	}
+}
+
+// put replaces the value at a path of object keys and list indexes.
+func put(at any, path []string, value any) {
+	for _, part := range path[:len(path)-1] {
+		if list, ok := at.([]any); ok {
+			at = list[index(part)]
+			continue
+		}
+		at = at.(map[string]any)[part] //nolint:errcheck // rows name objects of the bundle
+	}
+	last := path[len(path)-1]
+	if list, ok := at.([]any); ok {
+		list[index(last)] = value
+		return
+	}
+	at.(map[string]any)[last] = value //nolint:errcheck // rows name objects of the bundle
+}
+
+func index(part string) int {
+	n, _ := strconv.Atoi(strings.Trim(part, "[]"))
+	return n
+}
+
+func TestDocumentThatIsNotOneBundleIsRefused(t *testing.T) {
+	t.Parallel()
+	document, err := os.ReadFile("testdata/bundle.json")
+	is.New(t).NoErr(err)
+	text := string(document)
+	rows := map[string]string{
+		"trailing data":     text + "{}",
+		"truncated":         text[:len(text)/2],
+		"empty":             "",
+		"a list":            "[]",
+		"null":              "null",
+		"duplicate key":     strings.Replace(text, `"version": 1`, `"version": 1, "version": 2`, 1),
+		"duplicate in list": strings.Replace(text, `"weight": 2`, `"weight": 2, "weight": 3`, 1),
+	}
+	for name, faulty := range rows {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			_, err := checker.Decode([]byte(faulty))
+			is.New(t).Equal(classifier.KindOf(err), classifier.BundleInvalid)
+		})
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	document, err := os.ReadFile("testdata/bundle.json")
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(document)
+	f.Add([]byte(`{"deployment":"demo","version":1,"regions":[{"name":"a"}]}`))
+	f.Add([]byte(`{"policy":{"selection":{"name":[{}]}}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		b, err := checker.Decode(data)
+		if err != nil {
+			return
+		}
+		encoded, err := checker.Encode(b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := checker.Decode(encoded); err != nil {
+			t.Fatalf("accepted bundle does not survive encoding: %v", err)
+		}
+	})
+}
--- a/internal/bundle/checker/decode.go
+++ b/internal/bundle/checker/decode.go
@@ -6,15 +6,17 @@
 	"errors"
 	"fmt"
 	"io"
-	"strings"
+	"reflect"
 
 	"gentianstep.example/gentianstep/internal/failure/classifier"
 )
 
 // Decode reads a bundle from its JSON form and checks it.
 func Decode(document []byte) (*Bundle, error) {
+	if err := walk(document, reflect.TypeFor[Bundle](), ""); err != nil {
+		return nil, err
+	}
 	decoder := json.NewDecoder(bytes.NewReader(document))
-	decoder.DisallowUnknownFields()
 	var b Bundle
 	if err := decoder.Decode(&b); err != nil {
 		return nil, decodeError(err)
@@ -29,9 +31,6 @@
 }
 
 func decodeError(err error) error {
-	if field, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
-		return classifier.New(classifier.BundleUnknownField, "bundle: unknown field %s", field)
-	}
 	var typeErr *json.UnmarshalTypeError
 	if errors.As(err, &typeErr) {
 		return classifier.New(classifier.BundleInvalid, "%s: got %s, takes %s", typeErr.Field, typeErr.Value, typeErr.Type)
--- a/internal/bundle/checker/model.go
+++ b/internal/bundle/checker/model.go
@@ -4,6 +4,9 @@
 type Model struct {
 	Name           string `json:"name"`
 	WeightsVersion string `json:"weights_version"`
+	// PreviousWeightsVersion may still be served by engines that do not have
+	// WeightsVersion ready yet; empty allows WeightsVersion alone.
+	PreviousWeightsVersion string `json:"previous_weights_version,omitempty"`
 	// MinReplicas is the number of upstreams of each region that keep it loaded.
 	MinReplicas int `json:"min_replicas"`
 	// ContinueElsewhere allows a broken stream to go on at another upstream
