Claim each version number for good before it is published

Cause: a publish wrote the head alone. A head that held garbage, was deleted or was signed by a retired key could not be followed, or its number came round a second time; a lost answer was reported as a failure; there was no history.

Change: a publish creates the key of its version first, which claims the number and keeps the history, then swaps the head, then writes a small notice for the nodes to watch. Lost answers are settled by reading back; the same signed bundle may be published again after any failure.

Ruled out: writing the old head into the history before it is replaced. A head that then turns to garbage is in no history, and its number would be given again. Ruled out: listing the history, since a list returns all values.

--- a/internal/bundle/publisher/publisher.go
+++ b/internal/bundle/publisher/publisher.go
@@ -1,7 +1,12 @@
 // Package publisher writes signed bundles to the platform's store.
+//
+// A publish first creates the key of its version, which claims the number for
+// good, and then replaces the head by compare-and-swap. It may be repeated
+// with the same signed bundle after any failure.
 package publisher
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -12,11 +17,6 @@
 	"gentianstep.example/gentianstep/internal/platform/storer"
 )
 
-// HeadKey returns the key that holds the newest bundle of a deployment.
-func HeadKey(deployment string) string {
-	return "gentianstep/" + deployment + "/bundle/head"
-}
-
 // Config holds what a Publisher is built from.
 type Config struct {
 	Store    storer.Store
@@ -34,58 +34,117 @@
 	return &Publisher{store: cfg.Store, verifier: cfg.Verifier}
 }
 
-// Head returns the newest bundle with its revision, which is 0 before the
-// first publish.
-func (p *Publisher) Head(ctx context.Context) (signer.Envelope, uint64, error) {
-	entry, err := p.store.Get(ctx, HeadKey(p.verifier.Deployment))
-	if errors.Is(err, storer.ErrNotFound) {
-		return signer.Envelope{}, 0, nil
-	}
-	if err != nil {
-		return signer.Envelope{}, 0, classifier.Wrap(classifier.StoreUnavailable, err, "read the newest bundle")
-	}
-	e, err := signer.DecodeEnvelope(entry.Value)
-	return e, entry.Revision, err
-}
-
-// Publish makes e the newest bundle if its version is the next one.
+// Publish makes e the newest bundle if its version is the next one that no
+// other bundle has claimed.
 func (p *Publisher) Publish(ctx context.Context, e signer.Envelope) error {
 	b, err := p.verifier.Verify(e)
 	if err != nil {
 		return err
 	}
-	head, revision, err := p.Head(ctx)
+	value, err := json.Marshal(e)
 	if err != nil {
-		return err
+		return fmt.Errorf("encode envelope: %w", err)
 	}
-	current, err := p.version(head, revision)
+	if len(value) > storer.MaxValueBytes {
+		return classifier.New(classifier.BundleInvalid, "signed bundle takes %d bytes, the store takes %d", len(value), storer.MaxValueBytes)
+	}
+	h, err := p.head(ctx)
 	if err != nil {
 		return err
 	}
-	if b.Version != current+1 {
-		return classifier.New(classifier.BundleConflict, "got version %d, version %d is published", b.Version, current)
+	if bytes.Equal(h.value, value) {
+		return p.notify(ctx, b.Version)
 	}
-	value, err := json.Marshal(e)
-	if err != nil {
-		return fmt.Errorf("encode envelope: %w", err)
+	if err := p.checkNext(ctx, h.version, b.Version); err != nil {
+		return err
 	}
-	_, err = p.store.Put(ctx, HeadKey(b.Deployment), value, storer.PutOptions{IfRevision: revision})
-	if errors.Is(err, storer.ErrConflict) {
-		return classifier.Wrap(classifier.BundleConflict, err, "another operator published first")
+	if err := p.claim(ctx, b.Version, value); err != nil {
+		return err
 	}
-	if err != nil {
-		return classifier.Wrap(classifier.StoreUnavailable, err, "publish version %d", b.Version)
+	if err := p.replace(ctx, h, b.Version, value); err != nil {
+		return err
+	}
+	return p.notify(ctx, b.Version)
+}
+
+// checkNext allows a version above the published one when all numbers between
+// them are claimed by publishes that broke off.
+func (p *Publisher) checkNext(ctx context.Context, published, version uint64) error {
+	if version <= published {
+		return classifier.New(classifier.BundleConflict, "got version %d, version %d is published", version, published)
+	}
+	for between := published + 1; between < version; between++ {
+		_, err := p.store.Get(ctx, p.versionKey(between))
+		if errors.Is(err, storer.ErrNotFound) {
+			return classifier.New(classifier.BundleConflict, "got version %d, version %d is published and version %d is free", version, published, between)
+		}
+		if err != nil {
+			return unavailable(err, "read version %d", between)
+		}
 	}
 	return nil
 }
 
-func (p *Publisher) version(head signer.Envelope, revision uint64) (uint64, error) {
-	if revision == 0 {
-		return 0, nil
+// claim creates the key of a version. A claim by the same bytes is as good.
+func (p *Publisher) claim(ctx context.Context, version uint64, value []byte) error {
+	key := p.versionKey(version)
+	_, putErr := p.store.Put(ctx, key, value, storer.PutOptions{})
+	if putErr == nil {
+		return nil
 	}
-	b, err := p.verifier.Verify(head)
+	entry, err := p.store.Get(ctx, key)
+	switch {
+	case err == nil && bytes.Equal(entry.Value, value):
+		return nil
+	case err == nil:
+		return classifier.New(classifier.BundleConflict, "version %d is claimed by another bundle", version)
+	}
+	return unavailable(putErr, "claim version %d", version)
+}
+
+// replace swaps the head and settles a lost answer by reading the head back.
+func (p *Publisher) replace(ctx context.Context, h head, version uint64, value []byte) error {
+	key := HeadKey(p.verifier.Deployment)
+	_, putErr := p.store.Put(ctx, key, value, storer.PutOptions{IfRevision: h.revision})
+	if putErr == nil {
+		return nil
+	}
+	now, err := p.head(ctx)
+	switch {
+	case err == nil && bytes.Equal(now.value, value):
+		return nil
+	case err == nil && now.revision != h.revision:
+		return classifier.New(classifier.BundleConflict, "another operator published version %d, got version %d", now.version, version)
+	}
+	return unavailable(putErr, "publish version %d; publish the same signed bundle again", version)
+}
+
+// notify writes the small key that nodes watch. Nodes also poll the head, so a
+// notice that could not be written only delays the bundle.
+func (p *Publisher) notify(ctx context.Context, version uint64) error {
+	value, err := json.Marshal(Notice{Version: version})
 	if err != nil {
-		return 0, err
+		return fmt.Errorf("encode notice: %w", err)
+	}
+	key := NoticeKey(p.verifier.Deployment)
+	entry, err := p.store.Get(ctx, key)
+	if err != nil && !errors.Is(err, storer.ErrNotFound) {
+		return unavailable(err, "version %d is published, its notice is not", version)
+	}
+	if n, err := DecodeNotice(entry.Value); err == nil && n.Version >= version {
+		return nil
 	}
-	return b.Version, nil
+	_, err = p.store.Put(ctx, key, value, storer.PutOptions{IfRevision: entry.Revision})
+	if err != nil && !errors.Is(err, storer.ErrConflict) {
+		return unavailable(err, "version %d is published, its notice may not be", version)
+	}
+	return nil
+}
+
+func (p *Publisher) versionKey(version uint64) string {
+	return VersionKey(p.verifier.Deployment, version)
+}
+
+func unavailable(err error, format string, args ...any) error {
+	return classifier.Wrap(classifier.StoreUnavailable, err, format, args...)
 }
