Bring a bundle into force within seconds without a notice

Cause: every node watched the whole bundle, so that a publish sent it to all of them from the store at once, and a watch that had gone silent, a lost notice or a restored store with lower revisions could hide a bundle for good.

Change: nodes watch the small notice and read the head only when no peer has brought the version within a second. A watch ends at the next poll of the head, 6 to 18 s later, so a silent one delays a bundle by that much. A failed read of the head is repeated before the next watch. The dialer reads answers to their end and, after a timeout, closes its idle connections; the client it is given serves the platform alone.

Seen red: with polls of the head off the test ran into its limit; with the watch's deadline off, lost notice and silent watch; with the revision kept, the store with lower revisions; with the backoff off, the outage (300 calls in 10 minutes); with hasty answers accepted, an endless loop. With a failed read not repeated first, the row of refused calls failed in 3 of 20 runs: the next watch used up the one call a second. Answers with status 404 closed their connection until the dialer read them to the end, and a second idle silent connection cost a second timeout until idle ones were closed.

Results: 17 rows and the dialer's test pass 5 times of 5 with -race.

--- a/internal/bundle/checker/check_test.go
+++ b/internal/bundle/checker/check_test.go
@@ -52,14 +52,14 @@
 			at = list[index(part)]
 			continue
 		}
-		at = at.(map[string]any)[part] //nolint:errcheck // rows name objects of the bundle
+		at = at.(map[string]any)[part]
 	}
 	last := path[len(path)-1]
 	if list, ok := at.([]any); ok {
 		list[index(last)] = value
 		return
 	}
-	at.(map[string]any)[last] = value //nolint:errcheck // rows name objects of the bundle
+	at.(map[string]any)[last] = value
 }
 
 func index(part string) int {
--- a/internal/bundle/publisher/publisher.go
+++ b/internal/bundle/publisher/publisher.go
@@ -131,7 +131,7 @@
 	if err != nil && !errors.Is(err, storer.ErrNotFound) {
 		return unavailable(err, "version %d is published, its notice is not", version)
 	}
-	if n, err := DecodeNotice(entry.Value); err == nil && n.Version >= version {
+	if n, err := DecodeNotice(entry.Value); err == nil && n.Version > version {
 		return nil
 	}
 	_, err = p.store.Put(ctx, key, value, storer.PutOptions{IfRevision: entry.Revision})
--- a/internal/bundle/publisher/publisher_test.go
+++ b/internal/bundle/publisher/publisher_test.go
@@ -157,7 +157,7 @@
 func (b *bench) history(ctx context.Context) string {
 	records, err := b.publisher(b.store, "ops-1").History(ctx, 10)
 	b.is.NoErr(err)
-	var parts []string
+	parts := make([]string, 0, len(records))
 	for _, r := range records {
 		mark := ""
 		if r.Err != nil {
--- a/internal/operating/starter/controller.go
+++ b/internal/operating/starter/controller.go
@@ -26,6 +26,7 @@
 	settings    *configurer.Settings
 	log         *logrus.Entry
 	client      *http.Client
+	store       *dialer.Dialer
 	bundles     *holder.Holder
 	spread      *distributor.Distributor
 	peers       *connector.Group
@@ -59,6 +60,7 @@
 func newControl(settings *configurer.Settings, log *logrus.Entry) *control {
 	c := &control{settings: settings, log: log}
 	c.client = &http.Client{Transport: newTransport()}
+	c.store = dialer.New(dialer.Config{Address: settings.Platform.Address, Client: &http.Client{Transport: newTransport()}})
 	c.bundles = holder.New(holder.Config{Verifier: settings.Verifier()})
 	c.spread = distributor.New(distributor.Config{
 		Hello:     hello(settings, messenger.Controller),
@@ -90,10 +92,11 @@
 		Log:       log,
 	})
 	c.watch = watcher.New(watcher.Config{
-		Store:  dialer.New(dialer.Config{Address: settings.Platform.Address, Client: c.client}),
-		Key:    publisher.HeadKey(settings.Deployment),
-		Holder: c.bundles,
-		Log:    log,
+		Store:     c.store,
+		HeadKey:   publisher.HeadKey(settings.Deployment),
+		NoticeKey: publisher.NoticeKey(settings.Deployment),
+		Holder:    c.bundles,
+		Log:       log,
 	})
 	return c
 }
--- a/internal/platform/dialer/dialer.go
+++ b/internal/platform/dialer/dialer.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -22,7 +23,9 @@
 // Config holds what a Dialer is built from.
 type Config struct {
 	Address netip.AddrPort
-	Client  *http.Client
+	// Client is used for the platform alone: its idle connections are closed
+	// after a timeout.
+	Client *http.Client
 }
 
 // Dialer is a client of the platform. It implements storer.Store and
@@ -113,10 +116,14 @@
 		return err
 	}
 	response, err := d.client.Do(request)
+	if errors.Is(err, context.DeadlineExceeded) {
+		// The connection may have gone silent; the idle ones are suspect too.
+		d.client.CloseIdleConnections()
+	}
 	if err != nil {
 		return fmt.Errorf("platform: %w", err)
 	}
-	defer func() { _ = response.Body.Close() }()
+	defer drain(response.Body)
 	if err := statusError(response.StatusCode); err != nil {
 		return err
 	}
@@ -129,6 +136,12 @@
 	return nil
 }
 
+// drain reads what is left of an answer, so that its connection is used again.
+func drain(body io.ReadCloser) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(body, maxAnswerBytes))
+	_ = body.Close()
+}
+
 // request builds a request whose body the transport cannot send a second time.
 func (d *Dialer) request(ctx context.Context, method, path string, body any) (*http.Request, error) {
 	var reader io.Reader
