Plan the placement of models and weights versions by region

Cause: nothing loaded weights; the bundle's placement policy had no effect.

Change: planner decides from typed observations and its own orders, with no I/O and no clock: least replicas, roll-out of a weights version, empty engines, hot models with a dwell, at most max_loads at once and load_interval between loads. PinVersion gives the one version a request is served with while two are allowed. leaser holds a region's lease; its fencing number is the store's revision. orderer sends orders with fencing number, deadline and incarnation. placer joins them in the controller; the engine stand-in takes orders.

Ruled out: switching all requests to the new version with the first ready engine, which would send the whole load to it; a request's prefix family decides by the share of ready engines instead, and moves once.

Seen red: with max_loads, the check for the last replica, pending loads or pending replacements left out, the property test found each within seconds; it also found that a roll-out with one replica and no empty engine waited for good, so an engine that another model can spare is taken now. Without the dwell the hot spell moved an engine at once.

--- a/internal/bundle/checker/check_policy.go
+++ b/internal/bundle/checker/check_policy.go
@@ -66,6 +66,9 @@
 	if p.Selection.CrossingPrice < 0 || p.Selection.CrossingLatency < 0 {
 		return invalid("policy.selection", "crossing_price and crossing_latency take 0s or more")
 	}
+	if p.Placement.LoadInterval < 0 {
+		return invalid("policy.placement.load_interval", "got %s, takes 0s or more", p.Placement.LoadInterval.Std())
+	}
 	if p.Streams.MaxResumes < 0 {
 		return invalid("policy.streams.max_resumes", "got %d, takes 0 or more", p.Streams.MaxResumes)
 	}
--- a/internal/bundle/checker/policy.go
+++ b/internal/bundle/checker/policy.go
@@ -65,6 +65,9 @@
 type PlacementPolicy struct {
 	// MaxLoads bounds the weight loads of one region at one time.
 	MaxLoads int `json:"max_loads"`
+	// LoadInterval is the shortest time between two load orders of one region,
+	// after the rate of the weight store; 0s is no limit.
+	LoadInterval Duration `json:"load_interval,omitempty"`
 	// LeaseTTL is the time to live of a region's placement lease.
 	LeaseTTL Duration `json:"lease_ttl"`
 	// OrderTimeout is the longest time an order stays valid.
--- a/internal/operating/starter/controller.go
+++ b/internal/operating/starter/controller.go
@@ -16,6 +16,8 @@
 	"gentianstep.example/gentianstep/internal/peering/connector"
 	"gentianstep.example/gentianstep/internal/peering/distributor"
 	"gentianstep.example/gentianstep/internal/peering/messenger"
+	"gentianstep.example/gentianstep/internal/placement/leaser"
+	"gentianstep.example/gentianstep/internal/placement/placer"
 	"gentianstep.example/gentianstep/internal/platform/dialer"
 	"gentianstep.example/gentianstep/internal/upstream/observer"
 	"gentianstep.example/gentianstep/internal/upstream/reader"
@@ -33,6 +35,8 @@
 	coordinator *coordinator.Coordinator
 	poll        *poller.Poller
 	watch       *watcher.Watcher
+	lease       *leaser.Leaser
+	place       *placer.Placer
 }
 
 // Controller runs a controller until ctx ends.
@@ -49,6 +53,8 @@
 	log.WithField("address", settings.Controller.PeerAddress).Info("controller started")
 	return serve(ctx, []*server{peers, operators},
 		c.watch.Run,
+		c.lease.Run,
+		c.place.Run,
 		c.spread.Run,
 		c.coordinator.Run,
 		c.poll.Run,
@@ -88,7 +94,7 @@
 	})
 	c.poll = poller.New(poller.Config{
 		Observer:  observer.New(observer.Config{Client: c.client}),
-		OnReports: c.coordinator.Reports,
+		OnReports: c.reports,
 		Log:       log,
 	})
 	c.watch = watcher.New(watcher.Config{
@@ -98,6 +104,7 @@
 		Holder:    c.bundles,
 		Log:       log,
 	})
+	c.newPlacement()
 	return c
 }
 
@@ -119,11 +126,17 @@
 
 // fromLink takes a message of a router or controller that connected here.
 func (c *control) fromLink(l *distributor.Link, m messenger.Message) {
+	if m.Reports != nil {
+		c.place.Reports(m.Reports.Reports)
+	}
 	c.coordinator.Message(l.Peer.Role, m, l.Send)
 }
 
 // fromPeer takes a message on a connection that this controller opened.
 func (c *control) fromPeer(m messenger.Message) {
+	if m.Reports != nil {
+		c.place.Reports(m.Reports.Reports)
+	}
 	c.coordinator.Message(messenger.Controller, m, func(messenger.Message) bool { return false })
 }
 
--- /dev/null
+++ b/internal/placement/leaser/holding.go
@@ -0,0 +1,21 @@
+package leaser
+
+import "time"
+
+// Holding is the right to place models in a region until its deadline.
+type Holding struct {
+	// Fencing is the store's revision at which the lease was taken. It rises
+	// with each holder.
+	Fencing  uint64
+	Deadline time.Time
+	// UncheckedAfter is when orders of an earlier holder have run out, so that
+	// upstreams that ignore fencing numbers may be given orders.
+	UncheckedAfter time.Time
+}
+
+// Valid reports whether the holder may act at now. The deadline counts by the
+// clock that cannot jump and by the wall clock, so that neither a pause of the
+// whole VM nor a clock set back prolongs it.
+func (h Holding) Valid(now time.Time) bool {
+	return h.Fencing > 0 && now.Before(h.Deadline) && now.Round(0).Before(h.Deadline.Round(0))
+}
--- /dev/null
+++ b/internal/placement/planner/version.go
@@ -0,0 +1,48 @@
+package planner
+
+import (
+	"math"
+
+	"gentianstep.example/gentianstep/internal/bundle/checker"
+)
+
+// Versions returns the versions of m that may be served, the wanted one first.
+func Versions(m checker.Model) []string {
+	if m.PreviousWeightsVersion == "" {
+		return []string{m.WeightsVersion}
+	}
+	return []string{m.WeightsVersion, m.PreviousWeightsVersion}
+}
+
+// ServableVersions returns the versions of m that may be served and that some
+// engine has ready, the wanted one first. Ready counts the engines of each
+// version.
+func ServableVersions(m checker.Model, ready map[string]int) []string {
+	versions := make([]string, 0, 2)
+	for _, version := range Versions(m) {
+		if ready[version] > 0 {
+			versions = append(versions, version)
+		}
+	}
+	return versions
+}
+
+// PinVersion returns the one version that a request is served with. During a
+// roll-out each version gets the share of prefix families that matches its
+// share of ready engines, and a family moves to the wanted version once. Where
+// nothing is known to be ready it is the wanted version.
+func PinVersion(m checker.Model, ready map[string]int, family uint64) string {
+	versions := ServableVersions(m, ready)
+	switch len(versions) {
+	case 0:
+		return m.WeightsVersion
+	case 1:
+		return versions[0]
+	}
+	wanted, previous := ready[versions[0]], ready[versions[1]]
+	share := float64(wanted) / float64(wanted+previous)
+	if float64(family)/math.MaxUint64 < share {
+		return versions[0]
+	}
+	return versions[1]
+}
--- a/internal/standin/generator/config.go
+++ b/internal/standin/generator/config.go
@@ -24,6 +24,11 @@
 	ChecksFencing bool
 	// LoadTime is the time to load one version of a model's weights.
 	LoadTime time.Duration
+	// IgnoresConditions makes the engine carry out late orders and orders that
+	// were meant for another incarnation.
+	IgnoresConditions bool
+	// Weights is the store that weights are loaded from; nil is one of its own.
+	Weights *Weights
 	// EventDelay is how late cache events are published.
 	EventDelay time.Duration
 	// Incarnation tells this start of the engine from earlier ones.
--- a/internal/standin/generator/engine.go
+++ b/internal/standin/generator/engine.go
@@ -46,6 +46,7 @@
 	streams      map[string]*stream
 	queuedBlocks int
 	leaving      bool
+	placing      placing
 	stats        Stats
 }
 
@@ -190,6 +191,7 @@
 		QueuedBlocks: e.queuedBlocks,
 		Leaving:      e.leaving,
 		Models:       slices.Clone(e.models),
+		Loading:      slices.Clone(e.placing.loading),
 	}
 }
 
--- a/internal/standin/generator/server.go
+++ b/internal/standin/generator/server.go
@@ -10,6 +10,7 @@
 	"strconv"
 
 	"gentianstep.example/gentianstep/internal/caching/hasher"
+	"gentianstep.example/gentianstep/internal/placement/orderer"
 	"gentianstep.example/gentianstep/internal/streaming/encoder"
 )
 
@@ -28,6 +29,7 @@
 	mux.HandleFunc("GET /v1/control/events", s.events)
 	mux.HandleFunc("GET /v1/control/stats", s.stats)
 	mux.HandleFunc("POST /v1/control/leave", s.leave)
+	mux.HandleFunc("POST "+orderer.Path, s.order)
 	return mux
 }
 
--- a/internal/upstream/observer/report.go
+++ b/internal/upstream/observer/report.go
@@ -22,6 +22,8 @@
 	QueuedBlocks int           `json:"queued_blocks" cbor:"6,keyasint"`
 	Leaving      bool          `json:"leaving,omitempty" cbor:"7,keyasint,omitempty"`
 	Models       []LoadedModel `json:"models" cbor:"8,keyasint"`
+	// Loading lists the weights that it loads now.
+	Loading []LoadedModel `json:"loading,omitempty" cbor:"9,keyasint,omitempty"`
 }
 
 // Check reports the first fault of the report.
