--- a/internal/operating/starter/controller.go
+++ b/internal/operating/starter/controller.go
@@ -17,6 +17,9 @@
 	"gentianstep.example/gentianstep/internal/peering/connector"
 	"gentianstep.example/gentianstep/internal/peering/distributor"
 	"gentianstep.example/gentianstep/internal/peering/messenger"
+	"gentianstep.example/gentianstep/internal/placement/leaser"
+	"gentianstep.example/gentianstep/internal/placement/placer"
+	"gentianstep.example/gentianstep/internal/platform/dialer"
 	"gentianstep.example/gentianstep/internal/upstream/observer"
 	"gentianstep.example/gentianstep/internal/upstream/reader"
 )
@@ -26,12 +29,15 @@
 	settings    *configurer.Settings
 	log         *logrus.Entry
 	client      *http.Client
+	store       *dialer.Dialer
 	bundles     *holder.Holder
 	spread      *distributor.Distributor
 	peers       *connector.Group
 	coordinator *coordinator.Coordinator
 	poll        *poller.Poller
 	watch       *watcher.Watcher
+	lease       *leaser.Leaser
+	place       *placer.Placer
 }
 
 // Controller runs a controller until ctx ends.
@@ -82,6 +88,8 @@
 func (c *control) loops() []func(context.Context) {
 	return []func(context.Context){
 		c.watch.Run,
+		c.lease.Run,
+		c.place.Run,
 		c.spread.Run,
 		c.coordinator.Run,
 		c.poll.Run,
@@ -93,6 +101,7 @@
 func newControl(settings *configurer.Settings, certificates certifiers, log *logrus.Entry) *control {
 	c := &control{settings: settings, log: log}
 	c.client = &http.Client{Transport: newTransport(certificates.upstreams)}
+	c.store = newPlatform(settings, certificates)
 	c.bundles = holder.New(holder.Config{Verifier: settings.Verifier()})
 	c.spread = distributor.New(distributor.Config{
 		Hello:     hello(settings, messenger.Controller),
@@ -120,15 +129,17 @@
 	})
 	c.poll = poller.New(poller.Config{
 		Observer:  observer.New(observer.Config{Client: c.client}),
-		OnReports: c.coordinator.Reports,
+		OnReports: c.reports,
 		Log:       log,
 	})
 	c.watch = watcher.New(watcher.Config{
-		Store:  newPlatform(settings, certificates),
-		Key:    publisher.HeadKey(settings.Deployment),
-		Holder: c.bundles,
-		Log:    log,
+		Store:     c.store,
+		HeadKey:   publisher.HeadKey(settings.Deployment),
+		NoticeKey: publisher.NoticeKey(settings.Deployment),
+		Holder:    c.bundles,
+		Log:       log,
 	})
+	c.newPlacement()
 	return c
 }
 
@@ -150,11 +161,17 @@
 
 // fromLink takes a message of a router or controller that connected here.
 func (c *control) fromLink(l *distributor.Link, m messenger.Message) {
+	if m.Reports != nil {
+		c.place.Reports(m.Reports.Reports)
+	}
 	c.coordinator.Message(l.Peer.Role, m, l.Send)
 }
 
 // fromPeer takes a message on a connection that this controller opened.
 func (c *control) fromPeer(m messenger.Message) {
+	if m.Reports != nil {
+		c.place.Reports(m.Reports.Reports)
+	}
 	c.coordinator.Message(messenger.Controller, m, func(messenger.Message) bool { return false })
 }
 
