--- /dev/null
+++ b/scripts/known_red_test.go
@@ -0,0 +1,60 @@
+// Package scripts_test tests the scripts of this folder.
+package scripts_test
+
+import (
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// judgement is one run of go test and what known-red.sh must make of it.
+type judgement struct {
+	Name   string   `json:"name"`
+	Output []string `json:"output"`
+	Status int      `json:"status"`
+	List   []string `json:"list"`
+	Exit   int      `json:"exit"`
+	Prints string   `json:"prints"`
+}
+
+func TestKnownRed(t *testing.T) {
+	t.Parallel()
+	data, err := os.ReadFile("testdata/known_red.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var rows []judgement
+	if err := json.Unmarshal(data, &rows); err != nil {
+		t.Fatal(err)
+	}
+	for _, row := range rows {
+		t.Run(row.Name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			output, list := write(t, "output", row.Output), write(t, "list", row.List)
+			c := exec.CommandContext(t.Context(), "./known-red.sh", output, strconv.Itoa(row.Status), list)
+			text, _ := c.CombinedOutput()
+			is.Equal(c.ProcessState.ExitCode(), row.Exit)
+			is.True(strings.Contains(string(text), row.Prints))
+		})
+	}
+}
+
+func write(t *testing.T, name string, lines []string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), name)
+	text := strings.Join(lines, "\n")
+	if text != "" {
+		text += "\n"
+	}
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
