--- a/internal/testing/launcher/deployment.go
+++ b/internal/testing/launcher/deployment.go
@@ -80,6 +80,9 @@
 	for i := range shape.Services {
 		d.startService(i)
 	}
+	if shape.Services == 0 {
+		d.Bundle.Services = nil
+	}
 	if shape.Change != nil {
 		shape.Change(&d.Bundle)
 	}
--- a/scripts/deploy.sh
+++ b/scripts/deploy.sh
@@ -6,6 +6,7 @@
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
 
 BIN=${BIN:-bin}
+HOST=${HOST:-127.0.0.1}
 BASE_PORT=${BASE_PORT:-21000}
 VMS=${VMS:-3}
 ENGINES=${ENGINES:-2}
@@ -47,11 +48,11 @@
 
 port() { echo $((BASE_PORT + $1)); }
 region() { echo "${REGIONS[(($1 - 1) % ${#REGIONS[@]})]}"; }
-caller_address() { echo "127.0.0.1:$(port $((10 * $1)))"; }
-operator_address() { echo "127.0.0.1:$(port $((10 * $1 + 1)))"; }
-peer_address() { echo "127.0.0.1:$(port $((10 * $1 + 2)))"; }
-engine_address() { echo "127.0.0.1:$(port $((100 + 10 * $1 + $2)))"; }
-desk_address() { echo "127.0.0.1:$(port $((200 + $1)))"; }
+caller_address() { echo "$HOST:$(port $((10 * $1)))"; }
+operator_address() { echo "$HOST:$(port $((10 * $1 + 1)))"; }
+peer_address() { echo "$HOST:$(port $((10 * $1 + 2)))"; }
+engine_address() { echo "$HOST:$(port $((100 + 10 * $1 + $2)))"; }
+desk_address() { echo "$HOST:$(port $((200 + $1)))"; }
 
 # wait_for URL waits until it answers.
 wait_for() {
@@ -74,8 +75,8 @@
   "region": "$(region "$i")",
   "availability_zone": "$(region "$i")1",
   "router": {"caller_address": "$(caller_address "$i")", "operator_address": "$(operator_address "$i")", "drain_delay": "0s"},
-  "controller": {"peer_address": "$(peer_address "$i")", "operator_address": "127.0.0.1:$(port $((10 * i + 3)))", "peers": [${peers%,}]},
-  "platform": {"address": "127.0.0.1:$(port 0)"},
+  "controller": {"peer_address": "$(peer_address "$i")", "operator_address": "$HOST:$(port $((10 * i + 3)))", "peers": [${peers%,}]},
+  "platform": {"address": "$HOST:$(port 0)"},
   "trust": {"bundle_keys": [$1], "threshold": 1}
 }
 SETTINGS
@@ -127,7 +128,7 @@
   STEP="write bundle"
   write_bundle
   STEP="start stand-ins"
-  start platform "$BIN/standin" platform --address "127.0.0.1:$(port 0)"
+  start platform "$BIN/standin" platform --address "$HOST:$(port 0)"
   for i in $(seq 1 "$VMS"); do
     for j in $(seq 1 "$ENGINES"); do
       # shellcheck disable=SC2086 # ENGINE_ARGS holds several words
@@ -140,7 +141,7 @@
     start "controller-$i" "$BIN/gentianstep" controller --settings "$DIR/vm-$i.json"
     start "router-$i" "$BIN/gentianstep" router --settings "$DIR/vm-$i.json"
   done
-  wait_for "http://127.0.0.1:$(port 0)/v1/vms"
+  wait_for "http://$HOST:$(port 0)/v1/vms"
   STEP="sign and publish the bundle"
   "$BIN/gentianstep" bundle sign --bundle "$DIR/bundle.json" --key "$DIR/ops-1.key" --out "$DIR/signed.json"
   "$BIN/gentianstep" bundle publish --bundle "$DIR/signed.json" --settings "$DIR/vm-1.json"
