--- a/cmd/gentianstep/explain.go
+++ b/cmd/gentianstep/explain.go
@@ -13,6 +13,7 @@
 	"gentianstep.example/gentianstep/internal/failure/classifier"
 	"gentianstep.example/gentianstep/internal/operating/configurer"
 	"gentianstep.example/gentianstep/internal/operating/explainer"
+	"gentianstep.example/gentianstep/internal/operating/starter"
 )
 
 // explainTimeout bounds the wait for one router.
@@ -68,43 +69,52 @@
 		defer func() { _ = file.Close() }()
 		return explainer.FindInLog(file, o.requestID)
 	}
-	routers, err := o.routers()
+	addresses, err := o.parseAddresses()
 	if err != nil {
 		return nil, err
 	}
-	var found []explainer.Decision
-	for _, address := range routers {
-		decisions, err := fetchDecisions(ctx, address, o.requestID)
-		if err != nil {
-			return nil, err
-		}
-		found = append(found, decisions...)
-	}
-	return found, nil
+	return o.ask(ctx, addresses)
 }
 
-// routers returns the operator addresses to ask.
-func (o explainOptions) routers() ([]netip.AddrPort, error) {
-	var routers []netip.AddrPort
+// parseAddresses returns the routers that the command line names.
+func (o explainOptions) parseAddresses() ([]netip.AddrPort, error) {
+	var addresses []netip.AddrPort
 	for _, text := range o.addresses {
 		address, err := netip.ParseAddrPort(text)
 		if err != nil {
 			return nil, classifier.New(classifier.InvalidRequest, "--address: got %q, takes an IP number and a port", text)
 		}
-		routers = append(routers, address)
-	}
-	if len(routers) > 0 {
-		return routers, nil
+		addresses = append(addresses, address)
 	}
+	return addresses, nil
+}
+
+// ask asks the routers at addresses, or this VM's router where there are none.
+func (o explainOptions) ask(ctx context.Context, addresses []netip.AddrPort) ([]explainer.Decision, error) {
 	settings, err := configurer.Load(o.settings)
 	if err != nil {
 		return nil, err
 	}
-	return []netip.AddrPort{settings.Router.OperatorAddress}, nil
+	client, err := starter.NewOperatorClient(settings)
+	if err != nil {
+		return nil, err
+	}
+	if len(addresses) == 0 {
+		addresses = []netip.AddrPort{settings.Router.OperatorAddress}
+	}
+	var found []explainer.Decision
+	for _, address := range addresses {
+		decisions, err := fetchDecisions(ctx, client, address, o.requestID)
+		if err != nil {
+			return nil, err
+		}
+		found = append(found, decisions...)
+	}
+	return found, nil
 }
 
-func fetchDecisions(ctx context.Context, address netip.AddrPort, requestID string) ([]explainer.Decision, error) {
+func fetchDecisions(ctx context.Context, client *http.Client, address netip.AddrPort, requestID string) ([]explainer.Decision, error) {
 	ctx, cancel := context.WithTimeout(ctx, explainTimeout)
 	defer cancel()
-	return explainer.Fetch(ctx, http.DefaultClient, address, requestID)
+	return explainer.Fetch(ctx, client, address, requestID)
 }
--- a/cmd/gentianstep/live_test.go
+++ b/cmd/gentianstep/live_test.go
@@ -99,7 +99,7 @@
 	text, exit := output(t, "explain", id, "--settings", d.VMs[0].SettingsPath)
 	is.Equal(exit, exitDone)
 	is.True(strings.Contains(text, "tile-0"))
-	text, exit = output(t, "explain", id, "--json", "--address", d.VMs[0].Settings.Router.OperatorAddress.String())
+	text, exit = output(t, "explain", id, "--json", "--settings", d.VMs[0].SettingsPath, "--address", d.VMs[0].Settings.Router.OperatorAddress.String())
 	is.Equal(exit, exitDone)
 	is.True(strings.Contains(text, `"chosen": "tile-0"`))
 	_, exit = output(t, "explain", "absent", "--settings", d.VMs[0].SettingsPath)
--- a/internal/operating/configurer/tls.go
+++ b/internal/operating/configurer/tls.go
@@ -5,6 +5,9 @@
 type TLSSettings struct {
 	// Callers is what the router shows to callers.
 	Callers ServerFiles `json:"callers"`
+	// Operators is what both processes show to operators, and the authority by
+	// which the operator's commands recognise it.
+	Operators ProcessFiles `json:"operators"`
 	// Processes is what routers, controllers and operators show each other.
 	Processes ProcessFiles `json:"processes"`
 	// Platform is how the platform's service is recognised.
@@ -19,8 +22,8 @@
 	KeyFile         string `json:"key_file"`
 }
 
-// ProcessFiles name a certificate in PEM, its key and the authority that both
-// ends must have theirs from.
+// ProcessFiles name a certificate in PEM, its key and the authority that the
+// other end's certificate must be of.
 type ProcessFiles struct {
 	CertificateFile string `json:"certificate_file"`
 	KeyFile         string `json:"key_file"`
@@ -37,11 +40,17 @@
 	if (c.CertificateFile == "") != (c.KeyFile == "") {
 		return invalid("tls.callers", "takes certificate_file and key_file together")
 	}
-	p := t.Processes
+	if err := t.Operators.check("tls.operators"); err != nil {
+		return err
+	}
+	return t.Processes.check("tls.processes")
+}
+
+func (p ProcessFiles) check(path string) error {
 	none := p.CertificateFile == "" && p.KeyFile == "" && p.CAFile == ""
 	all := p.CertificateFile != "" && p.KeyFile != "" && p.CAFile != ""
 	if !none && !all {
-		return invalid("tls.processes", "takes certificate_file, key_file and ca_file together")
+		return invalid(path, "takes certificate_file, key_file and ca_file together")
 	}
 	return nil
 }
--- a/internal/operating/starter/controller.go
+++ b/internal/operating/starter/controller.go
@@ -61,6 +61,7 @@
 		address:        settings.Controller.OperatorAddress,
 		handler:        limited(o.handler(), log),
 		maxConnections: maxOperatorConnections,
+		certifier:      certificates.operators,
 		meter:          m,
 	})
 	if err != nil {
--- a/internal/operating/starter/inspector.go
+++ b/internal/operating/starter/inspector.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"gentianstep.example/gentianstep/internal/operating/certifier"
 	"gentianstep.example/gentianstep/internal/operating/configurer"
 	"gentianstep.example/gentianstep/internal/operating/inspector"
 	"gentianstep.example/gentianstep/internal/peering/messenger"
@@ -25,6 +26,18 @@
 	}), nil
 }
 
+// NewOperatorClient returns a client for operator addresses.
+func NewOperatorClient(settings *configurer.Settings) (*http.Client, error) {
+	if settings.TLS.Operators.CAFile == "" {
+		return &http.Client{Transport: newTransport(nil)}, nil
+	}
+	c, err := certifier.New(certifier.Config{CAFile: settings.TLS.Operators.CAFile, Log: silentLog()})
+	if err != nil {
+		return nil, err
+	}
+	return &http.Client{Transport: newTransport(c)}, nil
+}
+
 // NewStore returns the platform's store that settings name.
 func NewStore(settings *configurer.Settings) (*dialer.Dialer, error) {
 	certificates, err := newCertifiers(settings, silentLog())
--- a/internal/operating/starter/router.go
+++ b/internal/operating/starter/router.go
@@ -68,6 +68,7 @@
 		address:        settings.Router.OperatorAddress,
 		handler:        limited(o.handler(), log),
 		maxConnections: maxOperatorConnections,
+		certifier:      certificates.operators,
 		meter:          m,
 	})
 	if err != nil {
--- a/internal/operating/starter/tls_test.go
+++ b/internal/operating/starter/tls_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"crypto/tls"
+	"encoding/json"
 	"net/http"
+	"os"
 	"os/exec"
 	"testing"
 
@@ -54,3 +56,37 @@
 	table, _ = status.CombinedOutput()
 	is.True(!contains(table, "vm-0")) // nor does it learn anything of the others
 }
+
+func TestEncryptedOperators(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	dir := t.TempDir()
+	authority := issuer.New(t, dir, "operators")
+	files := authority.Issue("operators", launcher.Host())
+	d := launcher.Deploy(t, launcher.Shape{VMs: 1, Engines: 1, Services: 1})
+	vm := d.VMs[0]
+	vm.Settings.TLS.Operators = configurer.ProcessFiles{
+		CertificateFile: files.Certificate,
+		KeyFile:         files.Key,
+		CAFile:          authority.File,
+	}
+	data, err := json.Marshal(vm.Settings)
+	is.NoErr(err)
+	is.NoErr(os.WriteFile(vm.SettingsPath, data, 0o600))
+	vm.Router.Kill()
+	d.StartRouter(0)
+	client := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: authority.Pool(), MinVersion: tls.VersionTLS12}}}
+	ready := "https://" + vm.Settings.Router.OperatorAddress.String() + "/ready"
+	launcher.Until(t, firstTimeout, "router ready", func() bool {
+		response, err := client.Get(ready) //nolint:noctx // The test's deadline bounds it.
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+	explain := exec.CommandContext(t.Context(), d.Programs.Gentianstep, "explain", "absent", "--settings", vm.SettingsPath)
+	text, err := explain.CombinedOutput()
+	is.True(err != nil)
+	is.True(contains(text, "no decision for request absent")) // the router was reached over TLS
+}
--- a/internal/operating/starter/transport.go
+++ b/internal/operating/starter/transport.go
@@ -40,6 +40,7 @@
 // certifiers are the certificates of each part of the settings, nil for none.
 type certifiers struct {
 	callers   *certifier.Certifier
+	operators *certifier.Certifier
 	processes *certifier.Certifier
 	platform  *certifier.Certifier
 	upstreams *certifier.Certifier
@@ -53,6 +54,7 @@
 		cfg certifier.Config
 	}{
 		{&c.callers, certifier.Config{CertificateFile: files.Callers.CertificateFile, KeyFile: files.Callers.KeyFile}},
+		{&c.operators, certifier.Config{CertificateFile: files.Operators.CertificateFile, KeyFile: files.Operators.KeyFile}},
 		{&c.processes, certifier.Config{
 			CertificateFile: files.Processes.CertificateFile,
 			KeyFile:         files.Processes.KeyFile,
