--- a/internal/operating/starter/controller.go
+++ b/internal/operating/starter/controller.go
@@ -17,6 +17,7 @@
 	"gentianstep.example/gentianstep/internal/peering/connector"
 	"gentianstep.example/gentianstep/internal/peering/distributor"
 	"gentianstep.example/gentianstep/internal/peering/messenger"
+	"gentianstep.example/gentianstep/internal/platform/dialer"
 	"gentianstep.example/gentianstep/internal/upstream/observer"
 	"gentianstep.example/gentianstep/internal/upstream/reader"
 )
@@ -26,6 +27,7 @@
 	settings    *configurer.Settings
 	log         *logrus.Entry
 	client      *http.Client
+	store       *dialer.Dialer
 	bundles     *holder.Holder
 	spread      *distributor.Distributor
 	peers       *connector.Group
@@ -94,6 +96,7 @@
 func newControl(settings *configurer.Settings, certificates certifiers, log *logrus.Entry) *control {
 	c := &control{settings: settings, log: log}
 	c.client = &http.Client{Transport: newTransport(certificates.upstreams)}
+	c.store = newPlatform(settings, certificates)
 	c.bundles = holder.New(holder.Config{Verifier: settings.Verifier()})
 	c.spread = distributor.New(distributor.Config{
 		Hello:     hello(settings, messenger.Controller),
@@ -125,10 +128,11 @@
 		Log:       log,
 	})
 	c.watch = watcher.New(watcher.Config{
-		Store:  newPlatform(settings, certificates),
-		Key:    publisher.HeadKey(settings.Deployment),
-		Holder: c.bundles,
-		Log:    log,
+		Store:     c.store,
+		HeadKey:   publisher.HeadKey(settings.Deployment),
+		NoticeKey: publisher.NoticeKey(settings.Deployment),
+		Holder:    c.bundles,
+		Log:       log,
 	})
 	return c
 }
