--- a/cmd/gentianstep/build_test.go
+++ b/cmd/gentianstep/build_test.go
@@ -16,7 +16,13 @@
 	os.Exit(buildAndRun(m))
 }
 
+// binVariable names the directory of ready programs; without it they are built.
+const binVariable = "GENTIANSTEP_BIN"
+
 func buildAndRun(m *testing.M) int {
+	if programs = os.Getenv(binVariable); programs != "" {
+		return m.Run()
+	}
 	directory, err := os.MkdirTemp("", "gentianstep")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- /dev/null
+++ b/internal/operating/starter/security_test.go
@@ -0,0 +1,79 @@
+package starter_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"gentianstep.example/gentianstep/internal/bundle/checker"
+	"gentianstep.example/gentianstep/internal/testing/launcher"
+)
+
+// trespass is a request that must be refused.
+type trespass struct {
+	Name string `json:"name"`
+	// To is the listener: callers, operators or peers.
+	To     string   `json:"to"`
+	Head   []string `json:"head"`
+	Body   string   `json:"body"`
+	Status int      `json:"status"`
+	Kind   string   `json:"kind"`
+}
+
+func TestTrespassesAreRefused(t *testing.T) {
+	t.Parallel()
+	data, err := os.ReadFile("testdata/security.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var rows []trespass
+	if err := json.Unmarshal(data, &rows); err != nil {
+		t.Fatal(err)
+	}
+	d := launcher.Deploy(t, launcher.Shape{VMs: 1, Engines: 1, Services: 1})
+	settings := d.VMs[0].Settings
+	addresses := map[string]string{
+		"callers":   settings.Router.CallerAddress.String(),
+		"operators": settings.Router.OperatorAddress.String(),
+		"peers":     settings.Controller.PeerAddress.String(),
+	}
+	for _, row := range rows {
+		t.Run(row.Name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			conn := dial(t.Context(), t, addresses[row.To])
+			defer func() { _ = conn.Close() }()
+			_, err := io.WriteString(conn, row.request())
+			is.NoErr(err)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			is.NoErr(err)
+			defer func() { _ = response.Body.Close() }()
+			answer, err := io.ReadAll(response.Body)
+			is.NoErr(err)
+			is.Equal(response.StatusCode, row.Status)
+			is.Equal(kindOf(answer), row.Kind)
+			is.True(!strings.Contains(string(answer), launcher.CallerKey)) // no answer repeats a key
+		})
+	}
+}
+
+// request returns the bytes of the request.
+func (r trespass) request() string {
+	lines := append([]string{}, r.Head...)
+	lines = append(lines, "Host: router", "Connection: close")
+	if r.Body != "" {
+		lines = append(lines, "Content-Length: "+strconv.Itoa(len(r.Body)))
+	}
+	text := strings.Join(lines, "\r\n") + "\r\n\r\n" + r.Body
+	return strings.NewReplacer(
+		"{key}", "Bearer "+launcher.CallerKey,
+		"{hash}", checker.KeyHash(launcher.CallerKey),
+	).Replace(text)
+}
