--- a/cmd/gentianstep/bundle_publish.go
+++ b/cmd/gentianstep/bundle_publish.go
@@ -6,6 +6,7 @@
 
 	"github.com/integrii/flaggy"
 
+	"gentianstep.example/gentianstep/internal/bundle/checker"
 	"gentianstep.example/gentianstep/internal/bundle/publisher"
 	"gentianstep.example/gentianstep/internal/bundle/signer"
 	"gentianstep.example/gentianstep/internal/failure/classifier"
@@ -43,7 +44,7 @@
 		if err != nil {
 			return err
 		}
-		if err := publish(ctx, p, e); err != nil {
+		if err := publish(ctx, p, e, b.Version); err != nil {
 			return err
 		}
 		if asJSON {
@@ -53,17 +54,33 @@
 	}}
 }
 
-// publish makes e the newest bundle. Where the outcome is open, or e conflicts
-// with what is published, it reads back: finding e there means that this or an
-// earlier try took effect.
-func publish(ctx context.Context, p *publisher.Publisher, e signer.Envelope) error {
+// publish makes e the newest bundle. Where e was published before, by a run
+// that was interrupted, and a newer one came since, there is nothing left to do.
+func publish(ctx context.Context, p *publisher.Publisher, e signer.Envelope, version uint64) error {
 	err := p.Publish(ctx, e)
-	if !classifier.IsKind(err, classifier.BundleConflict) && !classifier.IsKind(err, classifier.StoreUnavailable) {
+	if !classifier.IsKind(err, classifier.BundleConflict) {
 		return err
 	}
-	head, _, headErr := p.Head(ctx)
-	if headErr == nil && bytes.Equal(head.Document, e.Document) {
+	newest, newestErr := publishedNow(ctx, p)
+	if newestErr != nil || newest < version {
+		return err
+	}
+	earlier, earlierErr := p.Get(ctx, version)
+	if earlierErr == nil && bytes.Equal(earlier.Envelope.Document, e.Document) {
 		return nil
 	}
 	return err
 }
+
+// publishedNow returns the version of the newest published bundle.
+func publishedNow(ctx context.Context, p *publisher.Publisher) (uint64, error) {
+	head, _, err := p.Head(ctx)
+	if err != nil {
+		return 0, err
+	}
+	b, err := checker.Decode(head.Document)
+	if err != nil {
+		return 0, err
+	}
+	return b.Version, nil
+}
--- a/cmd/gentianstep/bundle_show.go
+++ b/cmd/gentianstep/bundle_show.go
@@ -2,35 +2,55 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 
 	"github.com/integrii/flaggy"
 
+	"gentianstep.example/gentianstep/internal/bundle/signer"
 	"gentianstep.example/gentianstep/internal/failure/classifier"
 	"gentianstep.example/gentianstep/internal/operating/configurer"
 )
 
 func newBundleShowCommand() command {
+	var version uint64
 	settingsPath := defaultSettingsPath
 	parser := flaggy.NewSubcommand("show")
-	parser.Description = "Print the document of the newest published bundle."
+	parser.Description = "Print the document of a published bundle."
+	parser.UInt64(&version, "n", "version", "Version to print; the newest without it.")
 	parser.String(&settingsPath, "s", "settings", "Path of the settings file.")
 	return command{parser: parser, run: func(ctx context.Context) error {
 		settings, err := configurer.Load(settingsPath)
 		if err != nil {
 			return err
 		}
-		e, revision, err := newestBundle(ctx, settings)
+		e, err := publishedBundleOf(ctx, settings, version)
 		if err != nil {
 			return err
 		}
-		if revision == 0 {
-			return classifier.New(classifier.NotFound, "no bundle of %s is published", settings.Deployment)
+		if _, err := os.Stdout.Write(e.Document); err != nil {
+			return fmt.Errorf("write output: %w", err)
 		}
-		if _, err := settings.Verifier().Verify(e); err != nil {
-			return err
-		}
-		_, err = os.Stdout.Write(e.Document)
-		return err
+		return nil
 	}}
 }
+
+// publishedBundleOf returns the bundle of a version, the newest for 0.
+func publishedBundleOf(ctx context.Context, settings *configurer.Settings, version uint64) (signer.Envelope, error) {
+	p, err := newPublisher(settings)
+	if err != nil {
+		return signer.Envelope{}, err
+	}
+	if version > 0 {
+		r, err := p.Get(ctx, version)
+		if err != nil {
+			return signer.Envelope{}, err
+		}
+		return r.Envelope, r.Err
+	}
+	e, revision, err := p.Head(ctx)
+	if err == nil && revision == 0 {
+		return signer.Envelope{}, classifier.New(classifier.NotFound, "no bundle of %s is published", settings.Deployment)
+	}
+	return e, err
+}
