Run the refusal rows in virtual time

Cause: the row deadline_cannot_be_met rounds 6.x s up and read 6 s when building the handler took longer than the fraction on a loaded machine. Change: the rows run in a bubble of virtual time; the expectations are the same.

--- a/internal/serving/receiver/refusal_test.go
+++ b/internal/serving/receiver/refusal_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -63,7 +64,7 @@
 	for _, row := range rows {
 		t.Run(row.Name, func(t *testing.T) {
 			t.Parallel()
-			runRefusalRow(t, row)
+			synctest.Test(t, func(t *testing.T) { runRefusalRow(t, row) })
 		})
 	}
 }
