Follow the controllers by pings and gossip

Cause: controllers knew only the peers of their settings and took a peer without a connection for gone. A ping that is not answered in 0.4 s is sent once more over a connection of its own, so that a silent connection alone makes nobody suspect. The coordinator no longer gathers whole states for a peer that cannot be reached; it waits for the connection. Ruled out: closing the silent connection at the first missing answer. That would cost a whole resync for each pause of 0.4 s; the silence timeout of 5 s ends the connection as before. Seen red: with the repeated ping sent over the old connection both rows "silent connections kill nobody ..." fail (a suspect was seen). Results: go test -race -count=3 ./internal/controlling/announcer passes; internal/membership/... passes. In one run of internal/operating/starter, together with three other packages, TestRestartedRoutersServeAtOnce failed with first answers after 1045 and 1157 ms of 1 s; looked into next.

--- a/internal/controlling/coordinator/config.go
+++ b/internal/controlling/coordinator/config.go
@@ -22,6 +22,8 @@
 type Peers interface {
 	// Send reports whether m was queued for node.
 	Send(node string, m messenger.Message) bool
+	// Connected reports whether messages can be queued for node now.
+	Connected(node string) bool
 }
 
 // Routers sends messages to the routers that are connected to this controller.
--- a/internal/controlling/coordinator/coordinator.go
+++ b/internal/controlling/coordinator/coordinator.go
@@ -120,6 +120,11 @@
 	}
 	c.members = members
 	c.owners = partitioner.New(c.regionMembers(c.cfg.Self.Region))
+	for node := range c.behind {
+		if !slices.ContainsFunc(members, func(m Member) bool { return m.Node == node }) {
+			delete(c.behind, node)
+		}
+	}
 	c.assign(ctx)
 	for _, r := range c.readings {
 		r.forward.SetOwners(c.ownersFor(r.upstream))
@@ -205,21 +210,37 @@
 // tick sends the updates gathered since the last tick.
 func (c *Coordinator) tick(now time.Time) {
 	batches := make(map[string][]indexer.Update)
+	reached := c.reached()
 	for _, r := range c.readings {
-		for node := range c.behind {
+		for _, node := range reached {
 			r.forward.Resync(node)
 		}
 		for _, d := range r.forward.Flush(now) {
 			batches[d.Owner] = append(batches[d.Owner], d.Update)
 		}
 	}
-	clear(c.behind)
 	for node, updates := range batches {
 		c.deliver(now, node, updates)
 	}
 	c.expire(now)
 }
 
+// reached takes the peers from those that are behind that can be told in full
+// now. Those that cannot be reached stay behind; no update is gathered for
+// them twice.
+func (c *Coordinator) reached() []string {
+	var nodes []string
+	for node := range c.behind {
+		if node == c.cfg.Self.Node || c.cfg.Peers.Connected(node) {
+			nodes = append(nodes, node)
+		}
+	}
+	for _, node := range nodes {
+		delete(c.behind, node)
+	}
+	return nodes
+}
+
 func (c *Coordinator) deliver(now time.Time, node string, updates []indexer.Update) {
 	if node == c.cfg.Self.Node {
 		c.apply(now, updates)
--- a/internal/membership/tracker/effects.go
+++ b/internal/membership/tracker/effects.go
@@ -6,6 +6,8 @@
 type Send struct {
 	To      netip.AddrPort
 	Message Message
+	// Anew asks for a new connection: the one in use may have gone silent.
+	Anew bool
 }
 
 // Change is a member whose state or incarnation changed.
--- a/internal/membership/tracker/probe.go
+++ b/internal/membership/tracker/probe.go
@@ -13,6 +13,8 @@
 type probe struct {
 	target   netip.AddrPort
 	sequence uint64
+	// message is the ping as it was sent.
+	message Message
 	// askAt is when other peers are asked; zero once they were.
 	askAt time.Time
 	acked bool
@@ -42,16 +44,18 @@
 		return
 	}
 	m := t.message(Ping, target)
-	t.probe = probe{target: target, sequence: m.Sequence, askAt: now.Add(ackTimeout)}
+	t.probe = probe{target: target, sequence: m.Sequence, message: m, askAt: now.Add(ackTimeout)}
 	e.send(target, m)
 }
 
-// askPeers asks others to ping a member that has not answered.
+// askPeers pings a member that has not answered over a new connection and asks
+// others to ping it as well.
 func (t *Tracker) askPeers(e *Effects) {
 	t.probe.askAt = time.Time{}
 	if t.probe.acked {
 		return
 	}
+	e.Sends = append(e.Sends, Send{To: t.probe.target, Message: t.probe.message, Anew: true})
 	for _, peer := range t.sample(askedPeers, t.probe.target) {
 		m := t.message(PingRequest, peer)
 		m.Sequence = t.probe.sequence
--- a/internal/operating/starter/controller.go
+++ b/internal/operating/starter/controller.go
@@ -9,7 +9,9 @@
 	"gentianstep.example/gentianstep/internal/bundle/checker"
 	"gentianstep.example/gentianstep/internal/bundle/holder"
 	"gentianstep.example/gentianstep/internal/bundle/publisher"
+	"gentianstep.example/gentianstep/internal/controlling/announcer"
 	"gentianstep.example/gentianstep/internal/controlling/coordinator"
+	"gentianstep.example/gentianstep/internal/controlling/lister"
 	"gentianstep.example/gentianstep/internal/controlling/poller"
 	"gentianstep.example/gentianstep/internal/controlling/watcher"
 	"gentianstep.example/gentianstep/internal/operating/configurer"
@@ -33,6 +35,8 @@
 	bundles     *holder.Holder
 	spread      *distributor.Distributor
 	peers       *connector.Group
+	announce    *announcer.Announcer
+	list        *lister.Lister
 	coordinator *coordinator.Coordinator
 	poll        *poller.Poller
 	watch       *watcher.Watcher
@@ -79,6 +83,8 @@
 		front:     peers,
 		operators: operatorServer,
 		loops:     c.loops(),
+		leave:     c.announce.Leave,
+		delay:     leaveDelay,
 		timeout:   operatorsTimeout,
 		log:       log,
 	}
@@ -95,6 +101,8 @@
 		c.coordinator.Run,
 		c.poll.Run,
 		c.runPeers,
+		c.announce.Run,
+		c.list.Run,
 		(&bundleFeed{holder: c.bundles, take: c.coordinator.Bundle}).run,
 	}
 }
@@ -119,7 +127,6 @@
 			Client:    &http.Client{Transport: newTransport(certificates.processes)},
 			Log:       log,
 		},
-		OnMembers: c.members,
 	})
 	c.coordinator = coordinator.New(coordinator.Config{
 		Self:    coordinator.Member{Node: settings.Node, Region: settings.Region},
@@ -141,6 +148,7 @@
 		Log:       log,
 	})
 	c.newPlacement()
+	c.newMembership()
 	return c
 }
 
@@ -162,6 +170,10 @@
 
 // fromLink takes a message of a router or controller that connected here.
 func (c *control) fromLink(l *distributor.Link, m messenger.Message) {
+	if m.Membership != nil {
+		c.announce.Message(*m.Membership, l.Send)
+		return
+	}
 	if m.Reports != nil {
 		c.place.Reports(m.Reports.Reports)
 	}
@@ -170,19 +182,14 @@
 
 // fromPeer takes a message on a connection that this controller opened.
 func (c *control) fromPeer(m messenger.Message) {
+	if m.Membership != nil {
+		c.announce.Message(*m.Membership, noAnswer)
+		return
+	}
 	if m.Reports != nil {
 		c.place.Reports(m.Reports.Reports)
 	}
-	c.coordinator.Message(messenger.Controller, m, func(messenger.Message) bool { return false })
-}
-
-func (c *control) members(hellos []messenger.Hello) {
-	members := make([]coordinator.Member, 0, 1+len(hellos))
-	members = append(members, coordinator.Member{Node: c.settings.Node, Region: c.settings.Region})
-	for _, hello := range hellos {
-		members = append(members, coordinator.Member{Node: hello.Node, Region: hello.Region})
-	}
-	c.coordinator.Members(members)
+	c.coordinator.Message(messenger.Controller, m, noAnswer)
 }
 
 func (c *control) peerHandler() http.Handler {
--- a/internal/operating/starter/lifecycle.go
+++ b/internal/operating/starter/lifecycle.go
@@ -19,6 +19,8 @@
 	front     *server
 	operators *server
 	loops     []func(context.Context)
+	// leave, where set, announces the stop to others.
+	leave func()
 	// delay is how long a stopping process goes on accepting.
 	delay time.Duration
 	// timeout bounds the wait for open requests after that.
@@ -57,6 +59,9 @@
 // finishes open requests. The loops go on meanwhile.
 func (l *lifecycle) stop(ctx context.Context) error {
 	l.gate.stopping.Store(true)
+	if l.leave != nil {
+		l.leave()
+	}
 	l.log.WithField("drain_delay", l.delay.String()).Info("stopping")
 	wait := time.NewTimer(l.delay)
 	defer wait.Stop()
--- a/internal/peering/connector/connector.go
+++ b/internal/peering/connector/connector.go
@@ -15,17 +15,29 @@
 	dialTimeout = 2 * time.Second
 	firstRetry  = 100 * time.Millisecond
 	lastRetry   = 3 * time.Second
+	// holdTimeout is how long a message waits for a connection.
+	holdTimeout = time.Second
 )
 
 // Connector keeps one connection to the first controller that answers.
 type Connector struct {
 	cfg     Config
 	session atomic.Pointer[session]
+	// held is the message that goes out first on the next connection.
+	held atomic.Pointer[held]
+	// wake ends the wait for the next attempt.
+	wake chan struct{}
+}
+
+// held is a message that waits for a connection.
+type held struct {
+	message  messenger.Message
+	deadline time.Time
 }
 
 // New returns a Connector that is not connected.
 func New(cfg Config) *Connector {
-	return &Connector{cfg: cfg.withDefaults()}
+	return &Connector{cfg: cfg.withDefaults(), wake: make(chan struct{}, 1)}
 }
 
 // Send queues m for the other end and reports whether it was queued.
@@ -34,6 +46,27 @@
 	return s != nil && s.send(m)
 }
 
+// sendOrHold queues m. Without a connection it goes out first on the next one,
+// in the place of a message held before, if that comes about in time.
+func (c *Connector) sendOrHold(m messenger.Message) {
+	if c.Send(m) {
+		return
+	}
+	c.held.Store(&held{message: m, deadline: time.Now().Add(holdTimeout)})
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// sendHeld queues the message that waited for this connection.
+func (c *Connector) sendHeld(s *session) {
+	h := c.held.Swap(nil)
+	if h != nil && time.Now().Before(h.deadline) {
+		s.send(h.message)
+	}
+}
+
 // Run connects again after every failure until ctx ends.
 func (c *Connector) Run(ctx context.Context) {
 	wait := firstRetry
@@ -46,6 +79,7 @@
 		}
 		select {
 		case <-time.After(wait/2 + rand.N(wait/2)):
+		case <-c.wake:
 		case <-ctx.Done():
 		}
 		wait = min(2*wait, lastRetry)
@@ -63,6 +97,7 @@
 	defer s.conn.Close()
 	log.WithField("peer", s.peer.Node).Info("controller connected")
 	c.session.Store(s)
+	c.sendHeld(s)
 	c.cfg.OnUp(s.peer)
 	err = s.run(ctx)
 	c.session.Store(nil)
--- a/internal/peering/messenger/message.go
+++ b/internal/peering/messenger/message.go
@@ -9,6 +9,7 @@
 	"gentianstep.example/gentianstep/internal/bundle/signer"
 	"gentianstep.example/gentianstep/internal/caching/hasher"
 	"gentianstep.example/gentianstep/internal/caching/indexer"
+	"gentianstep.example/gentianstep/internal/membership/tracker"
 	"gentianstep.example/gentianstep/internal/upstream/observer"
 )
 
@@ -104,8 +105,10 @@
 	IndexUpdates *IndexUpdates `cbor:"6,keyasint,omitempty"`
 	Lookup       *Lookup       `cbor:"7,keyasint,omitempty"`
 	LookupReply  *LookupReply  `cbor:"8,keyasint,omitempty"`
-	StatusWant   *StatusWant   `cbor:"20,keyasint,omitempty"`
-	Status       *Status       `cbor:"21,keyasint,omitempty"`
+	// Membership is what controllers tell each other of who is alive.
+	Membership *tracker.Message `cbor:"9,keyasint,omitempty"`
+	StatusWant *StatusWant      `cbor:"20,keyasint,omitempty"`
+	Status     *Status          `cbor:"21,keyasint,omitempty"`
 }
 
 // Check reports the first fault of the message.
@@ -120,6 +123,7 @@
 		m.IndexUpdates != nil,
 		m.Lookup != nil,
 		m.LookupReply != nil,
+		m.Membership != nil,
 		m.StatusWant != nil,
 		m.Status != nil,
 	} {
@@ -147,6 +151,8 @@
 		return checkBatch("index updates", len(m.IndexUpdates.Updates))
 	case m.LookupReply != nil:
 		return checkBatch("holdings", len(m.LookupReply.Holdings))
+	case m.Membership != nil:
+		return m.Membership.Check()
 	case m.Status != nil:
 		return checkBatch("nodes", len(m.Status.Nodes))
 	}
