Prove the load estimate by scripts

Change: scripts in testdata/scripts.json drive late, replayed and reordered reports, own sends, first tokens, restarts, upstreams that leave and return, and cooldowns; reports check themselves when decoded; what a dead incarnation held does not count.

--- /dev/null
+++ b/internal/routing/estimator/script_test.go
@@ -0,0 +1,162 @@
+package estimator_test
+
+import (
+	"encoding/json"
+	"math"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+
+	"gentianstep.example/gentianstep/internal/caching/indexer"
+	"gentianstep.example/gentianstep/internal/routing/estimator"
+	"gentianstep.example/gentianstep/internal/routing/selector"
+)
+
+// step is one line of a script, at its time: exactly one of its fields is set.
+type step struct {
+	AtMS   int `json:"at_ms"`
+	Report *struct {
+		Upstream    string `json:"upstream"`
+		Incarnation uint64 `json:"incarnation"`
+		Running     int    `json:"running"`
+		Blocks      int    `json:"blocks"`
+		MadeMS      int    `json:"made_ms"`
+		Dropped     bool   `json:"dropped"`
+	} `json:"report"`
+	Send *struct {
+		Upstream string `json:"upstream"`
+		Blocks   int    `json:"blocks"`
+	} `json:"send"`
+	// FirstToken and Done number the sends from 1.
+	FirstToken int      `json:"first_token"`
+	Computed   int      `json:"computed"`
+	Done       int      `json:"done"`
+	Suspect    string   `json:"suspect"`
+	Upstreams  []string `json:"upstreams"`
+	Expect     *struct {
+		Upstream string  `json:"upstream"`
+		Requests float64 `json:"requests"`
+		Blocks   float64 `json:"blocks"`
+		PerBlock float64 `json:"per_block_ms"`
+		Suspect  bool    `json:"suspect"`
+	} `json:"expect"`
+}
+
+var start = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func upstreams(names ...string) []estimator.Upstream {
+	list := make([]estimator.Upstream, 0, len(names))
+	for _, name := range names {
+		list = append(list, estimator.Upstream{Name: name, Region: "a", Slots: 4})
+	}
+	return list
+}
+
+func run(is *is.I, e *estimator.Estimator, s step) {
+	now := at(s.AtMS)
+	switch {
+	case s.Report != nil:
+		r := estimator.Report{Upstream: s.Report.Upstream, Incarnation: s.Report.Incarnation, Running: s.Report.Running, QueuedBlocks: s.Report.Blocks, ReportedAt: at(s.Report.MadeMS)}
+		is.Equal(e.Report(r), !s.Report.Dropped) // used
+	case s.Send != nil:
+		e.Sent(now, estimator.Send{Upstream: s.Send.Upstream, Blocks: s.Send.Blocks})
+	case s.FirstToken > 0:
+		e.FirstToken(now, estimator.Ticket(s.FirstToken), s.Computed)
+	case s.Done > 0:
+		e.Done(now, estimator.Ticket(s.Done))
+	case s.Suspect != "":
+		e.Suspect(s.Suspect, now.Add(time.Second))
+	case s.Upstreams != nil:
+		e.SetUpstreams(upstreams(s.Upstreams...))
+	case s.Expect != nil:
+		accept := func(name string) bool { return name == s.Expect.Upstream }
+		candidates := e.Candidates(now, nil, accept)
+		is.Equal(len(candidates), 1) // known
+		c := candidates[0]
+		is.True(math.Abs(c.Queued+c.Running-s.Expect.Requests) < 0.01)  // requests
+		is.True(math.Abs(c.QueuedBlocks-s.Expect.Blocks) < 0.01)        // blocks
+		is.Equal(c.Suspect, s.Expect.Suspect)                           // suspect
+		is.True(c.Running <= 4 && c.Queued >= 0 && c.QueuedBlocks >= 0) // in range
+		if s.Expect.PerBlock > 0 {
+			is.Equal(c.PrefillPerBlock, time.Duration(s.Expect.PerBlock*float64(time.Millisecond)))
+		}
+	}
+}
+
+func TestScripts(t *testing.T) {
+	t.Parallel()
+	data, err := os.ReadFile("testdata/scripts.json")
+	is.New(t).NoErr(err)
+	var rows []struct {
+		Name  string `json:"name"`
+		Steps []step `json:"steps"`
+	}
+	is.New(t).NoErr(json.Unmarshal(data, &rows))
+	for _, row := range rows {
+		t.Run(row.Name, func(t *testing.T) {
+			t.Parallel()
+			e := estimator.New(estimator.Config{PeerFactor: 3})
+			e.SetUpstreams(upstreams("u", "v"))
+			for i, s := range row.Steps {
+				t.Logf("step %d", i)
+				run(is.New(t), e, s)
+			}
+		})
+	}
+}
+
+func TestHoldIgnoresDeadIncarnation(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	e := estimator.New(estimator.Config{})
+	e.SetUpstreams(upstreams("u", "v"))
+	is.True(e.Report(estimator.Report{Upstream: "u", Incarnation: 2, ReportedAt: start}))
+	candidates := e.Candidates(start, nil, nil)
+	e.Hold(candidates, []indexer.Holding{
+		{Upstream: "u", Incarnation: 1, HeldBlocks: 8},
+		{Upstream: "v", Incarnation: 1, HeldBlocks: 4, UnsureBlocks: 4},
+		{Upstream: "gone", Incarnation: 1, HeldBlocks: 8},
+	})
+	e.Hold(candidates, []indexer.Holding{{Upstream: "v", Incarnation: 1, HeldBlocks: 6}})
+	is.Equal(candidates[0].HeldBlocks, 0) // died
+	is.Equal([]int{candidates[1].HeldBlocks, candidates[1].UnsureBlocks}, []int{6, 2})
+}
+
+func TestReportChecksItself(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	good, err := cbor.Marshal(estimator.Report{Upstream: "u", Incarnation: 1, ReportedAt: start})
+	is.NoErr(err)
+	var r estimator.Report
+	is.NoErr(cbor.Unmarshal(good, &r))
+	bad, err := cbor.Marshal(estimator.Report{Upstream: "u", Incarnation: 1, Running: -1, ReportedAt: start})
+	is.NoErr(err)
+	is.True(cbor.Unmarshal(bad, &r) != nil)
+	is.True(json.Unmarshal([]byte(`{"upstream":"u","incarnation":0}`), &r) != nil)
+}
+
+func BenchmarkCandidates(b *testing.B) {
+	for _, n := range []int{12, 100, 740} {
+		b.Run(time.Duration(n).String(), func(b *testing.B) {
+			e := estimator.New(estimator.Config{})
+			names := make([]string, n)
+			for i := range names {
+				names[i] = time.Duration(i).String()
+			}
+			e.SetUpstreams(upstreams(names...))
+			for i, name := range names {
+				e.Report(estimator.Report{Upstream: name, Incarnation: 1, Running: i % 5, ReportedAt: at(i)})
+			}
+			var buf []selector.Candidate
+			b.ReportAllocs()
+			for b.Loop() {
+				buf = e.Candidates(at(1000), buf, nil)
+			}
+		})
+	}
+}
--- a/internal/routing/selector/selection_test.go
+++ b/internal/routing/selector/selection_test.go
@@ -167,27 +167,30 @@
 				healthy++
 			}
 		}
-		d := p.Select(time.Time{}, r, candidates)
-		i := slices.IndexFunc(candidates, func(c selector.Candidate) bool { return c.Name == d.Chosen })
-		switch {
-		case len(candidates) == 0:
-			if d.Chosen != "" || d.Reason != selector.ReasonNoCandidate {
-				t.Fatalf("chose %q of none", d.Chosen)
-			}
-			return
-		case i < 0:
-			t.Fatalf("chose %q", d.Chosen)
-		case candidates[i].Suspect && healthy > 0:
-			t.Fatalf("chose suspect %s", d.Chosen)
-		case d.Policy != name || d.Reason == "" || d.Missing != max(len(r.Chain)-candidates[i].HeldBlocks, 0) || len(d.Costs) > selector.MaxCosts:
-			t.Fatalf("decision %+v", d)
-		case name != "round_robin" && !slices.ContainsFunc(d.Costs, func(c selector.Cost) bool { return c.Name == d.Chosen }):
-			t.Fatalf("no cost of %s", d.Chosen)
+		checkDecision(t, name, &r, candidates, healthy, p.Select(time.Time{}, r, candidates))
+	})
+}
+
+func checkDecision(t *rapid.T, name string, r *selector.Request, candidates []selector.Candidate, healthy int, d selector.Decision) {
+	if len(candidates) == 0 {
+		if d.Chosen != "" || d.Reason != selector.ReasonNoCandidate {
+			t.Fatalf("chose %q of none", d.Chosen)
 		}
-		for _, c := range d.Costs {
-			if c.Total != c.Wait+c.Prefill+c.Distance+c.Recompute+c.Crossing {
-				t.Fatalf("cost %+v", c)
-			}
+		return
+	}
+	i := slices.IndexFunc(candidates, func(c selector.Candidate) bool { return c.Name == d.Chosen })
+	if i < 0 || candidates[i].Suspect && healthy > 0 {
+		t.Fatalf("chose %q", d.Chosen)
+	}
+	if d.Policy != name || d.Reason == "" || d.Missing != max(len(r.Chain)-candidates[i].HeldBlocks, 0) || len(d.Costs) > selector.MaxCosts {
+		t.Fatalf("decision %+v", d)
+	}
+	if name != "round_robin" && !slices.ContainsFunc(d.Costs, func(c selector.Cost) bool { return c.Name == d.Chosen }) {
+		t.Fatalf("no cost of %s", d.Chosen)
+	}
+	for _, c := range d.Costs {
+		if c.Total != c.Wait+c.Prefill+c.Distance+c.Recompute+c.Crossing {
+			t.Fatalf("cost %+v", c)
 		}
-	})
+	}
 }
