--- a/internal/placement/leaser/config.go
+++ b/internal/placement/leaser/config.go
@@ -22,7 +22,11 @@
 
 func (t Terms) renewEvery() time.Duration { return t.TTL / renewShare }
 
+func (t Terms) retryEvery() time.Duration { return t.TTL / retryShare }
+
 const (
+	// retryShare is the part of a lease after which a failed renewal is repeated.
+	retryShare = 10
 	// marginShare is the part of a lease that is kept as a safety margin.
 	marginShare = 5
 	// renewShare is the part of a lease after which it is renewed.
--- a/internal/placement/leaser/leaser.go
+++ b/internal/placement/leaser/leaser.go
@@ -119,8 +119,9 @@
 
 // keep renews the lease until it is lost, its deadline passes or ctx ends.
 func (l *Leaser) keep(ctx context.Context, terms Terms, h Holding) {
+	wait := terms.renewEvery()
 	for h.Valid(time.Now()) {
-		pause(ctx, min(terms.renewEvery(), time.Until(h.Deadline)))
+		pause(ctx, min(wait, time.Until(h.Deadline)))
 		if ctx.Err() != nil {
 			l.release(terms)
 			return
@@ -134,10 +135,12 @@
 		case err == nil:
 			h.Deadline = sent.Add(terms.TTL - terms.margin())
 			l.set(h)
+			wait = terms.renewEvery()
 		case errors.Is(err, storer.ErrLeaseGone):
 			return
 		default:
 			l.cfg.Log.WithError(err).Debug("lease not renewed")
+			wait = terms.retryEvery()
 		}
 	}
 }
