--- a/internal/placement/planner/version_test.go
+++ b/internal/placement/planner/version_test.go
@@ -52,7 +52,7 @@
 		in.Engines = append(in.Engines, planner.Engine{Upstream: name, Incarnation: 1, Allowed: []string{"a", "b"}, Ready: []planner.Loaded{{Model: model, WeightsVersion: "w1"}}})
 	}
 	p := planner.New()
-	var moved []string
+	moved := make([]string, 0, 1)
 	for second := range 100 {
 		in.Engines[3].Load = 0
 		if second%40 < 20 || second >= 50 {
--- a/internal/platform/dialer/dialer.go
+++ b/internal/platform/dialer/dialer.go
@@ -123,7 +123,10 @@
 	if err != nil {
 		return fmt.Errorf("platform: %w", err)
 	}
-	defer drain(response.Body)
+	defer func() {
+		drain(response.Body)
+		_ = response.Body.Close()
+	}()
 	if err := statusError(response.StatusCode); err != nil {
 		return err
 	}
@@ -137,9 +140,8 @@
 }
 
 // drain reads what is left of an answer, so that its connection is used again.
-func drain(body io.ReadCloser) {
+func drain(body io.Reader) {
 	_, _ = io.Copy(io.Discard, io.LimitReader(body, maxAnswerBytes))
-	_ = body.Close()
 }
 
 // request builds a request whose body the transport cannot send a second time.
