--- /dev/null
+++ b/internal/operating/explainer/explainer_test.go
@@ -0,0 +1,67 @@
+package explainer
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+)
+
+// script is a sequence of decisions and what is kept of a request.
+type script struct {
+	Name      string `json:"name"`
+	Size      int    `json:"size"`
+	Decisions []struct {
+		Event     string `json:"event"`
+		RequestID string `json:"request_id"`
+		Chosen    string `json:"chosen"`
+	} `json:"decisions"`
+	Ask    string   `json:"ask"`
+	Chosen []string `json:"chosen"`
+}
+
+func TestKeepsTheLastDecisions(t *testing.T) {
+	t.Parallel()
+	data, err := os.ReadFile("testdata/rings.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var rows []script
+	if err := json.Unmarshal(data, &rows); err != nil {
+		t.Fatal(err)
+	}
+	for _, row := range rows {
+		t.Run(row.Name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			e := New(Config{Size: row.Size})
+			log := logrus.New()
+			log.SetOutput(io.Discard)
+			log.AddHook(e)
+			for _, d := range row.Decisions {
+				log.WithFields(logrus.Fields{"event": d.Event, "request_id": d.RequestID, "chosen": d.Chosen}).Info("routing decision")
+			}
+			mux := http.NewServeMux()
+			mux.Handle("GET /explain/{id}", e)
+			answer := httptest.NewRecorder()
+			mux.ServeHTTP(answer, httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/explain/"+row.Ask, nil))
+			if row.Chosen == nil {
+				is.Equal(answer.Code, http.StatusNotFound)
+				return
+			}
+			var found []Decision
+			is.NoErr(json.NewDecoder(answer.Body).Decode(&found))
+			var chosen []string
+			for _, d := range found {
+				name, _ := d["chosen"].(string)
+				chosen = append(chosen, name)
+			}
+			is.Equal(chosen, row.Chosen)
+		})
+	}
+}
--- a/internal/operating/starter/stop_test.go
+++ b/internal/operating/starter/stop_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"os"
 	"sync"
 	"testing"
 	"time"
@@ -18,10 +20,18 @@
 	noticeInterval = 700 * time.Millisecond
 	testDrainDelay = 2 * time.Second
 	stopTimeout    = 30 * time.Second
-	longStream     = 100
-	callers        = 12
+	// longStream is the tokens of a stream that takes about a second.
+	longStream = 100
 )
 
+// stops is a load under which the routers stop in turn.
+type stops struct {
+	Name    string `json:"name"`
+	Callers int    `json:"callers"`
+	// Tokens is the length of each stream.
+	Tokens int `json:"tokens"`
+}
+
 // balancer hands out the routers that were ready when it last looked.
 type balancer struct {
 	d *launcher.Deployment
@@ -77,6 +87,8 @@
 // load sends streams through a balancer until its context ends.
 type load struct {
 	b      *balancer
+	tokens int
+
 	mu     sync.Mutex
 	whole  int
 	failed []error
@@ -86,7 +98,7 @@
 	client := newClient()
 	defer client.CloseIdleConnections()
 	for ctx.Err() == nil {
-		err := complete(context.WithoutCancel(ctx), client, l.b.pick(), longStream)
+		err := complete(context.WithoutCancel(ctx), client, l.b.pick(), l.tokens)
 		l.mu.Lock()
 		if err != nil {
 			l.failed = append(l.failed, err)
@@ -99,6 +111,24 @@
 
 func TestPlannedStopCutsNoRequest(t *testing.T) {
 	t.Parallel()
+	data, err := os.ReadFile("testdata/stops.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var rows []stops
+	if err := json.Unmarshal(data, &rows); err != nil {
+		t.Fatal(err)
+	}
+	for _, row := range rows {
+		t.Run(row.Name, func(t *testing.T) {
+			t.Parallel()
+			row.play(t)
+		})
+	}
+}
+
+func (s stops) play(t *testing.T) {
+	t.Helper()
 	is := is.New(t)
 	d := launcher.Deploy(t, launcher.Shape{
 		VMs:     3,
@@ -111,10 +141,10 @@
 	defer cancel()
 	b := &balancer{d: d}
 	b.look(ctx)
-	l := &load{b: b}
+	l := &load{b: b, tokens: s.Tokens}
 	var wg sync.WaitGroup
 	wg.Go(func() { b.run(ctx) })
-	for range callers {
+	for range s.Callers {
 		wg.Go(func() { l.run(ctx) })
 	}
 	for i := range d.VMs {
--- a/internal/peering/distributor/distributor.go
+++ b/internal/peering/distributor/distributor.go
@@ -90,7 +90,7 @@
 	if err := conn.Write(ctx, messenger.Message{Hello: &hello}); err != nil {
 		return nil, err
 	}
-	if l.Peer.BundleVersion < d.holder.Version() {
+	if l.Peer.Role != messenger.Operator && l.Peer.BundleVersion < d.holder.Version() {
 		l.Send(d.offer())
 	}
 	return l, nil
