--- a/internal/operating/starter/router.go
+++ b/internal/operating/starter/router.go
@@ -41,7 +41,8 @@
 	if err != nil {
 		return err
 	}
-	r, err := newRouter(settings, certificates, log)
+	m := meter.New()
+	r, err := newRouter(settings, certificates, m, log)
 	if err != nil {
 		return err
 	}
@@ -50,7 +51,6 @@
 		return err
 	}
 	g := &gate{}
-	m := meter.New()
 	decisions := explainer.New(explainer.Config{Size: keptDecisions})
 	log.Logger.AddHook(meter.Hook{Meter: m})
 	log.Logger.AddHook(decisions)
@@ -109,7 +109,7 @@
 	}
 }
 
-func newRouter(settings *configurer.Settings, certificates certifiers, log *logrus.Entry) (*router, error) {
+func newRouter(settings *configurer.Settings, certificates certifiers, m *meter.Meter, log *logrus.Entry) (*router, error) {
 	r := &router{}
 	r.bundles = holder.New(holder.Config{Verifier: settings.Verifier()})
 	r.feed = connector.New(connector.Config{
@@ -137,6 +137,7 @@
 		Caller:  newCaller(certificates.upstreams),
 		Chooser: r.choose,
 		Claims:  newClaimer(settings, certificates, log),
+		Count:   func(o dispatcher.Occurrence, n int) { m.Count(meter.AnswerEvents, string(o), int64(n)) },
 		Log:     log,
 	})
 	r.receive = receiver.New(receiver.Config{Holder: r.bundles, Dispatcher: r.dispatch, Log: log})
--- a/internal/serving/dispatcher/stream_test.go
+++ b/internal/serving/dispatcher/stream_test.go
@@ -3,18 +3,20 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/rcrowley/go-metrics"
 
+	"gentianstep.example/gentianstep/internal/bundle/checker"
 	"gentianstep.example/gentianstep/internal/failure/classifier"
 	"gentianstep.example/gentianstep/internal/serving/dispatcher"
 	"gentianstep.example/gentianstep/internal/standin/disrupter"
 	"gentianstep.example/gentianstep/internal/standin/generator"
 	"gentianstep.example/gentianstep/internal/streaming/encoder"
+	"gentianstep.example/gentianstep/internal/testing/piper"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
 )
 
@@ -34,6 +36,10 @@
 	// request where that is 0.
 	Do      string `json:"do"`
 	AtChunk uint64 `json:"at_chunk"`
+	// PrefillMillis is the time that engines compute a prompt, 0 takes 1.
+	PrefillMillis int `json:"prefill_millis"`
+	// TotalMillis is total_timeout, 0 takes that of the other rows.
+	TotalMillis int `json:"total_millis"`
 	// Pinned forbids to continue elsewhere.
 	Pinned bool `json:"pinned"`
 	// Kind is the error to expect, empty for a whole answer.
@@ -42,8 +48,8 @@
 	Passed int `json:"passed"`
 	// Requests are the requests that each engine began, after a warming one.
 	Requests  []int `json:"requests"`
-	Resumed   int64 `json:"resumed"`
-	Continued int64 `json:"continued"`
+	Resumed   int   `json:"resumed"`
+	Continued int   `json:"continued"`
 	// Cancelled is the number of streams that the engines cancelled.
 	Cancelled int `json:"cancelled"`
 	// WithinMillis bounds the time of the answer.
@@ -52,13 +58,13 @@
 
 // bench is one router path before engines.
 type bench struct {
-	net      *network
+	net      *piper.Network
 	engines  []*generator.Engine
 	retired  []*generator.Engine
 	caller   *caller.Caller
 	chooser  *inOrder
 	dispatch *dispatcher.Dispatcher
-	counters metrics.Registry
+	counters *tally
 }
 
 func newBench(row streamRow) *bench {
@@ -66,15 +72,15 @@
 	if n == 0 {
 		n = 2
 	}
-	b := &bench{net: newNetwork(), chooser: newInOrder(n), counters: metrics.NewRegistry()}
+	b := &bench{net: piper.New(), chooser: newInOrder(n), counters: newTally()}
 	for i := range n {
-		engine := newEngine(fmt.Sprintf("up-%d", i), 1)
+		engine := newEngineOf(fmt.Sprintf("up-%d", i), 1, max(1, row.PrefillMillis))
 		b.engines = append(b.engines, engine)
-		b.net.serve(addressOf(i).String(), generator.Handler(engine))
+		b.net.Serve(addressOf(i).String(), generator.Handler(engine))
 	}
-	b.caller = caller.New(caller.Config{Dial: b.net.dial})
+	b.caller = caller.New(caller.Config{Dial: b.net.Dial})
 	b.dispatch = dispatcher.New(dispatcher.Config{
-		Caller: b.caller, Chooser: b.chooser, Log: quiet(), Metrics: b.counters,
+		Caller: b.caller, Chooser: b.chooser, Log: quiet(), Count: b.counters.add,
 	})
 	return b
 }
@@ -83,12 +89,12 @@
 func (b *bench) disrupt(is *is.I, i int, faults []disrupter.Fault) {
 	d := disrupter.New(generator.Handler(b.engines[i]))
 	is.NoErr(d.Inject(faults...))
-	b.net.hosts[addressOf(i).String()].server.Handler = d
+	b.net.Host(addressOf(i).String()).Handle(d)
 }
 
 func (b *bench) close() {
 	b.caller.Close()
-	b.net.close()
+	b.net.Close()
 	synctest.Wait()
 }
 
@@ -97,16 +103,16 @@
 	address := addressOf(0).String()
 	switch what {
 	case "kill":
-		b.net.stop(address)
+		b.net.Stop(address)
 	case "restart":
-		b.net.stop(address)
+		b.net.Stop(address)
 		b.retired = append(b.retired, b.engines[0])
 		b.engines[0] = newEngine("up-0", 2)
-		b.net.serve(address, generator.Handler(b.engines[0]))
+		b.net.Serve(address, generator.Handler(b.engines[0]))
 	case "lose_connections":
-		b.net.silence(address, false)
+		b.net.Lose(address, false)
 	case "freeze":
-		b.net.silence(address, true)
+		b.net.Lose(address, true)
 	case "caller_gone":
 		cancel()
 	}
@@ -160,6 +166,9 @@
 	defer cancel()
 	job := newJob("request", row.Name, streamTokens)
 	job.Model.ContinueElsewhere = !row.Pinned
+	if row.TotalMillis > 0 {
+		job.Bundle.Policy.Streams.TotalTimeout = checker.Duration(time.Duration(row.TotalMillis) * time.Millisecond)
+	}
 	sink := &taker{is: is, id: "request", onPass: func(n uint64) {
 		if n == row.AtChunk {
 			b.act(row.Do, cancel)
@@ -209,7 +218,32 @@
 		}
 	}
 	is.Equal(cancelled, row.Cancelled)
-	is.Equal(metrics.GetOrRegisterCounter("streams_resumed", b.counters).Count(), row.Resumed)
-	is.Equal(metrics.GetOrRegisterCounter("streams_continued", b.counters).Count(), row.Continued)
+	is.Equal(b.counters.of(dispatcher.Resumed), row.Resumed)
+	is.Equal(b.counters.of(dispatcher.Continued), row.Continued)
 	is.True(b.chooser.balanced()) // each attempt ended once
 }
+
+func TestIdleConnectionsAreSuspectTogether(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(streamRow{Engines: 1})
+		defer b.close()
+		const warm = 3
+		var group sync.WaitGroup
+		for n := range warm {
+			id := fmt.Sprintf("warm-%d", n)
+			group.Go(func() {
+				_ = b.dispatch.Complete(t.Context(), newJob(id, id, streamTokens), &taker{is: is, id: id})
+			})
+		}
+		group.Wait()
+		b.act("lose_connections", nil)
+		for n, bound := range []time.Duration{4 * time.Second, time.Second, time.Second} {
+			id := fmt.Sprintf("request-%d", n)
+			start := time.Now()
+			is.NoErr(b.dispatch.Complete(t.Context(), newJob(id, id, streamTokens), &taker{is: is, id: id}))
+			is.True(time.Since(start) <= bound) // only the first request meets the silence
+		}
+	})
+}
