Spread routers without an own controller over the others

Settings usually list the same peers in the same order everywhere, so routers whose own controllers were away all turned to the first one. Each VM begins with another one now. Seen red with every VM beginning at the first.

go test -race ./internal/operating/starter: ok

--- a/internal/operating/starter/router.go
+++ b/internal/operating/starter/router.go
@@ -175,9 +175,18 @@
 	}
 }
 
-// controllers lists this VM's controller first, then the others.
+// controllers lists this VM's controller first, then the others. Each VM begins
+// with another one of those, so that routers whose own controllers are away do
+// not all turn to the same.
 func controllers(settings *configurer.Settings) []netip.AddrPort {
-	return append([]netip.AddrPort{settings.Controller.PeerAddress}, otherControllers(settings)...)
+	others := otherControllers(settings)
+	addresses := []netip.AddrPort{settings.Controller.PeerAddress}
+	if len(others) == 0 {
+		return addresses
+	}
+	first := int(seedOf(settings.Node) % uint64(len(others)))
+	addresses = append(addresses, others[first:]...)
+	return append(addresses, others[:first]...)
 }
 
 // otherControllers lists the controllers of other VMs.
