Take leaving upstreams out of every router by the first sign

Cause: only an engine's own report took it out of selection. Change: routers and controllers keep the state of each upstream in a withdrawer over membership/watcher and pass departures on (peer message 10). Signs: the platform's list (matched by address), the own report, a refusal with X-Leaving, which the engine stand-in now sends, an order (no part gives one yet). The chooser asks the withdrawer for engines and plain services. A fault found in the watcher: an engine that does not know that the platform takes it away goes on reporting, and its next report undid the list's word. Now a report of the same incarnation counts for nothing while the list names the upstream, nor for 90 s after another process said that its list does.

--- a/internal/controlling/lister/lister.go
+++ b/internal/controlling/lister/lister.go
@@ -12,9 +12,13 @@
 )
 
 const (
-	// listInterval is the mean time between two readings.
-	listInterval = 10 * time.Second
-	listTimeout  = 5 * time.Second
+	// leastInterval is the shortest mean time between two readings.
+	leastInterval = 5 * time.Second
+	// intervalPerMember lengthens it with the number of controllers, so that
+	// together they read the list about once in that time. Whoever reads it
+	// first tells the others.
+	intervalPerMember = time.Second
+	listTimeout       = 5 * time.Second
 	// firstInterval bounds the wait for the first reading.
 	firstInterval = time.Second
 )
@@ -22,6 +26,8 @@
 // Config holds what a Lister is built from.
 type Config struct {
 	VMs storer.VMLister
+	// Members returns the number of controllers.
+	Members func() int
 	// OnVMs takes each list that was read.
 	OnVMs func([]storer.VM)
 	Log   *logrus.Entry
@@ -46,7 +52,8 @@
 		case <-ctx.Done():
 			return
 		}
-		wait = listInterval/2 + rand.N(listInterval)
+		interval := max(leastInterval, time.Duration(l.cfg.Members())*intervalPerMember)
+		wait = interval/2 + rand.N(interval)
 	}
 }
 
--- a/internal/membership/watcher/transition.go
+++ b/internal/membership/watcher/transition.go
@@ -15,9 +15,7 @@
 	if !ok {
 		return nil
 	}
-	if now.After(u.leftAt) {
-		u.leftAt = now
-	}
+	u.leftAt = later(u.leftAt, now)
 	if u.State != InService {
 		return nil
 	}
@@ -28,11 +26,20 @@
 }
 
 // restore puts an upstream back in service.
-func (w *Watcher) restore(name string) []Change {
+func (w *Watcher) restore(name string, reportedAt time.Time) []Change {
 	u := w.upstreams[name]
 	was := u.State
 	u.State = InService
 	u.Sign = ""
 	u.refusals = 0
+	u.backAt = reportedAt
+	u.heldUntil = time.Time{}
 	return []Change{{Upstream: name, Was: was, Is: InService, Sign: OwnReport}}
 }
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- a/internal/membership/watcher/watcher.go
+++ b/internal/membership/watcher/watcher.go
@@ -38,6 +38,9 @@
 	refusalsToLeave = 3
 	// goneAfter is how long a leaving upstream may keep ending its work.
 	goneAfter = 15 * time.Minute
+	// listHold is how long the sign of a list that another controller read
+	// holds against the upstream's own reports.
+	listHold = 90 * time.Second
 )
 
 // Report is an upstream's own word about itself.
@@ -64,8 +67,12 @@
 	// Sign is what took it out of service.
 	Sign Sign
 	// leftAt is when the last sign of leaving came.
-	leftAt   time.Time
-	goneAt   time.Time
+	leftAt time.Time
+	goneAt time.Time
+	// heldUntil is the time that a report has to be made after.
+	heldUntil time.Time
+	// backAt is when the report was made that last brought it back.
+	backAt   time.Time
 	refusals int
 	// listed is true while the platform's list has it as leaving.
 	listed bool
@@ -109,7 +116,9 @@
 }
 
 // HandleReport takes in an upstream's own report. Reports of older
-// incarnations and those made before the last sign of leaving are void.
+// incarnations and those made before the last sign of leaving are void. An
+// upstream that knows nothing of the platform's plan goes on reporting, so
+// that a report of the same incarnation counts for nothing while it is listed.
 func (w *Watcher) HandleReport(now time.Time, r Report) []Change {
 	u, ok := w.upstreams[r.Upstream]
 	if !ok || r.Incarnation < u.Incarnation {
@@ -119,14 +128,14 @@
 	known := u.Incarnation != 0
 	u.Incarnation = r.Incarnation
 	if r.Leaving {
-		return w.leave(now, r.Upstream, OwnReport)
+		return w.leave(later(now, r.At), r.Upstream, OwnReport)
 	}
 	if u.State == InService {
 		u.refusals = 0
 		return nil
 	}
-	if fresh && known || r.At.After(u.leftAt) {
-		return w.restore(r.Upstream)
+	if fresh && known || !u.listed && r.At.After(later(u.leftAt, u.heldUntil)) {
+		return w.restore(r.Upstream, r.At)
 	}
 	return nil
 }
@@ -149,6 +158,11 @@
 	return w.leave(now, name, Refusals)
 }
 
+// HandleLeavingRefusal takes in a refusal that says why: the upstream leaves.
+func (w *Watcher) HandleLeavingRefusal(now time.Time, name string) []Change {
+	return w.leave(now, name, Refusals)
+}
+
 // HandleAccepted notes that the upstream took new work.
 func (w *Watcher) HandleAccepted(name string) {
 	if u, ok := w.upstreams[name]; ok {
--- a/internal/operating/starter/controller.go
+++ b/internal/operating/starter/controller.go
@@ -37,6 +37,7 @@
 	peers       *connector.Group
 	announce    *announcer.Announcer
 	list        *lister.Lister
+	depart      *departures
 	coordinator *coordinator.Coordinator
 	poll        *poller.Poller
 	watch       *watcher.Watcher
@@ -103,7 +104,8 @@
 		c.runPeers,
 		c.announce.Run,
 		c.list.Run,
-		(&bundleFeed{holder: c.bundles, take: c.coordinator.Bundle}).run,
+		c.depart.run,
+		(&bundleFeed{holder: c.bundles, take: c.bundle}).run,
 	}
 }
 
@@ -149,6 +151,7 @@
 	})
 	c.newPlacement()
 	c.newMembership()
+	c.newDepartures()
 	return c
 }
 
@@ -170,26 +173,34 @@
 
 // fromLink takes a message of a router or controller that connected here.
 func (c *control) fromLink(l *distributor.Link, m messenger.Message) {
-	if m.Membership != nil {
-		c.announce.Message(*m.Membership, l.Send)
-		return
-	}
-	if m.Reports != nil {
-		c.place.Reports(m.Reports.Reports)
-	}
-	c.coordinator.Message(l.Peer.Role, m, l.Send)
+	c.take(l.Peer.Role, m, l.Send)
 }
 
 // fromPeer takes a message on a connection that this controller opened.
 func (c *control) fromPeer(m messenger.Message) {
-	if m.Membership != nil {
-		c.announce.Message(*m.Membership, noAnswer)
+	c.take(messenger.Controller, m, noAnswer)
+}
+
+// take hands a message to the part that it is for.
+func (c *control) take(from messenger.Role, m messenger.Message, answer func(messenger.Message) bool) {
+	switch {
+	case m.Membership != nil:
+		c.announce.Message(*m.Membership, answer)
 		return
-	}
-	if m.Reports != nil {
+	case m.Departures != nil:
+		c.depart.message(from, *m.Departures)
+		return
+	case m.Reports != nil:
 		c.place.Reports(m.Reports.Reports)
+		c.depart.reports(m.Reports.Reports)
 	}
-	c.coordinator.Message(messenger.Controller, m, noAnswer)
+	c.coordinator.Message(from, m, answer)
+}
+
+// bundle hands the bundle in force to those who work by it.
+func (c *control) bundle(b *checker.Bundle) {
+	c.depart.bundle(b)
+	c.coordinator.Bundle(b)
 }
 
 func (c *control) peerHandler() http.Handler {
--- a/internal/operating/starter/membership.go
+++ b/internal/operating/starter/membership.go
@@ -32,7 +32,7 @@
 		BundleVersion: c.bundles.Version,
 		Log:           c.log,
 	})
-	c.list = lister.New(lister.Config{VMs: c.store, OnVMs: c.vms, Log: c.log})
+	c.list = lister.New(lister.Config{VMs: c.store, Members: c.peers.Members, OnVMs: c.vms, Log: c.log})
 }
 
 // members hands the live controllers to those who use them.
@@ -51,6 +51,9 @@
 // vms takes the platform's list, which has the VMs of upstreams as well.
 func (c *control) vms(vms []storer.VM) {
 	c.announce.VMs(c.ownVMs(vms))
+	if current := c.bundles.Current(); current != nil {
+		c.depart.vms(current.Bundle, vms)
+	}
 }
 
 // ownVMs leaves out the rows of upstreams.
--- a/internal/operating/starter/placement.go
+++ b/internal/operating/starter/placement.go
@@ -39,5 +39,6 @@
 // reports hands the reports of one round to those who use them.
 func (c *control) reports(reports []observer.Report) {
 	c.place.Reports(reports)
+	c.depart.reports(reports)
 	c.coordinator.Reports(reports)
 }
--- a/internal/operating/starter/router.go
+++ b/internal/operating/starter/router.go
@@ -5,10 +5,14 @@
 	"hash/fnv"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"gentianstep.example/gentianstep/internal/bundle/checker"
 	"gentianstep.example/gentianstep/internal/bundle/holder"
+	"gentianstep.example/gentianstep/internal/membership/watcher"
+	"gentianstep.example/gentianstep/internal/membership/withdrawer"
 	"gentianstep.example/gentianstep/internal/operating/configurer"
 	"gentianstep.example/gentianstep/internal/operating/explainer"
 	"gentianstep.example/gentianstep/internal/operating/limiter"
@@ -30,6 +34,7 @@
 	bundles  *holder.Holder
 	feed     *connector.Connector
 	inquire  *inquirer.Inquirer
+	withdraw *withdrawer.Withdrawer
 	choose   *chooser.Chooser
 	dispatch *dispatcher.Dispatcher
 	receive  *receiver.Receiver
@@ -105,7 +110,7 @@
 func (r *router) loops() []func(context.Context) {
 	return []func(context.Context){
 		r.feed.Run,
-		(&bundleFeed{holder: r.bundles, take: r.choose.Bundle}).run,
+		(&bundleFeed{holder: r.bundles, take: r.bundle}).run,
 	}
 }
 
@@ -120,11 +125,13 @@
 		Client:    &http.Client{Transport: newTransport(certificates.processes)},
 		Log:       log,
 	})
+	r.withdraw = withdrawer.New(withdrawer.Config{OnDepartures: r.departed, Log: log})
 	r.inquire = inquirer.New(inquirer.Config{Send: r.feed.Send})
 	choose, err := chooser.New(chooser.Config{
 		Region:           settings.Region,
 		AvailabilityZone: settings.AvailabilityZone,
 		Index:            r.inquire,
+		Upstreams:        r.withdraw,
 		Routers:          len(controllers(settings)),
 		Seed:             seedOf(settings.Node),
 		Log:              log,
@@ -149,11 +156,23 @@
 	return claimer.New(claimer.Config{Store: newPlatform(settings, certificates), Log: log})
 }
 
+// bundle hands the bundle in force to those who work by it.
+func (r *router) bundle(b *checker.Bundle) {
+	r.withdraw.SetUpstreams(upstreamNames(b))
+	r.choose.Bundle(b)
+}
+
+// departed tells the controller of upstreams that refused as they leave.
+func (r *router) departed(list []watcher.Departure) { r.feed.Send(departuresMessage(list)) }
+
 // fromController takes a message of the controller.
 func (r *router) fromController(m messenger.Message) {
 	switch {
 	case m.Reports != nil:
+		r.withdraw.Reports(time.Now(), m.Reports.Reports)
 		r.choose.Reports(m.Reports.Reports)
+	case m.Departures != nil:
+		r.withdraw.Learn(m.Departures.Departures)
 	case m.LookupReply != nil:
 		r.inquire.Reply(*m.LookupReply)
 	}
--- a/internal/peering/connector/group.go
+++ b/internal/peering/connector/group.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -58,6 +59,13 @@
 	g.addresses = maps.Clone(addresses)
 }
 
+// Members returns the number of members with this one.
+func (g *Group) Members() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.addresses) + 1
+}
+
 // Send queues m for the controller of that node and reports whether it was
 // queued. Without a connection one is opened for the next message.
 func (g *Group) Send(node string, m messenger.Message) bool {
@@ -71,6 +79,16 @@
 	return c != nil && c.Send(m)
 }
 
+// Broadcast sends m to every member that can be reached.
+func (g *Group) Broadcast(m messenger.Message) {
+	g.mu.Lock()
+	nodes := slices.Collect(maps.Keys(g.addresses))
+	g.mu.Unlock()
+	for _, node := range nodes {
+		g.Send(node, m)
+	}
+}
+
 // Connected reports whether there is a connection to the controller of that
 // node; without one it is opened.
 func (g *Group) Connected(node string) bool {
--- a/internal/peering/messenger/message.go
+++ b/internal/peering/messenger/message.go
@@ -10,6 +10,7 @@
 	"gentianstep.example/gentianstep/internal/caching/hasher"
 	"gentianstep.example/gentianstep/internal/caching/indexer"
 	"gentianstep.example/gentianstep/internal/membership/tracker"
+	"gentianstep.example/gentianstep/internal/membership/watcher"
 	"gentianstep.example/gentianstep/internal/upstream/observer"
 )
 
@@ -78,6 +79,11 @@
 	Holdings []indexer.Holding `cbor:"2,keyasint"`
 }
 
+// Departures tells of upstreams that are leaving.
+type Departures struct {
+	Departures []watcher.Departure `cbor:"1,keyasint"`
+}
+
 // StatusWant asks a controller for its state and that of its routers.
 type StatusWant struct{}
 
@@ -107,6 +113,7 @@
 	LookupReply  *LookupReply  `cbor:"8,keyasint,omitempty"`
 	// Membership is what controllers tell each other of who is alive.
 	Membership *tracker.Message `cbor:"9,keyasint,omitempty"`
+	Departures *Departures      `cbor:"10,keyasint,omitempty"`
 	StatusWant *StatusWant      `cbor:"20,keyasint,omitempty"`
 	Status     *Status          `cbor:"21,keyasint,omitempty"`
 }
@@ -124,6 +131,7 @@
 		m.Lookup != nil,
 		m.LookupReply != nil,
 		m.Membership != nil,
+		m.Departures != nil,
 		m.StatusWant != nil,
 		m.Status != nil,
 	} {
@@ -153,6 +161,8 @@
 		return checkBatch("holdings", len(m.LookupReply.Holdings))
 	case m.Membership != nil:
 		return m.Membership.Check()
+	case m.Departures != nil:
+		return m.Departures.Check()
 	case m.Status != nil:
 		return checkBatch("nodes", len(m.Status.Nodes))
 	}
@@ -183,6 +193,19 @@
 	return nil
 }
 
+// Check reports the first fault of the departures.
+func (d Departures) Check() error {
+	if err := checkBatch("departures", len(d.Departures)); err != nil {
+		return err
+	}
+	for _, departure := range d.Departures {
+		if err := departure.Check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Check reports the first fault of the lookup.
 func (l Lookup) Check() error {
 	if n := len(l.Checkpoints); n < 1 || n > maxCheckpoints {
--- a/internal/serving/chooser/chooser.go
+++ b/internal/serving/chooser/chooser.go
@@ -247,9 +247,17 @@
 	}
 }
 
+// mayServe reports whether an upstream gets new work at all.
+func (c *Chooser) mayServe(upstream string) bool {
+	return c.cfg.Upstreams == nil || c.cfg.Upstreams.Serves(upstream)
+}
+
 // serves reports whether an upstream may take j. An engine without a report
 // counts as ready, so that a router that has heard of nothing yet serves.
 func (c *Chooser) serves(j dispatcher.Job, upstream string) bool {
+	if !c.mayServe(upstream) {
+		return false
+	}
 	report, known := c.reports[upstream]
 	if !known {
 		return true
--- a/internal/serving/chooser/config.go
+++ b/internal/serving/chooser/config.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -17,11 +18,21 @@
 	Lookup(ctx context.Context, checkpoints []hasher.Hash) ([]indexer.Holding, bool)
 }
 
+// Upstreams knows which upstreams are leaving.
+type Upstreams interface {
+	// Serves reports whether an upstream may get new work.
+	Serves(upstream string) bool
+	// Refused tells of a refusal that said that the upstream is leaving.
+	Refused(now time.Time, upstream string)
+}
+
 // Config holds what a Chooser is built from.
 type Config struct {
 	Region           string
 	AvailabilityZone string
 	Index            Index
+	// Upstreams is nil where none ever leaves.
+	Upstreams Upstreams
 	// Routers is the number of routers of the deployment.
 	Routers int
 	// Seed starts the random choices among equals.
--- a/internal/serving/chooser/flight.go
+++ b/internal/serving/chooser/flight.go
@@ -75,6 +75,10 @@
 	f := c.end(now, choice)
 	c.own.Failed(choice.Target.Name)
 	c.report(now, choice, f, resultOf(err))
+	var failure *caller.Failure
+	if c.cfg.Upstreams != nil && errors.As(err, &failure) && failure.Leaving {
+		c.cfg.Upstreams.Refused(now, choice.Target.Name)
+	}
 }
 
 // Abandoned implements dispatcher.Chooser.
--- a/internal/serving/chooser/rotation.go
+++ b/internal/serving/chooser/rotation.go
@@ -17,14 +17,14 @@
 	return &rotation{turns: make(map[string]int)}
 }
 
-// next returns the next upstream of s that is not excluded, with the reason
+// next returns the next upstream of s that is accepted, with the reason
 // for it. The last result is false where none is left.
-func (r *rotation) next(bundle *checker.Bundle, s checker.Service, region string, excluded map[string]bool) (checker.Upstream, string, bool) {
+func (r *rotation) next(bundle *checker.Bundle, s checker.Service, region string, accept func(string) bool) (checker.Upstream, string, bool) {
 	var near, far []checker.Upstream
 	for _, name := range s.Upstreams {
 		u, ok := bundle.Upstream(name)
 		switch {
-		case !ok || excluded[name]:
+		case !ok || !accept(name):
 		case u.Region == region:
 			near = append(near, u)
 		default:
--- a/internal/serving/dispatcher/exchange.go
+++ b/internal/serving/dispatcher/exchange.go
@@ -130,6 +130,7 @@
 			Upstream: s.choice.Target.Name,
 			Status:   answer.Status,
 			NotRun:   answer.NotRun(),
+			Leaving:  answer.Leaving(),
 			Sent:     true,
 			Reused:   answer.Reused,
 		}
--- a/internal/serving/dispatcher/service.go
+++ b/internal/serving/dispatcher/service.go
@@ -220,7 +220,7 @@
 	}
 	defer answer.Discard()
 	if answer.NotRun() {
-		return ServiceAnswer{}, &caller.Failure{Upstream: choice.Target.Name, Status: answer.Status, Sent: true, NotRun: true}
+		return ServiceAnswer{}, &caller.Failure{Upstream: choice.Target.Name, Status: answer.Status, Sent: true, NotRun: true, Leaving: answer.Leaving()}
 	}
 	body, err := io.ReadAll(io.LimitReader(answer, maxServiceAnswerBytes+1))
 	if err == nil && len(body) > maxServiceAnswerBytes {
--- a/internal/standin/generator/server.go
+++ b/internal/standin/generator/server.go
@@ -166,6 +166,9 @@
 // refuse answers a request that did not run.
 func refuse(w http.ResponseWriter, status int, err error) {
 	w.Header().Set(encoder.HeaderNotRun, "true")
+	if errors.Is(err, errLeaving) {
+		w.Header().Set(encoder.HeaderLeaving, "true")
+	}
 	http.Error(w, err.Error(), status)
 }
 
--- a/internal/streaming/encoder/header.go
+++ b/internal/streaming/encoder/header.go
@@ -9,6 +9,7 @@
 	HeaderPriority       = "X-Priority"
 	HeaderIncarnation    = "X-Incarnation"
 	HeaderNotRun         = "X-Not-Run"
+	HeaderLeaving        = "X-Leaving"
 	HeaderUpstream       = "X-Upstream"
 	HeaderIdempotencyKey = "Idempotency-Key"
 )
--- a/internal/upstream/caller/answer.go
+++ b/internal/upstream/caller/answer.go
@@ -60,6 +60,11 @@
 	return !a.Reused || a.Header.Get(encoder.HeaderRequestID) != ""
 }
 
+// Leaving reports whether the upstream refused because it is leaving.
+func (a *Answer) Leaving() bool {
+	return a.NotRun() && a.Header.Get(encoder.HeaderLeaving) == "true"
+}
+
 // Finish ends an answer that was read to its end. Its connection is kept for
 // later calls only if nothing else came on it.
 func (a *Answer) Finish() error {
--- a/internal/upstream/caller/failure.go
+++ b/internal/upstream/caller/failure.go
@@ -22,6 +22,8 @@
 	// NotRun is true where no byte of the request was sent, or the upstream
 	// said that it refused the request before running it.
 	NotRun bool
+	// Leaving is true where the upstream refused because it is leaving.
+	Leaving bool
 	// Sent is true where a byte of the request may have left.
 	Sent bool
 	// Reused is true where the connection had served an earlier request.
