Ask the index of every region; keep the shared part of a prompt at home

Change: a controller asks the owner of the prompt's family in each region. The answer comes in parts; the router waits for other regions only while no part says that three quarters of the prompt are held. What another region holds of the part that this region's own requests share counts as missing, and is priced as computed again: the own region needs a copy. Where the own region has no upstream the rule does not apply.

--- a/internal/controlling/coordinator/coordinator.go
+++ b/internal/controlling/coordinator/coordinator.go
@@ -30,14 +30,16 @@
 	inputs  chan input
 	dropped atomic.Uint64
 
-	bundle   *checker.Bundle
-	members  []Member
-	owners   *partitioner.Partitioner
+	bundle  *checker.Bundle
+	members []Member
+	owners  *partitioner.Partitioner
+	// regions holds the owners of the index of each region with members.
+	regions  map[string]*partitioner.Partitioner
 	index    *indexer.Index
 	readings map[string]*reading
 	// behind names the peers that missed updates and must be told in full.
 	behind  map[string]bool
-	asked   map[uint64]question
+	asked   map[uint64]*question
 	nextID  uint64
 	scratch []indexer.Holding
 }
@@ -51,9 +53,9 @@
 		index:    indexer.New(cfg.Index),
 		readings: make(map[string]*reading),
 		behind:   make(map[string]bool),
-		asked:    make(map[uint64]question),
+		asked:    make(map[uint64]*question),
 	}
-	c.owners = partitioner.New(c.regionMembers(cfg.Self.Region))
+	c.share()
 	return c
 }
 
@@ -89,7 +91,7 @@
 	case in.lookup != nil:
 		c.lookup(now, *in.lookup)
 	case in.reply != nil:
-		c.reply(*in.reply)
+		c.replied(*in.reply)
 	case in.lost != "":
 		c.behind[in.lost] = true
 	case in.inspect != nil:
@@ -114,12 +116,23 @@
 	return local
 }
 
+// share shares the index of each region out over its members.
+func (c *Coordinator) share() {
+	c.regions = make(map[string]*partitioner.Partitioner)
+	for _, m := range c.members {
+		if c.regions[m.Region] == nil {
+			c.regions[m.Region] = partitioner.New(c.regionMembers(m.Region))
+		}
+	}
+	c.owners = c.regions[c.cfg.Self.Region]
+}
+
 func (c *Coordinator) setMembers(ctx context.Context, members []Member) {
 	if !slices.Contains(members, c.cfg.Self) {
 		members = append(slices.Clone(members), c.cfg.Self)
 	}
 	c.members = members
-	c.owners = partitioner.New(c.regionMembers(c.cfg.Self.Region))
+	c.share()
 	c.assign(ctx)
 	for _, r := range c.readings {
 		r.forward.SetOwners(c.ownersFor(r.upstream))
--- a/internal/peering/inquirer/inquirer.go
+++ b/internal/peering/inquirer/inquirer.go
@@ -10,6 +10,14 @@
 	"gentianstep.example/gentianstep/internal/peering/messenger"
 )
 
+const (
+	// maxParts bounds the parts of one answer that wait to be read.
+	maxParts = 16
+	// enoughShare is the share of a prompt that ends the wait for the answers
+	// of other regions once a part says that it is held.
+	enoughShare = 0.75
+)
+
 // Config holds what an Inquirer is built from.
 type Config struct {
 	// Send queues a message for the controller and reports whether it was queued.
@@ -22,37 +30,57 @@
 
 	mu      sync.Mutex
 	nextID  uint64
-	waiting map[uint64]chan []indexer.Holding
+	waiting map[uint64]chan messenger.LookupReply
 }
 
 // New returns an Inquirer that waits for nothing.
 func New(cfg Config) *Inquirer {
-	return &Inquirer{cfg: cfg, waiting: make(map[uint64]chan []indexer.Holding)}
+	return &Inquirer{cfg: cfg, waiting: make(map[uint64]chan messenger.LookupReply)}
 }
 
-// Lookup asks which upstreams hold the checkpoints. The last result is false
-// where no answer came before ctx ended.
+// Lookup asks which upstreams hold the checkpoints and returns the parts of
+// the answer that came before ctx ended. The last result is false where none
+// came.
 func (q *Inquirer) Lookup(ctx context.Context, checkpoints []hasher.Hash) ([]indexer.Holding, bool) {
-	id, answer := q.open()
+	id, parts := q.open()
 	defer q.close(id)
 	if !q.cfg.Send(messenger.Message{Lookup: &messenger.Lookup{ID: id, Checkpoints: checkpoints}}) {
 		return nil, false
 	}
-	select {
-	case holdings := <-answer:
-		return holdings, true
-	case <-ctx.Done():
-		return nil, false
+	enough := int(enoughShare * float64(len(checkpoints)*hasher.CheckpointBlocks))
+	var holdings []indexer.Holding
+	answered := false
+	for {
+		select {
+		case part := <-parts:
+			answered = true
+			holdings = append(holdings, part.Holdings...)
+			if !part.More || holds(part.Holdings, enough) {
+				return holdings, true
+			}
+		case <-ctx.Done():
+			return holdings, answered
+		}
 	}
 }
 
-func (q *Inquirer) open() (uint64, chan []indexer.Holding) {
+// holds reports whether an upstream holds that many blocks.
+func holds(holdings []indexer.Holding, blocks int) bool {
+	for _, h := range holdings {
+		if h.HeldBlocks >= blocks {
+			return true
+		}
+	}
+	return false
+}
+
+func (q *Inquirer) open() (uint64, chan messenger.LookupReply) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.nextID++
-	answer := make(chan []indexer.Holding, 1)
-	q.waiting[q.nextID] = answer
-	return q.nextID, answer
+	parts := make(chan messenger.LookupReply, maxParts)
+	q.waiting[q.nextID] = parts
+	return q.nextID, parts
 }
 
 func (q *Inquirer) close(id uint64) {
@@ -61,14 +89,16 @@
 	delete(q.waiting, id)
 }
 
-// Reply hands an answer to who waits for it; a late one is dropped.
+// Reply hands a part of an answer to who waits for it; a late one is dropped.
 func (q *Inquirer) Reply(r messenger.LookupReply) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	answer, ok := q.waiting[r.ID]
+	parts, ok := q.waiting[r.ID]
 	if !ok {
 		return
 	}
-	delete(q.waiting, r.ID)
-	answer <- r.Holdings
+	select {
+	case parts <- r:
+	default:
+	}
 }
--- a/internal/peering/messenger/message.go
+++ b/internal/peering/messenger/message.go
@@ -71,10 +71,12 @@
 	Checkpoints []hasher.Hash `cbor:"2,keyasint"`
 }
 
-// LookupReply answers the lookup of that id.
+// LookupReply answers the lookup of that id, or a part of it.
 type LookupReply struct {
 	ID       uint64            `cbor:"1,keyasint"`
 	Holdings []indexer.Holding `cbor:"2,keyasint"`
+	// More is true where the answers of other regions are still awaited.
+	More bool `cbor:"3,keyasint,omitempty"`
 }
 
 // StatusWant asks a controller for its state and that of its routers.
--- a/internal/routing/selector/least_loaded.go
+++ b/internal/routing/selector/least_loaded.go
@@ -20,7 +20,7 @@
 	}
 	f := &p.field
 	f.fill(&r, candidates, p.cfg.MaxEjected)
-	price := newPricer(p.cfg.Selection, &r, f.bestHeld)
+	price := newPricer(p.cfg.Selection, &r, f)
 	f.price(&price, candidates)
 	d := f.explain(&price, candidates, p.least(candidates))
 	d.Policy = nameLeastLoaded
--- a/internal/routing/selector/prefix_cost.go
+++ b/internal/routing/selector/prefix_cost.go
@@ -21,7 +21,7 @@
 		return Decision{Policy: namePrefixCost, Reason: ReasonNoCandidate}
 	}
 	p.field.fill(&r, candidates, p.cfg.MaxEjected)
-	price := newPricer(p.cfg.Selection, &r, p.field.bestHeld)
+	price := newPricer(p.cfg.Selection, &r, &p.field)
 	lowest := p.field.price(&price, candidates)
 	chosen, reason := p.choose(&price, candidates, lowest)
 	d := p.field.explain(&price, candidates, chosen)
--- a/internal/routing/selector/prefix_hash.go
+++ b/internal/routing/selector/prefix_hash.go
@@ -27,7 +27,7 @@
 	}
 	f := &p.field
 	f.fill(&r, candidates, p.cfg.MaxEjected)
-	price := newPricer(p.cfg.Selection, &r, f.bestHeld)
+	price := newPricer(p.cfg.Selection, &r, f)
 	f.price(&price, candidates)
 	d := f.explain(&price, candidates, p.highest(p.key(&r), candidates))
 	d.Policy = namePrefixHash
--- a/internal/routing/selector/pricer.go
+++ b/internal/routing/selector/pricer.go
@@ -31,18 +31,26 @@
 	// bestHeld is the largest number of leading blocks that a live candidate
 	// of the router's region holds.
 	bestHeld int
+	// shared is the number of leading blocks that the own region needs again
+	// and again and can hold.
+	shared int
 	// crossingLatency and crossingPrice are the cost of another region.
 	crossingLatency time.Duration
 	crossingPrice   time.Duration
 }
 
-func newPricer(weights checker.SelectionPolicy, r *Request, bestHeld int) pricer {
+func newPricer(weights checker.SelectionPolicy, r *Request, f *field) pricer {
 	size := float64(r.PromptBytes+r.MaxTokens*bytesPerToken) / bytesPerMegabyte
+	shared := min(r.SharedBlocks, len(r.Chain))
+	if f.locals == 0 {
+		shared = 0
+	}
 	return pricer{
 		request:         r,
+		shared:          shared,
 		blocks:          float64(len(r.Chain)),
 		recomputePrice:  weights.RecomputePrice,
-		bestHeld:        min(bestHeld, len(r.Chain)),
+		bestHeld:        min(f.bestHeld, len(r.Chain)),
 		crossingLatency: weights.CrossingLatency.Std(),
 		crossingPrice:   scale(weights.CrossingPrice.Std(), size),
 	}
@@ -55,7 +63,7 @@
 // total returns the whole cost of c.
 func (p *pricer) total(c *Candidate, local bool) time.Duration {
 	perBlock := prefillPerBlock(c)
-	return wait(c, perBlock) + p.prefill(c, perBlock) + p.recompute(c, perBlock) + p.distance(c, local) + p.crossing(local)
+	return wait(c, perBlock) + p.prefill(c, perBlock, local) + p.recompute(c, perBlock, local) + p.distance(c, local) + p.crossing(local)
 }
 
 // cost returns the cost of c with its parts.
@@ -65,9 +73,9 @@
 	return Cost{
 		Name:      c.Name,
 		Wait:      wait(c, perBlock),
-		Prefill:   p.prefill(c, perBlock),
+		Prefill:   p.prefill(c, perBlock, local),
 		Distance:  p.distance(c, local),
-		Recompute: p.recompute(c, perBlock),
+		Recompute: p.recompute(c, perBlock, local),
 		Crossing:  p.crossing(local),
 		Total:     p.total(c, local),
 	}
@@ -97,8 +105,8 @@
 
 // prefill estimates the time to make the missing blocks of the request ready,
 // by computing all of them or by importing what was kept and computing the rest.
-func (p *pricer) prefill(c *Candidate, perBlock time.Duration) time.Duration {
-	missing := p.missing(c)
+func (p *pricer) prefill(c *Candidate, perBlock time.Duration, local bool) time.Duration {
+	missing := p.missing(c, local)
 	compute := scale(perBlock, missing)
 	if c.ImportPerBlock <= 0 || c.ImportableBlocks == 0 {
 		return compute
@@ -110,9 +118,14 @@
 	return min(compute, scale(c.ImportPerBlock, imported)+scale(perBlock, missing-imported))
 }
 
-// missing returns the expected number of blocks that c lacks.
-func (p *pricer) missing(c *Candidate) float64 {
+// missing returns the expected number of blocks that c lacks. What an upstream
+// of another region holds of the shared part counts as missing, since the own
+// region needs that part again and again and should hold it.
+func (p *pricer) missing(c *Candidate, local bool) float64 {
 	held := float64(c.HeldBlocks) + unsureShare*float64(c.UnsureBlocks)
+	if !local {
+		held = max(held-float64(p.shared), 0)
+	}
 	return max(p.blocks-held, 0)
 }
 
@@ -139,8 +152,15 @@
 	return max(p.bestHeld-c.HeldBlocks, 0)
 }
 
-func (p *pricer) recompute(c *Candidate, perBlock time.Duration) time.Duration {
-	return scale(perBlock, p.recomputePrice*float64(p.heldElsewhere(c)))
+// recompute prices the blocks that c would compute although they are computed
+// again: those that another upstream of the own region holds and, in another
+// region, the shared part, which the own region computes once more.
+func (p *pricer) recompute(c *Candidate, perBlock time.Duration, local bool) time.Duration {
+	again := p.heldElsewhere(c)
+	if !local {
+		again = max(again, p.shared)
+	}
+	return scale(perBlock, p.recomputePrice*float64(again))
 }
 
 // margin is how much cheaper another region has to be.
