--- /dev/null
+++ b/internal/caching/importer/offer_test.go
@@ -0,0 +1,51 @@
+package importer_test
+
+import (
+	"encoding/json"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+
+	"gentianstep.example/gentianstep/internal/caching/hasher"
+	"gentianstep.example/gentianstep/internal/caching/importer"
+)
+
+func TestImportable(t *testing.T) {
+	t.Parallel()
+	data, err := os.ReadFile("testdata/offers.json")
+	is.New(t).NoErr(err)
+	var rows []struct {
+		Name         string `json:"name"`
+		Organisation string `json:"organisation"`
+		Model        string `json:"model"`
+		Version      string `json:"version"`
+		Prompt       string `json:"prompt"`
+		Blocks       int    `json:"blocks"`
+		Importable   int    `json:"importable"`
+		Invalid      bool   `json:"invalid"`
+	}
+	is.New(t).NoErr(json.Unmarshal(data, &rows))
+	scope := hasher.Scope{Organisation: "o", Model: "m", WeightsVersion: "2"}
+	chain := hasher.Chain(scope, strings.Repeat("catalogue ", 400))
+	for _, row := range rows {
+		t.Run(row.Name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			// The last hash is that of the request's own scope, so that the
+			// scope alone refuses.
+			offered := hasher.Chain(scope, strings.Repeat(row.Prompt, 400))
+			o := importer.Offer{Organisation: row.Organisation, Model: row.Model, WeightsVersion: row.Version, Blocks: row.Blocks}
+			if row.Blocks > 0 && row.Blocks <= len(offered) {
+				o.Last = offered[row.Blocks-1]
+			}
+			is.Equal(o.Importable(scope, chain), row.Importable)
+			message, err := cbor.Marshal(o)
+			is.NoErr(err)
+			var decoded importer.Offer
+			is.Equal(cbor.Unmarshal(message, &decoded) != nil, row.Invalid) // checks itself
+		})
+	}
+}
--- a/internal/routing/estimator/script_test.go
+++ b/internal/routing/estimator/script_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"math"
 	"os"
+	"strconv"
 	"testing"
 	"time"
 
@@ -142,11 +143,11 @@
 
 func BenchmarkCandidates(b *testing.B) {
 	for _, n := range []int{12, 100, 740} {
-		b.Run(time.Duration(n).String(), func(b *testing.B) {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
 			e := estimator.New(estimator.Config{})
 			names := make([]string, n)
 			for i := range names {
-				names[i] = time.Duration(i).String()
+				names[i] = strconv.Itoa(i)
 			}
 			e.SetUpstreams(upstreams(names...))
 			for i, name := range names {
--- /dev/null
+++ b/internal/routing/replicator/replicator_test.go
@@ -0,0 +1,69 @@
+package replicator_test
+
+import (
+	"encoding/json"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gentianstep.example/gentianstep/internal/caching/hasher"
+	"gentianstep.example/gentianstep/internal/routing/replicator"
+)
+
+// phase is a time of steady requests for one prefix.
+type phase struct {
+	Seconds  int     `json:"seconds"`
+	Rate     float64 `json:"rate"`
+	Replicas int     `json:"replicas"`
+	// MaxChanges bounds the changes of the number of replicas in the phase.
+	MaxChanges int `json:"max_changes"`
+}
+
+func TestReplicasFollowTheRate(t *testing.T) {
+	t.Parallel()
+	data, err := os.ReadFile("testdata/rates.json")
+	is.New(t).NoErr(err)
+	var rows []struct {
+		Name   string  `json:"name"`
+		Phases []phase `json:"phases"`
+	}
+	is.New(t).NoErr(json.Unmarshal(data, &rows))
+	for _, row := range rows {
+		t.Run(row.Name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			r, err := replicator.New(replicator.Config{PeerFactor: 2})
+			is.NoErr(err)
+			now, last := time.Unix(1000, 0), 1
+			for _, p := range row.Phases {
+				changes := 0
+				var heat replicator.Heat
+				for end := now.Add(time.Duration(p.Seconds) * time.Second); now.Before(end); {
+					now = now.Add(time.Duration(float64(time.Second) / p.Rate))
+					heat = r.Observe(now, []hasher.Hash{1, 2, hasher.Hash(now.UnixNano())})
+					if heat.Replicas != last {
+						changes++
+					}
+					last = heat.Replicas
+				}
+				is.Equal(heat.Replicas, p.Replicas)                    // replicas
+				is.True(changes <= p.MaxChanges)                       // hysteresis
+				is.Equal(heat.SharedBlocks, 2*hasher.CheckpointBlocks) // all but the last checkpoint
+			}
+		})
+	}
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	r, err := replicator.New(replicator.Config{MaxPrefixes: 2})
+	is.NoErr(err)
+	now := time.Unix(1000, 0)
+	r.Observe(now, []hasher.Hash{1})
+	r.Observe(now, []hasher.Hash{2, 3})
+	is.Equal(r.Observe(now, []hasher.Hash{1}).SharedBlocks, 0) // forgotten
+	is.Equal(r.Observe(now, []hasher.Hash{1}).SharedBlocks, hasher.CheckpointBlocks)
+}
