Read lists again soon while readings bring new members

Cause: when 410 controllers start at once the lists that they read from each other are short, and the next reading came later each time; all knew each other after 72 s.

Change: the time between two readings doubles only after a reading that brought nothing new. Ruled out: longer pages, which raise the largest message.

--- a/internal/membership/tracker/paging.go
+++ b/internal/membership/tracker/paging.go
@@ -13,8 +13,11 @@
 	// after is the place in the list; the zero address is its start.
 	after netip.AddrPort
 	peer  netip.AddrPort
-	// wait is the time between two readings; it doubles up to pagePeriod.
+	// wait is the time between two readings. It doubles up to pagePeriod while
+	// readings bring nothing new.
 	wait time.Duration
+	// known is the number of members that were known after the last reading.
+	known int
 }
 
 // tickPages asks a peer for the next page. Without an answer the same page is
@@ -61,6 +64,10 @@
 	if m.Target.IsValid() {
 		return
 	}
-	t.paging.wait = min(max(2*t.paging.wait, firstPageWait), pagePeriod)
+	t.paging.wait = min(2*t.paging.wait, pagePeriod)
+	if len(t.records) > t.paging.known {
+		t.paging.wait = firstPageWait
+	}
+	t.paging.known = len(t.records)
 	t.paging.at = now.Add(t.paging.wait/2 + t.jitter(t.paging.wait))
 }
