--- a/internal/bundle/checker/check_policy.go
+++ b/internal/bundle/checker/check_policy.go
@@ -69,6 +69,9 @@
 	if p.Admission.DemandWindow < 0 {
 		return invalid("policy.admission.demand_window", "got %s, takes 0s or more", p.Admission.DemandWindow.Std())
 	}
+	if p.Placement.LoadInterval < 0 {
+		return invalid("policy.placement.load_interval", "got %s, takes 0s or more", p.Placement.LoadInterval.Std())
+	}
 	if p.Streams.MaxResumes < 0 {
 		return invalid("policy.streams.max_resumes", "got %d, takes 0 or more", p.Streams.MaxResumes)
 	}
--- a/internal/operating/starter/router.go
+++ b/internal/operating/starter/router.go
@@ -41,7 +41,8 @@
 	if err != nil {
 		return err
 	}
-	r, err := newRouter(settings, certificates, log)
+	m := meter.New()
+	r, err := newRouter(settings, certificates, m, log)
 	if err != nil {
 		return err
 	}
@@ -50,7 +51,6 @@
 		return err
 	}
 	g := &gate{}
-	m := meter.New()
 	decisions := explainer.New(explainer.Config{Size: keptDecisions})
 	log.Logger.AddHook(meter.Hook{Meter: m})
 	log.Logger.AddHook(decisions)
@@ -71,6 +71,7 @@
 		address:        settings.Router.OperatorAddress,
 		handler:        limited(o.handler(), log),
 		maxConnections: maxOperatorConnections,
+		certifier:      certificates.operators,
 		meter:          m,
 	})
 	if err != nil {
@@ -108,7 +109,7 @@
 	}
 }
 
-func newRouter(settings *configurer.Settings, certificates certifiers, log *logrus.Entry) (*router, error) {
+func newRouter(settings *configurer.Settings, certificates certifiers, m *meter.Meter, log *logrus.Entry) (*router, error) {
 	r := &router{}
 	r.bundles = holder.New(holder.Config{Verifier: settings.Verifier()})
 	r.feed = connector.New(connector.Config{
@@ -136,6 +137,7 @@
 		Caller:  newCaller(certificates.upstreams),
 		Chooser: r.choose,
 		Claims:  newClaimer(settings, certificates, log),
+		Count:   func(o dispatcher.Occurrence, n int) { m.Count(meter.AnswerEvents, string(o), int64(n)) },
 		Log:     log,
 	})
 	r.receive = receiver.New(receiver.Config{Holder: r.bundles, Dispatcher: r.dispatch, Log: log})
@@ -173,9 +175,18 @@
 	}
 }
 
-// controllers lists this VM's controller first, then the others.
+// controllers lists this VM's controller first, then the others. Each VM begins
+// with another one of those, so that routers whose own controllers are away do
+// not all turn to the same.
 func controllers(settings *configurer.Settings) []netip.AddrPort {
-	return append([]netip.AddrPort{settings.Controller.PeerAddress}, otherControllers(settings)...)
+	others := otherControllers(settings)
+	addresses := []netip.AddrPort{settings.Controller.PeerAddress}
+	if len(others) == 0 {
+		return addresses
+	}
+	first := int(seedOf(settings.Node) % uint64(len(others)))
+	addresses = append(addresses, others[first:]...)
+	return append(addresses, others[:first]...)
 }
 
 // otherControllers lists the controllers of other VMs.
