--- a/internal/controlling/watcher/watcher_test.go
+++ b/internal/controlling/watcher/watcher_test.go
@@ -78,9 +78,13 @@
 	return b
 }
 
-func (b *bench) start(ctx context.Context) {
+func (*bench) log() *logrus.Entry {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
+	return logrus.NewEntry(log)
+}
+
+func (b *bench) start(ctx context.Context) {
 	b.holder = holder.New(holder.Config{Verifier: b.verifier})
 	ctx, b.stop = context.WithCancel(ctx)
 	w := watcher.New(watcher.Config{
@@ -88,7 +92,7 @@
 		HeadKey:   publisher.HeadKey("demo"),
 		NoticeKey: publisher.NoticeKey("demo"),
 		Holder:    b.holder,
-		Log:       logrus.NewEntry(log),
+		Log:       b.log(),
 	})
 	go w.Run(ctx)
 }
--- a/internal/placement/leaser/leaser.go
+++ b/internal/placement/leaser/leaser.go
@@ -51,12 +51,17 @@
 
 // Run competes for the lease until ctx ends, then gives it up.
 func (l *Leaser) Run(ctx context.Context) {
+	started := false
 	for ctx.Err() == nil {
 		terms, ok := l.cfg.Terms()
 		if !ok {
 			pause(ctx, idle)
 			continue
 		}
+		if !started {
+			pause(ctx, mathrand.N(terms.TTL/2)) // spreads nodes that start at once
+			started = true
+		}
 		h, err := l.acquire(ctx, terms)
 		if err != nil {
 			l.cfg.Log.WithError(err).Debug("lease not taken")
