Log what the HTTP servers say as the other lines

The servers wrote refused handshakes to standard error in a form of their own, between the JSON lines, and a peer with a false certificate counted nowhere.

Their lines go through the log now; a refused handshake at the peers' address has the kind peer_refused and so counts in gentianstep_failures_total. Seen red without it: no such line within 20 s, and lines that are not JSON.

--- a/internal/operating/starter/controller.go
+++ b/internal/operating/starter/controller.go
@@ -51,24 +51,26 @@
 	m := meter.New()
 	log.Logger.AddHook(meter.Hook{Meter: m})
 	peers, err := listen(ctx, serverConfig{
-		name:           "peers",
+		name:           peersListener,
 		address:        settings.Controller.PeerAddress,
 		handler:        limited(c.peerHandler(), log),
 		maxConnections: settings.Controller.MaxConnections,
 		certifier:      certificates.processes,
 		meter:          m,
+		log:            log,
 	})
 	if err != nil {
 		return err
 	}
 	o := &operators{settings: settings, bundles: c.bundles, gate: g, meter: m}
 	operatorServer, err := listen(ctx, serverConfig{
-		name:           "operators",
+		name:           operatorsListener,
 		address:        settings.Controller.OperatorAddress,
 		handler:        limited(o.handler(), log),
 		maxConnections: maxOperatorConnections,
 		certifier:      certificates.operators,
 		meter:          m,
+		log:            log,
 	})
 	if err != nil {
 		return err
--- a/internal/operating/starter/router.go
+++ b/internal/operating/starter/router.go
@@ -55,24 +55,26 @@
 	log.Logger.AddHook(meter.Hook{Meter: m})
 	log.Logger.AddHook(decisions)
 	callers, err := listen(ctx, serverConfig{
-		name:           "callers",
+		name:           callersListener,
 		address:        settings.Router.CallerAddress,
 		handler:        callerHandler(settings, g, m, handler, log),
 		maxConnections: settings.Router.MaxConnections,
 		certifier:      certificates.callers,
 		meter:          m,
+		log:            log,
 	})
 	if err != nil {
 		return err
 	}
 	o := &operators{settings: settings, bundles: r.bundles, gate: g, meter: m, decisions: decisions}
 	operatorServer, err := listen(ctx, serverConfig{
-		name:           "operators",
+		name:           operatorsListener,
 		address:        settings.Router.OperatorAddress,
 		handler:        limited(o.handler(), log),
 		maxConnections: maxOperatorConnections,
 		certifier:      certificates.operators,
 		meter:          m,
+		log:            log,
 	})
 	if err != nil {
 		return err
--- a/internal/operating/starter/server.go
+++ b/internal/operating/starter/server.go
@@ -6,6 +6,7 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	stdlog "log"
 	"net"
 	"net/http"
 	"net/netip"
@@ -24,6 +25,13 @@
 	maxHeader     = 32 << 10
 )
 
+// Names of the listeners.
+const (
+	callersListener   = "callers"
+	operatorsListener = "operators"
+	peersListener     = "peers"
+)
+
 // serverConfig holds what a server is built from.
 type serverConfig struct {
 	// name labels the listener in errors and metrics.
@@ -35,6 +43,7 @@
 	// certifier encrypts the connections; nil leaves them plain.
 	certifier *certifier.Certifier
 	meter     *meter.Meter
+	log       *logrus.Entry
 }
 
 // server is one listener with its handler.
@@ -67,6 +76,7 @@
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    maxHeader,
 			ConnContext:       limiter.ConnContext,
+			ErrorLog:          stdlog.New(&serverLog{log: cfg.log, listener: cfg.name}, "", 0),
 		},
 	}, nil
 }
--- a/internal/operating/starter/tls_test.go
+++ b/internal/operating/starter/tls_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -55,6 +56,14 @@
 	status = exec.CommandContext(t.Context(), d.Programs.Gentianstep, "status", "--settings", d.VMs[2].SettingsPath)
 	table, _ = status.CombinedOutput()
 	is.True(!contains(table, "vm-0")) // nor does it learn anything of the others
+	refused := func() bool { return contains([]byte(d.VMs[0].Controller.Output()), `"kind":"peer_refused"`) }
+	launcher.Until(t, firstTimeout, "the refusal is logged", refused)
+	for _, output := range []string{d.VMs[0].Controller.Output(), d.VMs[0].Router.Output()} {
+		whole := output[:strings.LastIndex(output, "\n")+1]
+		for line := range strings.Lines(whole) {
+			is.True(json.Valid([]byte(line))) // every line of the log is JSON
+		}
+	}
 }
 
 func TestEncryptedOperators(t *testing.T) {
