--- a/internal/platform/dialer/dialer.go
+++ b/internal/platform/dialer/dialer.go
@@ -123,8 +123,10 @@
 	if err != nil {
 		return fmt.Errorf("platform: %w", err)
 	}
-	defer func() { _ = response.Body.Close() }()
-	defer drain(response.Body)
+	defer func() {
+		drain(response.Body)
+		_ = response.Body.Close()
+	}()
 	if err := statusError(response.StatusCode); err != nil {
 		return err
 	}
