Stop whole VMs and bound a stop in tests

A VM that is replaced stops its router and its controller together; the routers then drain beside a controller of another VM. A stream that outlasts drain_timeout is cut, and the exit code and the log say so; not seen red.

--- a/internal/operating/starter/stop_test.go
+++ b/internal/operating/starter/stop_test.go
@@ -30,6 +30,8 @@
 	Callers int    `json:"callers"`
 	// Tokens is the length of each stream.
 	Tokens int `json:"tokens"`
+	// Controllers stop together with the routers of their VMs.
+	Controllers bool `json:"controllers"`
 }
 
 // balancer hands out the routers that were ready when it last looked.
@@ -148,7 +150,15 @@
 		wg.Go(func() { l.run(ctx) })
 	}
 	for i := range d.VMs {
+		if s.Controllers {
+			d.VMs[i].Controller.Terminate()
+		}
 		stopRouter(t, d, i)
+		if s.Controllers {
+			<-d.VMs[i].Controller.Ended()
+			is.NoErr(d.VMs[i].Controller.Err())
+			d.StartController(i)
+		}
 		d.StartRouter(i)
 		d.WaitReady(d.VMs[i])
 		launcher.Until(t, stopTimeout, "balancer sees the router", func() bool { return b.sees(d.URL(i, "")) })
@@ -177,3 +187,28 @@
 		t.Errorf("router %d: %v\n%s", i, err, router.Output())
 	}
 }
+
+func TestDrainTimeoutEndsAStop(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := launcher.Deploy(t, launcher.Shape{
+		VMs:      1,
+		Engines:  1,
+		Services: 1,
+		Settings: func(_ int, s *configurer.Settings) {
+			s.Router.DrainDelay = checker.Duration(time.Millisecond)
+			s.Router.DrainTimeout = checker.Duration(time.Second)
+		},
+	})
+	stream := make(chan error, 1)
+	go func() { stream <- complete(t.Context(), newClient(), d.URL(0, ""), 20*longStream) }()
+	launcher.Until(t, stopTimeout, "the stream has begun", func() bool {
+		return contains([]byte(d.VMs[0].Router.Output()), `"event":"route"`)
+	})
+	router := d.VMs[0].Router
+	router.Terminate()
+	<-router.Ended()
+	is.True(router.Err() != nil) // the exit code tells of the cut
+	is.True(contains([]byte(router.Output()), "open requests were cut"))
+	is.True(<-stream != nil) // and so does the stream
+}
