Keep the linter's cache within the tree

Cause: two trees of the same repository shared the linter's cache, and findings of one were reported in the other at wrong places. Change: the cache lies in bin/.

--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,8 @@
 BIN := $(CURDIR)/bin
 GOLANGCI_LINT := $(BIN)/golangci-lint-$(GOLANGCI_LINT_VERSION)
 GO ?= go
+# Findings name files of the tree that was linted, so each tree has its own cache.
+export GOLANGCI_LINT_CACHE := $(BIN)/lint-cache
 SEED ?= 1
 
 .PHONY: all build fmt lint unit test demo bench measure clean
