--- a/internal/operating/starter/router.go
+++ b/internal/operating/starter/router.go
@@ -19,6 +19,7 @@
 	"gentianstep.example/gentianstep/internal/serving/chooser"
 	"gentianstep.example/gentianstep/internal/serving/claimer"
 	"gentianstep.example/gentianstep/internal/serving/dispatcher"
+	"gentianstep.example/gentianstep/internal/serving/gatekeeper"
 	"gentianstep.example/gentianstep/internal/serving/receiver"
 )
 
@@ -33,6 +34,9 @@
 	choose   *chooser.Chooser
 	dispatch *dispatcher.Dispatcher
 	receive  *receiver.Receiver
+	gate     *gatekeeper.Gate
+	// routers is the number of routers of the deployment.
+	routers int
 }
 
 // Router runs a router until ctx ends and its streams are done.
@@ -107,12 +111,12 @@
 func (r *router) loops() []func(context.Context) {
 	return []func(context.Context){
 		r.feed.Run,
-		(&bundleFeed{holder: r.bundles, take: r.choose.Bundle}).run,
+		(&bundleFeed{holder: r.bundles, take: r.takeBundle}).run,
 	}
 }
 
 func newRouter(settings *configurer.Settings, certificates certifiers, m *meter.Meter, log *logrus.Entry) (*router, error) {
-	r := &router{}
+	r := &router{routers: len(controllers(settings)), gate: newGate(log)}
 	r.bundles = holder.New(holder.Config{Verifier: settings.Verifier()})
 	r.feed = connector.New(connector.Config{
 		Hello:     hello(settings, messenger.Router),
@@ -127,7 +131,7 @@
 		Region:           settings.Region,
 		AvailabilityZone: settings.AvailabilityZone,
 		Index:            r.inquire,
-		Routers:          len(controllers(settings)),
+		Routers:          r.routers,
 		Seed:             seedOf(settings.Node),
 		Log:              log,
 	})
@@ -142,7 +146,7 @@
 		Count:   func(o dispatcher.Occurrence, n int) { m.Count(meter.AnswerEvents, string(o), int64(n)) },
 		Log:     log,
 	})
-	r.receive = receiver.New(receiver.Config{Holder: r.bundles, Dispatcher: r.dispatch, Log: log})
+	r.receive = receiver.New(receiver.Config{Holder: r.bundles, Dispatcher: r.dispatch, Gate: r.gate, Log: log})
 	return r, nil
 }
 
--- a/internal/serving/receiver/complete.go
+++ b/internal/serving/receiver/complete.go
@@ -1,6 +1,7 @@
 package receiver
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -11,6 +12,7 @@
 
 	"gentianstep.example/gentianstep/internal/bundle/checker"
 	"gentianstep.example/gentianstep/internal/failure/classifier"
+	"gentianstep.example/gentianstep/internal/routing/admitter"
 	"gentianstep.example/gentianstep/internal/serving/dispatcher"
 	"gentianstep.example/gentianstep/internal/streaming/encoder"
 )
@@ -26,6 +28,12 @@
 		r.fail(ctx, a.id, err)
 		return
 	}
+	release, err := r.enter(ctx.Request().Context(), job)
+	if err != nil {
+		r.fail(ctx, a.id, err)
+		return
+	}
+	defer release()
 	if job.Request.Stream {
 		r.stream(ctx, job)
 		return
@@ -33,6 +41,23 @@
 	r.whole(ctx, job)
 }
 
+// promptBytesPerToken is the assumed size of one token of a prompt.
+const promptBytesPerToken = 4
+
+// enter waits for a slot of the router.
+func (r *Receiver) enter(ctx context.Context, job dispatcher.Job) (release func(), err error) {
+	if r.cfg.Gate == nil {
+		return func() {}, nil
+	}
+	return r.cfg.Gate.Enter(ctx, admitter.Request{
+		ID:           job.ID,
+		Organisation: job.Organisation.Name,
+		Weight:       job.Organisation.Weight,
+		Priority:     job.Priority,
+		Cost:         float64(len(job.Request.Text())/promptBytesPerToken + job.Request.MaxTokens),
+	})
+}
+
 func newJob(ctx iris.Context, a admission) (dispatcher.Job, error) {
 	body, err := readBody(ctx)
 	if err != nil {
--- a/internal/serving/receiver/receiver.go
+++ b/internal/serving/receiver/receiver.go
@@ -2,6 +2,7 @@
 package receiver
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -16,6 +17,7 @@
 	"gentianstep.example/gentianstep/internal/bundle/checker"
 	"gentianstep.example/gentianstep/internal/bundle/holder"
 	"gentianstep.example/gentianstep/internal/failure/classifier"
+	"gentianstep.example/gentianstep/internal/routing/admitter"
 	"gentianstep.example/gentianstep/internal/serving/dispatcher"
 	"gentianstep.example/gentianstep/internal/streaming/encoder"
 )
@@ -23,11 +25,19 @@
 // maxBodyBytes bounds the body of one request.
 const maxBodyBytes = 8 << 20
 
+// Gate lets completion requests wait for a slot of the router.
+type Gate interface {
+	// Enter waits until r may run; release gives its slot back.
+	Enter(ctx context.Context, r admitter.Request) (release func(), err error)
+}
+
 // Config holds what a Receiver is built from.
 type Config struct {
 	Holder     *holder.Holder
 	Dispatcher *dispatcher.Dispatcher
-	Log        *logrus.Entry
+	// Gate is passed before an upstream is chosen; nil lets everything pass.
+	Gate Gate
+	Log  *logrus.Entry
 }
 
 // Receiver is the HTTP side of a router towards its callers.
