--- a/internal/caching/partitioner/partitioner_test.go
+++ b/internal/caching/partitioner/partitioner_test.go
@@ -15,7 +15,7 @@
 	t.Parallel()
 	is := is.New(t)
 	const families = 20_000
-	var members []string
+	members := make([]string, 0, 9)
 	for i := range 9 {
 		members = append(members, fmt.Sprintf("10.0.0.%d:7000", i+1))
 	}
