--- a/internal/routing/selector/fleet_test.go
+++ b/internal/routing/selector/fleet_test.go
@@ -60,14 +60,14 @@
 // fleet is one run in virtual time.
 type fleet struct {
 	scenario
-	now                              time.Time
-	timers                           []timer // the next one last
-	random, service                  *rand.Rand
-	engines                          []*engine
-	routers                          []*router
-	index                            *indexer.Index
-	waits                            []time.Duration
-	blocks, hit, elsewhere, crossing int
+	now                                    time.Time
+	timers                                 []timer // the next one last
+	random, service                        *rand.Rand
+	engines                                []*engine
+	routers                                []*router
+	index                                  *indexer.Index
+	waits                                  []time.Duration
+	blocks, hit, elsewhere, near, crossing int
 }
 
 func (f *fleet) after(d time.Duration, do func()) {
@@ -181,15 +181,19 @@
 func (f *fleet) count(e *engine, j *job, held int) {
 	f.blocks += len(j.chain)
 	f.hit += held
-	best := held
+	best, near := held, held
 	for _, other := range f.engines {
 		n := 0
 		for n < len(j.chain) && other.cache[j.chain[n]] > 0 {
 			n++
 		}
 		best = max(best, n)
+		if other.region == j.router.region {
+			near = max(near, n)
+		}
 	}
 	f.elsewhere += best - held
+	f.near += near - held
 	if e.region != j.router.region {
 		f.crossing++
 	}
