--- a/internal/operating/starter/controller.go
+++ b/internal/operating/starter/controller.go
@@ -8,7 +8,6 @@
 
 	"gentianstep.example/gentianstep/internal/bundle/checker"
 	"gentianstep.example/gentianstep/internal/bundle/holder"
-	"gentianstep.example/gentianstep/internal/bundle/publisher"
 	"gentianstep.example/gentianstep/internal/controlling/announcer"
 	"gentianstep.example/gentianstep/internal/controlling/coordinator"
 	"gentianstep.example/gentianstep/internal/controlling/lister"
@@ -56,24 +55,26 @@
 	m := meter.New()
 	log.Logger.AddHook(meter.Hook{Meter: m})
 	peers, err := listen(ctx, serverConfig{
-		name:           "peers",
+		name:           peersListener,
 		address:        settings.Controller.PeerAddress,
 		handler:        limited(c.peerHandler(), log),
 		maxConnections: settings.Controller.MaxConnections,
 		certifier:      certificates.processes,
 		meter:          m,
+		log:            log,
 	})
 	if err != nil {
 		return err
 	}
 	o := &operators{settings: settings, bundles: c.bundles, gate: g, meter: m}
 	operatorServer, err := listen(ctx, serverConfig{
-		name:           "operators",
+		name:           operatorsListener,
 		address:        settings.Controller.OperatorAddress,
 		handler:        limited(o.handler(), log),
 		maxConnections: maxOperatorConnections,
 		certifier:      certificates.operators,
 		meter:          m,
+		log:            log,
 	})
 	if err != nil {
 		return err
@@ -143,11 +144,10 @@
 		Log:       log,
 	})
 	c.watch = watcher.New(watcher.Config{
-		Store:     c.store,
-		HeadKey:   publisher.HeadKey(settings.Deployment),
-		NoticeKey: publisher.NoticeKey(settings.Deployment),
-		Holder:    c.bundles,
-		Log:       log,
+		Store:      c.store,
+		Deployment: settings.Deployment,
+		Holder:     c.bundles,
+		Log:        log,
 	})
 	c.newPlacement()
 	c.newMembership()
--- a/internal/operating/starter/router.go
+++ b/internal/operating/starter/router.go
@@ -9,7 +9,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"gentianstep.example/gentianstep/internal/bundle/checker"
 	"gentianstep.example/gentianstep/internal/bundle/holder"
 	"gentianstep.example/gentianstep/internal/membership/watcher"
 	"gentianstep.example/gentianstep/internal/membership/withdrawer"
@@ -23,6 +22,7 @@
 	"gentianstep.example/gentianstep/internal/serving/chooser"
 	"gentianstep.example/gentianstep/internal/serving/claimer"
 	"gentianstep.example/gentianstep/internal/serving/dispatcher"
+	"gentianstep.example/gentianstep/internal/serving/gatekeeper"
 	"gentianstep.example/gentianstep/internal/serving/receiver"
 )
 
@@ -38,6 +38,9 @@
 	choose   *chooser.Chooser
 	dispatch *dispatcher.Dispatcher
 	receive  *receiver.Receiver
+	gate     *gatekeeper.Gate
+	// routers is the number of routers of the deployment.
+	routers int
 }
 
 // Router runs a router until ctx ends and its streams are done.
@@ -60,24 +63,26 @@
 	log.Logger.AddHook(meter.Hook{Meter: m})
 	log.Logger.AddHook(decisions)
 	callers, err := listen(ctx, serverConfig{
-		name:           "callers",
+		name:           callersListener,
 		address:        settings.Router.CallerAddress,
 		handler:        callerHandler(settings, g, m, handler, log),
 		maxConnections: settings.Router.MaxConnections,
 		certifier:      certificates.callers,
 		meter:          m,
+		log:            log,
 	})
 	if err != nil {
 		return err
 	}
 	o := &operators{settings: settings, bundles: r.bundles, gate: g, meter: m, decisions: decisions}
 	operatorServer, err := listen(ctx, serverConfig{
-		name:           "operators",
+		name:           operatorsListener,
 		address:        settings.Router.OperatorAddress,
 		handler:        limited(o.handler(), log),
 		maxConnections: maxOperatorConnections,
 		certifier:      certificates.operators,
 		meter:          m,
+		log:            log,
 	})
 	if err != nil {
 		return err
@@ -110,12 +115,12 @@
 func (r *router) loops() []func(context.Context) {
 	return []func(context.Context){
 		r.feed.Run,
-		(&bundleFeed{holder: r.bundles, take: r.bundle}).run,
+		(&bundleFeed{holder: r.bundles, take: r.takeBundle}).run,
 	}
 }
 
 func newRouter(settings *configurer.Settings, certificates certifiers, m *meter.Meter, log *logrus.Entry) (*router, error) {
-	r := &router{}
+	r := &router{routers: len(controllers(settings)), gate: newGate(log)}
 	r.bundles = holder.New(holder.Config{Verifier: settings.Verifier()})
 	r.feed = connector.New(connector.Config{
 		Hello:     hello(settings, messenger.Router),
@@ -132,7 +137,7 @@
 		AvailabilityZone: settings.AvailabilityZone,
 		Index:            r.inquire,
 		Upstreams:        r.withdraw,
-		Routers:          len(controllers(settings)),
+		Routers:          r.routers,
 		Seed:             seedOf(settings.Node),
 		Log:              log,
 	})
@@ -147,7 +152,7 @@
 		Count:   func(o dispatcher.Occurrence, n int) { m.Count(meter.AnswerEvents, string(o), int64(n)) },
 		Log:     log,
 	})
-	r.receive = receiver.New(receiver.Config{Holder: r.bundles, Dispatcher: r.dispatch, Log: log})
+	r.receive = receiver.New(receiver.Config{Holder: r.bundles, Dispatcher: r.dispatch, Gate: r.gate, Log: log})
 	return r, nil
 }
 
@@ -156,12 +161,6 @@
 	return claimer.New(claimer.Config{Store: newPlatform(settings, certificates), Log: log})
 }
 
-// bundle hands the bundle in force to those who work by it.
-func (r *router) bundle(b *checker.Bundle) {
-	r.withdraw.SetUpstreams(upstreamNames(b))
-	r.choose.Bundle(b)
-}
-
 // departed tells the controller of upstreams that refused as they leave.
 func (r *router) departed(list []watcher.Departure) { r.feed.Send(departuresMessage(list)) }
 
