Write measurements as a table and plots

Cause: results were read by hand. Change: make measure runs both workloads under every policy, with killed engines, at the peak, at twice the capacity, under a flood and without batch work, and writes the page and the plots by gonum.

--- a/Makefile
+++ b/Makefile
@@ -40,3 +40,6 @@
 
 clean:
 	rm -rf $(BIN)
+
+measure: build
+	SEED=$(SEED) scripts/measure_all.sh
--- a/cmd/standin/load.go
+++ b/cmd/standin/load.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -25,6 +26,9 @@
 	warm     time.Duration
 	measure  time.Duration
 	crash    bool
+	flood    float64
+	noBatch  bool
+	name     string
 }
 
 func newLoadCommand() command {
@@ -43,7 +47,10 @@
 	parser.Float64(&o.load, "l", "load", "Load as a share of the committed capacity.")
 	parser.Duration(&o.warm, "", "warm", "First part of the load, not counted.")
 	parser.Duration(&o.measure, "", "measure", "Counted part of the load.")
-	parser.Bool(&o.crash, "", "crash", "Kill one engine in ten, 10 s before the counted part ends its warm-up.")
+	parser.Bool(&o.crash, "", "crash", "Kill one engine in ten 10 s before the counted part.")
+	parser.Float64(&o.flood, "", "flood", "Further requests of the largest organisation, as a share of the committed capacity.")
+	parser.Bool(&o.noBatch, "", "no-batch", "Leave the batch requests out.")
+	parser.String(&o.name, "", "case", "Name of the case, for the result.")
 	return command{parser: parser, run: o.run}
 }
 
@@ -60,7 +67,7 @@
 		return err
 	}
 	rate := w.Rate * o.load
-	arrivals := loader.Arrivals(w, uint64(o.seed), rate, o.warm+o.measure, len(plan.VMs))
+	arrivals := o.arrivals(w, rate, len(plan.VMs))
 	var before generator.Stats
 	driver := loader.NewDriver(driverConfig(plan, w, o.warm))
 	if o.crash {
@@ -78,6 +85,7 @@
 	result.Seed = uint64(o.seed)
 	result.Rate = rate
 	result.Load = o.load
+	result.Case = o.name
 	o.addCaches(&result, before, after)
 	result.BoundRate, err = loader.Bound(w, arrivals, plan.CacheBlocks*len(plan.Engines), func(a loader.Arrival) bool {
 		return a.At >= o.warm
@@ -88,6 +96,19 @@
 	return json.NewEncoder(os.Stdout).Encode(result)
 }
 
+// arrivals returns the requests of the load.
+func (o *loadOptions) arrivals(w loader.Workload, rate float64, routers int) []loader.Arrival {
+	duration := o.warm + o.measure
+	list := loader.Arrivals(w, uint64(o.seed), rate, duration, routers)
+	if o.flood > 0 {
+		list = loader.Flood(w, uint64(o.seed), list, 0, w.Rate*o.flood, duration, routers)
+	}
+	if o.noBatch {
+		list = slices.DeleteFunc(list, func(a loader.Arrival) bool { return a.Batch })
+	}
+	return list
+}
+
 // crashLead is the time between a crash and the counted part of a load.
 const crashLead = 10 * time.Second
 
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -37,6 +37,7 @@
 		newPlanCommand(),
 		newFleetCommand(),
 		newLoadCommand(),
+		newReportCommand(),
 	}
 	for _, c := range commands {
 		flaggy.AttachSubcommand(c.parser, 1)
--- a/internal/standin/loader/arrival.go
+++ b/internal/standin/loader/arrival.go
@@ -1,7 +1,9 @@
 package loader
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -13,8 +15,10 @@
 	// Path is the branch taken at each level.
 	Path []int
 	// Tail tells this request from all others.
-	Tail      uint64
-	Batch     bool
+	Tail  uint64
+	Batch bool
+	// Flood marks a request of an organisation's flood.
+	Flood     bool
 	MaxTokens int
 	// Router is the place of the router that the balancer chose.
 	Router int
@@ -53,6 +57,19 @@
 	}
 }
 
+// Flood adds the requests of one organisation at rate requests a second to a
+// load, each arrival in its place in time.
+func Flood(w Workload, seed uint64, list []Arrival, organisation int, rate float64, duration time.Duration, routers int) []Arrival {
+	extra := Arrivals(w, seed+1, rate, duration, routers)
+	for i := range extra {
+		extra[i].Organisation = organisation
+		extra[i].Flood = true
+	}
+	all := append(slices.Clone(list), extra...)
+	slices.SortStableFunc(all, func(a, b Arrival) int { return cmp.Compare(a.At, b.At) })
+	return all
+}
+
 func (m *maker) arrival(at time.Duration, routers int) Arrival {
 	w := m.workload
 	a := Arrival{
--- a/internal/standin/loader/driver.go
+++ b/internal/standin/loader/driver.go
@@ -49,11 +49,14 @@
 // NewDriver returns a Driver that has counted nothing.
 func NewDriver(cfg Config) *Driver {
 	return &Driver{
-		cfg:    cfg,
-		texts:  newPrompts(cfg.Workload),
-		first:  newHistogram(),
-		batch:  newHistogram(),
-		result: Result{ByOrganisation: make([]int, cfg.Workload.Organisations)},
+		cfg:   cfg,
+		texts: newPrompts(cfg.Workload),
+		first: newHistogram(),
+		batch: newHistogram(),
+		result: Result{
+			ByOrganisation: make([]int, cfg.Workload.Organisations),
+			Asked:          make([]int, cfg.Workload.Organisations),
+		},
 	}
 }
 
@@ -112,6 +115,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.result.Requests++
+	if !a.Flood {
+		d.result.Asked[a.Organisation]++
+	}
 	switch {
 	case o.refused:
 		d.result.Refused++
@@ -136,7 +142,9 @@
 func (d *Driver) count(a Arrival, o outcome) {
 	d.result.Whole++
 	d.result.Tokens += a.MaxTokens
-	d.result.ByOrganisation[a.Organisation]++
+	if !a.Flood {
+		d.result.ByOrganisation[a.Organisation]++
+	}
 	if a.Batch {
 		record(d.batch, o.first)
 	} else {
--- a/internal/standin/loader/result.go
+++ b/internal/standin/loader/result.go
@@ -45,8 +45,12 @@
 	BatchFirst  Latency `json:"batch_first_token"`
 	CrossingMB  float64 `json:"crossing_mb"`
 	WholePerSec float64 `json:"whole_per_second"`
-	// ByOrganisation counts the whole answers of each organisation.
+	// ByOrganisation counts the whole answers of each organisation, Asked its
+	// requests; those of a flood are left out of both.
 	ByOrganisation []int `json:"by_organisation"`
+	Asked          []int `json:"asked"`
+	// Case names what was done beside the load, such as "crash".
+	Case string `json:"case,omitempty"`
 }
 
 func newHistogram() *hdrhistogram.Histogram {
