Prove the read-back of the lease's key

Cause: the read-back after a lost answer had no row that failed without it.

Change: a row loses the answer to the write of the lease's key and expects the fencing number of that very write.

--- a/internal/placement/leaser/leaser_test.go
+++ b/internal/placement/leaser/leaser_test.go
@@ -32,6 +32,8 @@
 	Thaw          bool             `json:"thaw"`
 	Stop          bool             `json:"stop"`
 	EndLease      bool             `json:"end_lease"`
+	LosePut       bool             `json:"lose_put"`
+	Fencing       uint64           `json:"fencing"`
 	For           checker.Duration `json:"for"`
 	Held          bool             `json:"held"`
 	Takeovers     int              `json:"takeovers"`
@@ -42,6 +44,16 @@
 type freezer struct {
 	storer.Store
 	frozen atomic.Pointer[chan struct{}]
+	// losePut loses the answer of the next write of a key.
+	losePut atomic.Bool
+}
+
+func (f *freezer) Put(ctx context.Context, key string, value []byte, opts storer.PutOptions) (uint64, error) {
+	revision, err := f.Store.Put(ctx, key, value, opts)
+	if err == nil && f.losePut.CompareAndSwap(true, false) {
+		return 0, keeper.ErrAnswerLost
+	}
+	return revision, err
 }
 
 func (f *freezer) Renew(ctx context.Context, id uint64) (storer.Lease, error) {
@@ -106,6 +118,9 @@
 	if s.Faults != nil {
 		b.faulty.Set(*s.Faults)
 	}
+	for _, n := range b.nodes {
+		n.store.losePut.Store(s.LosePut)
+	}
 	for _, n := range b.holders() {
 		switch {
 		case s.Freeze:
@@ -164,6 +179,9 @@
 	if s.Takeovers > 0 && len(b.fencings) != s.Takeovers {
 		return fmt.Errorf("got fencing numbers %v, want %d of them", b.fencings, s.Takeovers)
 	}
+	if s.Fencing > 0 && b.highest != s.Fencing {
+		return fmt.Errorf("got fencing number %d, want %d", b.highest, s.Fencing)
+	}
 	for _, n := range b.holders() {
 		if h, _ := n.leaser.Holding(time.Now()); h.Fencing != b.highest {
 			return fmt.Errorf("fencing number %d after %d", h.Fencing, b.highest)
