--- a/internal/serving/dispatcher/chooser.go
+++ b/internal/serving/dispatcher/chooser.go
@@ -40,3 +40,9 @@
 	// about the upstream, such as a caller that went away.
 	Abandoned(now time.Time, c Choice)
 }
+
+// Pinner is a Chooser that decides which weights version serves a request.
+type Pinner interface {
+	// Pin returns the version for all attempts at j.
+	Pin(j Job) string
+}
