--- a/internal/operating/starter/admission.go
+++ b/internal/operating/starter/admission.go
@@ -38,6 +38,8 @@
 
 // takeBundle hands a bundle to the parts of the router.
 func (r *router) takeBundle(b *checker.Bundle) {
+	r.withdraw.SetUpstreams(upstreamNames(b))
 	r.choose.Bundle(b)
+	r.ration.Bundle(b)
 	r.setGate(b)
 }
--- a/internal/operating/starter/controller.go
+++ b/internal/operating/starter/controller.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"gentianstep.example/gentianstep/internal/bundle/checker"
 	"gentianstep.example/gentianstep/internal/bundle/holder"
 	"gentianstep.example/gentianstep/internal/controlling/announcer"
+	"gentianstep.example/gentianstep/internal/controlling/collector"
 	"gentianstep.example/gentianstep/internal/controlling/coordinator"
 	"gentianstep.example/gentianstep/internal/controlling/lister"
 	"gentianstep.example/gentianstep/internal/controlling/poller"
@@ -36,6 +38,8 @@
 	peers       *connector.Group
 	announce    *announcer.Announcer
 	list        *lister.Lister
+	depart      *departures
+	collect     *collector.Collector
 	coordinator *coordinator.Coordinator
 	poll        *poller.Poller
 	watch       *watcher.Watcher
@@ -104,7 +108,8 @@
 		c.runPeers,
 		c.announce.Run,
 		c.list.Run,
-		(&bundleFeed{holder: c.bundles, take: c.coordinator.Bundle}).run,
+		c.depart.run,
+		(&bundleFeed{holder: c.bundles, take: c.bundle}).run,
 	}
 }
 
@@ -149,6 +154,8 @@
 	})
 	c.newPlacement()
 	c.newMembership()
+	c.newDepartures()
+	c.collect = collector.New(collector.Config{Self: settings.Node, SendPeer: c.peers.Send, SendRouter: c.spread.SendRouter})
 	return c
 }
 
@@ -170,26 +177,44 @@
 
 // fromLink takes a message of a router or controller that connected here.
 func (c *control) fromLink(l *distributor.Link, m messenger.Message) {
-	if m.Membership != nil {
-		c.announce.Message(*m.Membership, l.Send)
+	if m.Uses != nil && l.Peer.Role == messenger.Router {
+		c.collect.FromRouter(time.Now(), l.Peer.Node, m.Uses.Uses)
 		return
 	}
-	if m.Reports != nil {
-		c.place.Reports(m.Reports.Reports)
-	}
-	c.coordinator.Message(l.Peer.Role, m, l.Send)
+	c.take(l.Peer.Role, m, l.Send)
 }
 
 // fromPeer takes a message on a connection that this controller opened.
 func (c *control) fromPeer(m messenger.Message) {
-	if m.Membership != nil {
-		c.announce.Message(*m.Membership, noAnswer)
+	c.take(messenger.Controller, m, noAnswer)
+}
+
+// take hands a message to the part that it is for.
+func (c *control) take(from messenger.Role, m messenger.Message, answer func(messenger.Message) bool) {
+	switch {
+	case m.Membership != nil:
+		c.announce.Message(*m.Membership, answer)
 		return
-	}
-	if m.Reports != nil {
+	case m.Uses != nil:
+		c.collect.FromPeer(time.Now(), m.Uses.Uses, answer)
+		return
+	case m.UseSums != nil:
+		c.collect.Answer(*m.UseSums)
+		return
+	case m.Departures != nil:
+		c.depart.message(from, *m.Departures)
+		return
+	case m.Reports != nil:
 		c.place.Reports(m.Reports.Reports)
+		c.depart.reports(m.Reports.Reports)
 	}
-	c.coordinator.Message(messenger.Controller, m, noAnswer)
+	c.coordinator.Message(from, m, answer)
+}
+
+// bundle hands the bundle in force to those who work by it.
+func (c *control) bundle(b *checker.Bundle) {
+	c.depart.bundle(b)
+	c.coordinator.Bundle(b)
 }
 
 func (c *control) peerHandler() http.Handler {
--- a/internal/operating/starter/membership.go
+++ b/internal/operating/starter/membership.go
@@ -32,7 +32,7 @@
 		BundleVersion: c.bundles.Version,
 		Log:           c.log,
 	})
-	c.list = lister.New(lister.Config{VMs: c.store, OnVMs: c.vms, Log: c.log})
+	c.list = lister.New(lister.Config{VMs: c.store, Members: c.peers.Members, OnVMs: c.vms, Log: c.log})
 }
 
 // members hands the live controllers to those who use them.
@@ -44,13 +44,23 @@
 		addresses[m.Name] = m.Address
 		members = append(members, coordinator.Member{Node: m.Name, Region: m.Region})
 	}
+	nodes := make([]string, 0, len(members))
+	for _, m := range members {
+		nodes = append(nodes, m.Node)
+	}
 	c.peers.SetMembers(addresses)
+	c.collect.SetMembers(nodes)
 	c.coordinator.Members(members)
 }
 
 // vms takes the platform's list, which has the VMs of upstreams as well.
 func (c *control) vms(vms []storer.VM) {
-	c.announce.VMs(c.ownVMs(vms))
+	own := c.ownVMs(vms)
+	c.announce.VMs(own)
+	c.collect.SetListed(len(own))
+	if current := c.bundles.Current(); current != nil {
+		c.depart.vms(current.Bundle, vms)
+	}
 }
 
 // ownVMs leaves out the rows of upstreams.
