--- a/internal/serving/chooser/pin.go
+++ b/internal/serving/chooser/pin.go
@@ -13,25 +13,26 @@
 
 // Pin returns the one weights version that j is served with. During a roll-out
 // its prefix family decides by the share of ready engines.
-func (c *Chooser) Pin(j dispatcher.Job) string {
+func (c *Chooser) Pin(j dispatcher.Job, excluded map[string]bool) string {
 	if j.Model.PreviousWeightsVersion == "" {
 		return j.Model.WeightsVersion
 	}
-	near, all := c.ready(j.Bundle, j.Model)
+	near, all := c.ready(j.Bundle, j.Model, excluded)
 	if len(planner.ServableVersions(j.Model, near)) == 0 {
 		near = all
 	}
 	return planner.PinVersion(j.Model, near, family(j))
 }
 
-// ready counts the engines of each version of m, in the own region and in all.
-func (c *Chooser) ready(b *checker.Bundle, m checker.Model) (near, all map[string]int) {
+// ready counts the engines of each version of m that may serve, in the own
+// region and in all.
+func (c *Chooser) ready(b *checker.Bundle, m checker.Model, excluded map[string]bool) (near, all map[string]int) {
 	near, all = make(map[string]int), make(map[string]int)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, u := range b.Upstreams {
 		report, known := c.reports[u.Name]
-		if !known || report.Leaving || u.Kind != checker.Engine {
+		if !known || report.Leaving || u.Kind != checker.Engine || excluded[u.Name] || !c.mayServe(u.Name) {
 			continue
 		}
 		for _, loaded := range report.Models {
--- a/internal/serving/chooser/pin_test.go
+++ b/internal/serving/chooser/pin_test.go
@@ -38,7 +38,7 @@
 			Bundle:  b,
 			Model:   model,
 			Request: encoder.Request{Prompt: strings.Repeat(fmt.Sprintf("family %04d. ", family), 500)},
-		})
+		}, nil)
 	}
 	last := 0
 	for wanted := range engines + 1 {
--- a/internal/serving/dispatcher/chooser.go
+++ b/internal/serving/dispatcher/chooser.go
@@ -43,6 +43,8 @@
 
 // Pinner is a Chooser that decides which weights version serves a request.
 type Pinner interface {
-	// Pin returns the version for all attempts at j.
-	Pin(j Job) string
+	// Pin returns the version for the next attempt at j, of which the caller
+	// has nothing yet. Excluded names the upstreams that failed earlier
+	// attempts. An answer that has begun keeps its version.
+	Pin(j Job, excluded map[string]bool) string
 }
--- a/internal/serving/dispatcher/dispatcher.go
+++ b/internal/serving/dispatcher/dispatcher.go
@@ -43,9 +43,6 @@
 	defer cancel()
 	total, stop := context.WithCancelCause(total)
 	defer stop(nil)
-	if p, ok := d.cfg.Chooser.(Pinner); ok {
-		j.Model.WeightsVersion = p.Pin(j)
-	}
 	s := newSession(d, j)
 	go s.run(total)
 	err := s.write(total, sink)
--- a/internal/serving/dispatcher/session.go
+++ b/internal/serving/dispatcher/session.go
@@ -123,7 +123,22 @@
 	}
 }
 
+// pin decides on the weights version of the next attempt, as long as the
+// caller has nothing of the answer.
+func (s *session) pin() {
+	p, ok := s.d.cfg.Chooser.(Pinner)
+	if !ok || s.seq.Passed() > 0 {
+		return
+	}
+	j := s.job
+	if m, ok := j.Bundle.Model(j.Model.Name); ok {
+		j.Model = m
+	}
+	s.job.Model.WeightsVersion = p.Pin(j, s.excluded)
+}
+
 func (s *session) choose(ctx context.Context) error {
+	s.pin()
 	choice, err := s.d.cfg.Chooser.Choose(ctx, s.job, s.attempts+1, s.excluded)
 	if err != nil {
 		return err
