Connect anew to quiet event streams; prove faulty cache events

Cause: a reader waited without end on a connection that had gone silent, and a lost event was noticed only by a later one. A lost last eviction stayed believed for good. Change: a reader ends a connection after 10 s without an event and asks from the last number on.

--- a/internal/upstream/reader/reader.go
+++ b/internal/upstream/reader/reader.go
@@ -19,6 +19,10 @@
 const (
 	firstRetry = 200 * time.Millisecond
 	lastRetry  = 5 * time.Second
+	// quietTimeout ends a connection on which no event came for that long. An
+	// engine without news and a connection that went silent look the same, and
+	// a new connection costs one request.
+	quietTimeout = 10 * time.Second
 )
 
 // Config holds what a Reader is built from.
@@ -62,6 +66,10 @@
 }
 
 func (r *Reader) follow(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	quiet := time.AfterFunc(quietTimeout, cancel)
+	defer quiet.Stop()
 	url := "http://" + r.cfg.Address.String() + "/v1/control/events" +
 		"?incarnation=" + strconv.FormatUint(r.incarnation, 10) +
 		"&after=" + strconv.FormatUint(r.seq, 10)
@@ -83,6 +91,7 @@
 		if err := decoder.Decode(&e); err != nil {
 			return fmt.Errorf("cache events: %w", err)
 		}
+		quiet.Reset(quietTimeout)
 		r.incarnation = e.Incarnation
 		r.seq = e.Seq
 		r.cfg.OnEvent(r.cfg.Upstream, e)
--- /dev/null
+++ b/internal/upstream/reader/reader_test.go
@@ -0,0 +1,180 @@
+package reader_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"gentianstep.example/gentianstep/internal/bundle/checker"
+	"gentianstep.example/gentianstep/internal/caching/hasher"
+	"gentianstep.example/gentianstep/internal/caching/indexer"
+	"gentianstep.example/gentianstep/internal/controlling/coordinator"
+	"gentianstep.example/gentianstep/internal/peering/messenger"
+	"gentianstep.example/gentianstep/internal/standin/disrupter"
+	"gentianstep.example/gentianstep/internal/standin/generator"
+	"gentianstep.example/gentianstep/internal/streaming/encoder"
+	"gentianstep.example/gentianstep/internal/testing/piper"
+	"gentianstep.example/gentianstep/internal/upstream/observer"
+	"gentianstep.example/gentianstep/internal/upstream/reader"
+)
+
+const (
+	modelName    = "tile-match"
+	version      = "w1"
+	organisation = "a"
+	// cacheBlocks is the size of the engine's cache and of each prompt.
+	cacheBlocks = 8
+	region      = "west"
+	// settleTime covers a silent connection and the wait for lost events.
+	settleTime = 20 * time.Second
+)
+
+var address = netip.MustParseAddrPort("10.0.0.1:80")
+
+type row struct {
+	Name  string
+	Kind  disrupter.Kind
+	Event int
+	// Restart is true where the engine starts anew between the prompts.
+	Restart bool
+	// Held is what is known for sure of the second prompt in the end.
+	Held int
+}
+
+// bench is an engine whose events one controller reads.
+type bench struct {
+	network *piper.Network
+	control *coordinator.Coordinator
+	handler http.Handler
+	client  *http.Client
+	log     *logrus.Entry
+}
+
+// Send implements coordinator.Peers.
+func (b *bench) Send(string, messenger.Message) bool { return false }
+
+// Connected implements coordinator.Peers.
+func (b *bench) Connected(string) bool { return false }
+
+// Broadcast implements coordinator.Routers.
+func (b *bench) Broadcast(messenger.Message) {}
+
+// Start implements coordinator.Readers.
+func (b *bench) Start(ctx context.Context, u checker.Upstream) {
+	go reader.New(reader.Config{
+		Upstream: u.Name,
+		Address:  u.Address,
+		Client:   b.client,
+		OnEvent:  b.control.Event,
+		Log:      b.log,
+	}).Run(ctx)
+}
+
+// serve starts an engine of that incarnation at the address.
+func (b *bench) serve(t *testing.T, incarnation uint64, r row) {
+	t.Helper()
+	e := generator.New(generator.Config{
+		Name:        "up-0",
+		Models:      []observer.LoadedModel{{Name: modelName, WeightsVersion: version}},
+		Slots:       1,
+		CacheBlocks: cacheBlocks,
+		Incarnation: incarnation,
+	})
+	b.handler = generator.Handler(e)
+	d := disrupter.New(b.handler)
+	if r.Kind != "" {
+		is.New(t).NoErr(d.Inject(disrupter.Fault{
+			PathPrefix: "/v1/control/events", Place: disrupter.AtEvent, Kind: r.Kind, Event: r.Event, Times: 1,
+		}))
+	}
+	b.network.Stop(address.String())
+	b.network.Serve(address.String(), d)
+}
+
+func promptOf(n int) string {
+	return strings.Repeat(fmt.Sprint(n), cacheBlocks*hasher.BlockBytes)
+}
+
+// ask lets the engine compute prompt n.
+func (b *bench) ask(ctx context.Context, n int) {
+	body := fmt.Sprintf(`{"model": %q, "prompt": %q, "max_tokens": 1, "stream": true}`, modelName, promptOf(n))
+	request := httptest.NewRequestWithContext(ctx, http.MethodPost, "/v1/completions", strings.NewReader(body))
+	request.Header.Set(encoder.HeaderRequestID, fmt.Sprint(n))
+	request.Header.Set(encoder.HeaderOrganisation, organisation)
+	request.Header.Set(encoder.HeaderWeightsVersion, version)
+	b.handler.ServeHTTP(httptest.NewRecorder(), request)
+}
+
+// held returns what the controller knows for sure of prompt n.
+func (b *bench) held(n int) int {
+	scope := hasher.Scope{Organisation: organisation, Model: modelName, WeightsVersion: version}
+	question := messenger.Lookup{ID: 1, Checkpoints: hasher.Checkpoints(hasher.Chain(scope, promptOf(n)))}
+	answers := make(chan []indexer.Holding, 1)
+	b.control.Message(messenger.Router, messenger.Message{Lookup: &question}, func(m messenger.Message) bool {
+		answers <- m.LookupReply.Holdings
+		return true
+	})
+	for _, h := range <-answers {
+		return h.HeldBlocks
+	}
+	return 0
+}
+
+func (r row) play(t *testing.T) {
+	is := is.New(t)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	b := &bench{network: piper.New(), log: logrus.NewEntry(log)}
+	defer b.network.Close()
+	transport := &http.Transport{DialContext: b.network.Dial}
+	defer transport.CloseIdleConnections()
+	b.client = &http.Client{Transport: transport}
+	b.control = coordinator.New(coordinator.Config{
+		Self: coordinator.Member{Node: "vm-0", Region: region}, Peers: b, Routers: b, Readers: b, Log: b.log,
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	b.serve(t, 1, r)
+	go b.control.Run(ctx)
+	b.control.Bundle(&checker.Bundle{Upstreams: []checker.Upstream{
+		{Name: "up-0", Kind: checker.Engine, Address: address, Region: region},
+	}})
+	b.ask(ctx, 1)
+	<-time.After(settleTime)
+	if r.Restart {
+		is.Equal(b.held(1), cacheBlocks) // before the restart
+		b.serve(t, 2, row{})
+	}
+	b.ask(ctx, 2)
+	<-time.After(settleTime)
+	is.Equal(b.held(1), 0)      // nothing of what was evicted
+	is.Equal(b.held(2), r.Held) // what is there, where it can be known
+	cancel()
+	synctest.Wait()
+}
+
+func TestFaultyEventsBringNoFalseBelief(t *testing.T) {
+	t.Parallel()
+	data, err := os.ReadFile("testdata/faults.json")
+	is.New(t).NoErr(err)
+	var rows []row
+	is.New(t).NoErr(json.Unmarshal(data, &rows))
+	for _, r := range rows {
+		t.Run(r.Name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, r.play)
+		})
+	}
+}
