--- a/internal/operating/starter/controller.go
+++ b/internal/operating/starter/controller.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"gentianstep.example/gentianstep/internal/bundle/checker"
 	"gentianstep.example/gentianstep/internal/bundle/holder"
-	"gentianstep.example/gentianstep/internal/bundle/publisher"
+	"gentianstep.example/gentianstep/internal/controlling/announcer"
+	"gentianstep.example/gentianstep/internal/controlling/collector"
 	"gentianstep.example/gentianstep/internal/controlling/coordinator"
+	"gentianstep.example/gentianstep/internal/controlling/lister"
 	"gentianstep.example/gentianstep/internal/controlling/poller"
 	"gentianstep.example/gentianstep/internal/controlling/watcher"
 	"gentianstep.example/gentianstep/internal/operating/configurer"
@@ -33,6 +36,10 @@
 	bundles     *holder.Holder
 	spread      *distributor.Distributor
 	peers       *connector.Group
+	announce    *announcer.Announcer
+	list        *lister.Lister
+	depart      *departures
+	collect     *collector.Collector
 	coordinator *coordinator.Coordinator
 	poll        *poller.Poller
 	watch       *watcher.Watcher
@@ -81,6 +88,8 @@
 		front:     peers,
 		operators: operatorServer,
 		loops:     c.loops(),
+		leave:     c.announce.Leave,
+		delay:     leaveDelay,
 		timeout:   operatorsTimeout,
 		log:       log,
 	}
@@ -97,7 +106,10 @@
 		c.coordinator.Run,
 		c.poll.Run,
 		c.runPeers,
-		(&bundleFeed{holder: c.bundles, take: c.coordinator.Bundle}).run,
+		c.announce.Run,
+		c.list.Run,
+		c.depart.run,
+		(&bundleFeed{holder: c.bundles, take: c.bundle}).run,
 	}
 }
 
@@ -121,7 +133,6 @@
 			Client:    &http.Client{Transport: newTransport(certificates.processes)},
 			Log:       log,
 		},
-		OnMembers: c.members,
 	})
 	c.coordinator = coordinator.New(coordinator.Config{
 		Self:    coordinator.Member{Node: settings.Node, Region: settings.Region},
@@ -136,13 +147,15 @@
 		Log:       log,
 	})
 	c.watch = watcher.New(watcher.Config{
-		Store:     c.store,
-		HeadKey:   publisher.HeadKey(settings.Deployment),
-		NoticeKey: publisher.NoticeKey(settings.Deployment),
-		Holder:    c.bundles,
-		Log:       log,
+		Store:      c.store,
+		Deployment: settings.Deployment,
+		Holder:     c.bundles,
+		Log:        log,
 	})
 	c.newPlacement()
+	c.newMembership()
+	c.newDepartures()
+	c.collect = collector.New(collector.Config{Self: settings.Node, SendPeer: c.peers.Send, SendRouter: c.spread.SendRouter})
 	return c
 }
 
@@ -164,27 +177,44 @@
 
 // fromLink takes a message of a router or controller that connected here.
 func (c *control) fromLink(l *distributor.Link, m messenger.Message) {
-	if m.Reports != nil {
-		c.place.Reports(m.Reports.Reports)
+	if m.Uses != nil && l.Peer.Role == messenger.Router {
+		c.collect.FromRouter(time.Now(), l.Peer.Node, m.Uses.Uses)
+		return
 	}
-	c.coordinator.Message(l.Peer.Role, m, l.Send)
+	c.take(l.Peer.Role, m, l.Send)
 }
 
 // fromPeer takes a message on a connection that this controller opened.
 func (c *control) fromPeer(m messenger.Message) {
-	if m.Reports != nil {
+	c.take(messenger.Controller, m, noAnswer)
+}
+
+// take hands a message to the part that it is for.
+func (c *control) take(from messenger.Role, m messenger.Message, answer func(messenger.Message) bool) {
+	switch {
+	case m.Membership != nil:
+		c.announce.Message(*m.Membership, answer)
+		return
+	case m.Uses != nil:
+		c.collect.FromPeer(time.Now(), m.Uses.Uses, answer)
+		return
+	case m.UseSums != nil:
+		c.collect.Answer(*m.UseSums)
+		return
+	case m.Departures != nil:
+		c.depart.message(from, *m.Departures)
+		return
+	case m.Reports != nil:
 		c.place.Reports(m.Reports.Reports)
+		c.depart.reports(m.Reports.Reports)
 	}
-	c.coordinator.Message(messenger.Controller, m, func(messenger.Message) bool { return false })
+	c.coordinator.Message(from, m, answer)
 }
 
-func (c *control) members(hellos []messenger.Hello) {
-	members := make([]coordinator.Member, 0, 1+len(hellos))
-	members = append(members, coordinator.Member{Node: c.settings.Node, Region: c.settings.Region})
-	for _, hello := range hellos {
-		members = append(members, coordinator.Member{Node: hello.Node, Region: hello.Region})
-	}
-	c.coordinator.Members(members)
+// bundle hands the bundle in force to those who work by it.
+func (c *control) bundle(b *checker.Bundle) {
+	c.depart.bundle(b)
+	c.coordinator.Bundle(b)
 }
 
 func (c *control) peerHandler() http.Handler {
--- a/internal/peering/messenger/message.go
+++ b/internal/peering/messenger/message.go
@@ -9,6 +9,8 @@
 	"gentianstep.example/gentianstep/internal/bundle/signer"
 	"gentianstep.example/gentianstep/internal/caching/hasher"
 	"gentianstep.example/gentianstep/internal/caching/indexer"
+	"gentianstep.example/gentianstep/internal/membership/tracker"
+	"gentianstep.example/gentianstep/internal/membership/watcher"
 	"gentianstep.example/gentianstep/internal/upstream/observer"
 )
 
@@ -71,10 +73,17 @@
 	Checkpoints []hasher.Hash `cbor:"2,keyasint"`
 }
 
-// LookupReply answers the lookup of that id.
+// LookupReply answers the lookup of that id, or a part of it.
 type LookupReply struct {
 	ID       uint64            `cbor:"1,keyasint"`
 	Holdings []indexer.Holding `cbor:"2,keyasint"`
+	// More is true where the answers of other regions are still awaited.
+	More bool `cbor:"3,keyasint,omitempty"`
+}
+
+// Departures tells of upstreams that are leaving.
+type Departures struct {
+	Departures []watcher.Departure `cbor:"1,keyasint"`
 }
 
 // StatusWant asks a controller for its state and that of its routers.
@@ -104,8 +113,13 @@
 	IndexUpdates *IndexUpdates `cbor:"6,keyasint,omitempty"`
 	Lookup       *Lookup       `cbor:"7,keyasint,omitempty"`
 	LookupReply  *LookupReply  `cbor:"8,keyasint,omitempty"`
-	StatusWant   *StatusWant   `cbor:"20,keyasint,omitempty"`
-	Status       *Status       `cbor:"21,keyasint,omitempty"`
+	// Membership is what controllers tell each other of who is alive.
+	Membership *tracker.Message `cbor:"9,keyasint,omitempty"`
+	Uses       *Uses            `cbor:"11,keyasint,omitempty"`
+	UseSums    *UseSums         `cbor:"12,keyasint,omitempty"`
+	Departures *Departures      `cbor:"10,keyasint,omitempty"`
+	StatusWant *StatusWant      `cbor:"20,keyasint,omitempty"`
+	Status     *Status          `cbor:"21,keyasint,omitempty"`
 }
 
 // Check reports the first fault of the message.
@@ -120,6 +134,10 @@
 		m.IndexUpdates != nil,
 		m.Lookup != nil,
 		m.LookupReply != nil,
+		m.Membership != nil,
+		m.Departures != nil,
+		m.Uses != nil,
+		m.UseSums != nil,
 		m.StatusWant != nil,
 		m.Status != nil,
 	} {
@@ -147,6 +165,14 @@
 		return checkBatch("index updates", len(m.IndexUpdates.Updates))
 	case m.LookupReply != nil:
 		return checkBatch("holdings", len(m.LookupReply.Holdings))
+	case m.Membership != nil:
+		return m.Membership.Check()
+	case m.Departures != nil:
+		return m.Departures.Check()
+	case m.Uses != nil:
+		return m.Uses.Check()
+	case m.UseSums != nil:
+		return m.UseSums.Check()
 	case m.Status != nil:
 		return checkBatch("nodes", len(m.Status.Nodes))
 	}
@@ -177,6 +203,19 @@
 	return nil
 }
 
+// Check reports the first fault of the departures.
+func (d Departures) Check() error {
+	if err := checkBatch("departures", len(d.Departures)); err != nil {
+		return err
+	}
+	for _, departure := range d.Departures {
+		if err := departure.Check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Check reports the first fault of the lookup.
 func (l Lookup) Check() error {
 	if n := len(l.Checkpoints); n < 1 || n > maxCheckpoints {
