Add the store of kept cache to the stand-ins

Cause: engines could neither import nor export kept cache, so the price of an import in the selection could not be tried end to end. Ruled out: import inside the prefill turn of the engine, since a slow store would then hold up the prefill of other requests. Change: internal/standin/archiver (bounded store, HTTP handler, client), the subcommand standin kept-cache, and import and export in the engine stand-in by X-Import-Blocks and X-Export.

--- a/cmd/standin/engine.go
+++ b/cmd/standin/engine.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"strings"
 	"time"
 
 	"github.com/integrii/flaggy"
 
+	"gentianstep.example/gentianstep/internal/standin/archiver"
 	"gentianstep.example/gentianstep/internal/standin/disrupter"
 	"gentianstep.example/gentianstep/internal/standin/generator"
 	"gentianstep.example/gentianstep/internal/upstream/observer"
@@ -16,6 +18,7 @@
 func newEngineCommand() command {
 	address := "127.0.0.1:0"
 	models := "tile-match=w1"
+	var store string
 	cfg := generator.Config{
 		Name:            "engine",
 		Slots:           8,
@@ -34,6 +37,7 @@
 	parser.Int(&cfg.CacheBlocks, "", "cache-blocks", "Blocks that the cache holds.")
 	parser.Duration(&cfg.PrefillPerBlock, "", "prefill-per-block", "Time to compute a missing block.")
 	parser.Duration(&cfg.TokenInterval, "", "token-interval", "Time between two tokens.")
+	parser.String(&store, "", "kept-cache", "IP number and port of the store of kept cache; empty for none.")
 	parser.Bool(&cfg.ChecksFencing, "", "checks-fencing", "Refuse orders with an old fencing number.")
 	return command{parser: parser, run: func(ctx context.Context) error {
 		loaded, err := parseModels(models)
@@ -41,6 +45,13 @@
 			return err
 		}
 		cfg.Models = loaded
+		if store != "" {
+			at, err := netip.ParseAddrPort(store)
+			if err != nil {
+				return fmt.Errorf("kept-cache: %w", err)
+			}
+			cfg.Kept = archiver.NewClient(at)
+		}
 		cfg.Incarnation = uint64(time.Now().UnixNano())
 		return serve(ctx, address, disrupter.New(generator.Handler(generator.New(cfg))))
 	}}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -28,11 +28,12 @@
 
 func run(ctx context.Context) error {
 	flaggy.SetName("standin")
-	flaggy.SetDescription("Stands in for the platform, engines and plain services in tests.")
+	flaggy.SetDescription("Stands in for the platform, engines, plain services and the store of kept cache in tests.")
 	commands := []command{
 		newPlatformCommand(),
 		newEngineCommand(),
 		newServiceCommand(),
+		newKeptCommand(),
 		newBenchCommand(),
 		newPlanCommand(),
 		newFleetCommand(),
--- /dev/null
+++ b/internal/standin/archiver/server.go
@@ -0,0 +1,57 @@
+package archiver
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+// maxBodyBytes bounds one call.
+const maxBodyBytes = 1 << 20
+
+// Handler serves a Store over HTTP.
+func Handler(store *Store) http.Handler {
+	s := server{store: store}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+PathImports, s.importBlocks)
+	mux.HandleFunc("POST "+PathExports, s.exportBlocks)
+	return mux
+}
+
+type server struct {
+	store *Store
+}
+
+func (s server) importBlocks(w http.ResponseWriter, r *http.Request) {
+	batch, ok := decode(w, r)
+	if !ok {
+		return
+	}
+	n, err := s.store.Import(r.Context(), batch.Scope(), batch.Held, batch.Blocks)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(ImportAnswer{Blocks: n})
+}
+
+func (s server) exportBlocks(w http.ResponseWriter, r *http.Request) {
+	batch, ok := decode(w, r)
+	if !ok {
+		return
+	}
+	if err := s.store.Export(r.Context(), batch.Scope(), batch.Blocks); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func decode(w http.ResponseWriter, r *http.Request) (Batch, bool) {
+	var batch Batch
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&batch)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	}
+	return batch, err == nil
+}
--- a/internal/standin/generator/config.go
+++ b/internal/standin/generator/config.go
@@ -33,6 +33,8 @@
 	EventDelay time.Duration
 	// Registry counts holders over several engines; nil counts this one alone.
 	Registry *Registry
+	// Kept is the store of kept cache; nil is none.
+	Kept KeptStore
 	// Incarnation tells this start of the engine from earlier ones.
 	Incarnation uint64
 }
--- a/internal/standin/generator/engine.go
+++ b/internal/standin/generator/engine.go
@@ -31,6 +31,7 @@
 	// firstToken is the number of tokens that the caller already has.
 	firstToken int
 	stream     *stream
+	kept       kept
 	// expected is the number of blocks that were missing on arrival.
 	expected int
 }
@@ -41,6 +42,8 @@
 	slots   *slots
 	prefill chan struct{}
 	journal *journal
+	// exports holds one entry for each export on its way.
+	exports chan struct{}
 
 	mu           sync.Mutex
 	cache        *cache
@@ -64,6 +67,7 @@
 		cfg:     cfg,
 		slots:   newSlots(cfg.Slots),
 		prefill: make(chan struct{}, 1),
+		exports: make(chan struct{}, maxExports),
 		journal: newJournal(cfg.Incarnation),
 		cache:   newCache(cfg.CacheBlocks),
 		models:  slices.Clone(cfg.Models),
@@ -101,10 +105,12 @@
 		return
 	}
 	defer e.slots.leave()
+	e.importKept(ctx, j)
 	u, err := e.compute(ctx, j)
 	if err != nil {
 		return
 	}
+	e.exportKept(j)
 	if e.decode(ctx, j) {
 		j.stream.finish(u)
 	}
@@ -131,13 +137,9 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	model := observer.LoadedModel{Name: j.scope.Model, WeightsVersion: j.scope.WeightsVersion}
-	stored, evicted := e.cache.store(model, j.chain)
-	e.cfg.Registry.change(stored, evicted)
-	e.journal.add(indexer.Stored, stored)
-	e.journal.add(indexer.Evicted, evicted)
+	e.store(j.scope, j.chain)
 	e.stats.PromptBlocks += len(j.chain)
-	e.stats.CachedBlocks += held
+	e.stats.CachedBlocks += max(held-j.kept.imported, 0)
 	e.stats.RecomputedBlocks += elsewhere
 	return usage{promptBytes: len(j.prompt), cachedBlocks: held}, nil
 }
--- a/internal/standin/generator/server.go
+++ b/internal/standin/generator/server.go
@@ -96,6 +96,7 @@
 		interactive: r.Header.Get(encoder.HeaderPriority) != "batch",
 		maxTokens:   request.MaxTokens,
 		firstToken:  request.ContinueTokens,
+		kept:        keptOf(r.Header),
 		stream:      newStream(id, r.Header.Get(encoder.HeaderAttempt), request.ContinueTokens, cancel),
 	}, ctx
 }
--- a/internal/streaming/encoder/header.go
+++ b/internal/streaming/encoder/header.go
@@ -11,6 +11,8 @@
 	HeaderNotRun         = "X-Not-Run"
 	HeaderLeaving        = "X-Leaving"
 	HeaderUpstream       = "X-Upstream"
+	HeaderImportBlocks   = "X-Import-Blocks"
+	HeaderExport         = "X-Export"
 	HeaderIdempotencyKey = "Idempotency-Key"
 )
 
