Offer kept cache to the selection and ask engines for it

Cause: the price of an import existed, but no router offered importable blocks and no engine was asked for them. Ruled out: asking the store on the path of a request, which would make it a dependency of each decision; the router remembers what it had exported instead. Change: kept_caches in the bundle; the chooser's bounded memory of exported prefixes, each with a deadline; X-Import-Blocks and X-Export on calls; importable_blocks, import_blocks and export in the decision log. An attempt with an import gives no sample of the prefill time per block.

--- a/internal/bundle/checker/bundle.go
+++ b/internal/bundle/checker/bundle.go
@@ -13,7 +13,9 @@
 	Models        []Model        `json:"models"`
 	Upstreams     []Upstream     `json:"upstreams"`
 	Services      []Service      `json:"services"`
-	Policy        Policy         `json:"policy"`
+	// KeptCaches names the store of kept cache of each region that has one.
+	KeptCaches []KeptCache `json:"kept_caches,omitempty"`
+	Policy     Policy      `json:"policy"`
 }
 
 // Region is a group of availability zones with short latency between them.
--- a/internal/bundle/checker/check.go
+++ b/internal/bundle/checker/check.go
@@ -35,6 +35,7 @@
 		b.checkUpstreams,
 		b.checkServices,
 		b.checkOrganisations,
+		b.checkKeptCaches,
 		b.Policy.check,
 	}
 	for _, check := range checks {
--- a/internal/serving/chooser/chooser.go
+++ b/internal/serving/chooser/chooser.go
@@ -33,6 +33,7 @@
 	loads    *estimator.Estimator
 	own      *coalescer.Coalescer
 	heat     *replicator.Replicator
+	kept     *kept
 	health   *retrier.Retrier
 	reports  map[string]observer.Report
 	flights  map[attemptKey]flight
@@ -49,6 +50,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("replicator: %w", err)
 	}
+	memory, err := newKept()
+	if err != nil {
+		return nil, fmt.Errorf("kept cache: %w", err)
+	}
 	return &Chooser{
 		cfg:      cfg,
 		services: newRotation(),
@@ -56,6 +61,7 @@
 		loads:    estimator.New(estimator.Config{PeerFactor: peerFactor(cfg.Routers)}),
 		own:      coalescer.New(coalescer.Config{}),
 		heat:     heat,
+		kept:     memory,
 		health:   retrier.New(retrier.Config{Seed: cfg.Seed}),
 		reports:  make(map[string]observer.Report),
 		flights:  make(map[attemptKey]flight),
@@ -157,8 +163,8 @@
 	if err := c.afford(now, attempt); err != nil {
 		return dispatcher.Choice{}, err
 	}
-	decision := c.decide(now, j, request, checkpoints, holdings, excluded)
-	c.log(j, attempt, decision, known)
+	decision, offer := c.decide(now, j, request, checkpoints, holdings, excluded)
+	c.log(j, attempt, decision, offer, known)
 	u, ok := j.Bundle.Upstream(decision.Chosen)
 	if !ok {
 		return dispatcher.Choice{}, classifier.New(classifier.NoUpstream, "no upstream serves model %s now", j.Model.Name)
@@ -167,12 +173,16 @@
 		model:       j.Model.Name,
 		checkpoints: checkpoints,
 		wait:        decision.Wait(),
+		computed:    offer.computed,
+		export:      offer.export,
 	}
 	return dispatcher.Choice{
 		RequestID:     j.ID,
 		Attempt:       attempt,
 		Target:        caller.Target{Name: u.Name, Address: u.Address},
 		MissingBlocks: decision.Missing,
+		ImportBlocks:  offer.importBlocks,
+		Export:        offer.export != nil,
 	}, nil
 }
 
@@ -224,7 +234,7 @@
 }
 
 // decide joins what is believed of loads, caches and health for the policy.
-func (c *Chooser) decide(now time.Time, j dispatcher.Job, r selector.Request, checkpoints []hasher.Hash, holdings []indexer.Holding, excluded map[string]bool) selector.Decision {
+func (c *Chooser) decide(now time.Time, j dispatcher.Job, r selector.Request, checkpoints []hasher.Hash, holdings []indexer.Holding, excluded map[string]bool) (selector.Decision, offer) {
 	heat := c.heat.Observe(now, checkpoints)
 	r.HomeBlocks = heat.HomeBlocks
 	r.SharedBlocks = heat.SharedBlocks
@@ -237,7 +247,9 @@
 	c.holdings = c.own.Lookup(now, checkpoints, c.holdings[:0])
 	c.loads.Hold(c.scratch, c.holdings)
 	c.markSuspects(now)
-	return c.policy.Select(now, r, c.scratch)
+	c.kept.offer(now, j.Bundle, r, checkpoints, c.scratch)
+	decision := c.policy.Select(now, r, c.scratch)
+	return decision, c.kept.answer(now, j.Bundle, r, c.scratch, decision)
 }
 
 // markSuspects marks the candidates that cool down after failures.
@@ -265,23 +277,26 @@
 	return !report.Leaving && report.Serves(j.Model.Name, j.Model.WeightsVersion)
 }
 
-func (c *Chooser) log(j dispatcher.Job, attempt int, d selector.Decision, indexKnown bool) {
+func (c *Chooser) log(j dispatcher.Job, attempt int, d selector.Decision, o offer, indexKnown bool) {
 	c.cfg.Log.WithFields(logrus.Fields{
-		"event":          "route",
-		"request_id":     j.ID,
-		"attempt":        attempt,
-		"organisation":   j.Organisation.Name,
-		"model":          j.Model.Name,
-		"bundle_version": j.Bundle.Version,
-		"policy":         d.Policy,
-		"chosen":         d.Chosen,
-		"reason":         d.Reason,
-		"considered":     d.Considered,
-		"suspects":       d.Suspects,
-		"missing_blocks": d.Missing,
-		"held_elsewhere": d.HeldElsewhere,
-		"crossing":       d.Crossing,
-		"index_known":    indexKnown,
-		"costs":          d.Costs,
+		"event":             "route",
+		"request_id":        j.ID,
+		"attempt":           attempt,
+		"organisation":      j.Organisation.Name,
+		"model":             j.Model.Name,
+		"bundle_version":    j.Bundle.Version,
+		"policy":            d.Policy,
+		"chosen":            d.Chosen,
+		"reason":            d.Reason,
+		"considered":        d.Considered,
+		"suspects":          d.Suspects,
+		"missing_blocks":    d.Missing,
+		"held_elsewhere":    d.HeldElsewhere,
+		"crossing":          d.Crossing,
+		"importable_blocks": o.importableBlocks,
+		"import_blocks":     o.importBlocks,
+		"export":            o.export != nil,
+		"index_known":       indexKnown,
+		"costs":             d.Costs,
 	}).Info("routing decision")
 }
--- a/internal/serving/chooser/flight.go
+++ b/internal/serving/chooser/flight.go
@@ -26,6 +26,10 @@
 	ticket      estimator.Ticket
 	sentAt      time.Time
 	answered    bool
+	// computed is the number of blocks that the upstream is believed to compute.
+	computed int
+	// export is what becomes importable once the attempt has its first token.
+	export *export
 }
 
 func keyOf(choice dispatcher.Choice) attemptKey {
@@ -39,7 +43,7 @@
 	name := choice.Target.Name
 	f := c.flights[keyOf(choice)]
 	f.sentAt = now
-	f.ticket = c.loads.Sent(now, estimator.Send{Upstream: name, Blocks: choice.MissingBlocks, Wait: f.wait})
+	f.ticket = c.loads.Sent(now, estimator.Send{Upstream: name, Blocks: f.computed, Wait: f.wait})
 	c.flights[keyOf(choice)] = f
 	c.health.Send(now, name, c.health.Health(now, name))
 	if len(f.checkpoints) > 0 {
@@ -52,7 +56,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	f := c.flights[keyOf(choice)]
-	c.loads.FirstToken(now, f.ticket, choice.MissingBlocks)
+	c.loads.FirstToken(now, f.ticket, sampleBlocks(choice))
+	if f.export != nil {
+		c.kept.add(now, *f.export)
+	}
 	c.report(now, choice, f, retrier.Succeeded)
 	f.answered = true
 	c.flights[keyOf(choice)] = f
@@ -114,3 +121,12 @@
 	}
 	return retrier.Failed
 }
+
+// sampleBlocks returns the number of blocks that the time to the first token
+// stands for; 0 after an import, since its time is not that of computing.
+func sampleBlocks(choice dispatcher.Choice) int {
+	if choice.ImportBlocks > 0 {
+		return 0
+	}
+	return choice.MissingBlocks
+}
--- a/internal/serving/dispatcher/chooser.go
+++ b/internal/serving/dispatcher/chooser.go
@@ -15,6 +15,12 @@
 	// MissingBlocks is the number of prompt blocks that the upstream is
 	// believed to lack.
 	MissingBlocks int
+	// ImportBlocks is the number of leading blocks that the upstream is asked
+	// to import rather than compute, 0 for none.
+	ImportBlocks int
+	// Export asks the upstream to hand the prompt's blocks to the store of kept
+	// cache.
+	Export bool
 }
 
 // Chooser chooses upstreams and hears how each attempt goes, so that it can
--- a/internal/serving/dispatcher/exchange.go
+++ b/internal/serving/dispatcher/exchange.go
@@ -92,6 +92,8 @@
 	call.Path = s.job.Path
 	call.ContentType = "application/json"
 	call.Body = body
+	call.ImportBlocks = s.choice.ImportBlocks
+	call.Export = s.choice.Export
 	call.FirstByteBy = now.Add(streams.FirstByteTimeout.Std())
 	return call, err
 }
--- a/internal/upstream/caller/call.go
+++ b/internal/upstream/caller/call.go
@@ -24,6 +24,11 @@
 	IdempotencyKey string
 	ContentType    string
 	Body           []byte
+	// ImportBlocks is the number of leading blocks that an engine is asked to
+	// import rather than compute; 0 asks for nothing.
+	ImportBlocks int
+	// Export asks an engine to export the blocks of the prompt.
+	Export bool
 	// NewConnection keeps the call off pooled connections.
 	NewConnection bool
 	// Identified requires an answer of status 200 to name the request and the
--- a/internal/upstream/caller/caller.go
+++ b/internal/upstream/caller/caller.go
@@ -138,6 +138,8 @@
 		{encoder.HeaderPriority, call.Priority},
 		{encoder.HeaderIdempotencyKey, call.IdempotencyKey},
 		{"Content-Type", call.ContentType},
+		{encoder.HeaderImportBlocks, importBlocks(call)},
+		{encoder.HeaderExport, export(call)},
 	}
 	for _, h := range headers {
 		if h.value != "" {
