--- a/internal/serving/chooser/kept_test.go
+++ b/internal/serving/chooser/kept_test.go
@@ -19,6 +19,7 @@
 
 	"gentianstep.example/gentianstep/internal/bundle/checker"
 	"gentianstep.example/gentianstep/internal/caching/hasher"
+	"gentianstep.example/gentianstep/internal/routing/selector"
 	"gentianstep.example/gentianstep/internal/serving/chooser"
 	"gentianstep.example/gentianstep/internal/serving/dispatcher"
 	"gentianstep.example/gentianstep/internal/streaming/encoder"
@@ -133,3 +134,35 @@
 		})
 	}
 }
+
+// TestImportIsNoSampleOfPrefill answers an attempt with an import quickly. The
+// engine must not count as quick at computing afterwards.
+func TestImportIsNoSampleOfPrefill(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log, hook := logtest.NewNullLogger()
+		c, err := chooser.New(chooser.Config{Region: "west", AvailabilityZone: "west-1", Log: logrus.NewEntry(log)})
+		is.NoErr(err)
+		row := keptRow{Import: checker.Duration(200 * time.Microsecond), Warm: 2}
+		b := row.bundle()
+		c.Bundle(b)
+		row.warm(is, c, b)
+		prefill := func(id, organisation string) (dispatcher.Choice, time.Duration) {
+			choice, err := c.Choose(context.Background(), newJob(b, id, organisation, "w1"), 1, excluded("a", "c"))
+			is.NoErr(err)
+			costs, _ := hook.LastEntry().Data["costs"].([]selector.Cost)
+			is.Equal(len(costs), 1)
+			return choice, costs[0].Prefill
+		}
+		_, before := prefill("before", "benoit-faience")
+		choice, importing := prefill("import", "kliek-teels")
+		is.Equal(importing, sharedBlocks*row.Import.Std())
+		c.Sent(time.Now(), choice)
+		time.Sleep(importing)
+		c.FirstToken(time.Now(), choice)
+		c.Finished(time.Now(), choice)
+		_, after := prefill("after", "rode-tegel")
+		is.Equal(after, before)
+	})
+}
