--- a/internal/serving/chooser/chooser.go
+++ b/internal/serving/chooser/chooser.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 	"github.com/sirupsen/logrus"
 
 	"gentianstep.example/gentianstep/internal/bundle/checker"
@@ -23,23 +24,28 @@
 	"gentianstep.example/gentianstep/internal/upstream/observer"
 )
 
+// maxBlameless bounds the requests that are remembered as abandoned once.
+const maxBlameless = 4096
+
 // Chooser implements dispatcher.Chooser.
 type Chooser struct {
 	cfg      Config
 	services *rotation
 
-	mu       sync.Mutex
-	policy   selector.Policy
-	loads    *estimator.Estimator
-	own      *coalescer.Coalescer
-	heat     *replicator.Replicator
-	kept     *kept
-	health   *retrier.Retrier
-	reports  map[string]observer.Report
-	flights  map[attemptKey]flight
-	scratch  []selector.Candidate
-	holdings []indexer.Holding
-	previous checker.SelectionPolicy
+	mu      sync.Mutex
+	policy  selector.Policy
+	loads   *estimator.Estimator
+	own     *coalescer.Coalescer
+	heat    *replicator.Replicator
+	kept    *kept
+	health  *retrier.Retrier
+	reports map[string]observer.Report
+	flights map[attemptKey]flight
+	// blameless names the requests whose last attempt was abandoned.
+	blameless *simplelru.LRU[string, struct{}]
+	scratch   []selector.Candidate
+	holdings  []indexer.Holding
+	previous  checker.SelectionPolicy
 }
 
 var _ dispatcher.Chooser = (*Chooser)(nil)
@@ -54,17 +60,22 @@
 	if err != nil {
 		return nil, fmt.Errorf("kept cache: %w", err)
 	}
+	blameless, err := simplelru.NewLRU[string, struct{}](maxBlameless, nil)
+	if err != nil {
+		return nil, fmt.Errorf("abandoned attempts: %w", err)
+	}
 	return &Chooser{
-		cfg:      cfg,
-		services: newRotation(),
-		policy:   &selector.RoundRobin{},
-		loads:    estimator.New(estimator.Config{PeerFactor: peerFactor(cfg.Routers)}),
-		own:      coalescer.New(coalescer.Config{}),
-		heat:     heat,
-		kept:     memory,
-		health:   retrier.New(retrier.Config{Seed: cfg.Seed}),
-		reports:  make(map[string]observer.Report),
-		flights:  make(map[attemptKey]flight),
+		blameless: blameless,
+		cfg:       cfg,
+		services:  newRotation(),
+		policy:    &selector.RoundRobin{},
+		loads:     estimator.New(estimator.Config{PeerFactor: peerFactor(cfg.Routers)}),
+		own:       coalescer.New(coalescer.Config{}),
+		heat:      heat,
+		kept:      memory,
+		health:    retrier.New(retrier.Config{Seed: cfg.Seed}),
+		reports:   make(map[string]observer.Report),
+		flights:   make(map[attemptKey]flight),
 	}, nil
 }
 
@@ -160,7 +171,7 @@
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if err := c.afford(now, attempt); err != nil {
+	if err := c.afford(now, j.ID, attempt); err != nil {
 		return dispatcher.Choice{}, err
 	}
 	decision, offer := c.decide(now, j, request, checkpoints, holdings, excluded)
@@ -186,12 +197,17 @@
 	}, nil
 }
 
-// afford takes a retry from the budget; a first attempt earns its share.
-func (c *Chooser) afford(now time.Time, attempt int) error {
+// afford takes a retry from the budget; a first attempt earns its share. An
+// attempt after one for which no upstream is to blame, such as one on a
+// connection that had gone stale, costs nothing: it adds no load.
+func (c *Chooser) afford(now time.Time, request string, attempt int) error {
 	if attempt == 1 {
 		c.health.Start(now)
 		return nil
 	}
+	if c.blameless.Remove(request) {
+		return nil
+	}
 	d := c.health.Next(now, retrier.Request{Attempts: attempt - 1, Idempotent: true}, retrier.Failure{Origin: retrier.FromUpstream})
 	if d.Retry {
 		return nil
--- a/internal/serving/chooser/flight.go
+++ b/internal/serving/chooser/flight.go
@@ -93,6 +93,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.report(now, choice, c.end(now, choice), retrier.Unrelated)
+	c.blameless.Add(choice.RequestID, struct{}{})
 }
 
 func (c *Chooser) end(now time.Time, choice dispatcher.Choice) flight {
--- a/internal/serving/chooser/safety_test.go
+++ b/internal/serving/chooser/safety_test.go
@@ -91,7 +91,7 @@
 	return c
 }
 
-func newJob(b *checker.Bundle, id, organisation, prompt string) dispatcher.Job {
+func newSafetyJob(b *checker.Bundle, id, organisation, prompt string) dispatcher.Job {
 	return dispatcher.Job{
 		ID:           id,
 		Bundle:       b,
@@ -134,7 +134,7 @@
 					continue
 				}
 				index.incarnation = s.Index
-				j := newJob(b, fmt.Sprint(i), s.Organisation, strings.Repeat("x", blocks*hasher.BlockBytes))
+				j := newSafetyJob(b, fmt.Sprint(i), s.Organisation, strings.Repeat("x", blocks*hasher.BlockBytes))
 				choice, err := c.Choose(t.Context(), j, 1, nil)
 				is.NoErr(err)
 				is.Equal(choice.MissingBlocks, s.Missing) // what has to be computed
@@ -190,7 +190,7 @@
 			for n := range requests {
 				prompt := strings.Repeat(fmt.Sprintf("family %04d. ", n), 200)
 				s := &sink{}
-				err := d.Complete(t.Context(), newJob(b, fmt.Sprint("r-", n), "a", prompt), s)
+				err := d.Complete(t.Context(), newSafetyJob(b, fmt.Sprint("r-", n), "a", prompt), s)
 				is.Equal(err == nil, len(row.Serves) > 0) // served, or refused by all
 				for _, version := range []string{"w1", "w2"} {
 					want := generator.Token(prompt, version, 0) + generator.Token(prompt, version, 1)
--- a/internal/standin/loader/workload.go
+++ b/internal/standin/loader/workload.go
@@ -68,7 +68,7 @@
 		MaxTokens:       24,
 		ShiftInterval:   15 * time.Second,
 		PrefillPerBlock: 4 * time.Millisecond,
-		RecomputePrice:  1,
+		RecomputePrice:  6,
 		Rate:            150,
 	}
 }
@@ -95,7 +95,7 @@
 		BatchMaxTokens:  8,
 		ShiftInterval:   time.Minute,
 		PrefillPerBlock: 2 * time.Millisecond,
-		RecomputePrice:  2,
+		RecomputePrice:  8,
 		Rate:            90,
 	}
 }
