--- /dev/null
+++ b/internal/standin/loader/loader_test.go
@@ -0,0 +1,102 @@
+package loader_test
+
+import (
+	"encoding/json"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gentianstep.example/gentianstep/internal/standin/loader"
+)
+
+// arrivalRow is one load and what holds of its arrivals.
+type arrivalRow struct {
+	Name     string  `json:"name"`
+	Workload string  `json:"workload"`
+	Seed     uint64  `json:"seed"`
+	Rate     float64 `json:"rate"`
+	Seconds  int     `json:"seconds"`
+	Routers  int     `json:"routers"`
+	// LeastHome is the least share of requests that arrive in their home region.
+	LeastHome float64 `json:"least_home"`
+	// Batch bounds the share of batch requests.
+	Batch [2]float64 `json:"batch"`
+}
+
+func (r arrivalRow) make(t *testing.T) (loader.Workload, []loader.Arrival) {
+	t.Helper()
+	w, err := loader.Find(r.Workload)
+	is.New(t).NoErr(err)
+	return w, loader.Arrivals(w, r.Seed, r.Rate, time.Duration(r.Seconds)*time.Second, r.Routers)
+}
+
+func TestArrivals(t *testing.T) {
+	t.Parallel()
+	data, err := os.ReadFile("testdata/arrivals.json")
+	is.New(t).NoErr(err)
+	var rows []arrivalRow
+	is.New(t).NoErr(json.Unmarshal(data, &rows))
+	for _, row := range rows {
+		t.Run(row.Name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			w, list := row.make(t)
+			_, again := row.make(t)
+			is.Equal(list, again) // a seed gives one load
+			offered := row.Rate * float64(row.Seconds)
+			is.True(float64(len(list)) > 0.9*offered && float64(len(list)) < 1.1*offered)
+			home, batch := 0, 0
+			for i, a := range list {
+				is.True(i == 0 || a.At >= list[i-1].At)
+				is.True(a.Router >= 0 && a.Router < row.Routers)
+				if a.Router%len(w.Regions) == a.Path[w.HomeLevel]%len(w.Regions) {
+					home++
+				}
+				if a.Batch {
+					batch++
+				}
+			}
+			n := float64(len(list))
+			is.True(float64(home)/n >= row.LeastHome)
+			is.True(float64(batch)/n >= row.Batch[0] && float64(batch)/n <= row.Batch[1])
+		})
+	}
+}
+
+func TestBoundRisesWithTheCache(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	row := arrivalRow{Workload: "vloerkuns", Seed: 1, Rate: 50, Seconds: 10, Routers: 9}
+	w, list := row.make(t)
+	all := func(loader.Arrival) bool { return true }
+	last := 0.0
+	for _, blocks := range []int{100, 1000, 10_000, 100_000} {
+		rate, err := loader.Bound(w, list, blocks, all)
+		is.NoErr(err)
+		is.True(rate >= last && rate < 1)
+		last = rate
+	}
+	_, err := loader.Bound(w, list, 100, func(loader.Arrival) bool { return false })
+	is.True(err != nil) // nothing was counted
+}
+
+func TestFloodAddsOneOrganisationOnly(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	row := arrivalRow{Workload: "vloerkuns", Seed: 1, Rate: 50, Seconds: 10, Routers: 9}
+	w, list := row.make(t)
+	flooded := loader.Flood(w, row.Seed, list, 3, 100, 10*time.Second, row.Routers)
+	kept := 0
+	for i, a := range flooded {
+		is.True(i == 0 || a.At >= flooded[i-1].At)
+		if !a.Flood {
+			kept++
+			continue
+		}
+		is.Equal(a.Organisation, 3)
+	}
+	is.Equal(kept, len(list))
+	is.True(len(flooded) > 2*len(list))
+}
