--- a/internal/serving/chooser/chooser.go
+++ b/internal/serving/chooser/chooser.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 	"github.com/sirupsen/logrus"
 
 	"gentianstep.example/gentianstep/internal/bundle/checker"
@@ -23,22 +24,28 @@
 	"gentianstep.example/gentianstep/internal/upstream/observer"
 )
 
+// maxBlameless bounds the requests that are remembered as abandoned once.
+const maxBlameless = 4096
+
 // Chooser implements dispatcher.Chooser.
 type Chooser struct {
 	cfg      Config
 	services *rotation
 
-	mu       sync.Mutex
-	policy   selector.Policy
-	loads    *estimator.Estimator
-	own      *coalescer.Coalescer
-	heat     *replicator.Replicator
-	health   *retrier.Retrier
-	reports  map[string]observer.Report
-	flights  map[attemptKey]flight
-	scratch  []selector.Candidate
-	holdings []indexer.Holding
-	previous checker.SelectionPolicy
+	mu      sync.Mutex
+	policy  selector.Policy
+	loads   *estimator.Estimator
+	own     *coalescer.Coalescer
+	heat    *replicator.Replicator
+	kept    *kept
+	health  *retrier.Retrier
+	reports map[string]observer.Report
+	flights map[attemptKey]flight
+	// blameless names the requests whose last attempt was abandoned.
+	blameless *simplelru.LRU[string, struct{}]
+	scratch   []selector.Candidate
+	holdings  []indexer.Holding
+	previous  checker.SelectionPolicy
 }
 
 var _ dispatcher.Chooser = (*Chooser)(nil)
@@ -49,16 +56,26 @@
 	if err != nil {
 		return nil, fmt.Errorf("replicator: %w", err)
 	}
+	memory, err := newKept()
+	if err != nil {
+		return nil, fmt.Errorf("kept cache: %w", err)
+	}
+	blameless, err := simplelru.NewLRU[string, struct{}](maxBlameless, nil)
+	if err != nil {
+		return nil, fmt.Errorf("abandoned attempts: %w", err)
+	}
 	return &Chooser{
-		cfg:      cfg,
-		services: newRotation(),
-		policy:   &selector.RoundRobin{},
-		loads:    estimator.New(estimator.Config{PeerFactor: peerFactor(cfg.Routers)}),
-		own:      coalescer.New(coalescer.Config{}),
-		heat:     heat,
-		health:   retrier.New(retrier.Config{Seed: cfg.Seed}),
-		reports:  make(map[string]observer.Report),
-		flights:  make(map[attemptKey]flight),
+		blameless: blameless,
+		cfg:       cfg,
+		services:  newRotation(),
+		policy:    &selector.RoundRobin{},
+		loads:     estimator.New(estimator.Config{PeerFactor: peerFactor(cfg.Routers)}),
+		own:       coalescer.New(coalescer.Config{}),
+		heat:      heat,
+		kept:      memory,
+		health:    retrier.New(retrier.Config{Seed: cfg.Seed}),
+		reports:   make(map[string]observer.Report),
+		flights:   make(map[attemptKey]flight),
 	}, nil
 }
 
@@ -154,11 +171,11 @@
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if err := c.afford(now, attempt); err != nil {
+	if err := c.afford(now, j.ID, attempt); err != nil {
 		return dispatcher.Choice{}, err
 	}
-	decision := c.decide(now, j, request, checkpoints, holdings, excluded)
-	c.log(j, attempt, decision, known)
+	decision, offer := c.decide(now, j, request, checkpoints, holdings, excluded)
+	c.log(j, attempt, decision, offer, known)
 	u, ok := j.Bundle.Upstream(decision.Chosen)
 	if !ok {
 		return dispatcher.Choice{}, classifier.New(classifier.NoUpstream, "no upstream serves model %s now", j.Model.Name)
@@ -167,21 +184,30 @@
 		model:       j.Model.Name,
 		checkpoints: checkpoints,
 		wait:        decision.Wait(),
+		computed:    offer.computed,
+		export:      offer.export,
 	}
 	return dispatcher.Choice{
 		RequestID:     j.ID,
 		Attempt:       attempt,
 		Target:        caller.Target{Name: u.Name, Address: u.Address},
 		MissingBlocks: decision.Missing,
+		ImportBlocks:  offer.importBlocks,
+		Export:        offer.export != nil,
 	}, nil
 }
 
-// afford takes a retry from the budget; a first attempt earns its share.
-func (c *Chooser) afford(now time.Time, attempt int) error {
+// afford takes a retry from the budget; a first attempt earns its share. An
+// attempt after one for which no upstream is to blame, such as one on a
+// connection that had gone stale, costs nothing: it adds no load.
+func (c *Chooser) afford(now time.Time, request string, attempt int) error {
 	if attempt == 1 {
 		c.health.Start(now)
 		return nil
 	}
+	if c.blameless.Remove(request) {
+		return nil
+	}
 	d := c.health.Next(now, retrier.Request{Attempts: attempt - 1, Idempotent: true}, retrier.Failure{Origin: retrier.FromUpstream})
 	if d.Retry {
 		return nil
@@ -224,7 +250,7 @@
 }
 
 // decide joins what is believed of loads, caches and health for the policy.
-func (c *Chooser) decide(now time.Time, j dispatcher.Job, r selector.Request, checkpoints []hasher.Hash, holdings []indexer.Holding, excluded map[string]bool) selector.Decision {
+func (c *Chooser) decide(now time.Time, j dispatcher.Job, r selector.Request, checkpoints []hasher.Hash, holdings []indexer.Holding, excluded map[string]bool) (selector.Decision, offer) {
 	heat := c.heat.Observe(now, checkpoints)
 	r.HomeBlocks = heat.HomeBlocks
 	r.SharedBlocks = heat.SharedBlocks
@@ -237,7 +263,9 @@
 	c.holdings = c.own.Lookup(now, checkpoints, c.holdings[:0])
 	c.loads.Hold(c.scratch, c.holdings)
 	c.markSuspects(now)
-	return c.policy.Select(now, r, c.scratch)
+	c.kept.offer(now, j.Bundle, r, checkpoints, c.scratch)
+	decision := c.policy.Select(now, r, c.scratch)
+	return decision, c.kept.answer(now, j.Bundle, r, c.scratch, decision)
 }
 
 // markSuspects marks the candidates that cool down after failures.
@@ -265,23 +293,26 @@
 	return !report.Leaving && report.Serves(j.Model.Name, j.Model.WeightsVersion)
 }
 
-func (c *Chooser) log(j dispatcher.Job, attempt int, d selector.Decision, indexKnown bool) {
+func (c *Chooser) log(j dispatcher.Job, attempt int, d selector.Decision, o offer, indexKnown bool) {
 	c.cfg.Log.WithFields(logrus.Fields{
-		"event":          "route",
-		"request_id":     j.ID,
-		"attempt":        attempt,
-		"organisation":   j.Organisation.Name,
-		"model":          j.Model.Name,
-		"bundle_version": j.Bundle.Version,
-		"policy":         d.Policy,
-		"chosen":         d.Chosen,
-		"reason":         d.Reason,
-		"considered":     d.Considered,
-		"suspects":       d.Suspects,
-		"missing_blocks": d.Missing,
-		"held_elsewhere": d.HeldElsewhere,
-		"crossing":       d.Crossing,
-		"index_known":    indexKnown,
-		"costs":          d.Costs,
+		"event":             "route",
+		"request_id":        j.ID,
+		"attempt":           attempt,
+		"organisation":      j.Organisation.Name,
+		"model":             j.Model.Name,
+		"bundle_version":    j.Bundle.Version,
+		"policy":            d.Policy,
+		"chosen":            d.Chosen,
+		"reason":            d.Reason,
+		"considered":        d.Considered,
+		"suspects":          d.Suspects,
+		"missing_blocks":    d.Missing,
+		"held_elsewhere":    d.HeldElsewhere,
+		"crossing":          d.Crossing,
+		"importable_blocks": o.importableBlocks,
+		"import_blocks":     o.importBlocks,
+		"export":            o.export != nil,
+		"index_known":       indexKnown,
+		"costs":             d.Costs,
 	}).Info("routing decision")
 }
