Read the rows of scripted tests in one place

Cause: 46 tests repeated the same lines that read a JSON file. Change: testing/scripter. The rows and the checks are as they were.

--- a/internal/bundle/checker/check_test.go
+++ b/internal/bundle/checker/check_test.go
@@ -11,6 +11,7 @@
 
 	"gentianstep.example/gentianstep/internal/bundle/checker"
 	"gentianstep.example/gentianstep/internal/failure/classifier"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
 func TestBundleWithOneFaultIsRefusedByPath(t *testing.T) {
@@ -20,15 +21,13 @@
 	is.NoErr(err)
 	_, err = checker.Decode(document)
 	is.NoErr(err) // the bundle without a fault
-	data, err := os.ReadFile("testdata/rows.json")
-	is.NoErr(err)
 	var rows []struct {
 		Set   string          `json:"set"`
 		Value any             `json:"value"`
 		Want  string          `json:"want"`
 		Kind  classifier.Kind `json:"kind"`
 	}
-	is.NoErr(json.Unmarshal(data, &rows))
+	scripter.Read(t, "testdata/rows.json", &rows)
 	for _, row := range rows {
 		t.Run(row.Set, func(t *testing.T) {
 			t.Parallel()
--- a/internal/bundle/comparer/comparer_test.go
+++ b/internal/bundle/comparer/comparer_test.go
@@ -2,10 +2,11 @@
 
 import (
 	"encoding/json"
-	"os"
 	"testing"
 
 	"github.com/matryer/is"
+
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
 type row struct {
@@ -17,14 +18,8 @@
 
 func TestCompare(t *testing.T) {
 	t.Parallel()
-	data, err := os.ReadFile("testdata/compare.json")
-	if err != nil {
-		t.Fatal(err)
-	}
 	var rows []row
-	if err := json.Unmarshal(data, &rows); err != nil {
-		t.Fatal(err)
-	}
+	scripter.Read(t, "testdata/compare.json", &rows)
 	for _, row := range rows {
 		t.Run(row.Name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/bundle/holder/holder_test.go
+++ b/internal/bundle/holder/holder_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"crypto/ed25519"
 	"crypto/sha256"
-	"encoding/json"
 	"fmt"
 	"os"
 	"strings"
@@ -17,6 +16,7 @@
 	"gentianstep.example/gentianstep/internal/bundle/holder"
 	"gentianstep.example/gentianstep/internal/bundle/signer"
 	"gentianstep.example/gentianstep/internal/failure/classifier"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
 // offer is a signed bundle with what is wrong about it.
@@ -69,10 +69,8 @@
 	is := is.New(t)
 	document, err := os.ReadFile("../checker/testdata/bundle.json")
 	is.NoErr(err)
-	data, err := os.ReadFile("testdata/offers.json")
-	is.NoErr(err)
 	var offers []offer
-	is.NoErr(json.Unmarshal(data, &offers))
+	scripter.Read(t, "testdata/offers.json", &offers)
 	return offers, document
 }
 
--- a/internal/bundle/publisher/publisher_test.go
+++ b/internal/bundle/publisher/publisher_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"crypto/ed25519"
 	"crypto/sha256"
-	"encoding/json"
 	"fmt"
 	"os"
 	"strings"
@@ -19,6 +18,7 @@
 	"gentianstep.example/gentianstep/internal/failure/classifier"
 	"gentianstep.example/gentianstep/internal/platform/storer"
 	"gentianstep.example/gentianstep/internal/standin/keeper"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
 // step is one action with what must come of it.
@@ -170,13 +170,11 @@
 
 func TestPublish(t *testing.T) {
 	t.Parallel()
-	data, err := os.ReadFile("testdata/rows.json")
-	is.New(t).NoErr(err)
 	var rows []struct {
 		Name  string `json:"name"`
 		Steps []step `json:"steps"`
 	}
-	is.New(t).NoErr(json.Unmarshal(data, &rows))
+	scripter.Read(t, "testdata/rows.json", &rows)
 	for _, row := range rows {
 		t.Run(row.Name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/caching/forwarder/script_test.go
+++ b/internal/caching/forwarder/script_test.go
@@ -1,8 +1,6 @@
 package forwarder_test
 
 import (
-	"encoding/json"
-	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -14,6 +12,7 @@
 	"gentianstep.example/gentianstep/internal/caching/hasher"
 	"gentianstep.example/gentianstep/internal/caching/indexer"
 	"gentianstep.example/gentianstep/internal/caching/partitioner"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
 // prompt names a chain of a script.
@@ -118,13 +117,11 @@
 
 func TestFaults(t *testing.T) {
 	t.Parallel()
-	data, err := os.ReadFile("testdata/faults.json")
-	is.New(t).NoErr(err)
 	var rows []struct {
 		Name  string `json:"name"`
 		Steps []step `json:"steps"`
 	}
-	is.New(t).NoErr(json.Unmarshal(data, &rows))
+	scripter.Read(t, "testdata/faults.json", &rows)
 	for _, row := range rows {
 		t.Run(row.Name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/caching/importer/offer_test.go
+++ b/internal/caching/importer/offer_test.go
@@ -1,8 +1,6 @@
 package importer_test
 
 import (
-	"encoding/json"
-	"os"
 	"strings"
 	"testing"
 
@@ -11,12 +9,11 @@
 
 	"gentianstep.example/gentianstep/internal/caching/hasher"
 	"gentianstep.example/gentianstep/internal/caching/importer"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
 func TestImportable(t *testing.T) {
 	t.Parallel()
-	data, err := os.ReadFile("testdata/offers.json")
-	is.New(t).NoErr(err)
 	var rows []struct {
 		Name         string `json:"name"`
 		Organisation string `json:"organisation"`
@@ -27,7 +24,7 @@
 		Importable   int    `json:"importable"`
 		Invalid      bool   `json:"invalid"`
 	}
-	is.New(t).NoErr(json.Unmarshal(data, &rows))
+	scripter.Read(t, "testdata/offers.json", &rows)
 	scope := hasher.Scope{Organisation: "o", Model: "m", WeightsVersion: "2"}
 	chain := hasher.Chain(scope, strings.Repeat("catalogue ", 400))
 	for _, row := range rows {
--- a/internal/controlling/announcer/announcer_test.go
+++ b/internal/controlling/announcer/announcer_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/netip"
-	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -21,6 +19,7 @@
 	"gentianstep.example/gentianstep/internal/membership/tracker"
 	"gentianstep.example/gentianstep/internal/peering/messenger"
 	"gentianstep.example/gentianstep/internal/platform/storer"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
 type step struct {
@@ -184,10 +183,8 @@
 
 func TestScripts(t *testing.T) {
 	t.Parallel()
-	data, err := os.ReadFile("testdata/scripts.json")
-	is.New(t).NoErr(err)
 	var scripts []script
-	is.New(t).NoErr(json.Unmarshal(data, &scripts))
+	scripter.Read(t, "testdata/scripts.json", &scripts)
 	for _, s := range scripts {
 		t.Run(s.Name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/controlling/coordinator/coordinator_test.go
+++ b/internal/controlling/coordinator/coordinator_test.go
@@ -1,8 +1,6 @@
 package coordinator
 
 import (
-	"encoding/json"
-	"os"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -13,6 +11,7 @@
 	"gentianstep.example/gentianstep/internal/bundle/checker"
 	"gentianstep.example/gentianstep/internal/caching/hasher"
 	"gentianstep.example/gentianstep/internal/peering/messenger"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
 const promptBlocks = 16
@@ -51,13 +50,11 @@
 
 func TestScripts(t *testing.T) {
 	t.Parallel()
-	data, err := os.ReadFile("testdata/scripts.json")
-	is.New(t).NoErr(err)
 	var scripts []struct {
 		Name  string
 		Steps []step
 	}
-	is.New(t).NoErr(json.Unmarshal(data, &scripts))
+	scripter.Read(t, "testdata/scripts.json", &scripts)
 	for _, s := range scripts {
 		t.Run(s.Name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/controlling/watcher/calls_test.go
+++ b/internal/controlling/watcher/calls_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"os"
 	"testing"
@@ -14,6 +13,7 @@
 	"gentianstep.example/gentianstep/internal/bundle/checker"
 	"gentianstep.example/gentianstep/internal/placement/leaser"
 	"gentianstep.example/gentianstep/internal/standin/keeper"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
 // herdSize is the number of nodes that restart in a day, here all at once.
@@ -111,10 +111,8 @@
 	t.Parallel()
 	document, err := os.ReadFile("../../bundle/checker/testdata/bundle.json")
 	is.New(t).NoErr(err)
-	data, err := os.ReadFile("testdata/calls.json")
-	is.New(t).NoErr(err)
 	var l load
-	is.New(t).NoErr(json.Unmarshal(data, &l))
+	scripter.Read(t, "testdata/calls.json", &l)
 	for _, nodes := range l.Nodes {
 		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
 			t.Parallel()
--- a/internal/controlling/watcher/watcher_test.go
+++ b/internal/controlling/watcher/watcher_test.go
@@ -23,6 +23,7 @@
 	"gentianstep.example/gentianstep/internal/controlling/watcher"
 	"gentianstep.example/gentianstep/internal/platform/storer"
 	"gentianstep.example/gentianstep/internal/standin/keeper"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
 type step struct {
@@ -190,13 +191,11 @@
 	t.Parallel()
 	document, err := os.ReadFile("../../bundle/checker/testdata/bundle.json")
 	is.New(t).NoErr(err)
-	data, err := os.ReadFile("testdata/rows.json")
-	is.New(t).NoErr(err)
 	var rows []struct {
 		Name  string `json:"name"`
 		Steps []step `json:"steps"`
 	}
-	is.New(t).NoErr(json.Unmarshal(data, &rows))
+	scripter.Read(t, "testdata/rows.json", &rows)
 	for _, row := range rows {
 		t.Run(row.Name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/membership/assigner/assigner_test.go
+++ b/internal/membership/assigner/assigner_test.go
@@ -1,9 +1,7 @@
 package assigner
 
 import (
-	"encoding/json"
 	"fmt"
-	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -13,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"gentianstep.example/gentianstep/internal/bundle/checker"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
 type script struct {
@@ -51,10 +50,8 @@
 
 func TestScripts(t *testing.T) {
 	t.Parallel()
-	data, err := os.ReadFile("testdata/scripts.json")
-	is.New(t).NoErr(err)
 	var scripts []script
-	is.New(t).NoErr(json.Unmarshal(data, &scripts))
+	scripter.Read(t, "testdata/scripts.json", &scripts)
 	for _, s := range scripts {
 		t.Run(s.Name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/membership/tracker/tracker_test.go
+++ b/internal/membership/tracker/tracker_test.go
@@ -1,14 +1,13 @@
 package tracker
 
 import (
-	"encoding/json"
-	"os"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"gentianstep.example/gentianstep/internal/bundle/checker"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
 type script struct {
@@ -42,10 +41,8 @@
 
 func TestScripts(t *testing.T) {
 	t.Parallel()
-	data, err := os.ReadFile("testdata/scripts.json")
-	is.New(t).NoErr(err)
 	var scripts []script
-	is.New(t).NoErr(json.Unmarshal(data, &scripts))
+	scripter.Read(t, "testdata/scripts.json", &scripts)
 	for _, s := range scripts {
 		t.Run(s.Name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/membership/watcher/watcher_test.go
+++ b/internal/membership/watcher/watcher_test.go
@@ -1,8 +1,6 @@
 package watcher
 
 import (
-	"encoding/json"
-	"os"
 	"testing"
 	"time"
 
@@ -10,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"gentianstep.example/gentianstep/internal/bundle/checker"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
 type step struct {
@@ -52,10 +51,8 @@
 
 func TestScripts(t *testing.T) {
 	t.Parallel()
-	data, err := os.ReadFile("testdata/scripts.json")
-	is.New(t).NoErr(err)
 	var scripts []script
-	is.New(t).NoErr(json.Unmarshal(data, &scripts))
+	scripter.Read(t, "testdata/scripts.json", &scripts)
 	for _, s := range scripts {
 		t.Run(s.Name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/membership/withdrawer/withdrawer_test.go
+++ b/internal/membership/withdrawer/withdrawer_test.go
@@ -1,9 +1,7 @@
 package withdrawer
 
 import (
-	"encoding/json"
 	"io"
-	"os"
 	"testing"
 	"time"
 
@@ -12,6 +10,7 @@
 
 	"gentianstep.example/gentianstep/internal/bundle/checker"
 	"gentianstep.example/gentianstep/internal/membership/watcher"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 	"gentianstep.example/gentianstep/internal/upstream/observer"
 )
 
@@ -156,13 +155,11 @@
 
 func TestEveryRouterHears(t *testing.T) {
 	t.Parallel()
-	data, err := os.ReadFile("testdata/scripts.json")
-	is.New(t).NoErr(err)
 	var scripts []struct {
 		Name  string
 		Steps []step
 	}
-	is.New(t).NoErr(json.Unmarshal(data, &scripts))
+	scripter.Read(t, "testdata/scripts.json", &scripts)
 	for _, s := range scripts {
 		t.Run(s.Name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/operating/certifier/certifier_test.go
+++ b/internal/operating/certifier/certifier_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/tls"
-	"encoding/json"
 	"io"
 	"net"
 	"net/netip"
@@ -14,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"gentianstep.example/gentianstep/internal/testing/issuer"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
 type handshake struct {
@@ -28,14 +28,8 @@
 
 func TestHandshakes(t *testing.T) {
 	t.Parallel()
-	data, err := os.ReadFile("testdata/handshakes.json")
-	if err != nil {
-		t.Fatal(err)
-	}
 	var rows []handshake
-	if err := json.Unmarshal(data, &rows); err != nil {
-		t.Fatal(err)
-	}
+	scripter.Read(t, "testdata/handshakes.json", &rows)
 	dir := t.TempDir()
 	own, other := issuer.New(t, dir, "own"), issuer.New(t, dir, "other")
 	files := map[string]issuer.Files{
--- a/internal/operating/explainer/explainer_test.go
+++ b/internal/operating/explainer/explainer_test.go
@@ -5,11 +5,12 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"testing"
 
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
+
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
 // script is a sequence of decisions and what is kept of a request.
@@ -27,14 +28,8 @@
 
 func TestKeepsTheLastDecisions(t *testing.T) {
 	t.Parallel()
-	data, err := os.ReadFile("testdata/rings.json")
-	if err != nil {
-		t.Fatal(err)
-	}
 	var rows []script
-	if err := json.Unmarshal(data, &rows); err != nil {
-		t.Fatal(err)
-	}
+	scripter.Read(t, "testdata/rings.json", &rows)
 	for _, row := range rows {
 		t.Run(row.Name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/operating/starter/leave_test.go
+++ b/internal/operating/starter/leave_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"net/http"
 	"net/netip"
-	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -16,6 +15,7 @@
 
 	"gentianstep.example/gentianstep/internal/platform/storer"
 	"gentianstep.example/gentianstep/internal/testing/launcher"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
 const (
@@ -60,14 +60,8 @@
 
 func TestLeavingEngineGetsNoNewWork(t *testing.T) {
 	t.Parallel()
-	data, err := os.ReadFile("testdata/leaves.json")
-	if err != nil {
-		t.Fatal(err)
-	}
 	var rows []departure
-	if err := json.Unmarshal(data, &rows); err != nil {
-		t.Fatal(err)
-	}
+	scripter.Read(t, "testdata/leaves.json", &rows)
 	for _, row := range rows {
 		t.Run(row.Name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/operating/starter/limit_test.go
+++ b/internal/operating/starter/limit_test.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"testing"
 	"time"
@@ -18,6 +17,7 @@
 	"gentianstep.example/gentianstep/internal/bundle/checker"
 	"gentianstep.example/gentianstep/internal/operating/configurer"
 	"gentianstep.example/gentianstep/internal/testing/launcher"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
 const (
@@ -46,14 +46,8 @@
 
 func TestLimits(t *testing.T) {
 	t.Parallel()
-	data, err := os.ReadFile("testdata/limits.json")
-	if err != nil {
-		t.Fatal(err)
-	}
 	var rows []limit
-	if err := json.Unmarshal(data, &rows); err != nil {
-		t.Fatal(err)
-	}
+	scripter.Read(t, "testdata/limits.json", &rows)
 	for _, row := range rows {
 		t.Run(row.Name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/operating/starter/restart_test.go
+++ b/internal/operating/starter/restart_test.go
@@ -1,14 +1,13 @@
 package starter_test
 
 import (
-	"encoding/json"
-	"os"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"gentianstep.example/gentianstep/internal/testing/launcher"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
 const (
@@ -34,14 +33,8 @@
 
 func TestRestartedRoutersServeAtOnce(t *testing.T) {
 	t.Parallel()
-	data, err := os.ReadFile("testdata/restarts.json")
-	if err != nil {
-		t.Fatal(err)
-	}
 	var rows []restart
-	if err := json.Unmarshal(data, &rows); err != nil {
-		t.Fatal(err)
-	}
+	scripter.Read(t, "testdata/restarts.json", &rows)
 	for _, row := range rows {
 		t.Run(row.Name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/operating/starter/security_test.go
+++ b/internal/operating/starter/security_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"io"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"testing"
@@ -14,6 +12,7 @@
 
 	"gentianstep.example/gentianstep/internal/bundle/checker"
 	"gentianstep.example/gentianstep/internal/testing/launcher"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
 // trespass is a request that must be refused.
@@ -29,14 +28,8 @@
 
 func TestTrespassesAreRefused(t *testing.T) {
 	t.Parallel()
-	data, err := os.ReadFile("testdata/security.json")
-	if err != nil {
-		t.Fatal(err)
-	}
 	var rows []trespass
-	if err := json.Unmarshal(data, &rows); err != nil {
-		t.Fatal(err)
-	}
+	scripter.Read(t, "testdata/security.json", &rows)
 	d := launcher.Deploy(t, launcher.Shape{VMs: 1, Engines: 1, Services: 1})
 	settings := d.VMs[0].Settings
 	addresses := map[string]string{
--- a/internal/operating/starter/stop_test.go
+++ b/internal/operating/starter/stop_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"os"
 	"sync"
 	"testing"
 	"time"
@@ -13,6 +11,7 @@
 	"gentianstep.example/gentianstep/internal/bundle/checker"
 	"gentianstep.example/gentianstep/internal/operating/configurer"
 	"gentianstep.example/gentianstep/internal/testing/launcher"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
 const (
@@ -113,14 +112,8 @@
 
 func TestPlannedStopCutsNoRequest(t *testing.T) {
 	t.Parallel()
-	data, err := os.ReadFile("testdata/stops.json")
-	if err != nil {
-		t.Fatal(err)
-	}
 	var rows []stops
-	if err := json.Unmarshal(data, &rows); err != nil {
-		t.Fatal(err)
-	}
+	scripter.Read(t, "testdata/stops.json", &rows)
 	for _, row := range rows {
 		t.Run(row.Name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/placement/leaser/leaser_test.go
+++ b/internal/placement/leaser/leaser_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
-	"os"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -18,6 +16,7 @@
 	"gentianstep.example/gentianstep/internal/placement/leaser"
 	"gentianstep.example/gentianstep/internal/platform/storer"
 	"gentianstep.example/gentianstep/internal/standin/keeper"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
 const (
@@ -192,13 +191,11 @@
 
 func TestOneNodeHoldsTheLease(t *testing.T) {
 	t.Parallel()
-	data, err := os.ReadFile("testdata/rows.json")
-	is.New(t).NoErr(err)
 	var rows []struct {
 		Name  string `json:"name"`
 		Steps []step `json:"steps"`
 	}
-	is.New(t).NoErr(json.Unmarshal(data, &rows))
+	scripter.Read(t, "testdata/rows.json", &rows)
 	for _, row := range rows {
 		t.Run(row.Name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/placement/placer/placer_test.go
+++ b/internal/placement/placer/placer_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"os"
 	"sync"
@@ -16,6 +15,7 @@
 	"gentianstep.example/gentianstep/internal/placement/leaser"
 	"gentianstep.example/gentianstep/internal/platform/storer"
 	"gentianstep.example/gentianstep/internal/standin/keeper"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
 // step is something that happens, and the time after it.
@@ -151,10 +151,8 @@
 	t.Parallel()
 	document, err := os.ReadFile("../../bundle/checker/testdata/bundle.json")
 	is.New(t).NoErr(err)
-	data, err := os.ReadFile("testdata/rows.json")
-	is.New(t).NoErr(err)
 	var rows []row
-	is.New(t).NoErr(json.Unmarshal(data, &rows))
+	scripter.Read(t, "testdata/rows.json", &rows)
 	for _, r := range rows {
 		t.Run(r.Name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/routing/admitter/load_test.go
+++ b/internal/routing/admitter/load_test.go
@@ -1,19 +1,17 @@
 package admitter
 
 import (
-	"encoding/json"
-	"os"
 	"testing"
 
 	"github.com/matryer/is"
+
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
 func readRows[T any](t testing.TB, path string) []T {
 	t.Helper()
-	data, err := os.ReadFile(path)
-	is.New(t).NoErr(err)
 	var rows []T
-	is.New(t).NoErr(json.Unmarshal(data, &rows))
+	scripter.Read(t, path, &rows)
 	return rows
 }
 
--- a/internal/routing/estimator/script_test.go
+++ b/internal/routing/estimator/script_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"math"
-	"os"
 	"strconv"
 	"testing"
 	"time"
@@ -14,6 +13,7 @@
 	"gentianstep.example/gentianstep/internal/caching/indexer"
 	"gentianstep.example/gentianstep/internal/routing/estimator"
 	"gentianstep.example/gentianstep/internal/routing/selector"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
 // step is one line of a script, at its time: exactly one of its fields is set.
@@ -91,13 +91,11 @@
 
 func TestScripts(t *testing.T) {
 	t.Parallel()
-	data, err := os.ReadFile("testdata/scripts.json")
-	is.New(t).NoErr(err)
 	var rows []struct {
 		Name  string `json:"name"`
 		Steps []step `json:"steps"`
 	}
-	is.New(t).NoErr(json.Unmarshal(data, &rows))
+	scripter.Read(t, "testdata/scripts.json", &rows)
 	for _, row := range rows {
 		t.Run(row.Name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/routing/limiter/limiter_test.go
+++ b/internal/routing/limiter/limiter_test.go
@@ -1,10 +1,8 @@
 package limiter
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"testing"
 	"time"
 
@@ -12,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"gentianstep.example/gentianstep/internal/bundle/checker"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
 // fleet is one row of testdata/fleets.json.
@@ -118,10 +117,8 @@
 
 func readRows[T any](t *testing.T, path string) []T {
 	t.Helper()
-	data, err := os.ReadFile(path)
-	is.New(t).NoErr(err)
 	var rows []T
-	is.New(t).NoErr(json.Unmarshal(data, &rows))
+	scripter.Read(t, path, &rows)
 	return rows
 }
 
--- a/internal/routing/replicator/replicator_test.go
+++ b/internal/routing/replicator/replicator_test.go
@@ -1,8 +1,6 @@
 package replicator_test
 
 import (
-	"encoding/json"
-	"os"
 	"testing"
 	"time"
 
@@ -10,6 +8,7 @@
 
 	"gentianstep.example/gentianstep/internal/caching/hasher"
 	"gentianstep.example/gentianstep/internal/routing/replicator"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
 // perSecond is the number of requests per second for all prefixes.
@@ -26,14 +25,12 @@
 
 func TestReplicasFollowTheRate(t *testing.T) {
 	t.Parallel()
-	data, err := os.ReadFile("testdata/rates.json")
-	is.New(t).NoErr(err)
 	var rows []struct {
 		Name      string  `json:"name"`
 		Upstreams int     `json:"upstreams"`
 		Phases    []phase `json:"phases"`
 	}
-	is.New(t).NoErr(json.Unmarshal(data, &rows))
+	scripter.Read(t, "testdata/rates.json", &rows)
 	for _, row := range rows {
 		t.Run(row.Name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/routing/retrier/retrier_test.go
+++ b/internal/routing/retrier/retrier_test.go
@@ -1,9 +1,7 @@
 package retrier
 
 import (
-	"encoding/json"
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 	"time"
@@ -12,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"gentianstep.example/gentianstep/internal/bundle/checker"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
 type script struct {
@@ -48,10 +47,8 @@
 
 func readRows[T any](t *testing.T, path string) []T {
 	t.Helper()
-	data, err := os.ReadFile(path)
-	is.New(t).NoErr(err)
 	var rows []T
-	is.New(t).NoErr(json.Unmarshal(data, &rows))
+	scripter.Read(t, path, &rows)
 	return rows
 }
 
--- a/internal/routing/selector/evaluation_test.go
+++ b/internal/routing/selector/evaluation_test.go
@@ -1,8 +1,6 @@
 package selector_test
 
 import (
-	"encoding/json"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -10,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"gentianstep.example/gentianstep/internal/bundle/checker"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
 // scenario is one row of testdata/evaluation.json.
@@ -38,10 +37,8 @@
 
 func TestEvaluation(t *testing.T) {
 	t.Parallel()
-	data, err := os.ReadFile("testdata/evaluation.json")
-	is.New(t).NoErr(err)
 	var rows []scenario
-	is.New(t).NoErr(json.Unmarshal(data, &rows))
+	scripter.Read(t, "testdata/evaluation.json", &rows)
 	for _, row := range rows {
 		t.Run(row.Name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/routing/selector/selection_test.go
+++ b/internal/routing/selector/selection_test.go
@@ -1,10 +1,8 @@
 package selector_test
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -15,6 +13,7 @@
 	"gentianstep.example/gentianstep/internal/bundle/checker"
 	"gentianstep.example/gentianstep/internal/caching/hasher"
 	"gentianstep.example/gentianstep/internal/routing/selector"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
 // candidate is the JSON form of a candidate; times are in milliseconds.
@@ -69,10 +68,8 @@
 
 func TestSelection(t *testing.T) {
 	t.Parallel()
-	data, err := os.ReadFile("testdata/selection.json")
-	is.New(t).NoErr(err)
 	var rows []selection
-	is.New(t).NoErr(json.Unmarshal(data, &rows))
+	scripter.Read(t, "testdata/selection.json", &rows)
 	for _, row := range rows {
 		t.Run(row.Name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/serving/chooser/kept_test.go
+++ b/internal/serving/chooser/kept_test.go
@@ -3,11 +3,9 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/netip"
-	"os"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -23,6 +21,7 @@
 	"gentianstep.example/gentianstep/internal/serving/chooser"
 	"gentianstep.example/gentianstep/internal/serving/dispatcher"
 	"gentianstep.example/gentianstep/internal/streaming/encoder"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
 const sharedBlocks = 16
@@ -102,10 +101,8 @@
 
 func TestKeptCacheIsOfferedToTheSelection(t *testing.T) {
 	t.Parallel()
-	data, err := os.ReadFile("testdata/kept.json")
-	is.New(t).NoErr(err)
 	var rows []keptRow
-	is.New(t).NoErr(json.Unmarshal(data, &rows))
+	scripter.Read(t, "testdata/kept.json", &rows)
 	for _, row := range rows {
 		t.Run(row.Name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/serving/chooser/safety_test.go
+++ b/internal/serving/chooser/safety_test.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http/httptest"
 	"net/netip"
-	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -23,6 +21,7 @@
 	"gentianstep.example/gentianstep/internal/serving/dispatcher"
 	"gentianstep.example/gentianstep/internal/standin/generator"
 	"gentianstep.example/gentianstep/internal/streaming/encoder"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
 	"gentianstep.example/gentianstep/internal/upstream/observer"
 )
@@ -58,10 +57,8 @@
 
 func readRows[T any](t *testing.T, path string) []T {
 	t.Helper()
-	data, err := os.ReadFile(path)
-	is.New(t).NoErr(err)
 	var rows []T
-	is.New(t).NoErr(json.Unmarshal(data, &rows))
+	scripter.Read(t, path, &rows)
 	return rows
 }
 
--- a/internal/serving/claimer/claimer_test.go
+++ b/internal/serving/claimer/claimer_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
-	"os"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -19,6 +17,7 @@
 	"gentianstep.example/gentianstep/internal/platform/storer"
 	"gentianstep.example/gentianstep/internal/serving/claimer"
 	"gentianstep.example/gentianstep/internal/standin/keeper"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
 // storeFault strikes calls of a store.
@@ -148,10 +147,8 @@
 
 func TestClaimsAreSettledUnderFaults(t *testing.T) {
 	t.Parallel()
-	data, err := os.ReadFile("testdata/claims.json")
-	is.New(t).NoErr(err)
 	var rows []claimRow
-	is.New(t).NoErr(json.Unmarshal(data, &rows))
+	scripter.Read(t, "testdata/claims.json", &rows)
 	for _, row := range rows {
 		t.Run(row.Name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/serving/gatekeeper/gate_test.go
+++ b/internal/serving/gatekeeper/gate_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
-	"os"
 	"runtime"
 	"sync"
 	"testing"
@@ -18,6 +16,7 @@
 	"gentianstep.example/gentianstep/internal/bundle/checker"
 	"gentianstep.example/gentianstep/internal/failure/classifier"
 	"gentianstep.example/gentianstep/internal/routing/admitter"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
 type script struct {
@@ -74,10 +73,8 @@
 
 func TestGateScripts(t *testing.T) {
 	t.Parallel()
-	data, err := os.ReadFile("testdata/scripts.json")
-	is.New(t).NoErr(err)
 	var scripts []script
-	is.New(t).NoErr(json.Unmarshal(data, &scripts))
+	scripter.Read(t, "testdata/scripts.json", &scripts)
 	for _, s := range scripts {
 		t.Run(s.Name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/serving/rationer/rationer_test.go
+++ b/internal/serving/rationer/rationer_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
-	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,6 +17,7 @@
 	"gentianstep.example/gentianstep/internal/failure/classifier"
 	"gentianstep.example/gentianstep/internal/peering/messenger"
 	"gentianstep.example/gentianstep/internal/serving/rationer"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
 const (
@@ -150,10 +149,8 @@
 
 func TestLimitHoldsOverTheFleet(t *testing.T) {
 	t.Parallel()
-	data, err := os.ReadFile("testdata/fleets.json")
-	is.New(t).NoErr(err)
 	var rows []row
-	is.New(t).NoErr(json.Unmarshal(data, &rows))
+	scripter.Read(t, "testdata/fleets.json", &rows)
 	for _, r := range rows {
 		t.Run(r.Name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/serving/receiver/process_test.go
+++ b/internal/serving/receiver/process_test.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"strings"
 	"testing"
 	"time"
@@ -22,6 +21,7 @@
 	"gentianstep.example/gentianstep/internal/streaming/encoder"
 	"gentianstep.example/gentianstep/internal/streaming/parser"
 	"gentianstep.example/gentianstep/internal/testing/launcher"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
 const (
@@ -43,10 +43,8 @@
 
 func TestStreamSurvivesItsEngineProcess(t *testing.T) {
 	t.Parallel()
-	data, err := os.ReadFile("testdata/engine_processes.json")
-	is.New(t).NoErr(err)
 	var rows []engineRow
-	is.New(t).NoErr(json.Unmarshal(data, &rows))
+	scripter.Read(t, "testdata/engine_processes.json", &rows)
 	for _, row := range rows {
 		t.Run(row.Name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/serving/receiver/refusal_test.go
+++ b/internal/serving/receiver/refusal_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strconv"
 	"strings"
 	"syscall"
@@ -17,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"gentianstep.example/gentianstep/internal/failure/classifier"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
 var errNone = classifier.New(classifier.NoUpstream, "none is left")
@@ -57,10 +57,8 @@
 
 func TestRefusalsAreFinalAndTrue(t *testing.T) {
 	t.Parallel()
-	data, err := os.ReadFile("testdata/refusals.json")
-	is.New(t).NoErr(err)
 	var rows []refusalRow
-	is.New(t).NoErr(json.Unmarshal(data, &rows))
+	scripter.Read(t, "testdata/refusals.json", &rows)
 	for _, row := range rows {
 		t.Run(row.Name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/standin/generator/kept_test.go
+++ b/internal/standin/generator/kept_test.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
-	"os"
 	"strconv"
 	"strings"
 	"testing"
@@ -21,6 +20,7 @@
 	"gentianstep.example/gentianstep/internal/standin/archiver"
 	"gentianstep.example/gentianstep/internal/standin/generator"
 	"gentianstep.example/gentianstep/internal/streaming/encoder"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 	"gentianstep.example/gentianstep/internal/upstream/observer"
 )
 
@@ -124,10 +124,8 @@
 
 func TestImportOfKeptCache(t *testing.T) {
 	t.Parallel()
-	data, err := os.ReadFile("testdata/kept.json")
-	is.New(t).NoErr(err)
 	var rows []keptRow
-	is.New(t).NoErr(json.Unmarshal(data, &rows))
+	scripter.Read(t, "testdata/kept.json", &rows)
 	for _, row := range rows {
 		t.Run(row.Name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/standin/keeper/contract_test.go
+++ b/internal/standin/keeper/contract_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"net/netip"
-	"os"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -18,6 +16,7 @@
 	"gentianstep.example/gentianstep/internal/platform/storer"
 	"gentianstep.example/gentianstep/internal/standin/keeper"
 	"gentianstep.example/gentianstep/internal/standin/piper"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
 const defaultTimeout = 2 * time.Minute
@@ -64,10 +63,8 @@
 
 func TestStoreContract(t *testing.T) {
 	t.Parallel()
-	data, err := os.ReadFile("testdata/contract.json")
-	is.New(t).NoErr(err)
 	var rows []row
-	is.New(t).NoErr(json.Unmarshal(data, &rows))
+	scripter.Read(t, "testdata/contract.json", &rows)
 	for _, r := range rows {
 		t.Run("in memory/"+r.Name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/standin/loader/loader_test.go
+++ b/internal/standin/loader/loader_test.go
@@ -1,14 +1,13 @@
 package loader_test
 
 import (
-	"encoding/json"
-	"os"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"gentianstep.example/gentianstep/internal/standin/loader"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
 // arrivalRow is one load and what holds of its arrivals.
@@ -34,10 +33,8 @@
 
 func TestArrivals(t *testing.T) {
 	t.Parallel()
-	data, err := os.ReadFile("testdata/arrivals.json")
-	is.New(t).NoErr(err)
 	var rows []arrivalRow
-	is.New(t).NoErr(json.Unmarshal(data, &rows))
+	scripter.Read(t, "testdata/arrivals.json", &rows)
 	for _, row := range rows {
 		t.Run(row.Name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/streaming/parser/event_test.go
+++ b/internal/streaming/parser/event_test.go
@@ -1,16 +1,15 @@
 package parser_test
 
 import (
-	"encoding/json"
 	"errors"
 	"io"
-	"os"
 	"strings"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"gentianstep.example/gentianstep/internal/streaming/parser"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
 // eventRow is a stream and what its first event is read as.
@@ -28,10 +27,8 @@
 
 func TestNext(t *testing.T) {
 	t.Parallel()
-	data, err := os.ReadFile("testdata/events.json")
-	is.New(t).NoErr(err)
 	var rows []eventRow
-	is.New(t).NoErr(json.Unmarshal(data, &rows))
+	scripter.Read(t, "testdata/events.json", &rows)
 	for _, row := range rows {
 		t.Run(row.Name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/streaming/resumer/resumer_test.go
+++ b/internal/streaming/resumer/resumer_test.go
@@ -1,14 +1,13 @@
 package resumer_test
 
 import (
-	"encoding/json"
-	"os"
 	"testing"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	"gentianstep.example/gentianstep/internal/streaming/resumer"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
 type decideRow struct {
@@ -21,10 +20,8 @@
 
 func TestDecide(t *testing.T) {
 	t.Parallel()
-	data, err := os.ReadFile("testdata/decide.json")
-	is.New(t).NoErr(err)
 	var rows []decideRow
-	is.New(t).NoErr(json.Unmarshal(data, &rows))
+	scripter.Read(t, "testdata/decide.json", &rows)
 	for _, row := range rows {
 		t.Run(row.Name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/streaming/sequencer/sequencer_test.go
+++ b/internal/streaming/sequencer/sequencer_test.go
@@ -1,15 +1,14 @@
 package sequencer_test
 
 import (
-	"encoding/json"
 	"errors"
-	"os"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"gentianstep.example/gentianstep/internal/streaming/parser"
 	"gentianstep.example/gentianstep/internal/streaming/sequencer"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
 type eventsRow struct {
@@ -24,10 +23,8 @@
 
 func TestTake(t *testing.T) {
 	t.Parallel()
-	data, err := os.ReadFile("testdata/events.json")
-	is.New(t).NoErr(err)
 	var rows []eventsRow
-	is.New(t).NoErr(json.Unmarshal(data, &rows))
+	scripter.Read(t, "testdata/events.json", &rows)
 	for _, row := range rows {
 		t.Run(row.Name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/upstream/caller/caller_test.go
+++ b/internal/upstream/caller/caller_test.go
@@ -3,13 +3,11 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
-	"os"
 	"sync"
 	"syscall"
 	"testing"
@@ -18,6 +16,7 @@
 
 	"github.com/matryer/is"
 
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
 )
 
@@ -115,14 +114,8 @@
 
 func readRows(t *testing.T, name string) []row {
 	t.Helper()
-	data, err := os.ReadFile("testdata/" + name)
-	if err != nil {
-		t.Fatal(err)
-	}
 	var rows []row
-	if err := json.Unmarshal(data, &rows); err != nil {
-		t.Fatal(err)
-	}
+	scripter.Read(t, "testdata/"+name, &rows)
 	return rows
 }
 
--- a/internal/upstream/reader/reader_test.go
+++ b/internal/upstream/reader/reader_test.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
-	"os"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -26,6 +24,7 @@
 	"gentianstep.example/gentianstep/internal/standin/generator"
 	"gentianstep.example/gentianstep/internal/streaming/encoder"
 	"gentianstep.example/gentianstep/internal/testing/piper"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 	"gentianstep.example/gentianstep/internal/upstream/observer"
 	"gentianstep.example/gentianstep/internal/upstream/reader"
 )
@@ -167,10 +166,8 @@
 
 func TestFaultyEventsBringNoFalseBelief(t *testing.T) {
 	t.Parallel()
-	data, err := os.ReadFile("testdata/faults.json")
-	is.New(t).NoErr(err)
 	var rows []row
-	is.New(t).NoErr(json.Unmarshal(data, &rows))
+	scripter.Read(t, "testdata/faults.json", &rows)
 	for _, r := range rows {
 		t.Run(r.Name, func(t *testing.T) {
 			t.Parallel()
--- a/scripts/known_red_test.go
+++ b/scripts/known_red_test.go
@@ -2,7 +2,6 @@
 package scripts_test
 
 import (
-	"encoding/json"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -11,6 +10,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
 // judgement is one run of go test and what known-red.sh must make of it.
@@ -25,14 +26,8 @@
 
 func TestKnownRed(t *testing.T) {
 	t.Parallel()
-	data, err := os.ReadFile("testdata/known_red.json")
-	if err != nil {
-		t.Fatal(err)
-	}
 	var rows []judgement
-	if err := json.Unmarshal(data, &rows); err != nil {
-		t.Fatal(err)
-	}
+	scripter.Read(t, "testdata/known_red.json", &rows)
 	for _, row := range rows {
 		t.Run(row.Name, func(t *testing.T) {
 			t.Parallel()
