Split the chooser by what it does

Cause: one file of 318 lines. Change: the bundle's part and the log line have files of their own; no behaviour changes.

--- a/internal/serving/chooser/chooser.go
+++ b/internal/serving/chooser/chooser.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
-	"github.com/sirupsen/logrus"
 
 	"gentianstep.example/gentianstep/internal/bundle/checker"
 	"gentianstep.example/gentianstep/internal/caching/coalescer"
@@ -85,65 +83,6 @@
 	return 1 + float64(max(routers, 1)-1)/8
 }
 
-// Bundle puts the upstreams and the policy of a new bundle in force.
-func (c *Chooser) Bundle(b *checker.Bundle) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	upstreams := engines(b)
-	c.loads.SetUpstreams(upstreams)
-	c.heat.SetUpstreams(c.local(upstreams))
-	c.health.SetPolicy(b.Policy.Attempts, names(b))
-	if c.previous == b.Policy.Selection {
-		return
-	}
-	policy, err := selector.New(selector.Config{
-		Selection:  b.Policy.Selection,
-		MaxEjected: b.Policy.Attempts.MaxEjected,
-		Random:     rand.New(rand.NewPCG(c.cfg.Seed, b.Version)),
-	})
-	if err != nil {
-		c.cfg.Log.WithError(err).Error("selection policy refused")
-		return
-	}
-	c.policy = policy
-	c.previous = b.Policy.Selection
-}
-
-func names(b *checker.Bundle) []string {
-	list := make([]string, 0, len(b.Upstreams))
-	for _, u := range b.Upstreams {
-		list = append(list, u.Name)
-	}
-	return list
-}
-
-func engines(b *checker.Bundle) []estimator.Upstream {
-	var list []estimator.Upstream
-	for _, u := range b.Upstreams {
-		if u.Kind != checker.Engine {
-			continue
-		}
-		list = append(list, estimator.Upstream{
-			Name:             u.Name,
-			Region:           u.Region,
-			AvailabilityZone: u.AvailabilityZone,
-			Slots:            u.Slots,
-		})
-	}
-	return list
-}
-
-// local counts the upstreams of the router's region.
-func (c *Chooser) local(upstreams []estimator.Upstream) int {
-	n := 0
-	for _, u := range upstreams {
-		if u.Region == c.cfg.Region {
-			n++
-		}
-	}
-	return n
-}
-
 // Reports takes reports of engines.
 func (c *Chooser) Reports(reports []observer.Report) {
 	c.mu.Lock()
@@ -292,27 +231,3 @@
 	}
 	return !report.Leaving && report.Serves(j.Model.Name, j.Model.WeightsVersion)
 }
-
-func (c *Chooser) log(j dispatcher.Job, attempt int, d selector.Decision, o offer, indexKnown bool) {
-	c.cfg.Log.WithFields(logrus.Fields{
-		"event":             "route",
-		"request_id":        j.ID,
-		"attempt":           attempt,
-		"organisation":      j.Organisation.Name,
-		"model":             j.Model.Name,
-		"bundle_version":    j.Bundle.Version,
-		"policy":            d.Policy,
-		"chosen":            d.Chosen,
-		"reason":            d.Reason,
-		"considered":        d.Considered,
-		"suspects":          d.Suspects,
-		"missing_blocks":    d.Missing,
-		"held_elsewhere":    d.HeldElsewhere,
-		"crossing":          d.Crossing,
-		"importable_blocks": o.importableBlocks,
-		"import_blocks":     o.importBlocks,
-		"export":            o.export != nil,
-		"index_known":       indexKnown,
-		"costs":             d.Costs,
-	}).Info("routing decision")
-}
