Count what other regions hold once the own one has its copy

Cause: what another region holds of the shared part always counted as missing, so that a region with no free slot did not use a copy that stood ready elsewhere. The rule was meant only to get the own region its copy.

Change: the rule holds while the own region lacks the shared part.

--- a/internal/routing/selector/pricer.go
+++ b/internal/routing/selector/pricer.go
@@ -118,12 +118,16 @@
 	return min(compute, scale(c.ImportPerBlock, imported)+scale(perBlock, missing-imported))
 }
 
-// missing returns the expected number of blocks that c lacks. What an upstream
-// of another region holds of the shared part counts as missing, since the own
-// region needs that part again and again and should hold it.
+// lacksShared reports whether no upstream of the own region holds the part of
+// the prompt that the region needs again and again.
+func (p *pricer) lacksShared() bool { return p.bestHeld < p.shared }
+
+// missing returns the expected number of blocks that c lacks. While the own
+// region lacks the shared part, what another region holds of it counts as
+// missing, so that the own region gets its copy.
 func (p *pricer) missing(c *Candidate, local bool) float64 {
 	held := float64(c.HeldBlocks) + unsureShare*float64(c.UnsureBlocks)
-	if !local {
+	if !local && p.lacksShared() {
 		held = max(held-float64(p.shared), 0)
 	}
 	return max(p.blocks-held, 0)
@@ -154,10 +158,10 @@
 
 // recompute prices the blocks that c would compute although they are computed
 // again: those that another upstream of the own region holds and, in another
-// region, the shared part, which the own region computes once more.
+// region, the shared part while the own region lacks it.
 func (p *pricer) recompute(c *Candidate, perBlock time.Duration, local bool) time.Duration {
 	again := p.heldElsewhere(c)
-	if !local {
+	if !local && p.lacksShared() {
 		again = max(again, p.shared)
 	}
 	return scale(perBlock, p.recomputePrice*float64(again))
