Ask with the project's own program in the demo; open operators' listeners in one place

Cause: the demo, which a test runs, needed curl, and both processes repeated the lines that open the operators' listener.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -39,6 +39,7 @@
 		newFleetCommand(),
 		newLoadCommand(),
 		newReportCommand(),
+		newAskCommand(),
 	}
 	for _, c := range commands {
 		flaggy.AttachSubcommand(c.parser, 1)
--- a/internal/operating/starter/controller.go
+++ b/internal/operating/starter/controller.go
@@ -70,15 +70,7 @@
 		return err
 	}
 	o := &operators{settings: settings, bundles: c.bundles, gate: g, meter: m}
-	operatorServer, err := listen(ctx, serverConfig{
-		name:           operatorsListener,
-		address:        settings.Controller.OperatorAddress,
-		handler:        limited(o.handler(), log),
-		maxConnections: maxOperatorConnections,
-		certifier:      certificates.operators,
-		meter:          m,
-		log:            log,
-	})
+	operatorServer, err := o.listen(ctx, settings.Controller.OperatorAddress, certificates.operators, log)
 	if err != nil {
 		return err
 	}
--- a/internal/operating/starter/operators.go
+++ b/internal/operating/starter/operators.go
@@ -1,12 +1,17 @@
 package starter
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
+	"net/netip"
 	"runtime"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"gentianstep.example/gentianstep/internal/bundle/holder"
+	"gentianstep.example/gentianstep/internal/operating/certifier"
 	"gentianstep.example/gentianstep/internal/operating/configurer"
 	"gentianstep.example/gentianstep/internal/operating/explainer"
 	"gentianstep.example/gentianstep/internal/operating/meter"
@@ -35,6 +40,19 @@
 	decisions *explainer.Explainer
 }
 
+// listen opens the operators' listener of a process.
+func (o *operators) listen(ctx context.Context, address netip.AddrPort, c *certifier.Certifier, log *logrus.Entry) (*server, error) {
+	return listen(ctx, serverConfig{
+		name:           operatorsListener,
+		address:        address,
+		handler:        limited(o.handler(), log),
+		maxConnections: maxOperatorConnections,
+		certifier:      c,
+		meter:          o.meter,
+		log:            log,
+	})
+}
+
 func (o *operators) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /live", o.live)
--- a/internal/operating/starter/router.go
+++ b/internal/operating/starter/router.go
@@ -77,15 +77,7 @@
 		return err
 	}
 	o := &operators{settings: settings, bundles: r.bundles, gate: g, meter: m, decisions: decisions}
-	operatorServer, err := listen(ctx, serverConfig{
-		name:           operatorsListener,
-		address:        settings.Router.OperatorAddress,
-		handler:        limited(o.handler(), log),
-		maxConnections: maxOperatorConnections,
-		certifier:      certificates.operators,
-		meter:          m,
-		log:            log,
-	})
+	operatorServer, err := o.listen(ctx, settings.Router.OperatorAddress, certificates.operators, log)
 	if err != nil {
 		return err
 	}
--- a/scripts/deploy.sh
+++ b/scripts/deploy.sh
@@ -58,7 +58,7 @@
 wait_for() {
   STEP="wait for $1"
   for _ in $(seq 1 100); do
-    if curl -fsS -o /dev/null "$1" 2>/dev/null; then return; fi
+    if "$BIN/standin" ask --url "$1" >/dev/null 2>&1; then return; fi
     sleep 0.1
   done
   return 1
