Use one network of pipes in tests

Cause: two packages joined clients and servers by pipes in virtual time. Change: testing/piper serves both; the checks are as they were.

--- a/internal/placement/placer/region_test.go
+++ b/internal/placement/placer/region_test.go
@@ -27,7 +27,7 @@
 	"gentianstep.example/gentianstep/internal/placement/planner"
 	"gentianstep.example/gentianstep/internal/standin/generator"
 	"gentianstep.example/gentianstep/internal/standin/keeper"
-	"gentianstep.example/gentianstep/internal/standin/piper"
+	"gentianstep.example/gentianstep/internal/testing/piper"
 	"gentianstep.example/gentianstep/internal/upstream/observer"
 )
 
@@ -127,7 +127,7 @@
 	key      ed25519.PrivateKey
 	faulty   *keeper.Faulty
 	weights  *generator.Weights
-	pipe     *piper.Pipe
+	pipe     *piper.Client
 	nodes    []*node
 	log      *logrus.Entry
 
@@ -149,7 +149,7 @@
 	for i := range r.Engines {
 		b.engines = append(b.engines, b.newEngine(i, 1))
 	}
-	b.pipe = piper.New(http.HandlerFunc(b.serveEngine))
+	b.pipe = piper.NewClient(http.HandlerFunc(b.serveEngine))
 	b.publish("w1", "")
 	return b
 }
@@ -213,7 +213,7 @@
 
 func (b *bench) addNode(ctx context.Context, lease placer.Holder, leases *leaser.Leaser, store *freezer) {
 	n := &node{lease: leases, store: store}
-	n.sender = &sender{client: b.pipe.Client(), lose: b.row.LoseAnswers}
+	n.sender = &sender{client: b.pipe.Client, lose: b.row.LoseAnswers}
 	n.sender.orders = orderer.New(orderer.Config{Client: n.sender.client})
 	n.placer = placer.New(placer.Config{
 		Region: region, Node: fmt.Sprintf("vm-%d", len(b.nodes)), Bundles: b.bundles, Lease: lease, Orders: n.sender, Log: b.log,
--- a/internal/platform/dialer/dialer_test.go
+++ b/internal/platform/dialer/dialer_test.go
@@ -14,16 +14,16 @@
 	"gentianstep.example/gentianstep/internal/platform/dialer"
 	"gentianstep.example/gentianstep/internal/platform/storer"
 	"gentianstep.example/gentianstep/internal/standin/keeper"
-	"gentianstep.example/gentianstep/internal/standin/piper"
+	"gentianstep.example/gentianstep/internal/testing/piper"
 )
 
 func TestIdleConnectionsThatWentSilentCostOneTimeout(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		pipe := piper.New(keeper.Handler(keeper.New()))
+		pipe := piper.NewClient(keeper.Handler(keeper.New()))
 		defer pipe.Stop()
-		d := dialer.New(dialer.Config{Address: netip.MustParseAddrPort("127.0.0.1:1"), Client: pipe.Client()})
+		d := dialer.New(dialer.Config{Address: netip.MustParseAddrPort("127.0.0.1:1"), Client: pipe.Client})
 		get := func() error {
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 			defer cancel()
@@ -36,7 +36,7 @@
 		}
 		wg.Wait()
 		synctest.Wait()
-		pipe.Silence()
+		pipe.Lose()
 		is.True(errors.Is(get(), context.DeadlineExceeded))
 		is.True(errors.Is(get(), storer.ErrNotFound)) // a new connection works
 	})
--- a/internal/standin/keeper/contract_test.go
+++ b/internal/standin/keeper/contract_test.go
@@ -15,7 +15,7 @@
 	"gentianstep.example/gentianstep/internal/platform/dialer"
 	"gentianstep.example/gentianstep/internal/platform/storer"
 	"gentianstep.example/gentianstep/internal/standin/keeper"
-	"gentianstep.example/gentianstep/internal/standin/piper"
+	"gentianstep.example/gentianstep/internal/testing/piper"
 	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
@@ -81,10 +81,10 @@
 }
 
 func runOverHTTP(t *testing.T, r row) {
-	pipe := piper.New(keeper.Handler(keeper.New()))
+	pipe := piper.NewClient(keeper.Handler(keeper.New()))
 	defer pipe.Stop()
-	d := dialer.New(dialer.Config{Address: netip.MustParseAddrPort("127.0.0.1:1"), Client: pipe.Client()})
-	control := control{is: is.New(t), client: pipe.Client()}
+	d := dialer.New(dialer.Config{Address: netip.MustParseAddrPort("127.0.0.1:1"), Client: pipe.Client})
+	control := control{is: is.New(t), client: pipe.Client}
 	run(t, r, &bench{store: d, faulty: control.set, calls: control.calls})
 }
 
