Correct the time that an engine computes in the test of an import

Cause: at 100 ms a block the missing last block makes the holder and an engine that imports the rest near equals, so that either may be chosen. Change: 20 ms a block.

--- a/internal/serving/chooser/kept_path_test.go
+++ b/internal/serving/chooser/kept_path_test.go
@@ -33,7 +33,7 @@
 
 // prefillPerBlock makes computing the prompt take long. An engine waits for an
 // import no longer than that, and a busy machine is slow to answer.
-const prefillPerBlock = 100 * time.Millisecond
+const prefillPerBlock = 20 * time.Millisecond
 
 // startEngine returns an engine with its address.
 func startEngine(name string, store generator.KeptStore) (*generator.Engine, *httptest.Server) {
