Skip messages of newer builds between own processes

Cause: a message part that a build does not know ended its connection, so that VMs replaced one by one would drop each other's connections. Change: such a message is skipped; one with two parts, or a faulty one, still ends it.

--- a/internal/peering/messenger/conn.go
+++ b/internal/peering/messenger/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -113,13 +114,18 @@
 	return nil
 }
 
-// Read returns the next message.
+// Read returns the next message that this build knows.
 func (c *Conn) Read(ctx context.Context) (Message, error) {
-	_, data, err := c.ws.Read(ctx)
-	if err != nil {
-		return Message{}, fmt.Errorf("read from peer: %w", err)
+	for {
+		_, data, err := c.ws.Read(ctx)
+		if err != nil {
+			return Message{}, fmt.Errorf("read from peer: %w", err)
+		}
+		m, err := Decode(data)
+		if !errors.Is(err, ErrUnknown) {
+			return m, err
+		}
 	}
-	return Decode(data)
 }
 
 // Close ends the connection at once.
--- a/internal/peering/messenger/message.go
+++ b/internal/peering/messenger/message.go
@@ -3,6 +3,7 @@
 package messenger
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
@@ -14,6 +15,10 @@
 	"gentianstep.example/gentianstep/internal/upstream/observer"
 )
 
+// ErrUnknown reports a message without a part that this build knows. Builds
+// that are replaced one by one meet such messages of newer ones and skip them.
+var ErrUnknown = errors.New("message has no known part")
+
 // Role is the kind of process at one end of a connection.
 type Role string
 
@@ -145,10 +150,13 @@
 			set++
 		}
 	}
-	if set != 1 {
-		return fmt.Errorf("message: got %d parts, takes exactly one", set)
+	switch set {
+	case 0:
+		return ErrUnknown
+	case 1:
+		return m.checkPart()
 	}
-	return m.checkPart()
+	return fmt.Errorf("message: got %d parts, takes exactly one", set)
 }
 
 // checkPart checks the part that is set. Index updates check themselves when
