Void an engine's part of the index by its report

Cause: an engine that restarted and sent no event kept its old holdings in the index until its first event; routers dropped them by the report's incarnation, other readers of the index did not. Change: the controller that reads an engine compares the incarnation of each report and tells the owners.

--- a/internal/caching/forwarder/forwarder.go
+++ b/internal/caching/forwarder/forwarder.go
@@ -79,6 +79,12 @@
 	f.follow(f.events.Push(now, e.Incarnation, e.Seq, e))
 }
 
+// Advance takes the incarnation that the upstream reported, which may be newer
+// than that of its last event.
+func (f *Forwarder) Advance(incarnation uint64) {
+	f.follow(f.events.Advance(incarnation))
+}
+
 // Flush returns the updates gathered since the last call, at most one for each
 // owner and model unless events were lost in between.
 func (f *Forwarder) Flush(now time.Time) []Delivery {
--- a/internal/caching/sequencer/sequencer.go
+++ b/internal/caching/sequencer/sequencer.go
@@ -115,6 +115,15 @@
 	return steps
 }
 
+// Advance begins the stream of a newer incarnation that became known before its
+// first event. It does nothing where no event was seen yet.
+func (s *Sequencer[E]) Advance(incarnation uint64) []Step[E] {
+	if s.incarnation == 0 || incarnation <= s.incarnation {
+		return nil
+	}
+	return s.restart(incarnation, 1)
+}
+
 // Tick returns the steps that became due by the passing of time.
 func (s *Sequencer[E]) Tick(now time.Time) []Step[E] {
 	if len(s.pending) == 0 || now.Before(s.giveUpAt) {
--- a/internal/controlling/coordinator/coordinator.go
+++ b/internal/controlling/coordinator/coordinator.go
@@ -85,6 +85,7 @@
 	case in.event != nil:
 		c.push(now, in.event)
 	case in.reports != nil:
+		c.advance(in.reports)
 		c.spread(in.reports)
 	case in.updates != nil:
 		c.apply(now, in.updates)
@@ -202,6 +203,15 @@
 	}
 }
 
+// advance voids what was believed of upstreams that report a new incarnation.
+func (c *Coordinator) advance(reports []observer.Report) {
+	for _, report := range reports {
+		if r, ok := c.readings[report.Upstream]; ok {
+			r.forward.Advance(report.Incarnation)
+		}
+	}
+}
+
 // spread hands reports to the own routers and to the other controllers, which
 // hand them to theirs.
 func (c *Coordinator) spread(reports []observer.Report) {
--- a/internal/controlling/coordinator/coordinator_test.go
+++ b/internal/controlling/coordinator/coordinator_test.go
@@ -84,6 +84,8 @@
 		g.store(s)
 	case "restart":
 		g.restart(s.Upstream)
+	case "report":
+		g.report(s.Upstream)
 	case "replay":
 		g.publish(s.Upstream, g.engines[s.Upstream].dead)
 	case "kill_reader":
--- a/internal/controlling/coordinator/fake_test.go
+++ b/internal/controlling/coordinator/fake_test.go
@@ -14,6 +14,7 @@
 	"gentianstep.example/gentianstep/internal/caching/hasher"
 	"gentianstep.example/gentianstep/internal/caching/indexer"
 	"gentianstep.example/gentianstep/internal/peering/messenger"
+	"gentianstep.example/gentianstep/internal/upstream/observer"
 )
 
 const (
@@ -192,6 +193,14 @@
 	e.incarnation++
 }
 
+// report tells the readers of an engine what it reports of itself.
+func (g *group) report(upstream string) {
+	r := observer.Report{Upstream: upstream, Incarnation: g.engines[upstream].incarnation}
+	for _, n := range g.readersOf(upstream) {
+		n.Reports([]observer.Report{r})
+	}
+}
+
 // kill ends a coordinator; the others hear of it.
 func (g *group) kill(n *node) {
 	g.mu.Lock()
