--- a/internal/standin/reporter/plot.go
+++ b/internal/standin/reporter/plot.go
@@ -16,6 +16,8 @@
 	plotWidth  = 7 * vg.Inch
 	plotHeight = 4 * vg.Inch
 	barWidth   = 18
+	// groupMargin is the room beside the outer groups of bars, in groups.
+	groupMargin = 0.5
 )
 
 // quantity is what one plot shows of a result.
@@ -67,6 +69,8 @@
 		p.Legend.Add(policy, chart)
 	}
 	p.NominalX(workloads...)
+	p.X.Min = -groupMargin
+	p.X.Max = float64(len(workloads)-1) + groupMargin
 	if err := p.Save(plotWidth, plotHeight, path); err != nil {
 		return fmt.Errorf("plot %s: %w", path, err)
 	}
