--- a/internal/standin/generator/engine.go
+++ b/internal/standin/generator/engine.go
@@ -130,7 +130,7 @@
 	elsewhere := e.cfg.Registry.held(j.chain[held:])
 	e.mu.Unlock()
 	missing := len(j.chain) - held
-	err := pause(ctx, time.Duration(missing+1)*e.cfg.PrefillPerBlock)
+	err := Pause(ctx, time.Duration(missing+1)*e.cfg.PrefillPerBlock)
 	e.leaveQueue(j)
 	if err != nil {
 		return usage{}, err
@@ -148,7 +148,7 @@
 func (e *Engine) decode(ctx context.Context, j *job) bool {
 	for n := j.firstToken; n < j.maxTokens; n++ {
 		j.stream.add(Token(j.prompt, j.scope.WeightsVersion, n))
-		if err := pause(ctx, e.cfg.TokenInterval); err != nil {
+		if err := Pause(ctx, e.cfg.TokenInterval); err != nil {
 			return false
 		}
 	}
@@ -243,17 +243,3 @@
 	defer e.mu.Unlock()
 	return e.stats
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/standin/generator/events.go
+++ b/internal/standin/generator/events.go
@@ -27,7 +27,7 @@
 		if err != nil {
 			return
 		}
-		if pause(r.Context(), s.engine.cfg.EventDelay) != nil {
+		if Pause(r.Context(), s.engine.cfg.EventDelay) != nil {
 			return
 		}
 		for _, e := range events {
--- a/internal/standin/generator/orders.go
+++ b/internal/standin/generator/orders.go
@@ -97,7 +97,7 @@
 	if weights == nil {
 		weights = &Weights{}
 	}
-	err := pause(ctx, weights.begin(e.cfg.LoadTime))
+	err := Pause(ctx, weights.begin(e.cfg.LoadTime))
 	weights.end()
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/standin/loader/driver.go
+++ b/internal/standin/loader/driver.go
@@ -71,7 +71,7 @@
 			warm = false
 			counting()
 		}
-		if pause(ctx, time.Until(start.Add(a.At))) != nil {
+		if generator.Pause(ctx, time.Until(start.Add(a.At))) != nil {
 			break
 		}
 		text := d.texts.text(a)
@@ -224,17 +224,3 @@
 		o.bytes += len(event.Data)
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
