Tell the orders of a planner apart by number

Cause: an order that its engine refused after the deadline was settled by content. A newer order with the same content was forgotten with it, so the planner counted one load too few and gave another. Ruled out: the count of loads itself; it is right while the pending order is kept. Change: every order has a number, and news of an order counts for that one. Before: gave 2 loads at once where max_loads is 1.

--- a/internal/placement/planner/order.go
+++ b/internal/placement/planner/order.go
@@ -26,6 +26,8 @@
 // Order is a wanted change of one engine. It holds only for the incarnation
 // that was observed.
 type Order struct {
+	// Number tells the orders of one planner apart, from 1.
+	Number      uint64
 	Upstream    string
 	Incarnation uint64
 	Action      Action
--- a/internal/placement/planner/planner.go
+++ b/internal/placement/planner/planner.go
@@ -33,6 +33,8 @@
 	dwell map[string]time.Time
 	// nextLoad is when the weight store may serve another load.
 	nextLoad time.Time
+	// numbered is the number of the latest order.
+	numbered uint64
 	hot      string
 	hotAt    time.Time
 }
@@ -69,11 +71,12 @@
 	return v.orders
 }
 
-// Settled tells what became of an order.
+// Settled tells what became of an order. News of an order that a later one to
+// the same engine has replaced changes nothing.
 func (p *Planner) Settled(now time.Time, o Order, outcome Outcome) {
 	sent, ok := p.pending[o.Upstream]
 	switch {
-	case !ok || sent.order.Action != o.Action || sent.order.Loaded != o.Loaded:
+	case !ok || sent.order.Number != o.Number:
 	case outcome == Refused:
 		delete(p.pending, o.Upstream)
 	case outcome == Accepted:
--- a/internal/placement/planner/view.go
+++ b/internal/placement/planner/view.go
@@ -123,7 +123,9 @@
 // order gives engine i an order and counts it as sent.
 func (v *view) order(i int, action Action, l Loaded, replace []Loaded, reason Reason) {
 	e := v.engines[i]
+	v.planner.numbered++
 	o := Order{
+		Number:      v.planner.numbered,
 		Upstream:    e.Upstream,
 		Incarnation: e.Incarnation,
 		Action:      action,
