--- /dev/null
+++ b/cmd/gentianstep/gateway.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"os"
+
+	"github.com/integrii/flaggy"
+
+	"gentianstep.example/gentianstep/internal/operating/logger"
+	"gentianstep.example/gentianstep/internal/operating/starter"
+	"gentianstep.example/gentianstep/internal/placement/upgrader"
+	"gentianstep.example/gentianstep/platform"
+)
+
+func newGatewayCommand() command {
+	path := os.Getenv(platform.SettingsVariable)
+	parser := flaggy.NewSubcommand("gateway")
+	parser.Description = "Serve clients on the users' platform."
+	parser.String(&path, "s", "settings", "Path of the platform's settings file ("+platform.SettingsVariable+").")
+	return command{parser: parser, run: func(ctx context.Context) error {
+		if err := require("settings", path, "the path of a file"); err != nil {
+			return err
+		}
+		settings, err := platform.LoadSettings(path)
+		if err != nil {
+			return err
+		}
+		log, err := logger.New(logger.Config{
+			Output:  os.Stdout,
+			Format:  "json",
+			Level:   "info",
+			Node:    settings.Node,
+			Process: "gateway",
+		})
+		if err != nil {
+			return err
+		}
+		return starter.Gateway(ctx, settings, starter.Platform{
+			Codec:          platform.Codec{},
+			Dialect:        platform.Dialect{},
+			OperatorPrefix: platform.OperatorPrefix,
+			UpstreamPrefix: platform.UpstreamPrefix,
+			ReadyPath:      platform.ReadyPath,
+			NewStore: func(address netip.AddrPort, client *http.Client) starter.Store {
+				return platform.NewClient(platform.ClientConfig{Address: address, HTTP: client})
+			},
+			NewEngines: func(client *http.Client) upgrader.Engines { return platform.Engines{HTTP: client} },
+		}, log)
+	}}
+}
--- a/cmd/gentianstep/main.go
+++ b/cmd/gentianstep/main.go
@@ -63,6 +63,7 @@
 		newExplainCommand(),
 		newRouterCommand(),
 		newControllerCommand(),
+		newGatewayCommand(),
 		newVersionCommand(),
 	}
 }
--- /dev/null
+++ b/internal/gateway/forwarder/line.go
@@ -0,0 +1,87 @@
+package forwarder
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+)
+
+// waiter is a request that waits for a place at an upstream.
+type waiter struct {
+	rank      int
+	arrivedAt time.Time
+	// turn is closed when the request may try again.
+	turn chan struct{}
+}
+
+// line holds the requests that wait for a place in one service, most urgent
+// first.
+type line struct {
+	waiters []*waiter
+}
+
+func (l *line) add(w *waiter) {
+	i, _ := slices.BinarySearchFunc(l.waiters, w, func(a, b *waiter) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), a.arrivedAt.Compare(b.arrivedAt))
+	})
+	l.waiters = slices.Insert(l.waiters, i, w)
+}
+
+func (l *line) remove(w *waiter) {
+	if i := slices.Index(l.waiters, w); i >= 0 {
+		l.waiters = slices.Delete(l.waiters, i, i+1)
+	}
+}
+
+// wake lets the first one try again.
+func (l *line) wake() {
+	if len(l.waiters) == 0 {
+		return
+	}
+	w := l.waiters[0]
+	l.waiters = slices.Delete(l.waiters, 0, 1)
+	close(w.turn)
+}
+
+// wait returns when a place may be free, or false at the deadline or when the
+// client has gone. The caller holds the lock, which is released meanwhile.
+func (f *Forwarder) wait(ctx context.Context, service string, w *waiter, deadline time.Time) bool {
+	l, ok := f.lines[service]
+	if !ok {
+		l = &line{}
+		f.lines[service] = l
+	}
+	w.turn = make(chan struct{})
+	l.add(w)
+	f.mu.Unlock()
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	woken := false
+	select {
+	case <-w.turn:
+		woken = true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	f.mu.Lock()
+	if !woken {
+		select {
+		case <-w.turn:
+			l.wake() // the turn goes to the next one
+		default:
+			l.remove(w)
+		}
+	}
+	return woken && ctx.Err() == nil
+}
+
+// release frees a place at an upstream of a service.
+func (f *Forwarder) release(service, upstream string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.picker.Done(upstream)
+	if l, ok := f.lines[service]; ok {
+		l.wake()
+	}
+}
--- /dev/null
+++ b/internal/gateway/forwarder/log.go
@@ -0,0 +1,76 @@
+package forwarder
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"gentianstep.example/gentianstep/internal/membership/registrar"
+	"gentianstep.example/gentianstep/internal/operating/meter"
+	"gentianstep.example/gentianstep/internal/upstream/caller"
+)
+
+// outcomeAnswered is the outcome of a request that got an upstream's answer;
+// any other outcome is an error kind.
+const outcomeAnswered = "answered"
+
+// finish writes the one line that tells how a request ended.
+func (x *exchange) finish(status int, outcome string, err error) {
+	now := time.Now()
+	fields := logrus.Fields{
+		"event":      "request",
+		"request_id": x.request.ID,
+		"outcome":    outcome,
+		"status":     status,
+		"attempts":   x.attempts,
+		"total_ms":   now.Sub(x.arrivedAt).Milliseconds(),
+	}
+	if x.route != nil {
+		fields["route"] = x.route.Name
+		fields["service"] = x.service
+		fields["configuration"] = x.configuration.Version
+		fields["left_ms"] = x.deadline.Sub(now).Milliseconds()
+	}
+	if x.organisation != nil {
+		fields["organisation"] = x.organisation.Name
+	}
+	if x.choice.Reason != "" {
+		fields["reason"] = x.choice.Reason
+		fields["candidates"] = x.choice.Candidates
+		fields["in_flight"] = x.choice.InFlight
+	}
+	if u := x.choice.Upstream; u != nil {
+		fields["upstream"] = u.ID
+		fields["weights"] = u.Weights[x.request.Prompt.Model]
+		fields["wait_ms"] = x.sentAt.Sub(x.arrivedAt).Milliseconds()
+	}
+	if x.events > 0 {
+		fields["events"] = x.events
+		fields["first_event_ms"] = x.firstByteAt.Sub(x.arrivedAt).Milliseconds()
+		x.cfg.Meter.Observe(meter.FirstByteSeconds, x.firstByteAt.Sub(x.arrivedAt))
+	}
+	entry := x.cfg.Log.WithFields(fields)
+	if err != nil {
+		entry = entry.WithError(err)
+	}
+	entry.Info("request ended")
+	x.cfg.Meter.Count(meter.Requests, strconv.Itoa(status), 1)
+	x.cfg.Meter.Observe(meter.RequestSeconds, now.Sub(x.arrivedAt))
+	if outcome != outcomeAnswered {
+		x.cfg.Meter.Count(meter.Failures, outcome, 1)
+	}
+}
+
+// logAttempt writes a line for an attempt that is followed by another.
+func (x *exchange) logAttempt(u *registrar.Upstream, failure *caller.Failure) {
+	x.cfg.Log.WithError(failure).WithFields(logrus.Fields{
+		"event":      "attempt_failed",
+		"request_id": x.request.ID,
+		"upstream":   u.ID,
+		"attempt":    x.attempts,
+		"not_run":    failure.NotRun,
+		"took_ms":    time.Since(x.sentAt).Milliseconds(),
+		"last_event": x.lastEvent,
+	}).Info("attempt failed, the request is sent again")
+}
--- /dev/null
+++ b/internal/operating/starter/gateway.go
@@ -0,0 +1,360 @@
+package starter
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	stdlog "log"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime/debug"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"gentianstep.example/gentianstep/internal/gateway/forwarder"
+	"gentianstep.example/gentianstep/internal/membership/announcer"
+	"gentianstep.example/gentianstep/internal/membership/follower"
+	"gentianstep.example/gentianstep/internal/membership/informer"
+	"gentianstep.example/gentianstep/internal/operating/configurer"
+	"gentianstep.example/gentianstep/internal/operating/meter"
+	"gentianstep.example/gentianstep/internal/peering/exchanger"
+	"gentianstep.example/gentianstep/internal/placement/leaser"
+	"gentianstep.example/gentianstep/internal/placement/upgrader"
+	"gentianstep.example/gentianstep/internal/platform/storer"
+	"gentianstep.example/gentianstep/internal/routing/budgeter"
+	"gentianstep.example/gentianstep/internal/routing/picker"
+	"gentianstep.example/gentianstep/internal/upstream/caller"
+)
+
+const (
+	// upstreamIdleTimeout is how long an unused connection to an upstream is
+	// kept. It is shorter than the idle timeouts that upstreams announce.
+	upstreamIdleTimeout = 4 * time.Second
+	// clientIdleTimeout is how long an unused connection of a client is kept. It
+	// is longer than operators let clients stay idle.
+	clientIdleTimeout = 90 * time.Second
+	// clientHeaderTimeout bounds the head of a client's request.
+	clientHeaderTimeout = 5 * time.Second
+	// balancerNotice is how long a stopping VM goes on accepting: two health
+	// checks of the balancer, a second apart, and some way.
+	balancerNotice = 2300 * time.Millisecond
+	// stopMargin is what is left of the stop's grace for the end of the process.
+	stopMargin = 700 * time.Millisecond
+	// watchWait is how long one call to the store waits for a change; a store
+	// that has gone silent is noticed after it.
+	watchWait = 2 * time.Second
+	// upstreamPace is the pause between two looks at changed upstreams, whose
+	// entries change several times a second.
+	upstreamPace = 500 * time.Millisecond
+	// vmPace is the pause between two looks at the other VMs.
+	vmPace = time.Second
+	// vmWait is how long a call waits for a change of the other VMs.
+	vmWait = 20 * time.Second
+	// countEvery is how often the VMs are counted, countKept how long the highest
+	// count holds, so that a store that loses entries changes no share.
+	countEvery = 500 * time.Millisecond
+	countKept  = 15 * time.Second
+	// memoryShare is the part of the memory limit that the runtime may use.
+	memoryShare = 0.7
+	// collectorPercent is the growth of the heap between two collections.
+	collectorPercent = 50
+	// leaseTTL is the time to live of the lease for roll-outs.
+	leaseTTL = 2 * time.Second
+)
+
+// Keys of the store that are the system's own.
+const (
+	ownPrefix  = "gentianstep/"
+	vmPrefix   = ownPrefix + "vms/"
+	weightsKey = ownPrefix + "weights"
+)
+
+// Platform is what a gateway needs of a platform.
+type Platform struct {
+	Codec          informer.Codec
+	Dialect        forwarder.Dialect
+	OperatorPrefix string
+	UpstreamPrefix string
+	ReadyPath      string
+	// NewStore returns a client of the platform's store.
+	NewStore func(address netip.AddrPort, client *http.Client) Store
+	// NewEngines returns a client of engines.
+	NewEngines func(client *http.Client) upgrader.Engines
+}
+
+// Store is a platform's key-value service with its feed.
+type Store interface {
+	storer.Store
+	storer.Feed
+}
+
+// gateway is a VM's one process on a platform, with its parts.
+type gateway struct {
+	settings *configurer.VMSettings
+	platform Platform
+	log      *logrus.Entry
+	meter    *meter.Meter
+	inform   *informer.Informer
+	forward  *forwarder.Forwarder
+	store    Store
+	exchange *exchanger.Exchanger
+	lease    *leaser.Leaser
+	gate     gate
+}
+
+// Gateway serves clients on a platform's VM until ctx ends and its requests
+// are done.
+func Gateway(ctx context.Context, settings *configurer.VMSettings, p Platform, log *logrus.Entry) error {
+	debug.SetGCPercent(collectorPercent)
+	if settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
+	}
+	g := newGateway(settings, p, log)
+	return g.run(ctx)
+}
+
+func newGateway(settings *configurer.VMSettings, p Platform, log *logrus.Entry) *gateway {
+	g := &gateway{settings: settings, platform: p, log: log, meter: meter.New()}
+	g.store = p.NewStore(settings.Store.Address, &http.Client{Transport: newPatientTransport()})
+	g.inform = informer.New(informer.Config{
+		Codec:           p.Codec,
+		OperatorPrefix:  p.OperatorPrefix,
+		UpstreamPrefix:  p.UpstreamPrefix,
+		VMPrefix:        ownPrefix,
+		Started:         time.Now(),
+		WeightsKnownFor: settings.Bounds.WeightsApply / 2,
+		Log:             log,
+	})
+	g.forward = forwarder.New(forwarder.Config{
+		Dialect:   p.Dialect,
+		Directory: g.inform,
+		Caller:    caller.New(caller.Config{Dial: newDialer().DialContext, IdleTimeout: upstreamIdleTimeout}),
+		Picker: picker.Config{
+			AvailabilityZone: settings.AvailabilityZone,
+			Regions:          settings.Regions,
+			Seed:             seedOf(settings.Node),
+		},
+		Budget: budgeter.Config{
+			Ratio:  settings.Bounds.RetryRatio,
+			Extra:  settings.Bounds.RetryExtra,
+			Window: settings.Bounds.RetryWindow,
+		},
+		WeightsApply: settings.Bounds.WeightsApply,
+		Meter:        g.meter,
+		Log:          log,
+	})
+	g.exchange = exchanger.New(exchanger.Config{
+		Directory: g.inform,
+		Peers:     g.peers,
+		Client:    &http.Client{Transport: newPatientTransport()},
+		Log:       log,
+	})
+	g.lease = leaser.New(leaser.Config{
+		Store: g.store,
+		Key:   weightsKey,
+		Node:  settings.Node,
+		Terms: func() (leaser.Terms, bool) {
+			return leaser.Terms{TTL: max(leaseTTL, settings.Store.MinLeaseTTL), OrderTimeout: settings.Bounds.Lease}, true
+		},
+		Taken: func() bool { return g.inform.Knows(weightsKey) },
+		Log:   log,
+	})
+	return g
+}
+
+// loops returns what runs beside the servers.
+func (g *gateway) loops() []func(context.Context) {
+	loops := []func(context.Context){
+		g.inform.Run,
+		g.exchange.Run,
+		g.lease.Run,
+		g.loopCount,
+		upgrader.New(upgrader.Config{
+			Node:           g.settings.Node,
+			Directory:      g.inform,
+			Lease:          g.lease,
+			Engines:        g.platform.NewEngines(&http.Client{Transport: newPatientTransport()}),
+			CheckedFencing: g.settings.Bounds.EnginesCheckFencing,
+			Log:            g.log,
+		}).Run,
+		announcer.New(announcer.Config{
+			Store: g.store,
+			Key:   vmPrefix + g.settings.Node,
+			VM: announcer.VM{
+				Node:             g.settings.Node,
+				AvailabilityZone: g.settings.AvailabilityZone,
+				PeerAddress:      g.settings.PeerAddress,
+			},
+			Log: g.log,
+		}).Run,
+	}
+	followers := []follower.Config{
+		{Prefix: g.platform.OperatorPrefix, Wait: watchWait},
+		{Prefix: g.platform.UpstreamPrefix, Wait: watchWait, Pace: upstreamPace},
+		{Prefix: ownPrefix, Wait: vmWait, Pace: vmPace},
+	}
+	for _, cfg := range followers {
+		cfg.Feed, cfg.Sink = g.store, g.inform
+		loops = append(loops, follower.New(cfg).Run)
+	}
+	return loops
+}
+
+// run serves until ctx ends, then stops in order: the balancer is told, what
+// still comes is answered, and open requests end.
+func (g *gateway) run(ctx context.Context) error {
+	clients, err := g.listen(ctx, g.settings.ClientAddress, g.forward)
+	if err != nil {
+		return err
+	}
+	servers := []*http.Server{}
+	group, work := errgroup.WithContext(context.WithoutCancel(ctx))
+	work, stopWork := context.WithCancel(work)
+	defer stopWork()
+	serve := func(s *http.Server, l net.Listener) {
+		servers = append(servers, s)
+		group.Go(func() error {
+			if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+				return fmt.Errorf("serve %s: %w", l.Addr(), err)
+			}
+			return nil
+		})
+	}
+	serve(clients.server, clients.listener)
+	others := []struct {
+		address netip.AddrPort
+		handler http.Handler
+	}{
+		{g.settings.ReadyAddress, http.HandlerFunc(g.serveReady)},
+		{g.settings.PeerAddress, g.exchange},
+		{g.settings.MetricsAddress, g.meter},
+	}
+	for _, o := range others {
+		s, err := g.listen(ctx, o.address, o.handler)
+		if err != nil {
+			return err
+		}
+		serve(s.server, s.listener)
+	}
+	for _, loop := range g.loops() {
+		group.Go(func() error {
+			loop(work)
+			return nil
+		})
+	}
+	g.log.WithFields(logrus.Fields{
+		"event":             "started",
+		"client_address":    g.settings.ClientAddress.String(),
+		"availability_zone": g.settings.AvailabilityZone,
+	}).Info("gateway started")
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			g.stop(clients.server)
+		case <-work.Done():
+		}
+		stopWork()
+		for _, s := range servers {
+			_ = s.Close()
+		}
+		return nil
+	})
+	err = group.Wait()
+	g.log.WithField("event", "stopped").Info("gateway stopped")
+	return err
+}
+
+// stop lets the balancer go, then waits for open requests.
+func (g *gateway) stop(clients *http.Server) {
+	deadline := time.Now().Add(g.settings.Bounds.StopGrace - stopMargin)
+	g.gate.stopping.Store(true)
+	g.forward.Stop()
+	g.log.WithField("event", "stopping").Info("gateway stops")
+	time.Sleep(balancerNotice)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	if err := clients.Shutdown(ctx); err != nil {
+		g.log.WithError(err).WithField("event", "requests_cut").Warn("requests were still open at the end of the grace")
+	}
+}
+
+type httpListener struct {
+	server   *http.Server
+	listener net.Listener
+}
+
+func (g *gateway) listen(ctx context.Context, address netip.AddrPort, handler http.Handler) (httpListener, error) {
+	l, err := (&net.ListenConfig{KeepAliveConfig: newDialer().KeepAliveConfig}).Listen(ctx, "tcp", address.String())
+	if err != nil {
+		return httpListener{}, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	return httpListener{listener: l, server: &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: clientHeaderTimeout,
+		IdleTimeout:       clientIdleTimeout,
+		MaxHeaderBytes:    maxHeader,
+		ErrorLog:          stdlog.New(&serverLog{log: g.log, listener: address.String()}, "", 0),
+	}}, nil
+}
+
+// serveReady answers the balancer.
+func (g *gateway) serveReady(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != g.platform.ReadyPath {
+		http.NotFound(w, r)
+		return
+	}
+	if g.gate.stopping.Load() || !g.inform.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// peers returns the addresses of the other VMs, those of the settings included.
+func (g *gateway) peers() []netip.AddrPort {
+	var addresses []netip.AddrPort
+	for _, vm := range g.vms() {
+		addresses = append(addresses, vm.PeerAddress)
+	}
+	return exchanger.Others(g.settings.PeerAddress, append(addresses, g.settings.SeedPeers...))
+}
+
+func (g *gateway) vms() []announcer.VM {
+	var vms []announcer.VM
+	for _, e := range g.inform.VMs() {
+		if e.Key == weightsKey {
+			continue
+		}
+		vm, err := announcer.Decode(e.Value)
+		if err != nil {
+			g.log.WithError(err).WithField("event", "entry_ignored").Warn("entry names no VM")
+			continue
+		}
+		vms = append(vms, vm)
+	}
+	return vms
+}
+
+// loopCount counts the VMs among which limits are shared.
+func (g *gateway) loopCount(ctx context.Context) {
+	ticker := time.NewTicker(countEvery)
+	defer ticker.Stop()
+	highest, until := 0, time.Time{}
+	for {
+		now := time.Now()
+		if n := len(g.vms()); n >= highest || !now.Before(until) {
+			if n != highest {
+				g.forward.SetVMs(n)
+			}
+			highest, until = n, now.Add(countKept)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
--- a/internal/placement/leaser/config.go
+++ b/internal/placement/leaser/config.go
@@ -43,6 +43,9 @@
 	Node string
 	// Terms returns the terms in force, false while there are none.
 	Terms func() (Terms, bool)
+	// Taken reports whether another node is known to hold the lease, so that
+	// asking the store is of no use; nil asks always.
+	Taken func() bool
 	Log   *logrus.Entry
 }
 
--- a/internal/placement/leaser/leaser.go
+++ b/internal/placement/leaser/leaser.go
@@ -62,6 +62,10 @@
 			pause(ctx, mathrand.N(terms.TTL/2)) // spreads nodes that start at once
 			started = true
 		}
+		if l.cfg.Taken != nil && l.cfg.Taken() {
+			pause(ctx, terms.retryEvery())
+			continue
+		}
 		h, err := l.acquire(ctx, terms)
 		if err != nil {
 			l.cfg.Log.WithError(err).Debug("lease not taken")
--- a/internal/upstream/caller/call.go
+++ b/internal/upstream/caller/call.go
@@ -1,10 +1,19 @@
 package caller
 
 import (
+	"net/http"
 	"net/netip"
 	"time"
 )
 
+// Head is the head of a request in another dialect than the project's own.
+type Head struct {
+	Host   string
+	Header http.Header
+	// Check reports an answer that does not belong to the request.
+	Check func(status int, header http.Header) error
+}
+
 // Target is the upstream that a call goes to.
 type Target struct {
 	Name    string
@@ -15,8 +24,9 @@
 type Call struct {
 	RequestID string
 	// Attempt tells the exchanges of one request apart.
-	Attempt        int
-	Method         string
+	Attempt int
+	Method  string
+	// Path is the request target, which goes out byte for byte.
 	Path           string
 	Organisation   string
 	WeightsVersion string
@@ -24,6 +34,8 @@
 	IdempotencyKey string
 	ContentType    string
 	Body           []byte
+	// Head, where set, stands in for the headers of the project's protocol.
+	Head *Head
 	// ImportBlocks is the number of leading blocks that an engine is asked to
 	// import rather than compute; 0 asks for nothing.
 	ImportBlocks int
--- a/internal/upstream/caller/caller.go
+++ b/internal/upstream/caller/caller.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -23,6 +24,8 @@
 type Config struct {
 	// Dial opens connections; nil takes TCP.
 	Dial DialFunc
+	// IdleTimeout is how long an unused connection is kept; 0 takes 30 s.
+	IdleTimeout time.Duration
 }
 
 // Caller sends requests to upstreams.
@@ -37,7 +40,7 @@
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: connectTimeout}).DialContext
 	}
-	return &Caller{pool: newPool(dial), cancels: make(chan struct{}, maxCancels)}
+	return &Caller{pool: newPool(dial, cmp.Or(cfg.IdleTimeout, idleConnectionTimeout)), cancels: make(chan struct{}, maxCancels)}
 }
 
 // Close closes the idle connections.
@@ -90,7 +93,7 @@
 		idleTimeout: call.IdleTimeout,
 	}
 	call.Identified = call.Identified && response.StatusCode == http.StatusOK
-	if err := matches(response.Header, call); err != nil {
+	if err := matches(response, call); err != nil {
 		answer.Discard()
 		return nil, &Failure{Upstream: target.Name, Sent: true, Reused: answer.Reused, Err: err}
 	}
@@ -105,7 +108,11 @@
 }
 
 // matches checks that the answer names the request and the attempt it is for.
-func matches(header http.Header, call Call) error {
+func matches(response *http.Response, call Call) error {
+	header := response.Header
+	if call.Head != nil {
+		return call.Head.Check(response.StatusCode, header)
+	}
 	id := header.Get(encoder.HeaderRequestID)
 	if id != call.RequestID && (id != "" || call.Identified) {
 		return fmt.Errorf("request %q: %w", id, ErrCrossed)
@@ -123,13 +130,22 @@
 		return nil, errors.New("upstream has no address")
 	}
 	body := io.NopCloser(bytes.NewReader(call.Body))
-	url := "http://" + target.Address.String() + call.Path
+	url := "http://" + target.Address.String()
+	if call.Head == nil {
+		url += call.Path
+	}
 	request, err := http.NewRequestWithContext(ctx, call.Method, url, body)
 	if err != nil {
 		return nil, fmt.Errorf("upstream request: %w", err)
 	}
 	request.ContentLength = int64(len(call.Body))
 	request.GetBody = nil
+	if call.Head != nil {
+		request.URL.Opaque, request.URL.RawQuery, request.URL.ForceQuery = call.Path, "", false
+		request.Host = call.Head.Host
+		request.Header = call.Head.Header
+		return request, nil
+	}
 	headers := []struct{ name, value string }{
 		{encoder.HeaderRequestID, call.RequestID},
 		{encoder.HeaderAttempt, strconv.Itoa(call.Attempt)},
--- a/internal/upstream/caller/pool.go
+++ b/internal/upstream/caller/pool.go
@@ -30,14 +30,15 @@
 // be closed together.
 type pool struct {
 	dial  DialFunc
+	idle  time.Duration
 	fresh *http.Transport
 
 	mu         sync.Mutex
 	transports *simplelru.LRU[netip.AddrPort, *http.Transport]
 }
 
-func newPool(dial DialFunc) *pool {
-	p := &pool{dial: dial}
+func newPool(dial DialFunc, idle time.Duration) *pool {
+	p := &pool{dial: dial, idle: idle}
 	p.fresh = p.newTransport()
 	p.fresh.DisableKeepAlives = true
 	transports, err := simplelru.NewLRU(maxUpstreams, func(_ netip.AddrPort, t *http.Transport) {
@@ -54,7 +55,7 @@
 	return &http.Transport{
 		DialContext:            p.connect,
 		MaxIdleConnsPerHost:    maxIdlePerUpstream,
-		IdleConnTimeout:        idleConnectionTimeout,
+		IdleConnTimeout:        p.idle,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		DisableCompression:     true,
 	}
