Share loads, engine states and cached parts through the lease holder

Change: VMs connect to the one that holds the lease; it tells the load of all, engines that change weights and which engine holds which part. The choice is by estimated time to the first event plus a price on reading again; a long prompt names its engine's version and copies cache from a holder.

--- a/cmd/gentianstep/gateway.go
+++ b/cmd/gentianstep/gateway.go
@@ -10,7 +10,6 @@
 
 	"gentianstep.example/gentianstep/internal/operating/logger"
 	"gentianstep.example/gentianstep/internal/operating/starter"
-	"gentianstep.example/gentianstep/internal/placement/upgrader"
 	"gentianstep.example/gentianstep/platform"
 )
 
@@ -46,7 +45,7 @@
 			NewStore: func(address netip.AddrPort, client *http.Client) starter.Store {
 				return platform.NewClient(platform.ClientConfig{Address: address, HTTP: client})
 			},
-			NewEngines: func(client *http.Client) upgrader.Engines { return platform.Engines{HTTP: client} },
+			NewEngines: func(client *http.Client) starter.Engines { return platform.Engines{HTTP: client} },
 		}, log)
 	}}
 }
--- a/internal/gateway/forwarder/dialect.go
+++ b/internal/gateway/forwarder/dialect.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/netip"
 	"time"
 )
 
@@ -49,7 +50,11 @@
 	// Rank is the urgency at an engine, 0 is first; negative sets none.
 	Rank int
 	// CacheScope names what kept cache may be used; empty is the common one.
-	CacheScope  string
+	CacheScope string
+	// Weights is the only version that may run the request; 0 allows any.
+	Weights uint64
+	// FetchFrom is an engine or store to copy kept cache from; invalid for none.
+	FetchFrom   netip.AddrPort
 	ResumeAfter string
 }
 
@@ -57,8 +62,11 @@
 type Reply struct {
 	// NotRun is true where the upstream says that it did not run the request.
 	NotRun bool
-	// OtherRun is true where another run of an upstream has the address.
-	OtherRun bool
+	// Mismatch is true where the upstream is not the one that was expected: by
+	// its run or by its weights.
+	Mismatch bool
+	// Instance is the run that answers, empty where not said.
+	Instance string
 	// Weights is the version of the weights that answers, 0 where not said.
 	Weights uint64
 }
--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	"gentianstep.example/gentianstep/internal/failure/classifier"
@@ -24,8 +25,8 @@
 	otherRunFor = 5 * time.Second
 	// enginePlaces and plainPlaces are the requests for each slot of an upstream
 	// that all VMs together let wait or run there.
-	enginePlaces = 1.25
-	plainPlaces  = 2.0
+	enginePlaces = 1.0
+	plainPlaces  = 3.0
 	// unevenness covers that some VMs get more of the clients than others.
 	unevenness = 2.0
 	// minPlaces keeps a VM that shares an upstream with many others at work.
@@ -56,6 +57,8 @@
 	choice picker.Choice
 	// sentAt is when the latest attempt was sent.
 	sentAt time.Time
+	// reading is true until the upstream has read the prompt.
+	reading bool
 	// committed is true once the client has the head of an answer.
 	committed   bool
 	firstByteAt time.Time
@@ -113,10 +116,11 @@
 		if !now.Add(minSendTime).Before(x.deadline) {
 			return nil, classifier.New(classifier.DeadlineUnmeetable, "no time is left")
 		}
-		x.choice = x.picker.Choose(now, x.query(now))
+		q := x.query(now)
+		x.choice = x.picker.Choose(now, q)
 		switch {
 		case x.choice.Upstream != nil:
-			x.picker.Sent(x.choice.Upstream.ID)
+			x.picker.Sent(now, q, x.choice)
 			return x.choice.Upstream, nil
 		case x.choice.Reason == picker.NoUpstream:
 			return nil, classifier.New(classifier.NoUpstream, "no upstream of %s can be used", x.service)
@@ -130,14 +134,19 @@
 	}
 }
 
+// query describes the request to the picker.
 func (x *exchange) query(now time.Time) picker.Query {
 	q := picker.Query{
 		Upstreams: x.cfg.Directory.Usable(x.service),
 		Exclude:   x.tried,
-		Limit:     minPlaces,
+		BodyBytes: len(x.body),
+		Others: func(id string) picker.Load {
+			load := x.cfg.View.Load(now, id)
+			return picker.Load{InFlight: load.InFlight, PromptTokens: load.PromptTokens}
+		},
 	}
 	if len(q.Upstreams) > 0 {
-		q.Limit = x.places(q.Upstreams[0].Slots)
+		x.limit(&q, q.Upstreams[0].Slots)
 	}
 	if x.route.Generates {
 		x.describe(now, &q)
@@ -145,30 +154,40 @@
 	return q
 }
 
-// places is the number of requests that this VM may have at one upstream.
-func (x *exchange) places(slots int) int {
-	factor := plainPlaces
+// limit sets how many requests may be at one upstream.
+func (x *exchange) limit(q *picker.Query, slots int) {
+	places := plainPlaces
 	if x.route.Generates {
-		factor = enginePlaces
+		places = enginePlaces
 	}
-	n := int(factor * unevenness * float64(slots) / float64(x.vms.Load()))
-	return max(n, minPlaces)
+	places *= float64(max(slots, 1))
+	q.Limit = int(places)
+	q.OwnLimit = max(int(unevenness*places/float64(x.vms.Load())), minPlaces)
 }
 
 // describe adds what matters where a prompt is sent.
 func (x *exchange) describe(now time.Time, q *picker.Query) {
-	parts := x.request.Prompt.Parts
-	if len(parts) > 1 {
-		q.Subject = x.scope() + parts[0].ID
+	view, model := x.cfg.View, x.request.Prompt.Model
+	prompt := &picker.Prompt{
+		Tokens:  x.request.Prompt.Tokens,
+		Weights: func(u *registrar.Upstream) uint64 { return view.Weights(u, model) },
+		Holders: view.Holders,
+		Scope:   func(version uint64) string { return x.scope(version) },
+	}
+	if parts := x.request.Prompt.Parts; len(parts) > 1 {
 		for _, part := range parts[:len(parts)-1] {
-			q.SharedTokens += part.Tokens
+			prompt.Shared = append(prompt.Shared, picker.SharedPart{ID: part.ID, Tokens: part.Tokens})
 		}
 	}
-	model := x.request.Prompt.Model
-	least := x.leastWeights(now, model)
+	if engine := x.configuration.Services[x.service].Engine; engine != nil {
+		prompt.Engine = picker.Engine{TokenBytes: engine.TokenBytes, LinkBytesPerSecond: engine.LinkBytesPerSecond}
+	}
+	least := uint64(0)
+	least, prompt.Newest = x.wantedWeights(now, model)
+	q.Prompt = prompt
 	q.Usable = func(u *registrar.Upstream) bool {
-		version, ok := u.Weights[model]
-		return ok && version >= least
+		version := view.Weights(u, model)
+		return version > 0 && version >= least && !view.Changing(now, u)
 	}
 }
 
@@ -176,20 +195,31 @@
 // are no longer used; the rest covers the way of a request to its first token.
 const weightsMargin = 0.8
 
-// leastWeights is the oldest version of the weights that may begin a request.
-func (x *exchange) leastWeights(now time.Time, model string) uint64 {
-	least := uint64(0)
+// wantedWeights returns the oldest version of the weights that may begin a
+// request, and the newest that is wanted.
+func (x *exchange) wantedWeights(now time.Time, model string) (least, newest uint64) {
 	allowed := time.Duration(weightsMargin * float64(x.cfg.WeightsApply))
 	for _, w := range x.cfg.Directory.WantedWeights(model) {
+		newest = max(newest, w.Version)
 		if now.Sub(w.Since) >= allowed {
 			least = max(least, w.Version)
 		}
 	}
-	return least
+	return least, newest
 }
 
-// scope names the cache that the request may use.
-func (x *exchange) scope() string {
+// scope names the cache that the request may use: that of one version of the
+// weights, since cache is copied between engines, and of one organisation where
+// that is isolated.
+func (x *exchange) scope(version uint64) string {
+	return x.wall() + scopeVersion + strconv.FormatUint(version, 10)
+}
+
+// scopeVersion separates the version in the name of a scope.
+const scopeVersion = "@"
+
+// wall names the organisation that shares no cache, empty for none.
+func (x *exchange) wall() string {
 	if x.organisation != nil && x.organisation.Isolated {
 		return x.organisation.Name
 	}
@@ -199,11 +229,18 @@
 // attempt sends the request once. It returns nil where the client has its
 // final answer.
 func (x *exchange) attempt(ctx context.Context, u *registrar.Upstream) error {
-	defer x.release(x.service, u.ID)
+	x.reading = true
+	defer x.release()
 	now := time.Now()
 	x.attempts++
 	x.sentAt = now
-	send := Send{Upstream: u.ID, Deadline: x.deadline, Rank: -1, CacheScope: x.scope(), ResumeAfter: x.lastEvent}
+	send := Send{Upstream: u.ID, Deadline: x.deadline, Rank: -1, CacheScope: x.wall(), ResumeAfter: x.lastEvent}
+	if x.choice.Scope != "" {
+		send.CacheScope, send.Weights = x.choice.Scope, x.choice.Weights
+	}
+	if x.choice.Source != nil {
+		send.FetchFrom = x.choice.Source.Address
+	}
 	if x.organisation != nil {
 		send.Organisation = x.organisation.Name
 	}
@@ -228,11 +265,12 @@
 	if err != nil {
 		return err
 	}
-	x.noteReached(u)
 	reply := x.cfg.Dialect.Reply(answer.Status, answer.Header)
+	x.noteAnswer(u, answer.Status, reply)
 	if reply.NotRun {
 		answer.Discard()
-		return &caller.Failure{Upstream: u.ID, Status: answer.Status, NotRun: true, Leaving: reply.OtherRun}
+		otherRun := reply.Mismatch && reply.Instance != "" && reply.Instance != u.ID
+		return &caller.Failure{Upstream: u.ID, Status: answer.Status, NotRun: true, Leaving: otherRun}
 	}
 	x.ran = true
 	if answer.Status >= http.StatusInternalServerError && x.mayRepeat() {
@@ -250,10 +288,14 @@
 	return x.route.Repeatable() && x.attempts < x.route.MaxAttempts
 }
 
-func (x *exchange) noteReached(u *registrar.Upstream) {
+// noteAnswer tells what an answer shows of the upstream.
+func (x *exchange) noteAnswer(u *registrar.Upstream, status int, reply Reply) {
+	if reply.Weights > 0 {
+		x.cfg.View.Learn(u, x.request.Prompt.Model, reply.Weights)
+	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.picker.Reached(u.ID)
+	x.picker.Answered(u.ID, status >= http.StatusInternalServerError && !reply.NotRun)
 }
 
 // again decides whether a failed request is sent once more. It returns nil
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,7 @@
 	"gentianstep.example/gentianstep/internal/membership/informer"
 	"gentianstep.example/gentianstep/internal/membership/registrar"
 	"gentianstep.example/gentianstep/internal/operating/meter"
+	"gentianstep.example/gentianstep/internal/peering/coordinator"
 	"gentianstep.example/gentianstep/internal/routing/budgeter"
 	"gentianstep.example/gentianstep/internal/routing/matcher"
 	"gentianstep.example/gentianstep/internal/routing/picker"
@@ -35,9 +37,11 @@
 type Config struct {
 	Dialect   Dialect
 	Directory Directory
-	Caller    *caller.Caller
-	Picker    picker.Config
-	Budget    budgeter.Config
+	// View is what the hub tells.
+	View   *coordinator.View
+	Caller *caller.Caller
+	Picker picker.Config
+	Budget budgeter.Config
 	// WeightsApply is the longest time for which older weights may be used.
 	WeightsApply time.Duration
 	Meter        *meter.Meter
@@ -76,6 +80,20 @@
 	f.budget.SetVMs(n)
 }
 
+// Loads returns what this VM has in flight.
+func (f *Forwarder) Loads() map[string]coordinator.Load {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	loads := make(map[string]coordinator.Load)
+	for id, load := range f.picker.Loads() {
+		loads[id] = coordinator.Load{InFlight: load.InFlight, PromptTokens: max(load.PromptTokens, 0)}
+	}
+	return loads
+}
+
+// HoldsParts reports whether a scope is one whose cached parts are looked up.
+func HoldsParts(scope string) bool { return strings.Contains(scope, scopeVersion) }
+
 // Stop makes clients close their connections after the next answer.
 func (f *Forwarder) Stop() { f.stopping.Store(true) }
 
--- a/internal/gateway/forwarder/line.go
+++ b/internal/gateway/forwarder/line.go
@@ -76,12 +76,24 @@
 	return woken && ctx.Err() == nil
 }
 
-// release frees a place at an upstream of a service.
-func (f *Forwarder) release(service, upstream string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.picker.Done(upstream)
-	if l, ok := f.lines[service]; ok {
+// release frees the place of a request at an upstream.
+func (x *exchange) release() {
+	x.begun()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.picker.Done(x.choice)
+	if l, ok := x.lines[x.service]; ok {
 		l.wake()
 	}
 }
+
+// begun notes that the upstream has read the prompt.
+func (x *exchange) begun() {
+	if !x.reading {
+		return
+	}
+	x.reading = false
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.picker.Begun(x.choice)
+}
--- a/internal/gateway/forwarder/log.go
+++ b/internal/gateway/forwarder/log.go
@@ -38,13 +38,19 @@
 	if x.choice.Reason != "" {
 		fields["reason"] = x.choice.Reason
 		fields["candidates"] = x.choice.Candidates
-		fields["in_flight"] = x.choice.InFlight
+		fields["in_flight"] = x.choice.Load.InFlight
+		fields["queued_tokens"] = x.choice.Load.PromptTokens
 	}
 	if u := x.choice.Upstream; u != nil {
 		fields["upstream"] = u.ID
-		fields["weights"] = u.Weights[x.request.Prompt.Model]
+		fields["weights"] = x.choice.Weights
+		fields["read_tokens"] = x.choice.PromptTokens
+		fields["cost_ms"] = x.choice.Costs.Total().Milliseconds()
 		fields["wait_ms"] = x.sentAt.Sub(x.arrivedAt).Milliseconds()
 	}
+	if x.choice.Source != nil {
+		fields["source"] = x.choice.Source.ID
+	}
 	if x.events > 0 {
 		fields["events"] = x.events
 		fields["first_event_ms"] = x.firstByteAt.Sub(x.arrivedAt).Milliseconds()
--- a/internal/gateway/forwarder/relay.go
+++ b/internal/gateway/forwarder/relay.go
@@ -78,6 +78,7 @@
 // sendEvents hands whole events to the client. Events that it already has are
 // left out; a hole in their numbers ends the answer.
 func (x *exchange) sendEvents(data []byte) error {
+	x.begun()
 	data, err := x.unseen(data)
 	if err != nil || len(data) == 0 {
 		return err
--- a/internal/membership/informer/informer.go
+++ b/internal/membership/informer/informer.go
@@ -346,14 +346,14 @@
 	return wanted
 }
 
-// Knows reports whether a key is known to exist.
-func (i *Informer) Knows(key string) bool {
+// Entry returns what is known of a key.
+func (i *Informer) Entry(key string) (storer.Entry, bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	for _, r := range i.replicas {
-		if _, ok := r.entries[key]; ok {
-			return true
+		if entry, ok := r.entries[key]; ok {
+			return entry, true
 		}
 	}
-	return false
+	return storer.Entry{}, false
 }
--- /dev/null
+++ b/internal/operating/starter/coordination.go
@@ -0,0 +1,85 @@
+package starter
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"gentianstep.example/gentianstep/internal/caching/listener"
+	"gentianstep.example/gentianstep/internal/gateway/forwarder"
+	"gentianstep.example/gentianstep/internal/membership/registrar"
+	"gentianstep.example/gentianstep/internal/peering/coordinator"
+	"gentianstep.example/gentianstep/internal/peering/exchanger"
+	"gentianstep.example/gentianstep/internal/placement/leaser"
+)
+
+// coordination returns the loops by which VMs share what they know of engines.
+func (g *gateway) coordination() []func(context.Context) {
+	return []func(context.Context){
+		coordinator.NewSubscriber(coordinator.SubscriberConfig{
+			Node:   g.settings.Node,
+			Hub:    g.hubAddress,
+			Loads:  g.forward.Loads,
+			View:   g.view,
+			Client: &http.Client{Transport: newPatientTransport()},
+			Log:    g.log,
+		}).Run,
+		listener.New(listener.Config{
+			Active:  g.leads,
+			Engines: g.inform.Engines,
+			Source:  g.engines,
+			Sink:    g.hub,
+			Wanted:  func(e listener.Event) bool { return forwarder.HoldsParts(e.Part.Scope) },
+			Log:     g.log,
+		}).Run,
+	}
+}
+
+// leads reports whether this VM holds the lease for roll-outs.
+func (g *gateway) leads() bool {
+	_, held := g.lease.Holding(time.Now())
+	return held
+}
+
+// hubAddress returns the peer address of the VM that holds the lease.
+func (g *gateway) hubAddress() (netip.AddrPort, bool) {
+	entry, ok := g.inform.Entry(weightsKey)
+	if !ok {
+		return netip.AddrPort{}, false
+	}
+	node, err := leaser.Node(entry.Value)
+	if err != nil {
+		return netip.AddrPort{}, false
+	}
+	for _, vm := range g.vms() {
+		if vm.Node == node {
+			return vm.PeerAddress, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
+
+func (g *gateway) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(exchanger.Path, g.exchange)
+	mux.Handle(coordinator.Path, g.hub)
+	return mux
+}
+
+// engineChanged tells the other VMs of an engine that changes its weights. What
+// it held is void then.
+func (g *gateway) engineChanged(u *registrar.Upstream, changing bool, weights map[string]uint64) {
+	if changing {
+		g.hub.Forget(u.ID)
+	}
+	g.hub.SetEngine(coordinator.Engine{Upstream: u.ID, StartedAt: u.StartedAt, Changing: changing, Weights: weights})
+}
+
+func (g *gateway) engineLoads() map[string]int {
+	loads := make(map[string]int)
+	for id, load := range g.hub.Totals() {
+		loads[id] = load.InFlight
+	}
+	return loads
+}
--- a/internal/operating/starter/gateway.go
+++ b/internal/operating/starter/gateway.go
@@ -14,12 +14,14 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"gentianstep.example/gentianstep/internal/caching/listener"
 	"gentianstep.example/gentianstep/internal/gateway/forwarder"
 	"gentianstep.example/gentianstep/internal/membership/announcer"
 	"gentianstep.example/gentianstep/internal/membership/follower"
 	"gentianstep.example/gentianstep/internal/membership/informer"
 	"gentianstep.example/gentianstep/internal/operating/configurer"
 	"gentianstep.example/gentianstep/internal/operating/meter"
+	"gentianstep.example/gentianstep/internal/peering/coordinator"
 	"gentianstep.example/gentianstep/internal/peering/exchanger"
 	"gentianstep.example/gentianstep/internal/placement/leaser"
 	"gentianstep.example/gentianstep/internal/placement/upgrader"
@@ -82,7 +84,13 @@
 	// NewStore returns a client of the platform's store.
 	NewStore func(address netip.AddrPort, client *http.Client) Store
 	// NewEngines returns a client of engines.
-	NewEngines func(client *http.Client) upgrader.Engines
+	NewEngines func(client *http.Client) Engines
+}
+
+// Engines calls engines beside the requests of clients.
+type Engines interface {
+	upgrader.Engines
+	listener.Source
 }
 
 // Store is a platform's key-value service with its feed.
@@ -102,6 +110,9 @@
 	store    Store
 	exchange *exchanger.Exchanger
 	lease    *leaser.Leaser
+	hub      *coordinator.Hub
+	view     *coordinator.View
+	engines  Engines
 	gate     gate
 }
 
@@ -128,9 +139,13 @@
 		WeightsKnownFor: settings.Bounds.WeightsApply / 2,
 		Log:             log,
 	})
+	g.engines = p.NewEngines(&http.Client{Transport: newPatientTransport()})
+	g.view = coordinator.NewView()
+	g.hub = coordinator.NewHub(coordinator.HubConfig{Active: g.leads, Log: log})
 	g.forward = forwarder.New(forwarder.Config{
 		Dialect:   p.Dialect,
 		Directory: g.inform,
+		View:      g.view,
 		Caller:    caller.New(caller.Config{Dial: newDialer().DialContext, IdleTimeout: upstreamIdleTimeout}),
 		Picker: picker.Config{
 			AvailabilityZone: settings.AvailabilityZone,
@@ -159,8 +174,11 @@
 		Terms: func() (leaser.Terms, bool) {
 			return leaser.Terms{TTL: max(leaseTTL, settings.Store.MinLeaseTTL), OrderTimeout: settings.Bounds.Lease}, true
 		},
-		Taken: func() bool { return g.inform.Knows(weightsKey) },
-		Log:   log,
+		Taken: func() bool {
+			_, taken := g.inform.Entry(weightsKey)
+			return taken
+		},
+		Log: log,
 	})
 	return g
 }
@@ -176,7 +194,10 @@
 			Node:           g.settings.Node,
 			Directory:      g.inform,
 			Lease:          g.lease,
-			Engines:        g.platform.NewEngines(&http.Client{Transport: newPatientTransport()}),
+			Engines:        g.engines,
+			OnLease:        g.hub.Reset,
+			OnChange:       g.engineChanged,
+			Loads:          g.engineLoads,
 			CheckedFencing: g.settings.Bounds.EnginesCheckFencing,
 			Log:            g.log,
 		}).Run,
@@ -191,6 +212,7 @@
 			Log: g.log,
 		}).Run,
 	}
+	loops = append(loops, g.coordination()...)
 	followers := []follower.Config{
 		{Prefix: g.platform.OperatorPrefix, Wait: watchWait},
 		{Prefix: g.platform.UpstreamPrefix, Wait: watchWait, Pace: upstreamPace},
@@ -229,7 +251,7 @@
 		handler http.Handler
 	}{
 		{g.settings.ReadyAddress, http.HandlerFunc(g.serveReady)},
-		{g.settings.PeerAddress, g.exchange},
+		{g.settings.PeerAddress, g.peerHandler()},
 		{g.settings.MetricsAddress, g.meter},
 	}
 	for _, o := range others {
--- /dev/null
+++ b/internal/peering/coordinator/subscriber.go
@@ -0,0 +1,112 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// reportEvery is the least time between two reports of loads.
+	reportEvery = 60 * time.Millisecond
+	// aliveEvery is how often an unchanged load is reported again.
+	aliveEvery = 600 * time.Millisecond
+	// connectTimeout bounds the way to the hub.
+	connectTimeout = time.Second
+	// reconnectAfter is the wait after a connection that ended.
+	reconnectAfter = 150 * time.Millisecond
+)
+
+// SubscriberConfig holds what a Subscriber is built from.
+type SubscriberConfig struct {
+	Node string
+	// Hub returns the address of the hub, false while none is known.
+	Hub func() (netip.AddrPort, bool)
+	// Loads returns what this VM has in flight.
+	Loads  func() map[string]Load
+	View   *View
+	Client *http.Client
+	Log    *logrus.Entry
+}
+
+// Subscriber keeps a VM's connection to the hub.
+type Subscriber struct {
+	cfg SubscriberConfig
+}
+
+// NewSubscriber returns a Subscriber.
+func NewSubscriber(cfg SubscriberConfig) *Subscriber { return &Subscriber{cfg: cfg} }
+
+// Run stays connected until ctx ends.
+func (s *Subscriber) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if hub, ok := s.cfg.Hub(); ok {
+			err := s.stay(ctx, hub)
+			s.cfg.Log.WithError(err).WithFields(logrus.Fields{"event": "hub_lost", "hub": hub.String()}).Info("connection to the hub ended")
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(reconnectAfter + rand.N(reconnectAfter)):
+		}
+	}
+}
+
+// stay exchanges messages with the hub until the connection ends.
+func (s *Subscriber) stay(ctx context.Context, hub netip.AddrPort) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	dialing, done := context.WithTimeout(ctx, connectTimeout)
+	defer done()
+	ws, response, err := websocket.Dial(dialing, "ws://"+hub.String()+Path, &websocket.DialOptions{HTTPClient: s.cfg.Client})
+	if response != nil && response.Body != nil {
+		_ = response.Body.Close()
+	}
+	if err != nil {
+		return fmt.Errorf("dial hub: %w", err)
+	}
+	defer func() { _ = ws.CloseNow() }()
+	ws.SetReadLimit(maxMessageBytes)
+	s.cfg.Log.WithFields(logrus.Fields{"event": "hub_found", "hub": hub.String()}).Info("connected to the hub")
+	go s.runReports(ctx, cancel, ws, hub)
+	for {
+		var state State
+		if err := read(ctx, ws, &state); err != nil {
+			return err
+		}
+		s.cfg.View.Take(time.Now(), state)
+	}
+}
+
+// runReports tells the hub the loads of this VM.
+func (s *Subscriber) runReports(ctx context.Context, cancel context.CancelFunc, ws *websocket.Conn, hub netip.AddrPort) {
+	defer cancel()
+	ticker := time.NewTicker(reportEvery)
+	defer ticker.Stop()
+	var last map[string]Load
+	aliveAt := time.Time{}
+	for {
+		now := time.Now()
+		if current, ok := s.cfg.Hub(); !ok || current != hub {
+			return
+		}
+		loads := s.cfg.Loads()
+		if !maps.Equal(loads, last) || !now.Before(aliveAt) {
+			if err := write(ctx, ws, Report{Node: s.cfg.Node, Loads: loads}); err != nil {
+				return
+			}
+			last, aliveAt = loads, now.Add(aliveEvery)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
--- a/internal/placement/leaser/leaser.go
+++ b/internal/placement/leaser/leaser.go
@@ -8,6 +8,7 @@
 	"crypto/rand"
 	"encoding/json"
 	"errors"
+	"fmt"
 	mathrand "math/rand/v2"
 	"sync"
 	"time"
@@ -22,6 +23,15 @@
 	Token string `json:"token"`
 }
 
+// Node returns the node that holds a region's lease, from the value of its key.
+func Node(value []byte) (string, error) {
+	var c claim
+	if err := json.Unmarshal(value, &c); err != nil {
+		return "", fmt.Errorf("lease: %w", err)
+	}
+	return c.Node, nil
+}
+
 // Leaser takes and renews a region's lease.
 type Leaser struct {
 	cfg   Config
--- a/internal/placement/upgrader/upgrader.go
+++ b/internal/placement/upgrader/upgrader.go
@@ -30,6 +30,9 @@
 	reportEvery = 150 * time.Millisecond
 	// reportLag is how old the content of a report may be.
 	reportLag = 500 * time.Millisecond
+	// noticeLead is the time in which the other VMs hear of an order before its
+	// engine does, so that they send it nothing that it would refuse.
+	noticeLead = 80 * time.Millisecond
 	// loadShare is the part of the engines that load at once.
 	loadShare = 4
 )
@@ -51,6 +54,13 @@
 	Directory Directory
 	Lease     Holder
 	Engines   Engines
+	// OnChange is told of engines that begin to change their weights, and of
+	// those that are done.
+	OnChange func(u *registrar.Upstream, changing bool, weights map[string]uint64)
+	// Loads returns the requests in flight at each engine.
+	Loads func() map[string]int
+	// OnLease is called when this VM has taken the lease.
+	OnLease func()
 	// CheckedFencing is true where engines refuse old fencing numbers.
 	CheckedFencing bool
 	Log            *logrus.Entry
@@ -112,6 +122,7 @@
 		g.fencing = holding.Fencing
 		g.planner = planner.New()
 		clear(g.seen)
+		g.cfg.OnLease()
 	}
 	if !g.cfg.CheckedFencing && now.Before(holding.UncheckedAfter) {
 		return
@@ -171,6 +182,7 @@
 	if o.pending && report.Orders > o.ordered {
 		o.pending = false
 	}
+	g.cfg.OnChange(u, o.pending || report.Busy, g.weights(u))
 }
 
 // weights returns the newest versions known of an engine: weights never go
@@ -201,8 +213,11 @@
 			MinReplicas:            1,
 		})
 	}
+	loads := g.cfg.Loads()
 	for _, u := range engines {
-		in.Engines = append(in.Engines, g.engine(now, u))
+		e := g.engine(now, u)
+		e.Load = loads[u.ID]
+		in.Engines = append(in.Engines, e)
 	}
 	return in
 }
@@ -227,7 +242,6 @@
 	e := planner.Engine{
 		Upstream:    u.ID,
 		Incarnation: uint64(u.StartedAt.UnixMilli()),
-		Load:        o.report.Load,
 		// Without a report nothing is known of the orders that it has taken.
 		Frozen: o.reportedAt.IsZero() || !o.report.StartedAt.Equal(u.StartedAt),
 		SeenAt: now,
@@ -259,6 +273,7 @@
 		}
 		seen := g.observe(u)
 		seen.pending, seen.ordered = true, seen.report.Orders
+		g.cfg.OnChange(u, true, g.weights(u))
 		version, err := strconv.ParseUint(o.WeightsVersion, 10, 64)
 		if err != nil {
 			g.cfg.Log.WithError(err).WithField("order", o.String()).Error("version is no number")
@@ -275,6 +290,9 @@
 }
 
 func (g *Upgrader) runOrder(ctx context.Context, u *registrar.Upstream, seen *observation, planned planner.Order, o Order) {
+	if !sleep(ctx, noticeLead) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	now := time.Now()
@@ -303,9 +321,22 @@
 	entry.Info("order for new weights")
 	if outcome == planner.Refused {
 		seen.pending = false
+		g.cfg.OnChange(u, false, g.weights(u))
 		seen.reportedAt = time.Time{} // what was believed of its orders was wrong
 	}
 	if g.fencing == o.Fencing {
 		g.planner.Settled(time.Now(), planned, outcome)
 	}
 }
+
+// sleep reports whether d went by before ctx ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/routing/matcher/configuration.go
+++ b/internal/routing/matcher/configuration.go
@@ -80,7 +80,13 @@
 	Slots int
 	// CacheTokens is the memory of one engine.
 	CacheTokens int
-	Models      []string
+	// TokenBytes is the size of one token's cache.
+	TokenBytes float64
+	// LinkBytesPerSecond is the rate at which cache moves between engines.
+	LinkBytesPerSecond float64
+	// MaxEventCalls is how many calls for cache events an engine holds at once.
+	MaxEventCalls int
+	Models        []string
 }
 
 // Organisation sends requests under its keys.
--- /dev/null
+++ b/internal/routing/picker/estimate.go
@@ -0,0 +1,260 @@
+package picker
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"gentianstep.example/gentianstep/internal/caching/cataloguer"
+	"gentianstep.example/gentianstep/internal/membership/registrar"
+)
+
+const (
+	// longTokens is the length of the shared parts from which on a request goes
+	// by what upstreams hold; below, reading them costs less than telling.
+	longTokens = 1024
+	// readPerToken is the time in which an engine reads a token of a prompt,
+	// that of a large model on current accelerators.
+	readPerToken = 20 * time.Microsecond
+	// recomputePerToken is the price of a token that is read again although
+	// another engine holds it: five times the time that it takes, since it is
+	// paid for and delays others too.
+	recomputePerToken = 5 * readPerToken
+	// serveTime is the time for which a request holds a slot, as far as those
+	// that wait for one are concerned.
+	serveTime = 400 * time.Millisecond
+	// perRequest is by how much each running request slows down the others.
+	perRequest = time.Millisecond
+	// zoneDistance and regionDistance price the way, regionPerKB the bytes that
+	// cross regions.
+	zoneDistance   = time.Millisecond
+	regionDistance = 20 * time.Millisecond
+	regionPerKB    = 1500 * time.Microsecond
+	// stalePrice is what older weights cost while newer ones are wanted.
+	stalePrice = 150 * time.Millisecond
+	// faultPrice is the price of an upstream that fails each request.
+	faultPrice = 400 * time.Millisecond
+	// homeBonus lets VMs agree on an upstream that is to read a shared prompt.
+	homeBonus = 100 * time.Millisecond
+	// leastFetch is the number of tokens from which on a copy is worth its call.
+	leastFetch = 1024
+	// fetchSetup is the time that a copy takes beside its bytes.
+	fetchSetup = 5 * time.Millisecond
+	// Copies between zones and regions take that many times as long.
+	zoneFetchFactor   = 2
+	regionFetchFactor = 10
+	// longestFetch is the longest copy that is asked for; engines don't begin
+	// copies that wait for two seconds.
+	longestFetch = 1500 * time.Millisecond
+	// jitter keeps VMs from choosing the same among equals.
+	jitter = 2 * time.Millisecond
+)
+
+// estimate prices the candidates of one query.
+type estimate struct {
+	now     time.Time
+	picker  *Picker
+	query   Query
+	byID    map[string]*registrar.Upstream
+	home    *registrar.Upstream
+	holders map[uint64]map[string]int
+}
+
+func newEstimate(now time.Time, p *Picker, q Query, candidates []*registrar.Upstream) *estimate {
+	e := &estimate{now: now, picker: p, query: q, holders: make(map[uint64]map[string]int)}
+	if q.Prompt == nil || len(q.Prompt.Shared) == 0 {
+		return e
+	}
+	if q.Prompt.Long() {
+		e.home = home(q.Prompt.Shared[0].ID, candidates)
+		e.byID = make(map[string]*registrar.Upstream, len(q.Upstreams))
+		for _, u := range q.Upstreams {
+			e.byID[u.ID] = u
+		}
+		return e
+	}
+	// Short prompts stay in the own zone where it has an upstream.
+	near := candidates[:0:0]
+	for _, u := range candidates {
+		if u.AvailabilityZone == p.cfg.AvailabilityZone {
+			near = append(near, u)
+		}
+	}
+	if len(near) == 0 {
+		near = candidates
+	}
+	e.home = home(q.Prompt.Shared[len(q.Prompt.Shared)-1].ID, near)
+	return e
+}
+
+// home returns the upstream that rendezvous hashing names for a part.
+func home(part string, candidates []*registrar.Upstream) *registrar.Upstream {
+	var best *registrar.Upstream
+	bestHash := uint64(0)
+	for _, u := range candidates {
+		hash := xxhash.Sum64String(part + "\x00" + u.ID)
+		if best == nil || hash > bestHash {
+			best, bestHash = u, hash
+		}
+	}
+	return best
+}
+
+// price estimates what it costs to send the request to u.
+func (e *estimate) price(u *registrar.Upstream, load Load) Choice {
+	c := Choice{Upstream: u, Reason: LowestCost, Load: load}
+	c.Costs.Queue = time.Duration(load.InFlight) * perRequest
+	if over := load.InFlight + 1 - max(u.Slots, 1); over > 0 {
+		c.Costs.Queue += time.Duration(over) * serveTime / time.Duration(max(u.Slots, 1))
+	}
+	c.Costs.Distance = e.distance(u) + time.Duration(e.picker.rng.Int64N(int64(jitter)))
+	if s := e.picker.states[u.ID]; s != nil {
+		c.Costs.Faults = time.Duration(s.faults * float64(faultPrice))
+	}
+	if e.query.Prompt != nil {
+		e.pricePrompt(u, load, &c)
+	}
+	return c
+}
+
+func (e *estimate) distance(u *registrar.Upstream) time.Duration {
+	own := e.picker.cfg.AvailabilityZone
+	switch {
+	case u.AvailabilityZone == own:
+		return 0
+	case e.sameRegion(u.AvailabilityZone, own):
+		return zoneDistance
+	}
+	return regionDistance + regionPerKB*time.Duration(e.query.BodyBytes)/1024
+}
+
+func (e *estimate) sameRegion(a, b string) bool {
+	return e.picker.cfg.Regions[a] == e.picker.cfg.Regions[b]
+}
+
+// pricePrompt adds what the prompt costs at u.
+func (e *estimate) pricePrompt(u *registrar.Upstream, load Load, c *Choice) {
+	prompt := e.query.Prompt
+	c.Costs.Queue += time.Duration(load.PromptTokens) * readPerToken
+	c.Weights = prompt.Weights(u)
+	if c.Weights < prompt.Newest {
+		c.Costs.Stale = stalePrice
+	}
+	shared := prompt.SharedTokens()
+	missing := prompt.Tokens
+	switch {
+	case shared == 0:
+	case prompt.Long():
+		missing -= e.priceLong(u, shared, c)
+	case u == e.home:
+		missing -= shared
+		c.Reason = PrefixHome
+	default:
+		c.Costs.Recompute = time.Duration(shared) * recomputePerToken
+	}
+	c.PromptTokens = max(missing, 0)
+	c.Costs.Prefill = time.Duration(c.PromptTokens) * readPerToken
+}
+
+// priceLong prices a long shared prompt and returns how much of it u need not
+// read.
+func (e *estimate) priceLong(u *registrar.Upstream, shared int, c *Choice) int {
+	c.Scope = e.query.Prompt.Scope(c.Weights)
+	holders := e.held(c.Weights, c.Scope)
+	own := min(holders[u.ID], shared)
+	source, most := e.source(u, holders)
+	most = min(most, shared)
+	if own > 0 {
+		c.Reason = PrefixHeld
+	}
+	if most-own >= leastFetch && source != nil {
+		if took := e.fetch(u, source, most-own); took <= longestFetch {
+			c.Costs.Fetch = took
+			c.Source, c.Reason = source, PrefixFetch
+			return most
+		}
+	}
+	if most > own {
+		c.Costs.Recompute = time.Duration(most-own) * recomputePerToken
+	}
+	if most == 0 && own == 0 && u != e.home {
+		c.Costs.Recompute = homeBonus
+	} else if u == e.home && own == 0 {
+		c.Reason = PrefixHome
+	}
+	return own
+}
+
+// held returns how many leading tokens of the prompt each upstream holds, or
+// will hold from what this VM has sent there.
+func (e *estimate) held(version uint64, scope string) map[string]int {
+	if holders, ok := e.holders[version]; ok {
+		return holders
+	}
+	prompt := e.query.Prompt
+	holders := make(map[string]int)
+	for i, part := range prompt.Shared {
+		for id, tokens := range prompt.Holders(cataloguer.Part{Scope: scope, ID: part.ID}) {
+			if i == 0 || holders[id] == leading(prompt.Shared[:i]) {
+				holders[id] += min(tokens, part.Tokens)
+			}
+		}
+	}
+	if sent, ok := e.picker.sent[scope+"\x00"+prompt.Shared[0].ID]; ok && e.now.Before(sent.until) {
+		holders[sent.upstream] = max(holders[sent.upstream], prompt.Shared[0].Tokens)
+	}
+	e.holders[version] = holders
+	return holders
+}
+
+func leading(parts []SharedPart) int {
+	total := 0
+	for _, part := range parts {
+		total += part.Tokens
+	}
+	return total
+}
+
+// source returns the upstream beside u from which most can be copied, the
+// nearest of equals.
+func (e *estimate) source(u *registrar.Upstream, holders map[string]int) (*registrar.Upstream, int) {
+	var best *registrar.Upstream
+	most := 0
+	for id, tokens := range holders {
+		other := e.byID[id]
+		if id == u.ID || other == nil {
+			continue
+		}
+		if best == nil || tokens > most || tokens == most && e.nearer(u, other, best) {
+			best, most = other, tokens
+		}
+	}
+	return best, most
+}
+
+func (e *estimate) nearer(u, a, b *registrar.Upstream) bool {
+	if fa, fb := e.factor(u, a), e.factor(u, b); fa != fb {
+		return fa < fb
+	}
+	return a.ID < b.ID
+}
+
+func (e *estimate) factor(a, b *registrar.Upstream) float64 {
+	switch {
+	case a.AvailabilityZone == b.AvailabilityZone:
+		return 1
+	case e.sameRegion(a.AvailabilityZone, b.AvailabilityZone):
+		return zoneFetchFactor
+	}
+	return regionFetchFactor
+}
+
+// fetch is the time in which u copies tokens from another upstream.
+func (e *estimate) fetch(u, source *registrar.Upstream, tokens int) time.Duration {
+	engine := e.query.Prompt.Engine
+	if engine.LinkBytesPerSecond <= 0 {
+		return longestFetch + 1
+	}
+	seconds := float64(tokens) * engine.TokenBytes / engine.LinkBytesPerSecond * e.factor(u, source)
+	return fetchSetup + time.Duration(seconds*float64(time.Second))
+}
--- /dev/null
+++ b/internal/routing/picker/load.go
@@ -0,0 +1,14 @@
+package picker
+
+// Load is the work at one upstream.
+type Load struct {
+	// InFlight counts requests without a whole answer.
+	InFlight int
+	// PromptTokens sums what is still to be read for requests without a first
+	// event.
+	PromptTokens int
+}
+
+func (l Load) plus(other Load) Load {
+	return Load{InFlight: l.InFlight + other.InFlight, PromptTokens: l.PromptTokens + other.PromptTokens}
+}
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -1,17 +1,12 @@
-// Package picker chooses the upstream of a request from what this VM knows by
-// itself: the requests that it has in flight, failures that it met, and where
-// the shared part of a prompt was computed before. It does no I/O and reads no
-// clock.
+// Package picker chooses the upstream of a request: the one that is expected to
+// answer first, with a price on reading again what another engine holds. It
+// does no I/O and reads no clock.
 package picker
 
 import (
-	"cmp"
 	"math/rand/v2"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"gentianstep.example/gentianstep/internal/membership/registrar"
 )
 
@@ -20,9 +15,13 @@
 
 // Reasons of choices.
 const (
-	PrefixHome   Reason = "prefix_home"
-	HomeOverflow Reason = "home_overflow"
-	LeastLoaded  Reason = "least_loaded"
+	// PrefixHeld means that the chosen one holds shared parts of the prompt.
+	PrefixHeld Reason = "prefix_held"
+	// PrefixFetch means that it copies them from another upstream.
+	PrefixFetch Reason = "prefix_fetch"
+	// PrefixHome means that the hash of the prompt names it.
+	PrefixHome Reason = "prefix_home"
+	LowestCost Reason = "lowest_cost"
 	// NoUpstream means that no upstream is registered or usable.
 	NoUpstream Reason = "no_upstream"
 	// Full means that each usable upstream has all the work it may get.
@@ -30,18 +29,15 @@
 )
 
 const (
-	// affinityTokens is the shortest shared prompt that is kept together; below,
-	// computing it again costs an engine less than a queue does.
-	affinityTokens = 1024
-	// homeSlack is by how much the load of a home may exceed the mean before
-	// the next one takes over.
-	homeSlack = 1.5
-	// homeFloor is the load up to which a home is never passed over.
-	homeFloor = 2
 	// firstCooldown and lastCooldown bound how long an upstream that could not
 	// be reached is left out.
 	firstCooldown = 500 * time.Millisecond
 	lastCooldown  = 4 * time.Second
+	// faultGain is the weight of one outcome in the share of failures.
+	faultGain = 0.1
+	// sentFor is how long a prompt's home is remembered after a send, until the
+	// cache events show it.
+	sentFor = 1500 * time.Millisecond
 )
 
 // Config holds what a Picker is built from.
@@ -52,36 +48,20 @@
 	Seed    uint64
 }
 
-// Query describes a request that needs an upstream.
-type Query struct {
-	Upstreams []*registrar.Upstream
-	// Limit is the number of requests that this VM may have at one upstream.
-	Limit int
-	// Subject names the shared part of the prompt, SharedTokens is its length.
-	Subject      string
-	SharedTokens int
-	// Usable leaves out upstreams that cannot serve the request; nil takes all.
-	Usable func(*registrar.Upstream) bool
-	// Exclude names an upstream that the request has already failed at.
-	Exclude map[string]bool
-}
-
-// Choice is the answer to a Query.
-type Choice struct {
-	Upstream *registrar.Upstream
-	Reason   Reason
-	// Candidates counts the upstreams that could have been chosen.
-	Candidates int
-	// InFlight counts this VM's requests at the chosen one before this.
-	InFlight int
-}
-
-// state is what is known of one upstream.
+// state is what this VM knows of one upstream.
 type state struct {
-	inFlight int
+	load     Load
 	failures int
 	// coolsUntil is zero unless the upstream could not be reached.
 	coolsUntil time.Time
+	// faults is the recent share of failed answers.
+	faults float64
+}
+
+// sentPart remembers where a shared part was sent.
+type sentPart struct {
+	upstream string
+	until    time.Time
 }
 
 // Picker is used by one goroutine at a time.
@@ -89,11 +69,17 @@
 	cfg    Config
 	rng    *rand.Rand
 	states map[string]*state
+	sent   map[string]sentPart
 }
 
 // New returns a Picker that knows no upstream.
 func New(cfg Config) *Picker {
-	return &Picker{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), states: make(map[string]*state)}
+	return &Picker{
+		cfg:    cfg,
+		rng:    rand.New(rand.NewPCG(cfg.Seed, 1)),
+		states: make(map[string]*state),
+		sent:   make(map[string]sentPart),
+	}
 }
 
 // Choose returns the upstream for a request.
@@ -102,21 +88,20 @@
 	if len(candidates) == 0 {
 		return Choice{Reason: NoUpstream}
 	}
-	free := slices.DeleteFunc(slices.Clone(candidates), func(u *registrar.Upstream) bool {
-		return p.inFlight(u) >= q.Limit
-	})
-	if len(free) == 0 {
-		return Choice{Reason: Full, Candidates: len(candidates)}
-	}
-	choice := Choice{Candidates: len(candidates)}
-	if q.SharedTokens >= affinityTokens && q.Subject != "" {
-		choice.Upstream, choice.Reason = p.home(q.Subject, candidates, q.Limit)
-	}
-	if choice.Upstream == nil {
-		choice.Upstream, choice.Reason = p.leastLoaded(free), LeastLoaded
+	e := newEstimate(now, p, q, candidates)
+	best := Choice{Reason: Full}
+	for _, u := range candidates {
+		load := p.load(q, u)
+		if load.InFlight >= q.Limit || p.own(u.ID).InFlight >= q.OwnLimit {
+			continue
+		}
+		c := e.price(u, load)
+		if best.Upstream == nil || c.Costs.Total() < best.Costs.Total() {
+			best = c
+		}
 	}
-	choice.InFlight = p.inFlight(choice.Upstream)
-	return choice
+	best.Candidates = len(candidates)
+	return best
 }
 
 // candidates returns the upstreams that may serve q. Where all of them cool
@@ -139,73 +124,20 @@
 	return healthy
 }
 
-// home returns the first upstream in the order of the subject's hashes that is
-// not loaded far above the mean.
-func (p *Picker) home(subject string, candidates []*registrar.Upstream, limit int) (*registrar.Upstream, Reason) {
-	total := 0
-	for _, u := range candidates {
-		total += p.inFlight(u)
-	}
-	most := max(homeSlack*float64(total+1)/float64(len(candidates)), homeFloor)
-	type ranked struct {
-		upstream *registrar.Upstream
-		hash     uint64
-	}
-	order := make([]ranked, 0, len(candidates))
-	for _, u := range candidates {
-		order = append(order, ranked{u, xxhash.Sum64String(subject + "\x00" + u.ID)})
-	}
-	slices.SortFunc(order, func(a, b ranked) int { return cmp.Compare(a.hash, b.hash) })
-	for i, r := range order {
-		n := p.inFlight(r.upstream)
-		if n >= limit || float64(n) >= most {
-			continue
-		}
-		if i == 0 {
-			return r.upstream, PrefixHome
-		}
-		return r.upstream, HomeOverflow
-	}
-	return nil, ""
-}
-
-// leastLoaded prefers the own availability zone, then the own region, among
-// upstreams with equal load.
-func (p *Picker) leastLoaded(free []*registrar.Upstream) *registrar.Upstream {
-	var best *registrar.Upstream
-	bestScore := 0.0
-	for _, u := range free {
-		score := float64(p.inFlight(u)) + p.distance(u) + p.rng.Float64()/2
-		if best == nil || score < bestScore {
-			best, bestScore = u, score
-		}
-	}
-	return best
-}
-
-// Distances are in requests in flight that an upstream must have fewer to be
-// chosen over one of the own availability zone.
-const (
-	zoneDistance   = 1
-	regionDistance = 3
-)
-
-func (p *Picker) distance(u *registrar.Upstream) float64 {
-	own := p.cfg.AvailabilityZone
-	switch {
-	case u.AvailabilityZone == own:
-		return 0
-	case p.cfg.Regions[u.AvailabilityZone] == p.cfg.Regions[own]:
-		return zoneDistance
+func (p *Picker) own(id string) Load {
+	if s := p.states[id]; s != nil {
+		return s.load
 	}
-	return regionDistance
+	return Load{}
 }
 
-func (p *Picker) inFlight(u *registrar.Upstream) int {
-	if s := p.states[u.ID]; s != nil {
-		return s.inFlight
+// load is what all VMs have at an upstream.
+func (p *Picker) load(q Query, u *registrar.Upstream) Load {
+	load := p.own(u.ID)
+	if q.Others != nil {
+		load = load.plus(q.Others(u.ID))
 	}
-	return 0
+	return load
 }
 
 func (p *Picker) state(id string) *state {
@@ -217,29 +149,55 @@
 	return s
 }
 
-// Sent notes that a request goes to an upstream.
-func (p *Picker) Sent(id string) { p.state(id).inFlight++ }
+// Loads returns what this VM has at each upstream.
+func (p *Picker) Loads() map[string]Load {
+	loads := make(map[string]Load)
+	for id, s := range p.states {
+		if s.load != (Load{}) {
+			loads[id] = s.load
+		}
+	}
+	return loads
+}
 
-// Done notes that a request is no longer at an upstream.
-func (p *Picker) Done(id string) {
-	s := p.state(id)
-	s.inFlight--
-	if s.inFlight <= 0 && s.failures == 0 {
-		delete(p.states, id)
+// Sent notes that a request goes where it was chosen to.
+func (p *Picker) Sent(now time.Time, q Query, c Choice) {
+	s := p.state(c.Upstream.ID)
+	s.load.InFlight++
+	s.load.PromptTokens += c.PromptTokens
+	if q.Prompt == nil || !q.Prompt.Long() {
+		return
+	}
+	p.sent[c.Scope+"\x00"+q.Prompt.Shared[0].ID] = sentPart{c.Upstream.ID, now.Add(sentFor)}
+	for key, part := range p.sent {
+		if now.After(part.until) {
+			delete(p.sent, key)
+		}
 	}
 }
 
-// Reached notes that an upstream answered.
-func (p *Picker) Reached(id string) {
-	if s := p.states[id]; s != nil {
-		s.failures, s.coolsUntil = 0, time.Time{}
+// Begun notes that an upstream has read the prompt of a request.
+func (p *Picker) Begun(c Choice) { p.state(c.Upstream.ID).load.PromptTokens -= c.PromptTokens }
+
+// Done notes that a request is no longer at an upstream. Begun comes before it.
+func (p *Picker) Done(c Choice) { p.state(c.Upstream.ID).load.InFlight-- }
+
+// Answered notes an answer of an upstream, a failed one or not.
+func (p *Picker) Answered(id string, failed bool) {
+	s := p.state(id)
+	s.failures, s.coolsUntil = 0, time.Time{}
+	outcome := 0.0
+	if failed {
+		outcome = 1
 	}
+	s.faults += faultGain * (outcome - s.faults)
 }
 
 // Unreachable notes that an upstream could not be reached. Failures that come
 // during a cooldown do not lengthen it.
 func (p *Picker) Unreachable(now time.Time, id string) {
 	s := p.state(id)
+	s.faults += faultGain * (1 - s.faults)
 	if now.Before(s.coolsUntil) {
 		return
 	}
@@ -255,3 +213,12 @@
 		s.coolsUntil = until
 	}
 }
+
+// Forget drops what is known of upstreams that are gone.
+func (p *Picker) Forget(gone func(id string) bool) {
+	for id, s := range p.states {
+		if s.load == (Load{}) && gone(id) {
+			delete(p.states, id)
+		}
+	}
+}
