Compare starts of engines to the millisecond

Cause: starts travel as fractions of seconds and came back not equal, so VMs held no engine to be changing its weights and sent it what it refused. Ruled out: slow news of the hub; it came within 120 ms. Change: one codec for messages between VMs; starts are rounded when received.

--- a/internal/peering/coordinator/hub.go
+++ b/internal/peering/coordinator/hub.go
@@ -10,6 +10,8 @@
 	"github.com/coder/websocket"
 	"github.com/sirupsen/logrus"
 
+	"gentianstep.example/gentianstep/internal/peering/messenger"
+
 	"gentianstep.example/gentianstep/internal/caching/cataloguer"
 )
 
@@ -163,7 +165,7 @@
 	go h.runPush(ctx, ws, s)
 	for h.cfg.Active() {
 		var report Report
-		if err := read(ctx, ws, &report); err != nil {
+		if err := messenger.ReadValue(ctx, ws, &report); err != nil {
 			return // the VM connects again
 		}
 		if err := report.Check(); err != nil {
@@ -220,7 +222,7 @@
 			return
 		case <-s.news:
 		}
-		if err := write(ctx, ws, h.news(s)); err != nil {
+		if err := messenger.WriteValue(ctx, ws, h.news(s)); err != nil {
 			_ = ws.CloseNow()
 			return
 		}
--- a/internal/peering/coordinator/message.go
+++ b/internal/peering/coordinator/message.go
@@ -6,26 +6,18 @@
 package coordinator
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"time"
 
-	"github.com/coder/websocket"
-	"github.com/fxamacker/cbor/v2"
-
 	"gentianstep.example/gentianstep/internal/caching/cataloguer"
 )
 
 // Path is where the hub takes the connections of the other VMs.
 const Path = "/v1/coordination"
 
-const (
-	// maxMessageBytes bounds one message; the full catalogue is the largest.
-	maxMessageBytes = 8 << 20
-	// writeTimeout bounds one write.
-	writeTimeout = time.Second
-)
+// maxMessageBytes bounds one message; the full catalogue is the largest.
+const maxMessageBytes = 8 << 20
 
 // Load is the work that VMs have at an upstream.
 type Load struct {
@@ -84,27 +76,3 @@
 	Engines []Engine        `cbor:"3,keyasint,omitempty"`
 	Cached  []Cached        `cbor:"4,keyasint,omitempty"`
 }
-
-func write(ctx context.Context, ws *websocket.Conn, message any) error {
-	data, err := cbor.Marshal(message)
-	if err != nil {
-		return fmt.Errorf("encode message: %w", err)
-	}
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-	defer cancel()
-	if err := ws.Write(ctx, websocket.MessageBinary, data); err != nil {
-		return fmt.Errorf("write to VM: %w", err)
-	}
-	return nil
-}
-
-func read(ctx context.Context, ws *websocket.Conn, message any) error {
-	_, data, err := ws.Read(ctx)
-	if err != nil {
-		return fmt.Errorf("read from VM: %w", err)
-	}
-	if err := cbor.Unmarshal(data, message); err != nil {
-		return fmt.Errorf("decode message: %w", err)
-	}
-	return nil
-}
--- a/internal/peering/coordinator/subscriber.go
+++ b/internal/peering/coordinator/subscriber.go
@@ -11,6 +11,8 @@
 
 	"github.com/coder/websocket"
 	"github.com/sirupsen/logrus"
+
+	"gentianstep.example/gentianstep/internal/peering/messenger"
 )
 
 const (
@@ -77,7 +79,7 @@
 	go s.runReports(ctx, cancel, ws, hub)
 	for {
 		var state State
-		if err := read(ctx, ws, &state); err != nil {
+		if err := messenger.ReadValue(ctx, ws, &state); err != nil {
 			return err
 		}
 		s.cfg.View.Take(time.Now(), state)
@@ -98,7 +100,7 @@
 		}
 		loads := s.cfg.Loads()
 		if !maps.Equal(loads, last) || !now.Before(aliveAt) {
-			if err := write(ctx, ws, Report{Node: s.cfg.Node, Loads: loads}); err != nil {
+			if err := messenger.WriteValue(ctx, ws, Report{Node: s.cfg.Node, Loads: loads}); err != nil {
 				return
 			}
 			last, aliveAt = loads, now.Add(aliveEvery)
--- a/internal/peering/coordinator/view.go
+++ b/internal/peering/coordinator/view.go
@@ -45,6 +45,8 @@
 	}
 	v.loads, v.loadsTill = s.Loads, now.Add(loadsFor)
 	for _, e := range s.Engines {
+		// Times travel as fractions of seconds, which are not exact.
+		e.StartedAt = e.StartedAt.Round(time.Millisecond)
 		v.engines[e.Upstream] = engineNews{Engine: e, changingTill: now.Add(changingFor)}
 	}
 	for _, c := range s.Cached {
--- a/internal/peering/exchanger/exchanger.go
+++ b/internal/peering/exchanger/exchanger.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -13,10 +12,10 @@
 	"time"
 
 	"github.com/coder/websocket"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
 	"gentianstep.example/gentianstep/internal/membership/informer"
+	"gentianstep.example/gentianstep/internal/peering/messenger"
 )
 
 // Path is where a VM answers the others.
@@ -115,11 +114,11 @@
 	}
 	defer func() { _ = ws.CloseNow() }()
 	ws.SetReadLimit(maxMessageBytes)
-	if err := write(ctx, ws, Ask{Revisions: e.cfg.Directory.Revisions()}); err != nil {
+	if err := messenger.WriteValue(ctx, ws, Ask{Revisions: e.cfg.Directory.Revisions()}); err != nil {
 		return Answer{}, err
 	}
 	var answer Answer
-	return answer, read(ctx, ws, &answer)
+	return answer, messenger.ReadValue(ctx, ws, &answer)
 }
 
 // ServeHTTP answers another VM.
@@ -133,40 +132,15 @@
 	ctx, cancel := context.WithTimeout(r.Context(), askTimeout)
 	defer cancel()
 	var ask Ask
-	if err := read(ctx, ws, &ask); err != nil {
+	if err := messenger.ReadValue(ctx, ws, &ask); err != nil {
 		return // the other VM has gone
 	}
-	if err := write(ctx, ws, Answer{Replicas: e.cfg.Directory.Newer(ask.Revisions)}); err != nil {
+	if err := messenger.WriteValue(ctx, ws, Answer{Replicas: e.cfg.Directory.Newer(ask.Revisions)}); err != nil {
 		return
 	}
 	_ = ws.Close(websocket.StatusNormalClosure, "")
 }
 
-func write(ctx context.Context, ws *websocket.Conn, message any) error {
-	data, err := cbor.Marshal(message)
-	if err != nil {
-		return fmt.Errorf("encode message: %w", err)
-	}
-	if err := ws.Write(ctx, websocket.MessageBinary, data); err != nil {
-		return fmt.Errorf("write to peer: %w", err)
-	}
-	return nil
-}
-
-func read(ctx context.Context, ws *websocket.Conn, message any) error {
-	kind, data, err := ws.Read(ctx)
-	if err != nil {
-		return fmt.Errorf("read from peer: %w", err)
-	}
-	if kind != websocket.MessageBinary {
-		return errors.New("read from peer: message is no CBOR")
-	}
-	if err := cbor.Unmarshal(data, message); err != nil {
-		return fmt.Errorf("decode message: %w", err)
-	}
-	return nil
-}
-
 // Others returns addresses without the own one and without repeats.
 func Others(own netip.AddrPort, addresses []netip.AddrPort) []netip.AddrPort {
 	var others []netip.AddrPort
--- /dev/null
+++ b/internal/peering/messenger/value.go
@@ -0,0 +1,38 @@
+package messenger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/coder/websocket"
+)
+
+// WriteValue sends v as one message.
+func WriteValue(ctx context.Context, ws *websocket.Conn, v any) error {
+	data, err := encoding.Marshal(v)
+	if err != nil {
+		return fmt.Errorf("encode message: %w", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	if err := ws.Write(ctx, websocket.MessageBinary, data); err != nil {
+		return fmt.Errorf("write to peer: %w", err)
+	}
+	return nil
+}
+
+// ReadValue reads the next message into v.
+func ReadValue(ctx context.Context, ws *websocket.Conn, v any) error {
+	kind, data, err := ws.Read(ctx)
+	if err != nil {
+		return fmt.Errorf("read from peer: %w", err)
+	}
+	if kind != websocket.MessageBinary {
+		return errors.New("read from peer: message is no CBOR")
+	}
+	if err := decoding.Unmarshal(data, v); err != nil {
+		return fmt.Errorf("decode message: %w", err)
+	}
+	return nil
+}
