Tell the hub which parts are being read; keep short prompts at their homes

Cause: a part shows in cache events only after it was read, so VMs that got the same long prompt at once sent it to different engines; and VMs that had not heard of each other's last requests all chose the same engine. Change: reports to the hub name parts that were sent; those count as held but not as a source of copies. Short prompts pay for leaving their home. Older weights cost nothing in the first second. Engines whose weights are due go first.

--- a/internal/caching/cataloguer/cataloguer.go
+++ b/internal/caching/cataloguer/cataloguer.go
@@ -12,6 +12,14 @@
 	ID    string
 }
 
+// Holding is how much of a part, or of leading parts, an upstream has.
+type Holding struct {
+	Tokens int
+	// Coming is true where it is about to read them, so that nothing can be
+	// copied from it yet.
+	Coming bool
+}
+
 // Catalogue is used by one goroutine at a time.
 type Catalogue struct {
 	holders map[Part]map[string]int
--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -183,7 +183,7 @@
 		prompt.Engine = picker.Engine{TokenBytes: engine.TokenBytes, LinkBytesPerSecond: engine.LinkBytesPerSecond}
 	}
 	least := uint64(0)
-	least, prompt.Newest = x.wantedWeights(now, model)
+	least, prompt.Due, prompt.Newest = x.wantedWeights(now, model)
 	q.Prompt = prompt
 	q.Usable = func(u *registrar.Upstream) bool {
 		version := view.Weights(u, model)
@@ -191,21 +191,34 @@
 	}
 }
 
-// weightsMargin is the part of the time for new weights after which older ones
-// are no longer used; the rest covers the way of a request to its first token.
-const weightsMargin = 0.8
+const (
+	// staleAfter is how long older weights are as good as the newest: until then
+	// few engines have those.
+	staleAfter = time.Second
+	// dueShare is the part of the time for new weights after which older ones
+	// are used only where there is nothing else.
+	dueShare = 0.45
+	// lateShare is the part after which they are no longer used; the rest covers
+	// the wait of a request at its engine.
+	lateShare = 0.75
+)
 
 // wantedWeights returns the oldest version of the weights that may begin a
-// request, and the newest that is wanted.
-func (x *exchange) wantedWeights(now time.Time, model string) (least, newest uint64) {
-	allowed := time.Duration(weightsMargin * float64(x.cfg.WeightsApply))
+// request, the newest that is due soon, and the newest that is wanted.
+func (x *exchange) wantedWeights(now time.Time, model string) (least, due, newest uint64) {
 	for _, w := range x.cfg.Directory.WantedWeights(model) {
-		newest = max(newest, w.Version)
-		if now.Sub(w.Since) >= allowed {
+		passed := now.Sub(w.Since)
+		if passed >= staleAfter {
+			newest = max(newest, w.Version)
+		}
+		if passed >= time.Duration(dueShare*float64(x.cfg.WeightsApply)) {
+			due = max(due, w.Version)
+		}
+		if passed >= time.Duration(lateShare*float64(x.cfg.WeightsApply)) {
 			least = max(least, w.Version)
 		}
 	}
-	return least, newest
+	return least, due, newest
 }
 
 // scope names the cache that the request may use: that of one version of the
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -91,6 +91,18 @@
 	return loads
 }
 
+// SentParts returns the shared parts that were sent to be read since the last
+// call.
+func (f *Forwarder) SentParts() []coordinator.Cached {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var sent []coordinator.Cached
+	for _, s := range f.picker.SentParts() {
+		sent = append(sent, coordinator.Cached{Upstream: s.Upstream, Scope: s.Part.Scope, ID: s.Part.ID, Tokens: s.Tokens})
+	}
+	return sent
+}
+
 // HoldsParts reports whether a scope is one whose cached parts are looked up.
 func HoldsParts(scope string) bool { return strings.Contains(scope, scopeVersion) }
 
--- a/internal/operating/starter/coordination.go
+++ b/internal/operating/starter/coordination.go
@@ -21,6 +21,7 @@
 			Node:   g.settings.Node,
 			Hub:    g.hubAddress,
 			Loads:  g.forward.Loads,
+			Sent:   g.forward.SentParts,
 			View:   g.view,
 			Client: &http.Client{Transport: newPatientTransport()},
 			Log:    g.log,
--- a/internal/operating/starter/gateway.go
+++ b/internal/operating/starter/gateway.go
@@ -198,6 +198,7 @@
 			OnLease:        g.hub.Reset,
 			OnChange:       g.engineChanged,
 			Loads:          g.engineLoads,
+			WeightsApply:   g.settings.Bounds.WeightsApply,
 			CheckedFencing: g.settings.Bounds.EnginesCheckFencing,
 			Log:            g.log,
 		}).Run,
--- a/internal/peering/coordinator/hub.go
+++ b/internal/peering/coordinator/hub.go
@@ -19,6 +19,9 @@
 	// pushEvery is the least time between two states to one VM. Loads change
 	// with every request, engines and caches a few times a second.
 	pushEvery = 60 * time.Millisecond
+	// comingFor is how long a part that was sent to be read is expected; the
+	// longest prompts take that long.
+	comingFor = 3 * time.Second
 	// reportSilence is how long a VM may be silent before its loads are void.
 	reportSilence = 2 * time.Second
 )
@@ -38,6 +41,8 @@
 	sessions  map[*session]struct{}
 	engines   map[string]Engine
 	catalogue *cataloguer.Catalogue
+	// coming holds until when parts are expected that were sent to be read.
+	coming map[Cached]time.Time
 }
 
 // session is the connection of one VM with what it has not been told yet.
@@ -48,7 +53,6 @@
 	first   bool
 	engines map[string]struct{}
 	cached  map[Cached]struct{}
-	sent    map[string]Load
 	// news holds one place, so that nothing waits for a slow VM.
 	news chan struct{}
 }
@@ -60,6 +64,7 @@
 		sessions:  make(map[*session]struct{}),
 		engines:   make(map[string]Engine),
 		catalogue: cataloguer.New(),
+		coming:    make(map[Cached]time.Time),
 	}
 }
 
@@ -70,6 +75,7 @@
 	defer h.mu.Unlock()
 	h.engines = make(map[string]Engine)
 	h.catalogue = cataloguer.New()
+	clear(h.coming)
 	for s := range h.sessions {
 		s.first = true
 		s.engines, s.cached = make(map[string]struct{}), make(map[Cached]struct{})
@@ -95,10 +101,32 @@
 func (h *Hub) SetCached(upstream string, part cataloguer.Part, tokens int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	delete(h.coming, Cached{Upstream: upstream, Scope: part.Scope, ID: part.ID})
 	h.catalogue.Put(upstream, part, tokens)
 	h.mark(upstream, part)
 }
 
+// expect notes parts that were sent to be read, and drops those that did not
+// come.
+func (h *Hub) expect(now time.Time, sent []Cached) {
+	for c, until := range h.coming {
+		if now.After(until) {
+			delete(h.coming, c)
+			h.catalogue.Put(c.Upstream, c.part(), 0)
+			h.mark(c.Upstream, c.part())
+		}
+	}
+	for _, c := range sent {
+		key := Cached{Upstream: c.Upstream, Scope: c.Scope, ID: c.ID}
+		if _, expected := h.coming[key]; !expected && h.catalogue.Tokens(c.Upstream, c.part()) >= c.Tokens {
+			continue // held already
+		}
+		h.coming[key] = now.Add(comingFor)
+		h.catalogue.Put(c.Upstream, c.part(), c.Tokens)
+		h.mark(c.Upstream, c.part())
+	}
+}
+
 // Forget notes that an upstream holds nothing any more.
 func (h *Hub) Forget(upstream string) {
 	h.mu.Lock()
@@ -201,6 +229,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s.node, s.heardAt = r.Node, time.Now()
+	h.expect(s.heardAt, r.Sent)
 	if maps.Equal(s.loads, r.Loads) {
 		return
 	}
@@ -252,6 +281,7 @@
 		state.Engines = append(state.Engines, h.engines[id])
 	}
 	for c := range s.cached {
+		_, c.Coming = h.coming[c]
 		c.Tokens = h.catalogue.Tokens(c.Upstream, c.part())
 		state.Cached = append(state.Cached, c)
 	}
--- a/internal/peering/coordinator/message.go
+++ b/internal/peering/coordinator/message.go
@@ -39,6 +39,9 @@
 
 // Cached tells how much of a part an upstream holds.
 type Cached struct {
+	// Coming parts were sent to the upstream and are not known to be read yet;
+	// nothing can be copied from there.
+	Coming   bool   `cbor:"5,keyasint,omitempty"`
 	Upstream string `cbor:"1,keyasint"`
 	Scope    string `cbor:"2,keyasint"`
 	ID       string `cbor:"3,keyasint"`
@@ -52,6 +55,8 @@
 type Report struct {
 	Node  string          `cbor:"1,keyasint"`
 	Loads map[string]Load `cbor:"2,keyasint,omitempty"`
+	// Sent lists the parts that were sent to be read since the last report.
+	Sent []Cached `cbor:"3,keyasint,omitempty"`
 }
 
 // Check reports the first fault of a report.
--- a/internal/peering/coordinator/subscriber.go
+++ b/internal/peering/coordinator/subscriber.go
@@ -32,7 +32,9 @@
 	// Hub returns the address of the hub, false while none is known.
 	Hub func() (netip.AddrPort, bool)
 	// Loads returns what this VM has in flight.
-	Loads  func() map[string]Load
+	Loads func() map[string]Load
+	// Sent returns the parts that were sent to be read since the last call.
+	Sent   func() []Cached
 	View   *View
 	Client *http.Client
 	Log    *logrus.Entry
@@ -98,9 +100,9 @@
 		if current, ok := s.cfg.Hub(); !ok || current != hub {
 			return
 		}
-		loads := s.cfg.Loads()
-		if !maps.Equal(loads, last) || !now.Before(aliveAt) {
-			if err := messenger.WriteValue(ctx, ws, Report{Node: s.cfg.Node, Loads: loads}); err != nil {
+		loads, sent := s.cfg.Loads(), s.cfg.Sent()
+		if !maps.Equal(loads, last) || len(sent) > 0 || !now.Before(aliveAt) {
+			if err := messenger.WriteValue(ctx, ws, Report{Node: s.cfg.Node, Loads: loads, Sent: sent}); err != nil {
 				return
 			}
 			last, aliveAt = loads, now.Add(aliveEvery)
--- a/internal/peering/coordinator/view.go
+++ b/internal/peering/coordinator/view.go
@@ -23,6 +23,7 @@
 	loadsTill time.Time
 	engines   map[string]engineNews
 	catalogue *cataloguer.Catalogue
+	coming    map[Cached]struct{}
 }
 
 type engineNews struct {
@@ -32,7 +33,7 @@
 
 // NewView returns a View that has heard nothing.
 func NewView() *View {
-	return &View{engines: make(map[string]engineNews), catalogue: cataloguer.New()}
+	return &View{engines: make(map[string]engineNews), catalogue: cataloguer.New(), coming: make(map[Cached]struct{})}
 }
 
 // Take takes a message of the hub.
@@ -42,6 +43,7 @@
 	if s.First {
 		v.engines = make(map[string]engineNews)
 		v.catalogue = cataloguer.New()
+		clear(v.coming)
 	}
 	v.loads, v.loadsTill = s.Loads, now.Add(loadsFor)
 	for _, e := range s.Engines {
@@ -51,6 +53,11 @@
 	}
 	for _, c := range s.Cached {
 		v.catalogue.Put(c.Upstream, c.part(), c.Tokens)
+		key := Cached{Upstream: c.Upstream, Scope: c.Scope, ID: c.ID}
+		delete(v.coming, key)
+		if c.Coming {
+			v.coming[key] = struct{}{}
+		}
 	}
 }
 
@@ -108,14 +115,15 @@
 	v.engines[u.ID] = e
 }
 
-// Holders returns how much of a part each upstream holds.
-func (v *View) Holders(part cataloguer.Part) map[string]int {
+// Holders returns how much of a part each upstream holds or is about to read.
+func (v *View) Holders(part cataloguer.Part) map[string]cataloguer.Holding {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	holders := v.catalogue.Holders(part)
-	copied := make(map[string]int, len(holders))
+	holdings := make(map[string]cataloguer.Holding, len(holders))
 	for upstream, tokens := range holders {
-		copied[upstream] = tokens
+		_, coming := v.coming[Cached{Upstream: upstream, Scope: part.Scope, ID: part.ID}]
+		holdings[upstream] = cataloguer.Holding{Tokens: tokens, Coming: coming}
 	}
-	return copied
+	return holdings
 }
--- a/internal/placement/upgrader/upgrader.go
+++ b/internal/placement/upgrader/upgrader.go
@@ -33,6 +33,10 @@
 	// noticeLead is the time in which the other VMs hear of an order before its
 	// engine does, so that they send it nothing that it would refuse.
 	noticeLead = 80 * time.Millisecond
+	// dueDivisor is the part of the time for new weights after which an engine
+	// goes first, duePrecedence the requests in flight that this is worth.
+	dueDivisor    = 3
+	duePrecedence = 1000
 	// loadShare is the part of the engines that load at once.
 	loadShare = 4
 )
@@ -41,6 +45,8 @@
 type Directory interface {
 	Engines() []*registrar.Upstream
 	Wanted() map[string]informer.Weights
+	// WantedWeights returns the versions that were wanted, the newest last.
+	WantedWeights(model string) []informer.Weights
 }
 
 // Holder tells whether this VM holds the lease.
@@ -61,6 +67,8 @@
 	Loads func() map[string]int
 	// OnLease is called when this VM has taken the lease.
 	OnLease func()
+	// WeightsApply is the longest time to bring engines to a new version.
+	WeightsApply time.Duration
 	// CheckedFencing is true where engines refuse old fencing numbers.
 	CheckedFencing bool
 	Log            *logrus.Entry
@@ -217,6 +225,9 @@
 	for _, u := range engines {
 		e := g.engine(now, u)
 		e.Load = loads[u.ID]
+		if g.due(now, u) {
+			e.Load -= duePrecedence
+		}
 		in.Engines = append(in.Engines, e)
 	}
 	return in
@@ -237,6 +248,18 @@
 	return strconv.FormatUint(newest, 10)
 }
 
+// due reports whether an engine lacks a version whose time is running out.
+func (g *Upgrader) due(now time.Time, u *registrar.Upstream) bool {
+	for model, version := range g.weights(u) {
+		for _, w := range g.cfg.Directory.WantedWeights(model) {
+			if w.Version > version && now.Sub(w.Since) > g.cfg.WeightsApply/dueDivisor {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (g *Upgrader) engine(now time.Time, u *registrar.Upstream) planner.Engine {
 	o := g.observe(u)
 	e := planner.Engine{
--- a/internal/routing/picker/estimate.go
+++ b/internal/routing/picker/estimate.go
@@ -20,6 +20,10 @@
 	// another engine holds it: five times the time that it takes, since it is
 	// paid for and delays others too.
 	recomputePerToken = 5 * readPerToken
+	// strayPerToken is the price of a short prompt's shared token away from its
+	// home. It also keeps VMs that have not heard of each other's last requests
+	// from sending all of theirs to the one engine that looked best.
+	strayPerToken = 5 * recomputePerToken
 	// serveTime is the time for which a request holds a slot, as far as those
 	// that wait for one are concerned.
 	serveTime = 400 * time.Millisecond
@@ -31,11 +35,14 @@
 	regionDistance = 20 * time.Millisecond
 	regionPerKB    = 1500 * time.Microsecond
 	// stalePrice is what older weights cost while newer ones are wanted.
-	stalePrice = 150 * time.Millisecond
+	stalePrice = 60 * time.Millisecond
+	// duePrice is the price of weights that have to be replaced soon: a request
+	// that waits at the engine may begin too late.
+	duePrice = 2 * time.Second
 	// faultPrice is the price of an upstream that fails each request.
 	faultPrice = 400 * time.Millisecond
 	// homeBonus lets VMs agree on an upstream that is to read a shared prompt.
-	homeBonus = 100 * time.Millisecond
+	homeBonus = 150 * time.Millisecond
 	// leastFetch is the number of tokens from which on a copy is worth its call.
 	leastFetch = 1024
 	// fetchSetup is the time that a copy takes beside its bytes.
@@ -57,11 +64,11 @@
 	query   Query
 	byID    map[string]*registrar.Upstream
 	home    *registrar.Upstream
-	holders map[uint64]map[string]int
+	holders map[uint64]map[string]cataloguer.Holding
 }
 
 func newEstimate(now time.Time, p *Picker, q Query, candidates []*registrar.Upstream) *estimate {
-	e := &estimate{now: now, picker: p, query: q, holders: make(map[uint64]map[string]int)}
+	e := &estimate{now: now, picker: p, query: q, holders: make(map[uint64]map[string]cataloguer.Holding)}
 	if q.Prompt == nil || len(q.Prompt.Shared) == 0 {
 		return e
 	}
@@ -137,7 +144,10 @@
 	prompt := e.query.Prompt
 	c.Costs.Queue += time.Duration(load.PromptTokens) * readPerToken
 	c.Weights = prompt.Weights(u)
-	if c.Weights < prompt.Newest {
+	switch {
+	case c.Weights < prompt.Due:
+		c.Costs.Stale = duePrice
+	case c.Weights < prompt.Newest:
 		c.Costs.Stale = stalePrice
 	}
 	shared := prompt.SharedTokens()
@@ -150,7 +160,7 @@
 		missing -= shared
 		c.Reason = PrefixHome
 	default:
-		c.Costs.Recompute = time.Duration(shared) * recomputePerToken
+		c.Costs.Recompute = time.Duration(shared) * strayPerToken
 	}
 	c.PromptTokens = max(missing, 0)
 	c.Costs.Prefill = time.Duration(c.PromptTokens) * readPerToken
@@ -161,17 +171,18 @@
 func (e *estimate) priceLong(u *registrar.Upstream, shared int, c *Choice) int {
 	c.Scope = e.query.Prompt.Scope(c.Weights)
 	holders := e.held(c.Weights, c.Scope)
-	own := min(holders[u.ID], shared)
-	source, most := e.source(u, holders)
-	most = min(most, shared)
+	own := min(holders[u.ID].Tokens, shared)
+	source, copied := e.source(u, holders)
+	most := min(mostHeld(holders), shared)
+	copied = min(copied, shared)
 	if own > 0 {
 		c.Reason = PrefixHeld
 	}
-	if most-own >= leastFetch && source != nil {
-		if took := e.fetch(u, source, most-own); took <= longestFetch {
+	if copied-own >= leastFetch && source != nil {
+		if took := e.fetch(u, source, copied-own); took <= longestFetch {
 			c.Costs.Fetch = took
 			c.Source, c.Reason = source, PrefixFetch
-			return most
+			return copied
 		}
 	}
 	if most > own {
@@ -187,26 +198,41 @@
 
 // held returns how many leading tokens of the prompt each upstream holds, or
 // will hold from what this VM has sent there.
-func (e *estimate) held(version uint64, scope string) map[string]int {
+func (e *estimate) held(version uint64, scope string) map[string]cataloguer.Holding {
 	if holders, ok := e.holders[version]; ok {
 		return holders
 	}
 	prompt := e.query.Prompt
-	holders := make(map[string]int)
+	holders := make(map[string]cataloguer.Holding)
 	for i, part := range prompt.Shared {
-		for id, tokens := range prompt.Holders(cataloguer.Part{Scope: scope, ID: part.ID}) {
-			if i == 0 || holders[id] == leading(prompt.Shared[:i]) {
-				holders[id] += min(tokens, part.Tokens)
+		for id, h := range prompt.Holders(cataloguer.Part{Scope: scope, ID: part.ID}) {
+			before := holders[id]
+			if i == 0 || before.Tokens == leading(prompt.Shared[:i]) {
+				holders[id] = cataloguer.Holding{
+					Tokens: before.Tokens + min(h.Tokens, part.Tokens),
+					Coming: before.Coming || h.Coming,
+				}
 			}
 		}
 	}
 	if sent, ok := e.picker.sent[scope+"\x00"+prompt.Shared[0].ID]; ok && e.now.Before(sent.until) {
-		holders[sent.upstream] = max(holders[sent.upstream], prompt.Shared[0].Tokens)
+		if holders[sent.upstream].Tokens == 0 {
+			holders[sent.upstream] = cataloguer.Holding{Tokens: prompt.SharedTokens(), Coming: true}
+		}
 	}
 	e.holders[version] = holders
 	return holders
 }
 
+// mostHeld returns the longest leading part that an upstream has.
+func mostHeld(holders map[string]cataloguer.Holding) int {
+	most := 0
+	for _, h := range holders {
+		most = max(most, h.Tokens)
+	}
+	return most
+}
+
 func leading(parts []SharedPart) int {
 	total := 0
 	for _, part := range parts {
@@ -217,16 +243,16 @@
 
 // source returns the upstream beside u from which most can be copied, the
 // nearest of equals.
-func (e *estimate) source(u *registrar.Upstream, holders map[string]int) (*registrar.Upstream, int) {
+func (e *estimate) source(u *registrar.Upstream, holders map[string]cataloguer.Holding) (*registrar.Upstream, int) {
 	var best *registrar.Upstream
 	most := 0
-	for id, tokens := range holders {
+	for id, h := range holders {
 		other := e.byID[id]
-		if id == u.ID || other == nil {
+		if id == u.ID || other == nil || h.Coming {
 			continue
 		}
-		if best == nil || tokens > most || tokens == most && e.nearer(u, other, best) {
-			best, most = other, tokens
+		if best == nil || h.Tokens > most || h.Tokens == most && e.nearer(u, other, best) {
+			best, most = other, h.Tokens
 		}
 	}
 	return best, most
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"gentianstep.example/gentianstep/internal/caching/cataloguer"
 	"gentianstep.example/gentianstep/internal/membership/registrar"
 )
 
@@ -38,6 +39,8 @@
 	// sentFor is how long a prompt's home is remembered after a send, until the
 	// cache events show it.
 	sentFor = 1500 * time.Millisecond
+	// maxNews bounds the sent parts that nobody has asked for.
+	maxNews = 1024
 )
 
 // Config holds what a Picker is built from.
@@ -70,6 +73,15 @@
 	rng    *rand.Rand
 	states map[string]*state
 	sent   map[string]sentPart
+	// news lists what was sent to be read since SentParts was called.
+	news []SentPart
+}
+
+// SentPart is a shared part that was sent to an upstream to be read.
+type SentPart struct {
+	Upstream string
+	Part     cataloguer.Part
+	Tokens   int
 }
 
 // New returns a Picker that knows no upstream.
@@ -168,6 +180,11 @@
 	if q.Prompt == nil || !q.Prompt.Long() {
 		return
 	}
+	if len(p.news) < maxNews {
+		for _, part := range q.Prompt.Shared {
+			p.news = append(p.news, SentPart{c.Upstream.ID, cataloguer.Part{Scope: c.Scope, ID: part.ID}, part.Tokens})
+		}
+	}
 	p.sent[c.Scope+"\x00"+q.Prompt.Shared[0].ID] = sentPart{c.Upstream.ID, now.Add(sentFor)}
 	for key, part := range p.sent {
 		if now.After(part.until) {
@@ -176,6 +193,13 @@
 	}
 }
 
+// SentParts returns the parts that were sent to be read since the last call.
+func (p *Picker) SentParts() []SentPart {
+	news := p.news
+	p.news = nil
+	return news
+}
+
 // Begun notes that an upstream has read the prompt of a request.
 func (p *Picker) Begun(c Choice) { p.state(c.Upstream.ID).load.PromptTokens -= c.PromptTokens }
 
--- a/internal/routing/picker/query.go
+++ b/internal/routing/picker/query.go
@@ -23,12 +23,14 @@
 	Tokens int
 	// Weights returns the version of the weights at an upstream.
 	Weights func(*registrar.Upstream) uint64
-	// Newest is the newest version that is wanted.
+	// Newest is the newest version that is wanted, Due the newest whose time
+	// to be everywhere is half over.
 	Newest uint64
+	Due    uint64
 	// Scope names the cache of a version that the request may use.
 	Scope func(version uint64) string
 	// Holders returns how much of a part each upstream holds.
-	Holders func(cataloguer.Part) map[string]int
+	Holders func(cataloguer.Part) map[string]cataloguer.Holding
 	Engine  Engine
 }
 
