Reload settings; hand log lines to a ring

Cause: SIGHUP ended the process, and a slow reader of the log could hold up requests. Change: settings are read again at SIGHUP and when the file has changed; log lines go through a ring that drops and counts what finds no room.

--- a/cmd/gentianstep/gateway.go
+++ b/cmd/gentianstep/gateway.go
@@ -8,6 +8,7 @@
 
 	"github.com/integrii/flaggy"
 
+	"gentianstep.example/gentianstep/internal/operating/configurer"
 	"gentianstep.example/gentianstep/internal/operating/logger"
 	"gentianstep.example/gentianstep/internal/operating/starter"
 	"gentianstep.example/gentianstep/platform"
@@ -26,8 +27,15 @@
 		if err != nil {
 			return err
 		}
+		lines := logger.NewRing(os.Stdout)
+		logging, stopLogging := context.WithCancel(context.WithoutCancel(ctx))
+		go lines.Run(logging)
+		defer func() {
+			stopLogging()
+			lines.Wait()
+		}()
 		log, err := logger.New(logger.Config{
-			Output:  os.Stdout,
+			Output:  lines,
 			Format:  "json",
 			Level:   "info",
 			Node:    settings.Node,
@@ -42,6 +50,7 @@
 			OperatorPrefix: platform.OperatorPrefix,
 			UpstreamPrefix: platform.UpstreamPrefix,
 			ReadyPath:      platform.ReadyPath,
+			LoadSettings:   func() (*configurer.VMSettings, error) { return platform.LoadSettings(path) },
 			NewStore: func(address netip.AddrPort, client *http.Client) starter.Store {
 				return platform.NewClient(platform.ClientConfig{Address: address, HTTP: client})
 			},
--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -206,15 +206,16 @@
 // wantedWeights returns the oldest version of the weights that may begin a
 // request, the newest that is due soon, and the newest that is wanted.
 func (x *exchange) wantedWeights(now time.Time, model string) (least, due, newest uint64) {
+	apply := float64(x.weightsApply.Load())
 	for _, w := range x.cfg.Directory.WantedWeights(model) {
 		passed := now.Sub(w.Since)
 		if passed >= staleAfter {
 			newest = max(newest, w.Version)
 		}
-		if passed >= time.Duration(dueShare*float64(x.cfg.WeightsApply)) {
+		if passed >= time.Duration(dueShare*apply) {
 			due = max(due, w.Version)
 		}
-		if passed >= time.Duration(lateShare*float64(x.cfg.WeightsApply)) {
+		if passed >= time.Duration(lateShare*apply) {
 			least = max(least, w.Version)
 		}
 	}
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -50,9 +50,11 @@
 
 // Forwarder implements http.Handler.
 type Forwarder struct {
-	cfg      Config
-	vms      atomic.Int64
-	stopping atomic.Bool
+	cfg Config
+	vms atomic.Int64
+	// weightsApply is the longest time for which older weights may be used.
+	weightsApply atomic.Int64
+	stopping     atomic.Bool
 
 	mu     sync.Mutex
 	picker *picker.Picker
@@ -69,6 +71,7 @@
 		lines:  make(map[string]*line),
 	}
 	f.vms.Store(1)
+	f.weightsApply.Store(int64(cfg.WeightsApply))
 	return f
 }
 
@@ -80,6 +83,14 @@
 	f.budget.SetVMs(n)
 }
 
+// SetBounds puts changed bounds into force.
+func (f *Forwarder) SetBounds(budget budgeter.Config, weightsApply time.Duration) {
+	f.weightsApply.Store(int64(weightsApply))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.budget.SetConfig(budget)
+}
+
 // Loads returns what this VM has in flight.
 func (f *Forwarder) Loads() map[string]coordinator.Load {
 	f.mu.Lock()
--- /dev/null
+++ b/internal/operating/logger/ring_test.go
@@ -0,0 +1,60 @@
+package logger_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+
+	"gentianstep.example/gentianstep/internal/operating/logger"
+)
+
+func TestRingNeverBlocksOnASilentReader(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		reader, writer := io.Pipe()
+		ring := logger.NewRing(writer)
+		ctx, cancel := context.WithCancel(t.Context())
+		go ring.Run(ctx)
+		const lines = 5000
+		for i := range lines {
+			n, err := fmt.Fprintf(ring, "line %d\n", i) // nobody reads yet
+			is.NoErr(err)
+			is.True(n > 0)
+		}
+		cancel()
+		var out bytes.Buffer
+		go func() {
+			ring.Wait()
+			_ = writer.Close()
+		}()
+		_, err := io.Copy(&out, reader)
+		is.NoErr(err)
+		kept := strings.Count(out.String(), "line ")
+		is.True(kept > 1000)                                                           // those that had room
+		is.True(kept < lines)                                                          // the others were dropped
+		is.True(strings.Contains(out.String(), fmt.Sprintf(`"lines":%d`, lines-kept))) // and counted
+		is.True(strings.HasPrefix(out.String(), "line 0\n"))                           // in order
+		is.True(strings.Contains(out.String(), `"event":"log_lines_dropped"`))         // with a line that tells
+	})
+}
+
+func TestRingWritesWhatWaitsAtTheEnd(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	var out bytes.Buffer
+	ring := logger.NewRing(&out)
+	_, err := ring.Write([]byte("last words\n"))
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	ring.Run(ctx)
+	ring.Wait()
+	is.Equal(out.String(), "last words\n")
+}
--- a/internal/operating/starter/coordination.go
+++ b/internal/operating/starter/coordination.go
@@ -18,7 +18,7 @@
 func (g *gateway) coordination() []func(context.Context) {
 	return []func(context.Context){
 		coordinator.NewSubscriber(coordinator.SubscriberConfig{
-			Node:   g.settings.Node,
+			Node:   g.settings.Load().Node,
 			Hub:    g.hubAddress,
 			Loads:  g.forward.Loads,
 			Sent:   g.forward.SentParts,
--- a/internal/operating/starter/gateway.go
+++ b/internal/operating/starter/gateway.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -26,7 +27,6 @@
 	"gentianstep.example/gentianstep/internal/placement/leaser"
 	"gentianstep.example/gentianstep/internal/placement/upgrader"
 	"gentianstep.example/gentianstep/internal/platform/storer"
-	"gentianstep.example/gentianstep/internal/routing/budgeter"
 	"gentianstep.example/gentianstep/internal/routing/picker"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
 )
@@ -81,6 +81,8 @@
 	OperatorPrefix string
 	UpstreamPrefix string
 	ReadyPath      string
+	// LoadSettings reads the settings again.
+	LoadSettings func() (*configurer.VMSettings, error)
 	// NewStore returns a client of the platform's store.
 	NewStore func(address netip.AddrPort, client *http.Client) Store
 	// NewEngines returns a client of engines.
@@ -101,19 +103,21 @@
 
 // gateway is a VM's one process on a platform, with its parts.
 type gateway struct {
-	settings *configurer.VMSettings
-	platform Platform
-	log      *logrus.Entry
-	meter    *meter.Meter
-	inform   *informer.Informer
-	forward  *forwarder.Forwarder
-	store    Store
-	exchange *exchanger.Exchanger
-	lease    *leaser.Leaser
-	hub      *coordinator.Hub
-	view     *coordinator.View
-	engines  Engines
-	gate     gate
+	settings atomic.Pointer[configurer.VMSettings]
+	// reloadError is the failure of the last reload, empty for none.
+	reloadError string
+	platform    Platform
+	log         *logrus.Entry
+	meter       *meter.Meter
+	inform      *informer.Informer
+	forward     *forwarder.Forwarder
+	store       Store
+	exchange    *exchanger.Exchanger
+	lease       *leaser.Leaser
+	hub         *coordinator.Hub
+	view        *coordinator.View
+	engines     Engines
+	gate        gate
 }
 
 // Gateway serves clients on a platform's VM until ctx ends and its requests
@@ -128,7 +132,8 @@
 }
 
 func newGateway(settings *configurer.VMSettings, p Platform, log *logrus.Entry) *gateway {
-	g := &gateway{settings: settings, platform: p, log: log, meter: meter.New()}
+	g := &gateway{platform: p, log: log, meter: meter.New()}
+	g.settings.Store(settings)
 	g.store = p.NewStore(settings.Store.Address, &http.Client{Transport: newPatientTransport()})
 	g.inform = informer.New(informer.Config{
 		Codec:           p.Codec,
@@ -152,11 +157,7 @@
 			Regions:          settings.Regions,
 			Seed:             seedOf(settings.Node),
 		},
-		Budget: budgeter.Config{
-			Ratio:  settings.Bounds.RetryRatio,
-			Extra:  settings.Bounds.RetryExtra,
-			Window: settings.Bounds.RetryWindow,
-		},
+		Budget:       budgetOf(settings),
 		WeightsApply: settings.Bounds.WeightsApply,
 		Meter:        g.meter,
 		Log:          log,
@@ -185,30 +186,32 @@
 
 // loops returns what runs beside the servers.
 func (g *gateway) loops() []func(context.Context) {
+	settings := g.settings.Load()
 	loops := []func(context.Context){
 		g.inform.Run,
 		g.exchange.Run,
 		g.lease.Run,
 		g.loopCount,
+		g.loopReload,
 		upgrader.New(upgrader.Config{
-			Node:           g.settings.Node,
+			Node:           settings.Node,
 			Directory:      g.inform,
 			Lease:          g.lease,
 			Engines:        g.engines,
 			OnLease:        g.hub.Reset,
 			OnChange:       g.engineChanged,
 			Loads:          g.engineLoads,
-			WeightsApply:   g.settings.Bounds.WeightsApply,
-			CheckedFencing: g.settings.Bounds.EnginesCheckFencing,
+			WeightsApply:   settings.Bounds.WeightsApply,
+			CheckedFencing: settings.Bounds.EnginesCheckFencing,
 			Log:            g.log,
 		}).Run,
 		announcer.New(announcer.Config{
 			Store: g.store,
-			Key:   vmPrefix + g.settings.Node,
+			Key:   vmPrefix + settings.Node,
 			VM: announcer.VM{
-				Node:             g.settings.Node,
-				AvailabilityZone: g.settings.AvailabilityZone,
-				PeerAddress:      g.settings.PeerAddress,
+				Node:             settings.Node,
+				AvailabilityZone: settings.AvailabilityZone,
+				PeerAddress:      settings.PeerAddress,
 			},
 			Log: g.log,
 		}).Run,
@@ -229,7 +232,8 @@
 // run serves until ctx ends, then stops in order: the balancer is told, what
 // still comes is answered, and open requests end.
 func (g *gateway) run(ctx context.Context) error {
-	clients, err := g.listen(ctx, g.settings.ClientAddress, g.forward)
+	settings := g.settings.Load()
+	clients, err := g.listen(ctx, settings.ClientAddress, g.forward)
 	if err != nil {
 		return err
 	}
@@ -251,9 +255,9 @@
 		address netip.AddrPort
 		handler http.Handler
 	}{
-		{g.settings.ReadyAddress, http.HandlerFunc(g.serveReady)},
-		{g.settings.PeerAddress, g.peerHandler()},
-		{g.settings.MetricsAddress, g.meter},
+		{settings.ReadyAddress, http.HandlerFunc(g.serveReady)},
+		{settings.PeerAddress, g.peerHandler()},
+		{settings.MetricsAddress, g.meter},
 	}
 	for _, o := range others {
 		s, err := g.listen(ctx, o.address, o.handler)
@@ -270,8 +274,8 @@
 	}
 	g.log.WithFields(logrus.Fields{
 		"event":             "started",
-		"client_address":    g.settings.ClientAddress.String(),
-		"availability_zone": g.settings.AvailabilityZone,
+		"client_address":    settings.ClientAddress.String(),
+		"availability_zone": settings.AvailabilityZone,
 	}).Info("gateway started")
 	group.Go(func() error {
 		select {
@@ -292,7 +296,7 @@
 
 // stop lets the balancer go, then waits for open requests.
 func (g *gateway) stop(clients *http.Server) {
-	deadline := time.Now().Add(g.settings.Bounds.StopGrace - stopMargin)
+	deadline := time.Now().Add(g.settings.Load().Bounds.StopGrace - stopMargin)
 	g.gate.stopping.Store(true)
 	g.forward.Stop()
 	g.log.WithField("event", "stopping").Info("gateway stops")
@@ -342,7 +346,8 @@
 	for _, vm := range g.vms() {
 		addresses = append(addresses, vm.PeerAddress)
 	}
-	return exchanger.Others(g.settings.PeerAddress, append(addresses, g.settings.SeedPeers...))
+	settings := g.settings.Load()
+	return exchanger.Others(settings.PeerAddress, append(addresses, settings.SeedPeers...))
 }
 
 func (g *gateway) vms() []announcer.VM {
--- a/internal/routing/budgeter/budgeter.go
+++ b/internal/routing/budgeter/budgeter.go
@@ -46,6 +46,15 @@
 // SetVMs sets the number of VMs that share the budget.
 func (b *Budgeter) SetVMs(n int) { b.vms = max(n, 1) }
 
+// SetConfig puts other bounds into force. What was counted is forgotten where
+// the window has another length.
+func (b *Budgeter) SetConfig(cfg Config) {
+	if cfg.Window != b.cfg.Window {
+		clear(b.services)
+	}
+	b.cfg = cfg
+}
+
 // Request counts a request for a service.
 func (b *Budgeter) Request(now time.Time, service string) {
 	w := b.window(now, service)
