Copy cache from the store and save to it

Cause: engines keep a prompt for some 4 s at the worst load and it is asked for again after 8 s, so 60 of 100 long prompts were read whole. Change: the store counts as a holder with its own link; engines of its region save what they read.

--- a/internal/gateway/forwarder/dialect.go
+++ b/internal/gateway/forwarder/dialect.go
@@ -54,7 +54,9 @@
 	// Weights is the only version that may run the request; 0 allows any.
 	Weights uint64
 	// FetchFrom is an engine or store to copy kept cache from; invalid for none.
-	FetchFrom   netip.AddrPort
+	FetchFrom netip.AddrPort
+	// SaveTo is a store to copy what was read to; invalid for none.
+	SaveTo      netip.AddrPort
 	ResumeAfter string
 }
 
--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -142,7 +142,11 @@
 		BodyBytes: len(x.body),
 		Others: func(id string) picker.Load {
 			load := x.cfg.View.Load(now, id)
-			return picker.Load{InFlight: load.InFlight, PromptTokens: load.PromptTokens}
+			return picker.Load{
+				InFlight:     load.InFlight,
+				PromptTokens: load.PromptTokens,
+				Copying:      time.Duration(load.CopyingMillis) * time.Millisecond,
+			}
 		},
 	}
 	if len(q.Upstreams) > 0 {
@@ -182,6 +186,7 @@
 	if engine := x.configuration.Services[x.service].Engine; engine != nil {
 		prompt.Engine = picker.Engine{TokenBytes: engine.TokenBytes, LinkBytesPerSecond: engine.LinkBytesPerSecond}
 	}
+	prompt.Stores = stores(x.configuration)
 	least := uint64(0)
 	least, prompt.Due, prompt.Newest = x.wantedWeights(now, model)
 	q.Prompt = prompt
@@ -191,6 +196,22 @@
 	}
 }
 
+// stores lists the stores of kept cache of a configuration.
+func stores(c *matcher.Configuration) []picker.Store {
+	var list []picker.Store
+	for _, s := range c.Services {
+		if s.KeptCache.IsValid() {
+			list = append(list, picker.Store{
+				ID:                 s.KeptCache.String(),
+				Address:            s.KeptCache,
+				AvailabilityZone:   s.AvailabilityZone,
+				LinkBytesPerSecond: s.LinkBytesPerSecond,
+			})
+		}
+	}
+	return list
+}
+
 const (
 	// staleAfter is how long older weights are as good as the newest: until then
 	// few engines have those.
@@ -255,6 +276,9 @@
 	if x.choice.Source != nil {
 		send.FetchFrom = x.choice.Source.Address
 	}
+	if x.choice.Save != nil {
+		send.SaveTo = x.choice.Save.Address
+	}
 	if x.organisation != nil {
 		send.Organisation = x.organisation.Name
 	}
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -97,7 +97,11 @@
 	defer f.mu.Unlock()
 	loads := make(map[string]coordinator.Load)
 	for id, load := range f.picker.Loads() {
-		loads[id] = coordinator.Load{InFlight: load.InFlight, PromptTokens: max(load.PromptTokens, 0)}
+		loads[id] = coordinator.Load{
+			InFlight:      load.InFlight,
+			PromptTokens:  max(load.PromptTokens, 0),
+			CopyingMillis: int(max(load.Copying, 0).Milliseconds()),
+		}
 	}
 	return loads
 }
--- a/internal/gateway/forwarder/log.go
+++ b/internal/gateway/forwarder/log.go
@@ -51,6 +51,9 @@
 	if x.choice.Source != nil {
 		fields["source"] = x.choice.Source.ID
 	}
+	if x.choice.Save != nil {
+		fields["save"] = x.choice.Save.ID
+	}
 	if x.events > 0 {
 		fields["events"] = x.events
 		fields["first_event_ms"] = x.firstByteAt.Sub(x.arrivedAt).Milliseconds()
--- a/internal/operating/starter/coordination.go
+++ b/internal/operating/starter/coordination.go
@@ -28,7 +28,7 @@
 		}).Run,
 		listener.New(listener.Config{
 			Active:  g.leads,
-			Engines: g.inform.Engines,
+			Engines: g.cacheHolders,
 			Source:  g.engines,
 			Sink:    g.hub,
 			Wanted:  func(e listener.Event) bool { return forwarder.HoldsParts(e.Part.Scope) },
@@ -84,3 +84,23 @@
 	}
 	return loads
 }
+
+// cacheHolders returns the engines and the stores of kept cache.
+func (g *gateway) cacheHolders() []*registrar.Upstream {
+	holders := g.inform.Engines()
+	m := g.inform.Matcher()
+	if m == nil {
+		return holders
+	}
+	for _, s := range m.Configuration().Services {
+		if s.KeptCache.IsValid() {
+			holders = append(holders, &registrar.Upstream{
+				ID:               s.KeptCache.String(),
+				Service:          s.Name,
+				Address:          s.KeptCache,
+				AvailabilityZone: s.AvailabilityZone,
+			})
+		}
+	}
+	return holders
+}
--- a/internal/peering/coordinator/hub.go
+++ b/internal/peering/coordinator/hub.go
@@ -168,6 +168,7 @@
 			sum := totals[upstream]
 			sum.InFlight += load.InFlight
 			sum.PromptTokens += load.PromptTokens
+			sum.CopyingMillis += load.CopyingMillis
 			totals[upstream] = sum
 		}
 	}
--- a/internal/peering/coordinator/message.go
+++ b/internal/peering/coordinator/message.go
@@ -26,6 +26,8 @@
 	// PromptTokens sums what is still to be read for requests without a first
 	// event.
 	PromptTokens int `cbor:"2,keyasint,omitempty"`
+	// CopyingMillis is the time for which copies keep its link busy.
+	CopyingMillis int `cbor:"3,keyasint,omitempty"`
 }
 
 // Engine is the state of an engine as the hub knows it.
@@ -65,7 +67,7 @@
 		return errors.New("report: takes a node")
 	}
 	for upstream, load := range r.Loads {
-		if load.InFlight < 0 || load.PromptTokens < 0 {
+		if load.InFlight < 0 || load.PromptTokens < 0 || load.CopyingMillis < 0 {
 			return fmt.Errorf("report: load of %s is negative", upstream)
 		}
 	}
--- a/internal/routing/matcher/configuration.go
+++ b/internal/routing/matcher/configuration.go
@@ -71,8 +71,10 @@
 	Engine *Engine
 	// KeptCache is the address of a store of kept cache, invalid where the
 	// service is none.
-	KeptCache        netip.AddrPort
-	AvailabilityZone string
+	KeptCache netip.AddrPort
+	// AvailabilityZone and LinkBytesPerSecond are those of a store.
+	AvailabilityZone   string
+	LinkBytesPerSecond float64
 }
 
 // Engine describes the engines of a service.
--- a/internal/routing/picker/estimate.go
+++ b/internal/routing/picker/estimate.go
@@ -65,15 +65,16 @@
 	byID    map[string]*registrar.Upstream
 	home    *registrar.Upstream
 	holders map[uint64]map[string]cataloguer.Holding
+	sources map[string]*Source
 }
 
 func newEstimate(now time.Time, p *Picker, q Query, candidates []*registrar.Upstream) *estimate {
-	e := &estimate{now: now, picker: p, query: q, holders: make(map[uint64]map[string]cataloguer.Holding)}
+	e := &estimate{now: now, picker: p, query: q, holders: make(map[uint64]map[string]cataloguer.Holding), sources: make(map[string]*Source)}
 	if q.Prompt == nil || len(q.Prompt.Shared) == 0 {
 		return e
 	}
 	if q.Prompt.Long() {
-		e.home = home(q.Prompt.Shared[0].ID, candidates)
+		e.home = home(q.Prompt.Shared[0].ID, e.nearStore(candidates))
 		e.byID = make(map[string]*registrar.Upstream, len(q.Upstreams))
 		for _, u := range q.Upstreams {
 			e.byID[u.ID] = u
@@ -94,6 +95,23 @@
 	return e
 }
 
+// nearStore returns the candidates that can save to a store of their region,
+// all where there are none: what is read there outlasts the engines' memory.
+func (e *estimate) nearStore(candidates []*registrar.Upstream) []*registrar.Upstream {
+	near := candidates[:0:0]
+	for _, u := range candidates {
+		for _, store := range e.query.Prompt.Stores {
+			if e.sameRegion(u.AvailabilityZone, store.AvailabilityZone) {
+				near = append(near, u)
+			}
+		}
+	}
+	if len(near) == 0 {
+		return candidates
+	}
+	return near
+}
+
 // home returns the upstream that rendezvous hashing names for a part.
 func home(part string, candidates []*registrar.Upstream) *registrar.Upstream {
 	var best *registrar.Upstream
@@ -172,23 +190,20 @@
 	c.Scope = e.query.Prompt.Scope(c.Weights)
 	holders := e.held(c.Weights, c.Scope)
 	own := min(holders[u.ID].Tokens, shared)
-	source, copied := e.source(u, holders)
 	most := min(mostHeld(holders), shared)
-	copied = min(copied, shared)
+	e.save(u, holders, shared, c)
 	if own > 0 {
 		c.Reason = PrefixHeld
 	}
-	if copied-own >= leastFetch && source != nil {
-		if took := e.fetch(u, source, copied-own); took <= longestFetch {
-			c.Costs.Fetch = took
-			c.Source, c.Reason = source, PrefixFetch
-			return copied
-		}
+	if best := e.fetch(u, own, shared, holders); best.tokens > 0 {
+		c.Costs.Fetch, c.Costs.Copy = best.wait+best.copy, best.copy
+		c.Source, c.Reason = best.source, PrefixFetch
+		own = best.tokens
 	}
 	if most > own {
 		c.Costs.Recompute = time.Duration(most-own) * recomputePerToken
 	}
-	if most == 0 && own == 0 && u != e.home {
+	if most == 0 && u != e.home {
 		c.Costs.Recompute = homeBonus
 	} else if u == e.home && own == 0 {
 		c.Reason = PrefixHome
@@ -196,6 +211,16 @@
 	return own
 }
 
+// save names a store near u that lacks the prompt.
+func (e *estimate) save(u *registrar.Upstream, holders map[string]cataloguer.Holding, shared int, c *Choice) {
+	for i := range e.query.Prompt.Stores {
+		store := &e.query.Prompt.Stores[i]
+		if e.sameRegion(u.AvailabilityZone, store.AvailabilityZone) && holders[store.ID].Tokens+leastFetch <= shared {
+			c.Save = store
+		}
+	}
+}
+
 // held returns how many leading tokens of the prompt each upstream holds, or
 // will hold from what this VM has sent there.
 func (e *estimate) held(version uint64, scope string) map[string]cataloguer.Holding {
@@ -241,46 +266,84 @@
 	return total
 }
 
-// source returns the upstream beside u from which most can be copied, the
-// nearest of equals.
-func (e *estimate) source(u *registrar.Upstream, holders map[string]cataloguer.Holding) (*registrar.Upstream, int) {
-	var best *registrar.Upstream
-	most := 0
+// copied is a copy of cache that an engine may ask for.
+type copied struct {
+	source *Source
+	// tokens is what the engine has after it.
+	tokens int
+	wait   time.Duration
+	copy   time.Duration
+}
+
+// cost is what the copy takes, with what is then still to be read.
+func (c copied) cost(shared int) time.Duration {
+	return c.wait + c.copy + time.Duration(shared-c.tokens)*(readPerToken+recomputePerToken)
+}
+
+// fetch returns the best copy for an engine that has own tokens itself; one of
+// no tokens where reading them is as good.
+func (e *estimate) fetch(u *registrar.Upstream, own, shared int, holders map[string]cataloguer.Holding) copied {
+	var best copied
 	for id, h := range holders {
-		other := e.byID[id]
-		if id == u.ID || other == nil || h.Coming {
+		tokens := min(h.Tokens, shared)
+		if id == u.ID || h.Coming || tokens-own < leastFetch {
 			continue
 		}
-		if best == nil || h.Tokens > most || h.Tokens == most && e.nearer(u, other, best) {
-			best, most = other, h.Tokens
+		source, ok := e.source(id)
+		if !ok || source.rate <= 0 {
+			continue
 		}
+		seconds := float64(tokens-own) * e.query.Prompt.Engine.TokenBytes / source.rate * e.factor(u, source.zone)
+		c := copied{
+			source: source,
+			tokens: tokens,
+			wait:   source.copying,
+			copy:   fetchSetup + time.Duration(seconds*float64(time.Second)),
+		}
+		if c.wait+c.copy > longestFetch {
+			continue
+		}
+		if best.source == nil || c.cost(shared) < best.cost(shared) || c.cost(shared) == best.cost(shared) && id < best.source.ID {
+			best = c
+		}
+	}
+	return best
+}
+
+// source describes an engine or a store as the origin of a copy.
+func (e *estimate) source(id string) (*Source, bool) {
+	if s, ok := e.sources[id]; ok {
+		return s, s != nil
 	}
-	return best, most
+	e.sources[id] = e.newSource(id)
+	return e.sources[id], e.sources[id] != nil
 }
 
-func (e *estimate) nearer(u, a, b *registrar.Upstream) bool {
-	if fa, fb := e.factor(u, a), e.factor(u, b); fa != fb {
-		return fa < fb
+func (e *estimate) newSource(id string) *Source {
+	copying := e.picker.own(id).Copying
+	if e.query.Others != nil {
+		copying += e.query.Others(id).Copying
 	}
-	return a.ID < b.ID
+	prompt := e.query.Prompt
+	if u := e.byID[id]; u != nil {
+		return &Source{ID: id, Address: u.Address, zone: u.AvailabilityZone, rate: prompt.Engine.LinkBytesPerSecond, copying: copying}
+	}
+	for _, store := range prompt.Stores {
+		if store.ID == id {
+			rate := min(store.LinkBytesPerSecond, prompt.Engine.LinkBytesPerSecond)
+			return &Source{ID: id, Address: store.Address, zone: store.AvailabilityZone, rate: rate, copying: copying}
+		}
+	}
+	return nil
 }
 
-func (e *estimate) factor(a, b *registrar.Upstream) float64 {
+// factor is by how much a copy to u takes longer than within its zone.
+func (e *estimate) factor(u *registrar.Upstream, zone string) float64 {
 	switch {
-	case a.AvailabilityZone == b.AvailabilityZone:
+	case u.AvailabilityZone == zone:
 		return 1
-	case e.sameRegion(a.AvailabilityZone, b.AvailabilityZone):
+	case e.sameRegion(u.AvailabilityZone, zone):
 		return zoneFetchFactor
 	}
 	return regionFetchFactor
 }
-
-// fetch is the time in which u copies tokens from another upstream.
-func (e *estimate) fetch(u, source *registrar.Upstream, tokens int) time.Duration {
-	engine := e.query.Prompt.Engine
-	if engine.LinkBytesPerSecond <= 0 {
-		return longestFetch + 1
-	}
-	seconds := float64(tokens) * engine.TokenBytes / engine.LinkBytesPerSecond * e.factor(u, source)
-	return fetchSetup + time.Duration(seconds*float64(time.Second))
-}
--- a/internal/routing/picker/load.go
+++ b/internal/routing/picker/load.go
@@ -1,5 +1,7 @@
 package picker
 
+import "time"
+
 // Load is the work at one upstream.
 type Load struct {
 	// InFlight counts requests without a whole answer.
@@ -7,8 +9,10 @@
 	// PromptTokens sums what is still to be read for requests without a first
 	// event.
 	PromptTokens int
+	// Copying is the time for which copies keep its link busy.
+	Copying time.Duration
 }
 
 func (l Load) plus(other Load) Load {
-	return Load{InFlight: l.InFlight + other.InFlight, PromptTokens: l.PromptTokens + other.PromptTokens}
+	return Load{InFlight: l.InFlight + other.InFlight, PromptTokens: l.PromptTokens + other.PromptTokens, Copying: l.Copying + other.Copying}
 }
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -177,6 +177,9 @@
 	s := p.state(c.Upstream.ID)
 	s.load.InFlight++
 	s.load.PromptTokens += c.PromptTokens
+	if c.Source != nil {
+		p.state(c.Source.ID).load.Copying += c.Costs.Copy
+	}
 	if q.Prompt == nil || !q.Prompt.Long() {
 		return
 	}
@@ -201,7 +204,12 @@
 }
 
 // Begun notes that an upstream has read the prompt of a request.
-func (p *Picker) Begun(c Choice) { p.state(c.Upstream.ID).load.PromptTokens -= c.PromptTokens }
+func (p *Picker) Begun(c Choice) {
+	p.state(c.Upstream.ID).load.PromptTokens -= c.PromptTokens
+	if c.Source != nil {
+		p.state(c.Source.ID).load.Copying -= c.Costs.Copy
+	}
+}
 
 // Done notes that a request is no longer at an upstream. Begun comes before it.
 func (p *Picker) Done(c Choice) { p.state(c.Upstream.ID).load.InFlight-- }
--- a/internal/routing/picker/query.go
+++ b/internal/routing/picker/query.go
@@ -1,6 +1,7 @@
 package picker
 
 import (
+	"net/netip"
 	"time"
 
 	"gentianstep.example/gentianstep/internal/caching/cataloguer"
@@ -32,6 +33,26 @@
 	// Holders returns how much of a part each upstream holds.
 	Holders func(cataloguer.Part) map[string]cataloguer.Holding
 	Engine  Engine
+	// Stores lists the stores of kept cache.
+	Stores []Store
+}
+
+// Store is a store of kept cache.
+type Store struct {
+	ID                 string
+	Address            netip.AddrPort
+	AvailabilityZone   string
+	LinkBytesPerSecond float64
+}
+
+// Source is an engine or a store from which cache is copied.
+type Source struct {
+	ID      string
+	Address netip.AddrPort
+	zone    string
+	rate    float64
+	// copying is the time that the source's link is busy with other copies.
+	copying time.Duration
 }
 
 // SharedPart is a part of a prompt that is shared.
@@ -77,8 +98,10 @@
 	Queue time.Duration
 	// Prefill is the time to read what the upstream lacks.
 	Prefill time.Duration
-	// Fetch is the time to copy cache from another upstream.
+	// Fetch is the time to copy cache from elsewhere, with the wait for it; Copy
+	// is the part of it that the copy itself takes.
 	Fetch time.Duration
+	Copy  time.Duration
 	// Recompute prices tokens that another upstream holds and that would be read
 	// again.
 	Recompute time.Duration
@@ -99,9 +122,10 @@
 type Choice struct {
 	Upstream *registrar.Upstream
 	Reason   Reason
-	// Source is an upstream from which the chosen one should fetch cache; nil
-	// where there is none.
-	Source *registrar.Upstream
+	// Source is where the chosen one should copy cache from; nil for none.
+	Source *Source
+	// Save is the store to which it should copy what it reads; nil for none.
+	Save *Store
 	// Weights is the version of the weights that the choice is based on.
 	Weights uint64
 	// Scope names the cache to use.
