Tell the other VMs of long prompts at once

Cause: news of a long prompt took 60 to 120 ms, a quarter of the time that an engine reads it; short prompts were sent behind it meanwhile. Change: a long prompt triggers a report, and the hub pushes every 20 ms.

--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -31,6 +31,9 @@
 	unevenness = 2.0
 	// minPlaces keeps a VM that shares an upstream with many others at work.
 	minPlaces = 2
+	// urgentTokens is the length of a prompt of which the other VMs should hear
+	// at once: reading it takes an engine some 50 ms.
+	urgentTokens = 2500
 	// waitShare is the part of the latency objective for which a request may
 	// wait for a place.
 	waitShare = 0.75
@@ -121,6 +124,9 @@
 		switch {
 		case x.choice.Upstream != nil:
 			x.picker.Sent(now, q, x.choice)
+			if x.choice.PromptTokens >= urgentTokens {
+				x.hurry()
+			}
 			return x.choice.Upstream, nil
 		case x.choice.Reason == picker.NoUpstream:
 			return nil, classifier.New(classifier.NoUpstream, "no upstream of %s can be used", x.service)
@@ -134,6 +140,14 @@
 	}
 }
 
+// hurry asks for a report to the hub.
+func (f *Forwarder) hurry() {
+	select {
+	case f.urgent <- struct{}{}:
+	default:
+	}
+}
+
 // query describes the request to the picker.
 func (x *exchange) query(now time.Time) picker.Query {
 	q := picker.Query{
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -60,6 +60,8 @@
 	picker *picker.Picker
 	budget *budgeter.Budgeter
 	lines  map[string]*line
+	// urgent holds one place, so that no request waits for the hub.
+	urgent chan struct{}
 }
 
 // New returns a Forwarder.
@@ -69,6 +71,7 @@
 		picker: picker.New(cfg.Picker),
 		budget: budgeter.New(cfg.Budget),
 		lines:  make(map[string]*line),
+		urgent: make(chan struct{}, 1),
 	}
 	f.vms.Store(1)
 	f.weightsApply.Store(int64(cfg.WeightsApply))
@@ -106,6 +109,9 @@
 	return loads
 }
 
+// Urgent tells of loads that the other VMs should hear of at once.
+func (f *Forwarder) Urgent() <-chan struct{} { return f.urgent }
+
 // SentParts returns the shared parts that were sent to be read since the last
 // call.
 func (f *Forwarder) SentParts() []coordinator.Cached {
--- a/internal/gateway/forwarder/log.go
+++ b/internal/gateway/forwarder/log.go
@@ -45,6 +45,9 @@
 		fields["upstream"] = u.ID
 		fields["weights"] = x.choice.Weights
 		fields["read_tokens"] = x.choice.PromptTokens
+		if x.choice.Scope != "" {
+			fields["scope"], fields["prompt"] = x.choice.Scope, x.request.Prompt.Parts[0].ID
+		}
 		fields["cost_ms"] = x.choice.Costs.Total().Milliseconds()
 		fields["wait_ms"] = x.sentAt.Sub(x.arrivedAt).Milliseconds()
 	}
--- a/internal/operating/starter/coordination.go
+++ b/internal/operating/starter/coordination.go
@@ -22,6 +22,7 @@
 			Hub:    g.hubAddress,
 			Loads:  g.forward.Loads,
 			Sent:   g.forward.SentParts,
+			Urgent: g.forward.Urgent(),
 			View:   g.view,
 			Client: &http.Client{Transport: newPatientTransport()},
 			Log:    g.log,
--- a/internal/peering/coordinator/hub.go
+++ b/internal/peering/coordinator/hub.go
@@ -16,9 +16,8 @@
 )
 
 const (
-	// pushEvery is the least time between two states to one VM. Loads change
-	// with every request, engines and caches a few times a second.
-	pushEvery = 60 * time.Millisecond
+	// pushEvery is the least time between two states to one VM.
+	pushEvery = 20 * time.Millisecond
 	// comingFor is how long a part that was sent to be read is expected; the
 	// longest prompts take that long.
 	comingFor = 3 * time.Second
--- a/internal/peering/coordinator/subscriber.go
+++ b/internal/peering/coordinator/subscriber.go
@@ -16,8 +16,11 @@
 )
 
 const (
-	// reportEvery is the least time between two reports of loads.
+	// reportEvery is the time between two reports of loads that change, and
+	// reportLeast the least time between two when long prompts are sent: an
+	// engine is held up by one for several times that long.
 	reportEvery = 60 * time.Millisecond
+	reportLeast = 10 * time.Millisecond
 	// aliveEvery is how often an unchanged load is reported again.
 	aliveEvery = 600 * time.Millisecond
 	// connectTimeout bounds the way to the hub.
@@ -34,7 +37,9 @@
 	// Loads returns what this VM has in flight.
 	Loads func() map[string]Load
 	// Sent returns the parts that were sent to be read since the last call.
-	Sent   func() []Cached
+	Sent func() []Cached
+	// Urgent tells of loads that the others should hear of at once.
+	Urgent <-chan struct{}
 	View   *View
 	Client *http.Client
 	Log    *logrus.Entry
@@ -111,6 +116,8 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-s.cfg.Urgent:
+			time.Sleep(max(time.Until(now.Add(reportLeast)), 0))
 		}
 	}
 }
