Test the platform's dialect and the path of a request in virtual time

Found by them: a body that stopped left its client without an answer, since the server looked for the rest without a deadline; now 408 at the request's deadline. A failure that may have run named a time to come back; no more.

--- /dev/null
+++ b/internal/gateway/forwarder/faults_test.go
@@ -0,0 +1,110 @@
+package forwarder_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gentianstep.example/gentianstep/internal/testing/scripter"
+	"gentianstep.example/gentianstep/platform/platformtest"
+)
+
+type faultRow struct {
+	Name  string `json:"name"`
+	Route string `json:"route"`
+	// Faults are those of the workers' answers, in order.
+	Faults []platformtest.WorkerFault `json:"faults"`
+	Status int                        `json:"status"`
+	// Runs counts the workers that worked on the request, Arrivals those that it
+	// reached; 0 for as many.
+	Runs     int `json:"runs"`
+	Arrivals int `json:"arrivals"`
+	// Outcome is whole, signed (a failure of a worker), refused (not run),
+	// failed, or cut (an answer that must not look whole).
+	Outcome     string `json:"outcome"`
+	RetryAfter  bool   `json:"retry_after"`
+	WithinMS    int    `json:"within_ms"`
+	ResumeAfter string `json:"resume_after"`
+}
+
+func TestFaultsOfUpstreams(t *testing.T) {
+	t.Parallel()
+	var rows []faultRow
+	scripter.Read(t, "testdata/faults.json", &rows)
+	for _, row := range rows {
+		t.Run(row.Name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { checkFaultRow(t, row) })
+		})
+	}
+}
+
+func checkFaultRow(t *testing.T, row faultRow) {
+	is := is.New(t)
+	f := newFixture(t, 3)
+	faults := &platformtest.Faults{}
+	faults.Add(row.Faults...)
+	for _, w := range f.workers {
+		w.Faults = faults
+	}
+	r := f.request(t, row.Route, "id-1")
+	if row.ResumeAfter != "" {
+		r.Header.Set("Last-Event-Id", row.ResumeAfter)
+	}
+	a := f.do(r)
+	is.Equal(a.status, row.Status)
+	is.Equal(f.runs(), row.Runs)
+	if row.Arrivals > 0 {
+		is.Equal(f.arrivals(), row.Arrivals)
+	}
+	checkOutcome(t, row, a)
+	is.Equal(a.header.Get("Retry-After") != "", row.RetryAfter)
+	if row.WithinMS > 0 {
+		is.True(a.took <= time.Duration(row.WithinMS)*time.Millisecond)
+	}
+	is.Equal(strings.Count(f.log.String(), `"event":"request"`), 1) // one line tells how it ended
+}
+
+func checkOutcome(t *testing.T, row faultRow, a answer) {
+	is := is.New(t)
+	signature := a.header.Get("Server-Signature")
+	switch row.Outcome {
+	case "whole":
+		is.NoErr(a.err)
+		is.Equal(a.header.Get("Request-Id"), "id-1")
+		is.True(signature != "")
+		is.Equal(a.body, wholeBody(row))
+	case "signed":
+		is.NoErr(a.err)
+		is.True(signature != "")
+	case "refused", "failed":
+		is.NoErr(a.err)
+		is.Equal(signature, "") // an answer of the gateway's own
+	case "cut":
+		is.True(a.err != nil)
+		is.True(strings.HasPrefix(wholeBody(row), a.body)) // nothing wrong came before
+	default:
+		t.Fatalf("unknown outcome %q", row.Outcome)
+	}
+}
+
+// wholeBody is the answer that a sound worker gives.
+func wholeBody(row faultRow) string {
+	if row.Route == "idempotent" || row.Route == "non_idempotent" {
+		return "answer to id-1"
+	}
+	first := 1
+	if row.ResumeAfter != "" {
+		_, _ = fmt.Sscan(row.ResumeAfter, &first)
+		first++
+	}
+	var body strings.Builder
+	for n := first; n <= 4; n++ {
+		fmt.Fprintf(&body, "id: %d\ndata: token %d\n\n", n, n)
+	}
+	return body.String()
+}
--- /dev/null
+++ b/internal/gateway/forwarder/fixture_test.go
@@ -0,0 +1,206 @@
+package forwarder_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"gentianstep.example/gentianstep/internal/gateway/forwarder"
+	"gentianstep.example/gentianstep/internal/membership/informer"
+	"gentianstep.example/gentianstep/internal/membership/registrar"
+	"gentianstep.example/gentianstep/internal/operating/meter"
+	"gentianstep.example/gentianstep/internal/peering/coordinator"
+	"gentianstep.example/gentianstep/internal/routing/budgeter"
+	"gentianstep.example/gentianstep/internal/routing/matcher"
+	"gentianstep.example/gentianstep/internal/routing/picker"
+	"gentianstep.example/gentianstep/internal/testing/piper"
+	"gentianstep.example/gentianstep/internal/upstream/caller"
+	"gentianstep.example/gentianstep/platform"
+	"gentianstep.example/gentianstep/platform/platformtest"
+)
+
+const (
+	gatewayAddress = "10.0.0.100:80"
+	timeout        = time.Second
+)
+
+// directory is what is in force in a test.
+type directory struct {
+	mu            sync.Mutex
+	configuration *matcher.Matcher
+	upstreams     map[string][]*registrar.Upstream
+	weights       []informer.Weights
+}
+
+func (d *directory) Matcher() *matcher.Matcher {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.configuration
+}
+
+func (d *directory) Usable(service string) []*registrar.Upstream {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.upstreams[service]
+}
+
+func (d *directory) WantedWeights(string) []informer.Weights {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.weights
+}
+
+func (d *directory) setWeights(weights ...informer.Weights) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.weights = weights
+}
+
+// fixture is a forwarder before workers, in virtual time.
+type fixture struct {
+	network   *piper.Network
+	forwarder *forwarder.Forwarder
+	directory *directory
+	workers   []*platformtest.Worker
+	client    *http.Client
+	view      *coordinator.View
+	log       *strings.Builder
+}
+
+// testConfiguration has a route of each kind, all to the workers of one service.
+func testConfiguration() *matcher.Configuration {
+	route := func(name string, kind matcher.Kind) matcher.Route {
+		return matcher.Route{
+			Name: name, Host: "a.example", Prefix: "/" + name + "/", Kind: kind, Timeout: timeout,
+			TargetLatency: timeout / 2, MaxAttempts: 2, Backends: []matcher.Backend{{Service: "s", Weight: 1}},
+			Generates: kind == matcher.Stream, Resumable: name == "resumable",
+		}
+	}
+	public := route("public", matcher.Idempotent)
+	public.Public = true
+	once := route("once", matcher.Stream)
+	once.MaxAttempts = 1
+	return &matcher.Configuration{
+		Version: 1,
+		Routes: []matcher.Route{
+			route("idempotent", matcher.Idempotent),
+			route("non_idempotent", matcher.NonIdempotent),
+			route("stream", matcher.Stream),
+			route("resumable", matcher.Stream),
+			public, once,
+		},
+		Services:      map[string]matcher.Service{"s": {Name: "s", Engine: &matcher.Engine{Slots: 4}}},
+		Organisations: []matcher.Organisation{{Name: "o1", Keys: []string{"k1"}}, {Name: "o2", Keys: []string{"k2"}, Isolated: true}},
+		Limits:        matcher.Limits{BodyBytes: 4096},
+	}
+}
+
+func newFixture(t *testing.T, workers int) *fixture {
+	t.Helper()
+	f := &fixture{
+		network:   piper.New(),
+		view:      coordinator.NewView(),
+		directory: &directory{configuration: matcher.New(testConfiguration()), upstreams: make(map[string][]*registrar.Upstream)},
+		log:       &strings.Builder{},
+	}
+	for n := range workers {
+		worker := platformtest.NewWorker(fmt.Sprintf("w%d", n+1))
+		worker.SetModel("m", 1)
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n + 1)}), 80)
+		f.network.Serve(address.String(), worker)
+		f.workers = append(f.workers, worker)
+		f.directory.upstreams["s"] = append(f.directory.upstreams["s"], &registrar.Upstream{
+			ID: worker.ID, Service: "s", Address: address, AvailabilityZone: "z", Slots: 4, Weights: map[string]uint64{"m": 1},
+		})
+	}
+	log := logrus.New()
+	log.SetOutput(f.log)
+	log.SetFormatter(&logrus.JSONFormatter{})
+	calls := caller.New(caller.Config{Dial: f.network.Dial, IdleTimeout: time.Second})
+	f.forwarder = forwarder.New(forwarder.Config{
+		Dialect:      platform.Dialect{},
+		Directory:    f.directory,
+		View:         f.view,
+		Caller:       calls,
+		Picker:       picker.Config{AvailabilityZone: "z", Regions: map[string]string{"z": "r"}, Seed: 1},
+		Budget:       budgeter.Config{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
+		WeightsApply: 8 * time.Second,
+		Meter:        meter.New(),
+		Log:          logrus.NewEntry(log),
+	})
+	f.network.Serve(gatewayAddress, f.forwarder)
+	transport := &http.Transport{DialContext: f.network.Dial, DisableCompression: true}
+	f.client = &http.Client{Transport: transport}
+	t.Cleanup(func() {
+		transport.CloseIdleConnections()
+		calls.Close()
+		f.network.Close()
+	})
+	return f
+}
+
+// request returns a proper request of a client.
+func (f *fixture) request(t *testing.T, route, id string) *http.Request {
+	t.Helper()
+	method := http.MethodPost
+	if route == "idempotent" {
+		method = http.MethodGet
+	}
+	r, err := http.NewRequestWithContext(t.Context(), method, "http://"+gatewayAddress+"/"+route+"/x", http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "a.example"
+	r.Header.Set("Request-Id", id)
+	r.Header.Set("Credential", "k1")
+	r.Header.Set("Deadline-Ms", "5000")
+	if route == "stream" || route == "resumable" || route == "once" {
+		r.Header.Set("Model", "m")
+		r.Header.Set("Token-Usage", "100,10")
+	}
+	return r
+}
+
+// answer is what a client got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	// err is set where the answer did not come whole.
+	err  error
+	took time.Duration
+}
+
+func (f *fixture) do(r *http.Request) answer {
+	began := time.Now()
+	response, err := f.client.Do(r)
+	if err != nil {
+		return answer{err: err, took: time.Since(began)}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return answer{response.StatusCode, response.Header, string(body), err, time.Since(began)}
+}
+
+func (f *fixture) runs() int {
+	n := 0
+	for _, w := range f.workers {
+		n += len(w.Runs())
+	}
+	return n
+}
+
+func (f *fixture) arrivals() int {
+	n := 0
+	for _, w := range f.workers {
+		n += w.Arrivals()
+	}
+	return n
+}
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -187,25 +188,41 @@
 	if x.r.Body == nil || x.r.Body == http.NoBody {
 		return nil
 	}
-	_ = http.NewResponseController(x.w).SetReadDeadline(x.deadline)
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
-	_ = http.NewResponseController(x.w).SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return classifier.New(classifier.TooLarge, "the body is over %d bytes", limit)
+	control := http.NewResponseController(x.w)
+	if err := control.SetReadDeadline(x.deadline); err != nil {
+		return classifier.Wrap(classifier.Internal, err, "the connection takes no deadline")
 	}
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
 	if err != nil {
-		return classifier.Wrap(classifier.CallerTooSlow, err, "the body did not come")
+		// The deadline stays, since the server looks for the rest of the body
+		// before it answers.
+		x.w.Header().Set("Connection", "close")
+		return bodyError(err, limit)
+	}
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		return classifier.Wrap(classifier.Internal, err, "the connection takes no deadline")
 	}
 	x.body = body
 	return nil
 }
 
+// bodyError tells why a body was not read.
+func bodyError(err error, limit int64) *classifier.Error {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return classifier.New(classifier.TooLarge, "the body is over %d bytes", limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return classifier.Wrap(classifier.CallerTooSlow, err, "the body did not come in time")
+	}
+	return classifier.Wrap(classifier.InvalidRequest, err, "the body is not valid")
+}
+
 // refuse answers with a failure of the gateway's own.
 func (x *exchange) refuse(err *classifier.Error) {
 	answer := classifier.AnswerOf(err.Kind)
 	wait := time.Duration(0)
-	if answer.Retry {
+	if answer.Retry && answer.NotRun {
 		wait = answer.RetryAfter
 		if !err.RetryAt.IsZero() {
 			wait = max(time.Until(err.RetryAt), time.Millisecond)
--- /dev/null
+++ b/internal/gateway/forwarder/path_test.go
@@ -0,0 +1,287 @@
+package forwarder_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gentianstep.example/gentianstep/internal/membership/informer"
+	"gentianstep.example/gentianstep/internal/membership/registrar"
+	"gentianstep.example/gentianstep/platform/platformtest"
+)
+
+func TestUpstreamGetsTheTimeThatIsLeft(t *testing.T) {
+	t.Parallel()
+	for _, row := range []struct {
+		client string
+		most   int
+	}{{"400", 400}, {"5000", 1000}, {"", 1000}} {
+		t.Run("client waits "+row.client, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFixture(t, 1)
+				r := f.request(t, "idempotent", "a")
+				r.Header.Del("Deadline-Ms")
+				if row.client != "" {
+					r.Header.Set("Deadline-Ms", row.client)
+				}
+				is.Equal(f.do(r).status, http.StatusOK)
+				left, err := strconv.Atoi(f.workers[0].Runs()[0].Header.Get("Deadline-Ms"))
+				is.NoErr(err)
+				is.Equal(left, row.most)
+			})
+		})
+	}
+}
+
+func TestSecondAttemptGetsLessTime(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, 2)
+		faults := &platformtest.Faults{}
+		faults.Add(platformtest.Fails)
+		for _, w := range f.workers {
+			w.Faults, w.Work = faults, 300*time.Millisecond
+		}
+		is.Equal(f.do(f.request(t, "idempotent", "a")).status, http.StatusOK)
+		var lefts []int
+		for _, w := range f.workers {
+			for _, run := range w.Runs() {
+				left, err := strconv.Atoi(run.Header.Get("Deadline-Ms"))
+				is.NoErr(err)
+				lefts = append(lefts, left)
+			}
+		}
+		is.Equal(len(lefts), 2)
+		is.Equal(min(lefts[0], lefts[1]), 700)
+	})
+}
+
+func TestClientThatLeavesStopsTheWork(t *testing.T) {
+	t.Parallel()
+	for _, route := range []string{"idempotent", "non_idempotent", "stream", "resumable"} {
+		t.Run(route, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFixture(t, 2)
+				for _, w := range f.workers {
+					w.Work = 800 * time.Millisecond
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				time.AfterFunc(100*time.Millisecond, cancel)
+				a := f.do(f.request(t, route, "a").WithContext(ctx))
+				is.True(a.err != nil)
+				time.Sleep(50 * time.Millisecond)
+				is.Equal(f.runs(), 1) // and it is not sent anew
+				for _, w := range f.workers {
+					for _, run := range w.Runs() {
+						is.True(run.Cancelled)
+					}
+				}
+			})
+		})
+	}
+}
+
+func TestIsolatedOrganisationsHaveTheirOwnCache(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, 1)
+		salts := make(map[string]string)
+		for _, key := range []string{"k1", "k2"} {
+			for _, prefix := range []string{"short:100", "long:5000"} {
+				r := f.request(t, "stream", key+prefix)
+				r.Header.Set("Credential", key)
+				r.Header.Set("Prompt-Prefix", prefix+",own:10")
+				r.Header.Set("Cache-Salt", "forged")
+				is.Equal(f.do(r).status, http.StatusOK)
+				runs := f.workers[0].Runs()
+				run := runs[len(runs)-1]
+				salts[key+prefix] = run.Header.Get("Cache-Salt")
+				is.Equal(run.Header.Get("Expect-Version") != "", strings.HasPrefix(prefix, "long"))
+			}
+		}
+		is.Equal(salts["k1short:100"], "")
+		is.Equal(salts["k2short:100"], "o2")
+		is.Equal(salts["k1long:5000"], "@1")
+		is.Equal(salts["k2long:5000"], "o2@1")
+	})
+}
+
+func TestOldWeightsAreLeftInTime(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, 2)
+		f.workers[1].SetModel("m", 2)
+		f.directory.upstreams["s"][1].Weights = map[string]uint64{"m": 2}
+		named := time.Now()
+		f.directory.setWeights(informer.Weights{Version: 2, Since: named})
+		// Work at the new one is dear, so that the old one is taken while it may.
+		begun := func(at time.Duration) string {
+			time.Sleep(time.Until(named.Add(at)))
+			before := len(f.workers[0].Runs())
+			a := f.do(f.request(t, "once", fmt.Sprint("at ", at)))
+			is.Equal(a.status, http.StatusOK)
+			if len(f.workers[0].Runs()) > before {
+				return "old"
+			}
+			return "new"
+		}
+		f.directory.upstreams["s"][1].AvailabilityZone = "far"
+		is.Equal(begun(0), "old")
+		is.Equal(begun(500*time.Millisecond), "old")
+		for at := 4 * time.Second; at < 12*time.Second; at += 500 * time.Millisecond {
+			is.Equal(begun(at), "new") // well before the 8 s of the bound
+		}
+		// Nothing may begin on old weights then, also where nothing else is left.
+		f.directory.mu.Lock()
+		f.directory.upstreams["s"] = f.directory.upstreams["s"][:1]
+		f.directory.mu.Unlock()
+		a := f.do(f.request(t, "once", "nothing left"))
+		is.Equal(a.status, http.StatusServiceUnavailable)
+	})
+}
+
+func TestRetryBudgetHoldsWhenAllFail(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, 3)
+		f.forwarder.SetVMs(5)
+		faults := &platformtest.Faults{}
+		for range 2000 {
+			faults.Add(platformtest.Fails)
+		}
+		for _, w := range f.workers {
+			w.Faults = faults
+		}
+		const requests = 200
+		for n := range requests {
+			f.do(f.request(t, "idempotent", fmt.Sprint(n)))
+			time.Sleep(10 * time.Millisecond)
+		}
+		repeats := f.arrivals() - requests
+		is.True(repeats > 10)               // some are made
+		is.True(repeats <= requests/5+50/5) // the ratio, and the part of 5 VMs
+	})
+}
+
+func TestNothingRunsTwiceUnderManyFaults(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, 3)
+		kinds := []platformtest.WorkerFault{
+			platformtest.Well, platformtest.AnswerLost, platformtest.Shed, platformtest.Crossed, platformtest.Fails,
+			platformtest.Truncated, platformtest.Misdirected, platformtest.Unsigned, platformtest.Breaks,
+		}
+		faults := &platformtest.Faults{}
+		for n := range 400 {
+			faults.Add(kinds[n*7%len(kinds)])
+		}
+		for _, w := range f.workers {
+			w.Faults = faults
+		}
+		var group sync.WaitGroup
+		var mu sync.Mutex
+		refused := make(map[string]bool)
+		for n := range 150 {
+			group.Go(func() {
+				route := []string{"non_idempotent", "stream"}[n%2]
+				id := fmt.Sprint("r", n)
+				time.Sleep(time.Duration(n) * 3 * time.Millisecond)
+				a := f.do(f.request(t, route, id))
+				mu.Lock()
+				defer mu.Unlock()
+				refused[id] = a.status == http.StatusServiceUnavailable
+			})
+		}
+		group.Wait()
+		ran := make(map[string]int)
+		for _, w := range f.workers {
+			for _, run := range w.Runs() {
+				ran[run.ID]++
+			}
+		}
+		for id, times := range ran {
+			is.True(times <= 1)
+			is.True(!refused[id]) // "not run" is true
+		}
+	})
+}
+
+func TestUnreachableUpstreamIsPassedOver(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, 2)
+		f.network.Stop("10.0.0.1:80")
+		for n := range 20 {
+			a := f.do(f.request(t, "non_idempotent", fmt.Sprint(n)))
+			is.Equal(a.status, http.StatusOK) // nothing was sent to the dead one
+		}
+		is.Equal(len(f.workers[1].Runs()), 20)
+	})
+}
+
+func TestLeavingUpstreamGetsNothingNew(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, 2)
+		r := registrar.New()
+		for _, u := range f.directory.upstreams["s"] {
+			r.Put(u)
+		}
+		leaving := *f.directory.upstreams["s"][0]
+		leaving.Leaving = true
+		r.Put(&leaving)
+		f.directory.upstreams["s"] = r.Usable("s")
+		for n := range 10 {
+			is.Equal(f.do(f.request(t, "idempotent", fmt.Sprint(n))).status, http.StatusOK)
+		}
+		is.Equal(len(f.workers[0].Runs()), 0)
+	})
+}
+
+func TestPlacesAreBounded(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, 1)
+		f.workers[0].Work = 400 * time.Millisecond
+		const requests = 40
+		var group sync.WaitGroup
+		var mu sync.Mutex
+		statuses := make(map[int]int)
+		for n := range requests {
+			group.Go(func() {
+				a := f.do(f.request(t, "once", fmt.Sprint(n)))
+				mu.Lock()
+				defer mu.Unlock()
+				statuses[a.status]++
+				if a.status == http.StatusServiceUnavailable {
+					is.True(a.header.Get("Retry-After") != "")
+					is.True(a.took <= timeout/2) // within the objective, not at the deadline
+				}
+			})
+		}
+		group.Wait()
+		is.Equal(statuses[http.StatusOK]+statuses[http.StatusServiceUnavailable], requests)
+		is.True(statuses[http.StatusOK] >= 4)
+		is.Equal(f.arrivals(), statuses[http.StatusOK]) // those that were refused never left
+	})
+}
