--- a/internal/routing/budgeter/budgeter.go
+++ b/internal/routing/budgeter/budgeter.go
@@ -6,8 +6,11 @@
 import "time"
 
 const (
-	// buckets is the number of parts into which a window is divided.
-	buckets = 10
+	// parts is the number of parts into which a window is divided.
+	parts = 10
+	// buckets holds one part more: the current one has only begun, and repeats
+	// count for the whole length of a window.
+	buckets = parts + 1
 	// share is the part of the budget that is spent; the rest covers VMs that
 	// are not known yet and arrivals that are late.
 	share = 0.8
@@ -64,7 +67,7 @@
 // Repeat reports whether a request may be sent once more, and counts that.
 func (b *Budgeter) Repeat(now time.Time, service string) bool {
 	w := b.window(now, service)
-	allowed := b.cfg.Ratio*float64(sum(w.requests)) + float64(b.cfg.Extra)/float64(b.vms)
+	allowed := b.cfg.Ratio*float64(sum(w.requests)-w.requests[w.oldest()]) + float64(b.cfg.Extra)/float64(b.vms)
 	if float64(sum(w.repeats)+1) > share*allowed {
 		return false
 	}
@@ -78,7 +81,7 @@
 		w = &window{}
 		b.services[service] = w
 	}
-	step := b.cfg.Window / buckets
+	step := b.cfg.Window / parts
 	if w.endsAt.IsZero() {
 		w.endsAt = now.Add(step)
 	}
@@ -93,6 +96,9 @@
 	return w
 }
 
+// oldest is the bucket that may lie outside the window.
+func (w *window) oldest() int { return (w.current + 1) % buckets }
+
 func sum(counts [buckets]int) int {
 	total := 0
 	for _, n := range counts {
