--- /dev/null
+++ b/internal/membership/informer/informer_test.go
@@ -0,0 +1,211 @@
+package informer_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"gentianstep.example/gentianstep/internal/membership/follower"
+	"gentianstep.example/gentianstep/internal/membership/informer"
+	"gentianstep.example/gentianstep/internal/peering/exchanger"
+	"gentianstep.example/gentianstep/internal/testing/piper"
+	"gentianstep.example/gentianstep/platform"
+	"gentianstep.example/gentianstep/platform/platformtest"
+)
+
+const storeAddress = "10.9.0.1:80"
+
+// vm follows the store and asks the other VMs.
+type vm struct {
+	inform *informer.Informer
+	door   *platformtest.Door
+	stop   context.CancelFunc
+}
+
+func peerAddress(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n + 1)}), 7340)
+}
+
+func startVM(t *testing.T, network *piper.Network, store *platformtest.Store, n, vms int) *vm {
+	t.Helper()
+	quiet := logrus.New()
+	quiet.SetOutput(io.Discard)
+	log := logrus.NewEntry(quiet)
+	v := &vm{door: store.Door()}
+	name := fmt.Sprintf("%s-%d", storeAddress, n)
+	network.Serve(name, v.door)
+	transport := &http.Transport{DialContext: func(ctx context.Context, proto, target string) (net.Conn, error) {
+		if target == storeAddress {
+			target = name
+		}
+		return network.Dial(ctx, proto, target)
+	}}
+	client := platform.NewClient(platform.ClientConfig{
+		Address: netip.MustParseAddrPort(storeAddress),
+		HTTP:    &http.Client{Transport: transport},
+	})
+	v.inform = informer.New(informer.Config{
+		Codec:           platform.Codec{},
+		OperatorPrefix:  platform.OperatorPrefix,
+		UpstreamPrefix:  platform.UpstreamPrefix,
+		VMPrefix:        "own/",
+		Started:         time.Now(),
+		WeightsKnownFor: 4 * time.Second,
+		Log:             log,
+	})
+	exchange := exchanger.New(exchanger.Config{
+		Directory: v.inform,
+		Peers: func() []netip.AddrPort {
+			var all []netip.AddrPort
+			for i := range vms {
+				all = append(all, peerAddress(i))
+			}
+			return exchanger.Others(peerAddress(n), all)
+		},
+		Client: &http.Client{Transport: transport},
+		Log:    log,
+	})
+	network.Serve(peerAddress(n).String(), exchange)
+	ctx, stop := context.WithCancel(t.Context())
+	v.stop = stop
+	t.Cleanup(transport.CloseIdleConnections)
+	for _, prefix := range []string{platform.OperatorPrefix, platform.UpstreamPrefix, "own/"} {
+		go follower.New(follower.Config{Feed: client, Prefix: prefix, Sink: v.inform, Wait: 2 * time.Second}).Run(ctx)
+	}
+	go exchange.Run(ctx)
+	go v.inform.Run(ctx)
+	return v
+}
+
+func putConfiguration(store *platformtest.Store, version int, keys ...string) {
+	store.Put("op/config", map[string]any{
+		"version": version, "services": []any{map[string]any{"name": "s"}},
+		"routes":  []any{map[string]any{"name": "r", "host": "h", "prefix": "/", "kind": "idempotent", "service": "s"}},
+		"tenants": []any{map[string]any{"name": "o", "api_keys": keys}},
+	})
+}
+
+func (v *vm) version() uint64 {
+	m := v.inform.Matcher()
+	if m == nil {
+		return 0
+	}
+	return m.Configuration().Version
+}
+
+// TestVMThatTheStoreTurnsAway plays each way of being turned away: the VM hears
+// of a new configuration, a key taken away and an upstream that leaves from the
+// others, within the bound for a store that is not sound.
+func TestVMThatTheStoreTurnsAway(t *testing.T) {
+	t.Parallel()
+	for _, fault := range []platformtest.StoreFault{platformtest.Silent, platformtest.Busy, platformtest.Many, platformtest.Reset} {
+		t.Run(string(fault), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				network, store := piper.New(), platformtest.NewStore()
+				putConfiguration(store, 1, "k1", "k2")
+				worker := platformtest.NewWorker("w1")
+				entry := worker.Entry("s", "10.1.0.1:80", "z", 4)
+				store.Put(worker.Key(), entry)
+				vms := []*vm{startVM(t, network, store, 0, 3), startVM(t, network, store, 1, 3), startVM(t, network, store, 2, 3)}
+				time.Sleep(time.Second)
+				for _, v := range vms {
+					is.True(v.inform.Ready())
+					is.Equal(len(v.inform.Usable("s")), 1)
+				}
+				vms[0].door.Set(fault)
+				time.Sleep(500 * time.Millisecond)
+				putConfiguration(store, 2, "k1")
+				entry["state"] = "draining"
+				store.Put(worker.Key(), entry)
+				time.Sleep(100 * time.Millisecond)
+				is.Equal(vms[1].version(), uint64(2))
+				time.Sleep(6 * time.Second) // within 2.5 s and the 5 s on top
+				for _, v := range vms {
+					is.Equal(v.version(), uint64(2))
+					_, known := v.inform.Matcher().Organisation("k2")
+					is.True(!known)
+					is.Equal(len(v.inform.Usable("s")), 0)
+				}
+				vms[0].door.Set(platformtest.Sound)
+				time.Sleep(4 * time.Second)
+				is.Equal(vms[0].version(), uint64(2))
+				for _, v := range vms {
+					v.stop()
+				}
+				network.Close()
+			})
+		})
+	}
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		network, store := piper.New(), platformtest.NewStore()
+		putConfiguration(store, 5, "k1")
+		v := startVM(t, network, store, 0, 1)
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(v.version(), uint64(5))
+		putConfiguration(store, 4, "k1")
+		store.Put("op/config", []byte("{broken"))
+		time.Sleep(time.Second)
+		is.Equal(v.version(), uint64(5))
+		putConfiguration(store, 9, "k1")
+		store.Compact() // the watch is cut and its history gone
+		time.Sleep(time.Second)
+		is.Equal(v.version(), uint64(9))
+		v.stop()
+		network.Close()
+	})
+}
+
+func TestMalformedEntryNamesNoUpstream(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		network, store := piper.New(), platformtest.NewStore()
+		worker := platformtest.NewWorker("w1")
+		store.Put(worker.Key(), worker.Entry("s", "10.1.0.1:80", "z", 4))
+		store.Put("servers/x", map[string]any{"service": "s"})
+		store.Put("servers/y", []byte{0xff, 0x00})
+		v := startVM(t, network, store, 0, 1)
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(len(v.inform.Usable("s")), 1)
+		store.Put(worker.Key(), []byte("[]"))
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(len(v.inform.Usable("s")), 0)
+		v.stop()
+		network.Close()
+	})
+}
+
+func TestWeightsThatWereWantedBeforeTheStart(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		network, store := piper.New(), platformtest.NewStore()
+		store.Put("op/version/m", map[string]any{"model": "m", "version": 3})
+		began := time.Now()
+		v := startVM(t, network, store, 0, 1)
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(v.inform.WantedWeights("m")[0].Since, began.Add(-4*time.Second)) // wanted for who knows how long
+		store.Put("op/version/m", map[string]any{"model": "m", "version": 4})
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(v.inform.Wanted()["m"].Version, uint64(4))
+		is.True(v.inform.Wanted()["m"].Since.After(began))
+		v.stop()
+		network.Close()
+	})
+}
