Change the weights of a model's last engine too

Cause: the planner never took the last engine that served a model, so a model with one engine kept its old weights for good, and requests for it were refused once those were due. Change: a plan may interrupt a model where its input says so; roll-outs on the platform do. Before: TestLastEngineIsChangedToo fails, version 1 where 2 is wanted.

--- a/internal/placement/planner/planner.go
+++ b/internal/placement/planner/planner.go
@@ -51,6 +51,9 @@
 	Engines []Engine
 	// Deadline is the latest time at which an order of this plan takes effect.
 	Deadline time.Time
+	// Interrupt lets a roll-out take the last engine that serves a model, where
+	// older weights may not be used for long.
+	Interrupt bool
 }
 
 // Plan returns the orders that are due. Each counts as sent until it is
--- a/internal/placement/planner/steps.go
+++ b/internal/placement/planner/steps.go
@@ -97,7 +97,10 @@
 		return l.Model == m.Name && l.WeightsVersion != m.WeightsVersion
 	})
 	current := slices.Contains(e.Ready, Loaded{m.Name, m.WeightsVersion})
-	if old < 0 || current || v.busy(e) || !e.allows(m.Name) || !v.spare(i, false) {
+	if old < 0 || current || v.busy(e) || !e.allows(m.Name) {
+		return
+	}
+	if !v.in.Interrupt && !v.spare(i, false) {
 		return
 	}
 	v.load(i, m, []Loaded{e.Ready[old]}, NewWeightsVersion)
--- a/internal/placement/upgrader/upgrader.go
+++ b/internal/placement/upgrader/upgrader.go
@@ -212,6 +212,8 @@
 	in := planner.Input{
 		Policy:   checker.PlacementPolicy{MaxLoads: max((len(engines)+loadShare-1)/loadShare, 1)},
 		Deadline: now.Add(orderTimeout),
+		// A model whose only engine keeps its old weights could not be served.
+		Interrupt: true,
 	}
 	for model, w := range wanted {
 		in.Models = append(in.Models, checker.Model{
--- a/internal/placement/upgrader/upgrader_test.go
+++ b/internal/placement/upgrader/upgrader_test.go
@@ -302,3 +302,17 @@
 		d.network.Close()
 	})
 }
+
+// TestLastEngineIsChangedToo has one engine, which nobody can stand in for.
+func TestLastEngineIsChangedToo(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, 1, 1, 1)
+		d.start(0)
+		d.name()
+		time.Sleep(weightsApply / 2)
+		d.checkVersions()
+		d.vms[0].stop()
+		d.network.Close()
+	})
+}
--- a/internal/testing/launcher/process.go
+++ b/internal/testing/launcher/process.go
@@ -87,3 +87,6 @@
 	defer p.output.mu.Unlock()
 	return p.output.text.String()
 }
+
+// PID returns the ID of the process.
+func (p *Process) PID() int { return p.command.Process.Pid }
