--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -118,8 +118,9 @@
 func (f *Forwarder) SentParts() []coordinator.Cached {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var sent []coordinator.Cached
-	for _, s := range f.picker.SentParts() {
+	parts := f.picker.SentParts()
+	sent := make([]coordinator.Cached, 0, len(parts))
+	for _, s := range parts {
 		sent = append(sent, coordinator.Cached{Upstream: s.Upstream, Scope: s.Part.Scope, ID: s.Part.ID, Tokens: s.Tokens})
 	}
 	return sent
--- a/internal/gateway/forwarder/input_test.go
+++ b/internal/gateway/forwarder/input_test.go
@@ -48,6 +48,7 @@
 	reader := bufio.NewReader(conn)
 	response, err := http.ReadResponse(reader, nil)
 	is.NoErr(err)
+	defer func() { _ = response.Body.Close() }()
 	_, err = io.Copy(io.Discard, response.Body)
 	is.NoErr(err)
 	is.Equal(response.StatusCode, row.Status)
--- a/internal/membership/informer/informer.go
+++ b/internal/membership/informer/informer.go
@@ -143,51 +143,6 @@
 	i.take(now, prefix, i.replicas[prefix].apply(changes, revision))
 }
 
-// Failed implements follower.Sink.
-func (i *Informer) Failed(now time.Time, prefix string, err error) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if i.failing[prefix] {
-		return
-	}
-	i.failing[prefix] = true
-	i.cfg.Log.WithError(err).WithFields(logrus.Fields{
-		"event":      "store_lost",
-		"prefix":     prefix,
-		"contact_ms": age(now, i.contactAt[prefix]),
-	}).Warn("store does not answer")
-}
-
-func age(now, at time.Time) int64 {
-	if at.IsZero() {
-		return -1
-	}
-	return now.Sub(at).Milliseconds()
-}
-
-// contact notes an answer of the store.
-func (i *Informer) contact(now time.Time, prefix string) {
-	if i.failing[prefix] {
-		i.failing[prefix] = false
-		if prefix == i.cfg.UpstreamPrefix {
-			i.registrar.StoreReturned(now)
-		}
-		i.cfg.Log.WithFields(logrus.Fields{
-			"event":      "store_regained",
-			"prefix":     prefix,
-			"contact_ms": age(now, i.contactAt[prefix]),
-		}).Info("store answers again")
-	}
-	i.contactAt[prefix] = now
-}
-
-// Silent reports whether the store has not answered for a prefix since a time.
-func (i *Informer) Silent(since time.Time) bool {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return i.contactAt[i.cfg.OperatorPrefix].Before(since) || i.contactAt[i.cfg.UpstreamPrefix].Before(since)
-}
-
 // Newer returns what is known beyond the given revisions of the prefixes.
 func (i *Informer) Newer(revisions map[string]uint64) []Replica {
 	i.mu.Lock()
@@ -223,105 +178,16 @@
 	}
 	changes := r.replace(offered.Entries, offered.Revision)
 	if len(changes) > 0 {
-		i.cfg.Log.WithFields(logrus.Fields{
-			"event":    "peer_news",
-			"prefix":   offered.Prefix,
-			"revision": offered.Revision,
-			"changes":  len(changes),
+		i.line("peer_news").WithFields(logrus.Fields{
+			"prefix":      offered.Prefix,
+			fieldRevision: offered.Revision,
+			"changes":     len(changes),
 		}).Info("another VM knew more")
 	}
 	i.take(now, offered.Prefix, changes)
 	i.snapshots[offered.Prefix]++
 }
 
-// take puts changes into force.
-func (i *Informer) take(now time.Time, prefix string, changes []storer.Change) {
-	for _, c := range changes {
-		switch {
-		case prefix == i.cfg.UpstreamPrefix:
-			i.takeUpstream(now, c)
-		case i.cfg.Codec.IsConfiguration(c.Key) && !c.Removed:
-			i.takeConfiguration(c)
-		case i.cfg.Codec.IsWeights(c.Key) && !c.Removed:
-			i.takeWeights(now, prefix, c)
-		}
-	}
-}
-
-func (i *Informer) takeUpstream(now time.Time, c storer.Change) {
-	id := i.cfg.Codec.UpstreamID(c.Key)
-	if c.Removed {
-		i.logNews(i.registrar.Remove(now, id))
-		return
-	}
-	u, err := i.cfg.Codec.Upstream(c.Key, c.Value)
-	if err != nil {
-		i.cfg.Log.WithError(err).WithFields(logrus.Fields{
-			"event":    "entry_ignored",
-			"upstream": id,
-			"revision": c.Revision,
-		}).Warn("entry names no upstream")
-		i.logNews(i.registrar.Remove(now, id))
-		return
-	}
-	i.logNews(i.registrar.Put(u))
-}
-
-func (i *Informer) logNews(news []registrar.News) {
-	for _, n := range news {
-		i.cfg.Log.WithFields(logrus.Fields{
-			"event":    n.Event,
-			"upstream": n.Upstream.ID,
-			"service":  n.Upstream.Service,
-			"address":  n.Upstream.Address.String(),
-		}).Info("upstream changed")
-	}
-}
-
-func (i *Informer) takeConfiguration(c storer.Change) {
-	configuration, err := i.cfg.Codec.Configuration(c.Value)
-	if err != nil {
-		i.cfg.Log.WithError(err).WithFields(logrus.Fields{"event": "configuration_ignored", "revision": c.Revision}).Error("configuration is not valid")
-		return
-	}
-	if m := i.matcher.Load(); m != nil && m.Configuration().Version >= configuration.Version {
-		return
-	}
-	i.matcher.Store(matcher.New(configuration))
-	i.cfg.Log.WithFields(logrus.Fields{
-		"event":    "configuration_in_force",
-		"version":  configuration.Version,
-		"revision": c.Revision,
-		"routes":   len(configuration.Routes),
-	}).Info("configuration is in force")
-}
-
-func (i *Informer) takeWeights(now time.Time, prefix string, c storer.Change) {
-	model, version, err := i.cfg.Codec.Weights(c.Value)
-	if err != nil {
-		i.cfg.Log.WithError(err).WithFields(logrus.Fields{"event": "weights_ignored", "revision": c.Revision}).Error("wanted weights are not valid")
-		return
-	}
-	known := i.weights[model]
-	if n := len(known); n > 0 && known[n-1].Version >= version {
-		return
-	}
-	since := now
-	if i.snapshots[prefix] == 0 {
-		since = i.cfg.Started.Add(-i.cfg.WeightsKnownFor)
-	}
-	// A new list, since readers keep the old one.
-	const kept = 16
-	from := max(len(known)-kept, 0)
-	i.weights[model] = append(append([]Weights(nil), known[from:]...), Weights{Version: version, Since: since})
-	i.cfg.Log.WithFields(logrus.Fields{
-		"event":    "weights_wanted",
-		"model":    model,
-		"version":  version,
-		"revision": c.Revision,
-	}).Info("new weights are wanted")
-}
-
 // Engines returns the engines that may get new work.
 func (i *Informer) Engines() []*registrar.Upstream {
 	i.mu.Lock()
--- a/internal/membership/informer/informer_test.go
+++ b/internal/membership/informer/informer_test.go
@@ -65,7 +65,7 @@
 	exchange := exchanger.New(exchanger.Config{
 		Directory: v.inform,
 		Peers: func() []netip.AddrPort {
-			var all []netip.AddrPort
+			all := make([]netip.AddrPort, 0, vms)
 			for i := range vms {
 				all = append(all, peerAddress(i))
 			}
--- a/internal/membership/registrar/registrar_test.go
+++ b/internal/membership/registrar/registrar_test.go
@@ -76,8 +76,9 @@
 		if s.Usable == nil {
 			continue
 		}
-		ids := []string{}
-		for _, u := range r.Usable("s") {
+		usable := r.Usable("s")
+		ids := make([]string, 0, len(usable))
+		for _, u := range usable {
 			ids = append(ids, u.ID)
 		}
 		is.Equal(ids, s.Usable)
--- a/internal/operating/starter/gateway.go
+++ b/internal/operating/starter/gateway.go
@@ -4,11 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
-	stdlog "log"
 	"net"
 	"net/http"
 	"net/netip"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -216,17 +216,17 @@
 			Log: g.log,
 		}).Run,
 	}
-	loops = append(loops, g.coordination()...)
 	followers := []follower.Config{
 		{Prefix: g.platform.OperatorPrefix, Wait: watchWait},
 		{Prefix: g.platform.UpstreamPrefix, Wait: watchWait, Pace: upstreamPace},
 		{Prefix: ownPrefix, Wait: vmWait, Pace: vmPace},
 	}
+	follows := make([]func(context.Context), 0, len(followers))
 	for _, cfg := range followers {
 		cfg.Feed, cfg.Sink = g.store, g.inform
-		loops = append(loops, follower.New(cfg).Run)
+		follows = append(follows, follower.New(cfg).Run)
 	}
-	return loops
+	return slices.Concat(loops, follows, g.coordination())
 }
 
 // run serves until ctx ends, then stops in order: the balancer is told, what
@@ -293,96 +293,3 @@
 	g.log.WithField("event", "stopped").Info("gateway stopped")
 	return err
 }
-
-// stop lets the balancer go, then waits for open requests.
-func (g *gateway) stop(clients *http.Server) {
-	deadline := time.Now().Add(g.settings.Load().Bounds.StopGrace - stopMargin)
-	g.gate.stopping.Store(true)
-	g.forward.Stop()
-	g.log.WithField("event", "stopping").Info("gateway stops")
-	time.Sleep(balancerNotice)
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	if err := clients.Shutdown(ctx); err != nil {
-		g.log.WithError(err).WithField("event", "requests_cut").Warn("requests were still open at the end of the grace")
-	}
-}
-
-type httpListener struct {
-	server   *http.Server
-	listener net.Listener
-}
-
-func (g *gateway) listen(ctx context.Context, address netip.AddrPort, handler http.Handler) (httpListener, error) {
-	l, err := (&net.ListenConfig{KeepAliveConfig: newDialer().KeepAliveConfig}).Listen(ctx, "tcp", address.String())
-	if err != nil {
-		return httpListener{}, fmt.Errorf("listen on %s: %w", address, err)
-	}
-	return httpListener{listener: l, server: &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: clientHeaderTimeout,
-		IdleTimeout:       clientIdleTimeout,
-		MaxHeaderBytes:    maxHeader,
-		ErrorLog:          stdlog.New(&serverLog{log: g.log, listener: address.String()}, "", 0),
-	}}, nil
-}
-
-// serveReady answers the balancer.
-func (g *gateway) serveReady(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path != g.platform.ReadyPath {
-		http.NotFound(w, r)
-		return
-	}
-	if g.gate.stopping.Load() || !g.inform.Ready() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	w.WriteHeader(http.StatusOK)
-}
-
-// peers returns the addresses of the other VMs, those of the settings included.
-func (g *gateway) peers() []netip.AddrPort {
-	var addresses []netip.AddrPort
-	for _, vm := range g.vms() {
-		addresses = append(addresses, vm.PeerAddress)
-	}
-	settings := g.settings.Load()
-	return exchanger.Others(settings.PeerAddress, append(addresses, settings.SeedPeers...))
-}
-
-func (g *gateway) vms() []announcer.VM {
-	var vms []announcer.VM
-	for _, e := range g.inform.VMs() {
-		if e.Key == weightsKey {
-			continue
-		}
-		vm, err := announcer.Decode(e.Value)
-		if err != nil {
-			g.log.WithError(err).WithField("event", "entry_ignored").Warn("entry names no VM")
-			continue
-		}
-		vms = append(vms, vm)
-	}
-	return vms
-}
-
-// loopCount counts the VMs among which limits are shared.
-func (g *gateway) loopCount(ctx context.Context) {
-	ticker := time.NewTicker(countEvery)
-	defer ticker.Stop()
-	highest, until := 0, time.Time{}
-	for {
-		now := time.Now()
-		if n := len(g.vms()); n >= highest || !now.Before(until) {
-			if n != highest {
-				g.forward.SetVMs(n)
-			}
-			highest, until = n, now.Add(countKept)
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
--- a/internal/peering/coordinator/subscriber.go
+++ b/internal/peering/coordinator/subscriber.go
@@ -71,9 +71,9 @@
 func (s *Subscriber) stay(ctx context.Context, hub netip.AddrPort) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	dialing, done := context.WithTimeout(ctx, connectTimeout)
+	limited, done := context.WithTimeout(ctx, connectTimeout)
 	defer done()
-	ws, response, err := websocket.Dial(dialing, "ws://"+hub.String()+Path, &websocket.DialOptions{HTTPClient: s.cfg.Client})
+	ws, response, err := websocket.Dial(limited, "ws://"+hub.String()+Path, &websocket.DialOptions{HTTPClient: s.cfg.Client})
 	if response != nil && response.Body != nil {
 		_ = response.Body.Close()
 	}
--- a/internal/placement/upgrader/upgrader.go
+++ b/internal/placement/upgrader/upgrader.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"strconv"
 	"sync"
 	"time"
@@ -84,20 +83,6 @@
 	seen    map[string]*observation
 }
 
-// observation is what is known of an engine.
-type observation struct {
-	report Report
-	// reportedAt is zero until the engine has reported to this VM.
-	reportedAt time.Time
-	// askedAt is when it was last asked; asking is true until the answer.
-	askedAt time.Time
-	asking  bool
-	// ordered is the number of accepted orders that the latest order requires,
-	// pending is true until the report shows a higher one.
-	ordered uint64
-	pending bool
-}
-
 // New returns an Upgrader.
 func New(cfg Config) *Upgrader {
 	return &Upgrader{cfg: cfg, seen: make(map[string]*observation)}
@@ -143,70 +128,6 @@
 	}
 }
 
-// ask requests reports of the engines that have work to do.
-func (g *Upgrader) ask(ctx context.Context, now time.Time, engines []*registrar.Upstream, wanted map[string]informer.Weights) {
-	for _, u := range engines {
-		o := g.observe(u)
-		due := o.pending || o.report.Busy || outdated(g.weights(u), wanted)
-		if !due || o.asking || now.Before(o.askedAt.Add(reportEvery)) {
-			continue
-		}
-		o.asking, o.askedAt = true, now
-		go g.runReport(ctx, u, o)
-	}
-}
-
-// outdated reports whether a model has other weights than the wanted ones.
-func outdated(have map[string]uint64, wanted map[string]informer.Weights) bool {
-	for model, version := range have {
-		if w, ok := wanted[model]; ok && w.Version > version {
-			return true
-		}
-	}
-	return false
-}
-
-func (g *Upgrader) observe(u *registrar.Upstream) *observation {
-	o, ok := g.seen[u.ID]
-	if !ok {
-		o = &observation{}
-		g.seen[u.ID] = o
-	}
-	return o
-}
-
-func (g *Upgrader) runReport(ctx context.Context, u *registrar.Upstream, o *observation) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	report, err := g.cfg.Engines.Report(ctx, u.Address)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	o.asking = false
-	if err != nil {
-		g.cfg.Log.WithError(err).WithFields(logrus.Fields{"event": "report_failed", "upstream": u.ID}).Debug("engine did not report")
-		return
-	}
-	o.report, o.reportedAt = report, time.Now()
-	if o.pending && report.Orders > o.ordered {
-		o.pending = false
-	}
-	g.cfg.OnChange(u, o.pending || report.Busy, g.weights(u))
-}
-
-// weights returns the newest versions known of an engine: weights never go
-// back within one run.
-func (g *Upgrader) weights(u *registrar.Upstream) map[string]uint64 {
-	o := g.seen[u.ID]
-	if o == nil || o.reportedAt.IsZero() || !o.report.StartedAt.Equal(u.StartedAt) {
-		return u.Weights
-	}
-	newest := make(map[string]uint64, len(u.Weights))
-	for model, version := range u.Weights {
-		newest[model] = max(version, o.report.Weights[model])
-	}
-	return newest
-}
-
 // input returns what the plan is made from.
 func (g *Upgrader) input(now time.Time, engines []*registrar.Upstream, wanted map[string]informer.Weights) planner.Input {
 	in := planner.Input{
@@ -286,82 +207,3 @@
 	}
 	return e
 }
-
-// give sends an order in the background.
-func (g *Upgrader) give(ctx context.Context, holding leaser.Holding, engines []*registrar.Upstream, o planner.Order) {
-	if o.Action != planner.LoadModel {
-		return
-	}
-	for _, u := range engines {
-		if u.ID != o.Upstream {
-			continue
-		}
-		seen := g.observe(u)
-		seen.pending, seen.ordered = true, seen.report.Orders
-		g.cfg.OnChange(u, true, g.weights(u))
-		version, err := strconv.ParseUint(o.WeightsVersion, 10, 64)
-		if err != nil {
-			g.cfg.Log.WithError(err).WithField("order", o.String()).Error("version is no number")
-			return
-		}
-		go g.runOrder(ctx, u, seen, o, Order{
-			Model:   o.Model,
-			Version: version,
-			Holder:  g.cfg.Node,
-			Fencing: holding.Fencing,
-			Orders:  seen.ordered,
-		})
-	}
-}
-
-func (g *Upgrader) runOrder(ctx context.Context, u *registrar.Upstream, seen *observation, planned planner.Order, o Order) {
-	if !sleep(ctx, noticeLead) {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	now := time.Now()
-	outcome, err := planner.Refused, error(nil)
-	if holding, held := g.cfg.Lease.Holding(now); held && holding.Fencing == o.Fencing {
-		outcome, err = g.cfg.Engines.Order(ctx, u, o)
-	} else {
-		err = errors.New("lease ended before the order was sent")
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	entry := g.cfg.Log.WithFields(logrus.Fields{
-		"event":    "order",
-		"upstream": u.ID,
-		"model":    o.Model,
-		"version":  o.Version,
-		"fencing":  o.Fencing,
-		"orders":   o.Orders,
-		"outcome":  outcome.String(),
-		"reason":   planned.Reason,
-		"took_ms":  time.Since(now).Milliseconds(),
-	})
-	if err != nil {
-		entry = entry.WithError(err)
-	}
-	entry.Info("order for new weights")
-	if outcome == planner.Refused {
-		seen.pending = false
-		g.cfg.OnChange(u, false, g.weights(u))
-		seen.reportedAt = time.Time{} // what was believed of its orders was wrong
-	}
-	if g.fencing == o.Fencing {
-		g.planner.Settled(time.Now(), planned, outcome)
-	}
-}
-
-// sleep reports whether d went by before ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/placement/upgrader/upgrader_test.go
+++ b/internal/placement/upgrader/upgrader_test.go
@@ -56,7 +56,7 @@
 
 // Engines lists the engines with what they last wrote of themselves.
 func (d *deployment) Engines() []*registrar.Upstream {
-	var list []*registrar.Upstream
+	list := make([]*registrar.Upstream, 0, len(d.workers))
 	for n, w := range d.workers {
 		list = append(list, &registrar.Upstream{
 			ID: w.ID, Service: "s", Address: address(n), Slots: 8, StartedAt: w.StartedAt(),
--- a/internal/routing/picker/picker_test.go
+++ b/internal/routing/picker/picker_test.go
@@ -182,7 +182,7 @@
 	t.Parallel()
 	is := is.New(t)
 	now := time.Unix(1_700_000_000, 0)
-	var upstreams []*registrar.Upstream
+	upstreams := make([]*registrar.Upstream, 0, 18)
 	for n := range 18 {
 		upstreams = append(upstreams, &registrar.Upstream{ID: fmt.Sprint("u", n), AvailabilityZone: "z1", Slots: 24})
 	}
