Keep long prompts away from engines that are too far behind

Cause: at the worst load engines had two seconds and more of prompts to read. Long prompts then all came late, and short ones, which take 8 ms to read, came late behind them. Ruled out: places; engines had free slots all the while. Change: an engine whose queue would make a long prompt miss its objective is not given it; the prompt waits for an eighth of the objective, looks again, and is turned away with a time to return that grows with the share that is turned away, and is spread. The longest prompts may meet half an objective of queue. Who has least time left goes first. The pace of engines is learned.

--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -103,7 +103,7 @@
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	w := &waiter{rank: x.rank(), arrivedAt: x.arrivedAt}
+	w := &waiter{rank: x.rank(), deadline: x.deadline}
 	for {
 		now := time.Now()
 		if !now.Add(minSendTime).Before(x.deadline) {
@@ -115,15 +115,22 @@
 		case x.choice.Upstream != nil:
 			x.picker.Sent(now, q, x.choice)
 			if x.choice.PromptTokens >= urgentTokens {
+				x.overload.note(false)
 				x.hurry()
 			}
 			return x.choice.Upstream, nil
 		case x.choice.Reason == picker.NoUpstream:
 			return nil, classifier.New(classifier.NoUpstream, "no upstream of %s can be used", x.service)
+		case x.choice.Reason == picker.Behind && now.Sub(x.arrivedAt) >= x.patience():
+			return nil, x.turnAway(now)
 		case !now.Before(latest):
 			return nil, classifier.New(classifier.Overloaded, "every upstream of %s is full", x.service)
 		}
-		x.wait(ctx, x.service, w, latest)
+		until := latest
+		if x.choice.Reason == picker.Behind {
+			until = earlier(latest, now.Add(lookAgain))
+		}
+		x.wait(ctx, x.service, w, until)
 		if x.r.Context().Err() != nil {
 			return nil, classifier.Wrap(classifier.CallerGone, x.r.Context().Err(), "the client left while waiting")
 		}
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -61,6 +61,8 @@
 	picker *picker.Picker
 	budget *budgeter.Budgeter
 	lines  map[string]*line
+	// overload is guarded like the others.
+	overload overload
 	// urgent holds one place, so that no request waits for the hub.
 	urgent chan struct{}
 }
--- a/internal/gateway/forwarder/line.go
+++ b/internal/gateway/forwarder/line.go
@@ -9,21 +9,21 @@
 
 // waiter is a request that waits for a place at an upstream.
 type waiter struct {
-	rank      int
-	arrivedAt time.Time
+	rank     int
+	deadline time.Time
 	// turn is closed when the request may try again.
 	turn chan struct{}
 }
 
 // line holds the requests that wait for a place in one service, most urgent
-// first.
+// first, and of those the one with the least time left: it has come back.
 type line struct {
 	waiters []*waiter
 }
 
 func (l *line) add(w *waiter) {
 	i, _ := slices.BinarySearchFunc(l.waiters, w, func(a, b *waiter) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), a.arrivedAt.Compare(b.arrivedAt))
+		return cmp.Or(cmp.Compare(a.rank, b.rank), a.deadline.Compare(b.deadline))
 	})
 	l.waiters = slices.Insert(l.waiters, i, w)
 }
@@ -88,12 +88,17 @@
 }
 
 // begun notes that the upstream has read the prompt.
-func (x *exchange) begun() {
+// It reports false where that was noted before.
+func (x *exchange) begun() bool {
 	if !x.reading {
-		return
+		return false
 	}
 	x.reading = false
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.picker.Begun(x.choice)
+	if l, ok := x.lines[x.service]; ok {
+		l.wake()
+	}
+	return true
 }
--- a/internal/gateway/forwarder/query.go
+++ b/internal/gateway/forwarder/query.go
@@ -22,6 +22,7 @@
 	q := picker.Query{
 		Upstreams: x.cfg.Directory.Usable(x.service),
 		Exclude:   x.tried,
+		Objective: x.objective(now),
 		BodyBytes: len(x.body),
 		Others: func(id string) picker.Load {
 			load := x.cfg.View.Load(now, id)
--- a/internal/gateway/forwarder/relay.go
+++ b/internal/gateway/forwarder/relay.go
@@ -78,7 +78,11 @@
 // sendEvents hands whole events to the client. Events that it already has are
 // left out; a hole in their numbers ends the answer.
 func (x *exchange) sendEvents(data []byte) error {
-	x.begun()
+	if x.begun() && x.firstByteAt.IsZero() {
+		x.mu.Lock()
+		x.picker.Observed(x.choice, time.Since(x.sentAt))
+		x.mu.Unlock()
+	}
 	data, err := x.unseen(data)
 	if err != nil || len(data) == 0 {
 		return err
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -27,6 +27,9 @@
 	NoUpstream Reason = "no_upstream"
 	// Full means that each usable upstream has all the work it may get.
 	Full Reason = "full"
+	// Behind means that each usable engine reads for so long that a long prompt
+	// would come too late, and everything behind it too.
+	Behind Reason = "behind"
 )
 
 const (
@@ -34,6 +37,12 @@
 	// be reached is left out.
 	firstCooldown = 500 * time.Millisecond
 	lastCooldown  = 4 * time.Second
+	// heavyTokens is the length of what is to be read from which on a prompt
+	// holds up those behind it: a tenth of a usual objective.
+	heavyTokens = 2500
+	// leastQueueShare is the part of the objective that a queue may take even
+	// where the prompt itself takes longer, so that the longest are served too.
+	leastQueueShare = 0.5
 	// faultGain is the weight of one outcome in the share of failures.
 	faultGain = 0.1
 	// sentFor is how long a prompt's home is remembered after a send, until the
@@ -72,6 +81,7 @@
 	cfg    Config
 	rng    *rand.Rand
 	states map[string]*state
+	pace   pace
 	sent   map[string]sentPart
 	// news lists what was sent to be read since SentParts was called.
 	news []SentPart
@@ -90,6 +100,7 @@
 		cfg:    cfg,
 		rng:    rand.New(rand.NewPCG(cfg.Seed, 1)),
 		states: make(map[string]*state),
+		pace:   newPace(),
 		sent:   make(map[string]sentPart),
 	}
 }
@@ -108,6 +119,11 @@
 			continue
 		}
 		c := e.price(u, load)
+		if p.behind(q, c) {
+			best.Reason = Behind
+			best.Backlog = shorter(best.Backlog, c.Costs.Queue)
+			continue
+		}
 		if best.Upstream == nil || c.Costs.Total() < best.Costs.Total() {
 			best = c
 		}
@@ -116,6 +132,30 @@
 	return best
 }
 
+// behind reports whether an engine's queue is too long for a prompt that takes
+// it long to read.
+func (p *Picker) behind(q Query, c Choice) bool {
+	if q.Objective <= 0 || c.PromptTokens < heavyTokens {
+		return false
+	}
+	reading := p.pace.scale(c.Costs.Prefill + c.Costs.Fetch)
+	allowed := max(q.Objective-reading, time.Duration(leastQueueShare*float64(q.Objective)))
+	return p.pace.scale(c.Costs.Queue) > allowed
+}
+
+// shorter returns the shorter of two backlogs, of which 0 is none.
+func shorter(a, b time.Duration) time.Duration {
+	if a == 0 {
+		return b
+	}
+	return min(a, b)
+}
+
+// Observed notes how long an engine took until the first event of a request.
+func (p *Picker) Observed(c Choice, took time.Duration) {
+	p.pace.observe(c.Costs.Queue+c.Costs.Prefill+c.Costs.Fetch, took)
+}
+
 // candidates returns the upstreams that may serve q. Where all of them cool
 // down, cooling ones count too.
 func (p *Picker) candidates(now time.Time, q Query) []*registrar.Upstream {
--- a/internal/routing/picker/query.go
+++ b/internal/routing/picker/query.go
@@ -82,6 +82,9 @@
 	Limit    int
 	// BodyBytes is the size of the request.
 	BodyBytes int
+	// Objective is the time that is left until the first event should come; 0
+	// sets no bound to queues.
+	Objective time.Duration
 	// Prompt is nil for a plain service.
 	Prompt *Prompt
 	// Others returns the load of the other VMs at an upstream.
@@ -132,6 +135,8 @@
 	Scope string
 	// PromptTokens is what the chosen one is expected to read.
 	PromptTokens int
+	// Backlog is the shortest queue where the reason is Behind.
+	Backlog time.Duration
 	// Candidates counts the upstreams that could have been chosen.
 	Candidates int
 	// Load is what all VMs had at the chosen one before this.
