--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -23,7 +23,7 @@
 	otherRunFor = 5 * time.Second
 	// enginePlaces and plainPlaces are the requests for each slot of an upstream
 	// that all VMs together let wait or run there.
-	enginePlaces = 1.0
+	enginePlaces = 2.0
 	plainPlaces  = 3.0
 	// unevenness covers that some VMs get more of the clients than others.
 	unevenness = 2.0
