--- a/internal/operating/starter/gateway.go
+++ b/internal/operating/starter/gateway.go
@@ -48,9 +48,10 @@
 	// watchWait is how long one call to the store waits for a change; a store
 	// that has gone silent is noticed after it.
 	watchWait = 2 * time.Second
-	// upstreamPace is the pause between two looks at changed upstreams, whose
-	// entries change several times a second.
-	upstreamPace = 500 * time.Millisecond
+	// upstreamLooks is the number of looks at changed upstreams within the time
+	// in which one that leaves has to be left alone. Their entries change several
+	// times a second, and each look is paid for.
+	upstreamLooks = 3
 	// vmPace is the pause between two looks at the other VMs.
 	vmPace = time.Second
 	// vmWait is how long a call waits for a change of the other VMs.
@@ -218,7 +219,7 @@
 	}
 	followers := []follower.Config{
 		{Prefix: g.platform.OperatorPrefix, Wait: watchWait},
-		{Prefix: g.platform.UpstreamPrefix, Wait: watchWait, Pace: upstreamPace},
+		{Prefix: g.platform.UpstreamPrefix, Wait: watchWait, Pace: settings.Bounds.Drain / upstreamLooks},
 		{Prefix: ownPrefix, Wait: vmWait, Pace: vmPace},
 	}
 	follows := make([]func(context.Context), 0, len(followers))
