Find other VMs at a start while the store turns VMs away

After all VMs lost power, three of nine answered 503 for 2.8 s: the store turned them away, and they knew no other VM, since the settings name seeds only where a role serves control. Found from: 'no_bundle' on request lines, 'store_lost' without 'configuration_in_force' on the same VM, no 'peer_news'. News of other VMs is looked at without a pause of a second, so that the hub is found sooner.

--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -27,6 +27,10 @@
 	"gentianstep.example/gentianstep/internal/upstream/caller"
 )
 
+// startWait is the mean time after which a client should come back to a VM that
+// has just started: configurations come within some hundred milliseconds.
+const startWait = 400 * time.Millisecond
+
 // Directory knows what is in force in the deployment.
 type Directory interface {
 	Matcher() *matcher.Matcher
@@ -159,7 +163,9 @@
 func (x *exchange) admit() *classifier.Error {
 	m := x.cfg.Directory.Matcher()
 	if m == nil {
-		return classifier.New(classifier.NoBundle, "no configuration is known yet")
+		err := classifier.New(classifier.NoBundle, "no configuration is known yet")
+		err.RetryAt = x.arrivedAt.Add(startWait/2 + rand.N(startWait))
+		return err
 	}
 	x.configuration = m.Configuration()
 	route, ok := m.Route(x.request.Host, x.request.Path)
--- a/internal/operating/starter/gateway.go
+++ b/internal/operating/starter/gateway.go
@@ -52,8 +52,9 @@
 	// in which one that leaves has to be left alone. Their entries change several
 	// times a second, and each look is paid for.
 	upstreamLooks = 3
-	// vmPace is the pause between two looks at the other VMs.
-	vmPace = time.Second
+	// vmPace is the pause between two looks at the other VMs, which change only
+	// when one comes or goes.
+	vmPace = 200 * time.Millisecond
 	// vmWait is how long a call waits for a change of the other VMs.
 	vmWait = 20 * time.Second
 	// countEvery is how often the VMs are counted, countKept how long the highest
