--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 export GOLANGCI_LINT_CACHE := $(BIN)/lint-cache
 SEED ?= 1
 
-.PHONY: all build fmt lint unit test demo bench measure clean
+.PHONY: all build fmt lint unit test demo bench measure replay clean
 
 all: build
 
@@ -43,3 +43,6 @@
 
 measure: build
 	SEED=$(SEED) scripts/measure_all.sh
+
+replay:
+	scripts/replay.sh
--- a/cmd/gentianstep/command_test.go
+++ b/cmd/gentianstep/command_test.go
@@ -170,12 +170,20 @@
 func (b *bench) run(s step) result {
 	b.t.Helper()
 	var stdout, stderr bytes.Buffer
-	c := exec.CommandContext(b.t.Context(), filepath.Join(programs, "gentianstep"), s.Args...)
+	docs, err := filepath.Abs("../../docs")
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	args := make([]string, 0, len(s.Args))
+	for _, arg := range s.Args {
+		args = append(args, strings.ReplaceAll(arg, "{docs}", docs))
+	}
+	c := exec.CommandContext(b.t.Context(), filepath.Join(programs, "gentianstep"), args...)
 	c.Dir = b.directory
 	c.Stdin = strings.NewReader(s.Stdin)
 	c.Stdout = &stdout
 	c.Stderr = &stderr
-	err := c.Run()
+	err = c.Run()
 	var exit *exec.ExitError
 	if err != nil && !errors.As(err, &exit) {
 		b.t.Fatal(err)
--- a/internal/operating/configurer/load.go
+++ b/internal/operating/configurer/load.go
@@ -8,6 +8,8 @@
 	"os"
 	"reflect"
 
+	"github.com/tidwall/jsonc"
+
 	"gentianstep.example/gentianstep/internal/failure/classifier"
 )
 
@@ -20,9 +22,10 @@
 	return Decode(data)
 }
 
-// Decode reads settings from their JSON form and checks them.
+// Decode reads settings from their JSON form, with or without comments, and
+// checks them.
 func Decode(data []byte) (*Settings, error) {
-	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder := json.NewDecoder(bytes.NewReader(jsonc.ToJSON(data)))
 	var document json.RawMessage
 	if err := decoder.Decode(&document); err != nil {
 		return nil, classifier.Wrap(classifier.SettingsInvalid, err, "settings are not valid JSON")
--- a/internal/placement/leaser/leaser.go
+++ b/internal/placement/leaser/leaser.go
@@ -101,7 +101,7 @@
 	if !errors.Is(err, storer.ErrNotFound) {
 		return Holding{}, err
 	}
-	sent := time.Now()
+	sent, endsAtBoot := time.Now(), bootDeadline(terms.TTL-terms.margin())
 	lease, err := l.cfg.Store.Grant(ctx, terms.TTL)
 	if err != nil {
 		return Holding{}, err
@@ -119,6 +119,7 @@
 	return Holding{
 		Fencing:        revision,
 		Deadline:       sent.Add(terms.TTL - terms.margin()),
+		endsAtBoot:     endsAtBoot,
 		UncheckedAfter: time.Now().Add(terms.TTL + terms.OrderTimeout),
 	}, nil
 }
@@ -145,14 +146,14 @@
 			l.release(terms)
 			return
 		}
-		sent := time.Now()
+		sent, endsAtBoot := time.Now(), bootDeadline(terms.TTL-terms.margin())
 		if !h.Valid(sent) {
 			return
 		}
 		err := l.renew(ctx, h.Deadline)
 		switch {
 		case err == nil:
-			h.Deadline = sent.Add(terms.TTL - terms.margin())
+			h.Deadline, h.endsAtBoot = sent.Add(terms.TTL-terms.margin()), endsAtBoot
 			l.set(h)
 			wait = terms.renewEvery()
 		case errors.Is(err, storer.ErrLeaseGone):
