Bound the time of a client that does not read, and the connections of clients

Cause: a client that stopped reading a stream held its place at the engine for good, and connections of clients could take every descriptor. Change: writes to a client end with its request's deadline and half a second; clients' connections may take six tenths of the descriptors. Before: TestClientThatDoesNotReadIsLetGo fails: the place is still taken a second after the deadline. After: it passes.

--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -32,6 +32,9 @@
 	// urgentTokens is the length of a prompt of which the other VMs should hear
 	// at once: reading it takes an engine some 50 ms.
 	urgentTokens = 2500
+	// writeGrace is the time after the deadline in which a client may still take
+	// what was written.
+	writeGrace = 500 * time.Millisecond
 	// waitShare is the part of the latency objective for which a request may
 	// wait for a place.
 	waitShare = 0.75
@@ -74,6 +77,7 @@
 func (x *exchange) run() {
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
+	defer x.boundWrites()()
 	x.lastEvent = x.request.ResumeAfter
 	x.mu.Lock()
 	x.budget.Request(x.arrivedAt, x.service)
@@ -95,6 +99,17 @@
 	}
 }
 
+// boundWrites bounds the time for which a client that does not read holds its
+// request. The function that it returns frees the connection for the next one.
+func (x *exchange) boundWrites() func() {
+	control := http.NewResponseController(x.w)
+	if err := control.SetWriteDeadline(x.deadline.Add(writeGrace)); err != nil {
+		x.cfg.Log.WithError(err).WithField("event", "deadline_unset").Warn("connection takes no deadline")
+		return func() {}
+	}
+	return func() { _ = control.SetWriteDeadline(time.Time{}) } // a closed one needs none
+}
+
 // choose waits for a place at an upstream and takes it.
 func (x *exchange) choose(ctx context.Context) (*registrar.Upstream, *classifier.Error) {
 	latest := x.arrivedAt.Add(time.Duration(waitShare * float64(x.route.TargetLatency)))
--- a/internal/gateway/forwarder/path_test.go
+++ b/internal/gateway/forwarder/path_test.go
@@ -285,3 +285,37 @@
 		is.Equal(f.arrivals(), statuses[http.StatusOK]) // those that were refused never left
 	})
 }
+
+// TestClientThatDoesNotReadIsLetGo has a client that takes the head of a stream
+// and nothing more.
+func TestClientThatDoesNotReadIsLetGo(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, 1)
+		f.workers[0].Events, f.workers[0].Pause = 1000, 10*time.Millisecond
+		response, err := f.client.Do(f.request(t, "resumable", "a"))
+		is.NoErr(err)
+		time.Sleep(2 * timeout)
+		is.Equal(len(f.forwarder.Loads()), 0) // its place is free again
+		is.True(f.workers[0].Runs()[0].Cancelled)
+		is.Equal(f.runs(), 1)
+		_ = response.Body.Close()
+	})
+}
+
+// TestNextRequestOfAConnectionHasItsOwnTime keeps a connection past the time of
+// its first request.
+func TestNextRequestOfAConnectionHasItsOwnTime(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, 1)
+		for n := range 5 {
+			a := f.do(f.request(t, "stream", fmt.Sprint(n)))
+			is.Equal(a.status, http.StatusOK)
+			is.NoErr(a.err)
+			time.Sleep(2 * timeout)
+		}
+	})
+}
--- a/internal/operating/configurer/vm.go
+++ b/internal/operating/configurer/vm.go
@@ -74,6 +74,9 @@
 			return err
 		}
 	}
+	if err := checkCount("descriptors", s.MaxDescriptors); err != nil {
+		return err
+	}
 	if s.AvailabilityZone == "" || s.Region == "" {
 		return invalid("availability zone", "got none, takes a zone with its region")
 	}
--- a/internal/operating/starter/gateway.go
+++ b/internal/operating/starter/gateway.go
@@ -21,6 +21,7 @@
 	"gentianstep.example/gentianstep/internal/membership/follower"
 	"gentianstep.example/gentianstep/internal/membership/informer"
 	"gentianstep.example/gentianstep/internal/operating/configurer"
+	"gentianstep.example/gentianstep/internal/operating/limiter"
 	"gentianstep.example/gentianstep/internal/operating/meter"
 	"gentianstep.example/gentianstep/internal/peering/coordinator"
 	"gentianstep.example/gentianstep/internal/peering/exchanger"
@@ -61,6 +62,9 @@
 	// count holds, so that a store that loses entries changes no share.
 	countEvery = 500 * time.Millisecond
 	countKept  = 15 * time.Second
+	// clientShare is the part of a process's descriptors that connections of
+	// clients may take; the rest is for upstreams, the store and other VMs.
+	clientShare = 0.6
 	// memoryShare is the part of the memory limit that the runtime may use.
 	memoryShare = 0.7
 	// collectorPercent is the growth of the heap between two collections.
@@ -239,6 +243,12 @@
 	if err != nil {
 		return err
 	}
+	clients.listener = limiter.NewListener(limiter.ListenerConfig{
+		Listener: clients.listener,
+		Name:     callersListener,
+		Limit:    int(clientShare * float64(settings.MaxDescriptors)),
+		Meter:    g.meter,
+	})
 	servers := []*http.Server{}
 	group, work := errgroup.WithContext(context.WithoutCancel(ctx))
 	work, stopWork := context.WithCancel(work)
