--- a/internal/failure/classifier/page_test.go
+++ b/internal/failure/classifier/page_test.go
@@ -11,11 +11,11 @@
 func TestEveryKindIsDocumented(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	page, err := os.ReadFile("../../../docs/OPERATING.md")
+	page, err := os.ReadFile("../../../docs/OPERATIONS.md")
 	is.NoErr(err)
 	for _, kind := range Kinds() {
 		if !strings.Contains(string(page), "\n| `"+string(kind)+"` |") {
-			t.Errorf("docs/OPERATING.md lacks %s", kind)
+			t.Errorf("docs/OPERATIONS.md lacks %s", kind)
 		}
 	}
 }
--- a/internal/membership/informer/informer_test.go
+++ b/internal/membership/informer/informer_test.go
@@ -36,11 +36,17 @@
 }
 
 func startVM(t *testing.T, network *piper.Network, store *platformtest.Store, n, vms int) *vm {
+	t.Helper()
+	return startVMBehind(t, network, store.Door(), n, vms)
+}
+
+// startVMBehind starts a VM whose way to the store has a door of its own.
+func startVMBehind(t *testing.T, network *piper.Network, door *platformtest.Door, n, vms int) *vm {
 	t.Helper()
 	quiet := logrus.New()
 	quiet.SetOutput(io.Discard)
 	log := logrus.NewEntry(quiet)
-	v := &vm{door: store.Door()}
+	v := &vm{door: door}
 	name := fmt.Sprintf("%s-%d", storeAddress, n)
 	network.Serve(name, v.door)
 	transport := &http.Transport{DialContext: func(ctx context.Context, proto, target string) (net.Conn, error) {
@@ -149,6 +155,31 @@
 	}
 }
 
+func TestVMThatIsTurnedAwayFromItsStart(t *testing.T) {
+	t.Parallel()
+	for _, fault := range []platformtest.StoreFault{platformtest.Silent, platformtest.Busy} {
+		t.Run(string(fault), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				network, store := piper.New(), platformtest.NewStore()
+				putConfiguration(store, 1, "k1")
+				other := startVM(t, network, store, 1, 2)
+				door := store.Door()
+				door.Set(fault)
+				v := startVMBehind(t, network, door, 0, 2)
+				is.True(!v.inform.Ready()) // nothing is known, so that nothing is promised
+				time.Sleep(time.Second)
+				is.True(v.inform.Ready())
+				is.Equal(v.version(), uint64(1))
+				v.stop()
+				other.stop()
+				network.Close()
+			})
+		})
+	}
+}
+
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
