--- a/internal/gateway/forwarder/fixture_test.go
+++ b/internal/gateway/forwarder/fixture_test.go
@@ -57,6 +57,12 @@
 	return d.weights
 }
 
+func (d *directory) configure(c *matcher.Configuration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.configuration = matcher.New(c)
+}
+
 func (d *directory) setWeights(weights ...informer.Weights) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/placement/upgrader/upgrader_test.go
+++ b/internal/placement/upgrader/upgrader_test.go
@@ -316,3 +316,44 @@
 		d.network.Close()
 	})
 }
+
+// expiring is a lease that ends at a time.
+type expiring struct{ end time.Time }
+
+// Holding implements upgrader.Holder.
+func (e expiring) Holding(now time.Time) (leaser.Holding, bool) {
+	return leaser.Holding{Fencing: 7, Deadline: e.end}, now.Before(e.end)
+}
+
+// TestNoOrderAfterTheLease ends the lease between a plan and its orders.
+func TestNoOrderAfterTheLease(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, 1, 1, 3)
+		d.name()
+		transport := &http.Transport{DialContext: d.network.Dial}
+		quiet := logrus.New()
+		quiet.SetOutput(io.Discard)
+		ctx, stop := context.WithCancel(t.Context())
+		var loop sync.WaitGroup
+		up := upgrader.New(upgrader.Config{
+			Node: "vm", Directory: d, Lease: expiring{time.Now().Add(250 * time.Millisecond)},
+			Engines:      platform.Engines{HTTP: &http.Client{Transport: transport}},
+			OnLease:      func() {},
+			OnChange:     func(*registrar.Upstream, bool, map[string]uint64) {},
+			Loads:        func() map[string]int { return nil },
+			WeightsApply: weightsApply, CheckedFencing: true, Log: logrus.NewEntry(quiet),
+		})
+		loop.Go(func() { up.Run(ctx) })
+		time.Sleep(3 * time.Second)
+		for _, w := range d.workers {
+			if n := len(w.Orders()); n != 0 {
+				t.Errorf("%s was given %d orders after the lease", w.ID, n)
+			}
+		}
+		stop()
+		loop.Wait()
+		transport.CloseIdleConnections()
+		d.network.Close()
+	})
+}
--- a/internal/routing/picker/picker_test.go
+++ b/internal/routing/picker/picker_test.go
@@ -36,14 +36,16 @@
 type decisionRow struct {
 	Name string `json:"name"`
 	// Pattern is the load that the rule answers.
-	Pattern   string        `json:"pattern"`
-	Shared    int           `json:"shared"`
-	Own       int           `json:"own"`
-	Newest    uint64        `json:"newest"`
-	Due       uint64        `json:"due"`
-	Plain     bool          `json:"plain"`
-	Limit     int           `json:"limit"`
-	Upstreams []upstreamRow `json:"upstreams"`
+	Pattern string `json:"pattern"`
+	Shared  int    `json:"shared"`
+	Own     int    `json:"own"`
+	Newest  uint64 `json:"newest"`
+	Due     uint64 `json:"due"`
+	Plain   bool   `json:"plain"`
+	Limit   int    `json:"limit"`
+	// ObjectiveMS is the time that is left until the first event should come.
+	ObjectiveMS int           `json:"objective_ms"`
+	Upstreams   []upstreamRow `json:"upstreams"`
 	// Store holds that many leading tokens; its zone is StoreZone, "" for none.
 	StoreZone  string `json:"store_zone"`
 	StoreHolds int    `json:"store_holds"`
@@ -120,7 +122,10 @@
 }
 
 func query(row decisionRow) picker.Query {
-	q := picker.Query{Limit: 24, OwnLimit: 24, BodyBytes: 34_000}
+	q := picker.Query{
+		Limit: 24, OwnLimit: 24, BodyBytes: 34_000,
+		Objective: time.Duration(row.ObjectiveMS) * time.Millisecond,
+	}
 	if row.Limit > 0 {
 		q.Limit = row.Limit
 	}
