Guard what tests read while loops run

Nothing outside the tests was at fault. Change: read under the lock. Measured: the packages of the gateway three times with the detector, and the test of real processes.

--- a/cmd/gentianstep/gateway_test.go
+++ b/cmd/gentianstep/gateway_test.go
@@ -262,7 +262,7 @@
 	t.Helper()
 	is := is.New(t)
 	t.Log("a VM is stopped")
-	p.desk.Work = 1500 * time.Millisecond
+	p.desk.SetWork(1500 * time.Millisecond)
 	answered := make(chan int, 1)
 	go func() {
 		status, _ := p.ask(vm, "order", "during the stop", "k1")
@@ -278,7 +278,7 @@
 	})
 	vm.process.Terminate()
 	eventually(t, "not ready", func() bool { return p.status(vm.ready) == http.StatusServiceUnavailable })
-	p.desk.Work = 0
+	p.desk.SetWork(0)
 	status, _ := p.ask(vm, "look", "late", "k1")
 	is.Equal(status, http.StatusOK) // what still comes is served
 	is.Equal(<-answered, http.StatusOK)
--- a/internal/membership/follower/follower_test.go
+++ b/internal/membership/follower/follower_test.go
@@ -93,6 +93,20 @@
 	s.failures++
 }
 
+// told returns what the sink was told so far.
+func (s *sink) told() (replaced, applied, failures int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.replaced, len(s.applied), s.failures
+}
+
+// calls returns the calls so far.
+func (f *feed) calls() (snapshots, watches int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.snapshots, f.watches
+}
+
 func change(key string, revision uint64) storer.Change {
 	return storer.Change{Entry: storer.Entry{Key: key, Revision: revision}}
 }
@@ -105,24 +119,29 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		go follower.New(follower.Config{Feed: f, Prefix: "p/", Sink: s, Wait: 2 * time.Second, Pace: 500 * time.Millisecond}).Run(ctx)
 		synctest.Wait()
-		is.Equal(s.replaced, 1)
+		replaced, _, _ := s.told()
+		is.Equal(replaced, 1)
 		f.set(func(f *feed) { f.changes = []storer.Change{change("p/a", 11)} })
 		time.Sleep(2100 * time.Millisecond)
-		is.Equal(len(s.applied), 1)
+		_, applied, _ := s.told()
+		is.Equal(applied, 1)
 		// Frequent changes come together, each within the pace.
-		before := f.watches
+		_, before := f.calls()
 		for n := range 20 {
 			f.set(func(f *feed) { f.changes = append(f.changes, change("p/a", uint64(20+n))) })
 			time.Sleep(100 * time.Millisecond)
 		}
-		is.True(f.watches-before <= 6)
+		_, watches := f.calls()
+		is.True(watches-before <= 6)
 		time.Sleep(2 * time.Second)
-		is.Equal(len(s.applied), 21)
+		_, applied, _ = s.told()
+		is.Equal(applied, 21)
 		// A dropped history asks for the whole list again.
 		f.set(func(f *feed) { f.gone = true })
 		time.Sleep(3 * time.Second)
-		is.Equal(s.replaced, 2)
-		is.Equal(s.failures, 0)
+		replaced, _, failures := s.told()
+		is.Equal(replaced, 2)
+		is.Equal(failures, 0)
 		cancel()
 	})
 }
@@ -135,12 +154,15 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		go follower.New(follower.Config{Feed: f, Prefix: "p/", Sink: s, Wait: time.Second}).Run(ctx)
 		time.Sleep(30 * time.Second)
-		is.True(f.snapshots >= 20) // it goes on asking
-		is.True(f.snapshots <= 80) // though not often
-		is.Equal(s.replaced, 0)
+		snapshots, _ := f.calls()
+		is.True(snapshots >= 20) // it goes on asking
+		is.True(snapshots <= 80) // though not often
+		replaced, _, _ := s.told()
+		is.Equal(replaced, 0)
 		f.set(func(f *feed) { f.away = false })
 		time.Sleep(1500 * time.Millisecond)
-		is.Equal(s.replaced, 1)
+		replaced, _, _ = s.told()
+		is.Equal(replaced, 1)
 		cancel()
 	})
 }
