--- a/internal/caching/listener/listener.go
+++ b/internal/caching/listener/listener.go
@@ -11,6 +11,7 @@
 
 	"gentianstep.example/gentianstep/internal/caching/cataloguer"
 	"gentianstep.example/gentianstep/internal/membership/registrar"
+	"gentianstep.example/gentianstep/internal/operating/pauser"
 )
 
 const (
@@ -130,7 +131,7 @@
 	for ctx.Err() == nil {
 		batch, err := l.events(ctx, u, since)
 		if err != nil {
-			pause(ctx, retryAfter)
+			pauser.Pause(ctx, retryAfter)
 			continue
 		}
 		if epoch != 0 && batch.Epoch != epoch {
@@ -147,7 +148,7 @@
 			}
 		}
 		since, epoch = batch.Next, batch.Epoch
-		pause(ctx, eventsPace)
+		pauser.Pause(ctx, eventsPace)
 	}
 }
 
@@ -173,12 +174,3 @@
 	}
 	return list
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/controlling/watcher/watcher.go
+++ b/internal/controlling/watcher/watcher.go
@@ -14,6 +14,7 @@
 	"gentianstep.example/gentianstep/internal/bundle/publisher"
 	"gentianstep.example/gentianstep/internal/bundle/signer"
 	"gentianstep.example/gentianstep/internal/failure/classifier"
+	"gentianstep.example/gentianstep/internal/operating/pauser"
 	"gentianstep.example/gentianstep/internal/platform/storer"
 )
 
@@ -44,7 +45,7 @@
 			continue
 		}
 		w.cfg.Log.WithError(err).Debug("bundle watch failed")
-		pause(ctx, wait/2+rand.N(wait/2))
+		pauser.Pause(ctx, wait/2+rand.N(wait/2))
 		wait = min(2*wait, lastRetry)
 	}
 }
@@ -107,7 +108,7 @@
 		return nil
 	}
 	if w.cfg.Holder.Version() > 0 {
-		pause(ctx, rand.N(spreadWindow))
+		pauser.Pause(ctx, rand.N(spreadWindow))
 	}
 	if w.cfg.Holder.Version() < pointer.Version {
 		if err := w.fetch(ctx, pointer.Version); err != nil {
@@ -142,12 +143,3 @@
 		w.cfg.Log.WithError(err).WithField("kind", classifier.KindOf(err)).Warn("bundle refused")
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -142,8 +142,8 @@
 			return nil, classifier.New(classifier.Overloaded, "every upstream of %s is full", x.service)
 		}
 		until := latest
-		if x.choice.Reason == picker.Behind {
-			until = earlier(latest, now.Add(lookAgain))
+		if again := now.Add(lookAgain); x.choice.Reason == picker.Behind && again.Before(latest) {
+			until = again
 		}
 		x.wait(ctx, x.service, w, until)
 		if x.r.Context().Err() != nil {
--- a/internal/gateway/forwarder/overload.go
+++ b/internal/gateway/forwarder/overload.go
@@ -63,10 +63,3 @@
 	err.RetryAt = now.Add(x.overload.wait(x.choice.Backlog))
 	return err
 }
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
--- a/internal/membership/follower/follower.go
+++ b/internal/membership/follower/follower.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"gentianstep.example/gentianstep/internal/operating/pauser"
 	"gentianstep.example/gentianstep/internal/platform/storer"
 )
 
@@ -77,7 +78,7 @@
 		revision = next
 		f.cfg.Sink.Apply(time.Now(), f.cfg.Prefix, changes, revision)
 		if len(changes) > 0 {
-			pause(ctx, f.cfg.Pace)
+			pauser.Pause(ctx, f.cfg.Pace)
 		}
 	}
 }
@@ -87,18 +88,6 @@
 		return
 	}
 	f.cfg.Sink.Failed(time.Now(), f.cfg.Prefix, err)
-	pause(ctx, *retry/2+rand.N(*retry))
+	pauser.Pause(ctx, *retry/2+rand.N(*retry))
 	*retry = min(2**retry, lastRetry)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/placement/leaser/leaser.go
+++ b/internal/placement/leaser/leaser.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"gentianstep.example/gentianstep/internal/operating/pauser"
 	"gentianstep.example/gentianstep/internal/platform/storer"
 )
 
@@ -65,21 +66,21 @@
 	for ctx.Err() == nil {
 		terms, ok := l.cfg.Terms()
 		if !ok {
-			pause(ctx, idle)
+			pauser.Pause(ctx, idle)
 			continue
 		}
 		if !started {
-			pause(ctx, mathrand.N(terms.TTL/2)) // spreads nodes that start at once
+			pauser.Pause(ctx, mathrand.N(terms.TTL/2)) // spreads nodes that start at once
 			started = true
 		}
 		if l.cfg.Taken != nil && l.cfg.Taken() {
-			pause(ctx, terms.retryEvery())
+			pauser.Pause(ctx, terms.retryEvery())
 			continue
 		}
 		h, err := l.acquire(ctx, terms)
 		if err != nil {
 			l.cfg.Log.WithError(err).Debug("lease not taken")
-			pause(ctx, terms.TTL/2+mathrand.N(terms.TTL/2))
+			pauser.Pause(ctx, terms.TTL/2+mathrand.N(terms.TTL/2))
 			continue
 		}
 		l.set(h)
@@ -141,7 +142,7 @@
 func (l *Leaser) keep(ctx context.Context, terms Terms, h Holding) {
 	wait := terms.renewEvery()
 	for h.Valid(time.Now()) {
-		pause(ctx, min(wait, time.Until(h.Deadline)))
+		pauser.Pause(ctx, min(wait, time.Until(h.Deadline)))
 		if ctx.Err() != nil {
 			l.release(terms)
 			return
@@ -181,12 +182,3 @@
 	defer cancel()
 	_ = l.cfg.Store.Revoke(ctx, l.lease)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/placement/upgrader/order.go
+++ b/internal/placement/upgrader/order.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"gentianstep.example/gentianstep/internal/membership/registrar"
+	"gentianstep.example/gentianstep/internal/operating/pauser"
 	"gentianstep.example/gentianstep/internal/placement/leaser"
 	"gentianstep.example/gentianstep/internal/placement/planner"
 )
@@ -41,7 +42,7 @@
 }
 
 func (g *Upgrader) runOrder(ctx context.Context, u *registrar.Upstream, seen *observation, planned planner.Order, o Order) {
-	if !sleep(ctx, noticeLead) {
+	if !pauser.Pause(ctx, noticeLead) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -79,15 +80,3 @@
 		g.planner.Settled(time.Now(), planned, outcome)
 	}
 }
-
-// sleep reports whether d went by before ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
