--- /dev/null
+++ b/cmd/gentianstep/gateway_fixture_test.go
@@ -0,0 +1,201 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gentianstep.example/gentianstep/internal/testing/launcher"
+	"gentianstep.example/gentianstep/platform/platformtest"
+)
+
+// gatewayVM is one VM of a test: its process and its addresses.
+type gatewayVM struct {
+	process  *launcher.Process
+	settings string
+	client   string
+	ready    string
+	metrics  string
+}
+
+// platformUnderTest is a store with workers and the VMs before them.
+type platformUnderTest struct {
+	t       *testing.T
+	store   *platformtest.Store
+	door    *platformtest.Door
+	address string
+	engine  *platformtest.Worker
+	desk    *platformtest.Worker
+	client  *http.Client
+}
+
+func newPlatform(t *testing.T) *platformUnderTest {
+	t.Helper()
+	p := &platformUnderTest{t: t, store: platformtest.NewStore(), client: &http.Client{Timeout: 10 * time.Second}}
+	p.door = p.store.Door()
+	server := httptest.NewServer(p.door)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	p.address = strings.TrimPrefix(server.URL, "http://")
+	p.engine, p.desk = platformtest.NewWorker("engine"), platformtest.NewWorker("desk")
+	p.engine.SetModel("m", 1)
+	p.engine.LoadTime, p.engine.Born = 200*time.Millisecond, time.Now().UnixMilli()
+	p.serve(p.engine, "llm")
+	p.serve(p.desk, "app")
+	p.configure(1, "k1", "k2")
+	return p
+}
+
+func (p *platformUnderTest) serve(w *platformtest.Worker, service string) {
+	server := httptest.NewServer(w)
+	p.t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	p.store.Put(w.Key(), w.Entry(service, strings.TrimPrefix(server.URL, "http://"), "z1", 8))
+}
+
+func (p *platformUnderTest) configure(version int, keys ...string) {
+	route := func(name, kind, service string, sticky, resumable bool) map[string]any {
+		return map[string]any{
+			"name": name, "host": "a.example", "prefix": "/" + name + "/", "kind": kind, "service": service, "timeout_ms": 3000,
+			"target_latency_ms": 800, "priority": 1, "max_attempts": 2, "sticky": sticky, "resumable": resumable, "gap_target_ms": 300,
+		}
+	}
+	p.store.Put("op/config", map[string]any{
+		"version": version,
+		"routes": []any{
+			route("look", "idempotent", "app", false, false),
+			route("order", "non_idempotent", "app", false, false),
+			route("match", "stream", "llm", true, true),
+			route("ask", "stream", "llm", true, false),
+		},
+		"services": []any{
+			map[string]any{"name": "app", "max_connections": 110},
+			map[string]any{"name": "llm", "max_connections": 210, "engine": map[string]any{"slots": 8, "token_kv_bytes": 1000, "link_mbps": 1000.0}},
+		},
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []any{map[string]any{"name": "o1", "api_keys": keys, "priority": 1, "isolated": false}},
+	})
+}
+
+// freePorts returns the ports of four free addresses, the last two in a row.
+func freePorts(t *testing.T) []uint16 {
+	t.Helper()
+	ports := []uint16{launcher.FreeAddress(t).Port(), launcher.FreeAddress(t).Port()}
+	first := launcher.FreeAddress(t).Port()
+	for {
+		second := launcher.FreeAddress(t).Port()
+		if second == first+1 {
+			return append(ports, first, second)
+		}
+		first = second
+	}
+}
+
+func (p *platformUnderTest) start(node string) *gatewayVM {
+	p.t.Helper()
+	ports := freePorts(p.t)
+	vm := &gatewayVM{
+		settings: filepath.Join(p.t.TempDir(), "node.toml"),
+		client:   fmt.Sprintf("%s:%d", launcher.Host(), ports[0]),
+		ready:    fmt.Sprintf("http://%s:%d/api/ready", launcher.Host(), ports[1]),
+		metrics:  fmt.Sprintf("http://%s:%d/metrics", launcher.Host(), ports[3]),
+	}
+	p.write(vm, node, ports)
+	vm.process = launcher.Start(p.t, node, launcher.Build(p.t).Gentianstep, "gateway", "--settings", vm.settings)
+	return vm
+}
+
+func (p *platformUnderTest) write(vm *gatewayVM, node string, ports []uint16) {
+	p.t.Helper()
+	text := fmt.Sprintf(`node = %q
+ip = %q
+zone = "z1"
+region = "r1"
+internal_ports = [%d,%d]
+seeds = []
+heartbeat_ms = 1200
+[zones]
+z1 = "r1"
+[listen]
+front = %q
+ready = "%s:%d"
+[limits]
+memory_mb = 134
+max_fds = 4100
+[bounds]
+drain_ms = 2500
+grace_s = 8
+config_apply_ms = 2500
+version_ms = 6000
+budget_ratio = 0.2
+budget_extra = 58
+budget_window_s = 10
+lease_ms = 3000
+require_fencing = true
+[platform]
+address = %q
+ttl_min_ms = 1000
+`, node, launcher.Host(), ports[2], ports[3], vm.client, launcher.Host(), ports[1], p.address)
+	if err := os.WriteFile(vm.settings, []byte(text), 0o600); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// ask sends a request and returns its status and body, 0 where no whole answer
+// came.
+func (p *platformUnderTest) ask(vm *gatewayVM, route, id, key string) (int, string) {
+	p.t.Helper()
+	r, err := http.NewRequestWithContext(p.t.Context(), http.MethodPost, "http://"+vm.client+"/"+route+"/x", strings.NewReader("body"))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	r.Host = "a.example"
+	r.Header.Set("Request-Id", id)
+	r.Header.Set("Credential", key)
+	r.Header.Set("Deadline-Ms", "3000")
+	if route == "match" || route == "ask" {
+		r.Header.Set("Model", "m")
+		r.Header.Set("Token-Usage", "100,10")
+		r.Header.Set("Prompt-Prefix", "aa:50,bb:50")
+	}
+	response, err := p.client.Do(r)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return response.StatusCode, string(body)
+}
+
+func (p *platformUnderTest) status(url string) int {
+	response, err := p.client.Get(url) //nolint:noctx // The client has a timeout.
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+// eventually waits for a condition.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	launcher.Until(t, 15*time.Second, what, condition)
+}
+
+// logs reports whether a VM has written a line of an event.
+func (vm *gatewayVM) logs(event string) bool {
+	return strings.Contains(vm.process.Output(), `"event":"`+event+`"`)
+}
--- a/internal/gateway/forwarder/path_test.go
+++ b/internal/gateway/forwarder/path_test.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,7 +13,6 @@
 	"github.com/matryer/is"
 
 	"gentianstep.example/gentianstep/internal/membership/informer"
-	"gentianstep.example/gentianstep/internal/membership/registrar"
 	"gentianstep.example/gentianstep/platform/platformtest"
 )
 
@@ -155,137 +153,6 @@
 	})
 }
 
-func TestRetryBudgetHoldsWhenAllFail(t *testing.T) {
-	t.Parallel()
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		f := newFixture(t, 3)
-		f.forwarder.SetVMs(5)
-		faults := &platformtest.Faults{}
-		for range 2000 {
-			faults.Add(platformtest.Fails)
-		}
-		for _, w := range f.workers {
-			w.Faults = faults
-		}
-		const requests = 200
-		for n := range requests {
-			f.do(f.request(t, "idempotent", fmt.Sprint(n)))
-			time.Sleep(10 * time.Millisecond)
-		}
-		repeats := f.arrivals() - requests
-		is.True(repeats > 10)               // some are made
-		is.True(repeats <= requests/5+50/5) // the ratio, and the part of 5 VMs
-	})
-}
-
-func TestNothingRunsTwiceUnderManyFaults(t *testing.T) {
-	t.Parallel()
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		f := newFixture(t, 3)
-		kinds := []platformtest.WorkerFault{
-			platformtest.Well, platformtest.AnswerLost, platformtest.Shed, platformtest.Crossed, platformtest.Fails,
-			platformtest.Truncated, platformtest.Misdirected, platformtest.Unsigned, platformtest.Breaks,
-		}
-		faults := &platformtest.Faults{}
-		for n := range 400 {
-			faults.Add(kinds[n*7%len(kinds)])
-		}
-		for _, w := range f.workers {
-			w.Faults = faults
-		}
-		var group sync.WaitGroup
-		var mu sync.Mutex
-		refused := make(map[string]bool)
-		for n := range 150 {
-			group.Go(func() {
-				route := []string{"non_idempotent", "stream"}[n%2]
-				id := fmt.Sprint("r", n)
-				time.Sleep(time.Duration(n) * 3 * time.Millisecond)
-				a := f.do(f.request(t, route, id))
-				mu.Lock()
-				defer mu.Unlock()
-				refused[id] = a.status == http.StatusServiceUnavailable
-			})
-		}
-		group.Wait()
-		ran := make(map[string]int)
-		for _, w := range f.workers {
-			for _, run := range w.Runs() {
-				ran[run.ID]++
-			}
-		}
-		for id, times := range ran {
-			is.True(times <= 1)
-			is.True(!refused[id]) // "not run" is true
-		}
-	})
-}
-
-func TestUnreachableUpstreamIsPassedOver(t *testing.T) {
-	t.Parallel()
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		f := newFixture(t, 2)
-		f.network.Stop("10.0.0.1:80")
-		for n := range 20 {
-			a := f.do(f.request(t, "non_idempotent", fmt.Sprint(n)))
-			is.Equal(a.status, http.StatusOK) // nothing was sent to the dead one
-		}
-		is.Equal(len(f.workers[1].Runs()), 20)
-	})
-}
-
-func TestLeavingUpstreamGetsNothingNew(t *testing.T) {
-	t.Parallel()
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		f := newFixture(t, 2)
-		r := registrar.New()
-		for _, u := range f.directory.upstreams["s"] {
-			r.Put(u)
-		}
-		leaving := *f.directory.upstreams["s"][0]
-		leaving.Leaving = true
-		r.Put(&leaving)
-		f.directory.upstreams["s"] = r.Usable("s")
-		for n := range 10 {
-			is.Equal(f.do(f.request(t, "idempotent", fmt.Sprint(n))).status, http.StatusOK)
-		}
-		is.Equal(len(f.workers[0].Runs()), 0)
-	})
-}
-
-func TestPlacesAreBounded(t *testing.T) {
-	t.Parallel()
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		f := newFixture(t, 1)
-		f.workers[0].Work = 400 * time.Millisecond
-		const requests = 40
-		var group sync.WaitGroup
-		var mu sync.Mutex
-		statuses := make(map[int]int)
-		for n := range requests {
-			group.Go(func() {
-				a := f.do(f.request(t, "once", fmt.Sprint(n)))
-				mu.Lock()
-				defer mu.Unlock()
-				statuses[a.status]++
-				if a.status == http.StatusServiceUnavailable {
-					is.True(a.header.Get("Retry-After") != "")
-					is.True(a.took <= timeout/2) // within the objective, not at the deadline
-				}
-			})
-		}
-		group.Wait()
-		is.Equal(statuses[http.StatusOK]+statuses[http.StatusServiceUnavailable], requests)
-		is.True(statuses[http.StatusOK] >= 4)
-		is.Equal(f.arrivals(), statuses[http.StatusOK]) // those that were refused never left
-	})
-}
-
 // TestClientThatDoesNotReadIsLetGo has a client that takes the head of a stream
 // and nothing more.
 func TestClientThatDoesNotReadIsLetGo(t *testing.T) {
--- a/internal/operating/starter/gateway.go
+++ b/internal/operating/starter/gateway.go
@@ -15,7 +15,6 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
-	"gentianstep.example/gentianstep/internal/caching/listener"
 	"gentianstep.example/gentianstep/internal/gateway/forwarder"
 	"gentianstep.example/gentianstep/internal/membership/announcer"
 	"gentianstep.example/gentianstep/internal/membership/follower"
@@ -27,7 +26,6 @@
 	"gentianstep.example/gentianstep/internal/peering/exchanger"
 	"gentianstep.example/gentianstep/internal/placement/leaser"
 	"gentianstep.example/gentianstep/internal/placement/upgrader"
-	"gentianstep.example/gentianstep/internal/platform/storer"
 	"gentianstep.example/gentianstep/internal/routing/picker"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
 )
@@ -80,33 +78,6 @@
 	weightsKey = ownPrefix + "weights"
 )
 
-// Platform is what a gateway needs of a platform.
-type Platform struct {
-	Codec          informer.Codec
-	Dialect        forwarder.Dialect
-	OperatorPrefix string
-	UpstreamPrefix string
-	ReadyPath      string
-	// LoadSettings reads the settings again.
-	LoadSettings func() (*configurer.VMSettings, error)
-	// NewStore returns a client of the platform's store.
-	NewStore func(address netip.AddrPort, client *http.Client) Store
-	// NewEngines returns a client of engines.
-	NewEngines func(client *http.Client) Engines
-}
-
-// Engines calls engines beside the requests of clients.
-type Engines interface {
-	upgrader.Engines
-	listener.Source
-}
-
-// Store is a platform's key-value service with its feed.
-type Store interface {
-	storer.Store
-	storer.Feed
-}
-
 // gateway is a VM's one process on a platform, with its parts.
 type gateway struct {
 	settings atomic.Pointer[configurer.VMSettings]
--- a/internal/routing/matcher/configuration.go
+++ b/internal/routing/matcher/configuration.go
@@ -48,7 +48,7 @@
 	Generates bool
 	// Resumable streams may go on at another engine.
 	Resumable bool
-	Backends  []Backend
+	Shares    []Share
 }
 
 // Repeatable reports whether a request may be run more than once.
@@ -56,8 +56,8 @@
 	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
 }
 
-// Backend is a service with its share of a route's requests.
-type Backend struct {
+// Share is a service with its weight among those of a route.
+type Share struct {
 	Service string
 	Weight  int
 }
@@ -131,10 +131,10 @@
 	if r.Kind != Idempotent && r.Kind != NonIdempotent && r.Kind != Stream {
 		return fmt.Errorf("kind: got %q", r.Kind)
 	}
-	if len(r.Backends) == 0 {
+	if len(r.Shares) == 0 {
 		return fmt.Errorf("takes a service")
 	}
-	for _, b := range r.Backends {
+	for _, b := range r.Shares {
 		if _, ok := services[b.Service]; !ok {
 			return fmt.Errorf("service %q is not in the configuration", b.Service)
 		}
--- a/internal/routing/matcher/matcher.go
+++ b/internal/routing/matcher/matcher.go
@@ -64,19 +64,19 @@
 	return len(m.configuration.Organisations) > 0 && !r.Public
 }
 
-// Backend returns the service of a request by its draw from 0 up to 1, which
+// Service returns the service of a request by its draw from 0 up to 1, which
 // spreads requests by the weights of the route.
-func (r *Route) Backend(draw float64) string {
+func (r *Route) Service(draw float64) string {
 	total := 0
-	for _, b := range r.Backends {
+	for _, b := range r.Shares {
 		total += b.Weight
 	}
 	rest := draw * float64(total)
-	for _, b := range r.Backends {
+	for _, b := range r.Shares {
 		rest -= float64(b.Weight)
 		if rest < 0 {
 			return b.Service
 		}
 	}
-	return r.Backends[len(r.Backends)-1].Service
+	return r.Shares[len(r.Shares)-1].Service
 }
