Never say 'not run' of a request that an earlier attempt ran

Cause: found in reading. A request that may be repeated ran at one upstream, failed, and had nowhere else to go: it was refused with 503 and a time to return, which promises that it has not run. Change: where an attempt may have run, every refusal becomes 502 or 504. Before: TestRefusalAfterARunDoesNotSayNotRun gets 503 in its three rows. After: 502 without a time to return.

--- a/internal/gateway/forwarder/places_test.go
+++ b/internal/gateway/forwarder/places_test.go
@@ -144,3 +144,23 @@
 		is.Equal(f.arrivals(), statuses[http.StatusOK]) // those that were refused never left
 	})
 }
+
+// TestRefusalAfterARunDoesNotSayNotRun has one upstream, which fails a request
+// that may be repeated: there is nowhere else to send it.
+func TestRefusalAfterARunDoesNotSayNotRun(t *testing.T) {
+	t.Parallel()
+	for _, fault := range []platformtest.WorkerFault{platformtest.Fails, platformtest.AnswerLost, platformtest.Truncated} {
+		t.Run(string(fault), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFixture(t, 1)
+				f.workers[0].Faults.Add(fault)
+				a := f.do(f.request(t, "idempotent", "a"))
+				is.Equal(f.runs(), 1)
+				is.Equal(a.status, http.StatusBadGateway)
+				is.Equal(a.header.Get("Retry-After"), "")
+			})
+		})
+	}
+}
--- a/internal/gateway/forwarder/retry.go
+++ b/internal/gateway/forwarder/retry.go
@@ -93,6 +93,10 @@
 		x.finish(0, string(err.Kind), err)
 		panic(http.ErrAbortHandler) // closes the connection without the answer's end
 	}
+	if x.ran && classifier.AnswerOf(err.Kind).NotRun {
+		// An earlier attempt ran, so that no refusal may say otherwise.
+		err = classifier.Wrap(classifier.UpstreamFailed, err, "no further attempt was possible")
+	}
 	if ctx.Err() != nil && x.r.Context().Err() == nil && err.Kind == classifier.UpstreamFailed {
 		err = x.overdue(err)
 	}
