--- a/internal/gateway/forwarder/deliver.go
+++ b/internal/gateway/forwarder/deliver.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -23,16 +24,15 @@
 	if len(body) == wholeAnswerBytes {
 		return x.pass(answer, body)
 	}
-	if err := answer.Finish(); err != nil {
-		return err
-	}
+	// Bytes after the answer belong to no request; their connection is dropped.
+	trailing := answer.Finish()
 	x.head(answer)
 	if x.r.Method != http.MethodHead {
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	x.w.WriteHeader(answer.Status)
 	_, err = x.w.Write(body)
-	x.finish(answer.Status, outcomeAnswered, err)
+	x.finish(answer.Status, outcomeAnswered, errors.Join(trailing, err))
 	return nil
 }
 
--- a/internal/gateway/forwarder/log.go
+++ b/internal/gateway/forwarder/log.go
@@ -86,3 +86,14 @@
 		"last_event": x.lastEvent,
 	}).Info("attempt failed, the request is sent again")
 }
+
+// logUpstream begins a line on what a request showed of an upstream.
+func (x *exchange) logUpstream(event string, u *registrar.Upstream) *logrus.Entry {
+	return x.cfg.Log.WithFields(logrus.Fields{
+		"event":      event,
+		"request_id": x.request.ID,
+		"upstream":   u.ID,
+		"service":    u.Service,
+		"address":    u.Address.String(),
+	})
+}
--- a/internal/gateway/forwarder/places_test.go
+++ b/internal/gateway/forwarder/places_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -164,3 +166,22 @@
 		})
 	}
 }
+
+// TestLostAndRegainedUpstreamsAreLogged stops an upstream and starts it again.
+func TestLostAndRegainedUpstreamsAreLogged(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, 1)
+		f.network.Stop("10.0.0.1:80")
+		for n := range 5 {
+			f.do(f.request(t, "idempotent", fmt.Sprint("lost ", n)))
+		}
+		is.Equal(strings.Count(f.log.String(), `"event":"upstream_unreachable"`), 1) // not for each request
+		f.network.Serve("10.0.0.1:80", f.workers[0])
+		for n := range 5 {
+			is.Equal(f.do(f.request(t, "idempotent", fmt.Sprint("back ", n))).status, http.StatusOK)
+		}
+		is.Equal(strings.Count(f.log.String(), `"event":"upstream_reached"`), 1)
+	})
+}
--- a/internal/gateway/forwarder/retry.go
+++ b/internal/gateway/forwarder/retry.go
@@ -82,7 +82,9 @@
 	case failure.NotRun && failure.Status != 0:
 		x.picker.Avoid(u.ID, now.Add(busyFor))
 	case failure.Status == 0:
-		x.picker.Unreachable(now, u.ID)
+		if until := x.picker.Unreachable(now, u.ID); !until.IsZero() {
+			x.logUpstream("upstream_unreachable", u).WithError(failure).WithField("cools_ms", until.Sub(now).Milliseconds()).Info("upstream could not be reached")
+		}
 		x.cfg.Caller.CloseIdle(caller.Target{Address: u.Address})
 	}
 }
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -254,27 +254,32 @@
 // Done notes that a request is no longer at an upstream. Begun comes before it.
 func (p *Picker) Done(c Choice) { p.state(c.Upstream.ID).load.InFlight-- }
 
-// Answered notes an answer of an upstream, a failed one or not.
-func (p *Picker) Answered(id string, failed bool) {
+// Answered notes an answer of an upstream, a failed one or not. It reports
+// whether the upstream could not be reached before.
+func (p *Picker) Answered(id string, failed bool) (regained bool) {
 	s := p.state(id)
+	regained = s.failures > 0
 	s.failures, s.coolsUntil = 0, time.Time{}
 	outcome := 0.0
 	if failed {
 		outcome = 1
 	}
 	s.faults += faultGain * (outcome - s.faults)
+	return regained
 }
 
 // Unreachable notes that an upstream could not be reached. Failures that come
-// during a cooldown do not lengthen it.
-func (p *Picker) Unreachable(now time.Time, id string) {
+// during a cooldown do not lengthen it. It returns when the upstream is tried
+// again, the zero time where a cooldown was under way.
+func (p *Picker) Unreachable(now time.Time, id string) time.Time {
 	s := p.state(id)
 	if now.Before(s.coolsUntil) {
-		return
+		return time.Time{}
 	}
 	cooldown := min(firstCooldown<<min(s.failures, 8), lastCooldown)
 	s.failures++
 	s.coolsUntil = now.Add(cooldown + time.Duration(p.rng.Int64N(int64(cooldown/4))))
+	return s.coolsUntil
 }
 
 // Avoid leaves an upstream out until a time, for a reason that is no failure.
