--- a/internal/gateway/forwarder/places_test.go
+++ b/internal/gateway/forwarder/places_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net/http"
 	"strings"
-	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
