Keep requests within an upstream's connections; drop what nothing uses

Cause: found in reading. max_connections of a service was decoded and not used: an upstream with many slots and few connections would reset what is beyond. Change: requests at one upstream take six tenths of its connections at most.

--- a/internal/gateway/forwarder/places_test.go
+++ b/internal/gateway/forwarder/places_test.go
@@ -184,3 +184,27 @@
 		is.Equal(strings.Count(f.log.String(), `"event":"upstream_reached"`), 1)
 	})
 }
+
+// TestUpstreamsConnectionsBoundPlaces has an upstream with many slots and few
+// connections.
+func TestUpstreamsConnectionsBoundPlaces(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, 1)
+		c := testConfiguration()
+		s := c.Services["s"]
+		s.MaxConnections = 10
+		c.Services["s"] = s
+		f.directory.configure(c)
+		f.directory.upstreams["s"][0].Slots = 100
+		f.workers[0].Work = 300 * time.Millisecond
+		var group sync.WaitGroup
+		for n := range 30 {
+			group.Go(func() { f.do(f.request(t, "idempotent", fmt.Sprint(n))) })
+		}
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(f.arrivals(), 6)
+		group.Wait()
+	})
+}
--- a/internal/gateway/forwarder/query.go
+++ b/internal/gateway/forwarder/query.go
@@ -42,6 +42,10 @@
 	return q
 }
 
+// connectionShare is the part of an upstream's connections that requests may
+// take; the rest is for idle ones, orders and cache events.
+const connectionShare = 0.6
+
 // limit sets how many requests may be at one upstream.
 func (x *exchange) limit(q *picker.Query, slots int) {
 	places := plainPlaces
@@ -49,6 +53,10 @@
 		places = enginePlaces
 	}
 	places *= float64(max(slots, 1))
+	if most := x.configuration.Services[x.service].MaxConnections; most > 0 {
+		// Each request in flight holds a connection.
+		places = min(places, connectionShare*float64(most))
+	}
 	q.Limit = int(places)
 	q.OwnLimit = max(int(unevenness*places/float64(x.vms.Load())), minPlaces)
 }
--- a/internal/membership/registrar/registrar.go
+++ b/internal/membership/registrar/registrar.go
@@ -56,23 +56,6 @@
 	r.unsureUntil = now.Add(returnGrace)
 }
 
-// Replace takes the whole list of entries.
-func (r *Registrar) Replace(now time.Time, upstreams []*Upstream) []News {
-	var news []News
-	listed := make(map[string]bool, len(upstreams))
-	for _, u := range upstreams {
-		listed[u.ID] = true
-		news = append(news, r.put(u)...)
-	}
-	for id := range r.records {
-		if !listed[id] {
-			news = append(news, r.miss(now, id)...)
-		}
-	}
-	r.index()
-	return news
-}
-
 // Put takes a new or changed entry.
 func (r *Registrar) Put(u *Upstream) []News {
 	news := r.put(u)
--- a/internal/membership/registrar/registrar_test.go
+++ b/internal/membership/registrar/registrar_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -59,11 +60,11 @@
 		case s.Remove != "":
 			news = r.Remove(now, s.Remove)
 		case s.Replace != nil:
-			var list []*registrar.Upstream
-			for _, id := range s.Replace {
-				list = append(list, entry(s, id))
+			for _, u := range r.All() {
+				if !slices.Contains(s.Replace, u.ID) {
+					news = append(news, r.Remove(now, u.ID)...)
+				}
 			}
-			news = r.Replace(now, list)
 		case s.Returned:
 			r.StoreReturned(now)
 		case s.WaitMS > 0:
--- a/internal/routing/matcher/configuration.go
+++ b/internal/routing/matcher/configuration.go
@@ -80,15 +80,11 @@
 // Engine describes the engines of a service.
 type Engine struct {
 	Slots int
-	// CacheTokens is the memory of one engine.
-	CacheTokens int
 	// TokenBytes is the size of one token's cache.
 	TokenBytes float64
 	// LinkBytesPerSecond is the rate at which cache moves between engines.
 	LinkBytesPerSecond float64
-	// MaxEventCalls is how many calls for cache events an engine holds at once.
-	MaxEventCalls int
-	Models        []string
+	Models             []string
 }
 
 // Organisation sends requests under its keys.
