--- a/internal/placement/upgrader/engine.go
+++ b/internal/placement/upgrader/engine.go
@@ -23,9 +23,7 @@
 	// Busy is true while an order is being carried out.
 	Busy bool
 	// Orders is the number of orders it has accepted since its start.
-	Orders uint64
-	// Load counts its running and waiting requests.
-	Load      int
+	Orders    uint64
 	StartedAt time.Time
 }
 
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -289,12 +289,3 @@
 		s.coolsUntil = until
 	}
 }
-
-// Forget drops what is known of upstreams that are gone.
-func (p *Picker) Forget(gone func(id string) bool) {
-	for id, s := range p.states {
-		if s.load == (Load{}) && gone(id) {
-			delete(p.states, id)
-		}
-	}
-}
