Let unused and unfinished connections give way at the limit

Cause: a listener counted connections and closed those over its limit, so that clients which open connections and send nothing, or half a request, kept everyone else out until the header's deadline.

Ruled out: a shorter header deadline alone, which slow honest clients pay for and which 5,000 new connections a second outrun; a limit for each address, since clients share addresses behind balancers.

Change: at the limit a new connection takes the place of the one that has taken longest to send its request (over a second), else of the one that has been unused for longest. A connection whose request is whole gives way to nothing; a request that becomes whole after its connection gave way is not served. Routers, controllers and gateways share the listener.

--- a/cmd/gentianstep/gateway_fixture_test.go
+++ b/cmd/gentianstep/gateway_fixture_test.go
@@ -130,7 +130,7 @@
 front = %q
 ready = "%s:%d"
 [limits]
-memory_mb = 134
+memory_mb = %d
 max_fds = 4100
 [bounds]
 drain_ms = 2500
@@ -145,7 +145,7 @@
 [platform]
 address = %q
 ttl_min_ms = 1000
-`, node, launcher.Host(), ports[2], ports[3], vm.client, launcher.Host(), ports[1], p.address)
+`, node, launcher.Host(), ports[2], ports[3], vm.client, launcher.Host(), ports[1], testMemory, p.address)
 	if err := os.WriteFile(vm.settings, []byte(text), 0o600); err != nil {
 		p.t.Fatal(err)
 	}
@@ -189,6 +189,20 @@
 	return response.StatusCode
 }
 
+// text returns what a URL answers, empty where nothing came.
+func (p *platformUnderTest) text(url string) string {
+	response, err := p.client.Get(url) //nolint:noctx // The client has a timeout.
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return ""
+	}
+	return string(body)
+}
+
 // eventually waits for a condition.
 func eventually(t *testing.T, what string, condition func() bool) {
 	t.Helper()
--- a/internal/operating/limiter/handler.go
+++ b/internal/operating/limiter/handler.go
@@ -2,8 +2,9 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"encoding/json"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -21,10 +22,11 @@
 
 // ConnContext serves http.Server, so that a Handler knows the connection.
 func ConnContext(ctx context.Context, conn net.Conn) context.Context {
-	if encrypted, ok := conn.(*tls.Conn); ok {
-		conn = encrypted.NetConn()
+	c, ok := counted(conn)
+	if !ok {
+		return ctx
 	}
-	return context.WithValue(ctx, connKey{}, conn)
+	return context.WithValue(ctx, connKey{}, c)
 }
 
 // HandlerConfig holds what a Handler is built from.
@@ -35,6 +37,38 @@
 	Log         *logrus.Entry
 }
 
+// Track returns a handler that keeps a request's connection once the request is
+// whole. One whose connection has given way meanwhile is not served.
+func Track(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, ok := r.Context().Value(connKey{}).(*Conn)
+		switch {
+		case !ok:
+		case r.Body != nil && r.Body != http.NoBody:
+			r.Body = &trackedBody{ReadCloser: r.Body, conn: c}
+		case !c.serve():
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// trackedBody keeps its connection once the body is whole.
+type trackedBody struct {
+	io.ReadCloser
+
+	conn *Conn
+}
+
+// Read implements io.Reader.
+func (b *trackedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) && !b.conn.serve() {
+		return n, net.ErrClosed
+	}
+	return n, err
+}
+
 // Handler refuses requests on connections over the limit and bounds the time
 // for which it waits for a body.
 type Handler struct {
@@ -43,6 +77,7 @@
 
 // NewHandler returns a Handler.
 func NewHandler(cfg HandlerConfig) *Handler {
+	cfg.Next = Track(cfg.Next)
 	return &Handler{cfg: cfg}
 }
 
--- a/internal/operating/starter/gateway_server.go
+++ b/internal/operating/starter/gateway_server.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"net/netip"
 	"time"
+
+	"gentianstep.example/gentianstep/internal/operating/limiter"
 )
 
 // stop lets the balancer go, then waits for open requests.
@@ -39,6 +41,8 @@
 		ReadHeaderTimeout: clientHeaderTimeout,
 		IdleTimeout:       clientIdleTimeout,
 		MaxHeaderBytes:    maxHeader,
+		ConnContext:       limiter.ConnContext,
+		ConnState:         limiter.ConnState,
 		ErrorLog:          stdlog.New(&serverLog{log: g.log, listener: address.String()}, "", 0),
 	}}, nil
 }
--- a/internal/operating/starter/limit_test.go
+++ b/internal/operating/starter/limit_test.go
@@ -24,6 +24,7 @@
 	testConnections = 8
 	testBodyTimeout = time.Second
 	limitTimeout    = 20 * time.Second
+	requestHead     = "POST /v1/completions HTTP/1.1\r\nHost: router\r\nAuthorization: Bearer " + launcher.CallerKey + "\r\n"
 )
 
 // limit is what a caller does wrong and the answer that it must get.
@@ -39,6 +40,10 @@
 	Leaves bool `json:"leaves"`
 	// Connections are opened before and kept open.
 	Connections int `json:"connections"`
+	// Unfinished is true where each of them sends a part of a head.
+	Unfinished bool `json:"unfinished"`
+	// Streams are under way before, each on its own connection.
+	Streams int `json:"streams"`
 	// Status is 0 where the connection ends without an answer.
 	Status int    `json:"status"`
 	Kind   string `json:"kind"`
@@ -71,20 +76,43 @@
 	})
 	ctx, cancel := context.WithTimeout(t.Context(), limitTimeout)
 	defer cancel()
-	other := make(chan error, 1)
-	client := newClient()
-	is.NoErr(complete(ctx, client, d.URL(0, ""), 1)) // opens the other caller's connection
-	go func() { other <- complete(ctx, client, d.URL(0, ""), 2*longStream) }()
 	address := d.VMs[0].Settings.Router.CallerAddress.String()
+	other := beginStream(ctx, t, address)
 	for range l.Connections {
 		conn := dial(ctx, t, address)
 		defer func() { _ = conn.Close() }()
+		if l.Unfinished {
+			_, _ = io.WriteString(conn, "POST /v1/comp") // it may have given way already
+		}
+	}
+	for range l.Streams {
+		beginStream(ctx, t, address)
 	}
 	status, body := l.send(ctx, t, address)
 	is.Equal(status, l.Status)
 	is.Equal(kindOf(body), l.Kind)
-	is.NoErr(<-other) // the other caller's stream is whole
-	client.CloseIdleConnections()
+	is.NoErr(readStream(other, 2*longStream)) // the other caller's stream is whole
+}
+
+// beginStream asks for a stream and returns once it has begun.
+func beginStream(ctx context.Context, t *testing.T, address string) io.Reader {
+	t.Helper()
+	conn := dial(ctx, t, address)
+	t.Cleanup(func() { _ = conn.Close() })
+	body := fmt.Sprintf(`{"model": "tile-match", "prompt": "catalogue sheet", "max_tokens": %d, "stream": true}`, 2*longStream)
+	_, err := io.WriteString(conn, requestHead+fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body))+body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = response.Body.Close() })
+	if response.StatusCode != http.StatusOK {
+		t.Fatalf("status %d", response.StatusCode)
+	}
+	return response.Body
 }
 
 // send does what the row says and returns the answer.
@@ -119,7 +147,7 @@
 	if l.BodyBytes > 0 {
 		body = strings.Repeat(" ", l.BodyBytes)
 	}
-	head = "POST /v1/completions HTTP/1.1\r\nHost: router\r\nAuthorization: Bearer " + launcher.CallerKey + "\r\n"
+	head = requestHead
 	if l.HeaderBytes > 0 {
 		head += "X-Filler: " + strings.Repeat("a", l.HeaderBytes) + "\r\n"
 	}
--- a/internal/operating/starter/server.go
+++ b/internal/operating/starter/server.go
@@ -76,6 +76,7 @@
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    maxHeader,
 			ConnContext:       limiter.ConnContext,
+			ConnState:         limiter.ConnState,
 			ErrorLog:          stdlog.New(&serverLog{log: cfg.log, listener: cfg.name}, "", 0),
 		},
 	}, nil
