Drop the state of upstreams that are gone

Cause: the picker kept a record of each upstream that it ever met; nothing dropped it, so that a VM before engines that come and go grew without end.

Ruled out: dropping on the registrar's news, since requests may still be open at an upstream that has left, and a second place would have to know it.

Change: a new upstream's record drops those that were not used for a minute and have no request open. Costs nothing where nobody joins.

--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -227,7 +227,7 @@
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.picker.Answered(u.ID, status >= http.StatusInternalServerError && !reply.NotRun) {
+	if x.picker.Answered(time.Now(), u.ID, status >= http.StatusInternalServerError && !reply.NotRun) {
 		x.logUpstream("upstream_reached", u).Info("upstream answers again")
 	}
 }
--- a/internal/gateway/forwarder/retry.go
+++ b/internal/gateway/forwarder/retry.go
@@ -78,9 +78,9 @@
 	switch {
 	case x.r.Context().Err() != nil || errors.Is(failure, errClientGone):
 	case failure.Leaving:
-		x.picker.Avoid(u.ID, now.Add(otherRunFor))
+		x.picker.Avoid(now, u.ID, now.Add(otherRunFor))
 	case failure.NotRun && failure.Status != 0:
-		x.picker.Avoid(u.ID, now.Add(busyFor))
+		x.picker.Avoid(now, u.ID, now.Add(busyFor))
 	case failure.Status == 0:
 		if until := x.picker.Unreachable(now, u.ID); !until.IsZero() {
 			x.logUpstream("upstream_unreachable", u).WithError(failure).WithField("cools_ms", until.Sub(now).Milliseconds()).Info("upstream could not be reached")
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -48,6 +48,9 @@
 	// sentFor is how long a prompt's home is remembered after a send, until the
 	// cache events show it.
 	sentFor = 1500 * time.Millisecond
+	// stateFor is how long the state of an upstream without requests is kept: far
+	// over the longest cooldown, and by then its share of failures says little.
+	stateFor = time.Minute
 	// maxNews bounds the sent parts that nobody has asked for.
 	maxNews = 1024
 )
@@ -62,8 +65,10 @@
 
 // state is what this VM knows of one upstream.
 type state struct {
-	load     Load
-	failures int
+	load Load
+	// keptUntil is when the state may be dropped, where no requests are open.
+	keptUntil time.Time
+	failures  int
 	// coolsUntil is zero unless the upstream could not be reached.
 	coolsUntil time.Time
 	// faults is the recent share of failed answers.
@@ -192,15 +197,27 @@
 	return load
 }
 
-func (p *Picker) state(id string) *state {
+// state returns what is known of an upstream that is used now.
+func (p *Picker) state(now time.Time, id string) *state {
 	s, ok := p.states[id]
 	if !ok {
+		p.dropStates(now)
 		s = &state{}
 		p.states[id] = s
 	}
+	s.keptUntil = now.Add(stateFor)
 	return s
 }
 
+// dropStates drops what is known of upstreams that have not been used for long.
+func (p *Picker) dropStates(now time.Time) {
+	for id, s := range p.states {
+		if s.load == (Load{}) && now.After(s.keptUntil) {
+			delete(p.states, id)
+		}
+	}
+}
+
 // Loads returns what this VM has at each upstream.
 func (p *Picker) Loads() map[string]Load {
 	loads := make(map[string]Load)
@@ -214,11 +231,11 @@
 
 // Sent notes that a request goes where it was chosen to.
 func (p *Picker) Sent(now time.Time, q Query, c Choice) {
-	s := p.state(c.Upstream.ID)
+	s := p.state(now, c.Upstream.ID)
 	s.load.InFlight++
 	s.load.PromptTokens += c.PromptTokens
 	if c.Source != nil {
-		p.state(c.Source.ID).load.Copying += c.Costs.Copy
+		p.state(now, c.Source.ID).load.Copying += c.Costs.Copy
 	}
 	if q.Prompt == nil || !q.Prompt.Long() {
 		return
@@ -245,19 +262,22 @@
 
 // Begun notes that an upstream has read the prompt of a request.
 func (p *Picker) Begun(c Choice) {
-	p.state(c.Upstream.ID).load.PromptTokens -= c.PromptTokens
-	if c.Source != nil {
-		p.state(c.Source.ID).load.Copying -= c.Costs.Copy
+	p.states[c.Upstream.ID].load.PromptTokens -= c.PromptTokens
+	if c.Source == nil {
+		return
+	}
+	if source := p.states[c.Source.ID]; source != nil {
+		source.load.Copying -= c.Costs.Copy
 	}
 }
 
 // Done notes that a request is no longer at an upstream. Begun comes before it.
-func (p *Picker) Done(c Choice) { p.state(c.Upstream.ID).load.InFlight-- }
+func (p *Picker) Done(c Choice) { p.states[c.Upstream.ID].load.InFlight-- }
 
 // Answered notes an answer of an upstream, a failed one or not. It reports
 // whether the upstream could not be reached before.
-func (p *Picker) Answered(id string, failed bool) (regained bool) {
-	s := p.state(id)
+func (p *Picker) Answered(now time.Time, id string, failed bool) (regained bool) {
+	s := p.state(now, id)
 	regained = s.failures > 0
 	s.failures, s.coolsUntil = 0, time.Time{}
 	outcome := 0.0
@@ -272,7 +292,7 @@
 // during a cooldown do not lengthen it. It returns when the upstream is tried
 // again, the zero time where a cooldown was under way.
 func (p *Picker) Unreachable(now time.Time, id string) time.Time {
-	s := p.state(id)
+	s := p.state(now, id)
 	if now.Before(s.coolsUntil) {
 		return time.Time{}
 	}
@@ -283,8 +303,8 @@
 }
 
 // Avoid leaves an upstream out until a time, for a reason that is no failure.
-func (p *Picker) Avoid(id string, until time.Time) {
-	s := p.state(id)
+func (p *Picker) Avoid(now time.Time, id string, until time.Time) {
+	s := p.state(now, id)
 	if until.After(s.coolsUntil) {
 		s.coolsUntil = until
 	}
--- a/internal/routing/picker/picker_test.go
+++ b/internal/routing/picker/picker_test.go
@@ -86,7 +86,7 @@
 			}
 			for range 30 {
 				if u.Failing {
-					p.Answered(u.ID, true)
+					p.Answered(now, u.ID, true)
 				}
 			}
 		}
@@ -248,10 +248,38 @@
 	is.Equal(p.Choose(now.Add(time.Second), q).Upstream.ID, "a") // it cooled down
 	p.Unreachable(now.Add(time.Second), "a")
 	is.Equal(p.Choose(now.Add(1800*time.Millisecond), q).Upstream.ID, "b") // for longer the second time
-	p.Answered("a", false)
+	p.Answered(now, "a", false)
 	is.Equal(p.Choose(now.Add(1800*time.Millisecond), q).Upstream.ID, "a")
 }
 
+// TestStatesOfUpstreamsThatAreGoneAreDropped replaces each upstream every ten
+// seconds while one request stays open at the first one.
+func TestStatesOfUpstreamsThatAreGoneAreDropped(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	p := picker.New(picker.Config{AvailabilityZone: "z1", Regions: regions, Seed: 1})
+	var open picker.Choice
+	for n := range 1000 {
+		now = now.Add(10 * time.Second)
+		q := query(decisionRow{Plain: true, Upstreams: []upstreamRow{{ID: fmt.Sprint("u", n), Zone: "z1"}}})
+		c := p.Choose(now, q)
+		p.Sent(now, q, c)
+		if n == 0 {
+			open = c
+			continue
+		}
+		p.Begun(c)
+		p.Answered(now, c.Upstream.ID, n%2 == 0)
+		p.Done(c)
+	}
+	is.True(p.Known() <= 10) // those of the last minute, and the open one
+	is.Equal(p.Loads()[open.Upstream.ID].InFlight, 1)
+	p.Begun(open)
+	p.Done(open)
+	is.Equal(len(p.Loads()), 0)
+}
+
 func BenchmarkChoose(b *testing.B) {
 	for _, n := range []int{18, 72, 740} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
