--- a/internal/gateway/forwarder/fixture_test.go
+++ b/internal/gateway/forwarder/fixture_test.go
@@ -51,6 +51,12 @@
 	return d.upstreams[service]
 }
 
+func (d *directory) setUpstreams(service string, list []*registrar.Upstream) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.upstreams[service] = list
+}
+
 func (d *directory) WantedWeights(string) []informer.Weights {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -119,12 +125,9 @@
 	for n := range workers {
 		worker := platformtest.NewWorker(fmt.Sprintf("w%d", n+1))
 		worker.SetModel("m", 1)
-		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n + 1)}), 80)
-		f.network.Serve(address.String(), worker)
+		f.network.Serve(workerAddress(n).String(), worker)
 		f.workers = append(f.workers, worker)
-		f.directory.upstreams["s"] = append(f.directory.upstreams["s"], &registrar.Upstream{
-			ID: worker.ID, Service: "s", Address: address, AvailabilityZone: "z", Slots: 4, Weights: map[string]uint64{"m": 1},
-		})
+		f.directory.upstreams["s"] = append(f.directory.upstreams["s"], f.entry(n))
 	}
 	log := logrus.New()
 	log.SetOutput(f.log)
@@ -152,6 +155,18 @@
 	return f
 }
 
+// entry is what the platform says of a worker.
+func (f *fixture) entry(n int) *registrar.Upstream {
+	return &registrar.Upstream{
+		ID: f.workers[n].ID, Service: "s", AvailabilityZone: "z", Slots: 4, Weights: map[string]uint64{"m": 1},
+		Address: workerAddress(n),
+	}
+}
+
+func workerAddress(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n + 1)}), 80)
+}
+
 // request returns a proper request of a client.
 func (f *fixture) request(t *testing.T, route, id string) *http.Request {
 	t.Helper()
