Keep the hub while the store is away

Cause: the hub took its role from holding the lease for roll-outs, which a VM gives up two seconds after the store falls silent.

Ruled out: VMs that stopped at the time (the hub's was none of them); engines (sound); electing a hub among the VMs by other means (a second coordination service for a role that only guides choices).

Change: the VM that the last known entry of the lease names stays the hub until it learns of another one. Orders still need the lease itself.

TestHubOutlivesItsLease fails without it.

--- a/cmd/gentianstep/gateway_test.go
+++ b/cmd/gentianstep/gateway_test.go
@@ -16,6 +16,10 @@
 	"gentianstep.example/gentianstep/platform/platformtest"
 )
 
+// hubQuiet is how long the hub is watched after its lease: several of its
+// reports.
+const hubQuiet = 2 * time.Second
+
 func TestGatewayServesOnThePlatform(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
@@ -68,6 +72,27 @@
 	is.Equal(status, http.StatusOK)
 }
 
+// TestHubOutlivesItsLease silences the store until the lease for roll-outs, whose
+// holder is the hub, has ended.
+func TestHubOutlivesItsLease(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	p := newPlatform(t)
+	vms := []*gatewayVM{p.start("vm1"), p.start("vm2")}
+	for _, vm := range vms {
+		eventually(t, "hub", func() bool { return vm.logs("hub_found") })
+	}
+	lost := strings.Count(vms[0].process.Output()+vms[1].process.Output(), `"event":"hub_lost"`)
+	p.door.Set(platformtest.Silent)
+	eventually(t, "lease ended", func() bool { return vms[0].logs("lease_ended") || vms[1].logs("lease_ended") })
+	time.Sleep(hubQuiet)
+	is.Equal(strings.Count(vms[0].process.Output()+vms[1].process.Output(), `"event":"hub_lost"`), lost)
+	p.door.Set(platformtest.Sound)
+	eventually(t, "lease taken again", func() bool {
+		return strings.Count(vms[0].process.Output()+vms[1].process.Output(), `"event":"lease_taken"`) > 1
+	})
+}
+
 // stopInOrder asks a VM to stop while it serves a request.
 func stopInOrder(t *testing.T, p *platformUnderTest, vm *gatewayVM) {
 	t.Helper()
--- a/internal/operating/starter/coordination.go
+++ b/internal/operating/starter/coordination.go
@@ -28,7 +28,7 @@
 			Log:    g.log,
 		}).Run,
 		listener.New(listener.Config{
-			Active:  g.leads,
+			Active:  g.isHub,
 			Engines: g.cacheHolders,
 			Source:  g.engines,
 			Sink:    g.hub,
@@ -44,14 +44,34 @@
 	return held
 }
 
-// hubAddress returns the peer address of the VM that holds the lease.
-func (g *gateway) hubAddress() (netip.AddrPort, bool) {
+// isHub reports whether the other VMs turn to this one. While the store is away,
+// the last VM that is known to have held the lease stays the hub: what it tells
+// guides choices and orders nothing.
+func (g *gateway) isHub() bool {
+	if g.leads() {
+		return true
+	}
+	node, ok := g.lastHolder()
+	return ok && node == g.settings.Load().Node
+}
+
+// lastHolder returns the VM that holds the lease as far as is known.
+func (g *gateway) lastHolder() (node string, ok bool) {
 	entry, ok := g.inform.Entry(weightsKey)
 	if !ok {
-		return netip.AddrPort{}, false
+		return "", false
 	}
 	node, err := leaser.Node(entry.Value)
 	if err != nil {
+		return "", false
+	}
+	return node, true
+}
+
+// hubAddress returns the peer address of the VM that is the hub.
+func (g *gateway) hubAddress() (netip.AddrPort, bool) {
+	node, ok := g.lastHolder()
+	if !ok {
 		return netip.AddrPort{}, false
 	}
 	for _, vm := range g.vms() {
--- a/internal/operating/starter/gateway.go
+++ b/internal/operating/starter/gateway.go
@@ -123,7 +123,7 @@
 	})
 	g.engines = p.NewEngines(&http.Client{Transport: newPatientTransport()})
 	g.view = coordinator.NewView()
-	g.hub = coordinator.NewHub(coordinator.HubConfig{Active: g.leads, Log: log})
+	g.hub = coordinator.NewHub(coordinator.HubConfig{Active: g.isHub, Log: log})
 	g.forward = forwarder.New(forwarder.Config{
 		Dialect:   p.Dialect,
 		Directory: g.inform,
