--- a/internal/peering/exchanger/exchanger.go
+++ b/internal/peering/exchanger/exchanger.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"net/netip"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/coder/websocket"
@@ -28,16 +27,8 @@
 	silence = 2500 * time.Millisecond
 	// askEvery is the time between two questions while the store is silent.
 	askEvery = 400 * time.Millisecond
-	// firstAskEvery is the same for a VM that knows nothing yet and has to turn
-	// clients away: twice the time in which the store answers.
-	firstAskEvery = 100 * time.Millisecond
-	// askTimeout bounds one question, firstAskTimeout one of a VM that knows
-	// nothing: a way to another region and back several times over.
-	askTimeout      = time.Second
-	firstAskTimeout = 200 * time.Millisecond
-	// firstPeers is how many VMs such a one asks side by side, since some may be
-	// starting too.
-	firstPeers = 3
+	// askTimeout bounds one question.
+	askTimeout = time.Second
 	// maxMessageBytes bounds one message; a configuration with hundreds of
 	// routes is the largest part.
 	maxMessageBytes = 8 << 20
@@ -55,7 +46,6 @@
 
 // Directory is what a VM knows of the store's content.
 type Directory interface {
-	Ready() bool
 	Silent(since time.Time) bool
 	Revisions() map[string]uint64
 	Newer(revisions map[string]uint64) []informer.Replica
@@ -81,37 +71,29 @@
 
 // Run asks other VMs while the store is silent, until ctx ends.
 func (e *Exchanger) Run(ctx context.Context) {
+	ticker := time.NewTicker(askEvery)
+	defer ticker.Stop()
 	for {
-		pause, timeout, peers := askEvery, askTimeout, 1
-		if !e.cfg.Directory.Ready() {
-			pause, timeout, peers = firstAskEvery, firstAskTimeout, firstPeers
-		}
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-time.After(pause):
+		case now := <-ticker.C:
 			if e.cfg.Directory.Silent(now.Add(-silence)) {
-				e.askSome(ctx, timeout, peers)
+				e.askOne(ctx)
 			}
 		}
 	}
 }
 
-// askSome asks n other VMs at random, side by side.
-func (e *Exchanger) askSome(ctx context.Context, timeout time.Duration, n int) {
+// askOne asks another VM at random.
+func (e *Exchanger) askOne(ctx context.Context) {
 	peers := e.cfg.Peers()
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	var asked sync.WaitGroup
-	for _, peer := range peers[:min(n, len(peers))] {
-		asked.Go(func() { e.runQuestion(ctx, peer) })
+	if len(peers) == 0 {
+		return
 	}
-	asked.Wait()
-}
-
-// runQuestion asks one VM and takes what is newer.
-func (e *Exchanger) runQuestion(ctx context.Context, peer netip.AddrPort) {
+	peer := peers[rand.IntN(len(peers))]
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
 	answer, err := e.ask(ctx, peer)
 	if err != nil {
 		e.cfg.Log.WithError(err).WithFields(logrus.Fields{"event": "peer_silent", "peer": peer.String()}).Debug("another VM did not answer")
