--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 export GOLANGCI_LINT_CACHE := $(BIN)/lint-cache
 SEED ?= 1
 
-.PHONY: all build fmt lint unit test demo bench measure replay clean
+.PHONY: all build fmt lint unit test demo bench measure replay days clean
 
 all: build
 
@@ -46,3 +46,6 @@
 
 replay:
 	scripts/replay.sh
+
+days:
+	scripts/days.sh
