Notice lost orders early, and older weights that a late one brings back

Cause: an engine whose order was not answered was left out for 2.6 s, and counted as loading for as long, so that a third of the engines held up the others: of six engines whose first orders were carried out late, three were outdated when the time for new weights ended. Besides, an order that came after a restart of its engine could bring older weights back, and since the last report said otherwise the engine was never asked again.

Ruled out: a second order doing harm while the first is on its way (each names the number of orders accepted before, so that one of the two changes nothing).

Change: an order has 300 ms for its answer, and is lost once a report whose content is younger shows nothing of it. An engine whose entry in the store is outdated is asked again when its report is over two seconds old. The stand-in carries out orders late; TestRollOutsUnderFaults draws them too, and waits for the latest one before it looks.

--- a/internal/placement/upgrader/observe.go
+++ b/internal/placement/upgrader/observe.go
@@ -19,16 +19,20 @@
 	askedAt time.Time
 	asking  bool
 	// ordered is the number of accepted orders that the latest order requires,
-	// pending is true until the report shows a higher one.
-	ordered uint64
-	pending bool
+	// pending is true until the report shows a higher one, or shows that nothing
+	// has come of the order after lostAfter.
+	ordered   uint64
+	pending   bool
+	lostAfter time.Time
 }
 
 // ask requests reports of the engines that have work to do.
 func (g *Upgrader) ask(ctx context.Context, now time.Time, engines []*registrar.Upstream, wanted map[string]informer.Weights) {
 	for _, u := range engines {
 		o := g.observe(u)
-		due := o.pending || o.report.Busy || outdated(g.weights(u), wanted)
+		due := o.pending || o.report.Busy || outdated(g.weights(u), wanted) ||
+			// An order that came late may have brought older weights back.
+			outdated(u.Weights, wanted) && now.After(o.reportedAt.Add(entryLag))
 		if !due || o.asking || now.Before(o.askedAt.Add(reportEvery)) {
 			continue
 		}
@@ -68,7 +72,7 @@
 		return
 	}
 	o.report, o.reportedAt = report, time.Now()
-	if o.pending && report.Orders > o.ordered {
+	if report.Orders > o.ordered || o.reportedAt.Add(-reportLag).After(o.lostAfter) {
 		o.pending = false
 	}
 	g.cfg.OnChange(u, o.pending || report.Busy, g.weights(u))
--- a/internal/placement/upgrader/order.go
+++ b/internal/placement/upgrader/order.go
@@ -15,7 +15,7 @@
 )
 
 // give sends an order in the background.
-func (g *Upgrader) give(ctx context.Context, holding leaser.Holding, engines []*registrar.Upstream, o planner.Order) {
+func (g *Upgrader) give(ctx context.Context, now time.Time, holding leaser.Holding, engines []*registrar.Upstream, o planner.Order) {
 	if o.Action != planner.LoadModel {
 		return
 	}
@@ -25,6 +25,7 @@
 		}
 		seen := g.observe(u)
 		seen.pending, seen.ordered = true, seen.report.Orders
+		seen.lostAfter = now.Add(noticeLead + orderTimeout)
 		g.cfg.OnChange(u, true, g.weights(u))
 		version, err := strconv.ParseUint(o.WeightsVersion, 10, 64)
 		if err != nil {
@@ -45,7 +46,7 @@
 	if !pauser.Pause(ctx, noticeLead) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	now := time.Now()
 	outcome, err := planner.Refused, error(nil)
--- a/internal/placement/upgrader/upgrader.go
+++ b/internal/placement/upgrader/upgrader.go
@@ -19,16 +19,19 @@
 	// tick is the time between two plans. A load takes a few hundred
 	// milliseconds, and its end is noticed one tick later on average.
 	tick = 100 * time.Millisecond
-	// callTimeout bounds one call to an engine.
-	callTimeout = 700 * time.Millisecond
-	// orderTimeout is how long an order that was not answered may still take
-	// effect as far as the plan is concerned; the number of accepted orders
-	// guards against later ones.
-	orderTimeout = 2 * time.Second
+	// callTimeout bounds a report of an engine, orderTimeout the answer to an
+	// order: ten times the way to another region and back. An order that was not
+	// answered counts as lost once a later report shows nothing of it, since the
+	// number of accepted orders lets only one of the two take effect.
+	callTimeout  = 700 * time.Millisecond
+	orderTimeout = 300 * time.Millisecond
 	// reportEvery is how often an engine with an order is asked how it stands.
 	reportEvery = 150 * time.Millisecond
 	// reportLag is how old the content of a report may be.
 	reportLag = 500 * time.Millisecond
+	// entryLag is how long an engine's entry in the store may differ from its
+	// report before it is asked again.
+	entryLag = 2 * time.Second
 	// noticeLead is the time in which the other VMs hear of an order before its
 	// engine does, so that they send it nothing that it would refuse.
 	noticeLead = 80 * time.Millisecond
@@ -124,7 +127,7 @@
 	wanted := g.cfg.Directory.Wanted()
 	g.ask(ctx, now, engines, wanted)
 	for _, o := range g.planner.Plan(now, g.input(now, engines, wanted)) {
-		g.give(ctx, holding, engines, o)
+		g.give(ctx, now, holding, engines, o)
 	}
 }
 
@@ -132,7 +135,7 @@
 func (g *Upgrader) input(now time.Time, engines []*registrar.Upstream, wanted map[string]informer.Weights) planner.Input {
 	in := planner.Input{
 		Policy:   checker.PlacementPolicy{MaxLoads: max((len(engines)+loadShare-1)/loadShare, 1)},
-		Deadline: now.Add(orderTimeout),
+		Deadline: now.Add(noticeLead + orderTimeout),
 		// A model whose only engine keeps its old weights could not be served.
 		Interrupt: true,
 	}
--- a/internal/placement/upgrader/upgrader_test.go
+++ b/internal/placement/upgrader/upgrader_test.go
@@ -32,6 +32,11 @@
 	storeAddress = "10.9.0.1:80"
 	weightsApply = 8 * time.Second
 	loadTime     = 500 * time.Millisecond
+	// latestOrder is how late the platform carries out an order at most.
+	latestOrder = 12 * time.Second
+	// mostIdle is how long an engine may be left out in all while it does nothing:
+	// the bound of a call, the age of a report, and as much again for the notices.
+	mostIdle = 1500 * time.Millisecond
 )
 
 // deployment is VMs, engines and a store in virtual time.
@@ -45,6 +50,8 @@
 	mu     sync.Mutex
 	wanted []informer.Weights
 	vms    []*vm
+	// changing are the engines that the VMs take to be changing their weights.
+	changing map[string]bool
 }
 
 // vm is one VM's part of roll-outs.
@@ -88,7 +95,7 @@
 }
 
 func newDeployment(t *testing.T, seed uint64, vms, workers int) *deployment {
-	d := &deployment{t: t, rng: rand.New(rand.NewPCG(seed, 0)), network: piper.New(), store: platformtest.NewStore()}
+	d := &deployment{t: t, rng: rand.New(rand.NewPCG(seed, 0)), network: piper.New(), store: platformtest.NewStore(), changing: make(map[string]bool)}
 	for n := range workers {
 		w := platformtest.NewWorker(fmt.Sprintf("w%d", n+1))
 		w.SetModel(model, 1)
@@ -131,12 +138,16 @@
 		Log: log,
 	})
 	up := upgrader.New(upgrader.Config{
-		Node:           fmt.Sprintf("vm%d", n),
-		Directory:      d,
-		Lease:          lease,
-		Engines:        platform.Engines{HTTP: &http.Client{Transport: transport}},
-		OnLease:        func() {},
-		OnChange:       func(*registrar.Upstream, bool, map[string]uint64) {},
+		Node:      fmt.Sprintf("vm%d", n),
+		Directory: d,
+		Lease:     lease,
+		Engines:   platform.Engines{HTTP: &http.Client{Transport: transport}},
+		OnLease:   func() {},
+		OnChange: func(u *registrar.Upstream, changing bool, _ map[string]uint64) {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			d.changing[u.ID] = changing
+		},
 		Loads:          func() map[string]int { return nil },
 		WeightsApply:   weightsApply,
 		CheckedFencing: true,
@@ -171,7 +182,7 @@
 func (d *deployment) strike() {
 	n := d.rng.IntN(len(d.vms))
 	w := d.workers[d.rng.IntN(len(d.workers))]
-	switch d.rng.IntN(5) {
+	switch d.rng.IntN(6) {
 	case 0:
 		d.name()
 	case 1: // one VM is turned away for a while
@@ -186,6 +197,8 @@
 		w.LoseNextOrders(1 + d.rng.IntN(2))
 	case 4: // an engine starts again under its ID
 		w.Restart()
+	case 5: // orders are carried out late
+		w.DelayNextOrders(1+d.rng.IntN(2), time.Duration(2+d.rng.IntN(11))*time.Second)
 	}
 }
 
@@ -253,7 +266,12 @@
 				for _, v := range d.vms {
 					v.door.Set(platformtest.Sound)
 				}
-				time.Sleep(12 * time.Second) // the faults are over
+				for _, w := range d.workers {
+					w.LoseNextOrders(0)
+					w.DelayNextOrders(0, 0)
+				}
+				time.Sleep(latestOrder) // the faults are over
+				time.Sleep(12 * time.Second)
 				d.checkOrders()
 				d.checkVersions()
 				for _, v := range d.vms {
@@ -264,3 +282,46 @@
 		})
 	}
 }
+
+// TestOrdersThatAreCarriedOutLate leaves the first order to each engine without
+// an answer until long after. The roll-out has to end in its time, and engines
+// that do nothing must not be left out for long.
+func TestOrdersThatAreCarriedOutLate(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, 1, 1, 6)
+		for _, w := range d.workers {
+			w.DelayNextOrders(1, 2*weightsApply)
+		}
+		d.start(0)
+		defer d.network.Close()
+		defer d.vms[0].stop()
+		time.Sleep(time.Second)
+		d.name()
+		named, idle := time.Now(), make(map[string]time.Duration)
+		const look = 20 * time.Millisecond
+		for time.Since(named) < weightsApply {
+			time.Sleep(look)
+			d.mu.Lock()
+			for _, w := range d.workers {
+				if d.changing[w.ID] && !w.Changing() {
+					idle[w.ID] += look
+				}
+			}
+			d.mu.Unlock()
+		}
+		d.checkVersions()
+		for id, took := range idle {
+			if took > mostIdle {
+				t.Errorf("%s was left out for %s while it did nothing", id, took)
+			}
+		}
+		time.Sleep(3 * weightsApply) // the late orders come, and change nothing
+		d.checkOrders()
+		for _, w := range d.workers {
+			if len(w.Orders()) != 1 {
+				t.Errorf("%s carried out %v", w.ID, w.Orders())
+			}
+		}
+	})
+}
