--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -125,8 +125,10 @@
 		}
 		c := e.price(u, load)
 		if p.behind(q, c) {
-			best.Reason = Behind
-			best.Backlog = shorter(best.Backlog, c.Costs.Queue)
+			if best.Upstream == nil {
+				best.Reason = Behind
+				best.Backlog = shorter(best.Backlog, c.Costs.Queue)
+			}
 			continue
 		}
 		if best.Upstream == nil || c.Costs.Total() < best.Costs.Total() {
--- a/internal/routing/picker/picker_test.go
+++ b/internal/routing/picker/picker_test.go
@@ -103,6 +103,8 @@
 		if row.Reason != "" {
 			is.Equal(c.Reason, row.Reason)
 		}
+		refused := c.Reason == picker.NoUpstream || c.Reason == picker.Full || c.Reason == picker.Behind
+		is.Equal(c.Upstream == nil, refused) // the reason is that of the choice
 		source := ""
 		if c.Source != nil {
 			source = c.Source.ID
