--- a/internal/peering/coordinator/coordinator_test.go
+++ b/internal/peering/coordinator/coordinator_test.go
@@ -20,6 +20,10 @@
 	"gentianstep.example/gentianstep/internal/testing/piper"
 )
 
+// movedWithin is three reports: the one that meets the former hub, the first one
+// to the next, and one to spare.
+const movedWithin = 180 * time.Millisecond
+
 var hubAddress = netip.MustParseAddrPort("10.0.0.1:7340")
 
 func quiet() *logrus.Entry {
@@ -28,7 +32,7 @@
 	return logrus.NewEntry(log)
 }
 
-// vm is a subscriber with what it has in flight.
+// vm is a subscriber with what it has in flight at upstream u.
 type vm struct {
 	view *coordinator.View
 	stop context.CancelFunc
@@ -38,10 +42,10 @@
 	sent  []coordinator.Cached
 }
 
-func (v *vm) set(upstream string, load coordinator.Load) {
+func (v *vm) set(load coordinator.Load) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.loads = map[string]coordinator.Load{upstream: load}
+	v.loads = map[string]coordinator.Load{"u": load}
 }
 
 func (v *vm) takeSent() []coordinator.Cached {
@@ -88,7 +92,7 @@
 		a, b := startVM(t, network, "a", knownHub), startVM(t, network, "b", knownHub)
 		time.Sleep(time.Second)
 		// Loads: each hears those of the other alone, within moments.
-		a.set("u", coordinator.Load{InFlight: 3, PromptTokens: 9000})
+		a.set(coordinator.Load{InFlight: 3, PromptTokens: 9000})
 		time.Sleep(200 * time.Millisecond)
 		is.Equal(b.view.Load(time.Now(), "u"), coordinator.Load{InFlight: 3, PromptTokens: 9000})
 		is.Equal(a.view.Load(time.Now(), "u"), coordinator.Load{})
@@ -130,6 +134,34 @@
 	})
 }
 
+// TestHubThatMoves lets another VM be the hub. Loads of others have to be known
+// again before many requests were sent without.
+func TestHubThatMoves(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		network := piper.New()
+		addresses := []netip.AddrPort{hubAddress, netip.MustParseAddrPort("10.0.0.2:7340")}
+		var at atomic.Int64
+		for n, address := range addresses {
+			active := func() bool { return at.Load() == int64(n) }
+			network.Serve(address.String(), coordinator.NewHub(coordinator.HubConfig{Active: active, Log: quiet()}))
+		}
+		current := func() (netip.AddrPort, bool) { return addresses[at.Load()], true }
+		a, b := startVM(t, network, "a", current), startVM(t, network, "b", current)
+		a.set(coordinator.Load{InFlight: 1})
+		time.Sleep(time.Second)
+		is.Equal(b.view.Load(time.Now(), "u").InFlight, 1)
+		at.Store(1)
+		a.set(coordinator.Load{InFlight: 2})
+		time.Sleep(movedWithin)
+		is.Equal(b.view.Load(time.Now(), "u").InFlight, 2)
+		a.stop()
+		b.stop()
+		network.Close()
+	})
+}
+
 func TestPartThatDoesNotComeIsForgotten(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
@@ -160,7 +192,7 @@
 		hub := coordinator.NewHub(coordinator.HubConfig{Active: func() bool { return true }, Log: quiet()})
 		network.Serve(hubAddress.String(), hub)
 		a := startVM(t, network, "a", knownHub)
-		a.set("u", coordinator.Load{InFlight: 3})
+		a.set(coordinator.Load{InFlight: 3})
 		time.Sleep(time.Second)
 		is.Equal(hub.Totals()["u"].InFlight, 3)
 		network.Lose(hubAddress.String(), true) // nothing arrives any more
--- a/internal/peering/coordinator/subscriber.go
+++ b/internal/peering/coordinator/subscriber.go
@@ -25,8 +25,11 @@
 	aliveEvery = 600 * time.Millisecond
 	// connectTimeout bounds the way to the hub.
 	connectTimeout = time.Second
-	// reconnectAfter is the wait after a connection that ended.
+	// reconnectAfter is the wait after a connection that ended, lookEvery how often
+	// a VM without a hub looks whether there is another: as often as a hub tells
+	// what is new.
 	reconnectAfter = 150 * time.Millisecond
+	lookEvery      = pushEvery
 )
 
 // SubscriberConfig holds what a Subscriber is built from.
@@ -53,16 +56,20 @@
 // NewSubscriber returns a Subscriber.
 func NewSubscriber(cfg SubscriberConfig) *Subscriber { return &Subscriber{cfg: cfg} }
 
-// Run stays connected until ctx ends.
+// Run stays connected until ctx ends. A hub that could not be reached is tried
+// again after a while, another one at once.
 func (s *Subscriber) Run(ctx context.Context) {
+	var tried netip.AddrPort
+	var againAt time.Time
 	for ctx.Err() == nil {
-		if hub, ok := s.cfg.Hub(); ok {
+		if hub, ok := s.cfg.Hub(); ok && (hub != tried || !time.Now().Before(againAt)) {
 			err := s.stay(ctx, hub)
 			s.cfg.Log.WithError(err).WithFields(logrus.Fields{"event": "hub_lost", "hub": hub.String()}).Info("connection to the hub ended")
+			tried, againAt = hub, time.Now().Add(reconnectAfter+rand.N(reconnectAfter))
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(reconnectAfter + rand.N(reconnectAfter)):
+		case <-time.After(lookEvery):
 		}
 	}
 }
