--- a/internal/routing/picker/estimate.go
+++ b/internal/routing/picker/estimate.go
@@ -207,7 +207,7 @@
 func (e *estimate) save(u *registrar.Upstream, h *held, shared int, c *Choice) {
 	for i := range e.query.Prompt.Stores {
 		store := &e.query.Prompt.Stores[i]
-		if h.tokens[store.ID]+leastFetch <= shared {
+		if e.sameRegion(u.AvailabilityZone, store.AvailabilityZone) && h.tokens[store.ID]+leastFetch <= shared {
 			c.Save = store
 		}
 	}
