Rehearse load patterns against a bound

Change: standin rehearse (make rehearse) plays the loads of deploy/loads in virtual time against a model of engines (prompts read one after the other, shared parts kept while used, news of other VMs late) under round robin, least loaded, and the gateway's own picker, and holds the benefit earned against a bound: all requests known beforehand, divided among engines at will, shared parts free. What fits into spans of time is a polymatroid, so that taking the highest gain for each millisecond first is the best choice and the bound is one. A first version charged a shared part to the first request of its subject, which is no bound, since another may pay for it.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 export GOLANGCI_LINT_CACHE := $(BIN)/lint-cache
 SEED ?= 1
 
-.PHONY: all build fmt lint unit test demo bench measure replay days clean
+.PHONY: all build fmt lint unit test demo bench measure replay days rehearse clean
 
 all: build
 
@@ -49,3 +49,6 @@
 
 days:
 	scripts/days.sh
+
+rehearse: build
+	$(BIN)/standin rehearse
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -39,6 +39,7 @@
 		newFleetCommand(),
 		newLoadCommand(),
 		newReportCommand(),
+		newRehearseCommand(),
 		newAskCommand(),
 	}
 	for _, c := range commands {
--- a/internal/routing/picker/load.go
+++ b/internal/routing/picker/load.go
@@ -13,6 +13,7 @@
 	Copying time.Duration
 }
 
-func (l Load) plus(other Load) Load {
+// Plus adds the load of others.
+func (l Load) Plus(other Load) Load {
 	return Load{InFlight: l.InFlight + other.InFlight, PromptTokens: l.PromptTokens + other.PromptTokens, Copying: l.Copying + other.Copying}
 }
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -194,7 +194,7 @@
 func (p *Picker) load(q Query, u *registrar.Upstream) Load {
 	load := p.own(u.ID)
 	if q.Others != nil {
-		load = load.plus(q.Others(u.ID))
+		load = load.Plus(q.Others(u.ID))
 	}
 	return load
 }
--- a/internal/standin/reporter/plot.go
+++ b/internal/standin/reporter/plot.go
@@ -10,6 +10,7 @@
 	"gonum.org/v1/plot/vg"
 
 	"gentianstep.example/gentianstep/internal/standin/loader"
+	"gentianstep.example/gentianstep/internal/standin/rehearser"
 )
 
 const (
@@ -20,44 +21,63 @@
 	groupMargin = 0.5
 )
 
-// quantity is what one plot shows of a result.
-type quantity struct {
-	title string
-	unit  string
-	value func(loader.Result) float64
+// quantity is what one plot shows of a result: a group of bars for each
+// workload, a bar for each policy in it.
+type quantity[T any] struct {
+	title    string
+	unit     string
+	workload func(T) string
+	policy   func(T) string
+	value    func(T) float64
+}
+
+func ofLoads(title, unit string, value func(loader.Result) float64) quantity[loader.Result] {
+	return quantity[loader.Result]{
+		title:    title,
+		unit:     unit,
+		workload: func(r loader.Result) string { return r.Workload },
+		policy:   func(r loader.Result) string { return r.Policy },
+		value:    value,
+	}
 }
 
 // HitRates plots the prefix hit rate of each policy as a share of the bound.
 func HitRates(path string, results []loader.Result) error {
-	return bars(path, results, quantity{
-		title: "Prefix hit rate as a share of the bound",
-		unit:  "share",
-		value: func(r loader.Result) float64 { return r.HitRate / r.BoundRate },
-	})
+	return bars(path, results, ofLoads("Prefix hit rate as a share of the bound", "share",
+		func(r loader.Result) float64 { return r.HitRate / r.BoundRate }))
 }
 
 // FirstTokens plots the 95th percentile of the first-token time.
 func FirstTokens(path string, results []loader.Result) error {
-	return bars(path, results, quantity{
-		title: "First token, 95th percentile",
-		unit:  "ms",
-		value: func(r loader.Result) float64 { return float64(r.FirstToken.P95) / float64(time.Millisecond) },
+	return bars(path, results, ofLoads("First token, 95th percentile", "ms",
+		func(r loader.Result) float64 { return float64(r.FirstToken.P95) / float64(time.Millisecond) }))
+}
+
+// ReachedShares plots the benefit that each policy earned as a share of the
+// bound.
+func ReachedShares(path string, results []rehearser.Result) error {
+	return bars(path, summaries(results), quantity[summary]{
+		title:    "Benefit as a share of the bound",
+		unit:     "share",
+		workload: func(s summary) string { return s.load },
+		policy:   func(s summary) string { return s.policy },
+		value:    func(s summary) float64 { return s.worth / s.bound },
 	})
 }
 
-// bars plots one quantity, a group of bars for each workload.
-func bars(path string, results []loader.Result, q quantity) error {
+// bars plots one quantity.
+func bars[T any](path string, results []T, q quantity[T]) error {
 	p := plot.New()
 	p.Title.Text = q.title
 	p.Y.Label.Text = q.unit
 	p.Y.Min = 0
 	p.Legend.Top = true
-	workloads := distinct(results, func(r loader.Result) string { return r.Workload })
-	policies := distinct(results, func(r loader.Result) string { return r.Policy })
+	workloads := distinct(results, q.workload)
+	policies := distinct(results, q.policy)
 	for i, policy := range policies {
 		values := make(plotter.Values, len(workloads))
 		for j, workload := range workloads {
-			values[j] = find(results, workload, policy, q.value)
+			values[j] = q.find(results, workload, policy)
 		}
 		chart, err := plotter.NewBarChart(values, vg.Points(barWidth))
 		if err != nil {
@@ -77,7 +97,7 @@
 	return nil
 }
 
-func distinct(results []loader.Result, name func(loader.Result) string) []string {
+func distinct[T any](results []T, name func(T) string) []string {
 	var names []string
 	seen := make(map[string]bool)
 	for _, r := range results {
@@ -90,10 +110,10 @@
 	return names
 }
 
-func find(results []loader.Result, workload, policy string, value func(loader.Result) float64) float64 {
+func (q quantity[T]) find(results []T, workload, policy string) float64 {
 	for _, r := range results {
-		if r.Workload == workload && r.Policy == policy {
-			return value(r)
+		if q.workload(r) == workload && q.policy(r) == policy {
+			return q.value(r)
 		}
 	}
 	return 0
--- /dev/null
+++ b/internal/standin/reporter/rehearsal.go
@@ -0,0 +1,76 @@
+package reporter
+
+import (
+	"fmt"
+	"io"
+
+	"gentianstep.example/gentianstep/internal/standin/rehearser"
+)
+
+// summary sums what one policy made of one load over all seeds.
+type summary struct {
+	load, policy                           string
+	seeds, requests, inTime, late, refused int
+	worth, owed, bound, leastReached       float64
+	read, again                            int
+}
+
+// summaries sums results in the order in which loads and policies come.
+func summaries(results []rehearser.Result) []summary {
+	var list []summary
+	index := make(map[[2]string]int)
+	for _, r := range results {
+		key := [2]string{r.Load, r.Policy}
+		n, ok := index[key]
+		if !ok {
+			n = len(list)
+			index[key] = n
+			list = append(list, summary{load: r.Load, policy: r.Policy, leastReached: 1})
+		}
+		s := &list[n]
+		s.seeds++
+		s.requests += r.Requests
+		s.inTime += r.InTime
+		s.late += r.Late
+		s.refused += r.Refused
+		s.worth += r.Worth
+		s.owed += r.Owed
+		s.bound += r.Bound
+		s.leastReached = min(s.leastReached, r.Worth/r.Bound)
+		s.read += r.Read
+		s.again += r.Again
+	}
+	return list
+}
+
+const rehearsalHead = `
+Requests come from the files of deploy/loads. The model of engines reads prompts
+one after the other and keeps the shared parts that were used last; VMs hear of
+each other's requests with a delay. The bound is what a scheduler that knows all
+requests could earn at most if shared parts cost nothing to read and requests
+could be divided among engines. Sums over the seeds; "least" is the lowest share
+of one seed.
+
+| load | policy | requests | in time | late | refused | earned of owed | bound of owed | earned of bound | least | tokens read | read again |
+|---|---|---|---|---|---|---|---|---|---|---|---|
+`
+
+// Rehearsals writes what policies made of loads as a page.
+func Rehearsals(w io.Writer, title string, results []rehearser.Result) error {
+	_, err := fmt.Fprintf(w, "# Policies against a bound\n\nWritten by `%s`.\n%s", title, rehearsalHead)
+	if err != nil {
+		return fmt.Errorf("write page: %w", err)
+	}
+	for _, s := range summaries(results) {
+		_, err := fmt.Fprintf(w, "| %s | `%s` | %d | %d | %d | %d | %.3f | %.3f | %.3f | %.3f | %d | %d |\n",
+			s.load, s.policy, s.requests, s.inTime, s.late, s.refused,
+			s.worth/s.owed, s.bound/s.owed, s.worth/s.bound, s.leastReached, s.read, s.again)
+		if err != nil {
+			return fmt.Errorf("write page: %w", err)
+		}
+	}
+	if _, err := io.WriteString(w, "\n![Benefit as a share of the bound](rehearsal.png)\n"); err != nil {
+		return fmt.Errorf("write page: %w", err)
+	}
+	return nil
+}
