--- a/cmd/gentianstep/gateway_test.go
+++ b/cmd/gentianstep/gateway_test.go
@@ -16,9 +16,12 @@
 	"gentianstep.example/gentianstep/platform/platformtest"
 )
 
-// hubQuiet is how long the hub is watched after its lease: several of its
-// reports.
-const hubQuiet = 2 * time.Second
+// hubQuiet is how long the hub is watched after its lease, several of its
+// reports, and hubRequests how many requests take that long.
+const (
+	hubQuiet    = 2 * time.Second
+	hubRequests = 20
+)
 
 func TestGatewayServesOnThePlatform(t *testing.T) {
 	t.Parallel()
@@ -85,7 +88,11 @@
 	lost := strings.Count(vms[0].process.Output()+vms[1].process.Output(), `"event":"hub_lost"`)
 	p.door.Set(platformtest.Silent)
 	eventually(t, "lease ended", func() bool { return vms[0].logs("lease_ended") || vms[1].logs("lease_ended") })
-	time.Sleep(hubQuiet)
+	p.desk.SetWork(hubQuiet / hubRequests)
+	for n := range hubRequests { // all VMs serve meanwhile
+		status, _ := p.ask(vms[n%2], "order", fmt.Sprint("without the store", n), "k1")
+		is.Equal(status, http.StatusOK)
+	}
 	is.Equal(strings.Count(vms[0].process.Output()+vms[1].process.Output(), `"event":"hub_lost"`), lost)
 	p.door.Set(platformtest.Sound)
 	eventually(t, "lease taken again", func() bool {
