Keep what engines hold where a hub leads again

Cause: a hub whose VM took the lease again forgot what engines hold. Before the hub outlived its lease, its readers of cache events stopped in between and listed everything anew; now they go on, and what they had read was gone until the engines evicted it. A reader that began before the reset of a new lease lost its list in the same way. Nor were the VMs woken to hear it.

Ruled out: stopping the readers at a reset (a list stalls each engine).

Change: Reset forgets which engines change their weights, and tells all VMs what is known. Readers drop what they read when they stop, as before.

Conclusion: kept as a mend of what VMs are told; TestHubThatLeadsAgain fails without it.

--- a/internal/peering/coordinator/coordinator_test.go
+++ b/internal/peering/coordinator/coordinator_test.go
@@ -162,6 +162,31 @@
 	})
 }
 
+// TestHubThatLeadsAgain resets a hub whose readers of cache events go on, as it
+// does where its VM has taken the lease again after an outage of the store.
+func TestHubThatLeadsAgain(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		network := piper.New()
+		hub := coordinator.NewHub(coordinator.HubConfig{Active: func() bool { return true }, Log: quiet()})
+		network.Serve(hubAddress.String(), hub)
+		a := startVM(t, network, "a", knownHub)
+		part := cataloguer.Part{Scope: "@2", ID: "p"}
+		u := &registrar.Upstream{ID: "u", StartedAt: time.UnixMilli(1_790_000_000_123), Weights: map[string]uint64{"m": 1}}
+		hub.SetCached("u", part, 4992)
+		hub.SetEngine(coordinator.Engine{Upstream: "u", StartedAt: u.StartedAt, Changing: true, Weights: u.Weights})
+		time.Sleep(time.Second)
+		is.True(a.view.Changing(time.Now(), u))
+		hub.Reset()
+		time.Sleep(100 * time.Millisecond)
+		is.True(!a.view.Changing(time.Now(), u)) // of before, and told by nobody now
+		is.Equal(a.view.Holders(part), map[string]cataloguer.Holding{"u": {Tokens: 4992}})
+		a.stop()
+		network.Close()
+	})
+}
+
 func TestPartThatDoesNotComeIsForgotten(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/peering/coordinator/hub.go
+++ b/internal/peering/coordinator/hub.go
@@ -67,17 +67,17 @@
 	}
 }
 
-// Reset forgets what is known of engines, since another VM may have been the
-// hub meanwhile.
+// Reset forgets which engines change their weights, since another VM may have
+// ordered that meanwhile, and tells every VM all that is known. What engines hold
+// stays: it is dropped by those who read their cache events when they stop.
 func (h *Hub) Reset() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.engines = make(map[string]Engine)
-	h.catalogue = cataloguer.New()
-	clear(h.coming)
 	for s := range h.sessions {
 		s.first = true
-		s.engines, s.cached = make(map[string]struct{}), make(map[Cached]struct{})
+		clear(s.engines)
+		s.wake()
 	}
 }
 
