--- a/internal/standin/rehearser/engine.go
+++ b/internal/standin/rehearser/engine.go
@@ -19,7 +19,6 @@
 	downTill time.Duration
 	kept     *simplelru.LRU[string, int]
 	tokens   int
-	inFlight int
 	// incarnation tells work of before a crash.
 	incarnation int
 }
@@ -84,6 +83,6 @@
 // crash takes the engine away until a time.
 func (e *engine) crash(until time.Duration) {
 	e.kept.Purge()
-	e.inFlight, e.readTill, e.downTill = 0, until, until
+	e.readTill, e.downTill = until, until
 	e.incarnation++
 }
--- a/internal/standin/rehearser/load.go
+++ b/internal/standin/rehearser/load.go
@@ -30,7 +30,9 @@
 	Count int `json:"count"`
 	// Regions is the number of regions over which engines and VMs are spread.
 	Regions int `json:"regions"`
-	Slots   int `json:"slots"`
+	// Slots is how many requests an engine serves side by side, by which the
+	// picker bounds what it sends.
+	Slots int `json:"slots"`
 	// ReadPerMS is how many tokens of a prompt an engine reads in a millisecond.
 	ReadPerMS float64 `json:"read_per_ms"`
 	// StepMS is the time between two tokens of an answer.
--- a/internal/standin/rehearser/rehearser.go
+++ b/internal/standin/rehearser/rehearser.go
@@ -216,7 +216,6 @@
 	}
 	first, read := e.read(now, a, copied)
 	r.result.Read += read
-	e.inFlight++
 	incarnation := e.incarnation
 	load := &r.loads[a.vm][p.engine]
 	load.InFlight++
@@ -231,9 +230,6 @@
 	r.schedule(first+time.Duration(a.kind.Output)*e.step(), func(time.Duration) {
 		load.InFlight--
 		r.policies[a.vm].done(p)
-		if e.incarnation == incarnation {
-			e.inFlight--
-		}
 	})
 }
 
