Open sockets between VMs in one place; wait with pauser

Cause: three packages dialled a WebSocket, closed its answer's body and set its read limit, each by itself; the subscriber, the announcer and the engine stand-in waited by a select of their own beside pauser.Pause.

Change: messenger.DialSocket serves all three, pauser.Pause the waits. The errors keep their wording, behaviour is the same.

--- a/internal/membership/announcer/announcer.go
+++ b/internal/membership/announcer/announcer.go
@@ -13,6 +13,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"gentianstep.example/gentianstep/internal/operating/pauser"
 	"gentianstep.example/gentianstep/internal/platform/storer"
 )
 
@@ -71,11 +72,9 @@
 			a.cfg.Log.WithError(err).WithField("event", "announce_failed").Debug("entry of this VM was not renewed")
 			wait = retryEvery/2 + rand.N(retryEvery)
 		}
-		select {
-		case <-ctx.Done():
+		if !pauser.Pause(ctx, wait) {
 			a.withdraw(lease)
 			return
-		case <-time.After(wait):
 		}
 	}
 }
--- a/internal/peering/coordinator/subscriber.go
+++ b/internal/peering/coordinator/subscriber.go
@@ -12,6 +12,7 @@
 	"github.com/coder/websocket"
 	"github.com/sirupsen/logrus"
 
+	"gentianstep.example/gentianstep/internal/operating/pauser"
 	"gentianstep.example/gentianstep/internal/peering/messenger"
 )
 
@@ -67,10 +68,7 @@
 			s.cfg.Log.WithError(err).WithFields(logrus.Fields{"event": "hub_lost", "hub": hub.String()}).Info("connection to the hub ended")
 			tried, againAt = hub, time.Now().Add(reconnectAfter+rand.N(reconnectAfter))
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(lookEvery):
-		}
+		pauser.Pause(ctx, lookEvery)
 	}
 }
 
@@ -80,15 +78,11 @@
 	defer cancel()
 	limited, done := context.WithTimeout(ctx, connectTimeout)
 	defer done()
-	ws, response, err := websocket.Dial(limited, "ws://"+hub.String()+Path, &websocket.DialOptions{HTTPClient: s.cfg.Client})
-	if response != nil && response.Body != nil {
-		_ = response.Body.Close()
-	}
+	ws, err := messenger.DialSocket(limited, s.cfg.Client, "ws://"+hub.String()+Path, maxMessageBytes)
 	if err != nil {
 		return fmt.Errorf("dial hub: %w", err)
 	}
 	defer func() { _ = ws.CloseNow() }()
-	ws.SetReadLimit(maxMessageBytes)
 	s.cfg.Log.WithFields(logrus.Fields{"event": "hub_found", "hub": hub.String()}).Info("connected to the hub")
 	go s.runReports(ctx, cancel, ws, hub)
 	for {
--- a/internal/peering/exchanger/exchanger.go
+++ b/internal/peering/exchanger/exchanger.go
@@ -105,15 +105,11 @@
 }
 
 func (e *Exchanger) ask(ctx context.Context, peer netip.AddrPort) (Answer, error) {
-	ws, response, err := websocket.Dial(ctx, "ws://"+peer.String()+Path, &websocket.DialOptions{HTTPClient: e.cfg.Client})
-	if response != nil && response.Body != nil {
-		_ = response.Body.Close()
-	}
+	ws, err := messenger.DialSocket(ctx, e.cfg.Client, "ws://"+peer.String()+Path, maxMessageBytes)
 	if err != nil {
 		return Answer{}, fmt.Errorf("dial peer: %w", err)
 	}
 	defer func() { _ = ws.CloseNow() }()
-	ws.SetReadLimit(maxMessageBytes)
 	if err := messenger.WriteValue(ctx, ws, Ask{Revisions: e.cfg.Directory.Revisions()}); err != nil {
 		return Answer{}, err
 	}
--- a/internal/peering/messenger/conn.go
+++ b/internal/peering/messenger/conn.go
@@ -76,14 +76,11 @@
 
 // Dial connects to the controller at url.
 func Dial(ctx context.Context, client *http.Client, url string) (*Conn, error) {
-	ws, response, err := websocket.Dial(ctx, url+Path, &websocket.DialOptions{HTTPClient: client})
-	if response != nil && response.Body != nil {
-		_ = response.Body.Close()
-	}
+	ws, err := DialSocket(ctx, client, url+Path, maxMessageBytes)
 	if err != nil {
 		return nil, fmt.Errorf("dial peer: %w", err)
 	}
-	return newConn(ws), nil
+	return &Conn{ws: ws}, nil
 }
 
 // Accept takes over an incoming connection.
@@ -92,12 +89,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("accept peer: %w", err)
 	}
-	return newConn(ws), nil
-}
-
-func newConn(ws *websocket.Conn) *Conn {
 	ws.SetReadLimit(maxMessageBytes)
-	return &Conn{ws: ws}
+	return &Conn{ws: ws}, nil
 }
 
 // Write sends m.
--- a/internal/peering/messenger/value.go
+++ b/internal/peering/messenger/value.go
@@ -4,10 +4,24 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 
 	"github.com/coder/websocket"
 )
 
+// DialSocket opens a WebSocket whose messages have at most limit bytes.
+func DialSocket(ctx context.Context, client *http.Client, url string, limit int64) (*websocket.Conn, error) {
+	ws, response, err := websocket.Dial(ctx, url, &websocket.DialOptions{HTTPClient: client})
+	if response != nil && response.Body != nil {
+		_ = response.Body.Close()
+	}
+	if err != nil {
+		return nil, err
+	}
+	ws.SetReadLimit(limit)
+	return ws, nil
+}
+
 // WriteValue sends v as one message.
 func WriteValue(ctx context.Context, ws *websocket.Conn, v any) error {
 	data, err := encoding.Marshal(v)
--- a/internal/standin/generator/pause.go
+++ b/internal/standin/generator/pause.go
@@ -3,19 +3,14 @@
 import (
 	"context"
 	"time"
+
+	"gentianstep.example/gentianstep/internal/operating/pauser"
 )
 
 // Pause waits for d, or less where ctx ends first.
 func Pause(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
+	if pauser.Pause(ctx, d) {
 		return nil
-	case <-ctx.Done():
-		return ctx.Err()
 	}
+	return ctx.Err()
 }
