Build the HTTP servers of routers and gateways in one place

Cause: gateway_server.go repeated the fields of server.go, with its own constant of the same 5 s for heads.

Change: newHTTPServer serves both; they differ in the idle timeout alone, as before.

--- a/internal/operating/starter/gateway.go
+++ b/internal/operating/starter/gateway.go
@@ -37,8 +37,6 @@
 	// clientIdleTimeout is how long an unused connection of a client is kept. It
 	// is longer than operators let clients stay idle.
 	clientIdleTimeout = 90 * time.Second
-	// clientHeaderTimeout bounds the head of a client's request.
-	clientHeaderTimeout = 5 * time.Second
 	// balancerNotice is how long a stopping VM goes on accepting: two health
 	// checks of the balancer, a second apart, and some way.
 	balancerNotice = 2300 * time.Millisecond
--- a/internal/operating/starter/gateway_server.go
+++ b/internal/operating/starter/gateway_server.go
@@ -3,13 +3,10 @@
 import (
 	"context"
 	"fmt"
-	stdlog "log"
 	"net"
 	"net/http"
 	"net/netip"
 	"time"
-
-	"gentianstep.example/gentianstep/internal/operating/limiter"
 )
 
 // stop lets the balancer go, then waits for open requests.
@@ -36,15 +33,7 @@
 	if err != nil {
 		return httpListener{}, fmt.Errorf("listen on %s: %w", address, err)
 	}
-	return httpListener{listener: l, server: &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: clientHeaderTimeout,
-		IdleTimeout:       clientIdleTimeout,
-		MaxHeaderBytes:    maxHeader,
-		ConnContext:       limiter.ConnContext,
-		ConnState:         limiter.ConnState,
-		ErrorLog:          stdlog.New(&serverLog{log: g.log, listener: address.String()}, "", 0),
-	}}, nil
+	return httpListener{listener: l, server: newHTTPServer(handler, clientIdleTimeout, address.String(), g.log)}, nil
 }
 
 // serveReady answers the balancer.
--- a/internal/operating/starter/server.go
+++ b/internal/operating/starter/server.go
@@ -70,18 +70,24 @@
 	return &server{
 		name:     cfg.name,
 		listener: listener,
-		http: &http.Server{
-			Handler:           cfg.handler,
-			ReadHeaderTimeout: headerTimeout,
-			IdleTimeout:       idleTimeout,
-			MaxHeaderBytes:    maxHeader,
-			ConnContext:       limiter.ConnContext,
-			ConnState:         limiter.ConnState,
-			ErrorLog:          stdlog.New(&serverLog{log: cfg.log, listener: cfg.name}, "", 0),
-		},
+		http:     newHTTPServer(cfg.handler, idleTimeout, cfg.name, cfg.log),
 	}, nil
 }
 
+// newHTTPServer returns the server of a listener, whose name stands in its log.
+// Unused connections are closed after idle.
+func newHTTPServer(handler http.Handler, idle time.Duration, listener string, log *logrus.Entry) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idle,
+		MaxHeaderBytes:    maxHeader,
+		ConnContext:       limiter.ConnContext,
+		ConnState:         limiter.ConnState,
+		ErrorLog:          stdlog.New(&serverLog{log: log, listener: listener}, "", 0),
+	}
+}
+
 // limited puts the limits of a listener for peers or operators around next.
 func limited(next http.Handler, log *logrus.Entry) http.Handler {
 	return limiter.NewHandler(limiter.HandlerConfig{Next: next, BodyTimeout: headerTimeout, Log: log})
