--- /dev/null
+++ b/internal/placement/upgrader/fixture_test.go
@@ -0,0 +1,163 @@
+package upgrader_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"gentianstep.example/gentianstep/internal/membership/informer"
+	"gentianstep.example/gentianstep/internal/membership/registrar"
+	"gentianstep.example/gentianstep/internal/placement/leaser"
+	"gentianstep.example/gentianstep/internal/placement/upgrader"
+	"gentianstep.example/gentianstep/internal/testing/piper"
+	"gentianstep.example/gentianstep/platform"
+	"gentianstep.example/gentianstep/platform/platformtest"
+)
+
+// deployment is VMs, engines and a store in virtual time.
+type deployment struct {
+	t       *testing.T
+	rng     *rand.Rand
+	network *piper.Network
+	store   *platformtest.Store
+	workers []*platformtest.Worker
+
+	mu     sync.Mutex
+	wanted []informer.Weights
+	vms    []*vm
+	// changing are the engines that the VMs take to be changing their weights.
+	changing map[string]bool
+}
+
+// vm is one VM's part of roll-outs.
+type vm struct {
+	door *platformtest.Door
+	stop context.CancelFunc
+	done sync.WaitGroup
+}
+
+// Engines lists the engines with what they last wrote of themselves.
+func (d *deployment) Engines() []*registrar.Upstream {
+	list := make([]*registrar.Upstream, 0, len(d.workers))
+	for n, w := range d.workers {
+		list = append(list, &registrar.Upstream{
+			ID: w.ID, Service: "s", Address: address(n), Slots: 8, StartedAt: w.StartedAt(),
+			Weights: map[string]uint64{model: w.Version(model)},
+		})
+	}
+	return list
+}
+
+// Wanted implements upgrader.Directory.
+func (d *deployment) Wanted() map[string]informer.Weights {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.wanted) == 0 {
+		return nil
+	}
+	return map[string]informer.Weights{model: d.wanted[len(d.wanted)-1]}
+}
+
+// WantedWeights implements upgrader.Directory.
+func (d *deployment) WantedWeights(string) []informer.Weights {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return append([]informer.Weights(nil), d.wanted...)
+}
+
+func address(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n + 1)}), 80)
+}
+
+func newDeployment(t *testing.T, seed uint64, vms, workers int) *deployment {
+	d := &deployment{t: t, rng: rand.New(rand.NewPCG(seed, 0)), network: piper.New(), store: platformtest.NewStore(), changing: make(map[string]bool)}
+	for n := range workers {
+		w := platformtest.NewWorker(fmt.Sprintf("w%d", n+1))
+		w.SetModel(model, 1)
+		w.LoadTime, w.Born = loadTime, int64(1000+n)
+		d.network.Serve(address(n).String(), w)
+		d.workers = append(d.workers, w)
+	}
+	for range vms {
+		d.vms = append(d.vms, &vm{door: d.store.Door()})
+	}
+	return d
+}
+
+// start runs a VM.
+func (d *deployment) start(n int) {
+	v := d.vms[n]
+	name := fmt.Sprintf("%s-%d", storeAddress, n)
+	d.network.Serve(name, v.door)
+	dial := func(ctx context.Context, network, target string) (conn net.Conn, err error) {
+		if target == storeAddress {
+			target = name
+		}
+		return d.network.Dial(ctx, network, target)
+	}
+	quiet := logrus.New()
+	quiet.SetOutput(io.Discard)
+	log := logrus.NewEntry(quiet)
+	transport := &http.Transport{DialContext: dial}
+	client := platform.NewClient(platform.ClientConfig{
+		Address: netip.MustParseAddrPort(storeAddress),
+		HTTP:    &http.Client{Transport: transport},
+	})
+	lease := leaser.New(leaser.Config{
+		Store: client,
+		Key:   "lease",
+		Node:  fmt.Sprintf("vm%d", n),
+		Terms: func() (leaser.Terms, bool) {
+			return leaser.Terms{TTL: 2 * time.Second, OrderTimeout: 3 * time.Second}, true
+		},
+		Log: log,
+	})
+	up := upgrader.New(upgrader.Config{
+		Node:      fmt.Sprintf("vm%d", n),
+		Directory: d,
+		Lease:     lease,
+		Engines:   platform.Engines{HTTP: &http.Client{Transport: transport}},
+		OnLease:   func() {},
+		OnChange: func(u *registrar.Upstream, changing bool, _ map[string]uint64) {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			d.changing[u.ID] = changing
+		},
+		Loads:          func() map[string]int { return nil },
+		WeightsApply:   weightsApply,
+		CheckedFencing: true,
+		Log:            log,
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	v.stop = func() {
+		stop()
+		v.done.Wait()
+		transport.CloseIdleConnections()
+		d.network.Stop(name)
+	}
+	v.done.Go(func() { lease.Run(ctx) })
+	v.done.Go(func() { up.Run(ctx) })
+}
+
+// name makes a new version wanted.
+func (d *deployment) name() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.wanted = append(d.wanted, informer.Weights{Version: uint64(len(d.wanted) + 2), Since: time.Now()})
+}
+
+// newest is the version that is wanted last.
+func (d *deployment) newest() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return uint64(len(d.wanted) + 1)
+}
