--- a/cmd/gentianstep/gateway_fixture_test.go
+++ b/cmd/gentianstep/gateway_fixture_test.go
@@ -210,6 +210,9 @@
 }
 
 // logs reports whether a VM has written a line of an event.
-func (vm *gatewayVM) logs(event string) bool {
-	return strings.Contains(vm.process.Output(), `"event":"`+event+`"`)
+func (vm *gatewayVM) logs(event string) bool { return vm.count(event) > 0 }
+
+// count returns how many lines of an event a VM has written.
+func (vm *gatewayVM) count(event string) int {
+	return strings.Count(vm.process.Output(), `"event":"`+event+`"`)
 }
--- a/cmd/gentianstep/gateway_test.go
+++ b/cmd/gentianstep/gateway_test.go
@@ -85,7 +85,7 @@
 	for _, vm := range vms {
 		eventually(t, "hub", func() bool { return vm.logs("hub_found") })
 	}
-	lost := strings.Count(vms[0].process.Output()+vms[1].process.Output(), `"event":"hub_lost"`)
+	lost := vms[0].count("hub_lost") + vms[1].count("hub_lost")
 	p.door.Set(platformtest.Silent)
 	eventually(t, "lease ended", func() bool { return vms[0].logs("lease_ended") || vms[1].logs("lease_ended") })
 	p.desk.SetWork(hubQuiet / hubRequests)
@@ -93,10 +93,10 @@
 		status, _ := p.ask(vms[n%2], "order", fmt.Sprint("without the store", n), "k1")
 		is.Equal(status, http.StatusOK)
 	}
-	is.Equal(strings.Count(vms[0].process.Output()+vms[1].process.Output(), `"event":"hub_lost"`), lost)
+	is.Equal(vms[0].count("hub_lost")+vms[1].count("hub_lost"), lost)
 	p.door.Set(platformtest.Sound)
 	eventually(t, "lease taken again", func() bool {
-		return strings.Count(vms[0].process.Output()+vms[1].process.Output(), `"event":"lease_taken"`) > 1
+		return vms[0].count("lease_taken")+vms[1].count("lease_taken") > 1
 	})
 }
 
--- a/internal/peering/coordinator/coordinator_test.go
+++ b/internal/peering/coordinator/coordinator_test.go
@@ -78,6 +78,16 @@
 	return v
 }
 
+// startHub runs a hub on a network of its own.
+func startHub(active func() bool) (*piper.Network, *coordinator.Hub) {
+	network := piper.New()
+	hub := coordinator.NewHub(coordinator.HubConfig{Active: active, Log: quiet()})
+	network.Serve(hubAddress.String(), hub)
+	return network, hub
+}
+
+func always() bool { return true }
+
 func knownHub() (netip.AddrPort, bool) { return hubAddress, true }
 
 func TestHubTellsWhatOthersKnow(t *testing.T) {
@@ -86,9 +96,7 @@
 		is := is.New(t)
 		var active atomic.Bool
 		active.Store(true)
-		network := piper.New()
-		hub := coordinator.NewHub(coordinator.HubConfig{Active: active.Load, Log: quiet()})
-		network.Serve(hubAddress.String(), hub)
+		network, hub := startHub(active.Load)
 		a, b := startVM(t, network, "a", knownHub), startVM(t, network, "b", knownHub)
 		time.Sleep(time.Second)
 		// Loads: each hears those of the other alone, within moments.
@@ -168,9 +176,7 @@
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		network := piper.New()
-		hub := coordinator.NewHub(coordinator.HubConfig{Active: func() bool { return true }, Log: quiet()})
-		network.Serve(hubAddress.String(), hub)
+		network, hub := startHub(always)
 		a := startVM(t, network, "a", knownHub)
 		part := cataloguer.Part{Scope: "@2", ID: "p"}
 		u := &registrar.Upstream{ID: "u", StartedAt: time.UnixMilli(1_790_000_000_123), Weights: map[string]uint64{"m": 1}}
@@ -191,9 +197,7 @@
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		network := piper.New()
-		hub := coordinator.NewHub(coordinator.HubConfig{Active: func() bool { return true }, Log: quiet()})
-		network.Serve(hubAddress.String(), hub)
+		network, _ := startHub(always)
 		a, b := startVM(t, network, "a", knownHub), startVM(t, network, "b", knownHub)
 		a.mu.Lock()
 		a.sent = []coordinator.Cached{{Upstream: "u", Scope: "@2", ID: "p", Tokens: 5000}}
@@ -213,9 +217,7 @@
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		network := piper.New()
-		hub := coordinator.NewHub(coordinator.HubConfig{Active: func() bool { return true }, Log: quiet()})
-		network.Serve(hubAddress.String(), hub)
+		network, hub := startHub(always)
 		a := startVM(t, network, "a", knownHub)
 		a.set(coordinator.Load{InFlight: 3})
 		time.Sleep(time.Second)
