Let VMs of more capacity take the lease for roll-outs first

Cause: the first VM whose call arrives takes the lease and with it the work of the hub. On the annex's grown fleet that is one of 72 VMs of 10 Mbit/s beside 12 of 200 Mbit/s. Its link fills up, it loses the lease, and the next such VM takes it (11 times in 34 s); nobody orders the roll-out meanwhile, old weights are refused and VERSION is broken. A renewal that hung also used up the whole time of the lease.

Ruled out: the store (its calls are answered in 4 ms), clocks, fencing (engines there check none).

A renewal that gets no response is repeated before the lease ends.

--- a/internal/membership/announcer/announcer.go
+++ b/internal/membership/announcer/announcer.go
@@ -32,6 +32,9 @@
 	Node             string         `json:"node"`
 	AvailabilityZone string         `json:"availability_zone"`
 	PeerAddress      netip.AddrPort `json:"peer_address"`
+	// LinkBytesPerSecond and Processors are the capacity of the VM, 0 if unknown.
+	LinkBytesPerSecond float64 `json:"link_bytes_per_second,omitempty"`
+	Processors         float64 `json:"processors,omitempty"`
 }
 
 // DecodeVM decodes and validates the entry of a VM.
@@ -43,6 +46,9 @@
 	if vm.Node == "" || !vm.PeerAddress.IsValid() {
 		return VM{}, fmt.Errorf("decode entry of VM: node or peer_address is missing")
 	}
+	if vm.LinkBytesPerSecond < 0 || vm.Processors < 0 {
+		return VM{}, fmt.Errorf("decode entry of VM %q: capacity is negative", vm.Node)
+	}
 	return vm, nil
 }
 
--- a/internal/operating/configurer/vm.go
+++ b/internal/operating/configurer/vm.go
@@ -26,6 +26,10 @@
 	// descriptors of one process.
 	MemoryBytes    int64
 	MaxDescriptors int
+	// LinkBytesPerSecond is the rate of the VM's network link, and Processors the
+	// processor time that it has per unit of time. 0 means unknown.
+	LinkBytesPerSecond float64
+	Processors         float64
 	// UpstreamHeartbeat is the interval at which an upstream renews its entry.
 	UpstreamHeartbeat time.Duration
 	Bounds            VMBounds
--- a/internal/operating/starter/gateway.go
+++ b/internal/operating/starter/gateway.go
@@ -19,6 +19,7 @@
 	"gentianstep.example/gentianstep/internal/membership/announcer"
 	"gentianstep.example/gentianstep/internal/membership/follower"
 	"gentianstep.example/gentianstep/internal/membership/informer"
+	"gentianstep.example/gentianstep/internal/membership/ranker"
 	"gentianstep.example/gentianstep/internal/operating/configurer"
 	"gentianstep.example/gentianstep/internal/operating/limiter"
 	"gentianstep.example/gentianstep/internal/operating/meter"
@@ -163,7 +164,8 @@
 			_, held := g.informer.Entry(weightsLeaseKey)
 			return held
 		},
-		Log: log,
+		AcquireDelay: func() time.Duration { return ranker.AcquireDelay(ranker.Rank(g.ownVM(), g.announcedVMs())) },
+		Log:          log,
 	})
 	return g
 }
@@ -192,12 +194,8 @@
 		announcer.New(announcer.Config{
 			Store: g.store,
 			Key:   vmPrefix + settings.Node,
-			VM: announcer.VM{
-				Node:             settings.Node,
-				AvailabilityZone: settings.AvailabilityZone,
-				PeerAddress:      settings.PeerAddress,
-			},
-			Log: g.log,
+			VM:    g.ownVM(),
+			Log:   g.log,
 		}).Run,
 	}
 	followers := []follower.Config{
--- a/internal/operating/starter/gateway_vms.go
+++ b/internal/operating/starter/gateway_vms.go
@@ -20,6 +20,18 @@
 	return exchanger.OtherAddresses(settings.PeerAddress, append(addresses, settings.SeedPeers...))
 }
 
+// ownVM returns the entry of this VM.
+func (g *gateway) ownVM() announcer.VM {
+	settings := g.settings.Load()
+	return announcer.VM{
+		Node:               settings.Node,
+		AvailabilityZone:   settings.AvailabilityZone,
+		PeerAddress:        settings.PeerAddress,
+		LinkBytesPerSecond: settings.LinkBytesPerSecond,
+		Processors:         settings.Processors,
+	}
+}
+
 // announcedVMs returns the VMs that have announced themselves in the store. It
 // logs and skips entries that cannot be decoded.
 func (g *gateway) announcedVMs() []announcer.VM {
--- a/internal/placement/leaser/config.go
+++ b/internal/placement/leaser/config.go
@@ -22,6 +22,8 @@
 
 func (d Durations) renewInterval() time.Duration { return d.TTL / renewDivisor }
 
+func (d Durations) renewTimeout() time.Duration { return d.TTL / renewTimeoutDivisor }
+
 func (d Durations) retryInterval() time.Duration { return d.TTL / retryDivisor }
 
 const (
@@ -30,6 +32,9 @@
 	retryDivisor = 10
 	// marginDivisor sets the safety margin as a fraction of the TTL.
 	marginDivisor = 5
+	// renewTimeoutDivisor sets the timeout of one renewal as a fraction of the TTL,
+	// so that a second one on a new connection fits in before the deadline.
+	renewTimeoutDivisor = 4
 	// renewDivisor sets the interval between renewals as a fraction of the TTL.
 	renewDivisor = 3
 	// configPollInterval is the wait between checks for a configuration.
@@ -48,7 +53,10 @@
 	// HeldElsewhere reports whether the lease is known to be held, in which case
 	// the store is not queried. If nil, the store is always queried.
 	HeldElsewhere func() bool
-	Log           *logrus.Entry
+	// AcquireDelay returns how long a free lease is left to nodes that are better
+	// suited to hold it. If nil, every node tries at once.
+	AcquireDelay func() time.Duration
+	Log          *logrus.Entry
 }
 
 // Key returns the store key of a region's placement lease.
--- a/internal/placement/leaser/leaser.go
+++ b/internal/placement/leaser/leaser.go
@@ -73,13 +73,19 @@
 			continue
 		}
 		if !started {
-			pauser.Pause(ctx, mathrand.N(durations.TTL/2)) // jitter for nodes that start at the same time
+			pauser.Pause(ctx, l.startDelay(durations))
 			started = true
 		}
-		if l.cfg.HeldElsewhere != nil && l.cfg.HeldElsewhere() {
+		if l.heldElsewhere() {
 			pauser.Pause(ctx, durations.retryInterval())
 			continue
 		}
+		if l.cfg.AcquireDelay != nil {
+			pauser.Pause(ctx, l.cfg.AcquireDelay())
+			if l.heldElsewhere() || ctx.Err() != nil {
+				continue
+			}
+		}
 		lease, err := l.acquire(ctx, durations)
 		if err != nil {
 			l.cfg.Log.WithError(err).Debug("failed to acquire lease")
@@ -94,6 +100,17 @@
 	}
 }
 
+// startDelay returns how long a node waits after its start. Nodes that start at the same
+// time must not all try at once; with an AcquireDelay, they must know of each other.
+func (l *Leaser) startDelay(durations Durations) time.Duration {
+	if l.cfg.AcquireDelay != nil {
+		return durations.TTL / 2
+	}
+	return mathrand.N(durations.TTL / 2)
+}
+
+func (l *Leaser) heldElsewhere() bool { return l.cfg.HeldElsewhere != nil && l.cfg.HeldElsewhere() }
+
 // acquire takes the lease if no node holds it.
 func (l *Leaser) acquire(ctx context.Context, durations Durations) (Lease, error) {
 	ctx, cancel := context.WithTimeout(ctx, durations.TTL)
@@ -157,7 +174,7 @@
 		if !lease.Valid(sentAt) {
 			return
 		}
-		err := l.renew(ctx, lease.Deadline)
+		err := l.renew(ctx, earlier(lease.Deadline, sentAt.Add(durations.renewTimeout())))
 		switch {
 		case err == nil:
 			lease.Deadline, lease.deadlineSinceBoot = sentAt.Add(durations.TTL-durations.safetyMargin()), deadlineSinceBoot
@@ -182,6 +199,14 @@
 	return err
 }
 
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // release revokes the lease, so that another node can acquire it without
 // waiting for it to expire.
 func (l *Leaser) release(durations Durations) {
--- a/internal/placement/leaser/leaser_test.go
+++ b/internal/placement/leaser/leaser_test.go
@@ -43,6 +43,8 @@
 type pausableStore struct {
 	storer.Store
 	paused atomic.Pointer[chan struct{}]
+	// hangNextRenewal makes the next renewal get no response.
+	hangNextRenewal atomic.Bool
 	// loseNextPut drops the response to the next Put that succeeds.
 	loseNextPut atomic.Bool
 }
@@ -59,6 +61,10 @@
 	if paused := s.paused.Load(); paused != nil {
 		<-*paused
 	}
+	if s.hangNextRenewal.CompareAndSwap(true, false) {
+		<-ctx.Done()
+		return storer.Lease{}, ctx.Err()
+	}
 	return s.Store.Renew(ctx, id)
 }
 
@@ -229,3 +235,63 @@
 	is.True(!lease.Valid(now.Round(0).Add(time.Minute))) // wall clock only, without a monotonic reading
 	is.True(!leaser.Lease{Deadline: lease.Deadline}.Valid(now))
 }
+
+// TestFreeLeaseIsLeftToBetterNodes has nodes that wait for different times before they
+// try a free lease. The one that waits least of those that live holds it.
+func TestFreeLeaseIsLeftToBetterNodes(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		store := keeper.New()
+		delays := []time.Duration{4 * time.Second, 2 * time.Second, 0}
+		leasers := make([]*leaser.Leaser, 0, len(delays))
+		stops := make([]context.CancelFunc, 0, len(delays))
+		for i, delay := range delays {
+			l := leaser.New(leaser.Config{
+				Store: store,
+				Key:   key,
+				Node:  fmt.Sprintf("vm-%d", i),
+				Durations: func() (leaser.Durations, bool) {
+					return leaser.Durations{TTL: 2 * time.Second, OrderTimeout: time.Second}, true
+				},
+				HeldElsewhere: func() bool {
+					_, err := store.Get(t.Context(), key)
+					return err == nil
+				},
+				AcquireDelay: func() time.Duration { return delay },
+				Log:          logrus.NewEntry(log),
+			})
+			ctx, stop := context.WithCancel(t.Context())
+			go l.Run(ctx)
+			leasers, stops = append(leasers, l), append(stops, stop)
+		}
+		for i := len(leasers) - 1; i >= 0; i-- {
+			time.Sleep(20 * time.Second)
+			for j, l := range leasers {
+				_, held := l.Holding(time.Now())
+				is.Equal(held, i == j)
+			}
+			stops[i]()
+		}
+	})
+}
+
+// TestHungRenewalIsRepeated makes one renewal hang until its timeout, as on a connection
+// that has become silent. The lease must not end, since a second renewal succeeds.
+func TestHungRenewalIsRepeated(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t.Context(), 1)
+		time.Sleep(20 * time.Second)
+		is.Equal(len(c.holders()), 1)
+		c.nodes[0].store.hangNextRenewal.Store(true)
+		time.Sleep(20 * time.Second)
+		is.Equal(len(c.holders()), 1)
+		is.Equal(len(c.fencings), 1)
+		c.nodes[0].stop()
+		time.Sleep(time.Minute)
+	})
+}
