Send the hub's state as frames that all VMs share, at a pace its VM can bear

Cause: the hub encoded the loads of all upstreams anew for each VM, up to 50 times a second each, and sent the full state to all at once when it moved.

Change: changes are encoded once as a frame that goes to every VM; upstreams and scopes are numbered; loads are sums over all VMs, of which a VM subtracts the report that the frame confirms. The interval between frames, which is also that of reports, follows from the number of VMs, the size of frames and a share of the VM's link and processors. Full states are paced by the same share. Loads that stay constant no longer expire after 1 s: a frame is sent at least every 0.5 s. The path of the connection has a new version, since the messages differ; VMs of both builds route by hashing alone towards each other.

Tests: TestHubStaysWithinItsShareOfTheLink fails without the capacity; TestStateCheck.

--- a/internal/operating/starter/coordination.go
+++ b/internal/operating/starter/coordination.go
@@ -17,6 +17,7 @@
 // coordinationLoops returns the loops that exchange engine state between VMs.
 func (g *gateway) coordinationLoops() []func(context.Context) {
 	return []func(context.Context){
+		g.hub.Run,
 		coordinator.NewSubscriber(coordinator.SubscriberConfig{
 			Node:           g.settings.Load().Node,
 			Hub:            g.hubAddress,
--- a/internal/operating/starter/gateway.go
+++ b/internal/operating/starter/gateway.go
@@ -131,7 +131,11 @@
 	})
 	g.engineClient = p.NewEngineClient(&http.Client{Transport: newGatewayTransport()})
 	g.view = coordinator.NewView()
-	g.hub = coordinator.NewHub(coordinator.HubConfig{Active: g.isHub, Log: log})
+	g.hub = coordinator.NewHub(coordinator.HubConfig{
+		Active:   g.isHub,
+		Capacity: coordinator.Capacity{LinkBytesPerSecond: settings.LinkBytesPerSecond, Processors: settings.Processors},
+		Log:      log,
+	})
 	g.forwarder = forwarder.New(forwarder.Config{
 		Dialect:   p.Dialect,
 		Directory: g.informer,
--- a/internal/peering/coordinator/coordinator_test.go
+++ b/internal/peering/coordinator/coordinator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
@@ -81,11 +82,19 @@
 }
 
 // startHub runs a hub on a network of its own.
-func startHub(active func() bool) (*piper.Network, *coordinator.Hub) {
+func startHub(t *testing.T, active func() bool) (*piper.Network, *coordinator.Hub) {
+	t.Helper()
 	network := piper.New()
+	return network, serveHub(t, network, hubAddress, active)
+}
+
+// serveHub runs a hub at an address of a network.
+func serveHub(t *testing.T, network *piper.Network, address netip.AddrPort, active func() bool) *coordinator.Hub {
+	t.Helper()
 	hub := coordinator.NewHub(coordinator.HubConfig{Active: active, Log: discardLog()})
-	network.Serve(hubAddress.String(), hub)
-	return network, hub
+	network.Serve(address.String(), hub)
+	go hub.Run(t.Context())
+	return hub
 }
 
 func alwaysActive() bool { return true }
@@ -98,7 +107,7 @@
 		is := is.New(t)
 		var active atomic.Bool
 		active.Store(true)
-		network, hub := startHub(active.Load)
+		network, hub := startHub(t, active.Load)
 		a, b := startVM(t, network, "a", fixedHub), startVM(t, network, "b", fixedHub)
 		time.Sleep(time.Second)
 		// Loads: each VM receives only those of the other.
@@ -157,7 +166,7 @@
 		var active atomic.Int64
 		for n, address := range addresses {
 			isActive := func() bool { return active.Load() == int64(n) }
-			network.Serve(address.String(), coordinator.NewHub(coordinator.HubConfig{Active: isActive, Log: discardLog()}))
+			serveHub(t, network, address, isActive)
 		}
 		current := func() (netip.AddrPort, bool) { return addresses[active.Load()], true }
 		a, b := startVM(t, network, "a", current), startVM(t, network, "b", current)
@@ -181,7 +190,7 @@
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		network, hub := startHub(alwaysActive)
+		network, hub := startHub(t, alwaysActive)
 		a := startVM(t, network, "a", fixedHub)
 		part := cataloguer.Part{Scope: "@2", ID: "p"}
 		u := &registrar.Upstream{ID: "u", StartedAt: time.UnixMilli(1_790_000_000_123), Weights: map[string]uint64{"m": 1}}
@@ -202,7 +211,7 @@
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		network, _ := startHub(alwaysActive)
+		network, _ := startHub(t, alwaysActive)
 		a, b := startVM(t, network, "a", fixedHub), startVM(t, network, "b", fixedHub)
 		a.mu.Lock()
 		a.sent = []coordinator.CachedPart{{Upstream: "u", Scope: "@2", ID: "p", Tokens: 5000}}
@@ -222,7 +231,7 @@
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		network, hub := startHub(alwaysActive)
+		network, hub := startHub(t, alwaysActive)
 		a := startVM(t, network, "a", fixedHub)
 		a.setLoad(coordinator.Load{InFlight: 3})
 		time.Sleep(time.Second)
@@ -239,6 +248,71 @@
 	t.Parallel()
 	is := is.New(t)
 	is.True(coordinator.Report{}.Check() != nil)
-	is.True(coordinator.Report{Node: "a", Loads: map[string]coordinator.Load{"u": {InFlight: -1}}}.Check() != nil)
-	is.NoErr(coordinator.Report{Node: "a", Loads: map[string]coordinator.Load{"u": {InFlight: 1}}}.Check())
+	is.True(coordinator.Report{Node: "a", Number: 1, Loads: map[string]coordinator.Load{"u": {InFlight: -1}}}.Check() != nil)
+	is.NoErr(coordinator.Report{Node: "a", Number: 1, Loads: map[string]coordinator.Load{"u": {InFlight: 1}}}.Check())
+}
+
+// TestHubStaysWithinItsShareOfTheLink has many VMs whose loads change all the time, with
+// a hub on a narrow link, and then all of them connect anew. The messages of the hub must
+// leave most of the link to its clients, and the VMs must know each other's loads.
+func TestHubStaysWithinItsShareOfTheLink(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const linkBytesPerSecond, vms, upstreams = 1.25e6, 80, 90
+		network := piper.New()
+		hub := coordinator.NewHub(coordinator.HubConfig{
+			Active:   alwaysActive,
+			Capacity: coordinator.Capacity{LinkBytesPerSecond: linkBytesPerSecond, Processors: 0.2},
+			Log:      discardLog(),
+		})
+		network.Serve(hubAddress.String(), hub)
+		go hub.Run(t.Context())
+		for u := range upstreams {
+			hub.SetCached(fmt.Sprintf("upstream-%d", u), cataloguer.Part{Scope: "@1", ID: "p"}, 5000)
+		}
+		fleet := make([]*vm, 0, vms)
+		for n := range vms {
+			fleet = append(fleet, startVM(t, network, fmt.Sprintf("vm-%d", n), fixedHub))
+		}
+		change := func(seconds int) {
+			for i := range seconds * 20 {
+				for n, v := range fleet {
+					v.mu.Lock()
+					v.loads = map[string]coordinator.Load{fmt.Sprintf("upstream-%d", (i+n)%upstreams): {InFlight: 1 + i%3, PromptTokens: 100 * i}}
+					v.mu.Unlock()
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+		}
+		change(5)
+		before := network.BytesRead()
+		change(10)
+		is.True(float64(network.BytesRead()-before) <= 10*linkBytesPerSecond/4)
+		network.Stop(hubAddress.String()) // all VMs connect anew
+		network.Serve(hubAddress.String(), hub)
+		before = network.BytesRead()
+		change(4)
+		is.True(float64(network.BytesRead()-before) <= 4*linkBytesPerSecond/2)
+		fleet[0].setLoad(coordinator.Load{InFlight: 7})
+		time.Sleep(3 * time.Second)
+		for _, v := range fleet[1:] {
+			is.Equal(v.view.OtherLoad(time.Now(), "u"), coordinator.Load{InFlight: 7})
+		}
+		is.Equal(fleet[0].view.OtherLoad(time.Now(), "u"), coordinator.Load{})
+		network.Close()
+	})
+}
+
+// TestStateCheck rejects rows whose names the receiver does not know.
+func TestStateCheck(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	row := coordinator.State{Loads: []coordinator.UpstreamLoad{{Upstream: 2}}}
+	is.NoErr(row.Check(3))
+	is.True(row.Check(2) != nil)
+	row.Full = true
+	is.True(row.Check(3) != nil)
+	is.True(coordinator.State{Cached: []coordinator.UpstreamPart{{Scope: -1}}}.Check(1) != nil)
+	is.NoErr(coordinator.State{Full: true, Names: []string{"a", "b"}, Cached: []coordinator.UpstreamPart{{Upstream: 1}}}.Check(0))
 }
--- /dev/null
+++ b/internal/peering/coordinator/frame.go
@@ -0,0 +1,185 @@
+package coordinator
+
+import (
+	"time"
+
+	"gentianstep.example/gentianstep/internal/caching/cataloguer"
+	"gentianstep.example/gentianstep/internal/peering/messenger"
+)
+
+// maxFrames is the number of frames that are kept. A VM that has fallen further
+// behind receives the full state.
+const maxFrames = 32
+
+// frame is an encoded State that is sent to all VMs.
+type frame struct {
+	data []byte
+	// reports holds the number of the last report of each session that the loads of
+	// the frame include.
+	reports map[*session]uint64
+	builtAt time.Time
+}
+
+// advance builds a frame if there are changes or a message is due, and returns the
+// time until the next call.
+func (h *Hub) advance(now time.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.expireLoads(now)
+	h.updatePending(now, nil)
+	if len(h.sessions) == 0 {
+		h.dropFrames()
+		h.names, h.namesSent = newNameTable(), 0
+		return minPushInterval
+	}
+	messageBytes := 0
+	last := h.lastFrame()
+	if last != nil {
+		messageBytes = len(last.data)
+	}
+	interval := h.cfg.Capacity.pushInterval(len(h.sessions), messageBytes)
+	if last == nil || h.hasChanges() || now.Sub(last.builtAt) >= keepAliveInterval/2 {
+		h.appendFrame(now, interval)
+		for s := range h.sessions {
+			s.notify()
+		}
+	}
+	return interval
+}
+
+func (h *Hub) hasChanges() bool {
+	return len(h.totals.changed)+len(h.changedEngines)+len(h.changedParts) > 0
+}
+
+func (h *Hub) lastFrame() *frame {
+	if len(h.frames) == 0 {
+		return nil
+	}
+	return h.frames[len(h.frames)-1]
+}
+
+// appendFrame builds a frame of the changes since the last one. The caller must hold
+// h.mu.
+func (h *Hub) appendFrame(now time.Time, interval time.Duration) {
+	state := State{ReportMillis: interval.Milliseconds()}
+	for upstream := range h.totals.changed {
+		state.Loads = append(state.Loads, h.upstreamLoad(upstream))
+	}
+	for id := range h.changedEngines {
+		state.Engines = append(state.Engines, h.engines[id])
+	}
+	for c := range h.changedParts {
+		state.Cached = append(state.Cached, h.upstreamPart(c))
+	}
+	clear(h.totals.changed)
+	clear(h.changedEngines)
+	clear(h.changedParts)
+	state.Names = h.names.names[h.namesSent:]
+	h.namesSent = len(h.names.names)
+	reports := make(map[*session]uint64, len(h.sessions))
+	for s := range h.sessions {
+		reports[s] = s.reportNumber
+	}
+	data, err := messenger.EncodeValue(state)
+	if err != nil {
+		h.cfg.Log.WithError(err).WithField("event", "state_not_sent").Error("failed to encode the state for other VMs")
+		h.dropFrames()
+		return
+	}
+	h.full = nil
+	h.frames = append(h.frames, &frame{data: data, reports: reports, builtAt: now})
+	if over := len(h.frames) - maxFrames; over > 0 {
+		clear(h.frames[:over])
+		h.frames = h.frames[over:]
+		h.firstFrame += uint64(over)
+	}
+}
+
+// dropFrames makes every VM receive the full state next, which holds all changes. The
+// caller must hold h.mu.
+func (h *Hub) dropFrames() {
+	clear(h.totals.changed)
+	clear(h.changedEngines)
+	clear(h.changedParts)
+	h.firstFrame += uint64(len(h.frames)) + 1
+	h.frames, h.full = nil, nil
+}
+
+// nextMessage returns the next message to a VM and the number of its last report that
+// the message includes, or false if the VM has received everything. The caller must
+// hold h.mu.
+func (h *Hub) nextMessage(s *session) (data []byte, report uint64, isFull, ok bool) {
+	newest := h.firstFrame + uint64(len(h.frames))
+	switch {
+	case len(h.frames) == 0 || s.nextFrame == newest:
+		return nil, 0, false, false
+	case s.nextFrame < h.firstFrame || s.nextFrame > newest:
+		s.nextFrame = newest
+		return h.fullState(), h.lastFrame().reports[s], true, true
+	}
+	f := h.frames[s.nextFrame-h.firstFrame]
+	s.nextFrame++
+	return f.data, f.reports[s], false, true
+}
+
+// fullState returns the encoded state as of the newest frame. Changes since then may
+// be included; the next frame repeats them. The caller must hold h.mu.
+func (h *Hub) fullState() []byte {
+	if h.full != nil {
+		return h.full
+	}
+	state := State{Full: true}
+	for upstream := range h.totals.sums {
+		state.Loads = append(state.Loads, h.upstreamLoad(upstream))
+	}
+	for _, e := range h.engines {
+		state.Engines = append(state.Engines, e)
+	}
+	h.catalogue.Each(func(upstream string, part cataloguer.Part, _ int) {
+		state.Cached = append(state.Cached, h.upstreamPart(CachedPart{Upstream: upstream, Scope: part.Scope, ID: part.ID}))
+	})
+	// The next frame announces the names that are new since the newest one, so that
+	// the table must not hold them yet. Rows that use them are left to that frame.
+	state.Names = h.names.names[:h.namesSent]
+	state.Loads = keep(state.Loads, func(l UpstreamLoad) bool { return l.Upstream < h.namesSent })
+	state.Cached = keep(state.Cached, func(p UpstreamPart) bool { return max(p.Upstream, p.Scope) < h.namesSent })
+	data, err := messenger.EncodeValue(state)
+	if err != nil {
+		h.cfg.Log.WithError(err).WithField("event", "state_not_sent").Error("failed to encode the state for other VMs")
+		return nil
+	}
+	h.full = data
+	return data
+}
+
+// keep returns the rows for which f is true.
+func keep[T any](rows []T, f func(T) bool) []T {
+	var kept []T
+	for _, row := range rows {
+		if f(row) {
+			kept = append(kept, row)
+		}
+	}
+	return kept
+}
+
+func (h *Hub) upstreamLoad(upstream string) UpstreamLoad {
+	sum := h.totals.sums[upstream]
+	return UpstreamLoad{
+		Upstream:      h.names.number(upstream),
+		InFlight:      sum.InFlight,
+		PromptTokens:  sum.PromptTokens,
+		CopyingMillis: sum.CopyingMillis,
+	}
+}
+
+func (h *Hub) upstreamPart(c CachedPart) UpstreamPart {
+	_, pending := h.pending[c]
+	return UpstreamPart{
+		Upstream: h.names.number(c.Upstream),
+		Scope:    h.names.number(c.Scope),
+		ID:       c.ID,
+		Tokens:   h.catalogue.Tokens(c.Upstream, c.part()),
+		Pending:  pending,
+	}
+}
--- a/internal/peering/coordinator/message.go
+++ b/internal/peering/coordinator/message.go
@@ -14,7 +14,7 @@
 )
 
 // Path is the HTTP path at which the hub accepts connections.
-const Path = "/v1/coordination"
+const Path = "/v2/coordination"
 
 // maxMessageBytes bounds one message; the largest holds the whole catalogue.
 const maxMessageBytes = 8 << 20
@@ -31,6 +31,17 @@
 	CopyingMillis int `cbor:"3,keyasint,omitempty"`
 }
 
+// plus returns the sum of two loads.
+func (l Load) plus(other Load) Load {
+	return Load{l.InFlight + other.InFlight, l.PromptTokens + other.PromptTokens, l.CopyingMillis + other.CopyingMillis}
+}
+
+// minus returns l without a part of it. The result is not negative, although the
+// part may be newer than l.
+func (l Load) minus(part Load) Load {
+	return Load{max(l.InFlight-part.InFlight, 0), max(l.PromptTokens-part.PromptTokens, 0), max(l.CopyingMillis-part.CopyingMillis, 0)}
+}
+
 // Engine is the state of one run of an engine, from StartedAt on.
 type Engine struct {
 	Upstream  string    `cbor:"1,keyasint"`
@@ -55,19 +66,29 @@
 // part returns the key of the part in the catalogue.
 func (c CachedPart) part() cataloguer.Part { return cataloguer.Part{Scope: c.Scope, ID: c.ID} }
 
+// key returns the part without its token count and state.
+func (c CachedPart) key() CachedPart {
+	return CachedPart{Upstream: c.Upstream, Scope: c.Scope, ID: c.ID}
+}
+
 // Report is the message from a VM to the hub.
 type Report struct {
 	Node  string          `cbor:"1,keyasint"`
 	Loads map[string]Load `cbor:"2,keyasint,omitempty"`
 	// SentParts lists the parts that were sent to upstreams since the last report.
 	SentParts []CachedPart `cbor:"3,keyasint,omitempty"`
+	// Number counts the reports of one connection, from 1 on.
+	Number uint64 `cbor:"4,keyasint"`
 }
 
-// Check returns an error if the node is missing or a load is negative.
+// Check returns an error if the node or the number is missing or a load is negative.
 func (r Report) Check() error {
 	if r.Node == "" {
 		return errors.New("report: node is missing")
 	}
+	if r.Number == 0 {
+		return errors.New("report: number is missing")
+	}
 	for upstream, load := range r.Loads {
 		if load.InFlight < 0 || load.PromptTokens < 0 || load.CopyingMillis < 0 {
 			return fmt.Errorf("report: load of upstream %q is negative", upstream)
@@ -76,14 +97,59 @@
 	return nil
 }
 
-// State is the message from the hub to a VM. Loads is always complete: it holds the
-// sums over all other VMs. Engines and Cached hold the changes since the last message,
-// or everything if Full is set.
+// UpstreamLoad is the load that all VMs together put on an upstream, which is given
+// by its index in the table of names.
+type UpstreamLoad struct {
+	_             struct{} `cbor:",toarray"`
+	Upstream      int
+	InFlight      int
+	PromptTokens  int
+	CopyingMillis int
+}
+
+// UpstreamPart is a CachedPart whose upstream and scope are given by their indices
+// in the table of names.
+type UpstreamPart struct {
+	_        struct{} `cbor:",toarray"`
+	Upstream int
+	Scope    int
+	ID       string
+	Tokens   int
+	Pending  bool
+}
+
+// State is the message from the hub to a VM. It holds the changes since the last
+// message, or everything if Full is set. All VMs receive the same messages.
 type State struct {
-	// Full is true in the first message of a connection and after a reset; the
-	// receiver then discards its earlier state.
-	Full    bool            `cbor:"1,keyasint,omitempty"`
-	Loads   map[string]Load `cbor:"2,keyasint,omitempty"`
-	Engines []Engine        `cbor:"3,keyasint,omitempty"`
-	Cached  []CachedPart    `cbor:"4,keyasint,omitempty"`
+	// Full is true in the first message of a connection, after a reset, and if the
+	// VM has fallen behind; the receiver then discards its earlier state.
+	Full bool `cbor:"1,keyasint,omitempty"`
+	// Names are appended to the table of names.
+	Names   []string       `cbor:"2,keyasint,omitempty"`
+	Loads   []UpstreamLoad `cbor:"3,keyasint,omitempty"`
+	Engines []Engine       `cbor:"4,keyasint,omitempty"`
+	Cached  []UpstreamPart `cbor:"5,keyasint,omitempty"`
+	// ReportMillis is the interval in milliseconds at which the hub asks VMs to
+	// report. It grows with their number.
+	ReportMillis int64 `cbor:"6,keyasint,omitempty"`
+}
+
+// Check returns an error if an index lies outside the table of names, which has
+// known names before those of this message are added.
+func (s State) Check(known int) error {
+	if s.Full {
+		known = 0
+	}
+	names := known + len(s.Names)
+	for _, l := range s.Loads {
+		if l.Upstream < 0 || l.Upstream >= names {
+			return fmt.Errorf("state: upstream %d of %d", l.Upstream, names)
+		}
+	}
+	for _, p := range s.Cached {
+		if p.Upstream < 0 || p.Upstream >= names || p.Scope < 0 || p.Scope >= names {
+			return fmt.Errorf("state: upstream %d, scope %d of %d", p.Upstream, p.Scope, names)
+		}
+	}
+	return nil
 }
--- a/internal/peering/coordinator/subscriber.go
+++ b/internal/peering/coordinator/subscriber.go
@@ -22,8 +22,6 @@
 	// occupies an engine for several times that long.
 	reportInterval    = 60 * time.Millisecond
 	minReportInterval = 10 * time.Millisecond
-	// keepAliveInterval is the time between two reports while the loads don't change.
-	keepAliveInterval = 600 * time.Millisecond
 	// connectTimeout bounds dialling the hub.
 	connectTimeout = time.Second
 	// reconnectDelay is the minimum delay, without jitter, before the same hub is dialled
@@ -31,7 +29,7 @@
 	reconnectDelay = 150 * time.Millisecond
 	// hubPollInterval is how often a VM without a connection checks for another hub; no
 	// longer than the interval of a hub's messages.
-	hubPollInterval = pushInterval
+	hubPollInterval = minPushInterval
 )
 
 // SubscriberConfig configures a Subscriber.
@@ -87,22 +85,27 @@
 	}
 	defer func() { _ = ws.CloseNow() }()
 	s.cfg.Log.WithFields(logrus.Fields{"event": "hub_found", "hub": hub.String()}).Info("connected to hub")
-	go s.runReports(ctx, cancel, ws, hub)
+	sent := &sentReports{interval: reportInterval}
+	go s.runReports(ctx, cancel, ws, hub, sent)
 	for {
 		var state State
-		if err := messenger.ReadValue(ctx, ws, &state); err != nil {
+		var report uint64
+		if err := messenger.ReadSequence(ctx, ws, &report, &state); err != nil {
+			return err
+		}
+		sent.setInterval(time.Duration(state.ReportMillis) * time.Millisecond)
+		if err := s.cfg.View.Apply(time.Now(), state, sent.confirm(report)); err != nil {
 			return err
 		}
-		s.cfg.View.Apply(time.Now(), state)
 	}
 }
 
 // runReports sends reports until the connection fails or another VM is the hub. It
 // calls cancel when it returns.
-func (s *Subscriber) runReports(ctx context.Context, cancel context.CancelFunc, ws *websocket.Conn, hub netip.AddrPort) {
+func (s *Subscriber) runReports(ctx context.Context, cancel context.CancelFunc, ws *websocket.Conn, hub netip.AddrPort, reports *sentReports) {
 	defer cancel()
-	ticker := time.NewTicker(reportInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(reportInterval)
+	defer timer.Stop()
 	var last map[string]Load
 	keepAliveAt := time.Time{}
 	for {
@@ -112,7 +115,8 @@
 		}
 		loads, sent := s.cfg.Loads(), s.cfg.DrainSentParts()
 		if !maps.Equal(loads, last) || len(sent) > 0 || !now.Before(keepAliveAt) {
-			if err := messenger.WriteValue(ctx, ws, Report{Node: s.cfg.Node, Loads: loads, SentParts: sent}); err != nil {
+			report := Report{Node: s.cfg.Node, Loads: loads, SentParts: sent, Number: reports.add(loads)}
+			if err := messenger.WriteValue(ctx, ws, report); err != nil {
 				return
 			}
 			last, keepAliveAt = loads, now.Add(keepAliveInterval)
@@ -120,9 +124,10 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		case <-s.cfg.UrgentReports:
 			time.Sleep(max(time.Until(now.Add(minReportInterval)), 0))
 		}
+		timer.Reset(reports.nextInterval())
 	}
 }
--- a/internal/peering/coordinator/view.go
+++ b/internal/peering/coordinator/view.go
@@ -9,8 +9,15 @@
 )
 
 const (
-	// loadsTTL is how long the received loads of other VMs are used.
-	loadsTTL = time.Second
+	// loadsTTLFactor is how long the received loads of other VMs are used, as a
+	// multiple of the hub's interval.
+	loadsTTLFactor = 2
+	// maxLoadAge is the age of loads that are not known at all: requests are usually
+	// complete after that time.
+	maxLoadAge = time.Second
+	// networkLatency is the latency from a VM to the hub and from there to another VM,
+	// which may be in other regions.
+	networkLatency = 15 * time.Millisecond
 	// changingTTL is how long an engine counts as changing its weights after the last
 	// message about it; loading weights takes a fraction of that time.
 	changingTTL = 5 * time.Second
@@ -18,11 +25,20 @@
 
 // View is the state that a VM has received from the hub.
 type View struct {
-	mu            sync.RWMutex
+	mu sync.RWMutex
+	// names is the hub's table of names.
+	names []string
+	// loads holds the loads of all VMs, and ownLoads those of this VM that they
+	// include.
 	loads         map[string]Load
+	ownLoads      map[string]Load
 	loadsExpireAt time.Time
-	engines       map[string]engineState
-	catalogue     *cataloguer.Catalogue
+	// receivedAt is when the last message was received, and interval the time between
+	// two reports of a VM.
+	receivedAt time.Time
+	interval   time.Duration
+	engines    map[string]engineState
+	catalogue  *cataloguer.Catalogue
 	// pending holds the parts of the catalogue that are yet to be prefilled.
 	pending map[CachedPart]struct{}
 }
@@ -35,32 +51,52 @@
 
 // NewView returns an empty View.
 func NewView() *View {
-	return &View{engines: make(map[string]engineState), catalogue: cataloguer.New(), pending: make(map[CachedPart]struct{})}
+	return &View{loads: make(map[string]Load), engines: make(map[string]engineState), catalogue: cataloguer.New(), pending: make(map[CachedPart]struct{})}
 }
 
-// Apply updates the view with a message from the hub.
-func (v *View) Apply(now time.Time, s State) {
+// Apply updates the view with a message from the hub. ownLoads are the loads of this VM
+// that the hub's loads include.
+func (v *View) Apply(now time.Time, s State, ownLoads map[string]Load) error {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if err := s.Check(len(v.names)); err != nil {
+		return err
+	}
 	if s.Full {
+		v.names = nil
+		v.loads = make(map[string]Load)
 		v.engines = make(map[string]engineState)
 		v.catalogue = cataloguer.New()
 		clear(v.pending)
 	}
-	v.loads, v.loadsExpireAt = s.Loads, now.Add(loadsTTL)
+	v.names = append(v.names, s.Names...)
+	for _, l := range s.Loads {
+		v.setLoad(v.names[l.Upstream], Load{l.InFlight, l.PromptTokens, l.CopyingMillis})
+	}
+	v.receivedAt, v.interval = now, max(reportInterval, time.Duration(s.ReportMillis)*time.Millisecond)
+	v.ownLoads, v.loadsExpireAt = ownLoads, now.Add(loadsTTLFactor*max(keepAliveInterval, v.interval))
 	for _, e := range s.Engines {
 		// Times are encoded as floating-point seconds, which are not exact.
 		e.StartedAt = e.StartedAt.Round(time.Millisecond)
 		v.engines[e.Upstream] = engineState{Engine: e, changingExpiresAt: now.Add(changingTTL)}
 	}
-	for _, c := range s.Cached {
-		v.catalogue.SetTokens(c.Upstream, c.part(), c.Tokens)
-		key := CachedPart{Upstream: c.Upstream, Scope: c.Scope, ID: c.ID}
+	for _, p := range s.Cached {
+		key := CachedPart{Upstream: v.names[p.Upstream], Scope: v.names[p.Scope], ID: p.ID}
+		v.catalogue.SetTokens(key.Upstream, key.part(), p.Tokens)
 		delete(v.pending, key)
-		if c.Pending {
+		if p.Pending {
 			v.pending[key] = struct{}{}
 		}
 	}
+	return nil
+}
+
+func (v *View) setLoad(upstream string, load Load) {
+	if load == (Load{}) {
+		delete(v.loads, upstream)
+		return
+	}
+	v.loads[upstream] = load
 }
 
 // OtherLoad returns the load that the other VMs put on an upstream. It is zero if
@@ -71,7 +107,19 @@
 	if now.After(v.loadsExpireAt) {
 		return Load{}
 	}
-	return v.loads[upstream]
+	return v.loads[upstream].minus(v.ownLoads[upstream])
+}
+
+// LoadAge returns the mean age of the loads of other VMs that this VM knows: the time
+// since the last message, half of the interval of reports, and that of two ways over the
+// network. It is at most maxLoadAge.
+func (v *View) LoadAge(now time.Time) time.Duration {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	if v.receivedAt.IsZero() || now.After(v.loadsExpireAt) {
+		return maxLoadAge
+	}
+	return min(now.Sub(v.receivedAt)+v.interval/2+networkLatency, maxLoadAge)
 }
 
 // ChangingWeights reports whether an engine, identified by its ID and start time,
