Pass the store's entries on to the VMs of a region through a relay

Cause: every VM follows three prefixes of the store, all VMs' entries among them: 1.7 to 3.7 calls a second for each VM, whatever their number.

Ruled out: stale reads (cheap, but of unknown age, where a revoked key counts in seconds); longer watches (entries of upstreams change all the time, so that watches return at once).

Change: in a region of 6 VMs and more, one VM for each 48 follows the store; the others subscribe to it over a WebSocket and receive the changes, each with the time since the store last confirmed the replica. A VM whose replica is older than 0.4 of the time in which a change must take effect follows the store itself until a relay supplies it again. Relays are the VMs of most capacity beside the hub, by the entries that each VM has; nothing is elected. Entries of VMs are decoded once for each change, not for each message.

Tests: TestChangesReachAllVMsInTime (ten faults of relays and store; seven fail when a VM trusts a relay for longer), TestStoreCallsDoNotGrowWithVMs, TestSuppliedFollowerCallsNothing, TestRelays.

--- a/internal/membership/follower/follower.go
+++ b/internal/membership/follower/follower.go
@@ -29,6 +29,8 @@
 	Apply(now time.Time, prefix string, changes []storer.Change, revision uint64)
 	// HandleError is called when a call to the store fails.
 	HandleError(now time.Time, prefix string, err error)
+	// Revision returns the revision up to which the sink has the entries of a prefix.
+	Revision(prefix string) uint64
 }
 
 // Config holds the dependencies and settings of a Follower.
@@ -41,6 +43,24 @@
 	// CoalesceInterval is the pause after a call that returned changes, which
 	// coalesces frequent changes into fewer calls.
 	CoalesceInterval time.Duration
+	// Pace, if not nil, returns Wait and CoalesceInterval for the next call.
+	Pace func() Pace
+	// SuppliedUntil, if not nil, returns the time until which the sink gets the
+	// changes from elsewhere, so that the store is not called.
+	SuppliedUntil func() time.Time
+}
+
+// Pace holds the times of calls.
+type Pace struct {
+	Wait             time.Duration
+	CoalesceInterval time.Duration
+}
+
+func (c Config) pace() Pace {
+	if c.Pace != nil {
+		return c.Pace()
+	}
+	return Pace{c.Wait, c.CoalesceInterval}
 }
 
 // Follower keeps a Sink in sync with the store.
@@ -72,7 +92,12 @@
 func (f *Follower) watch(ctx context.Context, revision uint64) {
 	backoff := minBackoff
 	for ctx.Err() == nil {
-		changes, next, err := f.cfg.Feed.Changes(ctx, f.cfg.Prefix, revision, f.cfg.Wait)
+		if f.waitWhileSupplied(ctx) {
+			revision = max(revision, f.cfg.Sink.Revision(f.cfg.Prefix))
+			backoff = minBackoff
+		}
+		pace := f.cfg.pace()
+		changes, next, err := f.cfg.Feed.Changes(ctx, f.cfg.Prefix, revision, pace.Wait)
 		if errors.Is(err, storer.ErrHistoryGone) {
 			return
 		}
@@ -84,9 +109,24 @@
 		revision = next
 		f.cfg.Sink.Apply(time.Now(), f.cfg.Prefix, changes, revision)
 		if len(changes) > 0 {
-			pauser.Pause(ctx, f.cfg.CoalesceInterval)
+			pauser.Pause(ctx, pace.CoalesceInterval)
+		}
+	}
+}
+
+// waitWhileSupplied waits until the sink no longer gets the changes from elsewhere, and
+// reports whether it did.
+func (f *Follower) waitWhileSupplied(ctx context.Context) bool {
+	waited := false
+	for f.cfg.SuppliedUntil != nil && ctx.Err() == nil {
+		left := time.Until(f.cfg.SuppliedUntil())
+		if left <= 0 {
+			break
 		}
+		waited = true
+		pauser.Pause(ctx, left)
 	}
+	return waited
 }
 
 // handleError reports a failed call to the sink, waits for the back-off with a
--- a/internal/membership/follower/follower_test.go
+++ b/internal/membership/follower/follower_test.go
@@ -25,6 +25,8 @@
 	changes     []storer.Change
 	snapshots   int
 	watches     int
+	// after is the revision that the last call of Changes continued from.
+	after uint64
 }
 
 func (f *feed) Snapshot(context.Context, string) ([]storer.Entry, uint64, error) {
@@ -40,6 +42,7 @@
 func (f *feed) Changes(ctx context.Context, _ string, after uint64, wait time.Duration) ([]storer.Change, uint64, error) {
 	f.mu.Lock()
 	f.watches++
+	f.after = after
 	changes, unavailable, historyGone := f.changes, f.unavailable, f.historyGone
 	f.changes, f.historyGone = nil, false
 	f.mu.Unlock()
@@ -72,6 +75,8 @@
 	applied   []storer.Change
 	revisions []uint64
 	failures  int
+	// revision is the revision up to which the sink has the entries.
+	revision uint64
 }
 
 func (s *sink) Replace(time.Time, string, []storer.Entry, uint64) {
@@ -93,6 +98,12 @@
 	s.failures++
 }
 
+func (s *sink) Revision(string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
 // counts returns the number of snapshots, changes and errors received so far.
 func (s *sink) counts() (replaced, applied, failures int) {
 	s.mu.Lock()
@@ -166,3 +177,39 @@
 		cancel()
 	})
 }
+
+// TestSuppliedFollowerCallsNothing has a sink that another VM supplies with changes, at
+// first and again later. The store is called in between alone, from the revision that
+// the sink has by then.
+func TestSuppliedFollowerCallsNothing(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, s := &feed{}, &sink{revision: 25}
+		ctx, cancel := context.WithCancel(t.Context())
+		var mu sync.Mutex
+		until := time.Now().Add(10 * time.Second)
+		go follower.New(follower.Config{Feed: f, Prefix: "p/", Sink: s, Wait: time.Second, SuppliedUntil: func() time.Time {
+			mu.Lock()
+			defer mu.Unlock()
+			return until
+		}}).Run(ctx)
+		time.Sleep(9 * time.Second)
+		snapshots, watches := f.calls()
+		is.Equal(snapshots, 1)
+		is.Equal(watches, 0)
+		time.Sleep(2 * time.Second)
+		_, watches = f.calls()
+		is.True(watches > 0)
+		f.set(func(f *feed) { is.Equal(f.after, uint64(25)) })
+		mu.Lock()
+		until = time.Now().Add(time.Minute)
+		mu.Unlock()
+		time.Sleep(2 * time.Second)
+		_, before := f.calls()
+		time.Sleep(10 * time.Second)
+		_, watches = f.calls()
+		is.Equal(watches, before)
+		cancel()
+	})
+}
--- a/internal/membership/informer/contact.go
+++ b/internal/membership/informer/contact.go
@@ -35,9 +35,7 @@
 func (i *Informer) recordResponse(now time.Time, prefix string) {
 	if i.failing[prefix] {
 		i.failing[prefix] = false
-		if prefix == i.cfg.UpstreamPrefix {
-			i.registrar.HandleStoreRecovery(now)
-		}
+		i.recordRecovery(prefix, now)
 		i.logEvent("store_regained").WithFields(logrus.Fields{
 			"prefix":     prefix,
 			"contact_ms": millisecondsSince(now, i.lastResponseAt[prefix]),
@@ -53,3 +51,15 @@
 	defer i.mu.Unlock()
 	return i.lastResponseAt[i.cfg.OperatorPrefix].Before(since) || i.lastResponseAt[i.cfg.UpstreamPrefix].Before(since)
 }
+
+// recordRecovery records that the store became available again for a prefix. Upstreams
+// whose entries expired before are given time to register again.
+func (i *Informer) recordRecovery(prefix string, at time.Time) {
+	if !at.After(i.recoveredAt[prefix]) {
+		return
+	}
+	i.recoveredAt[prefix] = at
+	if prefix == i.cfg.UpstreamPrefix {
+		i.registrar.HandleStoreRecovery(at)
+	}
+}
--- a/internal/membership/informer/informer.go
+++ b/internal/membership/informer/informer.go
@@ -60,6 +60,10 @@
 	lastResponseAt map[string]time.Time
 	// failing is true for prefixes whose last call failed.
 	failing map[string]bool
+	// recoveredAt is when the store last became available again for each prefix.
+	recoveredAt map[string]time.Time
+	// changed is closed and replaced at each change of a replica.
+	changed chan struct{}
 }
 
 // New returns an Informer with an empty cache.
@@ -72,6 +76,8 @@
 		weights:        make(map[string][]Weights),
 		lastResponseAt: make(map[string]time.Time),
 		failing:        make(map[string]bool),
+		recoveredAt:    make(map[string]time.Time),
+		changed:        make(chan struct{}),
 	}
 	for _, prefix := range i.prefixes() {
 		i.replicas[prefix] = newReplica()
@@ -142,6 +148,7 @@
 	i.recordResponse(now, prefix)
 	i.applyChanges(now, prefix, i.replicas[prefix].replace(entries, revision))
 	i.snapshots[prefix]++
+	i.announceChange()
 }
 
 // Apply implements follower.Sink.
@@ -150,6 +157,9 @@
 	defer i.mu.Unlock()
 	i.recordResponse(now, prefix)
 	i.applyChanges(now, prefix, i.replicas[prefix].apply(changes, revision))
+	if len(changes) > 0 {
+		i.announceChange()
+	}
 }
 
 // NewerReplicas returns the replicas whose revision is above the given one of
@@ -197,6 +207,27 @@
 	}
 	i.applyChanges(now, offered.Prefix, changes)
 	i.snapshots[offered.Prefix]++
+	i.announceChange()
+}
+
+// Revision returns the revision of a prefix's replica.
+func (i *Informer) Revision(prefix string) uint64 {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.replicas[prefix].revision
+}
+
+// Changed returns a channel that is closed at the next change of a replica.
+func (i *Informer) Changed() <-chan struct{} {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.changed
+}
+
+// announceChange closes the channel of Changed. The caller must hold i.mu.
+func (i *Informer) announceChange() {
+	close(i.changed)
+	i.changed = make(chan struct{})
 }
 
 // Engines returns the upstreams that serve models and accept new requests.
@@ -234,3 +265,10 @@
 	}
 	return storer.Entry{}, false
 }
+
+// ChangeCount returns the number of changes of a prefix's replica so far.
+func (i *Informer) ChangeCount(prefix string) uint64 {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.replicas[prefix].log.end()
+}
--- a/internal/membership/informer/replica.go
+++ b/internal/membership/informer/replica.go
@@ -15,6 +15,7 @@
 type replica struct {
 	revision uint64
 	entries  map[string]storer.Entry
+	log      changeLog
 }
 
 func newReplica() *replica { return &replica{entries: make(map[string]storer.Entry)} }
@@ -41,6 +42,7 @@
 			changes = append(changes, storer.Change{Entry: storer.Entry{Key: key, Revision: revision}, Removed: true})
 		}
 	}
+	r.log.add(changes)
 	return changes
 }
 
@@ -60,6 +62,7 @@
 		applied = append(applied, c)
 	}
 	r.revision = max(r.revision, revision)
+	r.log.add(applied)
 	return applied
 }
 
--- a/internal/membership/ranker/ranker_test.go
+++ b/internal/membership/ranker/ranker_test.go
@@ -56,3 +56,43 @@
 		before = delay
 	}
 }
+
+// TestRelays has a region of VMs named a-0, a-1, ... in order of falling capacity, beside
+// another region of as many.
+func TestRelays(t *testing.T) {
+	t.Parallel()
+	var rows []struct {
+		Name    string `json:"name"`
+		VMs     int    `json:"vms"`
+		Own     string `json:"own"`
+		Hub     string `json:"hub"`
+		Relays  int    `json:"relays"`
+		IsRelay bool   `json:"is_relay"`
+	}
+	scripter.Read(t, "testdata/relays.json", &rows)
+	for _, row := range rows {
+		t.Run(row.Name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			var vms []announcer.VM
+			for _, zone := range []string{"a", "b"} {
+				for n := range row.VMs {
+					vms = append(vms, announcer.VM{Node: fmt.Sprintf("%s-%d", zone, n), AvailabilityZone: zone, LinkBytesPerSecond: float64(1000 - n), Processors: 1})
+				}
+			}
+			relays, isRelay := ranker.Relays(ranker.RelayQuery{
+				Own:     announcer.VM{Node: row.Own, AvailabilityZone: "a"},
+				VMs:     vms,
+				Regions: map[string]string{"a": "west", "b": "east"},
+				Hub:     row.Hub,
+			})
+			is.Equal(len(relays), row.Relays)
+			is.Equal(isRelay, row.IsRelay)
+			for _, vm := range relays {
+				is.Equal(vm.AvailabilityZone, "a")
+				is.True(vm.Node != row.Hub)
+				is.True(ranker.Rank(vm, vms) < 2*(row.Relays+1)) // one of the most capable
+			}
+		})
+	}
+}
--- a/internal/operating/starter/coordination.go
+++ b/internal/operating/starter/coordination.go
@@ -11,7 +11,7 @@
 	"gentianstep.example/gentianstep/internal/membership/registrar"
 	"gentianstep.example/gentianstep/internal/peering/coordinator"
 	"gentianstep.example/gentianstep/internal/peering/exchanger"
-	"gentianstep.example/gentianstep/internal/placement/leaser"
+	"gentianstep.example/gentianstep/internal/peering/relayer"
 )
 
 // coordinationLoops returns the loops that exchange engine state between VMs.
@@ -53,42 +53,22 @@
 	if g.holdsLease() {
 		return true
 	}
-	node, ok := g.lastLeaseHolder()
-	return ok && node == g.settings.Load().Node
-}
-
-// lastLeaseHolder returns the node name of the last known lease holder.
-func (g *gateway) lastLeaseHolder() (node string, ok bool) {
-	entry, ok := g.informer.Entry(weightsLeaseKey)
-	if !ok {
-		return "", false
-	}
-	node, err := leaser.ParseHolder(entry.Value)
-	if err != nil {
-		return "", false
-	}
-	return node, true
+	return g.vms.load().leaseHolder == g.settings.Load().Node
 }
 
 // hubAddress returns the peer address of the hub. It returns false if no lease
 // holder is known or its VM is not announced in the store.
 func (g *gateway) hubAddress() (netip.AddrPort, bool) {
-	node, ok := g.lastLeaseHolder()
-	if !ok {
-		return netip.AddrPort{}, false
-	}
-	for _, vm := range g.announcedVMs() {
-		if vm.Node == node {
-			return vm.PeerAddress, true
-		}
-	}
-	return netip.AddrPort{}, false
+	vms := g.vms.load()
+	vm, ok := vms.find(vms.leaseHolder)
+	return vm.PeerAddress, ok
 }
 
 func (g *gateway) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(exchanger.Path, g.exchanger)
 	mux.Handle(coordinator.Path, g.hub)
+	mux.Handle(relayer.Path, g.newRelayServer())
 	return mux
 }
 
--- a/internal/operating/starter/gateway.go
+++ b/internal/operating/starter/gateway.go
@@ -17,7 +17,6 @@
 
 	"gentianstep.example/gentianstep/internal/gateway/forwarder"
 	"gentianstep.example/gentianstep/internal/membership/announcer"
-	"gentianstep.example/gentianstep/internal/membership/follower"
 	"gentianstep.example/gentianstep/internal/membership/informer"
 	"gentianstep.example/gentianstep/internal/membership/ranker"
 	"gentianstep.example/gentianstep/internal/operating/configurer"
@@ -25,6 +24,7 @@
 	"gentianstep.example/gentianstep/internal/operating/meter"
 	"gentianstep.example/gentianstep/internal/peering/coordinator"
 	"gentianstep.example/gentianstep/internal/peering/exchanger"
+	"gentianstep.example/gentianstep/internal/peering/relayer"
 	"gentianstep.example/gentianstep/internal/placement/leaser"
 	"gentianstep.example/gentianstep/internal/placement/upgrader"
 	"gentianstep.example/gentianstep/internal/routing/picker"
@@ -95,9 +95,11 @@
 	log          *logrus.Entry
 	meter        *meter.Meter
 	informer     *informer.Informer
+	vms          *vmDirectory
 	forwarder    *forwarder.Forwarder
 	store        Store
 	exchanger    *exchanger.Exchanger
+	relayClient  *relayer.Client
 	leaser       *leaser.Leaser
 	hub          *coordinator.Hub
 	view         *coordinator.View
@@ -129,6 +131,7 @@
 		InitialWeightsAge: settings.Bounds.WeightsApply / 2,
 		Log:               log,
 	})
+	g.vms = &vmDirectory{informer: g.informer, log: log}
 	g.engineClient = p.NewEngineClient(&http.Client{Transport: newGatewayTransport()})
 	g.view = coordinator.NewView()
 	g.hub = coordinator.NewHub(coordinator.HubConfig{
@@ -157,6 +160,7 @@
 		Client:   &http.Client{Transport: newGatewayTransport()},
 		Log:      log,
 	})
+	g.relayClient = g.newRelayClient()
 	g.leaser = leaser.New(leaser.Config{
 		Store: g.store,
 		Key:   weightsLeaseKey,
@@ -168,7 +172,7 @@
 			_, held := g.informer.Entry(weightsLeaseKey)
 			return held
 		},
-		AcquireDelay: func() time.Duration { return ranker.AcquireDelay(ranker.Rank(g.ownVM(), g.announcedVMs())) },
+		AcquireDelay: func() time.Duration { return ranker.AcquireDelay(ranker.Rank(g.ownVM(), g.vms.load().vms)) },
 		Log:          log,
 	})
 	return g
@@ -181,6 +185,7 @@
 		g.informer.Run,
 		g.exchanger.Run,
 		g.leaser.Run,
+		g.relayClient.Run,
 		g.runVMCount,
 		g.runReload,
 		upgrader.New(upgrader.Config{
@@ -202,17 +207,7 @@
 			Log:   g.log,
 		}).Run,
 	}
-	followers := []follower.Config{
-		{Prefix: g.platform.OperatorPrefix, Wait: storeWatchTimeout},
-		{Prefix: g.platform.UpstreamPrefix, Wait: storeWatchTimeout, CoalesceInterval: settings.Bounds.Drain / upstreamReadsPerDrain},
-		{Prefix: systemPrefix, Wait: vmWatchTimeout, CoalesceInterval: vmCoalesceInterval},
-	}
-	followerLoops := make([]func(context.Context), 0, len(followers))
-	for _, cfg := range followers {
-		cfg.Feed, cfg.Sink = g.store, g.informer
-		followerLoops = append(followerLoops, follower.New(cfg).Run)
-	}
-	return slices.Concat(loops, followerLoops, g.coordinationLoops())
+	return slices.Concat(loops, g.followerLoops(), g.coordinationLoops())
 }
 
 // run serves until ctx is cancelled, then shuts down in stages: it fails the
--- a/internal/operating/starter/gateway_vms.go
+++ b/internal/operating/starter/gateway_vms.go
@@ -3,17 +3,77 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"gentianstep.example/gentianstep/internal/membership/announcer"
+	"gentianstep.example/gentianstep/internal/membership/informer"
 	"gentianstep.example/gentianstep/internal/peering/exchanger"
+	"gentianstep.example/gentianstep/internal/placement/leaser"
 )
 
+// vmDirectory holds the decoded entries of the deployment's VMs. They are decoded once
+// for each change, since they are looked up for each message between VMs.
+type vmDirectory struct {
+	informer *informer.Informer
+	log      *logrus.Entry
+
+	mu     sync.Mutex
+	latest *announcedVMs
+}
+
+// announcedVMs is the decoded state of the VMs' entries. It is not modified.
+type announcedVMs struct {
+	changes uint64
+	vms     []announcer.VM
+	// leaseHolder is the last known holder of the lease for roll-outs.
+	leaseHolder string
+}
+
+// find returns the VM of a node.
+func (a *announcedVMs) find(node string) (announcer.VM, bool) {
+	for _, vm := range a.vms {
+		if vm.Node == node {
+			return vm, true
+		}
+	}
+	return announcer.VM{}, false
+}
+
+// load returns the current state. It logs and skips entries that cannot be decoded.
+func (d *vmDirectory) load() *announcedVMs {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	changes := d.informer.ChangeCount(systemPrefix)
+	if d.latest != nil && d.latest.changes == changes {
+		return d.latest
+	}
+	state := &announcedVMs{changes: changes}
+	for _, e := range d.informer.VMs() {
+		var err error
+		if e.Key == weightsLeaseKey {
+			state.leaseHolder, err = leaser.ParseHolder(e.Value)
+		} else {
+			var vm announcer.VM
+			if vm, err = announcer.DecodeVM(e.Value); err == nil {
+				state.vms = append(state.vms, vm)
+			}
+		}
+		if err != nil {
+			d.log.WithError(err).WithFields(logrus.Fields{"event": "entry_ignored", "key": e.Key}).Warn("ignoring an invalid store entry")
+		}
+	}
+	d.latest = state
+	return state
+}
+
 // peerAddresses returns the peer addresses of the other VMs: those announced in
 // the store and the seed peers from the settings.
 func (g *gateway) peerAddresses() []netip.AddrPort {
 	var addresses []netip.AddrPort
-	for _, vm := range g.announcedVMs() {
+	for _, vm := range g.vms.load().vms {
 		addresses = append(addresses, vm.PeerAddress)
 	}
 	settings := g.settings.Load()
@@ -32,24 +92,6 @@
 	}
 }
 
-// announcedVMs returns the VMs that have announced themselves in the store. It
-// logs and skips entries that cannot be decoded.
-func (g *gateway) announcedVMs() []announcer.VM {
-	var vms []announcer.VM
-	for _, e := range g.informer.VMs() {
-		if e.Key == weightsLeaseKey {
-			continue
-		}
-		vm, err := announcer.DecodeVM(e.Value)
-		if err != nil {
-			g.log.WithError(err).WithField("event", "entry_ignored").Warn("ignoring a store entry that is not a valid VM")
-			continue
-		}
-		vms = append(vms, vm)
-	}
-	return vms
-}
-
 // runVMCount counts the VMs, among which the limits are divided. A lower count
 // takes effect only after the current one has not been reached for vmCountTTL.
 func (g *gateway) runVMCount(ctx context.Context) {
@@ -58,7 +100,7 @@
 	highest, expires := 0, time.Time{}
 	for {
 		now := time.Now()
-		if n := len(g.announcedVMs()); n >= highest || !now.Before(expires) {
+		if n := len(g.vms.load().vms); n >= highest || !now.Before(expires) {
 			if n != highest {
 				g.forwarder.SetVMs(n)
 			}
