Run the import tests of the stand-in engine in virtual time

Cause: an import is cut off once it takes as long as computing the blocks would.

Ruled out: a longer bound (it is the behaviour under test).

The client of the cache store takes an HTTP client for that. Bounds and assertions are the same.

--- a/cmd/standin/engine.go
+++ b/cmd/standin/engine.go
@@ -50,7 +50,7 @@
 			if err != nil {
 				return fmt.Errorf("parse --kept-cache: %w", err)
 			}
-			cfg.CacheStore = archiver.NewClient(storeAddress)
+			cfg.CacheStore = archiver.NewClient(archiver.ClientConfig{Address: storeAddress})
 		}
 		cfg.Incarnation = uint64(time.Now().UnixNano())
 		return serve(ctx, address, disrupter.New(generator.Handler(generator.New(cfg))))
--- a/internal/standin/archiver/client.go
+++ b/internal/standin/archiver/client.go
@@ -19,9 +19,20 @@
 	http    *http.Client
 }
 
-// NewClient returns a Client for the store at address.
-func NewClient(address netip.AddrPort) *Client {
-	return &Client{address: address, http: &http.Client{}}
+// ClientConfig configures a Client.
+type ClientConfig struct {
+	// Address is the address of the store.
+	Address netip.AddrPort
+	// HTTPClient sends the requests; nil means a client of its own.
+	HTTPClient *http.Client
+}
+
+// NewClient returns a Client.
+func NewClient(cfg ClientConfig) *Client {
+	if cfg.HTTPClient == nil {
+		cfg.HTTPClient = &http.Client{}
+	}
+	return &Client{address: cfg.Address, http: cfg.HTTPClient}
 }
 
 // Import requests the blocks of chain after the first held ones. It returns the
--- a/internal/standin/generator/kept_test.go
+++ b/internal/standin/generator/kept_test.go
@@ -20,6 +20,7 @@
 	"gentianstep.example/gentianstep/internal/standin/archiver"
 	"gentianstep.example/gentianstep/internal/standin/generator"
 	"gentianstep.example/gentianstep/internal/streaming/encoder"
+	"gentianstep.example/gentianstep/internal/testing/piper"
 	"gentianstep.example/gentianstep/internal/testing/scripter"
 	"gentianstep.example/gentianstep/internal/upstream/observer"
 )
@@ -147,28 +148,33 @@
 }
 
 // TestExportedBlocksAreImported exports a prefix from one engine and imports it
-// into another through the HTTP API of the store.
+// into another through the HTTP API of the store. It runs in virtual time, since an
+// import is cut off once it takes longer than computing the blocks.
 func TestExportedBlocksAreImported(t *testing.T) {
 	t.Parallel()
-	is := is.New(t)
-	store, err := archiver.New(archiver.Config{ImportPerBlock: prefillPerBlock / 10})
-	is.NoErr(err)
-	server := httptest.NewServer(archiver.Handler(store))
-	defer server.Close()
-	client := archiver.NewClient(netip.MustParseAddrPort(server.Listener.Addr().String()))
-	exporting, importing, computing := newEngine(client), newEngine(client), newEngine(client)
-	sendPrompt(is, exporting, map[string]string{encoder.HeaderExport: "true"})
-	deadline := time.Now().Add(5 * time.Second)
-	for exporting.Stats().ExportedBlocks < promptBlocks && time.Now().Before(deadline) {
-		sendPrompt(is, exporting, nil)
-	}
-	is.Equal(exporting.Stats().ExportedBlocks, promptBlocks)
-	withImport := sendPrompt(is, importing, map[string]string{encoder.HeaderImportBlocks: strconv.Itoa(promptBlocks)})
-	is.Equal(importing.Stats().ImportedBlocks, promptBlocks)
-	withoutImport := sendPrompt(is, computing, nil)
-	t.Logf("time to first token over HTTP: %v with import, %v without", withImport, withoutImport)
-	server.Close()
-	withoutStore := newEngine(client)
-	sendPrompt(is, withoutStore, map[string]string{encoder.HeaderImportBlocks: strconv.Itoa(promptBlocks), encoder.HeaderExport: "true"})
-	is.Equal(withoutStore.Stats().ImportedBlocks, 0) // a request succeeds without an import if the store is down
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store, err := archiver.New(archiver.Config{ImportPerBlock: prefillPerBlock / 10})
+		is.NoErr(err)
+		network, address := piper.New(), netip.MustParseAddrPort("10.0.0.1:80")
+		network.Serve(address.String(), archiver.Handler(store))
+		transport := &http.Transport{DialContext: network.Dial}
+		defer transport.CloseIdleConnections()
+		client := archiver.NewClient(archiver.ClientConfig{Address: address, HTTPClient: &http.Client{Transport: transport}})
+		exporting, importing, computing := newEngine(client), newEngine(client), newEngine(client)
+		sendPrompt(is, exporting, map[string]string{encoder.HeaderExport: "true"})
+		deadline := time.Now().Add(5 * time.Second)
+		for exporting.Stats().ExportedBlocks < promptBlocks && time.Now().Before(deadline) {
+			sendPrompt(is, exporting, nil)
+		}
+		is.Equal(exporting.Stats().ExportedBlocks, promptBlocks)
+		withImport := sendPrompt(is, importing, map[string]string{encoder.HeaderImportBlocks: strconv.Itoa(promptBlocks)})
+		is.Equal(importing.Stats().ImportedBlocks, promptBlocks)
+		withoutImport := sendPrompt(is, computing, nil)
+		t.Logf("time to first token over HTTP: %v with import, %v without", withImport, withoutImport)
+		network.Close()
+		withoutStore := newEngine(client)
+		sendPrompt(is, withoutStore, map[string]string{encoder.HeaderImportBlocks: strconv.Itoa(promptBlocks), encoder.HeaderExport: "true"})
+		is.Equal(withoutStore.Stats().ImportedBlocks, 0) // a request succeeds without an import if the store is down
+	})
 }
