Announce engines that change their weights without waiting for the next frame

Cause: the planner tells the other VMs 80 ms before an order that an engine is about to change its weights.

Change: the state of such an engine makes the hub build a frame at once, at most one every 20 ms.

--- a/internal/peering/coordinator/frame.go
+++ b/internal/peering/coordinator/frame.go
@@ -41,7 +41,7 @@
 	if last == nil || h.hasChanges() || now.Sub(last.builtAt) >= keepAliveInterval/2 {
 		h.appendFrame(now, interval)
 		for s := range h.sessions {
-			s.notify()
+			notify(s.changed)
 		}
 	}
 	return interval
--- a/internal/peering/coordinator/hub.go
+++ b/internal/peering/coordinator/hub.go
@@ -57,8 +57,10 @@
 	namesSent int
 	// full is the encoded full state as of the newest frame, nil until it is needed.
 	full []byte
-	// wake has a buffer of one; it makes Run build a frame.
-	wake chan struct{}
+	// wake has a buffer of one; it makes Run build a frame. urgent, likewise, makes it
+	// build one before the push interval is over.
+	wake   chan struct{}
+	urgent chan struct{}
 }
 
 // NewHub returns a Hub without sessions. Run builds its messages.
@@ -77,6 +79,7 @@
 		// Sessions start at frame 0, so that their first message is the full state.
 		firstFrame: 1,
 		wake:       make(chan struct{}, 1),
+		urgent:     make(chan struct{}, 1),
 	}
 }
 
@@ -92,14 +95,32 @@
 		case <-h.wake:
 		case <-ticker.C:
 		}
-		pauser.Pause(ctx, h.advance(time.Now()))
+		h.pause(ctx, h.advance(time.Now()))
+	}
+}
+
+// pause waits until the next frame may be built: for the push interval, or less if an
+// engine is about to change its weights.
+func (h *Hub) pause(ctx context.Context, interval time.Duration) {
+	if !pauser.Pause(ctx, minPushInterval) {
+		return
+	}
+	timer := time.NewTimer(interval - minPushInterval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-h.urgent:
 	}
 }
 
 // signal wakes Run. It does nothing if a signal is pending already.
-func (h *Hub) signal() {
+func (h *Hub) signal() { notify(h.wake) }
+
+// notify sends to a channel with a buffer of one unless a signal is pending there.
+func notify(signal chan<- struct{}) {
 	select {
-	case h.wake <- struct{}{}:
+	case signal <- struct{}{}:
 	default:
 	}
 }
@@ -126,6 +147,10 @@
 	h.engines[e.Upstream] = e
 	h.changedEngines[e.Upstream] = struct{}{}
 	h.signal()
+	if e.ChangingWeights {
+		// The other VMs must stop sending to the engine before it gets its order.
+		notify(h.urgent)
+	}
 }
 
 // SetCached sets the number of tokens of a part that an upstream has cached. The part
--- a/internal/peering/coordinator/session.go
+++ b/internal/peering/coordinator/session.go
@@ -22,14 +22,6 @@
 	changed chan struct{}
 }
 
-// notify wakes the session's runPush.
-func (s *session) notify() {
-	select {
-	case s.changed <- struct{}{}:
-	default:
-	}
-}
-
 // ServeHTTP serves the connection of one VM until it ends or this VM is no longer the
 // hub.
 func (h *Hub) ServeHTTP(w http.ResponseWriter, r *http.Request) {
