Spread requests over the upstreams that have room when others choose unseen

Cause: each VM sends to the upstream of the lowest cost by loads that are some hundred milliseconds old. With 84 VMs and 145 long prompts a second, an engine that becomes idle gets up to 14 of them in 100 ms: 2.7 s of reading, behind which short prompts run out of time.

Ruled out: memory of engines and the store (few preemptions, answers in 4 ms).

Change: the work that the others are expected to send unseen (own rate times number of other VMs times age of the loads) is poured over the costs of the upstreams up to a level; each is chosen with a probability that is proportional to its room below that level. Where little is unseen, as on eight VMs, the cheapest is chosen as before.

--- a/internal/gateway/forwarder/query.go
+++ b/internal/gateway/forwarder/query.go
@@ -25,6 +25,8 @@
 		Exclude:   x.tried,
 		Objective: x.remainingObjective(now),
 		BodyBytes: len(x.body),
+		OtherVMs:  int(x.vms.Load()) - 1,
+		LoadAge:   x.cfg.View.LoadAge(now),
 		OtherLoad: func(id string) picker.Load {
 			load := x.cfg.View.OtherLoad(now, id)
 			return picker.Load{
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -4,7 +4,9 @@
 package picker
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"gentianstep.example/gentianstep/internal/caching/cataloguer"
@@ -76,6 +78,8 @@
 	sent map[string]sentPart
 	// pendingParts lists the parts sent and not yet drained.
 	pendingParts []SentPart
+	// sendRates holds the rates of work sent to engines (true) and plain services.
+	sendRates map[bool]*sendRate
 }
 
 // SentPart is a shared part that was sent to an upstream for prefill.
@@ -93,17 +97,20 @@
 		states:      make(map[string]*upstreamState),
 		calibration: newCalibration(),
 		sent:        make(map[string]sentPart),
+		sendRates:   make(map[bool]*sendRate),
 	}
 }
 
-// Choose returns the upstream with the lowest cost for a request. Without one,
-// the reason of the choice says why.
+// Choose returns the upstream for a request: the one with the lowest cost, or one of
+// those with low costs if other VMs may choose the same one unseen. Without one, the
+// reason of the choice says why.
 func (p *Picker) Choose(now time.Time, q Query) Choice {
 	candidates := p.candidates(now, q)
 	if len(candidates) == 0 {
 		return Choice{Reason: NoUpstream}
 	}
 	e := newCostEstimator(now, p, q, candidates)
+	choices := make([]Choice, 0, len(candidates))
 	best := Choice{Reason: Full}
 	for _, u := range candidates {
 		load := p.totalLoad(q, u)
@@ -112,15 +119,15 @@
 		}
 		c := e.estimateCosts(u, load)
 		if p.queueTooLong(q, c) {
-			if best.Upstream == nil {
-				best.Reason = Behind
-				best.Backlog = shorterBacklog(best.Backlog, c.Costs.Queue)
-			}
+			best.Reason = Behind
+			best.Backlog = shorterBacklog(best.Backlog, c.Costs.Queue)
 			continue
 		}
-		if best.Upstream == nil || c.Costs.Total() < best.Costs.Total() {
-			best = c
-		}
+		choices = append(choices, c)
+	}
+	if len(choices) > 0 {
+		own := slices.MinFunc(choices, func(a, b Choice) int { return cmp.Compare(a.Costs.Total(), b.Costs.Total()) }).work(q)
+		best = selectChoice(p.rng, choices, p.unseenWork(now, q), own)
 	}
 	best.Candidates = len(candidates)
 	return best
@@ -185,6 +192,12 @@
 	s := p.touchState(now, c.Upstream.ID)
 	s.load.InFlight++
 	s.load.PromptTokens += c.PromptTokens
+	rate := p.sendRates[q.Prompt != nil]
+	if rate == nil {
+		rate = &sendRate{}
+		p.sendRates[q.Prompt != nil] = rate
+	}
+	rate.record(now, c.work(q))
 	if c.Source != nil {
 		p.touchState(now, c.Source.ID).load.Copying += c.Costs.Copy
 	}
--- a/internal/routing/picker/query.go
+++ b/internal/routing/picker/query.go
@@ -95,6 +95,10 @@
 	Prompt *Prompt
 	// OtherLoad returns the load that other VMs have at an upstream or store.
 	OtherLoad func(id string) Load
+	// OtherVMs is the number of other VMs that send to the same upstreams, and LoadAge
+	// the age of the loads that this VM knows of them.
+	OtherVMs int
+	LoadAge  time.Duration
 	// Usable reports whether an upstream can serve the request; nil admits all.
 	Usable func(*registrar.Upstream) bool
 	// Exclude holds the IDs of upstreams at which the request has already
--- a/internal/standin/rehearser/policy.go
+++ b/internal/standin/rehearser/policy.go
@@ -126,6 +126,8 @@
 		Upstreams:      p.r.upstreams,
 		MaxOwnInFlight: max(2*limit/p.r.load.VMs, 2),
 		MaxInFlight:    limit,
+		OtherVMs:       p.r.load.VMs - 1,
+		LoadAge:        now % max(millis(p.r.load.LoadSyncMS), time.Millisecond),
 		Objective:      max(millis(a.kind.ObjectiveMS)-(now-a.at), time.Millisecond),
 		OtherLoad:      func(id string) picker.Load { return p.r.reportedLoad(p.vm, p.r.index[id]) },
 		Usable:         func(u *registrar.Upstream) bool { return now >= p.r.engines[p.r.index[u.ID]].downUntil },
