Call the store less often at the start of a VM

Change: a VM that has a relay, but is not supplied by it yet, reads the other VMs' entries once a second. An announcer writes its entry at once, and reads it only if there is one.

--- a/internal/membership/announcer/announcer.go
+++ b/internal/membership/announcer/announcer.go
@@ -103,17 +103,28 @@
 	if err != nil {
 		return 0, err
 	}
-	existing, err := a.cfg.Store.Get(ctx, a.cfg.Key)
-	if err != nil && !errors.Is(err, storer.ErrNotFound) {
-		return 0, err
+	// Usually there is no entry. One of an earlier process may remain until its lease
+	// expires, or the response to the write of this one was lost.
+	_, err = a.cfg.Store.Put(ctx, a.cfg.Key, value, storer.PutOptions{LeaseID: granted.ID})
+	if errors.Is(err, storer.ErrConflict) {
+		err = a.replaceEntry(ctx, value, granted.ID)
 	}
-	opts := storer.PutOptions{IfRevision: existing.Revision, LeaseID: granted.ID}
-	if _, err := a.cfg.Store.Put(ctx, a.cfg.Key, value, opts); err != nil {
+	if err != nil {
 		return 0, err
 	}
 	return granted.ID, nil
 }
 
+// replaceEntry writes the entry in place of an existing one.
+func (a *Announcer) replaceEntry(ctx context.Context, value []byte, lease uint64) error {
+	existing, err := a.cfg.Store.Get(ctx, a.cfg.Key)
+	if err != nil && !errors.Is(err, storer.ErrNotFound) {
+		return err
+	}
+	_, err = a.cfg.Store.Put(ctx, a.cfg.Key, value, storer.PutOptions{IfRevision: existing.Revision, LeaseID: lease})
+	return err
+}
+
 // removeEntry removes the entry by revoking its lease. If that fails, the entry
 // expires after entryTTL.
 func (a *Announcer) removeEntry(lease uint64) {
--- a/internal/operating/starter/gateway.go
+++ b/internal/operating/starter/gateway.go
@@ -57,6 +57,9 @@
 	// vmCoalesceInterval is the pause between two reads of the other VMs' entries,
 	// which change only when a VM joins or leaves.
 	vmCoalesceInterval = 200 * time.Millisecond
+	// crowdCoalesceInterval is that pause while a VM of a large region has no relay yet,
+	// as at the start of all VMs, which join one after the other.
+	crowdCoalesceInterval = time.Second
 	// vmWatchTimeout is the long-poll timeout of a watch on the other VMs' entries.
 	vmWatchTimeout = 20 * time.Second
 	// vmCountInterval is the interval at which the VMs are counted, and vmCountTTL
--- a/internal/operating/starter/gateway_store.go
+++ b/internal/operating/starter/gateway_store.go
@@ -75,8 +75,9 @@
 	prefixes := []struct {
 		prefix string
 		// alone is the pace of a VM that follows the store for itself, relay that of
-		// one that follows it for others.
-		alone, relay follower.Pace
+		// one that follows it for others, and crowd that of one that has a relay but
+		// is not supplied by it. Without crowd, alone applies there too.
+		alone, relay, crowd follower.Pace
 	}{
 		{
 			prefix: g.platform.OperatorPrefix,
@@ -94,6 +95,7 @@
 		{
 			prefix: systemPrefix,
 			alone:  follower.Pace{Wait: vmWatchTimeout, CoalesceInterval: vmCoalesceInterval},
+			crowd:  follower.Pace{Wait: vmWatchTimeout, CoalesceInterval: crowdCoalesceInterval},
 			relay:  follower.Pace{Wait: vmWatchTimeout, CoalesceInterval: vmCoalesceInterval},
 		},
 	}
@@ -104,8 +106,11 @@
 			Prefix: p.prefix,
 			Sink:   g.informer,
 			Pace: func() follower.Pace {
-				if _, isRelay := g.relays(); isRelay {
+				switch relays, isRelay := g.relays(); {
+				case isRelay:
 					return p.relay
+				case len(relays) > 0 && p.crowd != (follower.Pace{}):
+					return p.crowd
 				}
 				return p.alone
 			},
