Tell prompts apart by their last shared part, not by the first

Cause: home and recent sends of a long prompt went by its first shared part. On the annex that is one of three instructions which all prompts share, so that a prompt counted as held wherever any other was just sent, and its home did not matter, as all engines hold the instructions: VMs read the same work at several engines.

Change: the last shared part stands for the prompt. The home is preferred while nobody holds all shared parts.

Test: TestPromptsWithACommonStartHaveOwnHomes fails before.

--- a/internal/routing/picker/estimate.go
+++ b/internal/routing/picker/estimate.go
@@ -43,7 +43,7 @@
 	dueWeightsCost = 2 * time.Second
 	// failureCost is the cost of an upstream that fails every request.
 	failureCost = 400 * time.Millisecond
-	// nonHomeCost is the cost of every upstream but the home while none has the
+	// nonHomeCost is the cost of every upstream but the home while none has all
 	// shared parts cached, so that all VMs prefill them at the same upstream.
 	nonHomeCost = 150 * time.Millisecond
 	// minFetchTokens is the number of tokens from which a copy is worth its
@@ -81,7 +81,7 @@
 		return e
 	}
 	if q.Prompt.Long() {
-		e.home = rendezvousHome(q.Prompt.Shared[0].ID, e.inStoreRegion(candidates))
+		e.home = rendezvousHome(q.Prompt.PrefixID(), e.inStoreRegion(candidates))
 		return e
 	}
 	// Short prompts stay in the VM's availability zone if it has an upstream.
@@ -94,7 +94,7 @@
 	if len(near) == 0 {
 		near = candidates
 	}
-	e.home = rendezvousHome(q.Prompt.Shared[len(q.Prompt.Shared)-1].ID, near)
+	e.home = rendezvousHome(q.Prompt.PrefixID(), near)
 	return e
 }
 
@@ -209,8 +209,8 @@
 	if longest := min(h.longest, shared); longest > own {
 		c.Costs.Recompute = time.Duration(longest-own) * recomputePerToken
 	}
-	if h.longest == 0 && u != e.home {
-		c.Costs.Recompute = nonHomeCost
+	if h.longest+minFetchTokens <= shared && u != e.home {
+		c.Costs.Recompute += nonHomeCost
 	} else if u == e.home && own == 0 {
 		c.Reason = PrefixHome
 	}
--- a/internal/routing/picker/held.go
+++ b/internal/routing/picker/held.go
@@ -44,8 +44,8 @@
 			}
 		}
 	}
-	sent, ok := e.picker.sent[scope+"\x00"+prompt.Shared[0].ID]
-	if ok && e.now.Before(sent.until) && holdings[sent.upstream].Tokens == 0 {
+	sent, ok := e.picker.sent[scope+"\x00"+prompt.PrefixID()]
+	if ok && e.now.Before(sent.until) && holdings[sent.upstream].Tokens < prompt.SharedTokens() {
 		holdings[sent.upstream] = cataloguer.Holding{Tokens: prompt.SharedTokens(), Pending: true}
 	}
 	h := &prefixHoldings{tokens: make(map[string]int, len(holdings))}
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -74,7 +74,7 @@
 	rng         *rand.Rand
 	states      map[string]*upstreamState
 	calibration calibration
-	// sent is keyed by the cache scope and the ID of the first shared part.
+	// sent is keyed by the cache scope and the ID of the last shared part.
 	sent map[string]sentPart
 	// pendingParts lists the parts sent and not yet drained.
 	pendingParts []SentPart
@@ -209,7 +209,7 @@
 			p.pendingParts = append(p.pendingParts, SentPart{c.Upstream.ID, cataloguer.Part{Scope: c.Scope, ID: part.ID}, part.Tokens})
 		}
 	}
-	p.sent[c.Scope+"\x00"+q.Prompt.Shared[0].ID] = sentPart{c.Upstream.ID, now.Add(sentPartTTL)}
+	p.sent[c.Scope+"\x00"+q.Prompt.PrefixID()] = sentPart{c.Upstream.ID, now.Add(sentPartTTL)}
 	for key, part := range p.sent {
 		if now.After(part.until) {
 			delete(p.sent, key)
--- a/internal/routing/picker/picker_test.go
+++ b/internal/routing/picker/picker_test.go
@@ -227,6 +227,55 @@
 	}
 }
 
+// TestPromptsWithACommonStartHaveOwnHomes has prompts whose first part, such as the
+// instructions of a service, is the same and cached everywhere, while nobody holds the
+// second. All VMs must choose the same upstream for a prompt, and a prompt that was just
+// sent must not count as held for another one.
+func TestPromptsWithACommonStartHaveOwnHomes(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	upstreams := make([]*registrar.Upstream, 0, 18)
+	instructions := make(map[string]cataloguer.Holding)
+	for n := range 18 {
+		upstreams = append(upstreams, &registrar.Upstream{ID: fmt.Sprint("u", n), AvailabilityZone: "z1", Slots: 24})
+		instructions[fmt.Sprint("u", n)] = cataloguer.Holding{Tokens: 500}
+	}
+	vms := make([]*picker.Picker, 0, 9)
+	for vm := range uint64(9) {
+		vms = append(vms, picker.New(picker.Config{AvailabilityZone: "z1", Regions: regions, Seed: vm}))
+	}
+	homes := make(map[string]int)
+	for prompt := range 300 {
+		chosen := make(map[string]bool)
+		for _, p := range vms {
+			q := picker.Query{Upstreams: upstreams, MaxInFlight: 24, MaxOwnInFlight: 24, Prompt: &picker.Prompt{
+				Shared:         []picker.SharedPart{{ID: "instructions", Tokens: 500}, {ID: fmt.Sprint("work ", prompt), Tokens: 5000}},
+				Tokens:         12_000,
+				WeightsVersion: func(*registrar.Upstream) uint64 { return 1 },
+				Scope:          func(uint64) string { return "@1" },
+				Holders: func(part cataloguer.Part) map[string]cataloguer.Holding {
+					if part.ID == "instructions" {
+						return instructions
+					}
+					return nil
+				},
+			}}
+			c := p.Choose(now, q)
+			is.Equal(c.PromptTokens, 11_500)
+			p.RecordSent(now, q, c)
+			p.EndPrefill(c)
+			p.EndRequest(c)
+			chosen[c.Upstream.ID] = true
+		}
+		is.Equal(len(chosen), 1)
+		for id := range chosen {
+			homes[id]++
+		}
+	}
+	is.True(len(homes) > 12)
+}
+
 // TestSentPromptIsRoutedToSameUpstream sends the same long prompt twice, before
 // any cache event shows where it is cached.
 func TestSentPromptIsRoutedToSameUpstream(t *testing.T) {
--- a/internal/routing/picker/query.go
+++ b/internal/routing/picker/query.go
@@ -75,6 +75,10 @@
 	return total
 }
 
+// PrefixID returns the ID of the last shared part. It stands for all shared parts, since a
+// part follows the same parts wherever it is shared.
+func (p *Prompt) PrefixID() string { return p.Shared[len(p.Shared)-1].ID }
+
 // Long reports whether the shared parts are long enough to route the request by
 // cached prefixes.
 func (p *Prompt) Long() bool { return p.SharedTokens() >= minLongPromptTokens }
