--- a/internal/membership/announcer/announcer_test.go
+++ b/internal/membership/announcer/announcer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,11 +22,11 @@
 // countingStore counts reads.
 type countingStore struct {
 	storer.Store
-	reads int
+	reads atomic.Int64
 }
 
 func (s *countingStore) Get(ctx context.Context, key string) (storer.Entry, error) {
-	s.reads++
+	s.reads.Add(1)
 	return s.Store.Get(ctx, key)
 }
 
@@ -50,7 +51,7 @@
 			vm := announcer.VM{Node: "a", AvailabilityZone: "z", PeerAddress: netip.MustParseAddrPort("10.0.0.1:1"), LinkBytesPerSecond: 5, Processors: 0.5}
 			go announcer.New(announcer.Config{Store: store, Key: key, VM: vm, Log: logrus.NewEntry(log)}).Run(ctx)
 			time.Sleep(20 * time.Second)
-			is.Equal(store.reads > 0, left)
+			is.Equal(store.reads.Load() > 0, left)
 			entry, err := store.Get(t.Context(), key)
 			is.NoErr(err)
 			decoded, err := announcer.DecodeVM(entry.Value)
