Bound the bytes of the changes that a VM keeps for others

Cause: found by reading. Each VM keeps its last 1,024 changes of the store for VMs that it supplies, among them whole configurations: with 1,400 routes and an operator who edits them in quick succession, tens of megabytes on VMs of 134 MB.

Change: at most 1 MiB of values. A VM that lacks more receives the entries that are newer than its own, so the newest configuration alone.

Test: TestChangesForOtherVMsAreBounded fails without the bound (19 versions sent, now one).

--- a/internal/membership/informer/change_log.go
+++ b/internal/membership/informer/change_log.go
@@ -2,9 +2,12 @@
 
 import "gentianstep.example/gentianstep/internal/platform/storer"
 
-// maxLoggedChanges bounds the changes that a replica keeps. A VM that lacks more of
-// them receives all entries.
-const maxLoggedChanges = 1024
+// maxLoggedChanges and maxLoggedBytes bound the changes that a replica keeps. A VM that
+// lacks more of them receives the entries that are newer than its own.
+const (
+	maxLoggedChanges = 1024
+	maxLoggedBytes   = 1 << 20
+)
 
 // changeLog holds the latest changes of a replica, so that other VMs can be sent the
 // changes that they lack.
@@ -12,11 +15,21 @@
 	changes []storer.Change
 	// first is the position of the first of changes. Positions count all changes.
 	first uint64
+	// bytes is the size of the values of changes.
+	bytes int
 }
 
 func (l *changeLog) add(changes []storer.Change) {
 	l.changes = append(l.changes, changes...)
-	if over := len(l.changes) - maxLoggedChanges; over > 0 {
+	for _, c := range changes {
+		l.bytes += len(c.Value)
+	}
+	over := 0
+	for len(l.changes)-over > maxLoggedChanges || l.bytes > maxLoggedBytes {
+		l.bytes -= len(l.changes[over].Value)
+		over++
+	}
+	if over > 0 {
 		l.changes = append([]storer.Change(nil), l.changes[over:]...)
 		l.first += uint64(over)
 	}
--- a/internal/membership/informer/informer_test.go
+++ b/internal/membership/informer/informer_test.go
@@ -17,6 +17,7 @@
 	"gentianstep.example/gentianstep/internal/membership/follower"
 	"gentianstep.example/gentianstep/internal/membership/informer"
 	"gentianstep.example/gentianstep/internal/peering/exchanger"
+	"gentianstep.example/gentianstep/internal/platform/storer"
 	"gentianstep.example/gentianstep/internal/testing/piper"
 	"gentianstep.example/gentianstep/platform"
 	"gentianstep.example/gentianstep/platform/platformtest"
@@ -242,3 +243,39 @@
 		network.Close()
 	})
 }
+
+// TestChangesForOtherVMsAreBounded replaces a large configuration many times, as an operator
+// does who edits hundreds of routes. A VM that has fallen behind must receive the newest one
+// alone, not all of them, and one that is up to date nothing.
+func TestChangesForOtherVMsAreBounded(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	cfg := informer.Config{
+		Codec:          platform.Codec{},
+		OperatorPrefix: platform.OperatorPrefix,
+		UpstreamPrefix: platform.UpstreamPrefix,
+		VMPrefix:       "own/",
+		Log:            logrus.NewEntry(log),
+	}
+	source, behind := informer.New(cfg), informer.New(cfg)
+	now := time.Unix(1_700_000_000, 0)
+	entry := func(revision uint64) storer.Entry {
+		return storer.Entry{Key: "op/config", Value: make([]byte, 300_000), Revision: revision}
+	}
+	source.Replace(now, platform.OperatorPrefix, []storer.Entry{entry(1)}, 1)
+	updates, position := source.Updates(now, nil, nil)
+	behind.ApplyUpdate(now, updates[0])
+	for revision := uint64(2); revision <= 20; revision++ {
+		source.Apply(now, platform.OperatorPrefix, []storer.Change{{Entry: entry(revision)}}, revision)
+	}
+	updates, position = source.Updates(now, position, behind.Revisions())
+	is.Equal(len(updates), 1)
+	is.Equal(len(updates[0].Changes), 1)
+	behind.ApplyUpdate(now, updates[0])
+	is.Equal(behind.Revision(platform.OperatorPrefix), uint64(20))
+	updates, _ = source.Updates(now, position, nil)
+	is.Equal(len(updates[0].Changes), 0)
+	is.True(!updates[0].Complete)
+}
