--- a/internal/peering/coordinator/frame.go
+++ b/internal/peering/coordinator/frame.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"slices"
 	"time"
 
 	"gentianstep.example/gentianstep/internal/caching/cataloguer"
@@ -141,8 +142,8 @@
 	// The next frame announces the names that are new since the newest one, so that
 	// the table must not hold them yet. Rows that use them are left to that frame.
 	state.Names = h.names.names[:h.namesSent]
-	state.Loads = keep(state.Loads, func(l UpstreamLoad) bool { return l.Upstream < h.namesSent })
-	state.Cached = keep(state.Cached, func(p UpstreamPart) bool { return max(p.Upstream, p.Scope) < h.namesSent })
+	state.Loads = slices.DeleteFunc(state.Loads, func(l UpstreamLoad) bool { return l.Upstream >= h.namesSent })
+	state.Cached = slices.DeleteFunc(state.Cached, func(p UpstreamPart) bool { return max(p.Upstream, p.Scope) >= h.namesSent })
 	data, err := messenger.EncodeValue(state)
 	if err != nil {
 		h.cfg.Log.WithError(err).WithField("event", "state_not_sent").Error("failed to encode the state for other VMs")
@@ -152,17 +153,6 @@
 	return data
 }
 
-// keep returns the rows for which f is true.
-func keep[T any](rows []T, f func(T) bool) []T {
-	var kept []T
-	for _, row := range rows {
-		if f(row) {
-			kept = append(kept, row)
-		}
-	}
-	return kept
-}
-
 func (h *Hub) upstreamLoad(upstream string) UpstreamLoad {
 	sum := h.totals.sums[upstream]
 	return UpstreamLoad{
