--- a/internal/gateway/forwarder/query.go
+++ b/internal/gateway/forwarder/query.go
@@ -9,7 +9,7 @@
 	"gentianstep.example/gentianstep/internal/routing/picker"
 )
 
-// priority returns the priority of the request, 0 being the connections urgent.
+// priority returns the priority of the request, 0 being the most urgent.
 // That of an organisation overrides that of the route.
 func (x *exchange) priority() int {
 	if x.organisation != nil && x.organisation.HasPriority {
