--- a/internal/bundle/publisher/head.go
+++ b/internal/bundle/publisher/head.go
@@ -8,11 +8,11 @@
 	"gentianstep.example/gentianstep/internal/platform/storer"
 )
 
-// head is the newest version with the revision of the head key, 0 if the key does
-// not exist.
+// head is the newest version with the store's version of the head key, zero if the key
+// does not exist.
 type head struct {
 	version  uint64
-	revision uint64
+	storedAt storer.Version
 }
 
 // readHead reads the head. If the head is missing or malformed, it returns the
@@ -23,7 +23,7 @@
 	if err != nil && !errors.Is(err, storer.ErrNotFound) {
 		return head{}, storeUnavailable(err, "read the newest version")
 	}
-	h := head{revision: entry.Revision}
+	h := head{storedAt: entry.Version()}
 	if pointer, err := DecodePointer(entry.Value); err == nil {
 		h.version = pointer.Version
 		return h, nil
--- a/internal/bundle/publisher/publisher.go
+++ b/internal/bundle/publisher/publisher.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return err
 	}
-	if h.version == b.Version && h.revision > 0 && p.isClaimedBy(ctx, b.Version, value) {
+	if h.version == b.Version && h.storedAt.Revision > 0 && p.isClaimedBy(ctx, b.Version, value) {
 		return p.updateHead(ctx, h, b.Version)
 	}
 	if err := p.checkNext(ctx, h.version, b.Version); err != nil {
@@ -120,15 +120,15 @@
 	if err != nil {
 		return fmt.Errorf("encode head: %w", err)
 	}
-	_, putErr := p.store.Put(ctx, key, value, storer.PutOptions{IfRevision: h.revision})
+	_, putErr := p.store.Put(ctx, key, value, storer.PutOptions{IfVersion: h.storedAt})
 	if putErr == nil {
 		return nil
 	}
 	current, err := p.readHead(ctx)
 	switch {
-	case err == nil && current.revision != h.revision && current.version == version:
+	case err == nil && current.storedAt != h.storedAt && current.version == version:
 		return nil
-	case err == nil && current.revision != h.revision:
+	case err == nil && current.storedAt != h.storedAt:
 		return classifier.New(classifier.BundleConflict, "another operator published version %d before version %d could be published", current.version, version)
 	}
 	return storeUnavailable(putErr, "publish version %d; publish the same signed bundle again", version)
--- a/internal/bundle/publisher/publisher_test.go
+++ b/internal/bundle/publisher/publisher_test.go
@@ -97,7 +97,7 @@
 	hook      func()
 }
 
-func (s *hookStore) Put(ctx context.Context, key string, value []byte, opts storer.PutOptions) (uint64, error) {
+func (s *hookStore) Put(ctx context.Context, key string, value []byte, opts storer.PutOptions) (storer.Version, error) {
 	s.countdown--
 	if s.countdown == 0 {
 		s.hook()
@@ -151,10 +151,10 @@
 	entry, err := f.store.Get(ctx, key)
 	f.is.NoErr(err)
 	if s.DeleteHead {
-		f.is.NoErr(f.store.Delete(ctx, key, entry.Revision))
+		f.is.NoErr(f.store.Delete(ctx, key, entry.Version()))
 		return
 	}
-	_, err = f.store.Put(ctx, key, []byte(s.PutHead), storer.PutOptions{IfRevision: entry.Revision})
+	_, err = f.store.Put(ctx, key, []byte(s.PutHead), storer.PutOptions{IfVersion: entry.Version()})
 	f.is.NoErr(err)
 }
 
--- a/internal/controlling/watcher/watcher.go
+++ b/internal/controlling/watcher/watcher.go
@@ -21,10 +21,10 @@
 // Watcher passes each new bundle in the store to a Holder.
 type Watcher struct {
 	cfg Config
-	// headRevision is the revision of the head that was processed last.
-	headRevision uint64
-	// fetchedRevision is the revision of the head whose bundle was read last.
-	fetchedRevision uint64
+	// headVersion is the store's version of the head that was processed last.
+	headVersion storer.Version
+	// fetchedVersion is the store's version of the head whose bundle was read last.
+	fetchedVersion storer.Version
 	// pendingHead is a head whose bundle could not be read yet.
 	pendingHead storer.Entry
 	nextPoll    time.Time
@@ -73,8 +73,8 @@
 	return err
 }
 
-// pollHead reads and processes the head. Its revision may be lower than headRevision if
-// the store was restored. A missing head is not an error and resets headRevision to 0.
+// pollHead reads and processes the head. It may be older than headVersion if
+// the store was restored. A missing head is not an error and resets headVersion.
 func (w *Watcher) pollHead(ctx context.Context) error {
 	entry, err := w.get(ctx, publisher.HeadKey(w.cfg.Deployment))
 	if err != nil && !errors.Is(err, storer.ErrNotFound) {
@@ -91,7 +91,7 @@
 func (w *Watcher) watchHead(ctx context.Context) (storer.Entry, error) {
 	ctx, cancel := context.WithDeadline(ctx, w.nextPoll)
 	defer cancel()
-	return w.cfg.Store.Watch(ctx, publisher.HeadKey(w.cfg.Deployment), w.headRevision)
+	return w.cfg.Store.Watch(ctx, publisher.HeadKey(w.cfg.Deployment), w.headVersion)
 }
 
 // get reads a key within fetchTimeout.
@@ -102,12 +102,12 @@
 }
 
 // processHead reads the bundle that the head points to, unless it is in force, was read
-// for this revision of the head or is delivered by a peer within the random delay. There
+// for this version of the head or is delivered by a peer within the random delay. There
 // is no delay if no bundle is in force. A head that cannot be decoded is skipped.
 func (w *Watcher) processHead(ctx context.Context, entry storer.Entry) error {
 	pointer, err := publisher.DecodePointer(entry.Value)
-	if err != nil || w.cfg.Holder.Version() >= pointer.Version || w.fetchedRevision == entry.Revision {
-		w.headRevision, w.pendingHead = entry.Revision, storer.Entry{}
+	if err != nil || w.cfg.Holder.Version() >= pointer.Version || w.fetchedVersion == entry.Version() {
+		w.headVersion, w.pendingHead = entry.Version(), storer.Entry{}
 		return nil
 	}
 	if w.cfg.Holder.Version() > 0 {
@@ -119,7 +119,7 @@
 			return err
 		}
 	}
-	w.headRevision, w.fetchedRevision, w.pendingHead = entry.Revision, entry.Revision, storer.Entry{}
+	w.headVersion, w.fetchedVersion, w.pendingHead = entry.Version(), entry.Version(), storer.Entry{}
 	return nil
 }
 
--- a/internal/controlling/watcher/watcher_test.go
+++ b/internal/controlling/watcher/watcher_test.go
@@ -57,7 +57,7 @@
 	return s.current.Load().Get(ctx, key)
 }
 
-func (s *replaceableStore) Watch(ctx context.Context, key string, after uint64) (storer.Entry, error) {
+func (s *replaceableStore) Watch(ctx context.Context, key string, after storer.Version) (storer.Entry, error) {
 	if s.endWatches.Load() {
 		return storer.Entry{}, storer.ErrNotChanged
 	}
@@ -134,7 +134,7 @@
 	data, err := json.Marshal(value)
 	n.is.NoErr(err)
 	entry, _ := n.service.Get(ctx, key)
-	_, err = n.service.Put(ctx, key, data, storer.PutOptions{IfRevision: entry.Revision})
+	_, err = n.service.Put(ctx, key, data, storer.PutOptions{IfVersion: entry.Version()})
 	n.is.NoErr(err)
 }
 
@@ -165,7 +165,7 @@
 	case "delete_head":
 		entry, err := n.service.Get(ctx, publisher.HeadKey("demo"))
 		n.is.NoErr(err)
-		n.is.NoErr(n.service.Delete(ctx, entry.Key, entry.Revision))
+		n.is.NoErr(n.service.Delete(ctx, entry.Key, entry.Version()))
 	default:
 		return n.checkStep(s)
 	}
--- a/internal/membership/announcer/announcer.go
+++ b/internal/membership/announcer/announcer.go
@@ -121,7 +121,7 @@
 	if err != nil && !errors.Is(err, storer.ErrNotFound) {
 		return err
 	}
-	_, err = a.cfg.Store.Put(ctx, a.cfg.Key, value, storer.PutOptions{IfRevision: existing.Revision, LeaseID: lease})
+	_, err = a.cfg.Store.Put(ctx, a.cfg.Key, value, storer.PutOptions{IfVersion: existing.Version(), LeaseID: lease})
 	return err
 }
 
--- a/internal/membership/follower/follower.go
+++ b/internal/membership/follower/follower.go
@@ -22,15 +22,15 @@
 
 // Sink receives the entries and changes that a Follower reads.
 type Sink interface {
-	// Replace is called with a snapshot: all entries of a prefix as of a revision.
-	Replace(now time.Time, prefix string, entries []storer.Entry, revision uint64)
-	// Apply is called with the changes up to a revision. The list is empty if
+	// Replace is called with a snapshot: all entries of a prefix as of a version.
+	Replace(now time.Time, prefix string, entries []storer.Entry, version storer.Version)
+	// Apply is called with the changes up to a version. The list is empty if
 	// nothing changed until the watch timed out.
-	Apply(now time.Time, prefix string, changes []storer.Change, revision uint64)
+	Apply(now time.Time, prefix string, changes []storer.Change, version storer.Version)
 	// HandleError is called when a call to the store fails.
 	HandleError(now time.Time, prefix string, err error)
-	// Revision returns the revision up to which the sink has the entries of a prefix.
-	Revision(prefix string) uint64
+	// Version returns the version up to which the sink has the entries of a prefix.
+	Version(prefix string) storer.Version
 }
 
 // Config holds the dependencies and settings of a Follower.
@@ -76,28 +76,30 @@
 func (f *Follower) Run(ctx context.Context) {
 	backoff := minBackoff
 	for ctx.Err() == nil {
-		entries, revision, err := f.cfg.Feed.Snapshot(ctx, f.cfg.Prefix)
+		entries, version, err := f.cfg.Feed.Snapshot(ctx, f.cfg.Prefix)
 		if err != nil {
 			f.handleError(ctx, err, &backoff)
 			continue
 		}
 		backoff = minBackoff
-		f.cfg.Sink.Replace(time.Now(), f.cfg.Prefix, entries, revision)
-		f.watch(ctx, revision)
+		f.cfg.Sink.Replace(time.Now(), f.cfg.Prefix, entries, version)
+		f.watch(ctx, version)
 	}
 }
 
-// watch passes changes after revision to the sink. It returns when ctx is done
+// watch passes changes after version to the sink. It returns when ctx is done
 // or the store no longer has the history, so that a new snapshot is needed.
-func (f *Follower) watch(ctx context.Context, revision uint64) {
+func (f *Follower) watch(ctx context.Context, version storer.Version) {
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		if f.waitWhileSupplied(ctx) {
-			revision = max(revision, f.cfg.Sink.Revision(f.cfg.Prefix))
+			if supplied := f.cfg.Sink.Version(f.cfg.Prefix); supplied.After(version) {
+				version = supplied
+			}
 			backoff = minBackoff
 		}
 		pace := f.cfg.pace()
-		changes, next, err := f.cfg.Feed.Changes(ctx, f.cfg.Prefix, revision, pace.Wait)
+		changes, next, err := f.cfg.Feed.Changes(ctx, f.cfg.Prefix, version, pace.Wait)
 		if errors.Is(err, storer.ErrHistoryGone) {
 			return
 		}
@@ -106,8 +108,8 @@
 			continue
 		}
 		backoff = minBackoff
-		revision = next
-		f.cfg.Sink.Apply(time.Now(), f.cfg.Prefix, changes, revision)
+		version = next
+		f.cfg.Sink.Apply(time.Now(), f.cfg.Prefix, changes, version)
 		if len(changes) > 0 {
 			pauser.Pause(ctx, pace.CoalesceInterval)
 		}
--- a/internal/membership/follower/follower_test.go
+++ b/internal/membership/follower/follower_test.go
@@ -25,21 +25,21 @@
 	changes     []storer.Change
 	snapshots   int
 	watches     int
-	// after is the revision that the last call of Changes continued from.
-	after uint64
+	// after is the version that the last call of Changes continued from.
+	after storer.Version
 }
 
-func (f *feed) Snapshot(context.Context, string) ([]storer.Entry, uint64, error) {
+func (f *feed) Snapshot(context.Context, string) ([]storer.Entry, storer.Version, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.snapshots++
 	if f.unavailable {
-		return nil, 0, errUnavailable
+		return nil, storer.Version{}, errUnavailable
 	}
-	return f.entries, 10, nil
+	return f.entries, storer.Version{Revision: 10}, nil
 }
 
-func (f *feed) Changes(ctx context.Context, _ string, after uint64, wait time.Duration) ([]storer.Change, uint64, error) {
+func (f *feed) Changes(ctx context.Context, _ string, after storer.Version, wait time.Duration) ([]storer.Change, storer.Version, error) {
 	f.mu.Lock()
 	f.watches++
 	f.after = after
@@ -48,16 +48,16 @@
 	f.mu.Unlock()
 	switch {
 	case unavailable:
-		return nil, 0, errUnavailable
+		return nil, storer.Version{}, errUnavailable
 	case historyGone:
-		return nil, 0, storer.ErrHistoryGone
+		return nil, storer.Version{}, storer.ErrHistoryGone
 	case len(changes) > 0:
-		return changes, changes[len(changes)-1].Revision, nil
+		return changes, changes[len(changes)-1].Version(), nil
 	}
 	select {
 	case <-time.After(wait):
 	case <-ctx.Done():
-		return nil, 0, ctx.Err()
+		return nil, storer.Version{}, ctx.Err()
 	}
 	return nil, after, nil
 }
@@ -70,26 +70,26 @@
 
 // sink counts the calls and records the changes that it receives.
 type sink struct {
-	mu        sync.Mutex
-	replaced  int
-	applied   []storer.Change
-	revisions []uint64
-	failures  int
-	// revision is the revision up to which the sink has the entries.
-	revision uint64
+	mu       sync.Mutex
+	replaced int
+	applied  []storer.Change
+	versions []storer.Version
+	failures int
+	// version is the version up to which the sink has the entries.
+	version storer.Version
 }
 
-func (s *sink) Replace(time.Time, string, []storer.Entry, uint64) {
+func (s *sink) Replace(time.Time, string, []storer.Entry, storer.Version) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.replaced++
 }
 
-func (s *sink) Apply(_ time.Time, _ string, changes []storer.Change, revision uint64) {
+func (s *sink) Apply(_ time.Time, _ string, changes []storer.Change, version storer.Version) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.applied = append(s.applied, changes...)
-	s.revisions = append(s.revisions, revision)
+	s.versions = append(s.versions, version)
 }
 
 func (s *sink) HandleError(time.Time, string, error) {
@@ -98,10 +98,10 @@
 	s.failures++
 }
 
-func (s *sink) Revision(string) uint64 {
+func (s *sink) Version(string) storer.Version {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.revision
+	return s.version
 }
 
 // counts returns the number of snapshots, changes and errors received so far.
@@ -185,7 +185,7 @@
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f, s := &feed{}, &sink{revision: 25}
+		f, s := &feed{}, &sink{version: storer.Version{Revision: 25}}
 		ctx, cancel := context.WithCancel(t.Context())
 		var mu sync.Mutex
 		until := time.Now().Add(10 * time.Second)
@@ -201,7 +201,7 @@
 		time.Sleep(2 * time.Second)
 		_, watches = f.calls()
 		is.True(watches > 0)
-		f.set(func(f *feed) { is.Equal(f.after, uint64(25)) })
+		f.set(func(f *feed) { is.Equal(f.after, storer.Version{Revision: 25}) })
 		mu.Lock()
 		until = time.Now().Add(time.Minute)
 		mu.Unlock()
--- a/internal/membership/informer/informer.go
+++ b/internal/membership/informer/informer.go
@@ -32,7 +32,9 @@
 	// InitialWeightsAge is the assumed age, at Started, of desired versions that
 	// were set before the first snapshot; the store does not tell their real age.
 	InitialWeightsAge time.Duration
-	Log               *logrus.Entry
+	// OnRestore, if not nil, is called for each prefix in which an era of the store starts.
+	OnRestore func(prefix string)
+	Log       *logrus.Entry
 }
 
 // Weights is a desired version of a model's weights.
@@ -142,79 +144,95 @@
 }
 
 // Replace implements follower.Sink.
-func (i *Informer) Replace(now time.Time, prefix string, entries []storer.Entry, revision uint64) {
+func (i *Informer) Replace(now time.Time, prefix string, entries []storer.Entry, version storer.Version) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.recordResponse(now, prefix)
-	i.applyChanges(now, prefix, i.replicas[prefix].replace(entries, revision))
+	i.update(now, prefix, version, func(r *replica) []storer.Change { return r.replace(entries, version) })
 	i.snapshots[prefix]++
 	i.announceChange()
 }
 
 // Apply implements follower.Sink.
-func (i *Informer) Apply(now time.Time, prefix string, changes []storer.Change, revision uint64) {
+func (i *Informer) Apply(now time.Time, prefix string, changes []storer.Change, version storer.Version) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.recordResponse(now, prefix)
-	i.applyChanges(now, prefix, i.replicas[prefix].apply(changes, revision))
+	i.update(now, prefix, version, func(r *replica) []storer.Change { return r.apply(changes, version) })
 	if len(changes) > 0 {
 		i.announceChange()
 	}
 }
 
-// NewerReplicas returns the replicas whose revision is above the given one of
-// their prefix.
-func (i *Informer) NewerReplicas(revisions map[string]uint64) []Replica {
+// update brings the replica of a prefix to a version by change, updates the state that
+// is derived from it and returns the changes. The caller must hold i.mu.
+func (i *Informer) update(now time.Time, prefix string, version storer.Version, change func(*replica) []storer.Change) []storer.Change {
+	r := i.replicas[prefix]
+	before, startsEra, restoredUpTo := r.version, r.startsEra(version), r.restoredUpTo(version)
+	i.enterEra(now, prefix, version)
+	changes := change(r)
+	if startsEra {
+		i.recordEra(prefix, before, version, changes)
+	}
+	i.applyChanges(now, prefix, changes, restoredUpTo)
+	return changes
+}
+
+// NewerReplicas returns the replicas whose version is after the given one of their
+// prefix.
+func (i *Informer) NewerReplicas(versions Versions) []Replica {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	var newer []Replica
 	for _, prefix := range i.prefixes() {
 		r := i.replicas[prefix]
-		if r.revision > revisions[prefix] {
+		if r.version.After(versions[prefix]) {
 			newer = append(newer, r.snapshot(prefix))
 		}
 	}
 	return newer
 }
 
-// Revisions returns the revision of each prefix's replica.
-func (i *Informer) Revisions() map[string]uint64 {
+// Versions returns the version of each prefix's replica.
+func (i *Informer) Versions() Versions {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	revisions := make(map[string]uint64)
+	versions := make(Versions)
 	for prefix, r := range i.replicas {
-		revisions[prefix] = r.revision
+		versions[prefix] = r.version
 	}
-	return revisions
+	return versions
 }
 
-// ApplyReplica applies a replica received from another VM if its revision is
-// above that of the local replica.
+// ApplyReplica applies a replica received from another VM if its version is
+// after that of the local replica.
 func (i *Informer) ApplyReplica(now time.Time, offered Replica) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	r, ok := i.replicas[offered.Prefix]
-	if !ok || offered.Revision <= r.revision {
+	if !ok || !offered.Version().After(r.version) {
 		return
 	}
-	changes := r.replace(offered.Entries, offered.Revision)
+	changes := i.update(now, offered.Prefix, offered.Version(), func(r *replica) []storer.Change {
+		return r.replace(offered.Entries, offered.Version())
+	})
 	if len(changes) > 0 {
 		i.logEvent("peer_news").WithFields(logrus.Fields{
 			"prefix":      offered.Prefix,
+			fieldEra:      offered.Era,
 			fieldRevision: offered.Revision,
 			"changes":     len(changes),
 		}).Info("applied a newer replica from another VM")
 	}
-	i.applyChanges(now, offered.Prefix, changes)
 	i.snapshots[offered.Prefix]++
 	i.announceChange()
 }
 
-// Revision returns the revision of a prefix's replica.
-func (i *Informer) Revision(prefix string) uint64 {
+// Version returns the version of a prefix's replica.
+func (i *Informer) Version(prefix string) storer.Version {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.replicas[prefix].revision
+	return i.replicas[prefix].version
 }
 
 // Changed returns a channel that is closed at the next change of a replica.
--- a/internal/membership/informer/informer_test.go
+++ b/internal/membership/informer/informer_test.go
@@ -264,17 +264,17 @@
 	entry := func(revision uint64) storer.Entry {
 		return storer.Entry{Key: "op/config", Value: make([]byte, 300_000), Revision: revision}
 	}
-	source.Replace(now, platform.OperatorPrefix, []storer.Entry{entry(1)}, 1)
+	source.Replace(now, platform.OperatorPrefix, []storer.Entry{entry(1)}, storer.Version{Revision: 1})
 	updates, position := source.Updates(now, nil, nil)
 	behind.ApplyUpdate(now, updates[0])
 	for revision := uint64(2); revision <= 20; revision++ {
-		source.Apply(now, platform.OperatorPrefix, []storer.Change{{Entry: entry(revision)}}, revision)
+		source.Apply(now, platform.OperatorPrefix, []storer.Change{{Entry: entry(revision)}}, storer.Version{Revision: revision})
 	}
-	updates, position = source.Updates(now, position, behind.Revisions())
+	updates, position = source.Updates(now, position, behind.Versions())
 	is.Equal(len(updates), 1)
 	is.Equal(len(updates[0].Changes), 1)
 	behind.ApplyUpdate(now, updates[0])
-	is.Equal(behind.Revision(platform.OperatorPrefix), uint64(20))
+	is.Equal(behind.Version(platform.OperatorPrefix), storer.Version{Revision: 20})
 	updates, _ = source.Updates(now, position, nil)
 	is.Equal(len(updates[0].Changes), 0)
 	is.True(!updates[0].Complete)
--- a/internal/membership/informer/replica.go
+++ b/internal/membership/informer/replica.go
@@ -1,45 +1,50 @@
 package informer
 
 import (
+	"bytes"
+
 	"gentianstep.example/gentianstep/internal/platform/storer"
 )
 
-// Replica is a copy of all entries under a prefix at a revision.
+// Replica is a copy of all entries under a prefix at a version.
 type Replica struct {
 	Prefix   string         `cbor:"1,keyasint"`
 	Revision uint64         `cbor:"2,keyasint"`
 	Entries  []storer.Entry `cbor:"3,keyasint"`
+	Era      uint64         `cbor:"4,keyasint,omitempty"`
 }
 
+// Version returns the version of the store that the replica is a copy of.
+func (r Replica) Version() storer.Version { return storer.Version{Era: r.Era, Revision: r.Revision} }
+
 // replica is the mutable form of a Replica. It is not safe for concurrent use.
 type replica struct {
-	revision uint64
-	entries  map[string]storer.Entry
-	log      changeLog
+	version storer.Version
+	entries map[string]storer.Entry
+	log     changeLog
 }
 
 func newReplica() *replica { return &replica{entries: make(map[string]storer.Entry)} }
 
-// replace applies a snapshot and returns the resulting changes. A snapshot with a
-// lower revision than the replica's is ignored.
-func (r *replica) replace(entries []storer.Entry, revision uint64) []storer.Change {
-	if revision < r.revision {
+// replace applies a snapshot and returns the resulting changes. A snapshot of an older
+// version than the replica's is ignored.
+func (r *replica) replace(entries []storer.Entry, version storer.Version) []storer.Change {
+	if r.version.After(version) {
 		return nil
 	}
-	r.revision = revision
+	r.version = version
 	listed := make(map[string]bool, len(entries))
 	var changes []storer.Change
 	for _, e := range entries {
 		listed[e.Key] = true
-		if e.Revision > r.entries[e.Key].Revision {
-			r.entries[e.Key] = e
+		if r.put(e) {
 			changes = append(changes, storer.Change{Entry: e})
 		}
 	}
 	for key := range r.entries {
 		if !listed[key] {
 			delete(r.entries, key)
-			changes = append(changes, storer.Change{Entry: storer.Entry{Key: key, Revision: revision}, Removed: true})
+			changes = append(changes, removal(key, version))
 		}
 	}
 	r.log.add(changes)
@@ -47,27 +52,47 @@
 }
 
 // apply applies changes in order and returns those that were not applied before.
-func (r *replica) apply(changes []storer.Change, revision uint64) []storer.Change {
-	var applied []storer.Change
+func (r *replica) apply(changes []storer.Change, version storer.Version) []storer.Change {
+	applied := make([]storer.Change, 0, len(changes))
 	for _, c := range changes {
 		known, ok := r.entries[c.Key]
-		if ok && c.Revision <= known.Revision || !ok && c.Removed {
+		switch {
+		case c.Era < r.version.Era:
 			continue
-		}
-		if c.Removed {
+		case !c.Removed && !r.put(c.Entry):
+			continue
+		case c.Removed && (!ok || !c.Version().After(known.Version())):
+			continue
+		case c.Removed:
 			delete(r.entries, c.Key)
-		} else {
-			r.entries[c.Key] = c.Entry
 		}
 		applied = append(applied, c)
 	}
-	r.revision = max(r.revision, revision)
+	if version.After(r.version) {
+		r.version = version
+	}
 	r.log.add(applied)
 	return applied
 }
 
+// put stores an entry that is newer than the known one and reports whether it differs
+// from it. Entries that a restored copy of the store has unchanged do not differ.
+func (r *replica) put(e storer.Entry) bool {
+	known, ok := r.entries[e.Key]
+	if ok && !e.Version().After(known.Version()) {
+		return false
+	}
+	r.entries[e.Key] = e
+	return !ok || known.Era == e.Era || !bytes.Equal(known.Value, e.Value) || known.LeaseID != e.LeaseID
+}
+
+// removal returns the removal of a key at a version.
+func removal(key string, version storer.Version) storer.Change {
+	return storer.Change{Entry: storer.Entry{Key: key, Era: version.Era, Revision: version.Revision}, Removed: true}
+}
+
 func (r *replica) snapshot(prefix string) Replica {
-	s := Replica{Prefix: prefix, Revision: r.revision, Entries: make([]storer.Entry, 0, len(r.entries))}
+	s := Replica{Prefix: prefix, Era: r.version.Era, Revision: r.version.Revision, Entries: make([]storer.Entry, 0, len(r.entries))}
 	for _, e := range r.entries {
 		s.Entries = append(s.Entries, e)
 	}
--- a/internal/membership/informer/take.go
+++ b/internal/membership/informer/take.go
@@ -11,12 +11,13 @@
 )
 
 // applyChanges updates the state that is derived from the changed entries.
-// Removing the configuration or the desired weights has no effect.
-func (i *Informer) applyChanges(now time.Time, prefix string, changes []storer.Change) {
+// Removing the configuration or the desired weights has no effect. Entries up to the
+// revision restoredUpTo may be older than the known ones, see replica.restoredUpTo.
+func (i *Informer) applyChanges(now time.Time, prefix string, changes []storer.Change, restoredUpTo uint64) {
 	for _, c := range changes {
 		switch {
 		case prefix == i.cfg.UpstreamPrefix:
-			i.applyUpstream(now, c)
+			i.applyUpstream(now, c, c.Revision <= restoredUpTo)
 		case i.cfg.Codec.IsConfiguration(c.Key) && !c.Removed:
 			i.applyConfiguration(c)
 		case i.cfg.Codec.IsWeights(c.Key) && !c.Removed:
@@ -26,8 +27,8 @@
 }
 
 // applyUpstream registers or removes an upstream. An entry that cannot be
-// decoded removes it.
-func (i *Informer) applyUpstream(now time.Time, c storer.Change) {
+// decoded removes it. What is known of an upstream goes before a restored entry.
+func (i *Informer) applyUpstream(now time.Time, c storer.Change, restored bool) {
 	id := i.cfg.Codec.UpstreamID(c.Key)
 	if c.Removed {
 		i.logUpstreamEvents(i.registrar.Remove(now, id))
@@ -42,6 +43,10 @@
 		i.logUpstreamEvents(i.registrar.Remove(now, id))
 		return
 	}
+	if restored {
+		i.logUpstreamEvents(i.registrar.PutRestored(u))
+		return
+	}
 	i.logUpstreamEvents(i.registrar.Put(u))
 }
 
--- a/internal/membership/informer/update.go
+++ b/internal/membership/informer/update.go
@@ -15,7 +15,7 @@
 	// removes the others.
 	Complete bool     `cbor:"3,keyasint,omitempty"`
 	Keys     []string `cbor:"4,keyasint,omitempty"`
-	// Changes are in order of their revisions.
+	// Changes are in order of their versions.
 	Changes []storer.Change `cbor:"5,keyasint,omitempty"`
 	// AgeMillis is the time in milliseconds since the store last confirmed the
 	// replica.
@@ -23,8 +23,13 @@
 	// RecoveredMillis is the time in milliseconds since the store became available
 	// again after an outage, or 0 if there was none.
 	RecoveredMillis int64 `cbor:"7,keyasint,omitempty"`
+	// Era is the era of Revision. VMs of builds that know no eras send none.
+	Era uint64 `cbor:"8,keyasint,omitempty"`
 }
 
+// Version returns the version to which the update brings a replica.
+func (u Update) Version() storer.Version { return storer.Version{Era: u.Era, Revision: u.Revision} }
+
 // Check returns an error for an update that no VM sends.
 func (u Update) Check() error {
 	if u.Prefix == "" {
@@ -37,12 +42,19 @@
 }
 
 // Position is how far another VM has been sent the changes of each prefix.
-type Position map[string]uint64
+type Position map[string]sentChanges
+
+// sentChanges is the position in a change log up to which changes were sent, and the era
+// of the replica at that time.
+type sentChanges struct {
+	position uint64
+	era      uint64
+}
 
 // Updates returns what a VM lacks that has been sent the changes up to a position, or,
-// if the position lacks a prefix, that holds replicas of the given revisions. It returns
+// if the position lacks a prefix, that holds replicas of the given versions. It returns
 // an update of each prefix, also without changes, and the next position.
-func (i *Informer) Updates(now time.Time, sent Position, revisions map[string]uint64) ([]Update, Position) {
+func (i *Informer) Updates(now time.Time, sent Position, versions Versions) ([]Update, Position) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	updates, next := make([]Update, 0, len(i.replicas)), make(Position, len(i.replicas))
@@ -51,20 +63,23 @@
 		if i.snapshots[prefix] == 0 {
 			continue
 		}
-		update := Update{Prefix: prefix, Revision: r.revision, AgeMillis: i.age(now, prefix).Milliseconds()}
+		update := Update{Prefix: prefix, Era: r.version.Era, Revision: r.version.Revision, AgeMillis: i.age(now, prefix).Milliseconds()}
 		if at := i.recoveredAt[prefix]; !at.IsZero() {
 			update.RecoveredMillis = max(now.Sub(at).Milliseconds(), 1)
 		}
-		position, known := sent[prefix]
-		changes, logged := r.log.since(position)
+		last, known := sent[prefix]
+		changes, logged := r.log.since(last.position)
 		switch {
-		case known && logged:
+		case known && logged && last.era == r.version.Era:
 			update.Changes = changes
-		case !known && r.revision <= revisions[prefix]:
+		case known && logged:
+			// The receiver may have changes that the new era lacks.
+			update.Complete, update.Keys, update.Changes = true, r.keys(), changes
+		case !known && !r.version.After(versions[prefix]):
 		default:
-			update.Complete, update.Keys, update.Changes = true, r.keys(), r.newerThan(revisions[prefix])
+			update.Complete, update.Keys, update.Changes = true, r.keys(), r.newerThan(versions[prefix])
 		}
-		updates, next[prefix] = append(updates, update), r.log.end()
+		updates, next[prefix] = append(updates, update), sentChanges{r.log.end(), r.version.Era}
 	}
 	return updates, next
 }
@@ -79,41 +94,47 @@
 	return max(now.Sub(i.lastResponseAt[prefix]), 0)
 }
 
-// ApplyUpdate applies an update that another VM has sent.
-func (i *Informer) ApplyUpdate(now time.Time, u Update) {
+// ApplyUpdate applies an update that another VM has sent. It returns false if the update
+// does not bring this VM up to date, because it is of an era that has ended or lacks the
+// start of a later one.
+func (i *Informer) ApplyUpdate(now time.Time, u Update) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	r, ok := i.replicas[u.Prefix]
 	if !ok {
-		return
+		return true // a prefix of a later build
+	}
+	version := u.Version()
+	if version.Era < r.version.Era || r.startsEra(version) && !u.Complete {
+		return false
 	}
 	if u.RecoveredMillis > 0 {
 		i.recordRecovery(u.Prefix, now.Add(-time.Duration(u.RecoveredMillis)*time.Millisecond))
 	}
-	if confirmedAt := now.Add(-time.Duration(u.AgeMillis) * time.Millisecond); confirmedAt.After(i.lastResponseAt[u.Prefix]) && u.Revision >= r.revision {
+	if confirmedAt := now.Add(-time.Duration(u.AgeMillis) * time.Millisecond); confirmedAt.After(i.lastResponseAt[u.Prefix]) && !r.version.After(version) {
 		i.lastResponseAt[u.Prefix] = confirmedAt
 	}
-	if u.Revision <= r.revision && i.snapshots[u.Prefix] > 0 {
-		return
+	if !version.After(r.version) && i.snapshots[u.Prefix] > 0 {
+		return true
 	}
-	changes := u.Changes
+	startsEra, changes := r.startsEra(version), newer(u.Changes, r.version)
 	if u.Complete {
-		changes = append(changes, r.missingFrom(u.Keys, u.Revision)...)
+		changes = append(changes, r.missingFrom(u.Keys, version)...)
 		i.snapshots[u.Prefix]++
 	}
-	applied := r.apply(newer(changes, r.revision), u.Revision)
-	i.applyChanges(now, u.Prefix, applied)
-	if len(applied) > 0 {
+	applied := i.update(now, u.Prefix, version, func(r *replica) []storer.Change { return r.apply(changes, version) })
+	if len(applied) > 0 || startsEra {
 		i.announceChange()
 	}
+	return true
 }
 
-// newer returns the changes above a revision. Those up to it are part of the replica
-// that has this revision, and may have been superseded.
-func newer(changes []storer.Change, revision uint64) []storer.Change {
+// newer returns the changes after a version. Those up to it are part of the replica
+// that has this version, and may have been superseded.
+func newer(changes []storer.Change, version storer.Version) []storer.Change {
 	var kept []storer.Change
 	for _, c := range changes {
-		if c.Revision > revision {
+		if c.Version().After(version) {
 			kept = append(kept, c)
 		}
 	}
@@ -129,20 +150,20 @@
 	return keys
 }
 
-// newerThan returns the entries above a revision as changes.
-func (r *replica) newerThan(revision uint64) []storer.Change {
+// newerThan returns the entries after a version as changes.
+func (r *replica) newerThan(version storer.Version) []storer.Change {
 	var changes []storer.Change
 	for _, e := range r.entries {
-		if e.Revision > revision {
+		if e.Version().After(version) {
 			changes = append(changes, storer.Change{Entry: e})
 		}
 	}
 	return changes
 }
 
-// missingFrom returns the removal, at a revision, of each entry whose key is not
+// missingFrom returns the removal, at a version, of each entry whose key is not
 // listed.
-func (r *replica) missingFrom(keys []string, revision uint64) []storer.Change {
+func (r *replica) missingFrom(keys []string, version storer.Version) []storer.Change {
 	listed := make(map[string]bool, len(keys))
 	for _, key := range keys {
 		listed[key] = true
@@ -150,7 +171,7 @@
 	var removals []storer.Change
 	for key := range r.entries {
 		if !listed[key] {
-			removals = append(removals, storer.Change{Entry: storer.Entry{Key: key, Revision: revision}, Removed: true})
+			removals = append(removals, removal(key, version))
 		}
 	}
 	return removals
--- a/internal/membership/registrar/registrar.go
+++ b/internal/membership/registrar/registrar.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
 // recoveryGrace is how long after the store's recovery a missing entry does not
@@ -12,6 +14,9 @@
 // outage register again within about two seconds.
 const recoveryGrace = 2 * time.Second
 
+// maxGone bounds the removed upstreams that are remembered.
+const maxGone = 1024
+
 // EventType is a kind of change of an upstream. Its values are logged.
 type EventType string
 
@@ -45,6 +50,8 @@
 // concurrent use.
 type Registrar struct {
 	records map[string]*record
+	// gone holds the last state of upstreams that were removed.
+	gone *simplelru.LRU[string, *Upstream]
 	// graceUntil is the end of the grace period after the store's recovery, in
 	// which live upstreams may still have to register again.
 	graceUntil time.Time
@@ -54,7 +61,11 @@
 
 // New returns an empty Registrar.
 func New() *Registrar {
-	return &Registrar{records: make(map[string]*record), byService: make(map[string][]*Upstream)}
+	gone, err := simplelru.NewLRU[string, *Upstream](maxGone, nil)
+	if err != nil {
+		panic(err) // the size is positive
+	}
+	return &Registrar{records: make(map[string]*record), gone: gone, byService: make(map[string][]*Upstream)}
 }
 
 // HandleStoreRecovery starts the grace period for missing entries. During the
@@ -70,6 +81,20 @@
 	return events
 }
 
+// PutRestored is Put for an entry that the store restored from a copy which is older than
+// what is known. The entry shows neither that a process which left is back nor how a known
+// one is now, only that processes exist of which nothing later is known.
+func (r *Registrar) PutRestored(u *Upstream) []Event {
+	if rec, ok := r.records[u.ID]; ok && !u.follows(rec.upstream) {
+		rec.removeAt = time.Time{}
+		return nil
+	}
+	if gone, ok := r.gone.Get(u.ID); ok && !u.follows(gone) {
+		return nil
+	}
+	return r.Put(u)
+}
+
 // Remove handles the removal of an upstream's entry and returns the resulting
 // events.
 func (r *Registrar) Remove(now time.Time, id string) []Event {
@@ -84,7 +109,7 @@
 	var events []Event
 	for id, rec := range r.records {
 		if !rec.removeAt.IsZero() && !now.Before(rec.removeAt) {
-			delete(r.records, id)
+			r.remove(id, rec)
 			events = append(events, Event{Gone, rec.upstream})
 		}
 	}
@@ -133,13 +158,18 @@
 		return nil
 	}
 	if !now.Before(r.graceUntil) || rec.upstream.Leaving {
-		delete(r.records, id)
+		r.remove(id, rec)
 		return []Event{{Gone, rec.upstream}}
 	}
 	rec.removeAt = r.graceUntil
 	return []Event{{Missing, rec.upstream}}
 }
 
+func (r *Registrar) remove(id string, rec *record) {
+	delete(r.records, id)
+	r.gone.Add(id, rec.upstream)
+}
+
 // rebuildIndex builds new lists of the usable upstreams of each service. The old
 // lists are not modified because callers of Usable may still read them.
 func (r *Registrar) rebuildIndex() {
--- a/internal/membership/registrar/registrar_test.go
+++ b/internal/membership/registrar/registrar_test.go
@@ -15,7 +15,9 @@
 // step is one call of the Registrar, or the state expected after the previous
 // steps.
 type step struct {
-	Put       string   `json:"put"`
+	Put string `json:"put"`
+	// Restored is true if the entry is one of a restored copy of the store.
+	Restored  bool     `json:"restored"`
 	Leaving   bool     `json:"leaving"`
 	StartedMS int64    `json:"started"`
 	Remove    string   `json:"remove"`
@@ -59,6 +61,8 @@
 	for _, s := range steps {
 		var events []registrar.Event
 		switch {
+		case s.Put != "" && s.Restored:
+			events = r.PutRestored(newUpstream(s, s.Put))
 		case s.Put != "":
 			events = r.Put(newUpstream(s, s.Put))
 		case s.Remove != "":
--- a/internal/membership/registrar/upstream.go
+++ b/internal/membership/registrar/upstream.go
@@ -33,3 +33,9 @@
 func (u *Upstream) SameProcess(other *Upstream) bool {
 	return u.Address == other.Address && u.StartedAt.Equal(other.StartedAt)
 }
+
+// follows reports whether the entry is of another process than an earlier known one, and
+// not of one that started before it.
+func (u *Upstream) follows(known *Upstream) bool {
+	return !u.SameProcess(known) && !u.StartedAt.Before(known.StartedAt)
+}
--- a/internal/operating/meter/name.go
+++ b/internal/operating/meter/name.go
@@ -20,6 +20,7 @@
 	Stopping           Name = "gentianstep_stopping"
 	Goroutines         Name = "gentianstep_goroutines"
 	HeapBytes          Name = "gentianstep_heap_bytes"
+	StoreRestores      Name = "gentianstep_store_restores_total"
 )
 
 // metricType is the Prometheus type of a metric.
@@ -54,6 +55,7 @@
 	Stopping:           {gauge, "1 while the process shuts down, else 0.", ""},
 	Goroutines:         {gauge, "Goroutines of the process.", ""},
 	HeapBytes:          {gauge, "Bytes of live and unswept heap.", ""},
+	StoreRestores:      {counter, "Restores of the platform's store from an older copy that this VM has learned of, by prefix of keys.", "prefix"},
 }
 
 // Names returns the names of all metrics in no particular order.
--- a/internal/operating/starter/gateway.go
+++ b/internal/operating/starter/gateway.go
@@ -132,6 +132,7 @@
 		VMPrefix:          systemPrefix,
 		Started:           time.Now(),
 		InitialWeightsAge: settings.Bounds.WeightsApply / 2,
+		OnRestore:         func(prefix string) { g.meter.Count(meter.StoreRestores, prefix, 1) },
 		Log:               log,
 	})
 	g.vms = &vmDirectory{informer: g.informer, log: log}
--- a/internal/peering/exchanger/exchanger.go
+++ b/internal/peering/exchanger/exchanger.go
@@ -34,12 +34,14 @@
 	maxMessageBytes = 8 << 20
 )
 
-// Request holds the revisions of the sender's replicas, by prefix.
+// Request holds the versions of the sender's replicas, by prefix.
 type Request struct {
 	Revisions map[string]uint64 `cbor:"1,keyasint"`
+	// Eras holds the eras of Revisions that are above 0.
+	Eras map[string]uint64 `cbor:"2,keyasint,omitempty"`
 }
 
-// Response holds the replicas that are newer than the requested revisions.
+// Response holds the replicas that are newer than the requested versions.
 type Response struct {
 	Replicas []informer.Replica `cbor:"1,keyasint"`
 }
@@ -48,10 +50,10 @@
 type Replicas interface {
 	// StoreUnresponsiveSince reports whether the store has not responded for a prefix since a time.
 	StoreUnresponsiveSince(since time.Time) bool
-	// Revisions returns the revision of each replica.
-	Revisions() map[string]uint64
-	// NewerReplicas returns the replicas that are newer than the given revisions.
-	NewerReplicas(revisions map[string]uint64) []informer.Replica
+	// Versions returns the version of each replica.
+	Versions() informer.Versions
+	// NewerReplicas returns the replicas that are newer than the given versions.
+	NewerReplicas(versions informer.Versions) []informer.Replica
 	// ApplyReplica applies a replica of another VM if it is newer.
 	ApplyReplica(now time.Time, r informer.Replica)
 }
@@ -114,7 +116,8 @@
 		return Response{}, fmt.Errorf("dial peer: %w", err)
 	}
 	defer func() { _ = ws.CloseNow() }()
-	if err := messenger.WriteValue(ctx, ws, Request{Revisions: e.cfg.Replicas.Revisions()}); err != nil {
+	revisions, eras := e.cfg.Replicas.Versions().Split()
+	if err := messenger.WriteValue(ctx, ws, Request{Revisions: revisions, Eras: eras}); err != nil {
 		return Response{}, err
 	}
 	var response Response
@@ -135,7 +138,8 @@
 	if err := messenger.ReadValue(ctx, ws, &request); err != nil {
 		return // the other VM has closed the connection
 	}
-	if err := messenger.WriteValue(ctx, ws, Response{Replicas: e.cfg.Replicas.NewerReplicas(request.Revisions)}); err != nil {
+	versions := informer.JoinVersions(request.Revisions, request.Eras)
+	if err := messenger.WriteValue(ctx, ws, Response{Replicas: e.cfg.Replicas.NewerReplicas(versions)}); err != nil {
 		return
 	}
 	_ = ws.Close(websocket.StatusNormalClosure, "")
--- a/internal/peering/relayer/client.go
+++ b/internal/peering/relayer/client.go
@@ -32,9 +32,10 @@
 
 // Sink takes the updates of a relay.
 type Sink interface {
-	ApplyUpdate(now time.Time, u informer.Update)
-	// Revisions returns the revision of each replica.
-	Revisions() map[string]uint64
+	// ApplyUpdate applies an update and reports whether it brings the sink up to date.
+	ApplyUpdate(now time.Time, u informer.Update) bool
+	// Versions returns the version of each replica.
+	Versions() informer.Versions
 }
 
 // ClientConfig configures a Client.
@@ -104,7 +105,8 @@
 		return fmt.Errorf("dial relay: %w", err)
 	}
 	defer func() { _ = ws.CloseNow() }()
-	if err := messenger.WriteValue(ctx, ws, Subscription{Node: c.cfg.Node, Revisions: c.cfg.Sink.Revisions()}); err != nil {
+	revisions, eras := c.cfg.Sink.Versions().Split()
+	if err := messenger.WriteValue(ctx, ws, Subscription{Node: c.cfg.Node, Revisions: revisions, Eras: eras}); err != nil {
 		return err
 	}
 	c.cfg.Log.WithFields(logrus.Fields{"event": "relay_found", "relay": relay.String()}).Info("connected to relay")
@@ -131,7 +133,10 @@
 func (c *Client) apply(now time.Time, news News) bool {
 	recent := len(news.Updates) > 0
 	for _, u := range news.Updates {
-		c.cfg.Sink.ApplyUpdate(now, u)
+		if !c.cfg.Sink.ApplyUpdate(now, u) {
+			recent = false
+			continue
+		}
 		until := now.Add(c.cfg.MaxAge(u.Prefix) - time.Duration(u.AgeMillis)*time.Millisecond)
 		recent = recent && until.After(now)
 		c.mu.Lock()
--- a/internal/peering/relayer/message.go
+++ b/internal/peering/relayer/message.go
@@ -22,6 +22,8 @@
 	Node string `cbor:"1,keyasint"`
 	// Revisions holds the revision of the sender's replica of each prefix.
 	Revisions map[string]uint64 `cbor:"2,keyasint"`
+	// Eras holds the eras of Revisions that are above 0.
+	Eras map[string]uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Check returns an error if the node is missing.
--- a/internal/peering/relayer/server.go
+++ b/internal/peering/relayer/server.go
@@ -19,8 +19,8 @@
 type Source interface {
 	// Updates returns an update of each prefix for a VM that has been sent the changes
 	// up to a position, and the next position. At first, the position is nil and the
-	// revisions are those of the VM's replicas.
-	Updates(now time.Time, sent informer.Position, revisions map[string]uint64) ([]informer.Update, informer.Position)
+	// versions are those of the VM's replicas.
+	Updates(now time.Time, sent informer.Position, versions informer.Versions) ([]informer.Update, informer.Position)
 	// Changed returns a channel that is closed at the next change.
 	Changed() <-chan struct{}
 }
@@ -64,11 +64,12 @@
 func (s *Server) send(ctx context.Context, ws *websocket.Conn, subscription Subscription) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	versions := informer.JoinVersions(subscription.Revisions, subscription.Eras)
 	var position informer.Position
 	for {
 		changed := s.cfg.Source.Changed()
 		news := News{}
-		news.Updates, position = s.cfg.Source.Updates(time.Now(), position, subscription.Revisions)
+		news.Updates, position = s.cfg.Source.Updates(time.Now(), position, versions)
 		if err := messenger.WriteValue(ctx, ws, news); err != nil {
 			return
 		}
--- a/internal/placement/leaser/leaser.go
+++ b/internal/placement/leaser/leaser.go
@@ -132,13 +132,13 @@
 	if err != nil {
 		return Lease{}, err
 	}
-	revision, err := l.createKey(ctx, value)
+	version, err := l.createKey(ctx, value)
 	if err != nil {
 		l.release(durations)
 		return Lease{}, err
 	}
 	return Lease{
-		Fencing:             revision,
+		Fencing:             version.Revision,
 		Deadline:            sentAt.Add(durations.TTL - durations.safetyMargin()),
 		deadlineSinceBoot:   deadlineSinceBoot,
 		PriorOrdersExpireAt: time.Now().Add(durations.TTL + durations.OrderTimeout),
@@ -148,16 +148,16 @@
 // createKey writes the lease key. If the write fails, it reads the key back:
 // the write succeeded and only its response was lost if the stored token
 // matches.
-func (l *Leaser) createKey(ctx context.Context, value []byte) (uint64, error) {
-	revision, putErr := l.cfg.Store.Put(ctx, l.cfg.Key, value, storer.PutOptions{LeaseID: l.leaseID})
+func (l *Leaser) createKey(ctx context.Context, value []byte) (storer.Version, error) {
+	version, putErr := l.cfg.Store.Put(ctx, l.cfg.Key, value, storer.PutOptions{LeaseID: l.leaseID})
 	if putErr == nil {
-		return revision, nil
+		return version, nil
 	}
 	entry, err := l.cfg.Store.Get(ctx, l.cfg.Key)
 	if err == nil && bytes.Equal(entry.Value, value) {
-		return entry.Revision, nil
+		return entry.Version(), nil
 	}
-	return 0, putErr
+	return storer.Version{}, putErr
 }
 
 // renewUntilLost renews the lease until it is lost, its deadline passes or ctx
--- a/internal/placement/leaser/leaser_test.go
+++ b/internal/placement/leaser/leaser_test.go
@@ -49,12 +49,12 @@
 	loseNextPut atomic.Bool
 }
 
-func (s *pausableStore) Put(ctx context.Context, key string, value []byte, opts storer.PutOptions) (uint64, error) {
-	revision, err := s.Store.Put(ctx, key, value, opts)
+func (s *pausableStore) Put(ctx context.Context, key string, value []byte, opts storer.PutOptions) (storer.Version, error) {
+	version, err := s.Store.Put(ctx, key, value, opts)
 	if err == nil && s.loseNextPut.CompareAndSwap(true, false) {
-		return 0, keeper.ErrResponseLost
+		return storer.Version{}, keeper.ErrResponseLost
 	}
-	return revision, err
+	return version, err
 }
 
 func (s *pausableStore) Renew(ctx context.Context, id uint64) (storer.Lease, error) {
--- a/internal/platform/dialer/dialer.go
+++ b/internal/platform/dialer/dialer.go
@@ -51,19 +51,19 @@
 }
 
 // Put implements storer.Store.
-func (d *Dialer) Put(ctx context.Context, key string, value []byte, opts storer.PutOptions) (uint64, error) {
+func (d *Dialer) Put(ctx context.Context, key string, value []byte, opts storer.PutOptions) (storer.Version, error) {
 	if len(value) > storer.MaxValueBytes {
-		return 0, storer.ErrTooLarge
+		return storer.Version{}, storer.ErrTooLarge
 	}
-	body := storer.PutRequest{Value: value, IfRevision: opts.IfRevision, LeaseID: opts.LeaseID}
+	body := storer.PutRequest{Value: value, IfRevision: opts.IfVersion.Revision, LeaseID: opts.LeaseID}
 	var response storer.PutResponse
 	err := d.requester.Call(ctx, http.MethodPut, storer.PathKeys+url.PathEscape(key), body, &response)
-	return response.Revision, err
+	return storer.Version{Revision: response.Revision}, err
 }
 
 // Delete implements storer.Store.
-func (d *Dialer) Delete(ctx context.Context, key string, ifRevision uint64) error {
-	path := storer.PathKeys + url.PathEscape(key) + "?if_revision=" + strconv.FormatUint(ifRevision, 10)
+func (d *Dialer) Delete(ctx context.Context, key string, ifVersion storer.Version) error {
+	path := storer.PathKeys + url.PathEscape(key) + "?if_revision=" + strconv.FormatUint(ifVersion.Revision, 10)
 	return d.requester.Call(ctx, http.MethodDelete, path, nil, nil)
 }
 
@@ -75,8 +75,8 @@
 }
 
 // Watch implements storer.Store.
-func (d *Dialer) Watch(ctx context.Context, key string, after uint64) (storer.Entry, error) {
-	path := storer.PathWatch + url.PathEscape(key) + "?after=" + strconv.FormatUint(after, 10)
+func (d *Dialer) Watch(ctx context.Context, key string, after storer.Version) (storer.Entry, error) {
+	path := storer.PathWatch + url.PathEscape(key) + "?after=" + strconv.FormatUint(after.Revision, 10)
 	var entry storer.Entry
 	err := d.requester.Call(ctx, http.MethodGet, path, nil, &entry)
 	return entry, err
--- a/internal/platform/requester/requester.go
+++ b/internal/platform/requester/requester.go
@@ -38,6 +38,12 @@
 // Call sends one request and decodes the response body into result unless result
 // is nil. A call that fails without a response may still have taken effect.
 func (r *Requester) Call(ctx context.Context, method, path string, body, result any) error {
+	return r.CallChecked(ctx, method, path, body, result, nil)
+}
+
+// CallChecked is Call with a check of the header of any response, whatever its status.
+// The error of the check is returned as the error of the call.
+func (r *Requester) CallChecked(ctx context.Context, method, path string, body, result any, check func(http.Header) error) error {
 	request, err := r.newRequest(ctx, method, path, body)
 	if err != nil {
 		return err
@@ -55,6 +61,11 @@
 	if err != nil {
 		return fmt.Errorf("read platform response: %w", err)
 	}
+	if check != nil {
+		if err := check(response.Header); err != nil {
+			return err
+		}
+	}
 	if err := r.cfg.StatusError(response.StatusCode); err != nil || result == nil {
 		return err
 	}
--- a/internal/platform/storer/feed.go
+++ b/internal/platform/storer/feed.go
@@ -15,14 +15,15 @@
 
 // Feed provides snapshots and changes of all keys of a prefix.
 type Feed interface {
-	// Snapshot returns the entries of a prefix and a revision from which Changes
-	// returns every later write. Entries may be newer than the revision.
-	Snapshot(ctx context.Context, prefix string) ([]Entry, uint64, error)
-	// Changes returns the writes above revision after and the revision to
-	// continue from. It blocks for up to wait until there is a write; having none
-	// by then is not an error. After ErrHistoryGone a new snapshot is required.
-	Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Change, uint64, error)
+	// Snapshot returns the entries of a prefix and a version from which Changes
+	// returns every later write. Entries may be newer than the version.
+	Snapshot(ctx context.Context, prefix string) ([]Entry, Version, error)
+	// Changes returns the writes after a version and the version to continue from. It
+	// blocks for up to wait until there is a write; having none by then is not an
+	// error. After ErrHistoryGone a new snapshot is required.
+	Changes(ctx context.Context, prefix string, after Version, wait time.Duration) ([]Change, Version, error)
 }
 
-// ErrHistoryGone reports a revision whose history the service has discarded.
+// ErrHistoryGone reports a version whose history the service does not have, because it
+// discarded it or started a new era.
 var ErrHistoryGone = errors.New("history is no longer available")
--- a/internal/platform/storer/store.go
+++ b/internal/platform/storer/store.go
@@ -13,23 +13,32 @@
 type Entry struct {
 	Key   string `json:"key"`
 	Value []byte `json:"value"`
-	// Revision increases with every write to the service and is never 0.
+	// Revision increases with every write to the service within an era, see Version,
+	// and is never 0.
 	Revision uint64 `json:"revision"`
 	// LeaseID is the lease that the entry is bound to, 0 if it has none.
 	LeaseID uint64 `json:"lease_id,omitempty"`
+	// Era is the era in which the entry was read.
+	Era uint64 `json:"era,omitempty"`
 }
 
+// Version returns the version of the store at which the entry was read.
+func (e Entry) Version() Version { return Version{Era: e.Era, Revision: e.Revision} }
+
 // Lease expires at its deadline unless it is renewed.
 type Lease struct {
 	ID       uint64    `json:"id"`
 	Deadline time.Time `json:"deadline"`
+	// Era is the era of the store in which the lease was granted or renewed. In a new era
+	// the ID may belong to another lease.
+	Era uint64 `json:"era,omitempty"`
 }
 
 // PutOptions are the options of a write.
 type PutOptions struct {
-	// IfRevision is the revision that the key must have; 0 requires that the key
-	// does not exist.
-	IfRevision uint64
+	// IfVersion is the version that the key must have. The zero Version requires that
+	// the key does not exist, in any era.
+	IfVersion Version
 	// LeaseID binds the key to a lease, whose end deletes it; 0 binds it to none.
 	LeaseID uint64
 }
@@ -38,15 +47,15 @@
 // declared below, a write may or may not have taken effect.
 type Store interface {
 	Get(ctx context.Context, key string) (Entry, error)
-	// Put writes the key by compare-and-swap and returns its new revision.
-	Put(ctx context.Context, key string, value []byte, opts PutOptions) (uint64, error)
-	// Delete deletes the key if it has that revision.
-	Delete(ctx context.Context, key string, ifRevision uint64) error
+	// Put writes the key by compare-and-swap and returns its new version.
+	Put(ctx context.Context, key string, value []byte, opts PutOptions) (Version, error)
+	// Delete deletes the key if it has that version.
+	Delete(ctx context.Context, key string, ifVersion Version) error
 	// List returns the entries whose keys start with prefix, sorted by key.
 	List(ctx context.Context, prefix string) ([]Entry, error)
-	// Watch blocks until the revision of the key is above after and returns the
+	// Watch blocks until the version of the key is after the given one and returns the
 	// entry, or ErrNotChanged if the service ends the wait first.
-	Watch(ctx context.Context, key string, after uint64) (Entry, error)
+	Watch(ctx context.Context, key string, after Version) (Entry, error)
 	// Grant creates a lease.
 	Grant(ctx context.Context, ttl time.Duration) (Lease, error)
 	// Renew extends the deadline of a lease.
@@ -86,6 +95,9 @@
 	ErrLeaseGone  = errors.New("lease has ended")
 	ErrNotChanged = errors.New("key has not changed")
 	ErrTooLarge   = errors.New("value is too large")
+	// ErrEraEnded reports a call that refers to a version of an era that has ended. If
+	// the era ended during the call, a write may have taken effect in either era.
+	ErrEraEnded = errors.New("era of the store has ended")
 	// ErrRateLimited reports a call that exceeded the rate limit and had no effect.
 	ErrRateLimited = errors.New("too many calls")
 )
--- a/internal/serving/claimer/claimer.go
+++ b/internal/serving/claimer/claimer.go
@@ -56,11 +56,11 @@
 	defer cancel()
 	own := Claim{Token: uuid.NewString(), Digest: digest, Deadline: now.Add(sendWindow)}
 	a := &claimAttempt{claimer: c, key: storeKey(organisation, key), own: own}
-	revision, err := a.create(ctx, now)
+	version, err := a.create(ctx, now)
 	if err != nil {
 		return nil, err
 	}
-	return &Ticket{claimer: c, key: a.key, revision: revision, deadline: own.Deadline}, nil
+	return &Ticket{claimer: c, key: a.key, version: version, deadline: own.Deadline}, nil
 }
 
 // claimAttempt is the attempt of one request to claim a key.
@@ -70,73 +70,73 @@
 	own     Claim
 }
 
-// create creates the claim and returns its revision.
-func (a *claimAttempt) create(ctx context.Context, now time.Time) (uint64, error) {
-	revision, err := a.write(ctx, now)
+// create creates the claim and returns its version.
+func (a *claimAttempt) create(ctx context.Context, now time.Time) (storer.Version, error) {
+	version, err := a.write(ctx, now)
 	if errors.Is(err, storer.ErrLeaseGone) {
-		revision, err = a.write(ctx, now)
+		version, err = a.write(ctx, now)
 	}
 	switch {
 	case err == nil:
-		return revision, nil
+		return version, nil
 	case errors.Is(err, storer.ErrConflict):
 		return a.readBack(ctx, err)
 	case notWritten(err):
-		return 0, unavailable(err)
+		return storer.Version{}, unavailable(err)
 	}
 	return a.resolveUnknownWrite(ctx, now, err)
 }
 
 // resolveUnknownWrite determines whether a write without a reply took effect. If
 // there is no claim, it writes once more and reads the result.
-func (a *claimAttempt) resolveUnknownWrite(ctx context.Context, now time.Time, writeErr error) (uint64, error) {
-	revision, err := a.readBack(ctx, writeErr)
+func (a *claimAttempt) resolveUnknownWrite(ctx context.Context, now time.Time, writeErr error) (storer.Version, error) {
+	version, err := a.readBack(ctx, writeErr)
 	if !errors.Is(err, storer.ErrNotFound) {
-		return revision, err
+		return version, err
 	}
-	revision, err = a.write(ctx, now)
+	version, err = a.write(ctx, now)
 	switch {
 	case err == nil:
-		return revision, nil
+		return version, nil
 	case notWritten(err):
-		return 0, unavailable(errors.Join(writeErr, err))
+		return storer.Version{}, unavailable(errors.Join(writeErr, err))
 	}
 	return a.readBack(ctx, errors.Join(writeErr, err))
 }
 
-// readBack reads the stored claim. It returns its revision, and an error unless
+// readBack reads the stored claim. It returns its version, and an error unless
 // the claim is that of a.
-func (a *claimAttempt) readBack(ctx context.Context, cause error) (uint64, error) {
+func (a *claimAttempt) readBack(ctx context.Context, cause error) (storer.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	entry, err := a.claimer.cfg.Store.Get(ctx, a.key)
 	if err != nil {
-		return 0, unavailable(errors.Join(cause, err))
+		return storer.Version{}, unavailable(errors.Join(cause, err))
 	}
 	stored, err := DecodeClaim(entry.Value)
 	if err != nil {
-		return 0, classifier.Wrap(classifier.AlreadyClaimed, err, "the idempotency key is taken")
+		return storer.Version{}, classifier.Wrap(classifier.AlreadyClaimed, err, "the idempotency key is taken")
 	}
-	return entry.Revision, CheckOwner(a.own, stored)
+	return entry.Version(), CheckOwner(a.own, stored)
 }
 
 // write stores the claim if the key does not exist.
-func (a *claimAttempt) write(ctx context.Context, now time.Time) (uint64, error) {
+func (a *claimAttempt) write(ctx context.Context, now time.Time) (storer.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	lease, err := a.claimer.leases.get(ctx, now)
 	if err != nil {
-		return 0, errors.Join(errNoLease, err)
+		return storer.Version{}, errors.Join(errNoLease, err)
 	}
 	value, err := json.Marshal(a.own)
 	if err != nil {
-		return 0, fmt.Errorf("encode claim: %w", err)
+		return storer.Version{}, fmt.Errorf("encode claim: %w", err)
 	}
-	revision, err := a.claimer.cfg.Store.Put(ctx, a.key, value, storer.PutOptions{LeaseID: lease})
+	version, err := a.claimer.cfg.Store.Put(ctx, a.key, value, storer.PutOptions{LeaseID: lease})
 	if errors.Is(err, storer.ErrLeaseGone) {
 		a.claimer.leases.discard(lease)
 	}
-	return revision, err
+	return version, err
 }
 
 // errNoLease is returned if the claim was not written because there is no lease.
--- a/internal/serving/claimer/claimer_test.go
+++ b/internal/serving/claimer/claimer_test.go
@@ -90,16 +90,16 @@
 	return run()
 }
 
-func (s *faultyStore) Put(ctx context.Context, key string, value []byte, opts storer.PutOptions) (revision uint64, err error) {
+func (s *faultyStore) Put(ctx context.Context, key string, value []byte, opts storer.PutOptions) (version storer.Version, err error) {
 	s.mu.Lock()
 	s.writes++
 	s.mu.Unlock()
 	err = s.do(ctx, "put", func() error {
 		var putErr error
-		revision, putErr = s.Store.Put(context.Background(), key, value, opts)
+		version, putErr = s.Store.Put(context.Background(), key, value, opts)
 		return putErr
 	}, func() { _, _ = s.Store.Put(context.Background(), key, value, opts) })
-	return revision, err
+	return version, err
 }
 
 func (s *faultyStore) Get(ctx context.Context, key string) (entry storer.Entry, err error) {
--- a/internal/serving/claimer/ticket.go
+++ b/internal/serving/claimer/ticket.go
@@ -3,13 +3,15 @@
 import (
 	"context"
 	"time"
+
+	"gentianstep.example/gentianstep/internal/platform/storer"
 )
 
 // Ticket allows its holder to send the claimed request until the deadline.
 type Ticket struct {
 	claimer  *Claimer
 	key      string
-	revision uint64
+	version  storer.Version
 	deadline time.Time
 }
 
@@ -26,7 +28,7 @@
 func (t *Ticket) Release(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := t.claimer.cfg.Store.Delete(ctx, t.key, t.revision); err != nil {
+	if err := t.claimer.cfg.Store.Delete(ctx, t.key, t.version); err != nil {
 		t.claimer.cfg.Log.WithError(err).WithField("event", "claim_release").Warn("failed to delete claim, it remains until its lease expires")
 	}
 }
--- a/internal/serving/dispatcher/claims_test.go
+++ b/internal/serving/dispatcher/claims_test.go
@@ -31,10 +31,10 @@
 	storer.Store
 }
 
-func (s pausedStore) Put(ctx context.Context, key string, value []byte, opts storer.PutOptions) (uint64, error) {
-	revision, err := s.Store.Put(context.WithoutCancel(ctx), key, value, opts)
+func (s pausedStore) Put(ctx context.Context, key string, value []byte, opts storer.PutOptions) (storer.Version, error) {
+	version, err := s.Store.Put(context.WithoutCancel(ctx), key, value, opts)
 	time.Sleep(longPause)
-	return revision, err
+	return version, err
 }
 
 // faultyStore randomly drops, delays or fails writes, before or after they take
@@ -47,23 +47,23 @@
 
 var errNoAnswer = errors.New("platform: no answer")
 
-func (s *faultyStore) Put(ctx context.Context, key string, value []byte, opts storer.PutOptions) (uint64, error) {
+func (s *faultyStore) Put(ctx context.Context, key string, value []byte, opts storer.PutOptions) (storer.Version, error) {
 	s.mu.Lock()
 	n := s.random.IntN(10)
 	s.mu.Unlock()
 	switch n {
 	case 0:
-		return 0, errNoAnswer
+		return storer.Version{}, errNoAnswer
 	case 1, 2:
 		_, _ = s.Store.Put(ctx, key, value, opts)
-		return 0, errNoAnswer
+		return storer.Version{}, errNoAnswer
 	case 3:
 		_, _ = s.Store.Put(ctx, key, value, opts)
 		<-ctx.Done()
-		return 0, ctx.Err()
+		return storer.Version{}, ctx.Err()
 	case 4:
 		time.AfterFunc(longPause, func() { _, _ = s.Store.Put(context.Background(), key, value, opts) })
-		return 0, errNoAnswer
+		return storer.Version{}, errNoAnswer
 	}
 	return s.Store.Put(ctx, key, value, opts)
 }
--- a/internal/standin/keeper/contract_test.go
+++ b/internal/standin/keeper/contract_test.go
@@ -57,7 +57,7 @@
 	store          storer.Store
 	setFaults      func(keeper.Faults)
 	calls          func() keeper.Calls
-	revisions      map[string]uint64
+	versions       map[string]storer.Version
 	leases         map[string]uint64
 	pendingWatches map[string]chan result
 }
@@ -91,7 +91,7 @@
 
 func run(t *testing.T, r row, b *contractFixture) {
 	b.is = is.New(t)
-	b.revisions = map[string]uint64{"": 0}
+	b.versions = map[string]storer.Version{"": {}}
 	b.leases = map[string]uint64{"": 0}
 	b.pendingWatches = make(map[string]chan result)
 	for i, s := range r.Steps {
@@ -144,12 +144,14 @@
 	switch s.Do {
 	case "put":
 		value := []byte(s.Value + strings.Repeat("x", s.Size))
-		opts := storer.PutOptions{IfRevision: b.revisions[s.If], LeaseID: b.leases[s.Lease]}
-		r.entry.Revision, r.err = b.store.Put(ctx, s.Key, value, opts)
+		opts := storer.PutOptions{IfVersion: b.versions[s.If], LeaseID: b.leases[s.Lease]}
+		var version storer.Version
+		version, r.err = b.store.Put(ctx, s.Key, value, opts)
+		r.entry.Revision = version.Revision
 	case "get":
 		r.entry, r.err = b.store.Get(ctx, s.Key)
 	case "delete":
-		r.err = b.store.Delete(ctx, s.Key, b.revisions[s.If])
+		r.err = b.store.Delete(ctx, s.Key, b.versions[s.If])
 	case "list":
 		var entries []storer.Entry
 		entries, r.err = b.store.List(ctx, s.Key)
@@ -157,7 +159,7 @@
 			r.keys = append(r.keys, e.Key)
 		}
 	case "watch":
-		r.entry, r.err = b.store.Watch(ctx, s.Key, b.revisions[s.If])
+		r.entry, r.err = b.store.Watch(ctx, s.Key, b.versions[s.If])
 	case "grant":
 		lease, r.err = b.store.Grant(ctx, s.TTL.Std())
 		b.leases[s.As] = lease.ID
@@ -169,7 +171,7 @@
 		r.err = errors.New("unknown step " + s.Do)
 	}
 	if s.As != "" {
-		b.revisions[s.As] = r.entry.Revision
+		b.versions[s.As] = r.entry.Version()
 	}
 	return r
 }
--- a/internal/standin/keeper/faulty.go
+++ b/internal/standin/keeper/faulty.go
@@ -123,20 +123,20 @@
 }
 
 // Put implements storer.Store.
-func (f *Faulty) Put(ctx context.Context, key string, value []byte, opts storer.PutOptions) (uint64, error) {
+func (f *Faulty) Put(ctx context.Context, key string, value []byte, opts storer.PutOptions) (storer.Version, error) {
 	if err := f.beforeWrite(ctx); err != nil {
-		return 0, err
+		return storer.Version{}, err
 	}
-	revision, err := f.store.Put(ctx, key, value, opts)
-	return revision, f.injectResponseFaults(err)
+	version, err := f.store.Put(ctx, key, value, opts)
+	return version, f.injectResponseFaults(err)
 }
 
 // Delete implements storer.Store.
-func (f *Faulty) Delete(ctx context.Context, key string, ifRevision uint64) error {
+func (f *Faulty) Delete(ctx context.Context, key string, ifVersion storer.Version) error {
 	if err := f.beforeWrite(ctx); err != nil {
 		return err
 	}
-	return f.injectResponseFaults(f.store.Delete(ctx, key, ifRevision))
+	return f.injectResponseFaults(f.store.Delete(ctx, key, ifVersion))
 }
 
 // List implements storer.Store.
--- a/internal/standin/keeper/faulty_watch.go
+++ b/internal/standin/keeper/faulty_watch.go
@@ -9,7 +9,7 @@
 )
 
 // Watch implements storer.Store.
-func (f *Faulty) Watch(ctx context.Context, key string, after uint64) (storer.Entry, error) {
+func (f *Faulty) Watch(ctx context.Context, key string, after storer.Version) (storer.Entry, error) {
 	err := f.injectRequestFaults(ctx, &f.calls.Watches, func() *rate.Limiter { return f.readLimiter })
 	if err != nil {
 		return storer.Entry{}, err
--- a/internal/standin/keeper/keeper.go
+++ b/internal/standin/keeper/keeper.go
@@ -60,18 +60,18 @@
 }
 
 // Put implements storer.Store.
-func (k *Keeper) Put(_ context.Context, key string, value []byte, opts storer.PutOptions) (uint64, error) {
+func (k *Keeper) Put(_ context.Context, key string, value []byte, opts storer.PutOptions) (storer.Version, error) {
 	if len(value) > storer.MaxValueBytes {
-		return 0, storer.ErrTooLarge
+		return storer.Version{}, storer.ErrTooLarge
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.expireLeases(time.Now())
-	if k.entries[key].Revision != opts.IfRevision {
-		return 0, storer.ErrConflict
+	if k.entries[key].Revision != opts.IfVersion.Revision {
+		return storer.Version{}, storer.ErrConflict
 	}
 	if opts.LeaseID != 0 && k.leases[opts.LeaseID] == nil {
-		return 0, storer.ErrLeaseGone
+		return storer.Version{}, storer.ErrLeaseGone
 	}
 	k.revision++
 	k.entries[key] = storer.Entry{
@@ -81,11 +81,11 @@
 		LeaseID:  opts.LeaseID,
 	}
 	k.notifyWatchers()
-	return k.revision, nil
+	return storer.Version{Revision: k.revision}, nil
 }
 
 // Delete implements storer.Store.
-func (k *Keeper) Delete(_ context.Context, key string, ifRevision uint64) error {
+func (k *Keeper) Delete(_ context.Context, key string, ifVersion storer.Version) error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.expireLeases(time.Now())
@@ -93,7 +93,7 @@
 	if !ok {
 		return storer.ErrNotFound
 	}
-	if entry.Revision != ifRevision {
+	if entry.Revision != ifVersion.Revision {
 		return storer.ErrConflict
 	}
 	k.removeEntry(key)
@@ -116,7 +116,7 @@
 }
 
 // Watch implements storer.Store.
-func (k *Keeper) Watch(ctx context.Context, key string, after uint64) (storer.Entry, error) {
+func (k *Keeper) Watch(ctx context.Context, key string, after storer.Version) (storer.Entry, error) {
 	limit := time.NewTimer(maxWatchDuration)
 	defer limit.Stop()
 	for {
@@ -125,7 +125,7 @@
 		entry := k.entries[key]
 		changed := k.changed
 		k.mu.Unlock()
-		if entry.Revision > after {
+		if entry.Revision > after.Revision {
 			return entry, nil
 		}
 		select {
--- a/internal/standin/keeper/server.go
+++ b/internal/standin/keeper/server.go
@@ -63,9 +63,9 @@
 	if !decodeRequest(w, r, &body) {
 		return
 	}
-	opts := storer.PutOptions{IfRevision: body.IfRevision, LeaseID: body.LeaseID}
-	revision, err := s.store.Put(r.Context(), r.PathValue("key"), body.Value, opts)
-	writeResponse(w, storer.PutResponse{Revision: revision}, err)
+	opts := storer.PutOptions{IfVersion: storer.Version{Revision: body.IfRevision}, LeaseID: body.LeaseID}
+	version, err := s.store.Put(r.Context(), r.PathValue("key"), body.Value, opts)
+	writeResponse(w, storer.PutResponse{Revision: version.Revision}, err)
 }
 
 func (s server) remove(w http.ResponseWriter, r *http.Request) {
@@ -74,7 +74,7 @@
 		http.Error(w, "if_revision: takes a number", http.StatusBadRequest)
 		return
 	}
-	writeResponse(w, struct{}{}, s.store.Delete(r.Context(), r.PathValue("key"), revision))
+	writeResponse(w, struct{}{}, s.store.Delete(r.Context(), r.PathValue("key"), storer.Version{Revision: revision}))
 }
 
 func (s server) watch(w http.ResponseWriter, r *http.Request) {
@@ -83,7 +83,7 @@
 		http.Error(w, "after: takes a number", http.StatusBadRequest)
 		return
 	}
-	entry, err := s.store.Watch(r.Context(), r.PathValue("key"), after)
+	entry, err := s.store.Watch(r.Context(), r.PathValue("key"), storer.Version{Revision: after})
 	writeResponse(w, entry, err)
 }
 
