Keep count of the VMs when a restored store has lost their entries

The entries of VMs are bound to leases, which a restore ends. All VMs would have dropped out of each other's view at once, have taken the whole of the shared limits, and have written their entries at the same moment, beyond the store's write limit. A lease ID that the store assigns again could have been renewed by the VM that held it before.

VMs retain the lost entries of others until these have had time to write them again, spread over the time that the write limit of the settings demands. Leases carry the era in which they were granted; one of an ended era counts as gone.

Ruled out: the retained count of vmCountTTL covers the shared limits alone, not relays, peers and ranks.

--- a/internal/membership/announcer/announcer.go
+++ b/internal/membership/announcer/announcer.go
@@ -27,6 +27,28 @@
 	retryInterval = time.Second
 )
 
+// RestoreTTL is the time after a restore of the store within which a VM that still runs
+// has written its entry again.
+const RestoreTTL = 2 * entryTTL
+
+const (
+	// writesPerEntry is the number of writes for one entry: its lease and the entry.
+	writesPerEntry = 2
+	// writeShare is the part of the store's write limit that the VMs use for lost entries.
+	writeShare = 0.5
+)
+
+// Spread returns the time over which VMs write their lost entries, so that they stay
+// within their part of the store's limit. It is at most the time to live of an entry, also
+// if the limit is 0, which means unknown.
+func Spread(vms int, writesPerSecond float64) time.Duration {
+	if writesPerSecond <= 0 {
+		return entryTTL
+	}
+	seconds := float64(vms*writesPerEntry) / (writesPerSecond * writeShare)
+	return min(time.Duration(seconds*float64(time.Second)), entryTTL)
+}
+
 // VM is the value of a VM's entry in the store.
 type VM struct {
 	Node             string         `json:"node"`
@@ -57,7 +79,10 @@
 	Store storer.Store
 	Key   string
 	VM    VM
-	Log   *logrus.Entry
+	// Spread returns the time over which the VMs of a deployment write their entries
+	// again after the store has lost them.
+	Spread func() time.Duration
+	Log    *logrus.Entry
 }
 
 // Announcer maintains the entry of one VM.
@@ -70,7 +95,7 @@
 
 // Run writes and renews the entry until ctx is cancelled, then removes it.
 func (a *Announcer) Run(ctx context.Context) {
-	lease := uint64(0)
+	var lease storer.Lease
 	for {
 		var err error
 		lease, err = a.refreshEntry(ctx, lease)
@@ -80,28 +105,35 @@
 			wait = retryInterval/2 + rand.N(retryInterval)
 		}
 		if !pauser.Pause(ctx, wait) {
-			a.removeEntry(lease)
+			a.removeEntry(lease.ID)
 			return
 		}
 	}
 }
 
-// refreshEntry renews the lease of the entry. If there is no lease or it has expired,
+// refreshEntry renews the lease of the entry. If there is no lease or it has ended,
 // refreshEntry writes the entry under a new one. It returns the lease to renew next.
-func (a *Announcer) refreshEntry(ctx context.Context, lease uint64) (uint64, error) {
-	if lease != 0 {
-		_, err := a.cfg.Store.Renew(ctx, lease)
-		if !errors.Is(err, storer.ErrLeaseGone) {
+func (a *Announcer) refreshEntry(ctx context.Context, lease storer.Lease) (storer.Lease, error) {
+	if lease.ID != 0 {
+		renewed, err := a.cfg.Store.Renew(ctx, lease.ID)
+		if err != nil && !errors.Is(err, storer.ErrLeaseGone) {
 			return lease, err
 		}
+		if err == nil && renewed.Era == lease.Era {
+			return lease, nil
+		}
+		// The store may have lost the entries of all VMs.
+		if !pauser.Pause(ctx, rand.N(max(a.cfg.Spread(), 1))) {
+			return storer.Lease{}, ctx.Err()
+		}
 	}
 	value, err := json.Marshal(a.cfg.VM)
 	if err != nil {
-		return 0, fmt.Errorf("encode entry of VM: %w", err)
+		return storer.Lease{}, fmt.Errorf("encode entry of VM: %w", err)
 	}
 	granted, err := a.cfg.Store.Grant(ctx, entryTTL)
 	if err != nil {
-		return 0, err
+		return storer.Lease{}, err
 	}
 	// Usually there is no entry. One of an earlier process may remain until its lease
 	// expires, or the response to the write of this one was lost.
@@ -110,9 +142,9 @@
 		err = a.replaceEntry(ctx, value, granted.ID)
 	}
 	if err != nil {
-		return 0, err
+		return storer.Lease{}, err
 	}
-	return granted.ID, nil
+	return granted, nil
 }
 
 // replaceEntry writes the entry in place of an existing one.
--- a/internal/membership/announcer/announcer_test.go
+++ b/internal/membership/announcer/announcer_test.go
@@ -49,7 +49,7 @@
 			log.SetOutput(io.Discard)
 			ctx, stop := context.WithCancel(t.Context())
 			vm := announcer.VM{Node: "a", AvailabilityZone: "z", PeerAddress: netip.MustParseAddrPort("10.0.0.1:1"), LinkBytesPerSecond: 5, Processors: 0.5}
-			go announcer.New(announcer.Config{Store: store, Key: key, VM: vm, Log: logrus.NewEntry(log)}).Run(ctx)
+			go announcer.New(announcer.Config{Store: store, Key: key, VM: vm, Spread: func() time.Duration { return time.Second }, Log: logrus.NewEntry(log)}).Run(ctx)
 			time.Sleep(20 * time.Second)
 			is.Equal(store.reads.Load() > 0, left)
 			entry, err := store.Get(t.Context(), key)
--- a/internal/membership/informer/era.go
+++ b/internal/membership/informer/era.go
@@ -54,3 +54,21 @@
 		"removed":         removed,
 	}).Warn("store was restored from an older copy")
 }
+
+// update brings the replica of a prefix to a version by change, updates the state that
+// is derived from it and returns the changes. The caller must hold i.mu.
+func (i *Informer) update(now time.Time, prefix string, version storer.Version, change func(*replica) []storer.Change) []storer.Change {
+	r := i.replicas[prefix]
+	before, startsEra, restoredUpTo := r.version, r.startsEra(version), r.restoredUpTo(version)
+	i.enterEra(now, prefix, version)
+	entries := i.entriesBefore(prefix, startsEra)
+	changes := change(r)
+	if prefix == i.cfg.VMPrefix {
+		i.retainVMs(now, startsEra, entries, changes)
+	}
+	if startsEra {
+		i.recordEra(prefix, before, version, changes)
+	}
+	i.applyChanges(now, prefix, changes, restoredUpTo)
+	return changes
+}
--- a/internal/membership/informer/informer.go
+++ b/internal/membership/informer/informer.go
@@ -32,6 +32,10 @@
 	// InitialWeightsAge is the assumed age, at Started, of desired versions that
 	// were set before the first snapshot; the store does not tell their real age.
 	InitialWeightsAge time.Duration
+	// RetainPrefix is the prefix of the VMs' own entries, and RetainFor the time within
+	// which VMs write them again if a restored store lacks them.
+	RetainPrefix string
+	RetainFor    time.Duration
 	// OnRestore, if not nil, is called for each prefix in which an era of the store starts.
 	OnRestore func(prefix string)
 	Log       *logrus.Entry
@@ -53,6 +57,7 @@
 
 	mu       sync.Mutex
 	replicas map[string]*replica
+	retained retainedVMs
 	// snapshots counts the complete lists applied per prefix.
 	snapshots map[string]int
 	registrar *registrar.Registrar
@@ -103,6 +108,9 @@
 		case <-ticker.C:
 			i.mu.Lock()
 			i.logUpstreamEvents(i.registrar.Expire(time.Now()))
+			if i.retained.expire(time.Now()) {
+				i.announceChange()
+			}
 			i.mu.Unlock()
 		}
 	}
@@ -136,13 +144,6 @@
 	return i.weights[model]
 }
 
-// VMs returns the store entries of the deployment's VMs.
-func (i *Informer) VMs() []storer.Entry {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return i.replicas[i.cfg.VMPrefix].snapshot(i.cfg.VMPrefix).Entries
-}
-
 // Replace implements follower.Sink.
 func (i *Informer) Replace(now time.Time, prefix string, entries []storer.Entry, version storer.Version) {
 	i.mu.Lock()
@@ -164,20 +165,6 @@
 	}
 }
 
-// update brings the replica of a prefix to a version by change, updates the state that
-// is derived from it and returns the changes. The caller must hold i.mu.
-func (i *Informer) update(now time.Time, prefix string, version storer.Version, change func(*replica) []storer.Change) []storer.Change {
-	r := i.replicas[prefix]
-	before, startsEra, restoredUpTo := r.version, r.startsEra(version), r.restoredUpTo(version)
-	i.enterEra(now, prefix, version)
-	changes := change(r)
-	if startsEra {
-		i.recordEra(prefix, before, version, changes)
-	}
-	i.applyChanges(now, prefix, changes, restoredUpTo)
-	return changes
-}
-
 // NewerReplicas returns the replicas whose version is after the given one of their
 // prefix.
 func (i *Informer) NewerReplicas(versions Versions) []Replica {
@@ -283,10 +270,3 @@
 	}
 	return storer.Entry{}, false
 }
-
-// ChangeCount returns the number of changes of a prefix's replica so far.
-func (i *Informer) ChangeCount(prefix string) uint64 {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return i.replicas[prefix].log.end()
-}
--- a/internal/operating/configurer/vm.go
+++ b/internal/operating/configurer/vm.go
@@ -63,6 +63,8 @@
 type StoreSettings struct {
 	Address     netip.AddrPort
 	MinLeaseTTL time.Duration
+	// WritesPerSecond is the limit for the writes of all VMs together, 0 if unknown.
+	WritesPerSecond float64
 }
 
 // Check returns an error for the first invalid setting.
@@ -87,6 +89,9 @@
 	if s.AvailabilityZone == "" || s.Region == "" {
 		return invalid("availability zone", "got none, want an availability zone and its region")
 	}
+	if s.Store.WritesPerSecond < 0 {
+		return invalid("store writes per second", "got %v, want at least 0", s.Store.WritesPerSecond)
+	}
 	return s.Bounds.check()
 }
 
--- a/internal/operating/starter/gateway.go
+++ b/internal/operating/starter/gateway.go
@@ -132,6 +132,8 @@
 		VMPrefix:          systemPrefix,
 		Started:           time.Now(),
 		InitialWeightsAge: settings.Bounds.WeightsApply / 2,
+		RetainPrefix:      vmPrefix,
+		RetainFor:         announcer.RestoreTTL,
 		OnRestore:         func(prefix string) { g.meter.Count(meter.StoreRestores, prefix, 1) },
 		Log:               log,
 	})
@@ -208,7 +210,10 @@
 			Store: g.store,
 			Key:   vmPrefix + settings.Node,
 			VM:    g.ownVM(),
-			Log:   g.log,
+			Spread: func() time.Duration {
+				return announcer.Spread(len(g.vms.load().vms), g.settings.Load().Store.WritesPerSecond)
+			},
+			Log: g.log,
 		}).Run,
 	}
 	return slices.Concat(loops, g.followerLoops(), g.coordinationLoops())
