Share the reading of CLOCK_BOOTTIME

The lease deadline reads the clock that goes on while the VM is suspended. No behaviour changes; leaser's test of a suspension is as strict as before.

--- a/internal/placement/leaser/boot_test.go
+++ b/internal/placement/leaser/boot_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"gentianstep.example/gentianstep/internal/operating/timekeeper"
 )
 
 // TestLeaseExpiresDuringVMSuspension guards against a lease that outlives the
@@ -17,6 +19,6 @@
 	now := time.Now()
 	lease := Lease{Fencing: 1, Deadline: now.Add(time.Second), deadlineSinceBoot: bootDeadline(time.Second)}
 	is.True(lease.Valid(now))
-	lease.deadlineSinceBoot = sinceBoot() // the lease expired during the suspension
+	lease.deadlineSinceBoot = timekeeper.SinceBoot() // the lease expired during the suspension
 	is.True(!lease.Valid(now))
 }
--- a/internal/placement/leaser/holding.go
+++ b/internal/placement/leaser/holding.go
@@ -1,6 +1,10 @@
 package leaser
 
-import "time"
+import (
+	"time"
+
+	"gentianstep.example/gentianstep/internal/operating/timekeeper"
+)
 
 // Lease describes a lease that this node acquired. Until its deadline, the node
 // may give orders to engines.
@@ -22,7 +26,7 @@
 // against the monotonic clock, CLOCK_BOOTTIME and the wall clock, so that
 // neither a suspended VM nor a wall clock that is set back extends the lease.
 func (l Lease) Valid(now time.Time) bool {
-	if l.deadlineSinceBoot > 0 && sinceBoot() >= l.deadlineSinceBoot {
+	if l.deadlineSinceBoot > 0 && timekeeper.SinceBoot() >= l.deadlineSinceBoot {
 		return false
 	}
 	return l.Fencing > 0 && now.Before(l.Deadline) && now.Round(0).Before(l.Deadline.Round(0))
