Count the age of desired weights from when they were set

Cause: a VM counted the time for which older weights may be used from when it learned of the newer version. One that was suspended, whose watch was on a silent connection, that the store refused, or that a relay told late used older weights that much longer: with a limit of 8 s, a VM suspended for 5 s right after the version was set uses older weights until 9.8 s after it.

Ruled out: an undisturbed watch and an undisturbed relay tell at once (0 s in the rows "no fault" and "undisturbed"). A start was counted already (InitialWeightsAge).

Change: the informer tracks until when its operators' entries are known to be complete. A version that arrives after an interruption (suspension, failed or overdue call, pause between calls) counts from then, but from no earlier than half of the limit ago, as after a start. Suspensions show as missing ticks of Informer.Run, and in the clocks where the monotonic clock stands still; ages known before are then shifted. Relays and VMs that send replicas send the age of each desired version along where they know it rather than assume it. VMs that are asked also tell when the store last confirmed their entries: this confirms the asking VM's entries, and shows an outage for all VMs, after which a version counts from when it arrives, as before. weights_wanted logs source, age_ms and contact_ms.

--- a/internal/membership/follower/follower.go
+++ b/internal/membership/follower/follower.go
@@ -27,6 +27,9 @@
 	// Apply is called with the changes up to a revision. The list is empty if
 	// nothing changed until the watch timed out.
 	Apply(now time.Time, prefix string, changes []storer.Change, revision uint64)
+	// HandleCall is called before a call to the store. It may last up to wait if
+	// nothing changes.
+	HandleCall(now time.Time, prefix string, wait time.Duration)
 	// HandleError is called when a call to the store fails.
 	HandleError(now time.Time, prefix string, err error)
 	// Revision returns the revision up to which the sink has the entries of a prefix.
@@ -76,6 +79,7 @@
 func (f *Follower) Run(ctx context.Context) {
 	backoff := minBackoff
 	for ctx.Err() == nil {
+		f.cfg.Sink.HandleCall(time.Now(), f.cfg.Prefix, 0)
 		entries, revision, err := f.cfg.Feed.Snapshot(ctx, f.cfg.Prefix)
 		if err != nil {
 			f.handleError(ctx, err, &backoff)
@@ -97,6 +101,7 @@
 			backoff = minBackoff
 		}
 		pace := f.cfg.pace()
+		f.cfg.Sink.HandleCall(time.Now(), f.cfg.Prefix, pace.Wait)
 		changes, next, err := f.cfg.Feed.Changes(ctx, f.cfg.Prefix, revision, pace.Wait)
 		if errors.Is(err, storer.ErrHistoryGone) {
 			return
--- a/internal/membership/follower/follower_test.go
+++ b/internal/membership/follower/follower_test.go
@@ -92,6 +92,8 @@
 	s.revisions = append(s.revisions, revision)
 }
 
+func (*sink) HandleCall(time.Time, string, time.Duration) {}
+
 func (s *sink) HandleError(time.Time, string, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/membership/informer/contact.go
+++ b/internal/membership/informer/contact.go
@@ -42,6 +42,7 @@
 		}).Info("store is available again")
 	}
 	i.lastResponseAt[prefix] = now
+	i.recordOrigin(now, prefix, sourceStore, now)
 }
 
 // StoreUnresponsiveSince reports whether the store has not responded since the
--- a/internal/membership/informer/informer.go
+++ b/internal/membership/informer/informer.go
@@ -31,16 +31,13 @@
 	Started time.Time
 	// InitialWeightsAge is the assumed age, at Started, of desired versions that
 	// were set before the first snapshot; the store does not tell their real age.
+	// It is also the greatest age that is assumed for a version that was learned of
+	// after an interruption.
 	InitialWeightsAge time.Duration
-	Log               *logrus.Entry
-}
-
-// Weights is a desired version of a model's weights.
-type Weights struct {
-	Version uint64
-	// Since is when the version became the desired one. It is estimated for
-	// versions that were set before the process started.
-	Since time.Time
+	// Suspended returns for how long the monotonic clock has stood still since the VM
+	// booted. It may return too little at times. If nil, that is unknown.
+	Suspended func() time.Duration
+	Log       *logrus.Entry
 }
 
 // Informer caches the entries under the followed prefixes and the state derived
@@ -56,6 +53,12 @@
 	registrar *registrar.Registrar
 	// weights holds the desired versions of each model in ascending order.
 	weights map[string][]Weights
+	// confirmation tracks until when the operators' entries are known to be complete.
+	confirmation confirmation
+	// origin is that of the operators' changes that are being applied.
+	origin origin
+	// toldSince is when versions became the desired ones as another VM told last.
+	toldSince map[weightsVersion]time.Time
 	// lastResponseAt is when the last successful call for each prefix returned.
 	lastResponseAt map[string]time.Time
 	// failing is true for prefixes whose last call failed.
@@ -74,11 +77,16 @@
 		snapshots:      make(map[string]int),
 		registrar:      registrar.New(),
 		weights:        make(map[string][]Weights),
+		confirmation:   confirmation{readStopped: cfg.Suspended},
+		toldSince:      make(map[weightsVersion]time.Time),
 		lastResponseAt: make(map[string]time.Time),
 		failing:        make(map[string]bool),
 		recoveredAt:    make(map[string]time.Time),
 		changed:        make(chan struct{}),
 	}
+	if cfg.Suspended == nil {
+		i.confirmation.readStopped = func() time.Duration { return 0 }
+	}
 	for _, prefix := range i.prefixes() {
 		i.replicas[prefix] = newReplica()
 	}
@@ -89,9 +97,12 @@
 	return []string{i.cfg.OperatorPrefix, i.cfg.UpstreamPrefix, i.cfg.VMPrefix}
 }
 
-// Run removes upstreams whose entries have been missing for too long, until ctx
-// is done.
+// Run removes upstreams whose entries have been missing for too long and notices
+// suspensions of the process, until ctx is done.
 func (i *Informer) Run(ctx context.Context) {
+	i.mu.Lock()
+	i.confirmation.start(time.Now())
+	i.mu.Unlock()
 	ticker := time.NewTicker(expireInterval)
 	defer ticker.Stop()
 	for {
@@ -100,7 +111,9 @@
 			return
 		case <-ticker.C:
 			i.mu.Lock()
-			i.logUpstreamEvents(i.registrar.Expire(time.Now()))
+			now := time.Now()
+			i.handleTick(now)
+			i.logUpstreamEvents(i.registrar.Expire(now))
 			i.mu.Unlock()
 		}
 	}
@@ -126,14 +139,6 @@
 	return i.registrar.Usable(service)
 }
 
-// DesiredWeightsHistory returns the desired versions of a model's weights so
-// far, the newest last.
-func (i *Informer) DesiredWeightsHistory(model string) []Weights {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return i.weights[model]
-}
-
 // VMs returns the store entries of the deployment's VMs.
 func (i *Informer) VMs() []storer.Entry {
 	i.mu.Lock()
@@ -197,6 +202,7 @@
 	if !ok || offered.Revision <= r.revision {
 		return
 	}
+	i.recordOrigin(now, offered.Prefix, sourceVM, time.Time{})
 	changes := r.replace(offered.Entries, offered.Revision)
 	if len(changes) > 0 {
 		i.logEvent("peer_news").WithFields(logrus.Fields{
@@ -243,17 +249,6 @@
 	return engines
 }
 
-// DesiredWeights returns the newest desired version of each model's weights.
-func (i *Informer) DesiredWeights() map[string]Weights {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	desired := make(map[string]Weights, len(i.weights))
-	for model, versions := range i.weights {
-		desired[model] = versions[len(versions)-1]
-	}
-	return desired
-}
-
 // Entry returns the cached entry of a key.
 func (i *Informer) Entry(key string) (storer.Entry, bool) {
 	i.mu.Lock()
--- a/internal/membership/informer/take.go
+++ b/internal/membership/informer/take.go
@@ -20,7 +20,7 @@
 		case i.cfg.Codec.IsConfiguration(c.Key) && !c.Removed:
 			i.applyConfiguration(c)
 		case i.cfg.Codec.IsWeights(c.Key) && !c.Removed:
-			i.applyWeights(now, prefix, c)
+			i.applyWeights(now, c)
 		}
 	}
 }
@@ -76,7 +76,7 @@
 
 // applyWeights records the desired version of a model's weights. An invalid
 // entry, or a version that is not above the last one, is ignored.
-func (i *Informer) applyWeights(now time.Time, prefix string, c storer.Change) {
+func (i *Informer) applyWeights(now time.Time, c storer.Change) {
 	model, version, err := i.cfg.Codec.Weights(c.Value)
 	if err != nil {
 		i.logEvent("weights_ignored").WithError(err).WithFields(logrus.Fields{fieldRevision: c.Revision}).Error("ignored invalid desired weights")
@@ -86,17 +86,17 @@
 	if n := len(versions); n > 0 && versions[n-1].Version >= version {
 		return
 	}
-	since := now
-	if i.snapshots[prefix] == 0 {
-		since = i.cfg.Started.Add(-i.cfg.InitialWeightsAge)
-	}
+	since, known := i.weightsSince(now, weightsVersion{model, version})
 	// The slice is copied because callers of DesiredWeightsHistory keep the old one.
 	const maxPrevious = 16
 	from := max(len(versions)-maxPrevious, 0)
-	i.weights[model] = append(append([]Weights(nil), versions[from:]...), Weights{Version: version, Since: since})
+	i.weights[model] = append(append([]Weights(nil), versions[from:]...), Weights{Version: version, Since: since, known: known})
 	i.logEvent("weights_wanted").WithFields(logrus.Fields{
 		"model":       model,
 		"version":     version,
 		fieldRevision: c.Revision,
+		"source":      i.origin.source,
+		"age_ms":      millisecondsSince(now, since),
+		"contact_ms":  millisecondsSince(now, i.origin.contact),
 	}).Info("desired weights changed")
 }
--- a/internal/membership/informer/update.go
+++ b/internal/membership/informer/update.go
@@ -90,8 +90,9 @@
 	if u.RecoveredMillis > 0 {
 		i.recordRecovery(u.Prefix, now.Add(-time.Duration(u.RecoveredMillis)*time.Millisecond))
 	}
-	if confirmedAt := now.Add(-time.Duration(u.AgeMillis) * time.Millisecond); confirmedAt.After(i.lastResponseAt[u.Prefix]) && u.Revision >= r.revision {
-		i.lastResponseAt[u.Prefix] = confirmedAt
+	if confirmedAt := now.Add(-time.Duration(u.AgeMillis) * time.Millisecond); u.Revision >= r.revision {
+		i.recordOrigin(now, u.Prefix, sourceRelay, confirmedAt)
+		i.lastResponseAt[u.Prefix] = latest(i.lastResponseAt[u.Prefix], confirmedAt)
 	}
 	if u.Revision <= r.revision && i.snapshots[u.Prefix] > 0 {
 		return
--- a/internal/operating/starter/gateway.go
+++ b/internal/operating/starter/gateway.go
@@ -22,6 +22,7 @@
 	"gentianstep.example/gentianstep/internal/operating/configurer"
 	"gentianstep.example/gentianstep/internal/operating/limiter"
 	"gentianstep.example/gentianstep/internal/operating/meter"
+	"gentianstep.example/gentianstep/internal/operating/timekeeper"
 	"gentianstep.example/gentianstep/internal/peering/coordinator"
 	"gentianstep.example/gentianstep/internal/peering/exchanger"
 	"gentianstep.example/gentianstep/internal/peering/relayer"
@@ -132,6 +133,7 @@
 		VMPrefix:          systemPrefix,
 		Started:           time.Now(),
 		InitialWeightsAge: settings.Bounds.WeightsApply / 2,
+		Suspended:         timekeeper.Suspended,
 		Log:               log,
 	})
 	g.vms = &vmDirectory{informer: g.informer, log: log}
--- a/internal/peering/exchanger/exchanger.go
+++ b/internal/peering/exchanger/exchanger.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -42,6 +44,24 @@
 // Response holds the replicas that are newer than the requested revisions.
 type Response struct {
 	Replicas []informer.Replica `cbor:"1,keyasint"`
+	// WeightsAges holds the ages of desired versions if there are replicas.
+	WeightsAges []informer.WeightsAge `cbor:"2,keyasint,omitempty"`
+	// ContactMillis is the time in milliseconds since the store last confirmed the
+	// sender's entries of operators, or 0 if that is unknown.
+	ContactMillis int64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Check returns an error for a response that no VM sends.
+func (r Response) Check() error {
+	for _, a := range r.WeightsAges {
+		if err := a.Check(); err != nil {
+			return err
+		}
+	}
+	if r.ContactMillis < 0 || r.ContactMillis > math.MaxInt64/int64(time.Millisecond) {
+		return errors.New("response: contact age is out of range")
+	}
+	return nil
 }
 
 // Replicas holds a VM's replicas of the store, one for each prefix.
@@ -54,6 +74,15 @@
 	NewerReplicas(revisions map[string]uint64) []informer.Replica
 	// ApplyReplica applies a replica of another VM if it is newer.
 	ApplyReplica(now time.Time, r informer.Replica)
+	// WeightsAges returns the ages of the desired versions, and RecordWeightsAges
+	// records those that another VM sends along with its replicas.
+	WeightsAges(now time.Time) []informer.WeightsAge
+	RecordWeightsAges(now time.Time, ages []informer.WeightsAge)
+	// ContactAge returns the time since the store last confirmed the operators' entries,
+	// and RecordPeerContact records that of another VM; from unserved on, the store does
+	// not serve that VM.
+	ContactAge(now time.Time) time.Duration
+	RecordPeerContact(now time.Time, age, unserved time.Duration)
 }
 
 // Config configures an Exchanger.
@@ -103,8 +132,16 @@
 		e.cfg.Log.WithError(err).WithFields(logrus.Fields{"event": "peer_silent", "peer": peer.String()}).Debug("failed to request replicas from another VM")
 		return
 	}
+	e.apply(time.Now(), response)
+}
+
+func (e *Exchanger) apply(now time.Time, response Response) {
+	e.cfg.Replicas.RecordWeightsAges(now, response.WeightsAges)
 	for _, r := range response.Replicas {
-		e.cfg.Replicas.ApplyReplica(time.Now(), r)
+		e.cfg.Replicas.ApplyReplica(now, r)
+	}
+	if response.ContactMillis > 0 {
+		e.cfg.Replicas.RecordPeerContact(now, time.Duration(response.ContactMillis)*time.Millisecond, storeTimeout)
 	}
 }
 
@@ -118,7 +155,10 @@
 		return Response{}, err
 	}
 	var response Response
-	return response, messenger.ReadValue(ctx, ws, &response)
+	if err := messenger.ReadValue(ctx, ws, &response); err != nil {
+		return Response{}, err
+	}
+	return response, response.Check()
 }
 
 // ServeHTTP serves one request of another VM.
@@ -135,12 +175,23 @@
 	if err := messenger.ReadValue(ctx, ws, &request); err != nil {
 		return // the other VM has closed the connection
 	}
-	if err := messenger.WriteValue(ctx, ws, Response{Replicas: e.cfg.Replicas.NewerReplicas(request.Revisions)}); err != nil {
+	if err := messenger.WriteValue(ctx, ws, e.respond(time.Now(), request)); err != nil {
 		return
 	}
 	_ = ws.Close(websocket.StatusNormalClosure, "")
 }
 
+func (e *Exchanger) respond(now time.Time, request Request) Response {
+	response := Response{
+		Replicas:      e.cfg.Replicas.NewerReplicas(request.Revisions),
+		ContactMillis: max(e.cfg.Replicas.ContactAge(now).Milliseconds(), 1),
+	}
+	if len(response.Replicas) > 0 {
+		response.WeightsAges = e.cfg.Replicas.WeightsAges(now)
+	}
+	return response
+}
+
 // OtherAddresses returns addresses without the own one and without duplicates.
 func OtherAddresses(own netip.AddrPort, addresses []netip.AddrPort) []netip.AddrPort {
 	var others []netip.AddrPort
--- a/internal/peering/relayer/client.go
+++ b/internal/peering/relayer/client.go
@@ -33,6 +33,8 @@
 // Sink takes the updates of a relay.
 type Sink interface {
 	ApplyUpdate(now time.Time, u informer.Update)
+	// RecordWeightsAges records the ages of desired versions that come with updates.
+	RecordWeightsAges(now time.Time, ages []informer.WeightsAge)
 	// Revisions returns the revision of each replica.
 	Revisions() map[string]uint64
 }
@@ -130,6 +132,7 @@
 // apply applies the updates and reports whether all are recent enough.
 func (c *Client) apply(now time.Time, news News) bool {
 	recent := len(news.Updates) > 0
+	c.cfg.Sink.RecordWeightsAges(now, news.WeightsAges)
 	for _, u := range news.Updates {
 		c.cfg.Sink.ApplyUpdate(now, u)
 		until := now.Add(c.cfg.MaxAge(u.Prefix) - time.Duration(u.AgeMillis)*time.Millisecond)
--- a/internal/peering/relayer/message.go
+++ b/internal/peering/relayer/message.go
@@ -36,14 +36,21 @@
 // one. It holds an update of each prefix.
 type News struct {
 	Updates []informer.Update `cbor:"1,keyasint"`
+	// WeightsAges holds the ages of desired versions if an update may change them.
+	WeightsAges []informer.WeightsAge `cbor:"2,keyasint,omitempty"`
 }
 
-// Check returns the error of the first invalid update.
+// Check returns the error of the first invalid update or age.
 func (n News) Check() error {
 	for _, u := range n.Updates {
 		if err := u.Check(); err != nil {
 			return err
 		}
 	}
+	for _, a := range n.WeightsAges {
+		if err := a.Check(); err != nil {
+			return err
+		}
+	}
 	return nil
 }
--- a/internal/peering/relayer/relayer_test.go
+++ b/internal/peering/relayer/relayer_test.go
@@ -87,7 +87,9 @@
 		UpstreamPrefix: platform.UpstreamPrefix,
 		VMPrefix:       vmPrefix,
 		Started:        time.Now(),
-		Log:            log,
+		// Half of the shortest time in which new weights must be in use.
+		InitialWeightsAge: 4 * time.Second,
+		Log:               log,
 	})
 	client := relayer.NewClient(relayer.ClientConfig{
 		Node: fmt.Sprintf("vm-%d", n),
@@ -133,6 +135,10 @@
 	})
 }
 
+func (f *fleet) putWeights(version int) {
+	f.store.Put("op/version/m", map[string]any{"model": "m", "version": version})
+}
+
 func (v *vm) version() uint64 {
 	if m := v.informer.Matcher(); m != nil {
 		return m.Configuration().Version
@@ -206,6 +212,40 @@
 	}
 }
 
+// TestWeightsAgesPassThroughRelays guards against a VM that a relay tells late of newer
+// weights, and that uses older ones for as long as if it had known at once.
+func TestWeightsAgesPassThroughRelays(t *testing.T) {
+	t.Parallel()
+	var rows []faultRow
+	scripter.Read(t, "testdata/faults.json", &rows)
+	for _, row := range rows {
+		t.Run(row.Name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := startFleet(t, 10)
+				f.putWeights(1)
+				time.Sleep(5 * time.Second)
+				f.inject(row)
+				f.putWeights(2)
+				setAt := time.Now()
+				time.Sleep(5 * time.Second)
+				for n, v := range f.vms {
+					if n < row.Store.Relays {
+						continue // it reaches nobody that knows
+					}
+					newest := v.informer.DesiredWeights()["m"]
+					is.Equal(newest.Version, uint64(2))
+					late := newest.Since.Sub(setAt)
+					t.Logf("VM %d counts from %v after the version was set", n, late)
+					is.True(late <= 100*time.Millisecond)
+					is.True(late >= -maxAge)
+				}
+			})
+		})
+	}
+}
+
 // TestStoreCallsDoNotGrowWithVMs has upstreams whose entries change all the time, as
 // in a large deployment. The VMs beyond the relays may add next to no calls.
 func TestStoreCallsDoNotGrowWithVMs(t *testing.T) {
--- a/internal/peering/relayer/server.go
+++ b/internal/peering/relayer/server.go
@@ -21,6 +21,8 @@
 	// up to a position, and the next position. At first, the position is nil and the
 	// revisions are those of the VM's replicas.
 	Updates(now time.Time, sent informer.Position, revisions map[string]uint64) ([]informer.Update, informer.Position)
+	// UpdateAges returns the ages of the desired versions if updates may change them.
+	UpdateAges(now time.Time, updates []informer.Update) []informer.WeightsAge
 	// Changed returns a channel that is closed at the next change.
 	Changed() <-chan struct{}
 }
@@ -67,8 +69,9 @@
 	var position informer.Position
 	for {
 		changed := s.cfg.Source.Changed()
-		news := News{}
-		news.Updates, position = s.cfg.Source.Updates(time.Now(), position, subscription.Revisions)
+		now, news := time.Now(), News{}
+		news.Updates, position = s.cfg.Source.Updates(now, position, subscription.Revisions)
+		news.WeightsAges = s.cfg.Source.UpdateAges(now, news.Updates)
 		if err := messenger.WriteValue(ctx, ws, news); err != nil {
 			return
 		}
