Assume an age for weights that a relay or a VM tells at a start

Cause: InitialWeightsAge applied only to a first list from the store or a replica. ApplyUpdate counted the relay's complete list as applied before it applied it, so that a VM that started and heard from a relay first counted versions from that moment.

Ruled out: a VM that the store tells first assumes half of the limit, as before (TestWeightsSetBeforeStart).

Change: whether entries are the first ones is read before they are counted; a known age is taken as it is. A VM without entries takes no other VM's contact as a confirmation.

The store must be later than the relay at the start, so that it takes a store that does not serve the VM, or a slow list.

--- a/internal/membership/informer/suspension_test.go
+++ b/internal/membership/informer/suspension_test.go
@@ -43,10 +43,11 @@
 	Until   int    `json:"until_ms"`
 	Wait    int    `json:"wait_ms"`
 	Version int    `json:"version"`
-	// Age is that of the update, and Told the age of the version that comes with it, or
-	// negative if none does.
-	Age  int `json:"age_ms"`
-	Told int `json:"told_ms"`
+	// Complete is set for an update that lists all keys. Age is that of the update, and
+	// Told the age of the version that comes with it, or negative if none does.
+	Complete bool `json:"complete"`
+	Age      int  `json:"age_ms"`
+	Told     int  `json:"told_ms"`
 }
 
 func millis(n int) time.Duration { return time.Duration(n) * time.Millisecond }
@@ -115,7 +116,14 @@
 			ages = []WeightsAge{{Model: "m", Version: uint64(s.Version), AgeMillis: int64(s.Told)}}
 		}
 		v.RecordWeightsAges(v.now, ages)
-		v.ApplyUpdate(v.now, Update{Prefix: "op/", Revision: v.revision, Changes: changes, AgeMillis: int64(s.Age)})
+		v.ApplyUpdate(v.now, Update{
+			Prefix:    "op/",
+			Revision:  v.revision,
+			Complete:  s.Complete,
+			Keys:      []string{"op/version/m"},
+			Changes:   changes,
+			AgeMillis: int64(s.Age),
+		})
 	}
 }
 
--- a/internal/membership/informer/weights_age.go
+++ b/internal/membership/informer/weights_age.go
@@ -41,6 +41,8 @@
 // origin describes where the changes that are being applied come from.
 type origin struct {
 	source string
+	// first is true if this VM had no operators' entries before.
+	first bool
 	// earliest is the earliest time from which the changes may have been in the store.
 	earliest time.Time
 	// contact is when the operators' entries were last known to be complete before.
@@ -78,7 +80,7 @@
 		return
 	}
 	i.handleTick(now)
-	i.origin = origin{source: source, contact: i.confirmation.at}
+	i.origin = origin{source: source, first: i.snapshots[prefix] == 0, contact: i.confirmation.at}
 	if source == sourceStore {
 		i.origin.earliest = i.confirmation.handleResponse(now)
 	} else {
@@ -97,7 +99,7 @@
 		return earliest(told, latest(i.confirmation.suspendedFrom, oldest)), false
 	case ok && i.origin.source != sourceStore:
 		return told, true
-	case i.snapshots[i.cfg.OperatorPrefix] == 0:
+	case i.origin.first:
 		return i.cfg.Started.Add(-i.cfg.InitialWeightsAge), false
 	}
 	return latest(i.origin.earliest, oldest), i.origin.earliest.Equal(now)
@@ -137,11 +139,12 @@
 	}
 }
 
-// ContactAge returns the time since the store last confirmed the operators' entries.
-func (i *Informer) ContactAge(now time.Time) time.Duration {
+// ContactAge returns the time since the store last confirmed the operators' entries, or
+// false if it has not yet.
+func (i *Informer) ContactAge(now time.Time) (time.Duration, bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.age(now, i.cfg.OperatorPrefix)
+	return i.age(now, i.cfg.OperatorPrefix), !i.lastResponseAt[i.cfg.OperatorPrefix].IsZero()
 }
 
 // RecordPeerContact records the time since the store last confirmed the operators'
@@ -150,6 +153,9 @@
 func (i *Informer) RecordPeerContact(now time.Time, age, unserved time.Duration) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	if i.snapshots[i.cfg.OperatorPrefix] == 0 {
+		return
+	}
 	i.handleTick(now)
 	completeAt := now.Add(-age)
 	if age >= unserved {
--- a/internal/peering/exchanger/exchanger.go
+++ b/internal/peering/exchanger/exchanger.go
@@ -79,9 +79,9 @@
 	WeightsAges(now time.Time) []informer.WeightsAge
 	RecordWeightsAges(now time.Time, ages []informer.WeightsAge)
 	// ContactAge returns the time since the store last confirmed the operators' entries,
-	// and RecordPeerContact records that of another VM; from unserved on, the store does
-	// not serve that VM.
-	ContactAge(now time.Time) time.Duration
+	// if it has, and RecordPeerContact records that of another VM; from unserved on, the
+	// store does not serve that VM.
+	ContactAge(now time.Time) (age time.Duration, known bool)
 	RecordPeerContact(now time.Time, age, unserved time.Duration)
 }
 
@@ -182,9 +182,9 @@
 }
 
 func (e *Exchanger) respond(now time.Time, request Request) Response {
-	response := Response{
-		Replicas:      e.cfg.Replicas.NewerReplicas(request.Revisions),
-		ContactMillis: max(e.cfg.Replicas.ContactAge(now).Milliseconds(), 1),
+	response := Response{Replicas: e.cfg.Replicas.NewerReplicas(request.Revisions)}
+	if age, known := e.cfg.Replicas.ContactAge(now); known {
+		response.ContactMillis = max(age.Milliseconds(), 1)
 	}
 	if len(response.Replicas) > 0 {
 		response.WeightsAges = e.cfg.Replicas.WeightsAges(now)
--- a/internal/peering/relayer/relayer_test.go
+++ b/internal/peering/relayer/relayer_test.go
@@ -49,6 +49,8 @@
 	network *piper.Network
 	store   *platformtest.Store
 	vms     []*vm
+	// fault is that of the store towards VMs that start.
+	fault platformtest.StoreFault
 }
 
 func startFleet(t *testing.T, vms int) *fleet {
@@ -68,6 +70,7 @@
 	quiet.SetOutput(io.Discard)
 	log := logrus.NewEntry(quiet)
 	v := &vm{door: f.store.NewEndpoint()}
+	v.door.SetFault(f.fault)
 	door := fmt.Sprintf("%s-%d", storeAddress, n)
 	f.network.Serve(door, v.door)
 	transport := &http.Transport{DialContext: func(ctx context.Context, proto, target string) (net.Conn, error) {
@@ -246,6 +249,30 @@
 	}
 }
 
+// TestVMThatStartsLearnsAgeFromRelay guards against a VM that starts after newer weights were
+// set, learns of them from a relay before the store responds, and counts from then.
+func TestVMThatStartsLearnsAgeFromRelay(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startFleet(t, relays)
+		f.putWeights(1)
+		time.Sleep(5 * time.Second)
+		f.putWeights(2)
+		setAt := time.Now()
+		time.Sleep(3 * time.Second)
+		f.fault = platformtest.Unresponsive
+		v := f.startVM(t, relays)
+		time.Sleep(2 * time.Second)
+		newest := v.informer.DesiredWeights()["m"]
+		is.Equal(newest.Version, uint64(2))
+		late := newest.Since.Sub(setAt)
+		t.Logf("counts from %v after the version was set", late)
+		is.True(late <= 100*time.Millisecond)
+		is.True(late >= -100*time.Millisecond)
+	})
+}
+
 // TestStoreCallsDoNotGrowWithVMs has upstreams whose entries change all the time, as
 // in a large deployment. The VMs beyond the relays may add next to no calls.
 func TestStoreCallsDoNotGrowWithVMs(t *testing.T) {
