--- a/internal/membership/follower/follower.go
+++ b/internal/membership/follower/follower.go
@@ -27,6 +27,9 @@
 	// Apply is called with the changes up to a version. The list is empty if
 	// nothing changed until the watch timed out.
 	Apply(now time.Time, prefix string, changes []storer.Change, version storer.Version)
+	// HandleCall is called before a call to the store. It may last up to wait if
+	// nothing changes.
+	HandleCall(now time.Time, prefix string, wait time.Duration)
 	// HandleError is called when a call to the store fails.
 	HandleError(now time.Time, prefix string, err error)
 	// Version returns the version up to which the sink has the entries of a prefix.
@@ -76,6 +79,7 @@
 func (f *Follower) Run(ctx context.Context) {
 	backoff := minBackoff
 	for ctx.Err() == nil {
+		f.cfg.Sink.HandleCall(time.Now(), f.cfg.Prefix, 0)
 		entries, version, err := f.cfg.Feed.Snapshot(ctx, f.cfg.Prefix)
 		if err != nil {
 			f.handleError(ctx, err, &backoff)
@@ -99,6 +103,7 @@
 			backoff = minBackoff
 		}
 		pace := f.cfg.pace()
+		f.cfg.Sink.HandleCall(time.Now(), f.cfg.Prefix, pace.Wait)
 		changes, next, err := f.cfg.Feed.Changes(ctx, f.cfg.Prefix, version, pace.Wait)
 		if errors.Is(err, storer.ErrHistoryGone) {
 			return
--- a/internal/membership/follower/follower_test.go
+++ b/internal/membership/follower/follower_test.go
@@ -92,6 +92,8 @@
 	s.versions = append(s.versions, version)
 }
 
+func (*sink) HandleCall(time.Time, string, time.Duration) {}
+
 func (s *sink) HandleError(time.Time, string, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/membership/informer/update.go
+++ b/internal/membership/informer/update.go
@@ -111,8 +111,9 @@
 	if u.RecoveredMillis > 0 {
 		i.recordRecovery(u.Prefix, now.Add(-time.Duration(u.RecoveredMillis)*time.Millisecond))
 	}
-	if confirmedAt := now.Add(-time.Duration(u.AgeMillis) * time.Millisecond); confirmedAt.After(i.lastResponseAt[u.Prefix]) && !r.version.After(version) {
-		i.lastResponseAt[u.Prefix] = confirmedAt
+	if confirmedAt := now.Add(-time.Duration(u.AgeMillis) * time.Millisecond); !r.version.After(version) {
+		i.recordOrigin(now, u.Prefix, sourceRelay, confirmedAt)
+		i.lastResponseAt[u.Prefix] = latest(i.lastResponseAt[u.Prefix], confirmedAt)
 	}
 	if !version.After(r.version) && i.snapshots[u.Prefix] > 0 {
 		return true
--- a/internal/peering/relayer/client.go
+++ b/internal/peering/relayer/client.go
@@ -34,6 +34,8 @@
 type Sink interface {
 	// ApplyUpdate applies an update and reports whether it brings the sink up to date.
 	ApplyUpdate(now time.Time, u informer.Update) bool
+	// RecordWeightsAges records the ages of desired versions that come with updates.
+	RecordWeightsAges(now time.Time, ages []informer.WeightsAge)
 	// Versions returns the version of each replica.
 	Versions() informer.Versions
 }
@@ -132,6 +134,7 @@
 // apply applies the updates and reports whether all are recent enough.
 func (c *Client) apply(now time.Time, news News) bool {
 	recent := len(news.Updates) > 0
+	c.cfg.Sink.RecordWeightsAges(now, news.WeightsAges)
 	for _, u := range news.Updates {
 		if !c.cfg.Sink.ApplyUpdate(now, u) {
 			recent = false
--- a/internal/peering/relayer/relayer_test.go
+++ b/internal/peering/relayer/relayer_test.go
@@ -49,6 +49,8 @@
 	network *piper.Network
 	store   *platformtest.Store
 	vms     []*vm
+	// fault is that of the store towards VMs that start.
+	fault platformtest.StoreFault
 }
 
 func startFleet(t *testing.T, vms int) *fleet {
@@ -68,6 +70,7 @@
 	quiet.SetOutput(io.Discard)
 	log := logrus.NewEntry(quiet)
 	v := &vm{door: f.store.NewEndpoint()}
+	v.door.SetFault(f.fault)
 	door := fmt.Sprintf("%s-%d", storeAddress, n)
 	f.network.Serve(door, v.door)
 	transport := &http.Transport{DialContext: func(ctx context.Context, proto, target string) (net.Conn, error) {
@@ -87,7 +90,9 @@
 		UpstreamPrefix: platform.UpstreamPrefix,
 		VMPrefix:       vmPrefix,
 		Started:        time.Now(),
-		Log:            log,
+		// Half of the shortest time in which new weights must be in use.
+		InitialWeightsAge: 4 * time.Second,
+		Log:               log,
 	})
 	client := relayer.NewClient(relayer.ClientConfig{
 		Node: fmt.Sprintf("vm-%d", n),
@@ -206,6 +211,64 @@
 	}
 }
 
+// TestWeightsAgesPassThroughRelays guards against a VM that a relay tells late of newer
+// weights, and that uses older ones for as long as if it had known at once.
+func TestWeightsAgesPassThroughRelays(t *testing.T) {
+	t.Parallel()
+	var rows []faultRow
+	scripter.Read(t, "testdata/faults.json", &rows)
+	for _, row := range rows {
+		t.Run(row.Name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := startFleet(t, 10)
+				f.putWeights(1)
+				time.Sleep(5 * time.Second)
+				f.inject(row)
+				f.putWeights(2)
+				setAt := time.Now()
+				time.Sleep(5 * time.Second)
+				for n, v := range f.vms {
+					if n < row.Store.Relays {
+						continue // it reaches nobody that knows
+					}
+					newest := v.informer.DesiredWeights()["m"]
+					is.Equal(newest.Version, uint64(2))
+					late := newest.Since.Sub(setAt)
+					t.Logf("VM %d counts from %v after the version was set", n, late)
+					is.True(late <= 100*time.Millisecond)
+					is.True(late >= -maxAge)
+				}
+			})
+		})
+	}
+}
+
+// TestVMThatStartsLearnsAgeFromRelay guards against a VM that starts after newer weights were
+// set, learns of them from a relay before the store responds, and counts from then.
+func TestVMThatStartsLearnsAgeFromRelay(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startFleet(t, relays)
+		f.putWeights(1)
+		time.Sleep(5 * time.Second)
+		f.putWeights(2)
+		setAt := time.Now()
+		time.Sleep(3 * time.Second)
+		f.fault = platformtest.Unresponsive
+		v := f.startVM(t, relays)
+		time.Sleep(2 * time.Second)
+		newest := v.informer.DesiredWeights()["m"]
+		is.Equal(newest.Version, uint64(2))
+		late := newest.Since.Sub(setAt)
+		t.Logf("counts from %v after the version was set", late)
+		is.True(late <= 100*time.Millisecond)
+		is.True(late >= -100*time.Millisecond)
+	})
+}
+
 // TestStoreCallsDoNotGrowWithVMs has upstreams whose entries change all the time, as
 // in a large deployment. The VMs beyond the relays may add next to no calls.
 func TestStoreCallsDoNotGrowWithVMs(t *testing.T) {
--- a/internal/peering/relayer/server.go
+++ b/internal/peering/relayer/server.go
@@ -21,6 +21,8 @@
 	// up to a position, and the next position. At first, the position is nil and the
 	// versions are those of the VM's replicas.
 	Updates(now time.Time, sent informer.Position, versions informer.Versions) ([]informer.Update, informer.Position)
+	// UpdateAges returns the ages of the desired versions if updates may change them.
+	UpdateAges(now time.Time, updates []informer.Update) []informer.WeightsAge
 	// Changed returns a channel that is closed at the next change.
 	Changed() <-chan struct{}
 }
@@ -68,8 +70,9 @@
 	var position informer.Position
 	for {
 		changed := s.cfg.Source.Changed()
-		news := News{}
-		news.Updates, position = s.cfg.Source.Updates(time.Now(), position, versions)
+		now, news := time.Now(), News{}
+		news.Updates, position = s.cfg.Source.Updates(now, position, versions)
+		news.WeightsAges = s.cfg.Source.UpdateAges(now, news.Updates)
 		if err := messenger.WriteValue(ctx, ws, news); err != nil {
 			return
 		}
