--- /dev/null
+++ b/internal/gateway/forwarder/old_weights_test.go
@@ -0,0 +1,108 @@
+package forwarder_test
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gentianstep.example/gentianstep/internal/membership/informer"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
+)
+
+const (
+	// weightsApply is the limit of the fixture for older weights.
+	weightsApply = 8 * time.Second
+	// longTimeout is the timeout of routes whose requests wait at an engine.
+	longTimeout = 15 * time.Second
+)
+
+// queueRow is a request that waits for a slot of an engine with older weights.
+// Times count from when version 2 of the weights was named.
+type queueRow struct {
+	Name  string `json:"name"`
+	Route string `json:"route"`
+	// SentMS is when the request is sent, FreedMS when a slot becomes free.
+	SentMS  int `json:"sent_ms"`
+	FreedMS int `json:"freed_ms"`
+	// SecondVersionMS is when version 3 is named; 0 for never.
+	SecondVersionMS int `json:"second_version_ms"`
+	// NewerMS is when another engine registers with the newest weights, OrderedMS
+	// when the engine is ordered to change its weights; 0 for never.
+	NewerMS         int `json:"newer_ms"`
+	OrderedMS       int `json:"ordered_ms"`
+	EventIntervalMS int `json:"event_interval_ms"`
+	Status          int `json:"status"`
+	// Runs counts the requests that began at an engine.
+	Runs int `json:"runs"`
+}
+
+// TestWaitingRequestsDoNotBeginOnOldWeights guards against requests that were
+// sent in time, waited in the engine's queue and began after the limit.
+func TestWaitingRequestsDoNotBeginOnOldWeights(t *testing.T) {
+	t.Parallel()
+	var rows []queueRow
+	scripter.Read(t, "testdata/old_weights.json", &rows)
+	for _, row := range rows {
+		t.Run(row.Name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { checkQueueRow(t, row) })
+		})
+	}
+}
+
+func checkQueueRow(t *testing.T, row queueRow) {
+	is := is.New(t)
+	f := newFixture(t, 2)
+	f.configureLongTimeouts()
+	f.workers[1].SetModel("m", 3)
+	newer := f.entry(1)
+	newer.Weights = map[string]uint64{"m": 3}
+	f.directory.setUpstreams("s", f.directory.Usable("s")[:1])
+	f.workers[0].Slots = 1
+	f.workers[0].EventInterval = time.Duration(row.EventIntervalMS) * time.Millisecond
+	f.workers[0].OccupySlots(1)
+	named := time.Now().Add(5 * time.Second)
+	versions := []informer.Weights{{Version: 2, Since: named}}
+	at := func(ms int, do func()) {
+		time.AfterFunc(time.Until(named.Add(time.Duration(ms)*time.Millisecond)), do)
+	}
+	at(0, func() { f.directory.setWeights(versions...) })
+	if row.SecondVersionMS != 0 {
+		at(row.SecondVersionMS, func() {
+			f.directory.setWeights(append(versions, informer.Weights{Version: 3, Since: time.Now()})...)
+		})
+	}
+	if row.NewerMS != 0 {
+		at(row.NewerMS, func() { f.directory.setUpstreams("s", append(f.directory.Usable("s"), newer)) })
+	}
+	if row.OrderedMS != 0 {
+		at(row.OrderedMS, func() { f.workers[0].ChangeWeights("m", 2) })
+	}
+	at(row.FreedMS, func() { f.workers[0].FreeSlots(1) })
+
+	time.Sleep(time.Until(named.Add(time.Duration(row.SentMS) * time.Millisecond)))
+	r := f.request(t, row.Route, "id-1")
+	r.Header.Set("Deadline-Ms", "15000")
+	a := f.do(r)
+	time.Sleep(longTimeout)
+	for _, run := range f.workers[0].Runs() {
+		is.True(run.WeightsVersion >= 2 || !run.BeganAt.After(named.Add(weightsApply))) // not on older weights after the limit
+	}
+	is.NoErr(a.err)
+	is.Equal(a.status, row.Status)
+	is.Equal(f.runs(), row.Runs)
+	is.Equal(strings.Count(f.log.String(), `"event":"request"`), 1)
+}
+
+// configureLongTimeouts gives all routes a timeout that is longer than
+// weightsApply.
+func (f *fixture) configureLongTimeouts() {
+	c := testConfiguration()
+	for n := range c.Routes {
+		c.Routes[n].Timeout, c.Routes[n].TargetLatency = longTimeout, longTimeout
+	}
+	f.directory.configure(c)
+}
