Withdraw requests that wait at engines with older weights

Cause: the version of the weights was compared with the wanted one when a request was sent, never after. Requests sent before the version was named were not looked at again at all.

Ruled out: a lower share of the limit for sending. It shortens the wait that is covered, covers none of the requests that were sent before the version was known, and refuses callers that would be served. Capping the deadline that is passed to the engine: engines end running requests at it too.

Change: a timer for each attempt at an engine fires when 0.9 of the limit of the engine's weights has passed, or when that could first be so for a version that is named after it was set. Engines whose response names newer weights, and streams that have begun, are left alone.

setUpstreams of the fixture loses its parameter, which was always the same (unparam).

--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -63,6 +63,8 @@
 	// tried holds the IDs of upstreams at which the request has failed.
 	tried  map[string]bool
 	choice picker.Choice
+	// withdrawal is that of the latest attempt.
+	withdrawal *withdrawal
 	// sentAt is when the latest attempt was sent.
 	sentAt time.Time
 	// readingPrompt is true from sending an attempt until the upstream has read
@@ -176,6 +178,8 @@
 	now := time.Now()
 	x.attempts++
 	x.sentAt = now
+	ctx, x.withdrawal = x.watchWeights(ctx, u)
+	defer x.withdrawal.stop()
 	options := AttemptOptions{Upstream: u.ID, Deadline: x.deadline, Priority: -1, CacheScope: x.isolationScope(), ResumeAfter: x.lastEvent}
 	if x.choice.Scope != "" {
 		options.CacheScope, options.WeightsVersion = x.choice.Scope, x.choice.WeightsVersion
@@ -212,6 +216,7 @@
 	}
 	head := x.cfg.Dialect.DecodeResponse(answer.Status, answer.Header)
 	x.recordResponse(u, answer.Status, head)
+	x.withdrawal.setVersion(head.WeightsVersion)
 	if head.NotRun {
 		answer.Discard()
 		otherInstance := head.Misdirected && head.Instance != "" && head.Instance != u.ID
@@ -225,6 +230,10 @@
 	if x.route.Kind == matcher.Stream && answer.Status < http.StatusMultipleChoices {
 		return x.relayStream(answer)
 	}
+	if err := x.withdrawal.end(); err != nil {
+		answer.Discard()
+		return err
+	}
 	return x.sendResponse(answer)
 }
 
--- a/internal/gateway/forwarder/fixture_test.go
+++ b/internal/gateway/forwarder/fixture_test.go
@@ -51,10 +51,11 @@
 	return d.upstreams[service]
 }
 
-func (d *directory) setUpstreams(service string, list []*registrar.Upstream) {
+// setUpstreams replaces the upstreams of the service of the fixture.
+func (d *directory) setUpstreams(list []*registrar.Upstream) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.upstreams[service] = list
+	d.upstreams["s"] = list
 }
 
 func (d *directory) DesiredWeightsHistory(string) []informer.Weights {
--- a/internal/gateway/forwarder/model_test.go
+++ b/internal/gateway/forwarder/model_test.go
@@ -195,10 +195,10 @@
 		}
 	case "deregister":
 		rest := slices.DeleteFunc(slices.Clone(upstream), func(u *registrar.Upstream) bool { return u.Address.String() == address })
-		m.directory.setUpstreams("s", rest)
+		m.directory.setUpstreams(rest)
 	case "register":
 		if !slices.ContainsFunc(upstream, func(u *registrar.Upstream) bool { return u.Address.String() == address }) {
-			m.directory.setUpstreams("s", append(slices.Clone(upstream), m.entry(change.worker)))
+			m.directory.setUpstreams(append(slices.Clone(upstream), m.entry(change.worker)))
 		}
 	}
 }
--- a/internal/gateway/forwarder/old_weights_test.go
+++ b/internal/gateway/forwarder/old_weights_test.go
@@ -60,7 +60,7 @@
 	f.workers[1].SetModel("m", 3)
 	newer := f.entry(1)
 	newer.Weights = map[string]uint64{"m": 3}
-	f.directory.setUpstreams("s", f.directory.Usable("s")[:1])
+	f.directory.setUpstreams(f.directory.Usable("s")[:1])
 	f.workers[0].Slots = 1
 	f.workers[0].EventInterval = time.Duration(row.EventIntervalMS) * time.Millisecond
 	f.workers[0].OccupySlots(1)
@@ -76,7 +76,7 @@
 		})
 	}
 	if row.NewerMS != 0 {
-		at(row.NewerMS, func() { f.directory.setUpstreams("s", append(f.directory.Usable("s"), newer)) })
+		at(row.NewerMS, func() { f.directory.setUpstreams(append(f.directory.Usable("s"), newer)) })
 	}
 	if row.OrderedMS != 0 {
 		at(row.OrderedMS, func() { f.workers[0].ChangeWeights("m", 2) })
--- a/internal/gateway/forwarder/relay.go
+++ b/internal/gateway/forwarder/relay.go
@@ -57,6 +57,8 @@
 			return nil
 		case errors.Is(err, io.EOF):
 			return io.ErrUnexpectedEOF
+		case err != nil && x.withdrawal.end() != nil:
+			return errWithdrawn
 		case err != nil:
 			return err
 		case len(pending) > parser.MaxEventBytes:
@@ -81,6 +83,9 @@
 // sendEvents sends complete events to the client. It skips events that the
 // client has received before; a gap in the event numbers is an error.
 func (x *exchange) sendEvents(data []byte) error {
+	if err := x.withdrawal.end(); err != nil {
+		return err
+	}
 	if x.markPromptRead() && x.firstByteAt.IsZero() {
 		x.mu.Lock()
 		x.picker.RecordFirstEvent(x.choice, time.Since(x.sentAt))
--- /dev/null
+++ b/internal/gateway/forwarder/withdraw.go
@@ -0,0 +1,125 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"gentianstep.example/gentianstep/internal/membership/registrar"
+	"gentianstep.example/gentianstep/internal/operating/meter"
+)
+
+// withdrawShare is the share of weightsApply after which a request that waits
+// at an engine with older weights is withdrawn. The rest covers the way of the
+// closed connection to the engine.
+const withdrawShare = 0.9
+
+// errWithdrawn is the error of an attempt that was withdrawn.
+var errWithdrawn = errors.New("withdrawn before its engine began it on older weights")
+
+// withdrawal cancels an attempt whose engine has not begun it when the time for
+// its weights ends. Its connection is closed, and engines drop a request that
+// waits when that happens.
+type withdrawal struct {
+	x        *exchange
+	upstream *registrar.Upstream
+	cancel   context.CancelCauseFunc
+
+	mu    sync.Mutex
+	timer *time.Timer
+	// version is the version of the weights that the engine has stated in the
+	// head of its response; 0 if none has arrived.
+	version uint64
+	// ended is true once the attempt has begun, has ended or was withdrawn.
+	ended     bool
+	withdrawn bool
+}
+
+// watchWeights returns the context of an attempt that is withdrawn unless end is
+// called in time.
+func (x *exchange) watchWeights(ctx context.Context, u *registrar.Upstream) (context.Context, *withdrawal) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	w := &withdrawal{x: x, upstream: u, cancel: cancel}
+	if x.route.CarriesPrompt {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		now := time.Now()
+		w.timer = time.AfterFunc(w.nextCheck(now).Sub(now), w.check)
+	}
+	return ctx, w
+}
+
+// check withdraws the attempt if the time for the engine's weights has ended. It
+// is called again when that may next be the case.
+func (w *withdrawal) check() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.ended {
+		return
+	}
+	now := time.Now()
+	if next := w.nextCheck(now); next.After(now) {
+		w.timer.Reset(next.Sub(now))
+		return
+	}
+	w.ended, w.withdrawn = true, true
+	w.x.logWithdrawn(now, w.upstream)
+	w.cancel(errWithdrawn)
+}
+
+// nextCheck returns when the time for the engine's weights ends, or may end if
+// newer weights are named from now on. The caller holds w.mu.
+func (w *withdrawal) nextCheck(now time.Time) time.Time {
+	version := w.version
+	if version == 0 {
+		version = w.x.cfg.View.WeightsVersion(w.upstream, w.x.request.Prompt.Model)
+	}
+	allowed := time.Duration(withdrawShare * float64(w.x.weightsApply.Load()))
+	next := now.Add(allowed)
+	for _, wanted := range w.x.cfg.Directory.DesiredWeightsHistory(w.x.request.Prompt.Model) {
+		if end := wanted.Since.Add(allowed); wanted.Version > version && end.Before(next) {
+			next = end
+		}
+	}
+	return next
+}
+
+// setVersion records the version of the weights that the engine has stated.
+func (w *withdrawal) setVersion(version uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version = version
+}
+
+// end ends the watch. It returns errWithdrawn if the attempt was withdrawn.
+func (w *withdrawal) end() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ended = true
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+	if w.withdrawn {
+		return errWithdrawn
+	}
+	return nil
+}
+
+// stop ends the watch and releases the context of the attempt.
+func (w *withdrawal) stop() {
+	_ = w.end() // the attempt has its error already
+	w.cancel(nil)
+}
+
+// logWithdrawn logs the withdrawal of an attempt.
+func (x *exchange) logWithdrawn(now time.Time, u *registrar.Upstream) {
+	x.cfg.Meter.Count(meter.Withdrawn, "", 1)
+	x.logUpstream("attempt_withdrawn", u).WithFields(logrus.Fields{
+		"model":   x.request.Prompt.Model,
+		"weights": x.cfg.View.WeightsVersion(u, x.request.Prompt.Model),
+		"took_ms": now.Sub(x.sentAt).Milliseconds(),
+	}).Info("request is withdrawn, its engine has older weights")
+}
--- a/internal/operating/meter/name.go
+++ b/internal/operating/meter/name.go
@@ -8,6 +8,7 @@
 const (
 	Requests           Name = "gentianstep_requests_total"
 	Failures           Name = "gentianstep_failures_total"
+	Withdrawn          Name = "gentianstep_withdrawn_total"
 	FirstByteSeconds   Name = "gentianstep_first_byte_seconds"
 	RequestSeconds     Name = "gentianstep_request_seconds"
 	RouteDecisions     Name = "gentianstep_route_decisions_total"
@@ -41,6 +42,7 @@
 
 var descriptions = map[Name]description{
 	Requests:           {counter, "Requests of callers by HTTP status.", "status"},
+	Withdrawn:          {counter, "Attempts that were withdrawn from engines with older weights.", ""},
 	Failures:           {counter, "Failures by error kind.", "kind"},
 	FirstByteSeconds:   {summary, "Seconds from a request's arrival to the first byte of its answer.", ""},
 	RequestSeconds:     {summary, "Seconds from a request's arrival to the end of its answer.", ""},
