Send nothing into the queue of engines whose weights are due

Callers saw: requests that were withdrawn after seconds at an engine with older weights, or, before the withdrawal, began after the limit.

Cause: an engine whose weights were due for replacement (0.45 of the limit) cost more, but if no other engine was left it got up to two requests a slot. Those beyond the slots wait for a time that the estimate does not know: the record has waits of 1.9 to 4.8 s where the estimate is below 1 s.

Ruled out: a bound on the estimated wait, for that reason; a free slot from the first moment on, since it would refuse callers that an ordinary roll-out serves.

Change: an engine with due weights is chosen only if it has a free slot. Otherwise the request waits on the VM for newer weights as it does for long backlogs, and is refused as not run with a Retry-After.

Conclusion: the withdrawal stays as the bound for loads that a VM does not know; this keeps callers from reaching it.

--- a/internal/gateway/forwarder/old_weights_test.go
+++ b/internal/gateway/forwarder/old_weights_test.go
@@ -1,6 +1,7 @@
 package forwarder_test
 
 import (
+	"net/http"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -9,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"gentianstep.example/gentianstep/internal/membership/informer"
+	"gentianstep.example/gentianstep/internal/peering/coordinator"
 	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
@@ -35,8 +37,12 @@
 	OrderedMS       int `json:"ordered_ms"`
 	EventIntervalMS int `json:"event_interval_ms"`
 	Status          int `json:"status"`
-	// Runs counts the requests that began at an engine.
-	Runs int `json:"runs"`
+	// OtherRequests is the number of requests that other VMs have at the engine.
+	OtherRequests int `json:"other_requests"`
+	// Runs counts the requests that began at an engine. Unsent is true if none
+	// was sent to one.
+	Runs   int  `json:"runs"`
+	Unsent bool `json:"unsent"`
 }
 
 // TestWaitingRequestsDoNotBeginOnOldWeights guards against requests that were
@@ -84,6 +90,10 @@
 	at(row.FreedMS, func() { f.workers[0].FreeSlots(1) })
 
 	time.Sleep(time.Until(named.Add(time.Duration(row.SentMS) * time.Millisecond)))
+	is.NoErr(f.view.Apply(time.Now(), coordinator.State{
+		Full: true, Names: []string{f.workers[0].ID},
+		Loads: []coordinator.UpstreamLoad{{InFlight: row.OtherRequests}},
+	}, nil))
 	r := f.request(t, row.Route, "id-1")
 	r.Header.Set("Deadline-Ms", "15000")
 	a := f.do(r)
@@ -93,7 +103,9 @@
 	}
 	is.NoErr(a.err)
 	is.Equal(a.status, row.Status)
+	is.Equal(a.header.Get("Retry-After") != "", row.Status == http.StatusServiceUnavailable)
 	is.Equal(f.runs(), row.Runs)
+	is.Equal(f.arrivals() == 0, row.Unsent)
 	is.Equal(strings.Count(f.log.String(), `"event":"request"`), 1)
 }
 
--- a/internal/gateway/forwarder/query.go
+++ b/internal/gateway/forwarder/query.go
@@ -114,7 +114,7 @@
 	// that, few engines have loaded the newest ones.
 	staleAfter = time.Second
 	// dueShare is the share of weightsApply after which older weights are used
-	// only if no engine has newer ones.
+	// only if no engine has newer ones, and only at a free slot.
 	dueShare = 0.45
 	// lateShare is the share of weightsApply after which older weights are no
 	// longer used; the rest covers the time that a request waits at its engine.
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -33,7 +33,8 @@
 	Full Reason = "full"
 	// Behind means that the prefill queue of each usable engine is so long that
 	// a long prompt, and each request queued after it, would miss its
-	// objective.
+	// objective, or that its weights may have to be replaced before a request
+	// gets a slot.
 	Behind Reason = "behind"
 )
 
@@ -118,7 +119,7 @@
 			continue
 		}
 		c := e.estimateCosts(u, load)
-		if p.queueTooLong(q, c) {
+		if p.queueTooLong(q, c) || mayStartTooLate(q, c) {
 			best.Reason = Behind
 			best.Backlog = shorterBacklog(best.Backlog, c.Costs.Queue)
 			continue
@@ -133,6 +134,14 @@
 	return best
 }
 
+// mayStartTooLate reports whether a request would wait for a slot of an engine whose
+// weights are due for replacement: it may start when they must no longer be used.
+//
+// Load: a roll-out that is delayed while all engines are full.
+func mayStartTooLate(q Query, c Choice) bool {
+	return q.Prompt != nil && c.WeightsVersion < q.Prompt.DueVersion && c.Load.InFlight >= max(c.Upstream.Slots, 1)
+}
+
 // queueTooLong reports whether a prompt with a long prefill would miss the
 // objective because of the engine's queue.
 func (p *Picker) queueTooLong(q Query, c Choice) bool {
--- a/internal/routing/picker/query.go
+++ b/internal/routing/picker/query.go
@@ -26,7 +26,8 @@
 	// serves.
 	WeightsVersion func(*registrar.Upstream) uint64
 	// NewestVersion is the newest wanted version of the weights. DueVersion is
-	// the newest version whose roll-out time is about half over.
+	// the newest version whose roll-out time is about half over; engines with
+	// older ones get no request that has to wait for a slot.
 	NewestVersion uint64
 	DueVersion    uint64
 	// Scope returns the name of the cache scope that the request may use at a
