Expect the version of the weights that the VM believes

A late order or a restart brought older ones back, and neither the VM nor its log noticed.

Cause: only long prompts named the version that they expect, and a lower version in a response was ignored.

Ruled out: expecting the version always. An engine that has loaded newer weights since would refuse what it may run; that is kept for the time in which no older version is too old. Lowering the known version at any lower one in a response: a response that began before a change arrives after it.

Change: a request to an engine names the version if an older one is too old, or if it is the newest wanted one. A response whose version is lower than the one known when its request was sent corrects that for 5 s, for that incarnation and model, until the hub or the engine says otherwise. A 421 of another instance says nothing about the engine's weights.

TestIsolatedOrganisationsHaveTheirOwnCache stays as it was: no version is wanted there.

Conclusion: shown and closed for responses and arrivals; before the limit, the first request may still begin on the older weights, as is allowed.

--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -181,6 +181,7 @@
 	ctx, x.withdrawal = x.watchWeights(ctx, u)
 	defer x.withdrawal.stop()
 	options := AttemptOptions{Upstream: u.ID, Deadline: x.deadline, Priority: -1, CacheScope: x.isolationScope(), ResumeAfter: x.lastEvent}
+	options.WeightsVersion = x.expectedWeights(now)
 	if x.choice.Scope != "" {
 		options.CacheScope, options.WeightsVersion = x.choice.Scope, x.choice.WeightsVersion
 	}
@@ -240,8 +241,8 @@
 // recordResponse updates the weights and the health of the upstream from the
 // head of its response.
 func (x *exchange) recordResponse(u *registrar.Upstream, status int, head ResponseHead) {
-	if head.WeightsVersion > 0 {
-		x.cfg.View.RecordWeightsVersion(u, x.request.Prompt.Model, head.WeightsVersion)
+	if head.WeightsVersion > 0 && (!head.Misdirected || head.Instance == u.ID) {
+		x.cfg.View.RecordWeightsVersion(time.Now(), u, x.request.Prompt.Model, head.WeightsVersion, x.choice.WeightsVersion)
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/internal/gateway/forwarder/query.go
+++ b/internal/gateway/forwarder/query.go
@@ -71,7 +71,7 @@
 	view, model := x.cfg.View, x.request.Prompt.Model
 	prompt := &picker.Prompt{
 		Tokens:         x.request.Prompt.Tokens,
-		WeightsVersion: func(u *registrar.Upstream) uint64 { return view.WeightsVersion(u, model) },
+		WeightsVersion: func(u *registrar.Upstream) uint64 { return view.WeightsVersion(now, u, model) },
 		Holders:        view.Holders,
 		Scope:          func(version uint64) string { return x.cacheScope(version) },
 	}
@@ -88,7 +88,7 @@
 	oldest, prompt.DueVersion, prompt.NewestVersion = x.wantedWeights(now, model)
 	q.Prompt = prompt
 	q.Usable = func(u *registrar.Upstream) bool {
-		version := view.WeightsVersion(u, model)
+		version := view.WeightsVersion(now, u, model)
 		return version > 0 && version >= oldest && !view.ChangingWeights(now, u)
 	}
 }
--- a/internal/gateway/forwarder/withdraw.go
+++ b/internal/gateway/forwarder/withdraw.go
@@ -75,7 +75,7 @@
 func (w *withdrawal) nextCheck(now time.Time) time.Time {
 	version := w.version
 	if version == 0 {
-		version = w.x.cfg.View.WeightsVersion(w.upstream, w.x.request.Prompt.Model)
+		version = w.x.cfg.View.WeightsVersion(now, w.upstream, w.x.request.Prompt.Model)
 	}
 	allowed := time.Duration(withdrawShare * float64(w.x.weightsApply.Load()))
 	next := now.Add(allowed)
@@ -119,7 +119,24 @@
 	x.cfg.Meter.Count(meter.Withdrawn, "", 1)
 	x.logUpstream("attempt_withdrawn", u).WithFields(logrus.Fields{
 		"model":   x.request.Prompt.Model,
-		"weights": x.cfg.View.WeightsVersion(u, x.request.Prompt.Model),
+		"weights": x.cfg.View.WeightsVersion(now, u, x.request.Prompt.Model),
 		"took_ms": now.Sub(x.sentAt).Milliseconds(),
 	}).Info("request is withdrawn, its engine has older weights")
 }
+
+// expectedWeights returns the only version of the weights that may run the
+// attempt, or 0 if any may. Weights that are older than the VM believes must not
+// run it once they are too old. While none are, an engine that has changed to
+// newer ones in the meantime may.
+func (x *exchange) expectedWeights(now time.Time) uint64 {
+	if !x.route.CarriesPrompt {
+		return 0
+	}
+	model := x.request.Prompt.Model
+	history := x.cfg.Directory.DesiredWeightsHistory(model)
+	oldest, _, _ := x.wantedWeights(now, model)
+	if n := len(history); oldest > 0 || n > 0 && history[n-1].Version == x.choice.WeightsVersion {
+		return x.choice.WeightsVersion
+	}
+	return 0
+}
--- a/internal/peering/coordinator/coordinator_test.go
+++ b/internal/peering/coordinator/coordinator_test.go
@@ -129,8 +129,8 @@
 		hub.SetEngine(coordinator.Engine{Upstream: "u", StartedAt: u.StartedAt, Weights: map[string]uint64{"m": 2}})
 		time.Sleep(100 * time.Millisecond)
 		is.True(!a.view.ChangingWeights(time.Now(), u))
-		is.Equal(a.view.WeightsVersion(u, "m"), uint64(2))
-		is.Equal(a.view.WeightsVersion(u, "other"), uint64(0))
+		is.Equal(a.view.WeightsVersion(time.Now(), u, "m"), uint64(2))
+		is.Equal(a.view.WeightsVersion(time.Now(), u, "other"), uint64(0))
 		// Cached parts, including pending ones.
 		part := cataloguer.Part{Scope: "@2", ID: "p"}
 		a.mu.Lock()
--- a/internal/peering/coordinator/view.go
+++ b/internal/peering/coordinator/view.go
@@ -41,6 +41,8 @@
 	catalogue  *cataloguer.Catalogue
 	// pending holds the parts of the catalogue that are yet to be prefilled.
 	pending map[CachedPart]struct{}
+	// corrections holds the older weights that engines named, by upstream.
+	corrections map[string]correction
 }
 
 // engineState is an Engine with the expiry of its ChangingWeights mark.
@@ -51,7 +53,10 @@
 
 // NewView returns an empty View.
 func NewView() *View {
-	return &View{loads: make(map[string]Load), engines: make(map[string]engineState), catalogue: cataloguer.New(), pending: make(map[CachedPart]struct{})}
+	return &View{
+		loads: make(map[string]Load), engines: make(map[string]engineState), catalogue: cataloguer.New(),
+		pending: make(map[CachedPart]struct{}), corrections: make(map[string]correction),
+	}
 }
 
 // Apply updates the view with a message from the hub. ownLoads are the loads of this VM
@@ -78,6 +83,7 @@
 	for _, e := range s.Engines {
 		// Times are encoded as floating-point seconds, which are not exact.
 		e.StartedAt = e.StartedAt.Round(time.Millisecond)
+		delete(v.corrections, e.Upstream)
 		v.engines[e.Upstream] = engineState{Engine: e, changingExpiresAt: now.Add(changingTTL)}
 	}
 	for _, p := range s.Cached {
@@ -132,14 +138,18 @@
 }
 
 // WeightsVersion returns the highest weights version of a model that is known of an
-// engine, or 0 if the engine does not serve the model.
-func (v *View) WeightsVersion(u *registrar.Upstream, model string) uint64 {
+// engine, a lower one that the engine itself has named since, or 0 if the engine does
+// not serve the model.
+func (v *View) WeightsVersion(now time.Time, u *registrar.Upstream, model string) uint64 {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	version, serves := u.Weights[model]
 	if !serves {
 		return 0
 	}
+	if corrected, ok := v.correctedVersion(now, u, model); ok {
+		return corrected
+	}
 	if e, ok := v.engines[u.ID]; ok && e.StartedAt.Equal(u.StartedAt) {
 		return max(version, e.Weights[model])
 	}
@@ -147,10 +157,19 @@
 }
 
 // RecordWeightsVersion records the weights version of a model that an engine reported
-// in a response. Lower versions than the known one are ignored.
-func (v *View) RecordWeightsVersion(u *registrar.Upstream, model string, version uint64) {
+// in a response. known is the version that was known when the request was sent: a lower
+// one in the response proves that wrong. Other lower versions may be from before a change
+// and are ignored.
+func (v *View) RecordWeightsVersion(now time.Time, u *registrar.Upstream, model string, version, known uint64) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if version < known {
+		v.correct(now, u, model, version)
+		return
+	}
+	if c, ok := v.correctedVersion(now, u, model); ok && version > c {
+		delete(v.corrections, u.ID)
+	}
 	e, ok := v.engines[u.ID]
 	if !ok || !e.StartedAt.Equal(u.StartedAt) {
 		e = engineState{Engine: Engine{Upstream: u.ID, StartedAt: u.StartedAt}}
