--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -65,6 +65,8 @@
 	choice picker.Choice
 	// withdrawal is that of the latest attempt.
 	withdrawal *withdrawal
+	// withdrawn is the number of attempts that were withdrawn.
+	withdrawn int
 	// sentAt is when the latest attempt was sent.
 	sentAt time.Time
 	// readingPrompt is true from sending an attempt until the upstream has read
--- a/internal/gateway/forwarder/log.go
+++ b/internal/gateway/forwarder/log.go
@@ -44,13 +44,13 @@
 	}
 	if u := x.choice.Upstream; u != nil {
 		fields["upstream"] = u.ID
-		fields["weights"] = x.choice.WeightsVersion
 		fields["read_tokens"] = x.choice.PromptTokens
 		if x.choice.Scope != "" {
 			fields["scope"], fields["prompt"] = x.choice.Scope, x.request.Prompt.Parts[0].ID
 		}
 		fields["cost_ms"] = x.choice.Costs.Total().Milliseconds()
 		fields["wait_ms"] = x.sentAt.Sub(x.arrivedAt).Milliseconds()
+		x.addWeightsFields(fields)
 	}
 	if x.choice.Source != nil {
 		fields["source"] = x.choice.Source.ID
--- a/internal/gateway/forwarder/old_weights_test.go
+++ b/internal/gateway/forwarder/old_weights_test.go
@@ -1,6 +1,7 @@
 package forwarder_test
 
 import (
+	"encoding/json"
 	"net/http"
 	"strings"
 	"testing"
@@ -118,3 +119,40 @@
 	}
 	f.directory.configure(c)
 }
+
+// TestRequestLineTellsWeights checks the fields that tell the causes of a request
+// on older weights apart.
+func TestRequestLineTellsWeights(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, 1)
+		f.configureLongTimeouts()
+		f.directory.setWeights(informer.Weights{Version: 2, Since: time.Now()})
+		time.Sleep(time.Second)
+		is.Equal(f.do(f.request(t, "once", "id-1")).status, http.StatusOK)
+		f.workers[0].Slots = 1
+		f.workers[0].OccupySlots(1)
+		r := f.request(t, "once", "id-2")
+		r.Header.Set("Deadline-Ms", "15000")
+		is.Equal(f.do(r).status, http.StatusBadGateway)
+		var lines []map[string]any
+		for line := range strings.Lines(f.log.String()) {
+			var fields map[string]any
+			is.NoErr(json.Unmarshal([]byte(line), &fields))
+			if fields["event"] == "request" {
+				lines = append(lines, fields)
+			}
+		}
+		is.Equal(len(lines), 2)
+		for _, fields := range lines {
+			is.Equal(fields["weights"], 1.0)
+			is.Equal(fields["wanted_weights"], 2.0)
+			is.Equal(fields["wanted_age_ms"], 1000.0)
+		}
+		is.Equal(lines[0]["stated_weights"], 1.0)
+		is.Equal(lines[0]["withdrawn"], nil)
+		is.Equal(lines[1]["stated_weights"], nil)
+		is.Equal(lines[1]["withdrawn"], 1.0)
+	})
+}
--- a/internal/gateway/forwarder/retry.go
+++ b/internal/gateway/forwarder/retry.go
@@ -80,7 +80,9 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	switch {
-	case x.r.Context().Err() != nil || errors.Is(failure, errClientGone) || errors.Is(failure, errWithdrawn):
+	case x.r.Context().Err() != nil || errors.Is(failure, errClientGone):
+	case errors.Is(failure, errWithdrawn):
+		x.withdrawn++ // the engine is full, not unreachable
 	case failure.Leaving:
 		x.picker.ExcludeUntil(now, u.ID, now.Add(replacedCooldown))
 	case failure.NotRun && failure.Status != 0:
--- a/internal/gateway/forwarder/withdraw.go
+++ b/internal/gateway/forwarder/withdraw.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -94,6 +95,14 @@
 	w.version = version
 }
 
+// statedVersion returns the version of the weights that the engine has stated, 0
+// if it has stated none.
+func (w *withdrawal) statedVersion() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.version
+}
+
 // end ends the watch. It returns errWithdrawn if the attempt was withdrawn.
 func (w *withdrawal) end() error {
 	w.mu.Lock()
@@ -114,6 +123,30 @@
 	w.cancel(nil)
 }
 
+// addWeightsFields adds to the log line of a request the weights on which the VM
+// sent its latest attempt, those that the engine has stated, and the newest that
+// were wanted when it was sent, with their age at that time.
+func (x *exchange) addWeightsFields(fields logrus.Fields) {
+	if !x.route.CarriesPrompt || x.withdrawal == nil {
+		return
+	}
+	fields["weights"] = x.choice.WeightsVersion
+	if stated := x.withdrawal.statedVersion(); stated > 0 {
+		fields["stated_weights"] = stated
+	}
+	if x.withdrawn > 0 {
+		fields["withdrawn"] = x.withdrawn
+	}
+	history := x.cfg.Directory.DesiredWeightsHistory(x.request.Prompt.Model)
+	for _, wanted := range slices.Backward(history) {
+		if !wanted.Since.After(x.sentAt) {
+			fields["wanted_weights"] = wanted.Version
+			fields["wanted_age_ms"] = x.sentAt.Sub(wanted.Since).Milliseconds()
+			return
+		}
+	}
+}
+
 // logWithdrawn logs the withdrawal of an attempt.
 func (x *exchange) logWithdrawn(now time.Time, u *registrar.Upstream) {
 	x.cfg.Meter.Count(meter.Withdrawn, "", 1)
