--- a/internal/gateway/forwarder/old_weights_test.go
+++ b/internal/gateway/forwarder/old_weights_test.go
@@ -37,7 +37,9 @@
 	NewerMS         int `json:"newer_ms"`
 	OrderedMS       int `json:"ordered_ms"`
 	EventIntervalMS int `json:"event_interval_ms"`
-	Status          int `json:"status"`
+	// DelayMS is the time that bytes take from the VM to the engine.
+	DelayMS int `json:"delay_ms"`
+	Status  int `json:"status"`
 	// OtherRequests is the number of requests that other VMs have at the engine.
 	OtherRequests int `json:"other_requests"`
 	// Runs counts the requests that began at an engine. Unsent is true if none
@@ -71,6 +73,7 @@
 	f.workers[0].Slots = 1
 	f.workers[0].EventInterval = time.Duration(row.EventIntervalMS) * time.Millisecond
 	f.workers[0].OccupySlots(1)
+	f.network.Delay(workerAddress(0).String(), time.Duration(row.DelayMS)*time.Millisecond)
 	named := time.Now().Add(5 * time.Second)
 	versions := []informer.Weights{{Version: 2, Since: named}}
 	at := func(ms int, do func()) {
--- a/internal/testing/piper/host.go
+++ b/internal/testing/piper/host.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"time"
 )
 
 // neverCut is the value of Host.cutAfter for connections without a limit.
@@ -19,6 +20,8 @@
 	silent bool
 	// cutAfter is the write limit of new connections, or neverCut.
 	cutAfter int
+	// delay is the time that writes on new connections take.
+	delay time.Duration
 }
 
 // serve accepts connections until Network.Stop.
--- a/internal/testing/piper/link.go
+++ b/internal/testing/piper/link.go
@@ -4,6 +4,7 @@
 	"net"
 	"sync"
 	"syscall"
+	"time"
 )
 
 // clientConn is the client side of a connection. It injects the faults.
@@ -12,6 +13,10 @@
 	network *Network
 	closed  chan struct{}
 	once    sync.Once
+	// delay is the time that writes take, and delayed holds those on their way;
+	// nil without a delay.
+	delay   time.Duration
+	delayed chan delayedWrite
 
 	mu sync.Mutex
 	// silent makes writes succeed without effect and reads block until Close.
@@ -38,6 +43,10 @@
 	if c.isSilent() {
 		return len(data), nil
 	}
+	if c.delayed != nil {
+		c.enqueue(append([]byte{}, data...))
+		return len(data), nil
+	}
 	if c.writeLimit == neverCut || len(data) <= c.writeLimit {
 		return c.Conn.Write(data)
 	}
@@ -59,6 +68,14 @@
 
 // Close implements net.Conn.
 func (c *clientConn) Close() error {
-	c.once.Do(func() { close(c.closed) })
+	c.once.Do(func() {
+		close(c.closed)
+		if c.delayed != nil {
+			c.enqueue(nil)
+		}
+	})
+	if c.delayed != nil {
+		return c.SetReadDeadline(time.Now())
+	}
 	return c.Conn.Close()
 }
--- a/internal/testing/piper/network.go
+++ b/internal/testing/piper/network.go
@@ -49,6 +49,10 @@
 	}
 	clientSide, serverSide := net.Pipe()
 	c := &clientConn{Conn: clientSide, network: n, silent: h.silent, writeLimit: h.cutAfter, closed: make(chan struct{})}
+	if h.delay > 0 {
+		c.delay, c.delayed = h.delay, make(chan delayedWrite, maxDelayedWrites)
+		go c.run()
+	}
 	h.clientConns = append(h.clientConns, c)
 	h.incoming <- serverSide
 	return c, nil
