--- a/internal/gateway/forwarder/query.go
+++ b/internal/gateway/forwarder/query.go
@@ -71,7 +71,7 @@
 	view, model := x.cfg.View, x.request.Prompt.Model
 	prompt := &picker.Prompt{
 		Tokens:         x.request.Prompt.Tokens,
-		WeightsVersion: func(u *registrar.Upstream) uint64 { return view.WeightsVersion(u, model) },
+		WeightsVersion: func(u *registrar.Upstream) uint64 { return view.WeightsVersion(now, u, model) },
 		Holders:        view.Holders,
 		Scope:          func(version uint64) string { return x.cacheScope(version) },
 	}
@@ -88,7 +88,7 @@
 	oldest, prompt.DueVersion, prompt.NewestVersion = x.wantedWeights(now, model)
 	q.Prompt = prompt
 	q.Usable = func(u *registrar.Upstream) bool {
-		version := view.WeightsVersion(u, model)
+		version := view.WeightsVersion(now, u, model)
 		return version > 0 && version >= oldest && !view.ChangingWeights(now, u)
 	}
 }
@@ -114,7 +114,7 @@
 	// that, few engines have loaded the newest ones.
 	staleAfter = time.Second
 	// dueShare is the share of weightsApply after which older weights are used
-	// only if no engine has newer ones.
+	// only if no engine has newer ones, and only at a free slot.
 	dueShare = 0.45
 	// lateShare is the share of weightsApply after which older weights are no
 	// longer used; the rest covers the time that a request waits at its engine.
