Take an upstream's later state also at revisions assigned before

Ruled out: the replica, which had the entry.

An entry that may be an older one now replaces what is known of the same process if it is draining, has accepted more orders, or has as many orders and no older weights; all three only rise within a process. An upstream that is gone stays away until it writes again in the new era.

--- a/internal/membership/registrar/registrar.go
+++ b/internal/membership/registrar/registrar.go
@@ -81,11 +81,14 @@
 	return events
 }
 
-// PutRestored is Put for an entry that the store restored from a copy which is older than
-// what is known. The entry shows neither that a process which left is back nor how a known
-// one is now, only that processes exist of which nothing later is known.
+// PutRestored is Put for an entry that the store may have restored from a copy which is
+// older than what is known. It does not show that a process which left is back; a later
+// write of a live process does.
 func (r *Registrar) PutRestored(u *Upstream) []Event {
-	if rec, ok := r.records[u.ID]; ok && !u.follows(rec.upstream) {
+	if rec, ok := r.records[u.ID]; ok {
+		if u.supersedes(rec.upstream) {
+			return r.Put(u)
+		}
 		rec.removeAt = time.Time{}
 		return nil
 	}
--- a/internal/membership/registrar/registrar_test.go
+++ b/internal/membership/registrar/registrar_test.go
@@ -18,6 +18,8 @@
 	Put string `json:"put"`
 	// Restored is true if the entry is one of a restored copy of the store.
 	Restored  bool     `json:"restored"`
+	Weights   uint64   `json:"weights"`
+	Orders    uint64   `json:"orders"`
 	Leaving   bool     `json:"leaving"`
 	StartedMS int64    `json:"started"`
 	Remove    string   `json:"remove"`
@@ -27,13 +29,16 @@
 	WaitMS         int  `json:"wait_ms"`
 	// Usable lists the IDs of the expected usable upstreams, and Events the types
 	// of all events since the first step.
-	Usable []string              `json:"usable"`
-	Events []registrar.EventType `json:"news"`
+	Usable []string `json:"usable"`
+	// WantWeights is the version that all usable upstreams are to have, 0 for any.
+	WantWeights uint64                `json:"want_weights"`
+	Events      []registrar.EventType `json:"news"`
 }
 
 func newUpstream(s step, id string) *registrar.Upstream {
 	return &registrar.Upstream{
 		ID: id, Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:80"),
+		Weights: map[string]uint64{"m": s.Weights}, Orders: s.Orders,
 		Leaving: s.Leaving, StartedAt: time.UnixMilli(s.StartedMS),
 	}
 }
@@ -85,14 +90,22 @@
 		if s.Usable == nil {
 			continue
 		}
-		usable := r.Usable("s")
-		ids := make([]string, 0, len(usable))
-		for _, u := range usable {
-			ids = append(ids, u.ID)
-		}
-		is.Equal(ids, s.Usable)
+		checkUsable(is, r, s)
 		if s.Events != nil {
 			is.Equal(eventTypes, s.Events)
 		}
 	}
 }
+
+func checkUsable(is *is.I, r *registrar.Registrar, s step) {
+	is.Helper()
+	usable := r.Usable("s")
+	ids := make([]string, 0, len(usable))
+	for _, u := range usable {
+		ids = append(ids, u.ID)
+		if s.WantWeights > 0 {
+			is.Equal(u.Weights["m"], s.WantWeights)
+		}
+	}
+	is.Equal(ids, s.Usable)
+}
--- a/internal/membership/registrar/upstream.go
+++ b/internal/membership/registrar/upstream.go
@@ -34,6 +34,26 @@
 	return u.Address == other.Address && u.StartedAt.Equal(other.StartedAt)
 }
 
+// supersedes reports whether an entry that may be an older one of the store is of a later
+// state than a known one. A process that leaves does not become ready again, the number of
+// its orders only rises, and its weights change at most once for each order.
+func (u *Upstream) supersedes(known *Upstream) bool {
+	switch {
+	case !u.SameProcess(known):
+		return u.follows(known)
+	case u.Leaving != known.Leaving:
+		return u.Leaving
+	case u.Orders != known.Orders:
+		return u.Orders > known.Orders
+	}
+	for model, version := range known.Weights {
+		if u.Weights[model] < version {
+			return false
+		}
+	}
+	return true
+}
+
 // follows reports whether the entry is of another process than an earlier known one, and
 // not of one that started before it.
 func (u *Upstream) follows(known *Upstream) bool {
