Check waiting requests when the VM learns of newer weights late

Callers saw: requests that begin on older weights after the time limit. Cause: the timer of a waiting request is set for when a version that is named from now on could end its time. Since a version counts from when it was named, also when the VM learns of it late, that time can be over before the timer fires. Ruled out: a shorter timer, which would wake a VM for each waiting request several times a second.

The informer tells when the desired weights or their times change, and the forwarder then checks all waiting attempts. The two new rows of TestWaitingRequestsDoNotBeginOnOldWeights fail without the check ('not on older weights after the limit').

--- a/internal/gateway/forwarder/old_weights_test.go
+++ b/internal/gateway/forwarder/old_weights_test.go
@@ -1,6 +1,7 @@
 package forwarder_test
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"strings"
@@ -30,6 +31,9 @@
 	// SentMS is when the request is sent, FreedMS when a slot becomes free.
 	SentMS  int `json:"sent_ms"`
 	FreedMS int `json:"freed_ms"`
+	// LearnedMS is when the VM learns of version 2, at once by default. The version
+	// counts from when it was named all the same.
+	LearnedMS int `json:"learned_ms"`
 	// SecondVersionMS is when version 3 is named; 0 for never.
 	SecondVersionMS int `json:"second_version_ms"`
 	// NewerMS is when another engine registers with the newest weights, OrderedMS
@@ -79,7 +83,13 @@
 	at := func(ms int, do func()) {
 		time.AfterFunc(time.Until(named.Add(time.Duration(ms)*time.Millisecond)), do)
 	}
-	at(0, func() { f.directory.setWeights(versions...) })
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go f.forwarder.Run(ctx)
+	at(row.LearnedMS, func() {
+		f.directory.setWeights(versions...)
+		f.forwarder.HandleWeightsChange()
+	})
 	if row.SecondVersionMS != 0 {
 		at(row.SecondVersionMS, func() {
 			f.directory.setWeights(append(versions, informer.Weights{Version: 3, Since: time.Now()})...)
--- a/internal/gateway/forwarder/withdraw.go
+++ b/internal/gateway/forwarder/withdraw.go
@@ -45,6 +45,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	w := &withdrawal{x: x, upstream: u, cancel: cancel}
 	if x.route.CarriesPrompt {
+		x.waiting.add(w)
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		now := time.Now()
@@ -67,6 +68,7 @@
 		return
 	}
 	w.ended, w.withdrawn = true, true
+	w.x.waiting.remove(w)
 	w.x.logWithdrawn(now, w.upstream)
 	w.cancel(errWithdrawn)
 }
@@ -107,10 +109,11 @@
 func (w *withdrawal) end() error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.ended = true
-	if w.timer != nil {
+	if w.timer != nil && !w.ended {
 		w.timer.Stop()
+		w.x.waiting.remove(w)
 	}
+	w.ended = true
 	if w.withdrawn {
 		return errWithdrawn
 	}
--- a/internal/membership/informer/informer.go
+++ b/internal/membership/informer/informer.go
@@ -38,6 +38,9 @@
 	// which VMs write them again if a restored store lacks them.
 	RetainPrefix string
 	RetainFor    time.Duration
+	// OnWeights, if not nil, is called when the desired versions of weights or the times
+	// from which they count have changed. It must not block.
+	OnWeights func()
 	// OnRestore, if not nil, is called for each prefix in which an era of the store starts.
 	OnRestore func(prefix string)
 	// Suspended returns for how long the monotonic clock has stood still since the VM
--- a/internal/membership/informer/take.go
+++ b/internal/membership/informer/take.go
@@ -104,4 +104,5 @@
 		"age_ms":      millisecondsSince(now, since),
 		"contact_ms":  millisecondsSince(now, i.origin.contact),
 	}).Info("desired weights changed")
+	i.announceWeights()
 }
--- a/internal/membership/informer/weights_age.go
+++ b/internal/membership/informer/weights_age.go
@@ -72,6 +72,14 @@
 		}
 		i.weights[model] = shifted
 	}
+	i.announceWeights()
+}
+
+// announceWeights tells that the desired weights or their times have changed.
+func (i *Informer) announceWeights() {
+	if i.cfg.OnWeights != nil {
+		i.cfg.OnWeights()
+	}
 }
 
 // recordOrigin records the origin of the changes that follow. The caller must hold i.mu.
--- a/internal/operating/starter/gateway.go
+++ b/internal/operating/starter/gateway.go
@@ -134,6 +134,7 @@
 		Started:           time.Now(),
 		InitialWeightsAge: settings.Bounds.WeightsApply / 2,
 		Suspended:         timekeeper.Suspended,
+		OnWeights:         func() { g.forwarder.HandleWeightsChange() },
 		RetainPrefix:      vmPrefix,
 		RetainFor:         announcer.RestoreTTL,
 		OnRestore:         func(prefix string) { g.meter.Count(meter.StoreRestores, prefix, 1) },
@@ -192,6 +193,7 @@
 	loops := []func(context.Context){
 		g.informer.Run,
 		g.exchanger.Run,
+		g.forwarder.Run,
 		g.leaser.Run,
 		g.relayClient.Run,
 		g.runVMCount,
