Order all engines whose weights are no longer used at once

An engine refuses such requests from its order on, but a roll-out that began late still changed a third of the engines at once and had no order for the others by then.

Cause: the limit on simultaneous loads is a third of the engines whatever time is left. It protects capacity, but VMs send no requests to engines whose weights are outdated for 0.6 of the time limit, so that these have no capacity to protect.

Ruled out: the priority of overdue engines (they went first); reports (all engines were schedulable).

Change: engines whose weights are no longer used do not count towards the limit, and go first. The share of 0.6 is now defined in one place.

Conclusion: a late start of the orders leaves requests in queues past the limit.

--- a/internal/gateway/forwarder/query.go
+++ b/internal/gateway/forwarder/query.go
@@ -116,25 +116,22 @@
 	// dueShare is the share of weightsApply after which older weights are used
 	// only if no engine has newer ones.
 	dueShare = 0.45
-	// lateShare is the share of weightsApply after which older weights are no
-	// longer used; the rest covers the time that a request waits at its engine.
-	lateShare = 0.6
 )
 
 // wantedWeights returns the oldest version of the weights that a new request
 // may use, the version below which engines are a last resort, and the version
 // below which weights are stale.
 func (x *exchange) wantedWeights(now time.Time, model string) (oldest, due, newest uint64) {
-	apply := float64(x.weightsApply.Load())
+	apply := time.Duration(x.weightsApply.Load())
 	for _, w := range x.cfg.Directory.DesiredWeightsHistory(model) {
 		passed := now.Sub(w.Since)
 		if passed >= staleAfter {
 			newest = max(newest, w.Version)
 		}
-		if passed >= time.Duration(dueShare*apply) {
+		if passed >= time.Duration(dueShare*float64(apply)) {
 			due = max(due, w.Version)
 		}
-		if passed >= time.Duration(lateShare*apply) {
+		if !now.Before(w.OlderUsableUntil(apply)) {
 			oldest = max(oldest, w.Version)
 		}
 	}
--- a/internal/placement/upgrader/upgrader.go
+++ b/internal/placement/upgrader/upgrader.go
@@ -38,10 +38,12 @@
 	// would refuse while it changes its weights.
 	noticePeriod = 80 * time.Millisecond
 	// An engine gets priority when it lacks a version for longer than
-	// WeightsApply/overdueDivisor. overdueBonus is subtracted from its number of
-	// requests in flight, since the planner prefers the least loaded engines.
+	// WeightsApply/overdueDivisor, and more when its weights are no longer used. The
+	// bonus is subtracted from its number of requests in flight, since the planner
+	// prefers the least loaded engines.
 	overdueDivisor = 3
 	overdueBonus   = 1000
+	unusedBonus    = 2000
 	// loadDivisor sets the number of simultaneous loads as a fraction of the
 	// engines.
 	loadDivisor = 3
@@ -143,7 +145,6 @@
 // planInput returns the input of a plan.
 func (g *Upgrader) planInput(now time.Time, engines []*registrar.Upstream, wanted map[string]informer.Weights) planner.Input {
 	in := planner.Input{
-		Policy:   checker.PlacementPolicy{MaxLoads: max((len(engines)+loadDivisor-1)/loadDivisor, 1)},
 		Deadline: now.Add(noticePeriod + orderTimeout),
 		// Old weights must not be served for long, so that a model whose only
 		// engine kept them would become unavailable.
@@ -157,15 +158,23 @@
 			MinReplicas:            1,
 		})
 	}
-	loads := g.cfg.InFlight()
+	loads, unused := g.cfg.InFlight(), 0
 	for _, u := range engines {
 		e := g.engine(now, u)
 		e.Load = loads[u.ID]
-		if g.overdue(now, u) {
+		switch unusable, overdue := g.lateness(now, u); {
+		case unusable:
+			e.Load -= unusedBonus
+			if !e.Unschedulable {
+				unused++
+			}
+		case overdue:
 			e.Load -= overdueBonus
 		}
 		in.Engines = append(in.Engines, e)
 	}
+	// Loading weights on engines that are not used takes no capacity away.
+	in.Policy = checker.PlacementPolicy{MaxLoads: max((len(engines)+loadDivisor-1)/loadDivisor, 1) + unused}
 	return in
 }
 
@@ -184,17 +193,19 @@
 	return strconv.FormatUint(newest, 10)
 }
 
-// overdue reports whether an engine has lacked a wanted version for so long
-// that it gets priority.
-func (g *Upgrader) overdue(now time.Time, u *registrar.Upstream) bool {
+// lateness reports whether the VMs no longer use the weights of an engine, and whether
+// the engine has lacked a wanted version for so long that it gets priority.
+func (g *Upgrader) lateness(now time.Time, u *registrar.Upstream) (unusable, overdue bool) {
 	for model, version := range g.weights(u) {
 		for _, w := range g.cfg.Directory.DesiredWeightsHistory(model) {
-			if w.Version > version && now.Sub(w.Since) > g.cfg.WeightsApply/overdueDivisor {
-				return true
+			if w.Version <= version {
+				continue
 			}
+			unusable = unusable || !now.Before(w.OlderUsableUntil(g.cfg.WeightsApply))
+			overdue = overdue || now.Sub(w.Since) > g.cfg.WeightsApply/overdueDivisor
 		}
 	}
-	return false
+	return unusable, overdue
 }
 
 // engine converts the observation of u to the planner's form.
