Derive fencing numbers from the store's era and revision

Seen: in a deployment whose store was restored from an older copy, engines that check fencing numbers keep old weights past the time limit (reported as requests that begin on older weights; shown here on stand-ins only).

Cause: the fencing number was the store's revision alone. After a restore, revisions are assigned again: a new holder has a lower number than the engines have seen and is refused until the revisions have passed, or the same number as the holder before. The store also loses the lease while its holder relies on it, and may give its ID to another VM, whose lease the old holder then renews or revokes.

Ruled out: the engines' counts of accepted orders (unchanged by a restore); the planner (orders were sent and refused).

Change: the number has the era above the revision, is the plain revision in era 0, and stays below 2^53; a version out of range gives no lease. The holder ends its lease when a renewal is answered in another era. A lease of one era is not used to write the key in another, nor revoked if the key is of another holder. A new holder does not order until a TTL after it first saw the era, unless it held the lease until the restore.

Before, TestRollOutAfterRestoreOfStore: "w3 has version 2, want 3" after a restore; TestOneNodeHoldsTheLease, rows "store restored from a copy without the lease" and "store restored while the holder is paused": "two nodes have fencing number 1". Both pass after.

It applies to deployments whose engines check fencing numbers; the wait of a new holder also to the others.

--- a/internal/operating/starter/gateway.go
+++ b/internal/operating/starter/gateway.go
@@ -27,6 +27,7 @@
 	"gentianstep.example/gentianstep/internal/peering/relayer"
 	"gentianstep.example/gentianstep/internal/placement/leaser"
 	"gentianstep.example/gentianstep/internal/placement/upgrader"
+	"gentianstep.example/gentianstep/internal/platform/storer"
 	"gentianstep.example/gentianstep/internal/routing/picker"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
 )
@@ -174,9 +175,9 @@
 		Durations: func() (leaser.Durations, bool) {
 			return leaser.Durations{TTL: max(leaseTTL, settings.Store.MinLeaseTTL), OrderTimeout: settings.Bounds.Lease}, true
 		},
-		HeldElsewhere: func() bool {
-			_, held := g.informer.Entry(weightsLeaseKey)
-			return held
+		Held: func() (storer.Version, bool) {
+			entry, held := g.informer.Entry(weightsLeaseKey)
+			return entry.Version(), held
 		},
 		AcquireDelay: func() time.Duration { return ranker.AcquireDelay(ranker.Rank(g.ownVM(), g.vms.load().vms)) },
 		Log:          log,
--- a/internal/placement/leaser/config.go
+++ b/internal/placement/leaser/config.go
@@ -50,9 +50,9 @@
 	// Durations returns the current lifetimes, or false while no configuration is
 	// in force.
 	Durations func() (Durations, bool)
-	// HeldElsewhere reports whether the lease is known to be held, in which case
+	// Held returns the version at which the lease is known to be held, in which case
 	// the store is not queried. If nil, the store is always queried.
-	HeldElsewhere func() bool
+	Held func() (storer.Version, bool)
 	// AcquireDelay returns how long a free lease is left to nodes that are better
 	// suited to hold it. If nil, every node tries at once.
 	AcquireDelay func() time.Duration
--- a/internal/placement/leaser/holding.go
+++ b/internal/placement/leaser/holding.go
@@ -2,12 +2,14 @@
 
 import "time"
 
-// Lease describes a lease that this node acquired. Until its deadline, the node
-// may give orders to engines.
+// Lease describes a lease that this node acquired. From its start to its deadline,
+// the node may give orders to engines.
 type Lease struct {
-	// Fencing is the fencing number: the store revision at which the lease was
-	// acquired. It increases with each acquisition.
-	Fencing  uint64
+	// Fencing is the fencing number, which increases with each acquisition.
+	Fencing uint64
+	// StartsAt is when the leases that the store lost in a restore have expired on
+	// their holders. It is zero if there can be none.
+	StartsAt time.Time
 	Deadline time.Time
 	// PriorOrdersExpireAt is when all orders of earlier holders have expired.
 	// Until then, upstreams that do not check fencing numbers must not receive
@@ -18,12 +20,17 @@
 	deadlineSinceBoot time.Duration
 }
 
-// Valid reports whether the lease is still held at now. The deadline is checked
-// against the monotonic clock, CLOCK_BOOTTIME and the wall clock, so that
-// neither a suspended VM nor a wall clock that is set back extends the lease.
+// Valid reports whether the lease has started and is still held at now.
 func (l Lease) Valid(now time.Time) bool {
+	return !now.Before(l.StartsAt) && !l.expired(now)
+}
+
+// expired reports whether the deadline has passed. It is checked against the
+// monotonic clock, CLOCK_BOOTTIME and the wall clock, so that neither a suspended VM
+// nor a wall clock that is set back extends the lease.
+func (l Lease) expired(now time.Time) bool {
 	if l.deadlineSinceBoot > 0 && sinceBoot() >= l.deadlineSinceBoot {
-		return false
+		return true
 	}
-	return l.Fencing > 0 && now.Before(l.Deadline) && now.Round(0).Before(l.Deadline.Round(0))
+	return l.Fencing == 0 || !now.Before(l.Deadline) || !now.Round(0).Before(l.Deadline.Round(0))
 }
--- a/internal/placement/leaser/leaser.go
+++ b/internal/placement/leaser/leaser.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"gentianstep.example/gentianstep/internal/operating/pauser"
 	"gentianstep.example/gentianstep/internal/platform/storer"
 )
@@ -37,8 +39,14 @@
 
 // Leaser acquires and renews one lease.
 type Leaser struct {
-	cfg     Config
-	leaseID uint64
+	cfg Config
+	// granted is the lease in the store, and value is what this node writes under its
+	// key.
+	granted storer.Lease
+	value   []byte
+	eras    eras
+	// heldUntil is the era whose start ended a lease of this node, 0 if there is none.
+	heldUntil uint64
 
 	mu    sync.Mutex
 	lease Lease
@@ -93,7 +101,12 @@
 			continue
 		}
 		l.setLease(lease)
-		l.cfg.Log.WithField("event", "lease_taken").WithField("fencing", lease.Fencing).Info("lease acquired")
+		l.cfg.Log.WithFields(logrus.Fields{
+			"event":        "lease_taken",
+			"fencing":      lease.Fencing,
+			"era":          l.granted.Era,
+			"starts_in_ms": max(time.Until(lease.StartsAt), 0).Milliseconds(),
+		}).Info("lease acquired")
 		l.renewUntilLost(ctx, durations, lease)
 		l.setLease(Lease{})
 		l.cfg.Log.WithField("event", "lease_ended").WithField("fencing", lease.Fencing).Info("lease released or lost")
@@ -109,78 +122,111 @@
 	return mathrand.N(durations.TTL / 2)
 }
 
-func (l *Leaser) heldElsewhere() bool { return l.cfg.HeldElsewhere != nil && l.cfg.HeldElsewhere() }
+// heldElsewhere reports whether the lease is known to be held.
+func (l *Leaser) heldElsewhere() bool {
+	if l.cfg.Held == nil {
+		return false
+	}
+	version, held := l.cfg.Held()
+	if held {
+		l.eras.observe(time.Now(), version.Era)
+	}
+	return held
+}
 
 // acquire takes the lease if no node holds it.
 func (l *Leaser) acquire(ctx context.Context, durations Durations) (Lease, error) {
 	ctx, cancel := context.WithTimeout(ctx, durations.TTL)
 	defer cancel()
-	_, err := l.cfg.Store.Get(ctx, l.cfg.Key)
+	entry, err := l.cfg.Store.Get(ctx, l.cfg.Key)
 	if err == nil {
+		l.eras.observe(time.Now(), entry.Era)
 		return Lease{}, storer.ErrConflict
 	}
 	if !errors.Is(err, storer.ErrNotFound) {
 		return Lease{}, err
 	}
 	sentAt, deadlineSinceBoot := time.Now(), bootDeadline(durations.TTL-durations.safetyMargin())
-	granted, err := l.cfg.Store.Grant(ctx, durations.TTL)
+	l.granted, err = l.cfg.Store.Grant(ctx, durations.TTL)
 	if err != nil {
 		return Lease{}, err
 	}
-	l.leaseID = granted.ID
-	value, err := json.Marshal(leaseRecord{Node: l.cfg.Node, Token: rand.Text()})
-	if err != nil {
+	l.eras.observe(time.Now(), l.granted.Era)
+	if l.value, err = json.Marshal(leaseRecord{Node: l.cfg.Node, Token: rand.Text()}); err != nil {
 		return Lease{}, err
 	}
-	version, err := l.createKey(ctx, value)
+	fencing, err := l.createKey(ctx)
 	if err != nil {
 		l.release(durations)
 		return Lease{}, err
 	}
-	return Lease{
-		Fencing:             version.Revision,
-		Deadline:            sentAt.Add(durations.TTL - durations.safetyMargin()),
-		deadlineSinceBoot:   deadlineSinceBoot,
-		PriorOrdersExpireAt: time.Now().Add(durations.TTL + durations.OrderTimeout),
-	}, nil
+	now := time.Now()
+	lease := Lease{
+		Fencing:           fencing,
+		StartsAt:          l.startsAt(now, durations),
+		Deadline:          sentAt.Add(durations.TTL - durations.safetyMargin()),
+		deadlineSinceBoot: deadlineSinceBoot,
+	}
+	lease.PriorOrdersExpireAt = later(now, lease.StartsAt).Add(durations.TTL + durations.OrderTimeout)
+	return lease, nil
 }
 
-// createKey writes the lease key. If the write fails, it reads the key back:
-// the write succeeded and only its response was lost if the stored token
-// matches.
-func (l *Leaser) createKey(ctx context.Context, value []byte) (storer.Version, error) {
-	version, putErr := l.cfg.Store.Put(ctx, l.cfg.Key, value, storer.PutOptions{LeaseID: l.leaseID})
-	if putErr == nil {
-		return version, nil
+// startsAt returns when the leases that the store lost in a restore have expired on
+// their holders, or zero if there can be none.
+func (l *Leaser) startsAt(now time.Time, durations Durations) time.Time {
+	expired := l.eras.firstSeen.Add(durations.TTL)
+	// If this node held the lease until the restore, no other node did.
+	if l.granted.Era == 0 || l.granted.Era == l.heldUntil || !expired.After(now) {
+		return time.Time{}
 	}
-	entry, err := l.cfg.Store.Get(ctx, l.cfg.Key)
-	if err == nil && bytes.Equal(entry.Value, value) {
-		return entry.Version(), nil
+	return expired
+}
+
+// createKey writes the lease key and returns the fencing number. If the write fails, it
+// reads the key back: the write succeeded and only its response was lost if the stored
+// token matches.
+func (l *Leaser) createKey(ctx context.Context) (uint64, error) {
+	version, putErr := l.cfg.Store.Put(ctx, l.cfg.Key, l.value, storer.PutOptions{LeaseID: l.granted.ID})
+	if putErr != nil {
+		entry, err := l.cfg.Store.Get(ctx, l.cfg.Key)
+		if err != nil || !bytes.Equal(entry.Value, l.value) {
+			return 0, putErr
+		}
+		version = entry.Version()
+	}
+	if version.Era != l.granted.Era || version.Era != l.eras.last {
+		// The ID of the lease may belong to another node in the new era.
+		return 0, fmt.Errorf("write lease key: lease is of era %d, the store is in era %d", l.granted.Era, version.Era)
 	}
-	return storer.Version{}, putErr
+	return FencingNumber(version)
 }
 
 // renewUntilLost renews the lease until it is lost, its deadline passes or ctx
 // is done.
 func (l *Leaser) renewUntilLost(ctx context.Context, durations Durations, lease Lease) {
 	wait := durations.renewInterval()
-	for lease.Valid(time.Now()) {
+	for !lease.expired(time.Now()) {
 		pauser.Pause(ctx, min(wait, time.Until(lease.Deadline)))
 		if ctx.Err() != nil {
 			l.release(durations)
 			return
 		}
 		sentAt, deadlineSinceBoot := time.Now(), bootDeadline(durations.TTL-durations.safetyMargin())
-		if !lease.Valid(sentAt) {
+		if lease.expired(sentAt) {
 			return
 		}
-		err := l.renew(ctx, earlier(lease.Deadline, sentAt.Add(durations.renewTimeout())))
+		renewed, err := l.renew(ctx, earlier(lease.Deadline, sentAt.Add(durations.renewTimeout())))
 		switch {
+		case err == nil && renewed.Era != l.granted.Era:
+			l.observeEnd(lease, renewed.Era)
+			l.release(durations)
+			return
 		case err == nil:
 			lease.Deadline, lease.deadlineSinceBoot = sentAt.Add(durations.TTL-durations.safetyMargin()), deadlineSinceBoot
 			l.setLease(lease)
 			wait = durations.renewInterval()
 		case errors.Is(err, storer.ErrLeaseGone):
+			l.observeEnd(lease, renewed.Era)
 			return
 		default:
 			l.cfg.Log.WithError(err).Debug("failed to renew lease")
@@ -189,14 +235,22 @@
 	}
 }
 
+// observeEnd records that the store, which is in an era, no longer has the lease.
+func (l *Leaser) observeEnd(lease Lease, era uint64) {
+	now := time.Now()
+	l.eras.observe(now, era)
+	if lease.Valid(now) && era == l.granted.Era+1 {
+		l.heldUntil = era
+	}
+}
+
 // renew extends the lease in the store. The caller keeps the old deadline if no
 // response arrives: the lease may then last longer in the store than on this
 // node, but never shorter.
-func (l *Leaser) renew(ctx context.Context, deadline time.Time) error {
+func (l *Leaser) renew(ctx context.Context, deadline time.Time) (storer.Lease, error) {
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	_, err := l.cfg.Store.Renew(ctx, l.leaseID)
-	return err
+	return l.cfg.Store.Renew(ctx, l.granted.ID)
 }
 
 // earlier returns the earlier of two times.
@@ -207,11 +261,23 @@
 	return a
 }
 
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // release revokes the lease, so that another node can acquire it without
 // waiting for it to expire.
 func (l *Leaser) release(durations Durations) {
 	l.setLease(Lease{})
 	ctx, cancel := context.WithTimeout(context.Background(), durations.safetyMargin())
 	defer cancel()
-	_ = l.cfg.Store.Revoke(ctx, l.leaseID)
+	entry, err := l.cfg.Store.Get(ctx, l.cfg.Key)
+	if err == nil && entry.Era != l.granted.Era && !bytes.Equal(entry.Value, l.value) {
+		return // the ID of the lease may belong to the new holder
+	}
+	_ = l.cfg.Store.Revoke(ctx, l.granted.ID)
 }
