--- a/internal/placement/upgrader/fixture_test.go
+++ b/internal/placement/upgrader/fixture_test.go
@@ -30,6 +30,8 @@
 	rng     *rand.Rand
 	network *piper.Network
 	store   *platformtest.Store
+	// copied is the last copy of the store.
+	copied platformtest.StoreCopy
 	// client is a client of the store without faults.
 	client  *platform.Client
 	workers []*platformtest.Worker
--- a/internal/placement/upgrader/upgrader_test.go
+++ b/internal/placement/upgrader/upgrader_test.go
@@ -33,7 +33,7 @@
 func (d *deployment) injectEvent() {
 	n := d.rng.IntN(len(d.vms))
 	w := d.workers[d.rng.IntN(len(d.workers))]
-	switch d.rng.IntN(6) {
+	switch d.rng.IntN(8) {
 	case 0:
 		d.publishVersion()
 	case 1: // the store fails for one VM for a while
@@ -50,6 +50,10 @@
 		w.Restart()
 	case 5: // orders are carried out late
 		w.DelayNextOrders(1+d.rng.IntN(2), time.Duration(2+d.rng.IntN(11))*time.Second)
+	case 6: // the store is restored from the last copy
+		d.store.Restore(d.copied, time.Duration(d.rng.IntN(500))*time.Millisecond)
+	case 7: // a copy of the store is made
+		d.copied = d.store.Copy()
 	}
 }
 
@@ -108,6 +112,8 @@
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				d := newDeployment(t, seed, 3, 6)
+				d.store.StartEra(1)
+				d.copied = d.store.Copy()
 				for n := range d.vms {
 					d.start(n)
 				}
