Check a waiting request only once its timer is set

Callers saw: nothing yet; the fault came with the check of all waiting requests. The process of a VM ends with a nil pointer dereference, at a change of the desired weights or a reload of the settings while a request is being sent.

Cause: watchWeights adds the attempt to the waiting ones before it takes the attempt's lock and sets its timer. A check in between finds no timer to reset, in a goroutine that nothing recovers.

Ruled out: to add the attempt after its timer is set; a change in between would not be seen.

The attempt is added under its lock.

--- a/internal/gateway/forwarder/withdraw.go
+++ b/internal/gateway/forwarder/withdraw.go
@@ -45,9 +45,9 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	w := &withdrawal{x: x, upstream: u, cancel: cancel}
 	if x.route.CarriesPrompt {
-		x.waiting.add(w)
 		w.mu.Lock()
 		defer w.mu.Unlock()
+		x.waiting.add(w) // a check waits for the timer
 		now := time.Now()
 		w.timer = time.AfterFunc(w.nextCheck(now).Sub(now), w.check)
 	}
