Withdraw requests by the weights that they were sent for

Cause: the check of a waiting request took the version that the VM knows of its engine at the time of the check. (1) A report that an engine has newer weights, although it has not, ends the check of a request that waits there; a request that still waits cannot be at an engine that has changed, since an order refuses what waits. (2) A request without an expected version, sent while no older version is too old, waits at an engine with weights older than known: the limit of the first of two versions named in a row does not count.

The check now takes the version that the engine stated, else the one that the request expects, else none, so that all named versions count.

--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -180,13 +180,13 @@
 	now := time.Now()
 	x.attempts++
 	x.sentAt = now
-	ctx, x.withdrawal = x.watchWeights(ctx, u)
-	defer x.withdrawal.stop()
 	options := AttemptOptions{Upstream: u.ID, Deadline: x.deadline, Priority: -1, CacheScope: x.isolationScope(), ResumeAfter: x.lastEvent}
 	options.WeightsVersion = x.expectedWeights(now)
 	if x.choice.Scope != "" {
 		options.CacheScope, options.WeightsVersion = x.choice.Scope, x.choice.WeightsVersion
 	}
+	ctx, x.withdrawal = x.watchWeights(ctx, u, options.WeightsVersion)
+	defer x.withdrawal.stop()
 	if x.choice.Source != nil {
 		options.FetchFrom = x.choice.Source.Address
 	}
--- a/internal/gateway/forwarder/waiting_test.go
+++ b/internal/gateway/forwarder/waiting_test.go
@@ -32,7 +32,7 @@
 		defer close(sent)
 		x := &exchange{Forwarder: f, request: &Request{}, route: &matcher.Route{CarriesPrompt: true}}
 		for range attempts {
-			_, w := x.watchWeights(t.Context(), &registrar.Upstream{})
+			_, w := x.watchWeights(t.Context(), &registrar.Upstream{}, 0)
 			w.stop()
 		}
 	})
--- a/internal/gateway/forwarder/withdraw.go
+++ b/internal/gateway/forwarder/withdraw.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -28,6 +29,9 @@
 	x        *exchange
 	upstream *registrar.Upstream
 	cancel   context.CancelCauseFunc
+	// expected is the only version of the weights that may run the attempt, 0 if
+	// any may. It is not what the VM knows of the engine, which may be wrong.
+	expected uint64
 
 	mu    sync.Mutex
 	timer *time.Timer
@@ -41,9 +45,9 @@
 
 // watchWeights returns the context of an attempt that is withdrawn unless end is
 // called in time.
-func (x *exchange) watchWeights(ctx context.Context, u *registrar.Upstream) (context.Context, *withdrawal) {
+func (x *exchange) watchWeights(ctx context.Context, u *registrar.Upstream, expected uint64) (context.Context, *withdrawal) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	w := &withdrawal{x: x, upstream: u, cancel: cancel}
+	w := &withdrawal{x: x, upstream: u, cancel: cancel, expected: expected}
 	if x.route.CarriesPrompt {
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -76,10 +80,7 @@
 // nextCheck returns when the time for the engine's weights ends, or may end if
 // newer weights are named from now on. The caller holds w.mu.
 func (w *withdrawal) nextCheck(now time.Time) time.Time {
-	version := w.version
-	if version == 0 {
-		version = w.x.cfg.View.WeightsVersion(now, w.upstream, w.x.request.Prompt.Model)
-	}
+	version := cmp.Or(w.version, w.expected)
 	allowed := time.Duration(withdrawShare * float64(w.x.weightsApply.Load()))
 	next := now.Add(allowed)
 	for _, wanted := range w.x.cfg.Directory.DesiredWeightsHistory(w.x.request.Prompt.Model) {
