--- a/internal/placement/leaser/leaser.go
+++ b/internal/placement/leaser/leaser.go
@@ -96,7 +96,7 @@
 		}
 		lease, err := l.acquire(ctx, durations)
 		if err != nil {
-			l.cfg.Log.WithError(err).Debug("failed to acquire lease")
+			l.logAcquireError(err)
 			pauser.Pause(ctx, durations.TTL/2+mathrand.N(durations.TTL/2))
 			continue
 		}
@@ -113,6 +113,16 @@
 	}
 }
 
+// logAcquireError logs why the lease was not acquired. That another node holds it is
+// usual, and so is a store that is unavailable for a while.
+func (l *Leaser) logAcquireError(err error) {
+	level := logrus.DebugLevel
+	if errors.Is(err, errNoFencingNumber) {
+		level = logrus.ErrorLevel
+	}
+	l.cfg.Log.WithError(err).Log(level, "failed to acquire lease")
+}
+
 // startDelay returns how long a node waits after its start. Nodes that start at the same
 // time must not all try at once; with an AcquireDelay, they must know of each other.
 func (l *Leaser) startDelay(durations Durations) time.Duration {
