Count a version of the weights that was overwritten unseen

Cause: the store keeps only the newest version, and VMs tell each other only its age. A VM that learns of version 3 with its true age did not know that version 2 had been named before, and used version 1 for as long as version 3 allows.

Ruled out: sending the ages of all versions; the store sends none, and a VM of the build before does not either.

If a version is skipped, the one before it counts from when the VM last knew that the entries were complete, as a version does whose age nobody tells, and at most InitialWeightsAge back. Without an interruption both count from the same time.

--- a/internal/membership/informer/take.go
+++ b/internal/membership/informer/take.go
@@ -95,7 +95,11 @@
 	// The slice is copied because callers of DesiredWeightsHistory keep the old one.
 	const maxPrevious = 16
 	from := max(len(versions)-maxPrevious, 0)
-	i.weights[model] = append(append([]Weights(nil), versions[from:]...), Weights{Version: version, Since: since, known: known})
+	history := append([]Weights(nil), versions[from:]...)
+	if overwritten, ok := i.overwritten(now, versions, version, since); ok {
+		history = append(history, overwritten)
+	}
+	i.weights[model] = append(history, Weights{Version: version, Since: since, known: known})
 	i.logEvent("weights_wanted").WithFields(logrus.Fields{
 		"model":       model,
 		"version":     version,
--- a/internal/membership/informer/weights_age.go
+++ b/internal/membership/informer/weights_age.go
@@ -113,6 +113,16 @@
 	return latest(i.origin.earliest, oldest), i.origin.earliest.Equal(now)
 }
 
+// overwritten returns the version that may have become the desired one, and was replaced
+// by a version that became it at since, before this VM learned of either.
+func (i *Informer) overwritten(now time.Time, known []Weights, version uint64, since time.Time) (Weights, bool) {
+	if len(known) == 0 || version-known[len(known)-1].Version < 2 {
+		return Weights{}, false
+	}
+	from := latest(i.origin.earliest, now.Add(-i.cfg.InitialWeightsAge))
+	return Weights{Version: version - 1, Since: from}, from.Before(since)
+}
+
 // WeightsAges returns the age of the desired version of each model, where it is known.
 func (i *Informer) WeightsAges(now time.Time) []WeightsAge {
 	i.mu.Lock()
