--- a/internal/placement/leaser/config.go
+++ b/internal/placement/leaser/config.go
@@ -20,6 +20,11 @@
 // stops acting on it. It covers clock drift between the VM and the store.
 func (d Durations) safetyMargin() time.Duration { return d.TTL / marginDivisor }
 
+// priorOrders is how long after the end of a lease its holder's orders may be valid. The
+// holder learns from its next renewal if the lease ended before its time, and a call
+// that it has begun by then may still arrive.
+func (d Durations) priorOrders() time.Duration { return d.OrderTimeout + d.TTL/priorOrdersDivisor }
+
 func (d Durations) renewInterval() time.Duration { return d.TTL / renewDivisor }
 
 func (d Durations) renewTimeout() time.Duration { return d.TTL / renewTimeoutDivisor }
@@ -32,6 +37,10 @@
 	retryDivisor = 10
 	// marginDivisor sets the safety margin as a fraction of the TTL.
 	marginDivisor = 5
+	// priorOrdersDivisor sets how long a holder may go on after the end of its lease in
+	// the store, as a fraction of the TTL. It is more than renewInterval, by the time
+	// that a call takes.
+	priorOrdersDivisor = 2
 	// renewTimeoutDivisor sets the timeout of one renewal as a fraction of the TTL,
 	// so that a second one on a new connection fits in before the deadline.
 	renewTimeoutDivisor = 4
@@ -50,9 +59,9 @@
 	// Durations returns the current lifetimes, or false while no configuration is
 	// in force.
 	Durations func() (Durations, bool)
-	// HeldElsewhere reports whether the lease is known to be held, in which case
+	// Held returns the version at which the lease is known to be held, in which case
 	// the store is not queried. If nil, the store is always queried.
-	HeldElsewhere func() bool
+	Held func() (storer.Version, bool)
 	// AcquireDelay returns how long a free lease is left to nodes that are better
 	// suited to hold it. If nil, every node tries at once.
 	AcquireDelay func() time.Duration
