Withdraw no request while no newer weights are wanted

Callers saw: nothing yet. Where the settings name no limit for older weights, or a reload removes it, each request with a prompt is withdrawn when it is sent and answered with 502.

Cause: the check of a waiting request takes the time at which a version that is named now would end the engine's; with no limit that is now, though none is named.

Ruled out: refusing such settings; sites without roll-outs need no limit.

While no newer weights are wanted the next check is a second away at least; a change of the wanted ones checks at once. TestRequestsRunWithoutLimitForWeights failed before (502 instead of 200).

--- a/internal/gateway/forwarder/late_news_test.go
+++ b/internal/gateway/forwarder/late_news_test.go
@@ -100,3 +100,17 @@
 	is.Equal(f.runs(), 0)
 	is.Equal(f.arrivals(), 1)
 }
+
+// TestRequestsRunWithoutLimitForWeights guards against requests that are withdrawn at once
+// though no newer weights are wanted, because the settings name no limit.
+func TestRequestsRunWithoutLimitForWeights(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, 1)
+		f.workers[0].EventInterval = 100 * time.Millisecond
+		f.workers[0].PrefillPerToken = time.Millisecond
+		f.forwarder.SetBounds(budgeter.Config{Ratio: 0.2, Extra: 50, Window: 10 * time.Second}, 0)
+		is.Equal(f.do(f.request(t, "stream", "id-1")).status, http.StatusOK)
+	})
+}
--- a/internal/gateway/forwarder/withdraw.go
+++ b/internal/gateway/forwarder/withdraw.go
@@ -19,6 +19,10 @@
 // closed connection to the engine.
 const withdrawShare = 0.9
 
+// minCheckInterval is the least time between two checks of an attempt while no newer
+// weights are wanted. A change of the wanted ones checks it at once.
+const minCheckInterval = time.Second
+
 // errWithdrawn is the error of an attempt that was withdrawn.
 var errWithdrawn = errors.New("withdrawn before its engine began it on older weights")
 
@@ -82,7 +86,7 @@
 func (w *withdrawal) nextCheck(now time.Time) time.Time {
 	version := cmp.Or(w.version, w.expected)
 	allowed := time.Duration(withdrawShare * float64(w.x.weightsApply.Load()))
-	next := now.Add(allowed)
+	next := now.Add(max(allowed, minCheckInterval))
 	for _, wanted := range w.x.cfg.Directory.DesiredWeightsHistory(w.x.request.Prompt.Model) {
 		if end := wanted.Since.Add(allowed); wanted.Version > version && end.Before(next) {
 			next = end
