Heed what upstreams state about themselves in responses

Callers saw: requests reached an upstream that had said in its own responses that it is leaving, as long as the store showed it as ready, and an upstream that had refused a request with a time in which it wants none got further requests at once, and all of them at the end of that time.

Cause: the heads of responses were read without these two facts; the only sources of "leaving" were the store's entry and another instance at the address.

Ruled out: the cooldown after failures as the place for a hold-off; an answer ends it, and it ends for all requests at the same time. A filter at the choice alone; a request may wait for its connection after it.

The decisions are in routing/withholder, by incarnation; gateway/noticer logs and counts them and wakes waiting requests. Candidates, sources of copies, the upgrader's engines and the listener's sources are the open upstreams; a leaving one is a last resort until the drain bound. The caller asks again at the first write of each request. After a hold-off one request goes, then two for each one accepted. If all upstreams are held off, the refusal comes at once, with the time at which the first is back if that is in the request's time. Hold-offs are capped at 60 windows of the retry budget.

Tests: on the code before, 15 of the 16 rows that TestUpstreamNotices had then failed, for example "worker 1 received 31 requests, want [1 19]" for a leaving upstream and "got statuses map[200:5], want map[503:5]" with all held off; the row on waiting requests failed with "response in the background took 300ms, want at most 30 ms" before waiting requests were woken. TestEngineCallsHeedNotices fails without the check before a call and without the record after it, TestCallThatIsNotAdmittedSendsNothing without the check at the first write. The fixture's log got a lock, since the new test reads it while requests run.

Conclusion: the gateway path heeds both facts. The router path does not yet.

--- a/cmd/gentianstep/gateway.go
+++ b/cmd/gentianstep/gateway.go
@@ -8,6 +8,7 @@
 
 	"github.com/integrii/flaggy"
 
+	"gentianstep.example/gentianstep/internal/gateway/noticer"
 	"gentianstep.example/gentianstep/internal/operating/configurer"
 	"gentianstep.example/gentianstep/internal/operating/logger"
 	"gentianstep.example/gentianstep/internal/operating/starter"
@@ -54,7 +55,9 @@
 			NewStore: func(address netip.AddrPort, client *http.Client) starter.Store {
 				return platform.NewClient(platform.ClientConfig{Address: address, HTTPClient: client})
 			},
-			NewEngineClient: func(client *http.Client) starter.EngineClient { return platform.EngineClient{HTTPClient: client} },
+			NewEngineClient: func(client *http.Client, n *noticer.Noticer) starter.EngineClient {
+				return platform.EngineClient{HTTPClient: client, Noticer: n}
+			},
 		}, log)
 	}}
 }
--- a/internal/caching/listener/listener.go
+++ b/internal/caching/listener/listener.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"sync"
 	"time"
 
@@ -49,9 +48,9 @@
 type Source interface {
 	// Events returns the events since a position, which is 0 or the Next of an
 	// earlier batch. If there are none yet, it waits for up to wait.
-	Events(ctx context.Context, address netip.AddrPort, since uint64, wait time.Duration) (Batch, error)
+	Events(ctx context.Context, u *registrar.Upstream, since uint64, wait time.Duration) (Batch, error)
 	// List returns all parts that an engine holds.
-	List(ctx context.Context, address netip.AddrPort) (Batch, error)
+	List(ctx context.Context, u *registrar.Upstream) (Batch, error)
 }
 
 // Sink stores which parts the engines hold.
@@ -166,7 +165,7 @@
 func (l *Listener) fetchEvents(ctx context.Context, u *registrar.Upstream, since uint64) (Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, longPollWait+callTimeout)
 	defer cancel()
-	return l.cfg.Source.Events(ctx, u.Address, since, longPollWait)
+	return l.cfg.Source.Events(ctx, u, since, longPollWait)
 }
 
 // relist removes the parts of an engine that lost events from the sink and returns
@@ -174,7 +173,7 @@
 func (l *Listener) relist(ctx context.Context, u *registrar.Upstream, batch Batch) Batch {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	list, err := l.cfg.Source.List(ctx, u.Address)
+	list, err := l.cfg.Source.List(ctx, u)
 	l.cfg.Log.WithFields(logrus.Fields{
 		"event":    "cache_events_lost",
 		"upstream": u.ID,
--- a/internal/failure/classifier/error.go
+++ b/internal/failure/classifier/error.go
@@ -14,6 +14,9 @@
 	// RetryAt is the earliest time for a retry; zero applies the RetryAfter of the
 	// kind's Answer.
 	RetryAt time.Time
+	// Final is true if the caller should not retry within the request's time,
+	// whatever the kind.
+	Final bool
 	// Err is the wrapped cause; it is logged and never sent to the caller.
 	Err error
 }
--- a/internal/gateway/forwarder/dialect.go
+++ b/internal/gateway/forwarder/dialect.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"net/netip"
 	"time"
+
+	"gentianstep.example/gentianstep/internal/routing/withholder"
 )
 
 // Part is a segment of a prompt. Requests that name the same ID share it.
@@ -80,6 +82,8 @@
 	// WeightsVersion is the version of the weights at the upstream, 0 if not
 	// stated.
 	WeightsVersion uint64
+	// Notice is what the upstream states about itself.
+	Notice withholder.Notice
 }
 
 // Dialect translates between the HTTP messages of a platform and the gateway's
--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gentianstep.example/gentianstep/internal/failure/classifier"
+	"gentianstep.example/gentianstep/internal/gateway/noticer"
 	"gentianstep.example/gentianstep/internal/membership/registrar"
 	"gentianstep.example/gentianstep/internal/routing/matcher"
 	"gentianstep.example/gentianstep/internal/routing/picker"
@@ -63,6 +64,10 @@
 	// tried holds the IDs of upstreams at which the request has failed.
 	tried  map[string]bool
 	choice picker.Choice
+	// access is the access to the upstreams at the time of the choice.
+	access noticer.Split
+	// lastResort is true if the chosen upstream is leaving.
+	lastResort bool
 	// sentAt is when the latest attempt was sent.
 	sentAt time.Time
 	// readingPrompt is true from sending an attempt until the upstream has read
@@ -97,6 +102,9 @@
 		if err == nil {
 			return
 		}
+		if x.recordWithheld(err) {
+			continue
+		}
 		if final := x.checkRetry(ctx, u, err); final != nil {
 			x.failRequest(ctx, final)
 			return
@@ -131,8 +139,7 @@
 		if !now.Add(minSendTime).Before(x.deadline) {
 			return nil, classifier.New(classifier.DeadlineUnmeetable, "no time is left")
 		}
-		q := x.query(now)
-		x.choice = x.picker.Choose(now, q)
+		q := x.choose(now)
 		switch {
 		case x.choice.Upstream != nil:
 			x.picker.RecordSent(now, q, x.choice)
@@ -142,7 +149,9 @@
 			}
 			return x.choice.Upstream, nil
 		case x.choice.Reason == picker.NoUpstream:
-			return nil, classifier.New(classifier.NoUpstream, "no upstream of %s can be used", x.service)
+			if refusal := x.refuseNoUpstream(now, latest); refusal != nil {
+				return nil, refusal
+			}
 		case x.choice.Reason == picker.Behind && now.Sub(x.arrivedAt) >= x.maxBacklogWait():
 			return nil, x.rejectLongPrompt(now)
 		case !now.Before(latest):
@@ -152,7 +161,7 @@
 		if recheckAt := now.Add(backlogPollInterval); x.choice.Reason == picker.Behind && recheckAt.Before(latest) {
 			until = recheckAt
 		}
-		x.waitForCapacity(ctx, x.service, w, until)
+		x.waitForCapacity(ctx, x.service, w, x.accessChangeAt(now, until))
 		if x.r.Context().Err() != nil {
 			return nil, classifier.Wrap(classifier.CallerGone, x.r.Context().Err(), "the client left while waiting")
 		}
@@ -192,6 +201,7 @@
 	if x.route.CarriesPrompt {
 		options.Priority = x.priority()
 	}
+	var head ResponseHead
 	answer, err := x.cfg.Caller.Do(ctx, caller.Target{Name: u.ID, Address: u.Address}, caller.Call{
 		RequestID: x.request.ID,
 		Method:    x.request.Method,
@@ -201,16 +211,18 @@
 			Host:   x.request.Host,
 			Header: x.cfg.Dialect.Encode(now, x.request, options),
 			CheckResponse: func(status int, h http.Header) error {
+				head = x.cfg.Dialect.DecodeResponse(status, h)
+				x.cfg.Noticer.Record(u, head.Notice)
 				return x.cfg.Dialect.CheckResponse(x.request.ID, status, h)
 			},
 		},
+		Admit:             x.admission(u),
 		FirstByteDeadline: x.deadline,
 		IdleTimeout:       time.Until(x.deadline),
 	})
 	if err != nil {
 		return err
 	}
-	head := x.cfg.Dialect.DecodeResponse(answer.Status, answer.Header)
 	x.recordResponse(u, answer.Status, head)
 	if head.NotRun {
 		answer.Discard()
--- a/internal/gateway/forwarder/fixture_test.go
+++ b/internal/gateway/forwarder/fixture_test.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"gentianstep.example/gentianstep/internal/gateway/forwarder"
+	"gentianstep.example/gentianstep/internal/gateway/noticer"
 	"gentianstep.example/gentianstep/internal/membership/informer"
 	"gentianstep.example/gentianstep/internal/membership/registrar"
 	"gentianstep.example/gentianstep/internal/operating/meter"
@@ -20,6 +21,7 @@
 	"gentianstep.example/gentianstep/internal/routing/budgeter"
 	"gentianstep.example/gentianstep/internal/routing/matcher"
 	"gentianstep.example/gentianstep/internal/routing/picker"
+	"gentianstep.example/gentianstep/internal/routing/withholder"
 	"gentianstep.example/gentianstep/internal/testing/piper"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
 	"gentianstep.example/gentianstep/platform"
@@ -83,7 +85,28 @@
 	workers   []*platformtest.Worker
 	client    *http.Client
 	view      *coordinator.View
-	log       *strings.Builder
+	noticer   *noticer.Noticer
+	log       *logBuffer
+}
+
+// logBuffer holds the log lines. It may be read while requests write to it.
+type logBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Write implements io.Writer.
+func (b *logBuffer) Write(data []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(data)
+}
+
+// String returns all lines.
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
 }
 
 // testConfiguration returns a configuration with a route of each kind. All lead
@@ -122,7 +145,7 @@
 		network:   piper.New(),
 		view:      coordinator.NewView(),
 		directory: &directory{configuration: matcher.New(testConfiguration()), upstreams: make(map[string][]*registrar.Upstream)},
-		log:       &strings.Builder{},
+		log:       &logBuffer{},
 	}
 	for n := range workers {
 		worker := platformtest.NewWorker(fmt.Sprintf("w%d", n+1))
@@ -135,11 +158,17 @@
 	log.SetOutput(f.log)
 	log.SetFormatter(&logrus.JSONFormatter{})
 	calls := caller.New(caller.Config{Dial: f.network.Dial, IdleTimeout: time.Second})
+	f.noticer = noticer.New(noticer.Config{
+		Bounds: withholder.Config{Drain: 2500 * time.Millisecond, MaxHoldOff: 10 * time.Minute},
+		Meter:  meter.New(),
+		Log:    logrus.NewEntry(log),
+	})
 	f.forwarder = forwarder.New(forwarder.Config{
 		Dialect:      platform.Dialect{},
 		Directory:    f.directory,
 		View:         f.view,
 		Caller:       calls,
+		Noticer:      f.noticer,
 		Picker:       picker.Config{AvailabilityZone: "z", Regions: map[string]string{"z": "r"}, Seed: 1},
 		Budget:       budgeter.Config{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
 		WeightsApply: 8 * time.Second,
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 
 	"gentianstep.example/gentianstep/internal/failure/classifier"
+	"gentianstep.example/gentianstep/internal/gateway/noticer"
 	"gentianstep.example/gentianstep/internal/membership/informer"
 	"gentianstep.example/gentianstep/internal/membership/registrar"
 	"gentianstep.example/gentianstep/internal/operating/meter"
@@ -48,8 +49,10 @@
 	// published.
 	View   *coordinator.View
 	Caller *caller.Caller
-	Picker picker.Config
-	Budget budgeter.Config
+	// Noticer holds what upstreams have stated about themselves.
+	Noticer *noticer.Noticer
+	Picker  picker.Config
+	Budget  budgeter.Config
 	// WeightsApply is the longest time for which older weights may be used once
 	// a newer version is wanted.
 	WeightsApply time.Duration
@@ -86,6 +89,7 @@
 		queues:        make(map[string]*waitQueue),
 		urgentReports: make(chan struct{}, 1),
 	}
+	cfg.Noticer.SetOnChange(f.wakeWaiting)
 	f.vms.Store(1)
 	f.weightsApply.Store(int64(cfg.WeightsApply))
 	return f
@@ -241,7 +245,7 @@
 func (x *exchange) writeError(err *classifier.Error) {
 	answer := classifier.AnswerOf(err.Kind)
 	wait := time.Duration(0)
-	if answer.Retryable && answer.NotRun {
+	if answer.Retryable && answer.NotRun && !err.Final {
 		wait = answer.RetryAfter
 		if !err.RetryAt.IsZero() {
 			wait = max(time.Until(err.RetryAt), time.Millisecond)
--- /dev/null
+++ b/internal/gateway/noticer/noticer.go
@@ -0,0 +1,168 @@
+// Package noticer applies what upstreams state about themselves in responses to
+// all requests of this VM, and logs it.
+package noticer
+
+import (
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"gentianstep.example/gentianstep/internal/membership/registrar"
+	"gentianstep.example/gentianstep/internal/operating/meter"
+	"gentianstep.example/gentianstep/internal/routing/withholder"
+)
+
+// ErrWithheld is returned for a request that was not sent because of a notice of
+// its upstream.
+var ErrWithheld = errors.New("upstream wants no requests")
+
+// Labels of the metric for notices that change no state.
+const (
+	noticeIgnored  = "ignored"
+	noticeWithheld = "withheld"
+)
+
+// ignoredLogInterval bounds the log lines for notices that cannot be decoded.
+const ignoredLogInterval = 100 * time.Millisecond
+
+// Config configures a Noticer.
+type Config struct {
+	Bounds withholder.Config
+	Meter  *meter.Meter
+	Log    *logrus.Entry
+}
+
+// Noticer is safe for concurrent use.
+type Noticer struct {
+	cfg Config
+
+	mu         sync.Mutex
+	withholder *withholder.Withholder
+	// onChange is called with the service of an upstream whose access has changed.
+	onChange func(service string)
+	// ignoredLogAt is when the next notice that cannot be decoded is logged.
+	ignoredLogAt time.Time
+}
+
+// New returns a Noticer without notices.
+func New(cfg Config) *Noticer {
+	return &Noticer{cfg: cfg, withholder: withholder.New(cfg.Bounds), onChange: func(string) {}}
+}
+
+// SetOnChange sets a function that is called with the service of an upstream
+// after a notice that has changed the access to it.
+func (n *Noticer) SetOnChange(onChange func(service string)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.onChange = onChange
+}
+
+// SetBounds replaces the bounds of further notices.
+func (n *Noticer) SetBounds(bounds withholder.Config) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.withholder.SetConfig(bounds)
+}
+
+// Record applies the notice in a response to a request to u.
+func (n *Noticer) Record(u *registrar.Upstream, notice withholder.Notice) {
+	now := time.Now()
+	n.mu.Lock()
+	changes := n.withholder.Record(now, u, notice)
+	onChange := n.onChange
+	logIgnored := notice.Err != nil && !now.Before(n.ignoredLogAt)
+	if logIgnored {
+		n.ignoredLogAt = now.Add(ignoredLogInterval)
+	}
+	n.mu.Unlock()
+	if notice.Err != nil {
+		n.cfg.Meter.Count(meter.UpstreamNotices, noticeIgnored, 1)
+	}
+	if logIgnored {
+		n.cfg.Log.WithError(notice.Err).WithFields(logrus.Fields{
+			"event":    "upstream_notice_ignored",
+			"upstream": u.ID,
+			"address":  u.Address.String(),
+		}).Warn("ignored invalid notice of upstream")
+	}
+	for _, c := range changes {
+		n.cfg.Meter.Count(meter.UpstreamNotices, string(c.Type), 1)
+		n.cfg.Log.WithFields(logrus.Fields{
+			"event":      string(c.Type),
+			"upstream":   c.Incarnation.ID,
+			"address":    c.Incarnation.Address.String(),
+			"started_ms": startedMillis(c.Incarnation.StartedAt),
+			"until":      c.Until.UTC().Format(time.RFC3339Nano),
+			"service":    u.Service,
+		}).Info("notice of upstream")
+	}
+	if len(changes) > 0 {
+		onChange(u.Service)
+	}
+}
+
+// startedMillis returns a start time in Unix milliseconds, 0 if it is unknown.
+func startedMillis(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMilli()
+}
+
+// Admit returns ErrWithheld if no request may be sent to u now. It is called
+// right before the first byte of each request. A last resort is a request that
+// no other upstream can serve.
+func (n *Noticer) Admit(u *registrar.Upstream, lastResort bool) error {
+	n.mu.Lock()
+	admitted := n.withholder.Admit(time.Now(), u, lastResort)
+	n.mu.Unlock()
+	if admitted {
+		return nil
+	}
+	n.cfg.Meter.Count(meter.UpstreamNotices, noticeWithheld, 1)
+	return ErrWithheld
+}
+
+// IsOpen reports whether u may get any request.
+func (n *Noticer) IsOpen(u *registrar.Upstream) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.withholder.Access(time.Now(), u) == withholder.Open
+}
+
+// Open returns the upstreams that may get any request. It returns list itself if
+// that is all of them.
+func (n *Noticer) Open(list []*registrar.Upstream) []*registrar.Upstream {
+	return n.Split(time.Now(), list, nil).Open
+}
+
+// Split divides upstreams by their access. BackAt and Paced count those for
+// which usable returns true.
+func (n *Noticer) Split(now time.Time, list []*registrar.Upstream, usable func(*registrar.Upstream) bool) Split {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.withholder.Empty() {
+		return Split{Open: list}
+	}
+	s := Split{Open: make([]*registrar.Upstream, 0, len(list))}
+	for _, u := range list {
+		access := n.withholder.Access(now, u)
+		if access != withholder.Open && usable != nil && !usable(u) {
+			continue
+		}
+		switch access {
+		case withholder.Open:
+			s.Open = append(s.Open, u)
+		case withholder.LastResort:
+			s.addLastResort(u, n.withholder.DrainUntil(u))
+		case withholder.Paced:
+			s.Paced = true
+		case withholder.Held:
+			s.addHeld(n.withholder.HeldUntil(u))
+		case withholder.Closed:
+		}
+	}
+	return s
+}
--- a/internal/operating/meter/name.go
+++ b/internal/operating/meter/name.go
@@ -17,6 +17,7 @@
 	Connections        Name = "gentianstep_connections"
 	ConnectionsRefused Name = "gentianstep_connections_refused_total"
 	ConnectionsEvicted Name = "gentianstep_connections_gave_way_total"
+	UpstreamNotices    Name = "gentianstep_upstream_notices_total"
 	Stopping           Name = "gentianstep_stopping"
 	Goroutines         Name = "gentianstep_goroutines"
 	HeapBytes          Name = "gentianstep_heap_bytes"
@@ -51,6 +52,7 @@
 	Connections:        {gauge, "Open connections by listener.", "listener"},
 	ConnectionsRefused: {counter, "Connections over the limit by listener.", "listener"},
 	ConnectionsEvicted: {counter, "Connections without a request under way that were closed for new ones, by listener.", "listener"},
+	UpstreamNotices:    {counter, "What upstreams stated about themselves in responses, and requests not sent because of it.", "notice"},
 	Stopping:           {gauge, "1 while the process shuts down, else 0.", ""},
 	Goroutines:         {gauge, "Goroutines of the process.", ""},
 	HeapBytes:          {gauge, "Bytes of live and unswept heap.", ""},
--- a/internal/operating/starter/coordination.go
+++ b/internal/operating/starter/coordination.go
@@ -30,7 +30,7 @@
 		}).Run,
 		listener.New(listener.Config{
 			Active:  g.isHub,
-			Engines: g.cacheEventSources,
+			Engines: func() []*registrar.Upstream { return g.noticer.Open(g.cacheEventSources()) },
 			Source:  g.engineClient,
 			Sink:    g.hub,
 			Filter:  func(e listener.Event) bool { return forwarder.IsVersionedScope(e.Part.Scope) },
--- a/internal/operating/starter/gateway.go
+++ b/internal/operating/starter/gateway.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"gentianstep.example/gentianstep/internal/gateway/forwarder"
+	"gentianstep.example/gentianstep/internal/gateway/noticer"
 	"gentianstep.example/gentianstep/internal/membership/announcer"
 	"gentianstep.example/gentianstep/internal/membership/informer"
 	"gentianstep.example/gentianstep/internal/membership/ranker"
@@ -106,6 +107,7 @@
 	leaser       *leaser.Leaser
 	hub          *coordinator.Hub
 	view         *coordinator.View
+	noticer      *noticer.Noticer
 	engineClient EngineClient
 	drain        drainState
 }
@@ -135,7 +137,8 @@
 		Log:               log,
 	})
 	g.vms = &vmDirectory{informer: g.informer, log: log}
-	g.engineClient = p.NewEngineClient(&http.Client{Transport: newGatewayTransport()})
+	g.noticer = noticer.New(noticer.Config{Bounds: noticeBounds(settings), Meter: g.meter, Log: log})
+	g.engineClient = p.NewEngineClient(&http.Client{Transport: newGatewayTransport()}, g.noticer)
 	g.view = coordinator.NewView()
 	g.hub = coordinator.NewHub(coordinator.HubConfig{
 		Active:   g.isHub,
@@ -146,6 +149,7 @@
 		Dialect:   p.Dialect,
 		Directory: g.informer,
 		View:      g.view,
+		Noticer:   g.noticer,
 		Caller:    caller.New(caller.Config{Dial: newDialer().DialContext, IdleTimeout: upstreamIdleTimeout}),
 		Picker: picker.Config{
 			AvailabilityZone: settings.AvailabilityZone,
@@ -193,7 +197,7 @@
 		g.runReload,
 		upgrader.New(upgrader.Config{
 			Node:                settings.Node,
-			Directory:           g.informer,
+			Directory:           engineDirectory{g.informer, g.noticer},
 			Lease:               g.leaser,
 			Engines:             g.engineClient,
 			OnLease:             g.hub.Reset,
--- a/internal/operating/starter/gateway_platform.go
+++ b/internal/operating/starter/gateway_platform.go
@@ -6,6 +6,7 @@
 
 	"gentianstep.example/gentianstep/internal/caching/listener"
 	"gentianstep.example/gentianstep/internal/gateway/forwarder"
+	"gentianstep.example/gentianstep/internal/gateway/noticer"
 	"gentianstep.example/gentianstep/internal/membership/informer"
 	"gentianstep.example/gentianstep/internal/operating/configurer"
 	"gentianstep.example/gentianstep/internal/placement/upgrader"
@@ -24,7 +25,7 @@
 	// NewStore returns a client of the platform's store.
 	NewStore func(address netip.AddrPort, client *http.Client) Store
 	// NewEngineClient returns a client for the control calls to engines.
-	NewEngineClient func(client *http.Client) EngineClient
+	NewEngineClient func(client *http.Client, n *noticer.Noticer) EngineClient
 }
 
 // EngineClient makes the control calls to engines: weight changes and cache events.
--- a/internal/operating/starter/reload.go
+++ b/internal/operating/starter/reload.go
@@ -57,6 +57,7 @@
 	}
 	g.settings.Store(settings)
 	g.forwarder.SetBounds(retryBudget(settings), settings.Bounds.WeightsApply)
+	g.noticer.SetBounds(noticeBounds(settings))
 	g.log.WithFields(logrus.Fields{
 		"event":          "reloaded",
 		"signal":         signalled,
--- a/internal/placement/upgrader/engine.go
+++ b/internal/placement/upgrader/engine.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"net/netip"
 	"time"
 
 	"gentianstep.example/gentianstep/internal/membership/registrar"
@@ -44,8 +43,8 @@
 
 // EngineClient is a client of the engines' control interface.
 type EngineClient interface {
-	// Report requests the report of the engine at address.
-	Report(ctx context.Context, address netip.AddrPort) (Report, error)
+	// Report requests the report of an engine.
+	Report(ctx context.Context, u *registrar.Upstream) (Report, error)
 	// Order sends an order once, without a retry. The outcome is unknown if no
 	// response came from the engine itself.
 	Order(ctx context.Context, u *registrar.Upstream, o Order) (planner.Outcome, error)
--- a/internal/placement/upgrader/observe.go
+++ b/internal/placement/upgrader/observe.go
@@ -67,7 +67,7 @@
 func (g *Upgrader) fetchReport(ctx context.Context, u *registrar.Upstream, o *observation) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	report, err := g.cfg.Engines.Report(ctx, u.Address)
+	report, err := g.cfg.Engines.Report(ctx, u)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	o.requesting = false
--- /dev/null
+++ b/internal/routing/withholder/notice.go
@@ -0,0 +1,40 @@
+package withholder
+
+import "time"
+
+// Notice is what an upstream states about itself in the head of any of its
+// responses.
+type Notice struct {
+	// Instance is the ID of the responding instance, empty if not stated.
+	Instance string
+	// Leaving is true if the instance is shutting down and wants no new requests.
+	Leaving bool
+	// HoldOff is how long the instance wants no requests; 0 if not stated.
+	HoldOff time.Duration
+	// Accepted is true if the instance accepted the request.
+	Accepted bool
+	// Err describes values that could not be decoded and were ignored.
+	Err error
+}
+
+// ChangeType is a kind of change of a Withholder. Its values are logged.
+type ChangeType string
+
+// Types of changes.
+const (
+	// LeavingTold means that an incarnation has stated for the first time that it
+	// is leaving.
+	LeavingTold ChangeType = "upstream_leaving_told"
+	// HeldOff means that a hold-off has started or was extended.
+	HeldOff ChangeType = "upstream_hold_off"
+	// HoldOffCapped means that a hold-off was shortened to the configured limit.
+	HoldOffCapped ChangeType = "upstream_hold_off_capped"
+)
+
+// Change is a change of the state of one incarnation.
+type Change struct {
+	Type        ChangeType
+	Incarnation Incarnation
+	// Until is the end of the drain period or of the hold-off.
+	Until time.Time
+}
--- a/internal/upstream/caller/call.go
+++ b/internal/upstream/caller/call.go
@@ -37,6 +37,9 @@
 	Body           []byte
 	// Head, if set, replaces the headers of the project's protocol.
 	Head *RequestHead
+	// Admit, if set, is called right before the first byte of the call is sent on
+	// a connection. An error prevents the sending and becomes that of the call.
+	Admit func() error
 	// ImportBlocks is the number of leading blocks that an engine should import
 	// instead of computing them; 0 requests no import.
 	ImportBlocks int
--- a/internal/upstream/caller/connection.go
+++ b/internal/upstream/caller/connection.go
@@ -17,16 +17,19 @@
 	sent    bool
 	used    bool
 	aborted bool
+	// admit reports whether the first byte of the current request may be sent;
+	// nil admits it.
+	admit func() bool
 }
 
 // beginRequest records the start of a request and reports whether the connection
 // has carried an earlier one.
-func (c *connection) beginRequest() bool {
+func (c *connection) beginRequest(admit func() bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	reused := c.used
 	c.used = true
-	c.sent = false
+	c.sent, c.admit = false, admit
 	return reused
 }
 
@@ -41,7 +44,7 @@
 func (c *connection) markSent() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.aborted {
+	if c.aborted || !c.sent && c.admit != nil && !c.admit() {
 		return false
 	}
 	c.sent = true
--- a/internal/upstream/caller/exchange.go
+++ b/internal/upstream/caller/exchange.go
@@ -9,6 +9,8 @@
 type exchange struct {
 	// onReuse is called when the call is sent on a reused connection.
 	onReuse func()
+	// admit reports whether the call may be sent; nil admits it.
+	admit func() bool
 
 	mu     sync.Mutex
 	conn   *connection
@@ -32,7 +34,7 @@
 		e.sent = e.conn.abort() || e.sent
 	}
 	e.conn = conn
-	e.reused = conn.beginRequest()
+	e.reused = conn.beginRequest(e.admit)
 	if e.reused && e.onReuse != nil {
 		e.onReuse()
 	}
