Attribute notices to the process that has sent them

Callers saw: found by a random test, not by callers. A request chosen before the entry of a restarted upstream with the same ID arrived could be answered by the later process; its notice was taken for the earlier one, and the later process got requests after the drain bound ("w2: 2 requests after the drain bound").

Ruled out: the forwarder as the cause of a test that hung; the stand-in locked its mutex twice. Cause of a first violation ruled out as well: a response that the VM no longer waited for, since its deadline had passed.

Change: a notice goes to the process that the store names when it arrives, and applies to a later start at the same address if that was well before the notice.

Tests: TestNoRequestsAfterNotices (rapid) and TestNoticeUnderOutdatedEntryIsKept failed before ("0 != 4", open instead of closed).

Conclusion: no path of the gateway that the test covers sends after the bounds. A difference of clocks above 10 s between VM and upstream can still mix up two processes of the same ID.

--- a/internal/gateway/forwarder/fixture_test.go
+++ b/internal/gateway/forwarder/fixture_test.go
@@ -1,12 +1,15 @@
 package forwarder_test
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -86,6 +89,9 @@
 	client    *http.Client
 	view      *coordinator.View
 	noticer   *noticer.Noticer
+	startedAt time.Time
+	// dialDelay is the time to open a connection to a worker in ns.
+	dialDelay atomic.Int64
 	log       *logBuffer
 }
 
@@ -146,6 +152,7 @@
 		view:      coordinator.NewView(),
 		directory: &directory{configuration: matcher.New(testConfiguration()), upstreams: make(map[string][]*registrar.Upstream)},
 		log:       &logBuffer{},
+		startedAt: time.Now(),
 	}
 	for n := range workers {
 		worker := platformtest.NewWorker(fmt.Sprintf("w%d", n+1))
@@ -157,7 +164,7 @@
 	log := logrus.New()
 	log.SetOutput(f.log)
 	log.SetFormatter(&logrus.JSONFormatter{})
-	calls := caller.New(caller.Config{Dial: f.network.Dial, IdleTimeout: time.Second})
+	calls := caller.New(caller.Config{Dial: f.dial, IdleTimeout: time.Second})
 	f.noticer = noticer.New(noticer.Config{
 		Bounds: withholder.Config{Drain: 2500 * time.Millisecond, MaxHoldOff: 10 * time.Minute},
 		Meter:  meter.New(),
@@ -186,6 +193,16 @@
 	return f
 }
 
+// dial opens a connection to a worker after dialDelay.
+func (f *fixture) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	select {
+	case <-time.After(time.Duration(f.dialDelay.Load())):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	return f.network.Dial(ctx, network, address)
+}
+
 // entry returns the registration of a worker.
 func (f *fixture) entry(n int) *registrar.Upstream {
 	return &registrar.Upstream{
--- a/internal/gateway/forwarder/notices_test.go
+++ b/internal/gateway/forwarder/notices_test.go
@@ -26,8 +26,8 @@
 	Worker     int      `json:"worker"`
 	Leaving    string   `json:"leaving"`
 	RetryAfter []string `json:"retry_after"`
-	// StartedMS changes the start time of the worker's entry, Gone removes the
-	// entry.
+	// StartedMS changes the start time of the worker's entry, in ms after the start
+	// of the test. Gone removes the entry.
 	StartedMS *int64 `json:"started_ms"`
 	Gone      bool   `json:"gone"`
 	// Requests is the number of requests sent at once on Route.
@@ -140,9 +140,14 @@
 	}
 	if !s.Gone {
 		entry := f.entry(s.Worker - 1)
-		entry.StartedAt = time.UnixMilli(*s.StartedMS)
+		entry.StartedAt = f.startedAt.Add(time.Duration(*s.StartedMS) * time.Millisecond)
 		entries = append(entries, entry)
 	}
+	f.setEntries(entries)
+}
+
+// setEntries replaces the entries of the workers.
+func (f *fixture) setEntries(entries []*registrar.Upstream) {
 	f.directory.setUpstreams("s", entries)
 }
 
--- a/internal/routing/withholder/incarnation.go
+++ b/internal/routing/withholder/incarnation.go
@@ -7,6 +7,10 @@
 	"gentianstep.example/gentianstep/internal/membership/registrar"
 )
 
+// maxClockSkew is the assumed limit of the difference between the clocks of a VM
+// and an upstream.
+const maxClockSkew = 10 * time.Second
+
 // Incarnation identifies one process of an upstream.
 type Incarnation struct {
 	ID      string
--- a/internal/routing/withholder/record.go
+++ b/internal/routing/withholder/record.go
@@ -47,6 +47,14 @@
 	return true
 }
 
+// endedBy reports whether other, which has the same ID, is a later process than
+// the one that has sent the notices. One that was at the address well before the
+// latest notice has sent it, although an outdated entry named an earlier start.
+func (r *record) endedBy(other Incarnation) bool {
+	sender := other.Address == r.incarnation.Address && other.StartedAt.Add(maxClockSkew).Before(r.toldAt)
+	return !sender && r.incarnation.endedBy(other)
+}
+
 // access returns the access to the incarnation at a time.
 func (r *record) access(now time.Time) Access {
 	leaving := !r.drainUntil.IsZero()
--- a/internal/routing/withholder/withholder.go
+++ b/internal/routing/withholder/withholder.go
@@ -62,7 +62,7 @@
 func (w *Withholder) Record(now time.Time, u *registrar.Upstream, n Notice) []Change {
 	incarnation := incarnationOf(u, n)
 	r := w.records[incarnation.ID]
-	if r != nil && r.incarnation.endedBy(incarnation) {
+	if r != nil && r.endedBy(incarnation) {
 		r = nil
 	}
 	if !n.Leaving && n.HoldOff <= 0 {
@@ -139,7 +139,7 @@
 // find returns the record that applies to u, or nil if there is none.
 func (w *Withholder) find(u *registrar.Upstream) *record {
 	r := w.records[u.ID]
-	if r == nil || r.incarnation.endedBy(Incarnation{ID: u.ID, Address: u.Address, StartedAt: u.StartedAt}) {
+	if r == nil || r.endedBy(Incarnation{ID: u.ID, Address: u.Address, StartedAt: u.StartedAt}) {
 		return nil
 	}
 	if r.incarnation.StartedAt.IsZero() {
--- a/internal/routing/withholder/withholder_test.go
+++ b/internal/routing/withholder/withholder_test.go
@@ -17,7 +17,7 @@
 type step struct {
 	AtMS int `json:"at_ms"`
 	// ID, Host and StartedMS identify the upstream. Host is the last byte of its
-	// address.
+	// address, StartedMS the start time after the start of the test; 0 if unknown.
 	ID        string `json:"id"`
 	Host      byte   `json:"host"`
 	StartedMS int64  `json:"started_ms"`
@@ -71,7 +71,7 @@
 	now := start.Add(time.Duration(s.AtMS) * time.Millisecond)
 	u := &registrar.Upstream{ID: s.ID, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, s.Host}), 80)}
 	if s.StartedMS > 0 {
-		u.StartedAt = time.UnixMilli(s.StartedMS)
+		u.StartedAt = start.Add(time.Duration(s.StartedMS) * time.Millisecond)
 	}
 	if s.Told {
 		notice := withholder.Notice{Instance: s.Instance, Leaving: s.Leaving, HoldOff: time.Duration(s.HoldOffMS) * time.Millisecond, Accepted: s.Accepted}
@@ -120,3 +120,17 @@
 	is.Equal(w.Access(now.Add(time.Hour), upstream(0)), withholder.Open)
 	is.Equal(w.Access(now.Add(time.Hour), upstream(notices-1)), withholder.Closed)
 }
+
+// TestNoticeUnderOutdatedEntryIsKept records a notice while the store shows an
+// earlier process of the same ID. It must apply to the process that has sent it.
+func TestNoticeUnderOutdatedEntryIsKept(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := withholder.New(withholder.Config{Drain: time.Second, MaxHoldOff: time.Minute})
+	now := time.Unix(1_700_000_000, 0)
+	outdated := &registrar.Upstream{ID: "a", Address: netip.MustParseAddrPort("10.0.0.1:80"), StartedAt: now.Add(-2 * time.Hour)}
+	w.Record(now, outdated, withholder.Notice{Leaving: true})
+	current := *outdated
+	current.StartedAt = now.Add(-time.Hour)
+	is.Equal(w.Access(now.Add(time.Minute), &current), withholder.Closed)
+}
