--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -68,6 +68,10 @@
 	access noticer.Split
 	// lastResort is true if the chosen upstream is leaving.
 	lastResort bool
+	// withdrawal is that of the latest attempt.
+	withdrawal *withdrawal
+	// withdrawn is the number of attempts that were withdrawn.
+	withdrawn int
 	// sentAt is when the latest attempt was sent.
 	sentAt time.Time
 	// readingPrompt is true from sending an attempt until the upstream has read
@@ -185,7 +189,10 @@
 	now := time.Now()
 	x.attempts++
 	x.sentAt = now
+	ctx, x.withdrawal = x.watchWeights(ctx, u)
+	defer x.withdrawal.stop()
 	options := AttemptOptions{Upstream: u.ID, Deadline: x.deadline, Priority: -1, CacheScope: x.isolationScope(), ResumeAfter: x.lastEvent}
+	options.WeightsVersion = x.expectedWeights(now)
 	if x.choice.Scope != "" {
 		options.CacheScope, options.WeightsVersion = x.choice.Scope, x.choice.WeightsVersion
 	}
@@ -224,6 +231,7 @@
 		return err
 	}
 	x.recordResponse(u, answer.Status, head)
+	x.withdrawal.setVersion(head.WeightsVersion)
 	if head.NotRun {
 		answer.Discard()
 		otherInstance := head.Misdirected && head.Instance != "" && head.Instance != u.ID
@@ -237,14 +245,18 @@
 	if x.route.Kind == matcher.Stream && answer.Status < http.StatusMultipleChoices {
 		return x.relayStream(answer)
 	}
+	if err := x.withdrawal.end(); err != nil {
+		answer.Discard()
+		return err
+	}
 	return x.sendResponse(answer)
 }
 
 // recordResponse updates the weights and the health of the upstream from the
 // head of its response.
 func (x *exchange) recordResponse(u *registrar.Upstream, status int, head ResponseHead) {
-	if head.WeightsVersion > 0 {
-		x.cfg.View.RecordWeightsVersion(u, x.request.Prompt.Model, head.WeightsVersion)
+	if head.WeightsVersion > 0 && (!head.Misdirected || head.Instance == u.ID) {
+		x.cfg.View.RecordWeightsVersion(time.Now(), u, x.request.Prompt.Model, head.WeightsVersion, x.choice.WeightsVersion)
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/internal/gateway/forwarder/query.go
+++ b/internal/gateway/forwarder/query.go
@@ -71,7 +71,7 @@
 	view, model := x.cfg.View, x.request.Prompt.Model
 	prompt := &picker.Prompt{
 		Tokens:         x.request.Prompt.Tokens,
-		WeightsVersion: func(u *registrar.Upstream) uint64 { return view.WeightsVersion(u, model) },
+		WeightsVersion: func(u *registrar.Upstream) uint64 { return view.WeightsVersion(now, u, model) },
 		Holders:        view.Holders,
 		Scope:          func(version uint64) string { return x.cacheScope(version) },
 	}
@@ -88,7 +88,7 @@
 	oldest, prompt.DueVersion, prompt.NewestVersion = x.wantedWeights(now, model)
 	q.Prompt = prompt
 	q.Usable = func(u *registrar.Upstream) bool {
-		version := view.WeightsVersion(u, model)
+		version := view.WeightsVersion(now, u, model)
 		return version > 0 && version >= oldest && !view.ChangingWeights(now, u)
 	}
 }
@@ -114,27 +114,24 @@
 	// that, few engines have loaded the newest ones.
 	staleAfter = time.Second
 	// dueShare is the share of weightsApply after which older weights are used
-	// only if no engine has newer ones.
+	// only if no engine has newer ones, and only at a free slot.
 	dueShare = 0.45
-	// lateShare is the share of weightsApply after which older weights are no
-	// longer used; the rest covers the time that a request waits at its engine.
-	lateShare = 0.6
 )
 
 // wantedWeights returns the oldest version of the weights that a new request
 // may use, the version below which engines are a last resort, and the version
 // below which weights are stale.
 func (x *exchange) wantedWeights(now time.Time, model string) (oldest, due, newest uint64) {
-	apply := float64(x.weightsApply.Load())
+	apply := time.Duration(x.weightsApply.Load())
 	for _, w := range x.cfg.Directory.DesiredWeightsHistory(model) {
 		passed := now.Sub(w.Since)
 		if passed >= staleAfter {
 			newest = max(newest, w.Version)
 		}
-		if passed >= time.Duration(dueShare*apply) {
+		if passed >= time.Duration(dueShare*float64(apply)) {
 			due = max(due, w.Version)
 		}
-		if passed >= time.Duration(lateShare*apply) {
+		if !now.Before(w.OlderUsableUntil(apply)) {
 			oldest = max(oldest, w.Version)
 		}
 	}
--- a/internal/membership/informer/informer.go
+++ b/internal/membership/informer/informer.go
@@ -31,16 +31,22 @@
 	Started time.Time
 	// InitialWeightsAge is the assumed age, at Started, of desired versions that
 	// were set before the first snapshot; the store does not tell their real age.
+	// It is also the greatest age that is assumed for a version that was learned of
+	// after an interruption.
 	InitialWeightsAge time.Duration
-	Log               *logrus.Entry
-}
-
-// Weights is a desired version of a model's weights.
-type Weights struct {
-	Version uint64
-	// Since is when the version became the desired one. It is estimated for
-	// versions that were set before the process started.
-	Since time.Time
+	// RetainPrefix is the prefix of the VMs' own entries, and RetainFor the time within
+	// which VMs write them again if a restored store lacks them.
+	RetainPrefix string
+	RetainFor    time.Duration
+	// OnWeights, if not nil, is called when the desired versions of weights or the times
+	// from which they count have changed. It must not block.
+	OnWeights func()
+	// OnRestore, if not nil, is called for each prefix in which an era of the store starts.
+	OnRestore func(prefix string)
+	// Suspended returns for how long the monotonic clock has stood still since the VM
+	// booted. It may return too little at times. If nil, that is unknown.
+	Suspended func() time.Duration
+	Log       *logrus.Entry
 }
 
 // Informer caches the entries under the followed prefixes and the state derived
@@ -51,11 +57,18 @@
 
 	mu       sync.Mutex
 	replicas map[string]*replica
+	retained retainedVMs
 	// snapshots counts the complete lists applied per prefix.
 	snapshots map[string]int
 	registrar *registrar.Registrar
 	// weights holds the desired versions of each model in ascending order.
 	weights map[string][]Weights
+	// confirmation tracks until when the operators' entries are known to be complete.
+	confirmation confirmation
+	// origin is that of the operators' changes that are being applied.
+	origin origin
+	// toldSince is when versions became the desired ones as another VM told last.
+	toldSince map[weightsVersion]time.Time
 	// lastResponseAt is when the last successful call for each prefix returned.
 	lastResponseAt map[string]time.Time
 	// failing is true for prefixes whose last call failed.
@@ -74,11 +87,16 @@
 		snapshots:      make(map[string]int),
 		registrar:      registrar.New(),
 		weights:        make(map[string][]Weights),
+		confirmation:   confirmation{readStopped: cfg.Suspended},
+		toldSince:      make(map[weightsVersion]time.Time),
 		lastResponseAt: make(map[string]time.Time),
 		failing:        make(map[string]bool),
 		recoveredAt:    make(map[string]time.Time),
 		changed:        make(chan struct{}),
 	}
+	if cfg.Suspended == nil {
+		i.confirmation.readStopped = func() time.Duration { return 0 }
+	}
 	for _, prefix := range i.prefixes() {
 		i.replicas[prefix] = newReplica()
 	}
@@ -89,9 +107,12 @@
 	return []string{i.cfg.OperatorPrefix, i.cfg.UpstreamPrefix, i.cfg.VMPrefix}
 }
 
-// Run removes upstreams whose entries have been missing for too long, until ctx
-// is done.
+// Run removes upstreams whose entries have been missing for too long and notices
+// suspensions of the process, until ctx is done.
 func (i *Informer) Run(ctx context.Context) {
+	i.mu.Lock()
+	i.confirmation.start(time.Now())
+	i.mu.Unlock()
 	ticker := time.NewTicker(expireInterval)
 	defer ticker.Stop()
 	for {
@@ -100,7 +121,12 @@
 			return
 		case <-ticker.C:
 			i.mu.Lock()
-			i.logUpstreamEvents(i.registrar.Expire(time.Now()))
+			now := time.Now()
+			i.handleTick(now)
+			i.logUpstreamEvents(i.registrar.Expire(now))
+			if i.retained.expire(now) {
+				i.announceChange()
+			}
 			i.mu.Unlock()
 		}
 	}
@@ -126,95 +152,83 @@
 	return i.registrar.Usable(service)
 }
 
-// DesiredWeightsHistory returns the desired versions of a model's weights so
-// far, the newest last.
-func (i *Informer) DesiredWeightsHistory(model string) []Weights {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return i.weights[model]
-}
-
-// VMs returns the store entries of the deployment's VMs.
-func (i *Informer) VMs() []storer.Entry {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return i.replicas[i.cfg.VMPrefix].snapshot(i.cfg.VMPrefix).Entries
-}
-
 // Replace implements follower.Sink.
-func (i *Informer) Replace(now time.Time, prefix string, entries []storer.Entry, revision uint64) {
+func (i *Informer) Replace(now time.Time, prefix string, entries []storer.Entry, version storer.Version) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.recordResponse(now, prefix)
-	i.applyChanges(now, prefix, i.replicas[prefix].replace(entries, revision))
+	i.update(now, prefix, version, func(r *replica) []storer.Change { return r.replace(entries, version) })
 	i.snapshots[prefix]++
 	i.announceChange()
 }
 
 // Apply implements follower.Sink.
-func (i *Informer) Apply(now time.Time, prefix string, changes []storer.Change, revision uint64) {
+func (i *Informer) Apply(now time.Time, prefix string, changes []storer.Change, version storer.Version) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.recordResponse(now, prefix)
-	i.applyChanges(now, prefix, i.replicas[prefix].apply(changes, revision))
+	i.update(now, prefix, version, func(r *replica) []storer.Change { return r.apply(changes, version) })
 	if len(changes) > 0 {
 		i.announceChange()
 	}
 }
 
-// NewerReplicas returns the replicas whose revision is above the given one of
-// their prefix.
-func (i *Informer) NewerReplicas(revisions map[string]uint64) []Replica {
+// NewerReplicas returns the replicas whose version is after the given one of their
+// prefix.
+func (i *Informer) NewerReplicas(versions Versions) []Replica {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	var newer []Replica
 	for _, prefix := range i.prefixes() {
 		r := i.replicas[prefix]
-		if r.revision > revisions[prefix] {
+		if r.version.After(versions[prefix]) {
 			newer = append(newer, r.snapshot(prefix))
 		}
 	}
 	return newer
 }
 
-// Revisions returns the revision of each prefix's replica.
-func (i *Informer) Revisions() map[string]uint64 {
+// Versions returns the version of each prefix's replica.
+func (i *Informer) Versions() Versions {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	revisions := make(map[string]uint64)
+	versions := make(Versions)
 	for prefix, r := range i.replicas {
-		revisions[prefix] = r.revision
+		versions[prefix] = r.version
 	}
-	return revisions
+	return versions
 }
 
-// ApplyReplica applies a replica received from another VM if its revision is
-// above that of the local replica.
+// ApplyReplica applies a replica received from another VM if its version is
+// after that of the local replica.
 func (i *Informer) ApplyReplica(now time.Time, offered Replica) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	r, ok := i.replicas[offered.Prefix]
-	if !ok || offered.Revision <= r.revision {
+	if !ok || !offered.Version().After(r.version) {
 		return
 	}
-	changes := r.replace(offered.Entries, offered.Revision)
+	i.recordOrigin(now, offered.Prefix, sourceVM, time.Time{})
+	changes := i.update(now, offered.Prefix, offered.Version(), func(r *replica) []storer.Change {
+		return r.replace(offered.Entries, offered.Version())
+	})
 	if len(changes) > 0 {
 		i.logEvent("peer_news").WithFields(logrus.Fields{
 			"prefix":      offered.Prefix,
+			fieldEra:      offered.Era,
 			fieldRevision: offered.Revision,
 			"changes":     len(changes),
 		}).Info("applied a newer replica from another VM")
 	}
-	i.applyChanges(now, offered.Prefix, changes)
 	i.snapshots[offered.Prefix]++
 	i.announceChange()
 }
 
-// Revision returns the revision of a prefix's replica.
-func (i *Informer) Revision(prefix string) uint64 {
+// Version returns the version of a prefix's replica.
+func (i *Informer) Version(prefix string) storer.Version {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.replicas[prefix].revision
+	return i.replicas[prefix].version
 }
 
 // Changed returns a channel that is closed at the next change of a replica.
@@ -243,17 +257,6 @@
 	return engines
 }
 
-// DesiredWeights returns the newest desired version of each model's weights.
-func (i *Informer) DesiredWeights() map[string]Weights {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	desired := make(map[string]Weights, len(i.weights))
-	for model, versions := range i.weights {
-		desired[model] = versions[len(versions)-1]
-	}
-	return desired
-}
-
 // Entry returns the cached entry of a key.
 func (i *Informer) Entry(key string) (storer.Entry, bool) {
 	i.mu.Lock()
@@ -265,10 +268,3 @@
 	}
 	return storer.Entry{}, false
 }
-
-// ChangeCount returns the number of changes of a prefix's replica so far.
-func (i *Informer) ChangeCount(prefix string) uint64 {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return i.replicas[prefix].log.end()
-}
--- a/internal/membership/informer/take.go
+++ b/internal/membership/informer/take.go
@@ -11,23 +11,24 @@
 )
 
 // applyChanges updates the state that is derived from the changed entries.
-// Removing the configuration or the desired weights has no effect.
-func (i *Informer) applyChanges(now time.Time, prefix string, changes []storer.Change) {
+// Removing the configuration or the desired weights has no effect. Entries up to the
+// revision restoredUpTo may be older than the known ones, see replica.restoredUpTo.
+func (i *Informer) applyChanges(now time.Time, prefix string, changes []storer.Change, restoredUpTo uint64) {
 	for _, c := range changes {
 		switch {
 		case prefix == i.cfg.UpstreamPrefix:
-			i.applyUpstream(now, c)
+			i.applyUpstream(now, c, c.Revision <= restoredUpTo)
 		case i.cfg.Codec.IsConfiguration(c.Key) && !c.Removed:
 			i.applyConfiguration(c)
 		case i.cfg.Codec.IsWeights(c.Key) && !c.Removed:
-			i.applyWeights(now, prefix, c)
+			i.applyWeights(now, c)
 		}
 	}
 }
 
 // applyUpstream registers or removes an upstream. An entry that cannot be
-// decoded removes it.
-func (i *Informer) applyUpstream(now time.Time, c storer.Change) {
+// decoded removes it. What is known of an upstream goes before a restored entry.
+func (i *Informer) applyUpstream(now time.Time, c storer.Change, restored bool) {
 	id := i.cfg.Codec.UpstreamID(c.Key)
 	if c.Removed {
 		i.logUpstreamEvents(i.registrar.Remove(now, id))
@@ -42,6 +43,10 @@
 		i.logUpstreamEvents(i.registrar.Remove(now, id))
 		return
 	}
+	if restored {
+		i.logUpstreamEvents(i.registrar.PutRestored(u))
+		return
+	}
 	i.logUpstreamEvents(i.registrar.Put(u))
 }
 
@@ -76,7 +81,7 @@
 
 // applyWeights records the desired version of a model's weights. An invalid
 // entry, or a version that is not above the last one, is ignored.
-func (i *Informer) applyWeights(now time.Time, prefix string, c storer.Change) {
+func (i *Informer) applyWeights(now time.Time, c storer.Change) {
 	model, version, err := i.cfg.Codec.Weights(c.Value)
 	if err != nil {
 		i.logEvent("weights_ignored").WithError(err).WithFields(logrus.Fields{fieldRevision: c.Revision}).Error("ignored invalid desired weights")
@@ -86,17 +91,18 @@
 	if n := len(versions); n > 0 && versions[n-1].Version >= version {
 		return
 	}
-	since := now
-	if i.snapshots[prefix] == 0 {
-		since = i.cfg.Started.Add(-i.cfg.InitialWeightsAge)
-	}
+	since, known := i.weightsSince(now, weightsVersion{model, version})
 	// The slice is copied because callers of DesiredWeightsHistory keep the old one.
 	const maxPrevious = 16
 	from := max(len(versions)-maxPrevious, 0)
-	i.weights[model] = append(append([]Weights(nil), versions[from:]...), Weights{Version: version, Since: since})
+	i.weights[model] = append(append([]Weights(nil), versions[from:]...), Weights{Version: version, Since: since, known: known})
 	i.logEvent("weights_wanted").WithFields(logrus.Fields{
 		"model":       model,
 		"version":     version,
 		fieldRevision: c.Revision,
+		"source":      i.origin.source,
+		"age_ms":      millisecondsSince(now, since),
+		"contact_ms":  millisecondsSince(now, i.origin.contact),
 	}).Info("desired weights changed")
+	i.announceWeights()
 }
--- a/internal/operating/meter/name.go
+++ b/internal/operating/meter/name.go
@@ -8,6 +8,7 @@
 const (
 	Requests           Name = "gentianstep_requests_total"
 	Failures           Name = "gentianstep_failures_total"
+	Withdrawn          Name = "gentianstep_withdrawn_total"
 	FirstByteSeconds   Name = "gentianstep_first_byte_seconds"
 	RequestSeconds     Name = "gentianstep_request_seconds"
 	RouteDecisions     Name = "gentianstep_route_decisions_total"
@@ -21,6 +22,7 @@
 	Stopping           Name = "gentianstep_stopping"
 	Goroutines         Name = "gentianstep_goroutines"
 	HeapBytes          Name = "gentianstep_heap_bytes"
+	StoreRestores      Name = "gentianstep_store_restores_total"
 )
 
 // metricType is the Prometheus type of a metric.
@@ -42,6 +44,7 @@
 
 var descriptions = map[Name]description{
 	Requests:           {counter, "Requests of callers by HTTP status.", "status"},
+	Withdrawn:          {counter, "Attempts that were withdrawn from engines with older weights.", ""},
 	Failures:           {counter, "Failures by error kind.", "kind"},
 	FirstByteSeconds:   {summary, "Seconds from a request's arrival to the first byte of its answer.", ""},
 	RequestSeconds:     {summary, "Seconds from a request's arrival to the end of its answer.", ""},
@@ -56,6 +59,7 @@
 	Stopping:           {gauge, "1 while the process shuts down, else 0.", ""},
 	Goroutines:         {gauge, "Goroutines of the process.", ""},
 	HeapBytes:          {gauge, "Bytes of live and unswept heap.", ""},
+	StoreRestores:      {counter, "Restores of the platform's store from an older copy that this VM has learned of, by prefix of keys.", "prefix"},
 }
 
 // Names returns the names of all metrics in no particular order.
--- a/internal/operating/starter/gateway.go
+++ b/internal/operating/starter/gateway.go
@@ -23,11 +23,13 @@
 	"gentianstep.example/gentianstep/internal/operating/configurer"
 	"gentianstep.example/gentianstep/internal/operating/limiter"
 	"gentianstep.example/gentianstep/internal/operating/meter"
+	"gentianstep.example/gentianstep/internal/operating/timekeeper"
 	"gentianstep.example/gentianstep/internal/peering/coordinator"
 	"gentianstep.example/gentianstep/internal/peering/exchanger"
 	"gentianstep.example/gentianstep/internal/peering/relayer"
 	"gentianstep.example/gentianstep/internal/placement/leaser"
 	"gentianstep.example/gentianstep/internal/placement/upgrader"
+	"gentianstep.example/gentianstep/internal/platform/storer"
 	"gentianstep.example/gentianstep/internal/routing/picker"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
 )
@@ -134,6 +136,11 @@
 		VMPrefix:          systemPrefix,
 		Started:           time.Now(),
 		InitialWeightsAge: settings.Bounds.WeightsApply / 2,
+		Suspended:         timekeeper.Suspended,
+		OnWeights:         func() { g.forwarder.HandleWeightsChange() },
+		RetainPrefix:      vmPrefix,
+		RetainFor:         announcer.RestoreTTL,
+		OnRestore:         func(prefix string) { g.meter.Count(meter.StoreRestores, prefix, 1) },
 		Log:               log,
 	})
 	g.vms = &vmDirectory{informer: g.informer, log: log}
@@ -175,9 +182,9 @@
 		Durations: func() (leaser.Durations, bool) {
 			return leaser.Durations{TTL: max(leaseTTL, settings.Store.MinLeaseTTL), OrderTimeout: settings.Bounds.Lease}, true
 		},
-		HeldElsewhere: func() bool {
-			_, held := g.informer.Entry(weightsLeaseKey)
-			return held
+		Held: func() (storer.Version, bool) {
+			entry, held := g.informer.Entry(weightsLeaseKey)
+			return entry.Version(), held
 		},
 		AcquireDelay: func() time.Duration { return ranker.AcquireDelay(ranker.Rank(g.ownVM(), g.vms.load().vms)) },
 		Log:          log,
@@ -191,6 +198,7 @@
 	loops := []func(context.Context){
 		g.informer.Run,
 		g.exchanger.Run,
+		g.forwarder.Run,
 		g.leaser.Run,
 		g.relayClient.Run,
 		g.runVMCount,
@@ -211,7 +219,10 @@
 			Store: g.store,
 			Key:   vmPrefix + settings.Node,
 			VM:    g.ownVM(),
-			Log:   g.log,
+			Spread: func() time.Duration {
+				return announcer.Spread(len(g.vms.load().vms), g.settings.Load().Store.WritesPerSecond)
+			},
+			Log: g.log,
 		}).Run,
 	}
 	return slices.Concat(loops, g.followerLoops(), g.coordinationLoops())
--- a/internal/peering/relayer/message.go
+++ b/internal/peering/relayer/message.go
@@ -22,6 +22,8 @@
 	Node string `cbor:"1,keyasint"`
 	// Revisions holds the revision of the sender's replica of each prefix.
 	Revisions map[string]uint64 `cbor:"2,keyasint"`
+	// Eras holds the eras of Revisions that are above 0.
+	Eras map[string]uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Check returns an error if the node is missing.
@@ -36,14 +38,21 @@
 // one. It holds an update of each prefix.
 type News struct {
 	Updates []informer.Update `cbor:"1,keyasint"`
+	// WeightsAges holds the ages of desired versions if an update may change them.
+	WeightsAges []informer.WeightsAge `cbor:"2,keyasint,omitempty"`
 }
 
-// Check returns the error of the first invalid update.
+// Check returns the error of the first invalid update or age.
 func (n News) Check() error {
 	for _, u := range n.Updates {
 		if err := u.Check(); err != nil {
 			return err
 		}
 	}
+	for _, a := range n.WeightsAges {
+		if err := a.Check(); err != nil {
+			return err
+		}
+	}
 	return nil
 }
--- a/internal/peering/relayer/server.go
+++ b/internal/peering/relayer/server.go
@@ -19,8 +19,10 @@
 type Source interface {
 	// Updates returns an update of each prefix for a VM that has been sent the changes
 	// up to a position, and the next position. At first, the position is nil and the
-	// revisions are those of the VM's replicas.
-	Updates(now time.Time, sent informer.Position, revisions map[string]uint64) ([]informer.Update, informer.Position)
+	// versions are those of the VM's replicas.
+	Updates(now time.Time, sent informer.Position, versions informer.Versions) ([]informer.Update, informer.Position)
+	// UpdateAges returns the ages of the desired versions if updates may change them.
+	UpdateAges(now time.Time, updates []informer.Update) []informer.WeightsAge
 	// Changed returns a channel that is closed at the next change.
 	Changed() <-chan struct{}
 }
@@ -64,11 +66,13 @@
 func (s *Server) send(ctx context.Context, ws *websocket.Conn, subscription Subscription) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	versions := informer.JoinVersions(subscription.Revisions, subscription.Eras)
 	var position informer.Position
 	for {
 		changed := s.cfg.Source.Changed()
-		news := News{}
-		news.Updates, position = s.cfg.Source.Updates(time.Now(), position, subscription.Revisions)
+		now, news := time.Now(), News{}
+		news.Updates, position = s.cfg.Source.Updates(now, position, versions)
+		news.WeightsAges = s.cfg.Source.UpdateAges(now, news.Updates)
 		if err := messenger.WriteValue(ctx, ws, news); err != nil {
 			return
 		}
