--- a/internal/gateway/forwarder/notices_test.go
+++ b/internal/gateway/forwarder/notices_test.go
@@ -148,7 +148,7 @@
 
 // setEntries replaces the entries of the workers.
 func (f *fixture) setEntries(entries []*registrar.Upstream) {
-	f.directory.setUpstreams("s", entries)
+	f.directory.setUpstreams(entries)
 }
 
 func sendNoticeRequests(t *testing.T, f *fixture, step int, s noticeStep) {
--- a/internal/gateway/forwarder/waiting_test.go
+++ b/internal/gateway/forwarder/waiting_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 
+	"gentianstep.example/gentianstep/internal/gateway/noticer"
 	"gentianstep.example/gentianstep/internal/membership/informer"
 	"gentianstep.example/gentianstep/internal/membership/registrar"
 	"gentianstep.example/gentianstep/internal/peering/coordinator"
@@ -25,7 +26,10 @@
 	t.Parallel()
 	is := is.New(t)
 	const attempts = 100_000
-	f := New(Config{Directory: noWeights{}, View: coordinator.NewView(), WeightsApply: time.Hour, Log: logrus.NewEntry(logrus.New())})
+	f := New(Config{
+		Directory: noWeights{}, View: coordinator.NewView(), Noticer: noticer.New(noticer.Config{}),
+		WeightsApply: time.Hour, Log: logrus.NewEntry(logrus.New()),
+	})
 	sent := make(chan struct{})
 	var group sync.WaitGroup
 	group.Go(func() {
