Try another address if a stand-in exits at its start

FreeAddress opens and closes a listener; a process that another test starts at that moment holds a copy of the socket until it executes its program, which takes long on a busy machine, and the stand-in then finds the address in use and exits. That this was the case in the two failures is likely, not shown: the output of the stand-in was not kept. It is logged now.

--- a/internal/testing/launcher/deployment.go
+++ b/internal/testing/launcher/deployment.go
@@ -143,35 +143,49 @@
 }
 
 func (d *Deployment) startPlatform() {
-	d.PlatformAddress = FreeAddress(d.t)
-	address := d.PlatformAddress.String()
-	d.Platform = Start(d.t, "platform", d.Programs.Standin, "platform", "--address", address)
-	Until(d.t, startTimeout, "start of the platform", func() bool { return Answers(d.t.Context(), "http://"+address+"/v1/vms") })
+	d.Platform, d.PlatformAddress = d.startServer("platform", "/v1/vms", "platform")
+}
+
+// startServer starts a stand-in on a free address and waits until it answers requests
+// for a path. If it exits instead, another address is tried: a process that is being
+// started elsewhere in the test may hold the socket with which FreeAddress checked it.
+func (d *Deployment) startServer(name, path string, args ...string) (*Process, netip.AddrPort) {
+	d.t.Helper()
+	deadline := time.Now().Add(startTimeout)
+	for {
+		address := FreeAddress(d.t)
+		p := Start(d.t, name, d.Programs.Standin, append(args, "--address", address.String())...)
+		exited := false
+		Until(d.t, time.Until(deadline), "start of "+name, func() bool {
+			exited = p.HasEnded()
+			return exited || Answers(d.t.Context(), "http://"+address.String()+path)
+		})
+		if !exited {
+			return p, address
+		}
+		d.t.Logf("%s on %s exited at its start: %v: %s", name, address, p.Err(), p.Output())
+	}
 }
 
 func (d *Deployment) startEngine(i int, args []string) {
-	u := &Upstream{Name: fmt.Sprintf("tile-%d", i), Address: FreeAddress(d.t)}
-	args = append([]string{"engine", "--name", u.Name, "--address", u.Address.String()}, args...)
-	u.Process = Start(d.t, u.Name, d.Programs.Standin, args...)
+	u := &Upstream{Name: fmt.Sprintf("tile-%d", i)}
+	args = append([]string{"engine", "--name", u.Name}, args...)
+	u.Process, u.Address = d.startServer(u.Name, "/v1/control/status", args...)
 	d.Engines = append(d.Engines, u)
 	d.Bundle.Upstreams = append(d.Bundle.Upstreams, checker.Upstream{
 		Name: u.Name, Kind: checker.Engine, Address: u.Address, Region: region, AvailabilityZone: availabilityZone,
 		Models: []string{model}, Slots: 8, ChecksFencing: true,
 	})
-	url := "http://" + u.Address.String() + "/v1/control/status"
-	Until(d.t, startTimeout, u.Name, func() bool { return Answers(d.t.Context(), url) })
 }
 
 func (d *Deployment) startService(i int) {
-	u := &Upstream{Name: fmt.Sprintf("desk-%d", i), Address: FreeAddress(d.t)}
-	u.Process = Start(d.t, u.Name, d.Programs.Standin, "service", "--name", u.Name, "--address", u.Address.String())
+	u := &Upstream{Name: fmt.Sprintf("desk-%d", i)}
+	u.Process, u.Address = d.startServer(u.Name, "/v1/control/ledger", "service", "--name", u.Name)
 	d.Services = append(d.Services, u)
 	d.Bundle.Upstreams = append(d.Bundle.Upstreams, checker.Upstream{
 		Name: u.Name, Kind: checker.PlainService, Address: u.Address, Region: region, AvailabilityZone: availabilityZone, Slots: 8,
 	})
 	d.Bundle.Services[0].Upstreams = append(d.Bundle.Services[0].Upstreams, u.Name)
-	url := "http://" + u.Address.String() + "/v1/control/ledger"
-	Until(d.t, startTimeout, u.Name, func() bool { return Answers(d.t.Context(), url) })
 }
 
 func (d *Deployment) createBundleKey() {
--- a/internal/testing/launcher/process.go
+++ b/internal/testing/launcher/process.go
@@ -77,6 +77,16 @@
 // Ended returns a channel that is closed when the process has exited.
 func (p *Process) Ended() <-chan struct{} { return p.ended }
 
+// HasEnded reports whether the process has exited.
+func (p *Process) HasEnded() bool {
+	select {
+	case <-p.ended:
+		return true
+	default:
+		return false
+	}
+}
+
 // Err returns the exit error of the process, or nil for status 0. It must not be
 // called before Ended is closed.
 func (p *Process) Err() error { return p.err }
