Run the random test of notices without the race detector

With it, one of some 15 runs of the package ends in 'ThreadSanitizer: CHECK failed: tsan_rtl.cpp:346' (1 of 6, 1 of 14 and 1 of 16 runs, 0 of 8 without this test, 0 of 25 with this test alone). TestWeightsChangeWhileRequestsAreSent makes 20,000 attempts instead of 100,000: with the fault put back it fails in 6 of 6 runs with and 6 of 6 without the race detector.

--- a/internal/gateway/forwarder/notices_model_test.go
+++ b/internal/gateway/forwarder/notices_model_test.go
@@ -1,3 +1,9 @@
+//go:build !race
+
+// The race detector of Go 1.26 itself fails at times after so many goroutines
+// ("ThreadSanitizer: CHECK failed: tsan_rtl.cpp:346"), so that scripts/unit.sh runs this
+// file without it.
+
 package forwarder_test
 
 import (
--- a/internal/gateway/forwarder/waiting_test.go
+++ b/internal/gateway/forwarder/waiting_test.go
@@ -25,7 +25,7 @@
 func TestWeightsChangeWhileRequestsAreSent(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	const attempts = 100_000
+	const attempts = 20_000
 	f := New(Config{
 		Directory: noWeights{}, View: coordinator.NewView(), Noticer: noticer.New(noticer.Config{}),
 		WeightsApply: time.Hour, Log: logrus.NewEntry(logrus.New()),
