Let leases expire in virtual time in tests

Cause: a lease's deadline is also held against CLOCK_BOOTTIME, which testing/synctest does not replace. On a busy machine more than 1.6 s of real time pass between two renewals that are 0.7 s apart in virtual time, and the lease ends.

The leaser takes the clock from its configuration, and the tests in virtual time give it one that follows it. TestLeaseExpiresDuringVMSuspension still reads the real one.

--- a/internal/controlling/watcher/calls_test.go
+++ b/internal/controlling/watcher/calls_test.go
@@ -13,6 +13,7 @@
 	"gentianstep.example/gentianstep/internal/bundle/checker"
 	"gentianstep.example/gentianstep/internal/placement/leaser"
 	"gentianstep.example/gentianstep/internal/standin/keeper"
+	"gentianstep.example/gentianstep/internal/testing/clocker"
 	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
@@ -60,9 +61,10 @@
 	stopWatcher := n.stop
 	n.stop = func() { stopWatcher(); stop() }
 	l := leaser.New(leaser.Config{
-		Store: f.publisher.faulty,
-		Key:   leaser.Key("demo", fmt.Sprint(i%f.scenario.Regions)),
-		Node:  fmt.Sprint(i),
+		SinceBoot: clocker.SinceBoot,
+		Store:     f.publisher.faulty,
+		Key:       leaser.Key("demo", fmt.Sprint(i%f.scenario.Regions)),
+		Node:      fmt.Sprint(i),
 		Durations: func() (leaser.Durations, bool) {
 			return leaser.Durations{TTL: 10 * time.Second, OrderTimeout: 5 * time.Second}, n.holder.Version() > 0
 		},
--- a/internal/placement/leaser/boot_test.go
+++ b/internal/placement/leaser/boot_test.go
@@ -17,8 +17,8 @@
 	t.Parallel()
 	is := is.New(t)
 	now := time.Now()
-	lease := Lease{Fencing: 1, Deadline: now.Add(time.Second), deadlineSinceBoot: bootDeadline(time.Second)}
+	lease := Lease{Fencing: 1, Deadline: now.Add(time.Second), bootDeadline: newBootDeadline(timekeeper.SinceBoot, time.Second)}
 	is.True(lease.Valid(now))
-	lease.deadlineSinceBoot = timekeeper.SinceBoot() // the lease expired during the suspension
+	lease.bootDeadline.at = timekeeper.SinceBoot() // the lease expired during the suspension
 	is.True(!lease.Valid(now))
 }
--- a/internal/placement/leaser/config.go
+++ b/internal/placement/leaser/config.go
@@ -65,7 +65,10 @@
 	// AcquireDelay returns how long a free lease is left to nodes that are better
 	// suited to hold it. If nil, every node tries at once.
 	AcquireDelay func() time.Duration
-	Log          *logrus.Entry
+	// SinceBoot reads a clock that also advances while the VM is suspended, or returns 0.
+	// If nil, it is CLOCK_BOOTTIME.
+	SinceBoot func() time.Duration
+	Log       *logrus.Entry
 }
 
 // Key returns the store key of a region's placement lease.
--- a/internal/placement/leaser/era_test.go
+++ b/internal/placement/leaser/era_test.go
@@ -14,6 +14,7 @@
 	"gentianstep.example/gentianstep/internal/placement/leaser"
 	"gentianstep.example/gentianstep/internal/platform/storer"
 	"gentianstep.example/gentianstep/internal/standin/keeper"
+	"gentianstep.example/gentianstep/internal/testing/clocker"
 )
 
 // eraStore states the era of a store in its results.
@@ -97,7 +98,8 @@
 		log := logrus.New()
 		log.SetOutput(io.Discard)
 		l := leaser.New(leaser.Config{
-			Store: store, Key: "weights", Node: "a", Log: logrus.NewEntry(log),
+			SinceBoot: clocker.SinceBoot,
+			Store:     store, Key: "weights", Node: "a", Log: logrus.NewEntry(log),
 			Durations: func() (leaser.Durations, bool) {
 				return leaser.Durations{TTL: 2 * time.Second, OrderTimeout: time.Second}, true
 			},
--- a/internal/placement/leaser/holding.go
+++ b/internal/placement/leaser/holding.go
@@ -1,10 +1,6 @@
 package leaser
 
-import (
-	"time"
-
-	"gentianstep.example/gentianstep/internal/operating/timekeeper"
-)
+import "time"
 
 // Lease describes a lease that this node acquired. From its start to its deadline,
 // the node may give orders to engines.
@@ -19,9 +15,9 @@
 	// Until then, upstreams that do not check fencing numbers must not receive
 	// orders.
 	PriorOrdersExpireAt time.Time
-	// deadlineSinceBoot is the deadline on CLOCK_BOOTTIME, which also advances
-	// while the VM is suspended. Zero means that the clock could not be read.
-	deadlineSinceBoot time.Duration
+	// bootDeadline is the deadline on CLOCK_BOOTTIME, which also advances while the VM
+	// is suspended.
+	bootDeadline bootDeadline
 }
 
 // Valid reports whether the lease has started and is still held at now.
@@ -33,7 +29,7 @@
 // monotonic clock, CLOCK_BOOTTIME and the wall clock, so that neither a suspended VM
 // nor a wall clock that is set back extends the lease.
 func (l Lease) expired(now time.Time) bool {
-	if l.deadlineSinceBoot > 0 && timekeeper.SinceBoot() >= l.deadlineSinceBoot {
+	if l.bootDeadline.passed() {
 		return true
 	}
 	return l.Fencing == 0 || !now.Before(l.Deadline) || !now.Round(0).Before(l.Deadline.Round(0))
--- a/internal/placement/leaser/leaser.go
+++ b/internal/placement/leaser/leaser.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"gentianstep.example/gentianstep/internal/operating/pauser"
+	"gentianstep.example/gentianstep/internal/operating/timekeeper"
 	"gentianstep.example/gentianstep/internal/platform/storer"
 )
 
@@ -54,6 +55,9 @@
 
 // New returns a Leaser that does not hold its lease.
 func New(cfg Config) *Leaser {
+	if cfg.SinceBoot == nil {
+		cfg.SinceBoot = timekeeper.SinceBoot
+	}
 	return &Leaser{cfg: cfg}
 }
 
@@ -156,7 +160,7 @@
 	if !errors.Is(err, storer.ErrNotFound) {
 		return Lease{}, err
 	}
-	sentAt, deadlineSinceBoot := time.Now(), bootDeadline(durations.TTL-durations.safetyMargin())
+	sentAt, bootDeadline := time.Now(), newBootDeadline(l.cfg.SinceBoot, durations.TTL-durations.safetyMargin())
 	l.granted, err = l.cfg.Store.Grant(ctx, durations.TTL)
 	if err != nil {
 		return Lease{}, err
@@ -172,10 +176,10 @@
 	}
 	now := time.Now()
 	lease := Lease{
-		Fencing:           fencing,
-		StartsAt:          l.startsAt(now, durations),
-		Deadline:          sentAt.Add(durations.TTL - durations.safetyMargin()),
-		deadlineSinceBoot: deadlineSinceBoot,
+		Fencing:      fencing,
+		StartsAt:     l.startsAt(now, durations),
+		Deadline:     sentAt.Add(durations.TTL - durations.safetyMargin()),
+		bootDeadline: bootDeadline,
 	}
 	lease.PriorOrdersExpireAt = later(now, lease.StartsAt).Add(durations.priorOrders())
 	return lease, nil
@@ -221,7 +225,7 @@
 			l.release(durations)
 			return
 		}
-		sentAt, deadlineSinceBoot := time.Now(), bootDeadline(durations.TTL-durations.safetyMargin())
+		sentAt, bootDeadline := time.Now(), newBootDeadline(l.cfg.SinceBoot, durations.TTL-durations.safetyMargin())
 		if lease.expired(sentAt) {
 			return
 		}
@@ -232,7 +236,7 @@
 			l.release(durations)
 			return
 		case err == nil:
-			lease.Deadline, lease.deadlineSinceBoot = sentAt.Add(durations.TTL-durations.safetyMargin()), deadlineSinceBoot
+			lease.Deadline, lease.bootDeadline = sentAt.Add(durations.TTL-durations.safetyMargin()), bootDeadline
 			l.setLease(lease)
 			wait = durations.renewInterval()
 		case errors.Is(err, storer.ErrLeaseGone):
--- a/internal/placement/leaser/leaser_test.go
+++ b/internal/placement/leaser/leaser_test.go
@@ -16,6 +16,7 @@
 	"gentianstep.example/gentianstep/internal/placement/leaser"
 	"gentianstep.example/gentianstep/internal/platform/storer"
 	"gentianstep.example/gentianstep/internal/standin/keeper"
+	"gentianstep.example/gentianstep/internal/testing/clocker"
 	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
@@ -100,9 +101,10 @@
 	for i := range nodes {
 		n := &node{store: &pausableStore{Store: eraStore{c.faulty, &c.era}}}
 		n.leaser = leaser.New(leaser.Config{
-			Store: n.store,
-			Key:   key,
-			Node:  fmt.Sprintf("vm-%d", i),
+			SinceBoot: clocker.SinceBoot,
+			Store:     n.store,
+			Key:       key,
+			Node:      fmt.Sprintf("vm-%d", i),
 			Durations: func() (leaser.Durations, bool) {
 				return leaser.Durations{TTL: 10 * time.Second, OrderTimeout: 5 * time.Second}, true
 			},
@@ -282,9 +284,10 @@
 		stops := make([]context.CancelFunc, 0, len(delays))
 		for i, delay := range delays {
 			l := leaser.New(leaser.Config{
-				Store: store,
-				Key:   key,
-				Node:  fmt.Sprintf("vm-%d", i),
+				SinceBoot: clocker.SinceBoot,
+				Store:     store,
+				Key:       key,
+				Node:      fmt.Sprintf("vm-%d", i),
 				Durations: func() (leaser.Durations, bool) {
 					return leaser.Durations{TTL: 2 * time.Second, OrderTimeout: time.Second}, true
 				},
--- a/internal/placement/placer/placer_test.go
+++ b/internal/placement/placer/placer_test.go
@@ -15,6 +15,7 @@
 	"gentianstep.example/gentianstep/internal/placement/leaser"
 	"gentianstep.example/gentianstep/internal/platform/storer"
 	"gentianstep.example/gentianstep/internal/standin/keeper"
+	"gentianstep.example/gentianstep/internal/testing/clocker"
 	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
@@ -183,9 +184,10 @@
 	for i := range 2 {
 		store := &pausableStore{Store: tr.faulty}
 		l := leaser.New(leaser.Config{
-			Store: store,
-			Key:   leaser.Key("demo", region),
-			Node:  fmt.Sprintf("vm-%d", i),
+			SinceBoot: clocker.SinceBoot,
+			Store:     store,
+			Key:       leaser.Key("demo", region),
+			Node:      fmt.Sprintf("vm-%d", i),
 			Durations: func() (leaser.Durations, bool) {
 				return leaser.Durations{TTL: 10 * time.Second, OrderTimeout: 5 * time.Second}, true
 			},
--- a/internal/placement/upgrader/fixture_test.go
+++ b/internal/placement/upgrader/fixture_test.go
@@ -19,6 +19,7 @@
 	"gentianstep.example/gentianstep/internal/placement/leaser"
 	"gentianstep.example/gentianstep/internal/placement/upgrader"
 	"gentianstep.example/gentianstep/internal/platform/storer"
+	"gentianstep.example/gentianstep/internal/testing/clocker"
 	"gentianstep.example/gentianstep/internal/testing/piper"
 	"gentianstep.example/gentianstep/platform"
 	"gentianstep.example/gentianstep/platform/platformtest"
@@ -130,9 +131,10 @@
 		HTTPClient: &http.Client{Transport: transport},
 	})
 	lease := leaser.New(leaser.Config{
-		Store: client,
-		Key:   leaseKey,
-		Node:  fmt.Sprintf("vm%d", n),
+		SinceBoot: clocker.SinceBoot,
+		Store:     client,
+		Key:       leaseKey,
+		Node:      fmt.Sprintf("vm%d", n),
 		Durations: func() (leaser.Durations, bool) {
 			return leaser.Durations{TTL: leaseTTL, OrderTimeout: orderTimeout}, true
 		},
