--- a/scripts/unit.sh
+++ b/scripts/unit.sh
@@ -28,6 +28,6 @@
 # shellcheck disable=SC2086
 run 1 $processes
 # Tests that cannot run with the race detector.
-flags=(-count=1 -run '^TestNoRequestsAfterNotices$')
+flags=(-count=1 -run '^(TestNoRequestsAfterNotices|TestWeightsChangeWhileRequestsAreSent)$')
 run 1 ./internal/gateway/forwarder
 scripts/known-red.sh "$output" "$status" KNOWN-RED.txt
