Log the output of processes of a failed test

A failed check of cmd/gentianstep told nothing of the processes that it had started: TestHubRemainsAfterLeaseExpires failed once with "all VMs find the hub: condition not met within 15s", and neither an exit at the start nor a VM without a hub could be told from it.

The end of the output of each process is logged if the test has failed, and whether the process ended before it.

--- a/internal/testing/launcher/process.go
+++ b/internal/testing/launcher/process.go
@@ -8,6 +8,9 @@
 	"testing"
 )
 
+// maxLoggedBytes is how much of the output of a process is logged if a test fails.
+const maxLoggedBytes = 16 << 10
+
 // Process is a child process that a test has started.
 type Process struct {
 	t       testing.TB
@@ -31,7 +34,8 @@
 	return b.text.Write(data)
 }
 
-// Start starts a program and kills it at the end of the test if it still runs.
+// Start starts a program and kills it at the end of the test if it still runs. If the
+// test has failed, it logs what the program printed.
 func Start(t testing.TB, name, program string, args ...string) *Process {
 	t.Helper()
 	p := &Process{t: t, name: name, ended: make(chan struct{})}
@@ -42,10 +46,26 @@
 		t.Fatalf("start process %s: %v", name, err)
 	}
 	go p.waitForExit()
-	t.Cleanup(p.Kill)
+	t.Cleanup(func() {
+		exited := p.HasEnded()
+		p.Kill()
+		if t.Failed() {
+			p.logOutput(exited)
+		}
+	})
 	return p
 }
 
+// logOutput logs the end of the output of the process. exited tells whether it ended
+// before the test did.
+func (p *Process) logOutput(exited bool) {
+	output := p.Output()
+	if len(output) > maxLoggedBytes {
+		output = output[len(output)-maxLoggedBytes:]
+	}
+	p.t.Logf("process %s (exited before the end of the test: %t, %v) printed:\n%s", p.name, exited, p.err, output)
+}
+
 // waitForExit stores the result of the process and closes ended once it exits.
 func (p *Process) waitForExit() {
 	p.err = p.command.Wait()
