Record the changes of the store's stand-in where they are made

Cause: the stand-in of the platform's store compared the keeper's list of keys with the one before to find the changes, and took the list before the lock. Of two calls at a time, one could have a list without a key that the other had just recorded. It then recorded the key as removed, under a revision above the key's; the key was found again by the next call, but with a revision that watches had passed.

Ruled out: an exit of a VM at its start (ports are not shared between tests, and both processes run until the end of the reproduced failures); the leaser and the hub, which see the key as soon as a watch does.

--- a/internal/standin/keeper/keeper.go
+++ b/internal/standin/keeper/keeper.go
@@ -25,6 +25,7 @@
 	nextID   uint64
 	vms      []storer.VM
 	changed  chan struct{}
+	history  history
 }
 
 // grantedLease holds a lease and its time to live.
@@ -74,13 +75,14 @@
 		return storer.Version{}, storer.ErrLeaseGone
 	}
 	k.revision++
-	k.entries[key] = storer.Entry{
+	entry := storer.Entry{
 		Key:      key,
 		Value:    slices.Clone(value),
 		Revision: k.revision,
 		LeaseID:  opts.LeaseID,
 	}
-	k.notifyWatchers()
+	k.entries[key] = entry
+	k.recordChange(storer.Change{Entry: entry})
 	return storer.Version{Revision: k.revision}, nil
 }
 
@@ -105,6 +107,11 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.expireLeases(time.Now())
+	return k.list(prefix), nil
+}
+
+// list returns the entries of a prefix, ordered by key.
+func (k *Keeper) list(prefix string) []storer.Entry {
 	entries := make([]storer.Entry, 0)
 	for key, entry := range k.entries {
 		if strings.HasPrefix(key, prefix) {
@@ -112,7 +119,7 @@
 		}
 	}
 	slices.SortFunc(entries, func(a, b storer.Entry) int { return strings.Compare(a.Key, b.Key) })
-	return entries, nil
+	return entries
 }
 
 // Watch implements storer.Store.
@@ -212,6 +219,11 @@
 func (k *Keeper) removeEntry(key string) {
 	k.revision++
 	delete(k.entries, key)
+	k.recordChange(storer.Change{Entry: storer.Entry{Key: key, Revision: k.revision}, Removed: true})
+}
+
+func (k *Keeper) recordChange(c storer.Change) {
+	k.history.add(c)
 	k.notifyWatchers()
 }
 
--- a/internal/standin/keeper/state.go
+++ b/internal/standin/keeper/state.go
@@ -11,6 +11,7 @@
 type State struct {
 	Revision uint64
 	Entries  map[string]storer.Entry
+	history  history
 }
 
 // State returns a copy of the present state.
@@ -18,7 +19,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.expireLeases(time.Now())
-	s := State{Revision: k.revision, Entries: make(map[string]storer.Entry)}
+	s := State{Revision: k.revision, Entries: make(map[string]storer.Entry), history: k.history.clone()}
 	for key, entry := range k.entries {
 		if entry.LeaseID == 0 {
 			s.Entries[key] = entry
@@ -34,5 +35,6 @@
 	defer k.mu.Unlock()
 	k.revision, k.nextID = s.Revision, 0
 	k.entries, k.leases = maps.Clone(s.Entries), make(map[uint64]*grantedLease)
+	k.history = s.history.clone()
 	k.notifyWatchers()
 }
