Leave a connection alone once it carries another call

Cause: the transport takes a connection back as soon as a response without a body has arrived, so that Response.Discard closed it under the next call. A lost refusal of the stand-in was ruled out by its arrival times. A connection now knows the exchange whose request it carries, and only that one closes it.

--- a/internal/upstream/caller/caller_test.go
+++ b/internal/upstream/caller/caller_test.go
@@ -194,3 +194,28 @@
 	is.True(!response.Reused)
 	response.Discard()
 }
+
+// TestDiscardLeavesReusedConnection discards a response without a body once its
+// connection carries another call, which must get its own response.
+func TestDiscardLeavesReusedConnection(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &server{scripts: []script{{Serve: 3, ReadBytes: -1}}}
+		c := caller.New(caller.Config{Dial: s.dial})
+		defer synctest.Wait()
+		defer c.Close()
+		target := caller.Target{Name: "up", Address: netip.MustParseAddrPort("10.0.0.1:80")}
+		call := caller.Call{Method: http.MethodPost, Path: "/", FirstByteDeadline: time.Now().Add(time.Second), IdleTimeout: time.Second}
+		first, err := c.Do(t.Context(), target, call)
+		is.NoErr(err)
+		second, err := c.Do(t.Context(), target, call)
+		is.NoErr(err)
+		is.True(second.Reused)
+		first.Discard()
+		third, err := c.Do(t.Context(), target, call)
+		is.NoErr(err)
+		is.True(third.Reused) // the connection is still open
+		third.Discard()
+	})
+}
--- a/internal/upstream/caller/connection.go
+++ b/internal/upstream/caller/connection.go
@@ -13,23 +13,24 @@
 type connection struct {
 	net.Conn
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// owner is the exchange whose request the connection carries, or has carried
+	// last.
+	owner   *exchange
 	sent    bool
-	used    bool
 	aborted bool
 	// admit reports whether the first byte of the current request may be sent;
 	// nil admits it.
 	admit func() bool
 }
 
-// beginRequest records the start of a request and reports whether the connection
-// has carried an earlier one.
-func (c *connection) beginRequest(admit func() bool) bool {
+// beginRequest records the start of the request of e and reports whether the
+// connection has carried an earlier one.
+func (c *connection) beginRequest(e *exchange) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	reused := c.used
-	c.used = true
-	c.sent, c.admit = false, admit
+	reused := c.owner != nil
+	c.owner, c.sent, c.admit = e, false, e.admit
 	return reused
 }
 
@@ -52,9 +53,15 @@
 }
 
 // abort closes the connection and fails all later writes. It reports whether a
-// write of the current request has begun.
-func (c *connection) abort() bool {
+// write of the request of e has begun. It leaves alone a connection that carries
+// the request of another exchange: the transport reuses one as soon as a response
+// without a body has arrived.
+func (c *connection) abort(e *exchange) bool {
 	c.mu.Lock()
+	if c.owner != e {
+		c.mu.Unlock()
+		return true
+	}
 	c.aborted = true
 	sent := c.sent
 	c.mu.Unlock()
--- a/internal/upstream/caller/exchange.go
+++ b/internal/upstream/caller/exchange.go
@@ -31,10 +31,10 @@
 	defer e.mu.Unlock()
 	if e.conn != nil {
 		// The transport replaces the connection; the previous one must send no more.
-		e.sent = e.conn.abort() || e.sent
+		e.sent = e.conn.abort(e) || e.sent
 	}
 	e.conn = conn
-	e.reused = conn.beginRequest(e.admit)
+	e.reused = conn.beginRequest(e)
 	if e.reused && e.onReuse != nil {
 		e.onReuse()
 	}
@@ -46,7 +46,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.conn != nil {
-		e.sent = e.conn.abort() || e.sent
+		e.sent = e.conn.abort(e) || e.sent
 	}
 	return e.sent
 }
