Attribute notices in reports to the process that has replaced the requested one

A VM sent 3 requests in a hold-off of 0.8 s: a report was under way while its engine restarted under the same ID, and the refusal of the new process counted for the old one. The forwarder looked up the current entry when a response arrived, the client for engines did not. The noticer does it for both now.

TestNoticeInReportOfReplacedProcess before: "200 != 503".

--- a/internal/gateway/forwarder/fixture_test.go
+++ b/internal/gateway/forwarder/fixture_test.go
@@ -167,9 +167,10 @@
 	log.SetFormatter(&logrus.JSONFormatter{})
 	calls := caller.New(caller.Config{Dial: f.dial, IdleTimeout: time.Second})
 	f.noticer = noticer.New(noticer.Config{
-		Bounds: withholder.Config{Drain: 2500 * time.Millisecond, MaxHoldOff: 10 * time.Minute},
-		Meter:  meter.New(),
-		Log:    logrus.NewEntry(log),
+		Bounds:    withholder.Config{Drain: 2500 * time.Millisecond, MaxHoldOff: 10 * time.Minute},
+		Directory: f.directory,
+		Meter:     meter.New(),
+		Log:       logrus.NewEntry(log),
 	})
 	f.forwarder = forwarder.New(forwarder.Config{
 		Dialect:      platform.Dialect{},
--- a/internal/gateway/forwarder/notices_test.go
+++ b/internal/gateway/forwarder/notices_test.go
@@ -203,3 +203,23 @@
 		}
 	}
 }
+
+// TestNoticeInReportOfReplacedProcess requests a report under an entry that that of
+// a later process with the same ID replaces meanwhile. The later one has responded.
+func TestNoticeInReportOfReplacedProcess(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, 1)
+		replaced, current := f.entry(0), f.entry(0)
+		replaced.StartedAt, current.StartedAt = f.startedAt, f.startedAt.Add(time.Second)
+		time.Sleep(2 * time.Second)
+		f.setEntries([]*registrar.Upstream{current})
+		f.workers[0].RefuseNext("5")
+		c := platform.EngineClient{HTTPClient: &http.Client{Transport: f.client.Transport}, Noticer: f.noticer}
+		_, err := c.Report(t.Context(), replaced)
+		is.True(err != nil)
+		is.Equal(f.do(f.request(t, "idempotent", "request")).status, http.StatusServiceUnavailable)
+		is.Equal(len(f.workers[0].ArrivalTimes()), 1)
+	})
+}
--- a/internal/gateway/forwarder/withhold.go
+++ b/internal/gateway/forwarder/withhold.go
@@ -9,7 +9,6 @@
 	"gentianstep.example/gentianstep/internal/gateway/noticer"
 	"gentianstep.example/gentianstep/internal/membership/registrar"
 	"gentianstep.example/gentianstep/internal/routing/picker"
-	"gentianstep.example/gentianstep/internal/routing/withholder"
 )
 
 const (
@@ -100,19 +99,6 @@
 	return b
 }
 
-// recordNotice records the notice in a response to an attempt at u. If the entry
-// of u was replaced since the choice, the later process has responded.
-func (x *exchange) recordNotice(u *registrar.Upstream, n withholder.Notice) {
-	if n.Leaving || n.HoldOff > 0 {
-		for _, current := range x.cfg.Directory.Usable(x.service) {
-			if current.ID == u.ID && current.Address == u.Address {
-				u = current
-			}
-		}
-	}
-	x.cfg.Noticer.Record(u, n)
-}
-
 // recordWithheld reports whether an attempt was not sent because its upstream
 // takes no requests any more, so that another is chosen. Such an attempt does not
 // count.
--- a/internal/gateway/noticer/noticer.go
+++ b/internal/gateway/noticer/noticer.go
@@ -27,11 +27,19 @@
 // ignoredLogInterval bounds the log lines for notices that cannot be decoded.
 const ignoredLogInterval = 100 * time.Millisecond
 
+// Directory holds the entries of the upstreams of each service.
+type Directory interface {
+	Usable(service string) []*registrar.Upstream
+}
+
 // Config configures a Noticer.
 type Config struct {
 	Bounds withholder.Config
-	Meter  *meter.Meter
-	Log    *logrus.Entry
+	// Directory may be nil, in which case each response is that of the process
+	// that the request was meant for.
+	Directory Directory
+	Meter     *meter.Meter
+	Log       *logrus.Entry
 }
 
 // Noticer is safe for concurrent use.
@@ -68,6 +76,9 @@
 
 // Record applies the notice in a response to a request to u.
 func (n *Noticer) Record(u *registrar.Upstream, notice withholder.Notice) {
+	if notice.Leaving || notice.HoldOff > 0 {
+		u = n.currentEntry(u)
+	}
 	now := time.Now()
 	n.mu.Lock()
 	changes := n.withholder.Record(now, u, notice)
@@ -103,6 +114,20 @@
 	}
 }
 
+// currentEntry returns the current entry of the ID and the address of u. If another
+// process has replaced the one that a request was meant for, it has responded.
+func (n *Noticer) currentEntry(u *registrar.Upstream) *registrar.Upstream {
+	if n.cfg.Directory == nil {
+		return u
+	}
+	for _, current := range n.cfg.Directory.Usable(u.Service) {
+		if current.ID == u.ID && current.Address == u.Address {
+			return current
+		}
+	}
+	return u
+}
+
 // startedMillis returns a start time in Unix milliseconds, 0 if it is unknown.
 func startedMillis(t time.Time) int64 {
 	if t.IsZero() {
--- a/internal/operating/starter/gateway.go
+++ b/internal/operating/starter/gateway.go
@@ -144,7 +144,7 @@
 		Log:               log,
 	})
 	g.vms = &vmDirectory{informer: g.informer, log: log}
-	g.noticer = noticer.New(noticer.Config{Bounds: noticeBounds(settings), Meter: g.meter, Log: log})
+	g.noticer = noticer.New(noticer.Config{Bounds: noticeBounds(settings), Directory: g.informer, Meter: g.meter, Log: log})
 	g.engineClient = p.NewEngineClient(&http.Client{Transport: newGatewayTransport()}, g.noticer)
 	g.view = coordinator.NewView()
 	g.hub = coordinator.NewHub(coordinator.HubConfig{
