Move the noticer to the packages of upstreams

Routers and controllers will use it beside the gateway. No change of behaviour: the tests of platform and forwarder for notices pass unchanged.

--- a/cmd/gentianstep/gateway.go
+++ b/cmd/gentianstep/gateway.go
@@ -8,10 +8,10 @@
 
 	"github.com/integrii/flaggy"
 
-	"gentianstep.example/gentianstep/internal/gateway/noticer"
 	"gentianstep.example/gentianstep/internal/operating/configurer"
 	"gentianstep.example/gentianstep/internal/operating/logger"
 	"gentianstep.example/gentianstep/internal/operating/starter"
+	"gentianstep.example/gentianstep/internal/upstream/noticer"
 	"gentianstep.example/gentianstep/platform"
 )
 
--- a/internal/gateway/forwarder/fixture_test.go
+++ b/internal/gateway/forwarder/fixture_test.go
@@ -16,7 +16,6 @@
 	"github.com/sirupsen/logrus"
 
 	"gentianstep.example/gentianstep/internal/gateway/forwarder"
-	"gentianstep.example/gentianstep/internal/gateway/noticer"
 	"gentianstep.example/gentianstep/internal/membership/informer"
 	"gentianstep.example/gentianstep/internal/membership/registrar"
 	"gentianstep.example/gentianstep/internal/operating/meter"
@@ -27,6 +26,7 @@
 	"gentianstep.example/gentianstep/internal/routing/withholder"
 	"gentianstep.example/gentianstep/internal/testing/piper"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
+	"gentianstep.example/gentianstep/internal/upstream/noticer"
 	"gentianstep.example/gentianstep/platform"
 	"gentianstep.example/gentianstep/platform/platformtest"
 )
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -18,7 +18,6 @@
 	"github.com/sirupsen/logrus"
 
 	"gentianstep.example/gentianstep/internal/failure/classifier"
-	"gentianstep.example/gentianstep/internal/gateway/noticer"
 	"gentianstep.example/gentianstep/internal/membership/informer"
 	"gentianstep.example/gentianstep/internal/membership/registrar"
 	"gentianstep.example/gentianstep/internal/operating/meter"
@@ -27,6 +26,7 @@
 	"gentianstep.example/gentianstep/internal/routing/matcher"
 	"gentianstep.example/gentianstep/internal/routing/picker"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
+	"gentianstep.example/gentianstep/internal/upstream/noticer"
 )
 
 // startupRetryAfter is the mean Retry-After of a VM that has no configuration
--- a/internal/gateway/forwarder/waiting_test.go
+++ b/internal/gateway/forwarder/waiting_test.go
@@ -12,11 +12,11 @@
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 
-	"gentianstep.example/gentianstep/internal/gateway/noticer"
 	"gentianstep.example/gentianstep/internal/membership/informer"
 	"gentianstep.example/gentianstep/internal/membership/registrar"
 	"gentianstep.example/gentianstep/internal/peering/coordinator"
 	"gentianstep.example/gentianstep/internal/routing/matcher"
+	"gentianstep.example/gentianstep/internal/upstream/noticer"
 )
 
 // noWeights is a directory in which no version of the weights is wanted.
--- a/internal/gateway/forwarder/withhold.go
+++ b/internal/gateway/forwarder/withhold.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"gentianstep.example/gentianstep/internal/failure/classifier"
-	"gentianstep.example/gentianstep/internal/gateway/noticer"
 	"gentianstep.example/gentianstep/internal/membership/registrar"
 	"gentianstep.example/gentianstep/internal/routing/picker"
+	"gentianstep.example/gentianstep/internal/upstream/noticer"
 )
 
 const (
--- a/internal/operating/starter/gateway.go
+++ b/internal/operating/starter/gateway.go
@@ -16,7 +16,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"gentianstep.example/gentianstep/internal/gateway/forwarder"
-	"gentianstep.example/gentianstep/internal/gateway/noticer"
 	"gentianstep.example/gentianstep/internal/membership/announcer"
 	"gentianstep.example/gentianstep/internal/membership/informer"
 	"gentianstep.example/gentianstep/internal/membership/ranker"
@@ -32,6 +31,7 @@
 	"gentianstep.example/gentianstep/internal/platform/storer"
 	"gentianstep.example/gentianstep/internal/routing/picker"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
+	"gentianstep.example/gentianstep/internal/upstream/noticer"
 )
 
 const (
--- a/internal/operating/starter/gateway_notices.go
+++ b/internal/operating/starter/gateway_notices.go
@@ -1,11 +1,11 @@
 package starter
 
 import (
-	"gentianstep.example/gentianstep/internal/gateway/noticer"
 	"gentianstep.example/gentianstep/internal/membership/informer"
 	"gentianstep.example/gentianstep/internal/membership/registrar"
 	"gentianstep.example/gentianstep/internal/operating/configurer"
 	"gentianstep.example/gentianstep/internal/routing/withholder"
+	"gentianstep.example/gentianstep/internal/upstream/noticer"
 )
 
 // maxHoldOffWindows is the longest hold-off that an upstream can request, in
--- a/internal/operating/starter/gateway_platform.go
+++ b/internal/operating/starter/gateway_platform.go
@@ -6,11 +6,11 @@
 
 	"gentianstep.example/gentianstep/internal/caching/listener"
 	"gentianstep.example/gentianstep/internal/gateway/forwarder"
-	"gentianstep.example/gentianstep/internal/gateway/noticer"
 	"gentianstep.example/gentianstep/internal/membership/informer"
 	"gentianstep.example/gentianstep/internal/operating/configurer"
 	"gentianstep.example/gentianstep/internal/placement/upgrader"
 	"gentianstep.example/gentianstep/internal/platform/storer"
+	"gentianstep.example/gentianstep/internal/upstream/noticer"
 )
 
 // Platform holds the platform-specific dependencies of a gateway.
