--- a/internal/gateway/forwarder/fixture_test.go
+++ b/internal/gateway/forwarder/fixture_test.go
@@ -16,7 +16,6 @@
 	"github.com/sirupsen/logrus"
 
 	"gentianstep.example/gentianstep/internal/gateway/forwarder"
-	"gentianstep.example/gentianstep/internal/gateway/noticer"
 	"gentianstep.example/gentianstep/internal/membership/informer"
 	"gentianstep.example/gentianstep/internal/membership/registrar"
 	"gentianstep.example/gentianstep/internal/operating/meter"
@@ -27,6 +26,7 @@
 	"gentianstep.example/gentianstep/internal/routing/withholder"
 	"gentianstep.example/gentianstep/internal/testing/piper"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
+	"gentianstep.example/gentianstep/internal/upstream/noticer"
 	"gentianstep.example/gentianstep/platform"
 	"gentianstep.example/gentianstep/platform/platformtest"
 )
@@ -167,9 +167,10 @@
 	log.SetFormatter(&logrus.JSONFormatter{})
 	calls := caller.New(caller.Config{Dial: f.dial, IdleTimeout: time.Second})
 	f.noticer = noticer.New(noticer.Config{
-		Bounds: withholder.Config{Drain: 2500 * time.Millisecond, MaxHoldOff: 10 * time.Minute},
-		Meter:  meter.New(),
-		Log:    logrus.NewEntry(log),
+		Bounds:    withholder.Config{Drain: 2500 * time.Millisecond, MaxHoldOff: 10 * time.Minute},
+		Directory: f.directory,
+		Meter:     meter.New(),
+		Log:       logrus.NewEntry(log),
 	})
 	f.forwarder = forwarder.New(forwarder.Config{
 		Dialect:      platform.Dialect{},
--- a/internal/operating/starter/gateway.go
+++ b/internal/operating/starter/gateway.go
@@ -16,7 +16,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"gentianstep.example/gentianstep/internal/gateway/forwarder"
-	"gentianstep.example/gentianstep/internal/gateway/noticer"
 	"gentianstep.example/gentianstep/internal/membership/announcer"
 	"gentianstep.example/gentianstep/internal/membership/informer"
 	"gentianstep.example/gentianstep/internal/membership/ranker"
@@ -32,6 +31,7 @@
 	"gentianstep.example/gentianstep/internal/platform/storer"
 	"gentianstep.example/gentianstep/internal/routing/picker"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
+	"gentianstep.example/gentianstep/internal/upstream/noticer"
 )
 
 const (
@@ -144,7 +144,7 @@
 		Log:               log,
 	})
 	g.vms = &vmDirectory{informer: g.informer, log: log}
-	g.noticer = noticer.New(noticer.Config{Bounds: noticeBounds(settings), Meter: g.meter, Log: log})
+	g.noticer = noticer.New(noticer.Config{Bounds: noticeBounds(settings), Directory: g.informer, Meter: g.meter, Log: log})
 	g.engineClient = p.NewEngineClient(&http.Client{Transport: newGatewayTransport()}, g.noticer)
 	g.view = coordinator.NewView()
 	g.hub = coordinator.NewHub(coordinator.HubConfig{
