Let a withdrawn request come back to its engine with newer weights

Callers saw: 502 from a service with one engine although that engine had the due weights when the request was withdrawn, with 8.8 s of its time left.

Cause: an upstream at which an attempt failed is not tried again, and a withdrawal counted as such a failure. It says nothing about the engine but that it had not begun the request on weights that must no longer run it.

Ruled out: a wait on the VM for weights that no VM knows of yet. The request was given up on, so it gets its final answer at once.

Change: the engine of a withdrawn attempt stays among those to choose from. One that was not sent still excludes its engine.

Failed before: the row 'comes back to its engine, which has the newer weights' of TestWaitingRequestsDoNotBeginOnOldWeights (502 != 200). The rows for a wrong report, for engines that never get to it and for routes with one attempt pass before and after. The two rows with 4.3 s on the link fail before and after.

--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -61,7 +61,8 @@
 	deadline      time.Time
 
 	attempts int
-	// tried holds the IDs of upstreams at which the request has failed.
+	// tried holds the IDs of upstreams at which the request has failed and to
+	// which it is not sent again.
 	tried  map[string]bool
 	choice picker.Choice
 	// access is the access to the upstreams at the time of the choice.
--- a/internal/gateway/forwarder/late_news_test.go
+++ b/internal/gateway/forwarder/late_news_test.go
@@ -10,7 +10,6 @@
 	"github.com/matryer/is"
 
 	"gentianstep.example/gentianstep/internal/membership/informer"
-	"gentianstep.example/gentianstep/internal/peering/coordinator"
 	"gentianstep.example/gentianstep/internal/routing/budgeter"
 	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
@@ -72,11 +71,7 @@
 		})
 	}
 	if row.ReportedMS != 0 {
-		at(row.ReportedMS, func() {
-			is.NoErr(f.view.Apply(time.Now(), coordinator.State{
-				Engines: []coordinator.Engine{{Upstream: f.workers[0].ID, Weights: map[string]uint64{"m": 2}}},
-			}, nil))
-		})
+		at(row.ReportedMS, func() { f.reportWeights(t, 2) })
 	}
 	limit := weightsApply
 	if row.ReducedMS != 0 {
--- a/internal/gateway/forwarder/old_weights_test.go
+++ b/internal/gateway/forwarder/old_weights_test.go
@@ -38,8 +38,12 @@
 	SecondVersionMS int `json:"second_version_ms"`
 	// NewerMS is when another engine registers with the newest weights, OrderedMS
 	// when the engine is ordered to change its weights; 0 for never.
-	NewerMS         int `json:"newer_ms"`
-	OrderedMS       int `json:"ordered_ms"`
+	NewerMS   int `json:"newer_ms"`
+	OrderedMS int `json:"ordered_ms"`
+	// ChangedMS is when the engine changes to version 2 and keeps what waits,
+	// ReportedMS when the VM is told that it has; 0 for never.
+	ChangedMS       int `json:"changed_ms"`
+	ReportedMS      int `json:"reported_ms"`
 	EventIntervalMS int `json:"event_interval_ms"`
 	// DelayMS is the time that bytes take from the VM to the engine.
 	DelayMS int `json:"delay_ms"`
@@ -101,6 +105,12 @@
 	if row.OrderedMS != 0 {
 		at(row.OrderedMS, func() { f.workers[0].ChangeWeights("m", 2) })
 	}
+	if row.ChangedMS != 0 {
+		at(row.ChangedMS, func() { f.workers[0].SetModel("m", 2) })
+	}
+	if row.ReportedMS != 0 {
+		at(row.ReportedMS, func() { f.reportWeights(t, 2) })
+	}
 	at(row.FreedMS, func() { f.workers[0].FreeSlots(1) })
 
 	time.Sleep(time.Until(named.Add(time.Duration(row.SentMS) * time.Millisecond)))
@@ -120,9 +130,19 @@
 	is.Equal(a.header.Get("Retry-After") != "", row.Status == http.StatusServiceUnavailable)
 	is.Equal(f.runs(), row.Runs)
 	is.Equal(f.arrivals() == 0, row.Unsent)
+	is.True(f.arrivals() <= testConfiguration().Routes[0].MaxAttempts)
 	is.Equal(strings.Count(f.log.String(), `"event":"request"`), 1)
 }
 
+// reportWeights tells the VM the weights of the first worker.
+func (f *fixture) reportWeights(t *testing.T, version uint64) {
+	t.Helper()
+	state := coordinator.State{Engines: []coordinator.Engine{{Upstream: f.workers[0].ID, Weights: map[string]uint64{"m": version}}}}
+	if err := f.view.Apply(time.Now(), state, nil); err != nil {
+		t.Errorf("report weights %d of %s: %v", version, f.workers[0].ID, err)
+	}
+}
+
 // configureLongTimeouts gives all routes a timeout that is longer than
 // weightsApply.
 func (f *fixture) configureLongTimeouts() {
--- a/internal/gateway/forwarder/retry.go
+++ b/internal/gateway/forwarder/retry.go
@@ -48,12 +48,22 @@
 	if !allowed {
 		return x.exhaustedError(failure)
 	}
+	x.recordTried(u, unsent, failure)
+	x.logRetry(u, failure)
+	return nil
+}
+
+// recordTried excludes the upstream of a failed attempt from further ones. An engine
+// from which the request was withdrawn stays: it is chosen again only with newer
+// weights, and each time the attempt counts.
+func (x *exchange) recordTried(u *registrar.Upstream, unsent bool, failure *caller.Failure) {
+	if errors.Is(failure, errWithdrawn) && !unsent {
+		return
+	}
 	if x.tried == nil {
 		x.tried = make(map[string]bool)
 	}
 	x.tried[u.ID] = true
-	x.logRetry(u, failure)
-	return nil
 }
 
 // exhaustedError returns the error of a request that has no attempt or retry
