Count only refused long prompts towards the time to come back

Callers saw: refused short prompts told to come back after up to 3.8 s while engines wait for newer weights, long past the objective of 0.8 s.

Cause: the average that spreads refused clients is that of long prompts, and sent ones count only if they are long. Since full engines with due weights get no request either, short prompts end in the same refusal and counted, and none of those that were sent took the average back.

Ruled out: a reason of its own for such engines, which would rename the decision in logs and in TestDecisions. The poll of 20 ms stays: it is how a request that waits sees that an engine has the newer weights, and ends after an eighth of the objective.

Change: the choice names the least number of tokens that an engine would have to prefill also if all are behind, and only long prompts count.

--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -158,7 +158,7 @@
 				return nil, refusal
 			}
 		case x.choice.Reason == picker.Behind && now.Sub(x.arrivedAt) >= x.maxBacklogWait():
-			return nil, x.rejectLongPrompt(now)
+			return nil, x.rejectPrompt(now)
 		case !now.Before(latest):
 			return nil, classifier.New(classifier.Overloaded, "every upstream of %s is full", x.service)
 		}
--- a/internal/gateway/forwarder/overload.go
+++ b/internal/gateway/forwarder/overload.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// backlogWaitShare is the share of the latency objective for which a long
-	// prompt waits while the backlog of every engine is too long. It is short,
-	// so that a refused client can still be served elsewhere in time.
+	// backlogWaitShare is the share of the latency objective for which a
+	// prompt waits while every engine is too far behind. It is short, so that a
+	// refused client can still be served elsewhere in time.
 	backlogWaitShare = 0.125
 	// backlogPollInterval is how often a request that waits for a shorter
 	// backlog checks the engines: the end of other VMs' requests does not wake
@@ -58,15 +58,18 @@
 	return max(x.route.TargetLatency-now.Sub(x.arrivedAt), time.Millisecond)
 }
 
-// maxBacklogWait returns how long a long prompt waits for a shorter backlog.
+// maxBacklogWait returns how long a prompt waits for engines that are too far behind.
 func (x *exchange) maxBacklogWait() time.Duration {
 	return time.Duration(backlogWaitShare * float64(x.route.TargetLatency))
 }
 
-// rejectLongPrompt records and returns the refusal of a long prompt for which
-// the backlog of every engine is too long.
-func (x *exchange) rejectLongPrompt(now time.Time) *classifier.Error {
-	x.overload.recordDecision(true)
+// rejectPrompt returns the refusal of a prompt for which every engine is too far
+// behind, and records that of a long one. Short prompts are refused only while engines
+// wait for newer weights.
+func (x *exchange) rejectPrompt(now time.Time) *classifier.Error {
+	if x.choice.PromptTokens >= urgentPromptTokens {
+		x.overload.recordDecision(true)
+	}
 	err := classifier.New(classifier.Overloaded, "every engine of %s is too far behind", x.service)
 	err.RetryAt = now.Add(x.overload.retryAfter(x.choice.Backlog))
 	return err
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -120,8 +120,7 @@
 		}
 		c := e.estimateCosts(u, load)
 		if p.queueTooLong(q, c) || mayStartTooLate(q, c) {
-			best.Reason = Behind
-			best.Backlog = shorterBacklog(best.Backlog, c.Costs.Queue)
+			best = lessBehind(best, c)
 			continue
 		}
 		choices = append(choices, c)
@@ -153,6 +152,17 @@
 	return p.calibration.scale(c.Costs.Queue) > allowed
 }
 
+// lessBehind returns the choice of no engine, given that c cannot be chosen either: the
+// shortest backlog, and the fewest tokens that an engine would have to prefill.
+func lessBehind(best, c Choice) Choice {
+	if best.Reason != Behind {
+		return Choice{Reason: Behind, Backlog: c.Costs.Queue, PromptTokens: c.PromptTokens}
+	}
+	best.Backlog = shorterBacklog(best.Backlog, c.Costs.Queue)
+	best.PromptTokens = min(best.PromptTokens, c.PromptTokens)
+	return best
+}
+
 // shorterBacklog returns the shorter of two backlogs; a of 0 is unset.
 func shorterBacklog(a, b time.Duration) time.Duration {
 	if a == 0 {
--- a/internal/routing/picker/query.go
+++ b/internal/routing/picker/query.go
@@ -155,7 +155,7 @@
 	// Scope is the name of the cache scope to use.
 	Scope string
 	// PromptTokens is the number of tokens that the upstream is expected to
-	// prefill.
+	// prefill, the least of all upstreams if the reason is Behind.
 	PromptTokens int
 	// Backlog is the shortest wait in a queue if the reason is Behind.
 	Backlog time.Duration
