Reset the connection of a request that was given up on

Cause: the connection was closed in order. What the kernel had not sent yet went out first, and the end of the connection after it, so that an engine behind a link that holds bytes back gets the whole request before it learns that nobody waits.

Ruled out: a reset of every connection. One whose response was read to its end has nothing to drop, and its upstream would log a fault.

Change: a connection is reset (SO_LINGER of 0) if its request was abandoned: cancelled, withdrawn, past its deadline, or its response discarded.

Conclusion: drops only what is in the sockets of the VM.

--- a/internal/upstream/caller/answer.go
+++ b/internal/upstream/caller/answer.go
@@ -74,6 +74,7 @@
 	n, err := a.body.Read(make([]byte, 1))
 	a.watchdog.stop()
 	if n == 0 && errors.Is(err, io.EOF) {
+		a.exchange.end()
 		_ = a.body.Close()
 		a.cancel(nil)
 		return nil
--- a/internal/upstream/caller/caller.go
+++ b/internal/upstream/caller/caller.go
@@ -59,7 +59,7 @@
 // A returned error is always a *Failure.
 func (c *Caller) Do(ctx context.Context, target Target, call Call) (*Response, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	e := &exchange{admit: admission(call.Admit, cancel)}
+	e := &exchange{ctx: ctx, admit: admission(call.Admit, cancel)}
 	request, err := newRequest(httptrace.WithClientTrace(ctx, e.trace()), target, call)
 	if err != nil {
 		cancel(nil)
--- a/internal/upstream/caller/connection.go
+++ b/internal/upstream/caller/connection.go
@@ -9,7 +9,8 @@
 // errAborted reports a write to a connection whose request was aborted.
 var errAborted = errors.New("write to an aborted connection")
 
-// connection records whether a byte of the current request may have been sent.
+// connection records whether a byte of the current request may have been sent. It
+// is reset if that request is abandoned.
 type connection struct {
 	net.Conn
 
@@ -17,22 +18,30 @@
 	sent    bool
 	used    bool
 	aborted bool
-	// admit reports whether the first byte of the current request may be sent;
-	// nil admits it.
-	admit func() bool
+	// exchange is that of the current request, nil once its response was read.
+	exchange *exchange
 }
 
 // beginRequest records the start of a request and reports whether the connection
 // has carried an earlier one.
-func (c *connection) beginRequest(admit func() bool) bool {
+func (c *connection) beginRequest(e *exchange) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	reused := c.used
 	c.used = true
-	c.sent, c.admit = false, admit
+	c.sent, c.exchange = false, e
 	return reused
 }
 
+// endRequest records that the response to a request was read to its end.
+func (c *connection) endRequest(e *exchange) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.exchange == e {
+		c.exchange = nil
+	}
+}
+
 // Write implements net.Conn.
 func (c *connection) Write(data []byte) (int, error) {
 	if !c.markSent() {
@@ -44,13 +53,35 @@
 func (c *connection) markSent() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.aborted || !c.sent && c.admit != nil && !c.admit() {
+	if c.aborted || !c.sent && c.exchange != nil && c.exchange.admit != nil && !c.exchange.admit() {
 		return false
 	}
 	c.sent = true
 	return true
 }
 
+// Close implements net.Conn. A connection whose request was abandoned is reset, so
+// that the upstream does not get the bytes that were not sent yet.
+func (c *connection) Close() error {
+	c.mu.Lock()
+	abandoned := c.aborted || c.exchange != nil && c.exchange.ctx.Err() != nil
+	c.mu.Unlock()
+	if abandoned {
+		discardUnsent(c.Conn)
+	}
+	return c.Conn.Close()
+}
+
+// discardUnsent makes the next Close of a TCP connection, or of TLS on one, reset it.
+func discardUnsent(conn net.Conn) {
+	if c, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		conn = c.NetConn()
+	}
+	if c, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = c.SetLinger(0) // fails only on a closed connection
+	}
+}
+
 // abort closes the connection and fails all later writes. It reports whether a
 // write of the current request has begun.
 func (c *connection) abort() bool {
--- a/internal/upstream/caller/exchange.go
+++ b/internal/upstream/caller/exchange.go
@@ -1,12 +1,15 @@
 package caller
 
 import (
+	"context"
 	"net/http/httptrace"
 	"sync"
 )
 
 // exchange tracks the connection that carries one call.
 type exchange struct {
+	// ctx is done once the call was abandoned or has ended.
+	ctx context.Context
 	// onReuse is called when the call is sent on a reused connection.
 	onReuse func()
 	// admit reports whether the call may be sent; nil admits it.
@@ -34,7 +37,7 @@
 		e.sent = e.conn.abort() || e.sent
 	}
 	e.conn = conn
-	e.reused = conn.beginRequest(e.admit)
+	e.reused = conn.beginRequest(e)
 	if e.reused && e.onReuse != nil {
 		e.onReuse()
 	}
@@ -51,6 +54,15 @@
 	return e.sent
 }
 
+// end records that the response was read to its end.
+func (e *exchange) end() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.conn != nil {
+		e.conn.endRequest(e)
+	}
+}
+
 func (e *exchange) wasReused() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
