Look at the weights again right before a request is sent

Cause: the weights were checked when the engine was chosen. Opening a connection comes after that and takes as long as the link holds bytes back; by then the time for the weights may have ended. Reviewers had found the same of the deadline and of draining, by reading.

The stand-in of the network hid it: it delayed what is written and the end of a connection, but opened connections at once. Openings are delayed as well now, on open connections the delay can set in later, and a reset is held back like all else. Nothing overtakes on a link.

Ruled out: a reset that overtakes the bytes before it; no link does that.

Change: right before the first byte the weights that were chosen are compared with the oldest that may be used. Too old ones are not sent to, the attempt does not count, and another engine is chosen ('attempt_outdated').

Failed before, with the stand-in as it is now: 'connection is open after older weights are due, engine idle' (begins on older weights) and the same for a resumable request with an engine with newer weights.

Conclusion: a new connection cannot carry a request past the limit. A kept one still can.

--- a/internal/gateway/forwarder/old_weights_test.go
+++ b/internal/gateway/forwarder/old_weights_test.go
@@ -45,9 +45,14 @@
 	ChangedMS       int `json:"changed_ms"`
 	ReportedMS      int `json:"reported_ms"`
 	EventIntervalMS int `json:"event_interval_ms"`
-	// DelayMS is the time that bytes take from the VM to the engine.
+	// DelayMS is the time that bytes take from the VM to the engine, from SlowMS on if
+	// that is set.
 	DelayMS int `json:"delay_ms"`
-	Status  int `json:"status"`
+	SlowMS  int `json:"slow_ms"`
+	// KeptMS is how long before SentMS another request was served on a connection that
+	// is kept; 0 for none.
+	KeptMS int `json:"kept_ms"`
+	Status int `json:"status"`
 	// OtherRequests is the number of requests that other VMs have at the engine.
 	OtherRequests int `json:"other_requests"`
 	// Runs counts the requests that began at an engine. Unsent is true if none
@@ -80,8 +85,7 @@
 	f.directory.setUpstreams(f.directory.Usable("s")[:1])
 	f.workers[0].Slots = 1
 	f.workers[0].EventInterval = time.Duration(row.EventIntervalMS) * time.Millisecond
-	f.workers[0].OccupySlots(1)
-	f.network.Delay(workerAddress(0).String(), time.Duration(row.DelayMS)*time.Millisecond)
+	slow := func() { f.network.Delay(workerAddress(0).String(), time.Duration(row.DelayMS)*time.Millisecond) }
 	named := time.Now().Add(5 * time.Second)
 	versions := []informer.Weights{{Version: 2, Since: named}}
 	at := func(ms int, do func()) {
@@ -108,6 +112,13 @@
 	if row.ChangedMS != 0 {
 		at(row.ChangedMS, func() { f.workers[0].SetModel("m", 2) })
 	}
+	if row.SlowMS == 0 {
+		slow()
+	} else {
+		at(row.SlowMS, slow)
+	}
+	kept := f.keepConnection(t, named.Add(time.Duration(row.SentMS-row.KeptMS)*time.Millisecond), row.KeptMS != 0)
+	f.workers[0].OccupySlots(1)
 	if row.ReportedMS != 0 {
 		at(row.ReportedMS, func() { f.reportWeights(t, 2) })
 	}
@@ -128,10 +139,24 @@
 	is.NoErr(a.err)
 	is.Equal(a.status, row.Status)
 	is.Equal(a.header.Get("Retry-After") != "", row.Status == http.StatusServiceUnavailable)
-	is.Equal(f.runs(), row.Runs)
-	is.Equal(f.arrivals() == 0, row.Unsent)
-	is.True(f.arrivals() <= testConfiguration().Routes[0].MaxAttempts)
-	is.Equal(strings.Count(f.log.String(), `"event":"request"`), 1)
+	is.Equal(f.runs()-kept, row.Runs)
+	is.Equal(f.arrivals()-kept == 0, row.Unsent)
+	is.True(f.arrivals()-kept <= testConfiguration().Routes[0].MaxAttempts)
+	is.Equal(strings.Count(f.log.String(), `"event":"request"`)-kept, 1)
+}
+
+// keepConnection has a request served at a time, if wanted, so that its connection is
+// kept. It returns the number of such requests.
+func (f *fixture) keepConnection(t *testing.T, at time.Time, wanted bool) int {
+	t.Helper()
+	if !wanted {
+		return 0
+	}
+	time.Sleep(time.Until(at))
+	if a := f.do(f.request(t, "once", "kept")); a.status != http.StatusOK {
+		t.Fatalf("request that keeps a connection: status %d, error %v", a.status, a.err)
+	}
+	return 1
 }
 
 // reportWeights tells the VM the weights of the first worker.
--- a/internal/gateway/forwarder/withdraw.go
+++ b/internal/gateway/forwarder/withdraw.go
@@ -158,11 +158,16 @@
 // logWithdrawn logs the withdrawal of an attempt.
 func (x *exchange) logWithdrawn(now time.Time, u *registrar.Upstream) {
 	x.cfg.Meter.Count(meter.Withdrawn, "", 1)
-	x.logUpstream("attempt_withdrawn", u).WithFields(logrus.Fields{
+	x.logAttempt("attempt_withdrawn", now, u).Info("request is withdrawn, its engine has older weights")
+}
+
+// logAttempt returns a log entry for an attempt that its engine's weights have ended.
+func (x *exchange) logAttempt(event string, now time.Time, u *registrar.Upstream) *logrus.Entry {
+	return x.logUpstream(event, u).WithFields(logrus.Fields{
 		"model":   x.request.Prompt.Model,
 		"weights": x.cfg.View.WeightsVersion(now, u, x.request.Prompt.Model),
 		"took_ms": now.Sub(x.sentAt).Milliseconds(),
-	}).Info("request is withdrawn, its engine has older weights")
+	})
 }
 
 // expectedWeights returns the only version of the weights that may run the
--- a/internal/gateway/forwarder/withhold.go
+++ b/internal/gateway/forwarder/withhold.go
@@ -114,10 +114,10 @@
 }
 
 // recordWithheld reports whether an attempt was not sent because its upstream
-// takes no requests any more, so that another is chosen. Such an attempt does not
-// count.
+// takes no requests any more, or has weights that are too old, so that another is
+// chosen. Such an attempt does not count.
 func (x *exchange) recordWithheld(err error) bool {
-	if !errors.Is(err, noticer.ErrWithheld) {
+	if !errors.Is(err, noticer.ErrWithheld) && !errors.Is(err, errOutdated) {
 		return false
 	}
 	x.attempts--
@@ -126,10 +126,13 @@
 
 // admission returns a function that returns noticer.ErrWithheld if the chosen
 // upstream, or the one that it would copy KV cache from, takes no requests any
-// more.
+// more, and errOutdated if its weights have become too old.
 func (x *exchange) admission(u *registrar.Upstream) func() error {
-	lastResort, source := x.lastResort, x.sourceUpstream()
+	lastResort, source, version := x.lastResort, x.sourceUpstream(), x.choice.WeightsVersion
 	return func() error {
+		if err := x.checkWeights(u, version); err != nil {
+			return err
+		}
 		if source != nil && !x.cfg.Noticer.IsOpen(source) {
 			return noticer.ErrWithheld
 		}
--- a/internal/testing/piper/delay.go
+++ b/internal/testing/piper/delay.go
@@ -1,6 +1,9 @@
 package piper
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // maxDelayedWrites bounds the writes that are on their way on one connection.
 const maxDelayedWrites = 256
@@ -12,17 +15,57 @@
 	at   time.Time
 }
 
-// Delay makes what clients write on new connections to address reach the server
-// after a time, the end of the connection included.
+// Delay makes what clients send to address from now on reach the server after a
+// time: the opening of connections, what is written, and their end or reset.
 func (n *Network) Delay(address string, d time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.hosts[address].delay = d
+	h := n.hosts[address]
+	h.delay = d
+	for _, c := range h.clientConns {
+		c.setDelay(d)
+	}
+}
+
+// waitForOpening waits until the opening of a connection has reached the server at
+// address.
+func (n *Network) waitForOpening(ctx context.Context, address string) error {
+	delay := time.Duration(0)
+	n.mu.Lock()
+	if h := n.hosts[address]; h != nil {
+		delay = h.delay
+	}
+	n.mu.Unlock()
+	if delay == 0 {
+		return nil
+	}
+	select {
+	case <-time.After(delay):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// setDelay changes the time that writes take, unless the connection is closed.
+func (c *clientConn) setDelay(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	select {
+	case <-c.closed:
+		return
+	default:
+	}
+	c.delay = d
+	if c.delayed == nil && d > 0 {
+		c.delayed = make(chan delayedWrite, maxDelayedWrites)
+		go c.run(c.delayed)
+	}
 }
 
 // run delivers the delayed writes in order.
-func (c *clientConn) run() {
-	for w := range c.delayed {
+func (c *clientConn) run(delayed <-chan delayedWrite) {
+	for w := range delayed {
 		time.Sleep(time.Until(w.at))
 		if w.data == nil {
 			_ = c.Conn.Close()
@@ -32,7 +75,14 @@
 	}
 }
 
-// enqueue schedules the delivery of data, or of the end of the connection if nil.
-func (c *clientConn) enqueue(data []byte) {
-	c.delayed <- delayedWrite{data: data, at: time.Now().Add(c.delay)}
+// enqueue schedules the delivery of data, or of the end of the connection if nil. It
+// returns false if the connection has no delay.
+func (c *clientConn) enqueue(data []byte) bool {
+	c.mu.Lock()
+	delayed, at := c.delayed, time.Now().Add(c.delay)
+	c.mu.Unlock()
+	if delayed != nil {
+		delayed <- delayedWrite{data: data, at: at}
+	}
+	return delayed != nil
 }
--- a/internal/testing/piper/link.go
+++ b/internal/testing/piper/link.go
@@ -13,12 +13,12 @@
 	network *Network
 	closed  chan struct{}
 	once    sync.Once
+
+	mu sync.Mutex
 	// delay is the time that writes take, and delayed holds those on their way;
 	// nil without a delay.
 	delay   time.Duration
 	delayed chan delayedWrite
-
-	mu sync.Mutex
 	// silent makes writes succeed without effect and reads block until Close.
 	silent bool
 	// writeLimit is the size of the largest write that does not cut the
@@ -43,8 +43,7 @@
 	if c.isSilent() {
 		return len(data), nil
 	}
-	if c.delayed != nil {
-		c.enqueue(append([]byte{}, data...))
+	if c.enqueue(append([]byte{}, data...)) {
 		return len(data), nil
 	}
 	if c.writeLimit == neverCut || len(data) <= c.writeLimit {
@@ -68,14 +67,14 @@
 
 // Close implements net.Conn.
 func (c *clientConn) Close() error {
+	var err error
 	c.once.Do(func() {
 		close(c.closed)
-		if c.delayed != nil {
-			c.enqueue(nil)
+		if c.enqueue(nil) {
+			err = c.SetReadDeadline(time.Now())
+			return
 		}
+		err = c.Conn.Close()
 	})
-	if c.delayed != nil {
-		return c.SetReadDeadline(time.Now())
-	}
-	return c.Conn.Close()
+	return err
 }
--- a/internal/testing/piper/network.go
+++ b/internal/testing/piper/network.go
@@ -40,7 +40,10 @@
 
 // Dial opens a connection to address. It has the signature of
 // http.Transport.DialContext.
-func (n *Network) Dial(_ context.Context, _, address string) (net.Conn, error) {
+func (n *Network) Dial(ctx context.Context, _, address string) (net.Conn, error) {
+	if err := n.waitForOpening(ctx, address); err != nil {
+		return nil, err
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	h := n.hosts[address]
@@ -49,10 +52,7 @@
 	}
 	clientSide, serverSide := net.Pipe()
 	c := &clientConn{Conn: clientSide, network: n, silent: h.silent, writeLimit: h.cutAfter, closed: make(chan struct{})}
-	if h.delay > 0 {
-		c.delay, c.delayed = h.delay, make(chan delayedWrite, maxDelayedWrites)
-		go c.run()
-	}
+	c.setDelay(h.delay)
 	h.clientConns = append(h.clientConns, c)
 	h.incoming <- serverSide
 	return c, nil
