Send on older weights only over a link that is known to carry bytes

Cause: opening a connection shows that the link carries bytes, a kept one shows nothing. The VM knows its link only from what is answered.

Ruled out: TCP_INFO, which tells of one connection, and of an idle one nothing; withdrawing when nothing was answered lately, which would also take back what waits at full engines; probes, which are priced.

Change: while newer weights are wanted than those of the chosen engine, an attempt gets a new connection unless an attempt of the last 0.1 of the limit, the time that a withdrawal has for its way, was answered by any upstream. The line of a request tells 'new_connection'.

The rows for a connection that was answered lately, and for no newer weights, pass before and after.

Conclusion: what stays is a link that becomes slow while a request waits.

--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -69,6 +69,9 @@
 	access noticer.Split
 	// lastResort is true if the chosen upstream is leaving.
 	lastResort bool
+	// newConnection is true if the latest attempt was sent on a connection that was
+	// opened for it.
+	newConnection bool
 	// withdrawal is that of the latest attempt.
 	withdrawal *withdrawal
 	// withdrawn is the number of attempts that were withdrawn.
@@ -195,6 +198,7 @@
 	if x.choice.Scope != "" {
 		options.CacheScope, options.WeightsVersion = x.choice.Scope, x.choice.WeightsVersion
 	}
+	x.newConnection = x.needsNewConnection(now)
 	ctx, x.withdrawal = x.watchWeights(ctx, u, options.WeightsVersion)
 	defer x.withdrawal.stop()
 	if x.choice.Source != nil {
@@ -225,6 +229,7 @@
 			},
 		},
 		Admit:             x.admission(u),
+		NewConnection:     x.newConnection,
 		FirstByteDeadline: x.deadline,
 		IdleTimeout:       time.Until(x.deadline),
 	})
@@ -261,6 +266,7 @@
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	x.recordLinkProof()
 	if x.picker.RecordAnswer(time.Now(), u.ID, status >= http.StatusInternalServerError && !head.NotRun) {
 		x.logUpstream("upstream_reached", u).Info("upstream is reachable again")
 	}
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -68,13 +68,15 @@
 	weightsApply atomic.Int64
 	stopping     atomic.Bool
 
-	// mu guards picker, budget, queues and overload.
+	// mu guards picker, budget, queues, overload and linkProvenAt.
 	mu     sync.Mutex
 	picker *picker.Picker
 	budget *budgeter.Budgeter
 	queues map[string]*waitQueue
 	// overload derives the Retry-After of refused long prompts.
 	overload overloadTracker
+	// linkProvenAt is when the latest attempt that was answered was sent.
+	linkProvenAt time.Time
 	// urgentReports has a buffer of one, so that sending never blocks a
 	// request.
 	urgentReports chan struct{}
--- a/internal/gateway/forwarder/old_weights_test.go
+++ b/internal/gateway/forwarder/old_weights_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -143,20 +144,25 @@
 	is.Equal(f.arrivals()-kept == 0, row.Unsent)
 	is.True(f.arrivals()-kept <= testConfiguration().Routes[0].MaxAttempts)
 	is.Equal(strings.Count(f.log.String(), `"event":"request"`)-kept, 1)
+	line := f.log.String()[strings.LastIndex(f.log.String(), `"event":"request"`):]
+	is.True(kept == 0 || !strings.Contains(line, `"new_connection":true`)) // the kept one was used if any
 }
 
-// keepConnection has a request served at a time, if wanted, so that its connection is
-// kept. It returns the number of such requests.
+// keepConnection has requests served at a time, if wanted, so that a connection is
+// kept. It returns their number.
 func (f *fixture) keepConnection(t *testing.T, at time.Time, wanted bool) int {
 	t.Helper()
 	if !wanted {
 		return 0
 	}
 	time.Sleep(time.Until(at))
-	if a := f.do(f.request(t, "once", "kept")); a.status != http.StatusOK {
-		t.Fatalf("request that keeps a connection: status %d, error %v", a.status, a.err)
+	const requests = 2 // the first may get a connection of its own
+	for n := range requests {
+		if a := f.do(f.request(t, "once", fmt.Sprint("kept-", n))); a.status != http.StatusOK {
+			t.Fatalf("request that keeps a connection: status %d, error %v", a.status, a.err)
+		}
 	}
-	return 1
+	return requests
 }
 
 // reportWeights tells the VM the weights of the first worker.
--- a/internal/gateway/forwarder/outdated.go
+++ b/internal/gateway/forwarder/outdated.go
@@ -24,3 +24,29 @@
 	x.logAttempt("attempt_outdated", now, u).Info("request is not sent, the weights of its engine are too old")
 	return errOutdated
 }
+
+// needsNewConnection reports whether an attempt may only be sent on a connection that
+// was opened for it. Bytes on a kept connection may be held back on the VM's link for
+// seconds, and so may be those that withdraw them. With older weights that is too
+// late, unless an upstream has lately shown that what the VM sends arrives.
+func (x *exchange) needsNewConnection(now time.Time) bool {
+	if !x.route.CarriesPrompt {
+		return false
+	}
+	history := x.cfg.Directory.DesiredWeightsHistory(x.request.Prompt.Model)
+	if len(history) == 0 || history[len(history)-1].Version <= x.choice.WeightsVersion {
+		return false
+	}
+	allowed := time.Duration((1 - withdrawShare) * float64(x.weightsApply.Load()))
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return now.Sub(x.linkProvenAt) > allowed
+}
+
+// recordLinkProof records that an attempt was answered, so that what was sent with it
+// has arrived. The caller holds x.mu.
+func (x *exchange) recordLinkProof() {
+	if x.sentAt.After(x.linkProvenAt) {
+		x.linkProvenAt = x.sentAt
+	}
+}
--- a/internal/gateway/forwarder/withdraw.go
+++ b/internal/gateway/forwarder/withdraw.go
@@ -133,7 +133,8 @@
 
 // addWeightsFields adds to the log line of a request the weights on which the VM
 // sent its latest attempt, those that the engine has stated, and the newest that
-// were wanted when it was sent, with their age at that time.
+// were wanted when it was sent, with their age at that time, and whether a connection
+// was opened for it.
 func (x *exchange) addWeightsFields(fields logrus.Fields) {
 	if !x.route.CarriesPrompt || x.withdrawal == nil {
 		return
@@ -142,6 +143,9 @@
 	if stated := x.withdrawal.statedVersion(); stated > 0 {
 		fields["stated_weights"] = stated
 	}
+	if x.newConnection {
+		fields["new_connection"] = true
+	}
 	if x.withdrawn > 0 {
 		fields["withdrawn"] = x.withdrawn
 	}
