--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -61,13 +61,17 @@
 	deadline      time.Time
 
 	attempts int
-	// tried holds the IDs of upstreams at which the request has failed.
+	// tried holds the IDs of upstreams at which the request has failed and to
+	// which it is not sent again.
 	tried  map[string]bool
 	choice picker.Choice
 	// access is the access to the upstreams at the time of the choice.
 	access noticer.Split
 	// lastResort is true if the chosen upstream is leaving.
 	lastResort bool
+	// newConnection is true if the latest attempt was sent on a connection that was
+	// opened for it.
+	newConnection bool
 	// withdrawal is that of the latest attempt.
 	withdrawal *withdrawal
 	// withdrawn is the number of attempts that were withdrawn.
@@ -157,7 +161,7 @@
 				return nil, refusal
 			}
 		case x.choice.Reason == picker.Behind && now.Sub(x.arrivedAt) >= x.maxBacklogWait():
-			return nil, x.rejectLongPrompt(now)
+			return nil, x.rejectPrompt(now)
 		case !now.Before(latest):
 			return nil, classifier.New(classifier.Overloaded, "every upstream of %s is full", x.service)
 		}
@@ -194,6 +198,7 @@
 	if x.choice.Scope != "" {
 		options.CacheScope, options.WeightsVersion = x.choice.Scope, x.choice.WeightsVersion
 	}
+	x.newConnection = x.needsNewConnection(now)
 	ctx, x.withdrawal = x.watchWeights(ctx, u, options.WeightsVersion)
 	defer x.withdrawal.stop()
 	if x.choice.Source != nil {
@@ -224,6 +229,7 @@
 			},
 		},
 		Admit:             x.admission(u),
+		NewConnection:     x.newConnection,
 		FirstByteDeadline: x.deadline,
 		IdleTimeout:       time.Until(x.deadline),
 	})
@@ -260,6 +266,7 @@
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	x.recordLinkProof()
 	if x.picker.RecordAnswer(time.Now(), u.ID, status >= http.StatusInternalServerError && !head.NotRun) {
 		x.logUpstream("upstream_reached", u).Info("upstream is reachable again")
 	}
--- a/internal/gateway/forwarder/withdraw.go
+++ b/internal/gateway/forwarder/withdraw.go
@@ -133,7 +133,8 @@
 
 // addWeightsFields adds to the log line of a request the weights on which the VM
 // sent its latest attempt, those that the engine has stated, and the newest that
-// were wanted when it was sent, with their age at that time.
+// were wanted when it was sent, with their age at that time, and whether a connection
+// was opened for it.
 func (x *exchange) addWeightsFields(fields logrus.Fields) {
 	if !x.route.CarriesPrompt || x.withdrawal == nil {
 		return
@@ -142,6 +143,9 @@
 	if stated := x.withdrawal.statedVersion(); stated > 0 {
 		fields["stated_weights"] = stated
 	}
+	if x.newConnection {
+		fields["new_connection"] = true
+	}
 	if x.withdrawn > 0 {
 		fields["withdrawn"] = x.withdrawn
 	}
@@ -158,11 +162,16 @@
 // logWithdrawn logs the withdrawal of an attempt.
 func (x *exchange) logWithdrawn(now time.Time, u *registrar.Upstream) {
 	x.cfg.Meter.Count(meter.Withdrawn, "", 1)
-	x.logUpstream("attempt_withdrawn", u).WithFields(logrus.Fields{
+	x.logAttempt("attempt_withdrawn", now, u).Info("request is withdrawn, its engine has older weights")
+}
+
+// logAttempt returns a log entry for an attempt that its engine's weights have ended.
+func (x *exchange) logAttempt(event string, now time.Time, u *registrar.Upstream) *logrus.Entry {
+	return x.logUpstream(event, u).WithFields(logrus.Fields{
 		"model":   x.request.Prompt.Model,
 		"weights": x.cfg.View.WeightsVersion(now, u, x.request.Prompt.Model),
 		"took_ms": now.Sub(x.sentAt).Milliseconds(),
-	}).Info("request is withdrawn, its engine has older weights")
+	})
 }
 
 // expectedWeights returns the only version of the weights that may run the
--- a/internal/upstream/caller/connection.go
+++ b/internal/upstream/caller/connection.go
@@ -9,19 +9,18 @@
 // errAborted reports a write to a connection whose request was aborted.
 var errAborted = errors.New("write to an aborted connection")
 
-// connection records whether a byte of the current request may have been sent.
+// connection records whether a byte of the current request may have been sent. It
+// is reset if that request is abandoned.
 type connection struct {
 	net.Conn
 
 	mu sync.Mutex
 	// owner is the exchange whose request the connection carries, or has carried
-	// last.
+	// last, and ended is true once its response was read to the end.
 	owner   *exchange
+	ended   bool
 	sent    bool
 	aborted bool
-	// admit reports whether the first byte of the current request may be sent;
-	// nil admits it.
-	admit func() bool
 }
 
 // beginRequest records the start of the request of e and reports whether the
@@ -30,10 +29,19 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	reused := c.owner != nil
-	c.owner, c.sent, c.admit = e, false, e.admit
+	c.owner, c.sent, c.ended = e, false, false
 	return reused
 }
 
+// endRequest records that the response to a request was read to its end.
+func (c *connection) endRequest(e *exchange) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.owner == e {
+		c.ended = true
+	}
+}
+
 // Write implements net.Conn.
 func (c *connection) Write(data []byte) (int, error) {
 	if !c.markSent() {
@@ -45,13 +53,35 @@
 func (c *connection) markSent() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.aborted || !c.sent && c.admit != nil && !c.admit() {
+	if c.aborted || !c.sent && c.owner != nil && c.owner.admit != nil && !c.owner.admit() {
 		return false
 	}
 	c.sent = true
 	return true
 }
 
+// Close implements net.Conn. A connection whose request was abandoned is reset, so
+// that the upstream does not get the bytes that were not sent yet.
+func (c *connection) Close() error {
+	c.mu.Lock()
+	abandoned := c.aborted || c.owner != nil && !c.ended && c.owner.ctx.Err() != nil
+	c.mu.Unlock()
+	if abandoned {
+		discardUnsent(c.Conn)
+	}
+	return c.Conn.Close()
+}
+
+// discardUnsent makes the next Close of a TCP connection, or of TLS on one, reset it.
+func discardUnsent(conn net.Conn) {
+	if c, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		conn = c.NetConn()
+	}
+	if c, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = c.SetLinger(0) // fails only on a closed connection
+	}
+}
+
 // abort closes the connection and fails all later writes. It reports whether a
 // write of the request of e has begun. It leaves alone a connection that carries
 // the request of another exchange: the transport reuses one as soon as a response
