--- a/internal/standin/keeper/keeper.go
+++ b/internal/standin/keeper/keeper.go
@@ -102,6 +102,12 @@
 
 // List implements storer.Store.
 func (k *Keeper) List(_ context.Context, prefix string) ([]storer.Entry, error) {
+	entries, _ := k.Snapshot(prefix)
+	return entries, nil
+}
+
+// Snapshot returns the entries of a prefix and the revision of the latest write.
+func (k *Keeper) Snapshot(prefix string) ([]storer.Entry, uint64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.expireLeases(time.Now())
@@ -112,7 +118,7 @@
 		}
 	}
 	slices.SortFunc(entries, func(a, b storer.Entry) int { return strings.Compare(a.Key, b.Key) })
-	return entries, nil
+	return entries, k.revision
 }
 
 // Watch implements storer.Store.
