Bring VMs that were ahead of their relay to a restored store's entries

Seen: entries that a restore of the store undid stay on a VM that a relay supplies until their keys are written again, if the VM knew of them before the relay did. Keys that the VM knew to be removed stay missing, also where the restored copy has them.

Cause: when an era starts, a relay sends what differs from its own entries before, and the list of keys. A VM that had later changes keeps those of listed keys, and enters the era, so that nothing corrects them: it no longer follows the store. The same holds for a VM that enters the era before its relay, if an entry is written again as the relay had it.

Change: an update that starts an era names the version of the update before. A VM that has an entry after that version, or lacks a listed key, and is not sent it, does not apply the update and subscribes again with its versions, to the same relay; it then gets what it lacks. All others are sent what they were. The store gets no further calls. VMs of older builds name no version and are treated as before.

Changed tests: TestRestoredContentIsNotSentAgain had its VM that is ahead hold an entry of era 2 in a replica of era 1, which no VM does; it now holds the entry of era 1, and all its checks stay. The model of TestViewsUnderRandomRestores subscribes again as the client does.

--- a/internal/membership/informer/era_test.go
+++ b/internal/membership/informer/era_test.go
@@ -94,6 +94,7 @@
 	source.Replace(testTime, platform.OperatorPrefix, []storer.Entry{same, changed, lost}, first)
 	updates, position := source.Updates(testTime, nil, nil)
 	is.True(behind.ApplyUpdate(testTime, updates[0]))
+	before := same
 	same.Era, same.Revision = 2, 89
 	changed.Era, changed.Revision, changed.Value = 2, 90, []byte(`{"model":"n","version":2}`)
 	source.Replace(testTime, platform.OperatorPrefix, []storer.Entry{same, changed}, second)
@@ -107,12 +108,33 @@
 	// A VM that has changes of the old era which the relay never had lets go of them too.
 	ahead := newInformer()
 	newer := storer.Entry{Key: "op/version/p", Value: []byte(`{"model":"p","version":1}`), Era: 1, Revision: 110}
-	ahead.Replace(testTime, platform.OperatorPrefix, []storer.Entry{same, newer}, storer.Version{Era: 1, Revision: 110})
+	ahead.Replace(testTime, platform.OperatorPrefix, []storer.Entry{before, newer}, storer.Version{Era: 1, Revision: 110})
 	is.True(ahead.ApplyUpdate(testTime, updates[0]))
 	_, ok = ahead.Entry(newer.Key)
 	is.True(!ok)
 }
 
+// TestVMInNewEraBeforeItsRelay guards against an entry that a VM has from the restored copy,
+// and that stays although it was written again as the relay had it before the restore.
+func TestVMInNewEraBeforeItsRelay(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	source, ahead := newInformer(), newInformer()
+	written := storer.Entry{Key: "op/version/n", Value: []byte(`{"model":"n","version":2}`), Era: 1, Revision: 99}
+	older := storer.Entry{Key: written.Key, Value: []byte(`{"model":"n","version":1}`), Era: 2, Revision: 20}
+	source.Replace(testTime, platform.OperatorPrefix, []storer.Entry{written}, storer.Version{Era: 1, Revision: 100})
+	_, position := source.Updates(testTime, nil, nil)
+	ahead.Replace(testTime, platform.OperatorPrefix, []storer.Entry{older}, storer.Version{Era: 2, Revision: 30})
+	written.Era, written.Revision = 2, 40
+	source.Replace(testTime, platform.OperatorPrefix, []storer.Entry{written}, storer.Version{Era: 2, Revision: 45})
+	updates, _ := source.Updates(testTime, position, nil)
+	is.True(!ahead.ApplyUpdate(testTime, updates[0]))
+	updates, _ = source.Updates(testTime, nil, ahead.Versions())
+	is.True(ahead.ApplyUpdate(testTime, updates[0]))
+	entry, _ := ahead.Entry(written.Key)
+	is.Equal(entry.Value, written.Value)
+}
+
 // TestUpstreamsAfterRestore guards against upstreams that come back because a restored
 // copy of the store still lists them as ready, and against ones that are dropped because
 // the copy lacks them.
--- a/internal/membership/informer/model_test.go
+++ b/internal/membership/informer/model_test.go
@@ -132,12 +132,23 @@
 	l.queue = append(l.queue, updates...)
 }
 
+// receive applies what a relay has sent. A VM that stays behind it subscribes again, as
+// relayer.Client does.
 func (m *modelRun) receive(a, b int) {
-	l := m.link(a, b)
+	l, vm := m.link(a, b), m.vms[modelWatchers+b%(modelVMs-modelWatchers-1)]
+	behind := false
 	for _, u := range l.queue {
-		m.vms[modelWatchers+b%(modelVMs-modelWatchers-1)].ApplyUpdate(time.Now(), u)
+		vm.ApplyUpdate(time.Now(), u)
+		behind = behind || u.Version().After(vm.Version(u.Prefix))
 	}
 	l.queue = nil
+	if behind {
+		m.reconnect(a, b)
+	}
+}
+
+func (m *modelRun) reconnect(a, b int) {
+	delete(m.links, [2]int{a % modelWatchers, modelWatchers + b%(modelVMs-modelWatchers-1)})
 }
 
 func (m *modelRun) exchange(from, to int) {
@@ -197,7 +208,7 @@
 	case "receive":
 		m.receive(s.a, s.b)
 	case "reconnect":
-		delete(m.links, [2]int{s.a % modelWatchers, modelWatchers + s.b%(modelVMs-modelWatchers-1)})
+		m.reconnect(s.a, s.b)
 	case "exchange":
 		m.exchange(s.a, s.b)
 	case "wait":
--- a/internal/membership/informer/update.go
+++ b/internal/membership/informer/update.go
@@ -25,6 +25,10 @@
 	RecoveredMillis int64 `cbor:"7,keyasint,omitempty"`
 	// Era is the era of Revision. VMs of builds that know no eras send none.
 	Era uint64 `cbor:"8,keyasint,omitempty"`
+	// SentEra and SentRevision are the version of the update before if an era has started
+	// since. What the receiver has after it may have been undone.
+	SentEra      uint64 `cbor:"9,keyasint,omitempty"`
+	SentRevision uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Version returns the version to which the update brings a replica.
@@ -44,11 +48,11 @@
 // Position is how far another VM has been sent the changes of each prefix.
 type Position map[string]sentChanges
 
-// sentChanges is the position in a change log up to which changes were sent, and the era
-// of the replica at that time.
+// sentChanges is the position in a change log up to which changes were sent, and the
+// version of the replica at that time.
 type sentChanges struct {
 	position uint64
-	era      uint64
+	version  storer.Version
 }
 
 // Updates returns what a VM lacks that has been sent the changes up to a position, or,
@@ -70,16 +74,17 @@
 		last, known := sent[prefix]
 		changes, logged := r.log.since(last.position)
 		switch {
-		case known && logged && last.era == r.version.Era:
+		case known && logged && last.version.Era == r.version.Era:
 			update.Changes = changes
 		case known && logged:
 			// The receiver may have changes that the new era lacks.
 			update.Complete, update.Keys, update.Changes = true, r.keys(), changes
+			update.SentEra, update.SentRevision = last.version.Era, last.version.Revision
 		case !known && !r.version.After(versions[prefix]):
 		default:
 			update.Complete, update.Keys, update.Changes = true, r.keys(), r.newerThan(versions[prefix])
 		}
-		updates, next[prefix] = append(updates, update), sentChanges{r.log.end(), r.version.Era}
+		updates, next[prefix] = append(updates, update), sentChanges{r.log.end(), r.version}
 	}
 	return updates, next
 }
@@ -95,8 +100,8 @@
 }
 
 // ApplyUpdate applies an update that another VM has sent. It returns false if the update
-// does not bring this VM up to date, because it is of an era that has ended or lacks the
-// start of a later one.
+// does not bring this VM up to date, because it is of an era that has ended, or lacks
+// entries that only an update for the versions of this VM's replicas has.
 func (i *Informer) ApplyUpdate(now time.Time, u Update) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -105,7 +110,7 @@
 		return true // a prefix of a later build
 	}
 	version := u.Version()
-	if version.Era < r.version.Era || r.startsEra(version) && !u.Complete {
+	if version.Era < r.version.Era || r.startsEra(version) && !u.Complete || version.After(r.version) && r.isAhead(u) {
 		return false
 	}
 	if u.RecoveredMillis > 0 {
@@ -142,6 +147,28 @@
 	return kept
 }
 
+// isAhead reports whether a replica has changes that the sender of an update lacked when
+// an era started. The update then does not tell what became of the changed entries.
+func (r *replica) isAhead(u Update) bool {
+	sent := storer.Version{Era: u.SentEra, Revision: u.SentRevision}
+	if sent == (storer.Version{}) {
+		return false
+	}
+	listed := make(map[string]bool, len(u.Keys))
+	for _, key := range u.Keys {
+		listed[key] = true
+	}
+	for _, c := range u.Changes {
+		delete(listed, c.Key)
+	}
+	for key := range listed {
+		if known, ok := r.entries[key]; !ok || known.Version().After(sent) {
+			return true
+		}
+	}
+	return false
+}
+
 // keys returns the keys of all entries.
 func (r *replica) keys() []string {
 	keys := make([]string, 0, len(r.entries))
--- a/internal/peering/relayer/client.go
+++ b/internal/peering/relayer/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -30,6 +31,10 @@
 	maxOutdated = 2 * time.Second
 )
 
+// errBehind reports that a relay sent changes which this VM cannot apply, and that a new
+// subscription brings it up to date.
+var errBehind = errors.New("entries of this VM differ from those that its relay had")
+
 // Sink takes the updates of a relay.
 type Sink interface {
 	// ApplyUpdate applies an update and reports whether it brings the sink up to date.
@@ -79,7 +84,8 @@
 
 // Run subscribes to one relay after the other until ctx is done.
 func (c *Client) Run(ctx context.Context) {
-	for n := 0; ctx.Err() == nil; n++ {
+	n := 0
+	for ctx.Err() == nil {
 		relays := c.cfg.Relays()
 		if len(relays) == 0 {
 			pauser.Pause(ctx, pollInterval)
@@ -90,6 +96,9 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if !errors.Is(err, errBehind) {
+			n++
+		}
 		c.cfg.Log.WithError(err).WithFields(logrus.Fields{"event": "relay_lost", "relay": relay.String()}).Info("connection to relay ended")
 		pauser.Pause(ctx, reconnectDelay+rand.N(reconnectDelay))
 	}
@@ -125,6 +134,9 @@
 		if c.apply(time.Now(), news) {
 			watchdog.Reset(maxOutdated)
 		}
+		if c.isBehind(news) {
+			return errBehind
+		}
 		if !slices.Contains(c.cfg.Relays(), relay) {
 			return fmt.Errorf("VM at %s is no longer a relay", relay)
 		}
@@ -150,3 +162,12 @@
 	}
 	return recent
 }
+
+// isBehind reports whether the replica of a prefix stayed behind its update.
+func (c *Client) isBehind(news News) bool {
+	versions := c.cfg.Sink.Versions()
+	return slices.ContainsFunc(news.Updates, func(u informer.Update) bool {
+		version, ok := versions[u.Prefix]
+		return ok && u.Version().After(version)
+	})
+}
--- a/internal/peering/relayer/restore_test.go
+++ b/internal/peering/relayer/restore_test.go
@@ -1,6 +1,7 @@
 package relayer_test
 
 import (
+	"bytes"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"gentianstep.example/gentianstep/internal/testing/scripter"
+	"gentianstep.example/gentianstep/platform"
 	"gentianstep.example/gentianstep/platform/platformtest"
 )
 
@@ -70,3 +72,50 @@
 		}
 	}
 }
+
+// TestEntriesAheadOfRelayAfterRestore guards against entries that a restore of the store
+// undid, and that stay on a VM which knew of them before its relay did.
+func TestEntriesAheadOfRelayAfterRestore(t *testing.T) {
+	t.Parallel()
+	for _, prefix := range []string{platform.OperatorPrefix, platform.UpstreamPrefix, vmPrefix} {
+		t.Run(prefix, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { runRestoreAheadOfRelay(t, prefix) })
+		})
+	}
+}
+
+func runRestoreAheadOfRelay(t *testing.T, prefix string) {
+	is := is.New(t)
+	f := startFleet(t, 10)
+	f.store.StartEra(1)
+	overwritten, removed, added := prefix+"overwritten", prefix+"removed", prefix+"added"
+	f.store.Put(overwritten, []byte("before"))
+	f.store.Put(removed, []byte("before"))
+	time.Sleep(5 * time.Second)
+	older := f.store.Copy()
+	f.vms[0].door.SetFault(platformtest.Unresponsive)
+	synctest.Wait() // its watches have ended
+	f.store.Put(overwritten, []byte("after"))
+	f.store.Remove(removed)
+	f.store.Put(added, []byte("after"))
+	time.Sleep(maxAge + 100*time.Millisecond)
+	for _, v := range f.vms[relays:] {
+		is.True(v.has(added, "after")) // ahead of the relay
+		v.door.SetFault(platformtest.Unresponsive)
+	}
+	f.vms[0].door.SetFault(platformtest.StoreHealthy)
+	f.store.Restore(older, 100*time.Millisecond)
+	time.Sleep(applyTime)
+	for _, v := range f.vms {
+		is.True(v.has(overwritten, "before"))
+		is.True(v.has(removed, "before"))
+		_, ok := v.informer.Entry(added)
+		is.True(!ok)
+	}
+}
+
+func (v *vm) has(key, value string) bool {
+	entry, ok := v.informer.Entry(key)
+	return ok && bytes.Equal(entry.Value, []byte(value))
+}
