Offer the bundle to a peer once its connection is known

Cause: a controller compared the version of a new peer with its own before it added the connection to those that bundles are announced to. A bundle that came into force in between was neither offered nor announced, and the peer got it with the next periodic version, 1 s later. A controller that has just started gets its own bundle at that time.

Ruled out: start-up itself, 34 to 64 ms of real time for the command beside the load of this machine, of which 5 ms are the longest initialisation; a retransmission or back-off, no other constant of 1 s is on the way.

Change: the connection is added first and the versions are compared then. A bundle may be queued twice; the second is ignored as stale.

Tests: go test -race -count=3 ./internal/peering/distributor ./internal/peering/connector.

--- a/internal/peering/distributor/distributor.go
+++ b/internal/peering/distributor/distributor.go
@@ -74,8 +74,7 @@
 	}
 }
 
-// handshake exchanges hellos and queues the bundle in force if the peer has an older
-// version or none.
+// handshake exchanges hellos.
 func (d *Distributor) handshake(ctx context.Context, conn *messenger.Conn) (*Link, error) {
 	l := &Link{distributor: d, conn: conn, out: make(chan messenger.Message, sendQueueSize)}
 	first, err := l.read(ctx)
@@ -91,9 +90,6 @@
 	if err := conn.Write(ctx, messenger.Message{Hello: &hello}); err != nil {
 		return nil, err
 	}
-	if l.Peer.Role != messenger.Operator && l.Peer.BundleVersion < d.holder.Version() {
-		l.Send(d.bundleOffer())
-	}
 	return l, nil
 }
 
@@ -102,11 +98,16 @@
 	return messenger.Message{BundleOffer: &messenger.BundleOffer{Envelope: d.holder.Current().Envelope}}
 }
 
+// addLink adds a connection to those that bundles are announced to, and then queues the
+// bundle in force if the peer has an older version or none.
 func (d *Distributor) addLink(l *Link) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
 	l.head = messenger.BundleHead{Version: l.Peer.BundleVersion}
 	d.links[l] = struct{}{}
+	d.mu.Unlock()
+	if l.Peer.Role != messenger.Operator && l.Peer.BundleVersion < d.holder.Version() {
+		l.Send(d.bundleOffer())
+	}
 }
 
 func (d *Distributor) removeLink(l *Link) {
