Heed notices of upstreams in routers and controllers

Routers and controllers heeded X-Leaving in refusals of requests alone, and Retry-After of a 503 not at all: an engine or plain service that asked for a hold-off, in whatever answer, went on getting requests, orders, polls and reads of cache events.

The wire stays that of docs/PROTOCOLS.md: X-Leaving now counts in any answer, Retry-After on 503 is a hold-off, and the stand-in states X-Incarnation in every answer. The decisions are those of the gateway (withholder and noticer); noticer.Processes maps names and incarnation numbers to them. The caller heeds them for requests, resumes, cancellations and calls of services, before the first byte on an open connection; noticer.Transport does it for polls, orders and reads of cache events. The chooser leaves out closed upstreams and says when the first in a hold-off is back. An attempt that is not sent is chosen anew and does not count, and an order that is not sent is refused rather than unknown. Polls of a leaving engine go on, since they show the next process. A mark spreads as departures, as a refusal did.

--- a/internal/membership/watcher/transition.go
+++ b/internal/membership/watcher/transition.go
@@ -22,7 +22,7 @@
 	}
 	u.State = Leaving
 	u.Signal = signal
-	u.drainDeadline = now.Add(drainTimeout)
+	u.drainDeadline = now.Add(DrainTimeout)
 	return []Change{{Upstream: name, OldState: InService, NewState: Leaving, Signal: signal}}
 }
 
--- a/internal/membership/watcher/watcher.go
+++ b/internal/membership/watcher/watcher.go
@@ -39,9 +39,9 @@
 	// maxConsecutiveRefusals is the number of consecutive refusals that take an
 	// upstream out of service.
 	maxConsecutiveRefusals = 3
-	// drainTimeout is how long a leaving upstream may take to complete its running
+	// DrainTimeout is how long a leaving upstream may take to complete its running
 	// requests before it is considered gone.
-	drainTimeout = 15 * time.Minute
+	DrainTimeout = 15 * time.Minute
 	// listHoldDown is how long a departure received from another controller, with
 	// the platform's list as its signal, keeps reports of the same incarnation
 	// from restoring the upstream.
--- a/internal/operating/starter/admission.go
+++ b/internal/operating/starter/admission.go
@@ -42,6 +42,7 @@
 // applyBundle updates the components of the router to a new bundle.
 func (r *router) applyBundle(b *checker.Bundle) {
 	r.withdrawer.SetUpstreams(upstreamNames(b))
+	r.processes.SetUpstreams(b.Upstreams)
 	r.chooser.SetBundle(b)
 	r.rationer.SetBundle(b)
 	r.configureAdmission(b)
--- a/internal/operating/starter/controller.go
+++ b/internal/operating/starter/controller.go
@@ -23,6 +23,7 @@
 	"gentianstep.example/gentianstep/internal/placement/leaser"
 	"gentianstep.example/gentianstep/internal/placement/placer"
 	"gentianstep.example/gentianstep/internal/platform/dialer"
+	"gentianstep.example/gentianstep/internal/upstream/noticer"
 	"gentianstep.example/gentianstep/internal/upstream/observer"
 	"gentianstep.example/gentianstep/internal/upstream/reader"
 )
@@ -32,6 +33,7 @@
 	settings    *configurer.Settings
 	log         *logrus.Entry
 	client      *http.Client
+	processes   *noticer.Processes
 	store       *dialer.Dialer
 	bundles     *holder.Holder
 	distributor *distributor.Distributor
@@ -53,9 +55,9 @@
 	if err != nil {
 		return err
 	}
-	c := newControl(settings, certificates, log)
 	d := &drainState{}
 	m := meter.New()
+	c := newControl(settings, certificates, m, log)
 	log.Logger.AddHook(meter.Hook{Meter: m})
 	peers, err := listen(ctx, serverConfig{
 		name:           peersListener,
@@ -105,9 +107,12 @@
 	}
 }
 
-func newControl(settings *configurer.Settings, certificates certifiers, log *logrus.Entry) *control {
+func newControl(settings *configurer.Settings, certificates certifiers, m *meter.Meter, log *logrus.Entry) *control {
 	c := &control{settings: settings, log: log}
-	c.client = &http.Client{Transport: newTransport(certificates.upstreams)}
+	c.processes = newProcesses(m, c.handleLeaving, log)
+	transport := newTransport(certificates.upstreams)
+	c.client = &http.Client{Transport: &noticer.Transport{Processes: c.processes, Base: transport}}
+	probes := &http.Client{Transport: &noticer.Transport{Processes: c.processes, Base: transport, Probes: true}}
 	c.store = newPlatform(settings, certificates)
 	c.bundles = holder.New(holder.Config{Verifier: settings.Verifier()})
 	c.distributor = distributor.New(distributor.Config{
@@ -134,7 +139,7 @@
 		Log:     log,
 	})
 	c.poller = poller.New(poller.Config{
-		Observer:  observer.New(observer.Config{Client: c.client}),
+		Observer:  observer.New(observer.Config{Client: probes}),
 		OnReports: c.handleReports,
 		Log:       log,
 	})
@@ -209,6 +214,7 @@
 
 // applyBundle updates the components that depend on the bundle in force.
 func (c *control) applyBundle(b *checker.Bundle) {
+	c.processes.SetUpstreams(b.Upstreams)
 	c.departures.setBundle(b)
 	c.coordinator.SetBundle(b)
 }
--- a/internal/operating/starter/departures.go
+++ b/internal/operating/starter/departures.go
@@ -55,6 +55,11 @@
 	d.withdrawer.HandlePlatformList(time.Now(), names)
 }
 
+// handleLeaving handles a response in which an upstream states that it is leaving.
+func (c *control) handleLeaving(now time.Time, name string) {
+	c.departures.withdrawer.HandleLeavingRefusal(now, name)
+}
+
 func (d *departures) handleReports(reports []observer.Report) {
 	d.withdrawer.HandleReports(time.Now(), reports)
 }
--- a/internal/operating/starter/placement.go
+++ b/internal/operating/starter/placement.go
@@ -41,6 +41,7 @@
 // handleReports passes the reports of one polling round to the components that
 // use them.
 func (c *control) handleReports(reports []observer.Report) {
+	c.processes.RecordReports(reports)
 	c.placer.RecordReports(reports)
 	c.departures.handleReports(reports)
 	c.coordinator.ReceiveReports(reports)
--- a/internal/operating/starter/router.go
+++ b/internal/operating/starter/router.go
@@ -25,6 +25,7 @@
 	"gentianstep.example/gentianstep/internal/serving/gatekeeper"
 	"gentianstep.example/gentianstep/internal/serving/rationer"
 	"gentianstep.example/gentianstep/internal/serving/receiver"
+	"gentianstep.example/gentianstep/internal/upstream/noticer"
 )
 
 // maxDecisions is the number of recent routing decisions that a router keeps for
@@ -37,6 +38,7 @@
 	connector  *connector.Connector
 	inquirer   *inquirer.Inquirer
 	withdrawer *withdrawer.Withdrawer
+	processes  *noticer.Processes
 	rationer   *rationer.Rationer
 	chooser    *chooser.Chooser
 	dispatcher *dispatcher.Dispatcher
@@ -127,12 +129,14 @@
 	})
 	r.rationer = rationer.New(rationer.Config{Node: settings.Node, Routers: r.routers, Send: r.connector.Send, Log: log})
 	r.withdrawer = withdrawer.New(withdrawer.Config{OnDepartures: r.sendDepartures, Log: log})
+	r.processes = newProcesses(m, r.withdrawer.HandleLeavingRefusal, log)
 	r.inquirer = inquirer.New(inquirer.Config{Send: r.connector.Send})
 	upstreamChooser, err := chooser.New(chooser.Config{
 		Region:           settings.Region,
 		AvailabilityZone: settings.AvailabilityZone,
 		Index:            r.inquirer,
 		Departures:       r.withdrawer,
+		Notices:          r.processes,
 		Routers:          r.routers,
 		Seed:             nodeSeed(settings.Node),
 		Log:              log,
@@ -142,7 +146,7 @@
 	}
 	r.chooser = upstreamChooser
 	r.dispatcher = dispatcher.New(dispatcher.Config{
-		Caller:  newCaller(certificates.upstreams),
+		Caller:  newCaller(certificates.upstreams, r.processes),
 		Chooser: r.chooser,
 		Claims:  newClaimer(settings, certificates, log),
 		Count:   func(o dispatcher.AnswerEvent, n int) { m.Count(meter.AnswerEvents, string(o), int64(n)) },
@@ -168,6 +172,7 @@
 func (r *router) handleControllerMessage(m messenger.Message) {
 	switch {
 	case m.Reports != nil:
+		r.processes.RecordReports(m.Reports.Reports)
 		r.withdrawer.HandleReports(time.Now(), m.Reports.Reports)
 		r.chooser.RecordReports(m.Reports.Reports)
 	case m.UsageTotals != nil:
--- a/internal/operating/starter/transport.go
+++ b/internal/operating/starter/transport.go
@@ -27,10 +27,10 @@
 	return t
 }
 
-// newCaller returns a caller of upstreams whose connections use TLS configured
-// by c, or plain TCP if c is nil.
-func newCaller(c *certifier.Certifier) *caller.Caller {
-	var cfg caller.Config
+// newCaller returns a caller of upstreams that heeds notices. Its connections use
+// TLS configured by c, or plain TCP if c is nil.
+func newCaller(c *certifier.Certifier, notices caller.Notices) *caller.Caller {
+	cfg := caller.Config{Notices: notices}
 	if c != nil {
 		cfg.Dial = c.DialContext
 	}
--- a/internal/operating/starter/transport_test.go
+++ b/internal/operating/starter/transport_test.go
@@ -47,7 +47,7 @@
 			settings.TLS.Platform.CAFile = row.caFile
 			certificates, err := newCertifiers(&settings, newDiscardLog())
 			is.NoErr(err)
-			is.Equal(callSucceeds(t, newCaller(certificates.upstreams), address), row.served)
+			is.Equal(callSucceeds(t, newCaller(certificates.upstreams, nil), address), row.served)
 			is.Equal(getSucceeds(t, newTransport(certificates.platform), address), row.served)
 		})
 	}
--- a/internal/placement/orderer/orderer.go
+++ b/internal/placement/orderer/orderer.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -12,6 +13,7 @@
 
 	"gentianstep.example/gentianstep/internal/failure/classifier"
 	"gentianstep.example/gentianstep/internal/placement/planner"
+	"gentianstep.example/gentianstep/internal/upstream/noticer"
 )
 
 // maxResponseBytes limits the size of the response to one order.
@@ -48,6 +50,9 @@
 	}
 	request.GetBody = nil
 	response, err := o.client.Do(request)
+	if errors.Is(err, noticer.ErrWithheld) {
+		return planner.Refused, classifier.Wrap(classifier.UpstreamRefused, err, "order not sent")
+	}
 	if err != nil {
 		return planner.Unknown, classifier.Wrap(classifier.UpstreamFailed, err, "order not answered")
 	}
--- a/internal/routing/withholder/withholder.go
+++ b/internal/routing/withholder/withholder.go
@@ -136,6 +136,19 @@
 	return false
 }
 
+// AdmitProbe reports whether a request that asks whether u is there may be sent
+// now, and counts it. A leaving upstream may get it, one in a hold-off may not.
+func (w *Withholder) AdmitProbe(now time.Time, u *registrar.Upstream) bool {
+	r := w.find(u)
+	if r == nil {
+		return true
+	}
+	if !r.drainUntil.IsZero() {
+		return !now.Before(r.heldUntil)
+	}
+	return w.Admit(now, u, false)
+}
+
 // find returns the record that applies to u, or nil if there is none.
 func (w *Withholder) find(u *registrar.Upstream) *record {
 	r := w.records[u.ID]
--- a/internal/serving/chooser/chooser.go
+++ b/internal/serving/chooser/chooser.go
@@ -125,7 +125,8 @@
 	c.logDecision(j, attempt, decision, plan, known)
 	u, ok := j.Bundle.Upstream(decision.Chosen)
 	if !ok {
-		return dispatcher.Choice{}, classifier.New(classifier.NoUpstream, "no upstream serves model %s now", j.Model.Name)
+		return dispatcher.Choice{}, c.noCandidate(now, engineNames(j.Bundle), func(upstream string) bool { return c.serves(j, upstream) },
+			classifier.New(classifier.NoUpstream, "no upstream serves model %s now", j.Model.Name))
 	}
 	c.inFlight[attemptKey{request: j.ID, attempt: attempt}] = attemptState{
 		model:         j.Model.Name,
@@ -149,11 +150,11 @@
 // the budget. A retry after an abandoned attempt, such as one on a stale pooled
 // connection, is free: no upstream failed, and the retry adds no load.
 func (c *Chooser) admitAttempt(now time.Time, request string, attempt int) error {
-	if attempt == 1 {
-		c.health.RecordRequest(now)
+	if c.abandoned.Remove(request) {
 		return nil
 	}
-	if c.abandoned.Remove(request) {
+	if attempt == 1 {
+		c.health.RecordRequest(now)
 		return nil
 	}
 	d := c.health.DecideRetry(now, retrier.Request{Attempts: attempt - 1, Idempotent: true}, retrier.Failure{Origin: retrier.FromUpstream})
@@ -225,22 +226,3 @@
 		c.candidates[i].Suspect = !c.health.Health(now, c.candidates[i].Name).Usable()
 	}
 }
-
-// acceptsRequests reports whether an upstream may be sent new requests, that is
-// whether it is not leaving.
-func (c *Chooser) acceptsRequests(upstream string) bool {
-	return c.cfg.Departures == nil || c.cfg.Departures.AcceptsRequests(upstream)
-}
-
-// canServe reports whether an upstream can serve j. An engine without a report is
-// assumed to be ready, so that a router can serve before the first reports arrive.
-func (c *Chooser) canServe(j dispatcher.Job, upstream string) bool {
-	if !c.acceptsRequests(upstream) {
-		return false
-	}
-	report, known := c.reports[upstream]
-	if !known {
-		return true
-	}
-	return !report.Leaving && report.Serves(j.Model.Name, j.Model.WeightsVersion)
-}
--- a/internal/serving/chooser/config.go
+++ b/internal/serving/chooser/config.go
@@ -26,6 +26,14 @@
 	HandleLeavingRefusal(now time.Time, upstream string)
 }
 
+// Notices holds what upstreams have stated about themselves in their responses.
+type Notices interface {
+	// IsOpen reports whether an upstream may be sent new requests.
+	IsOpen(upstream string) bool
+	// HeldUntil returns until when an upstream wants no requests, or the zero time.
+	HeldUntil(upstream string) time.Time
+}
+
 // Config holds the parameters of a Chooser.
 type Config struct {
 	Region           string
@@ -33,6 +41,8 @@
 	Index            Index
 	// Departures may be nil, in which case every upstream accepts new requests.
 	Departures DepartureTracker
+	// Notices may be nil, in which case none is heeded.
+	Notices Notices
 	// Routers is the number of routers in the deployment.
 	Routers int
 	// Seed seeds the tie-breaking of the selection policy and the jitter of
--- a/internal/serving/chooser/service.go
+++ b/internal/serving/chooser/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -26,7 +27,8 @@
 		"idempotent":     j.Service.Idempotent(j.Method, j.Path),
 	}).Info("routing decision")
 	if !ok {
-		return dispatcher.Choice{}, classifier.New(classifier.NoUpstream, "no upstream of service %s is left", j.Service.Name)
+		return dispatcher.Choice{}, c.noCandidate(time.Now(), j.Service.Upstreams, func(string) bool { return true },
+			classifier.New(classifier.NoUpstream, "no upstream of service %s is left", j.Service.Name))
 	}
 	return dispatcher.Choice{
 		RequestID: j.ID,
--- a/internal/serving/dispatcher/exchange.go
+++ b/internal/serving/dispatcher/exchange.go
@@ -87,6 +87,7 @@
 		call.Method = http.MethodGet
 		call.Path = s.resumePath()
 		call.NewConnection = true
+		call.Running = true
 		call.FirstByteDeadline = now.Add(streams.IdleTimeout.Std())
 		return call, nil
 	}
--- a/internal/serving/dispatcher/service.go
+++ b/internal/serving/dispatcher/service.go
@@ -12,6 +12,7 @@
 	"gentianstep.example/gentianstep/internal/failure/classifier"
 	"gentianstep.example/gentianstep/internal/serving/claimer"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
+	"gentianstep.example/gentianstep/internal/upstream/noticer"
 )
 
 // maxServiceAnswerBytes is the maximum size of the answer to one call.
@@ -119,6 +120,9 @@
 		if err == nil {
 			return answer, nil
 		}
+		if errors.Is(err, noticer.ErrWithheld) {
+			attempt-- // it does not count
+		}
 		if c.sent && !c.idempotent {
 			break
 		}
@@ -157,14 +161,15 @@
 
 func (c *serviceCall) recordFailure(ctx context.Context, choice Choice, err error) {
 	c.lastErr = err
-	c.excluded[choice.Target.Name] = true
+	withheld := errors.Is(err, noticer.ErrWithheld)
+	c.excluded[choice.Target.Name] = !withheld
 	var failure *caller.Failure
 	if !errors.As(err, &failure) || !failure.NotRun {
 		c.sent = true
 	} else if failure.Status != 0 {
 		c.refused = true
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || withheld {
 		c.d.cfg.Chooser.Abandoned(time.Now(), choice)
 	} else {
 		c.d.cfg.Chooser.Failed(time.Now(), choice, err)
@@ -183,11 +188,11 @@
 // choiceFailure returns the error for the caller after no upstream could be
 // chosen. Failures of earlier attempts determine its kind.
 func (c *serviceCall) choiceFailure(err error) error {
-	if c.lastErr == nil {
+	if c.lastErr == nil || errors.Is(c.lastErr, noticer.ErrWithheld) && !c.sent {
 		return err
 	}
 	c.lastErr = errors.Join(err, c.lastErr)
-	return c.finalError(context.Background())
+	return withRetryAt(c.finalError(context.Background()), err)
 }
 
 // finalError returns the error for the caller of a call without an answer. It
--- a/internal/serving/dispatcher/session.go
+++ b/internal/serving/dispatcher/session.go
@@ -14,6 +14,7 @@
 	"gentianstep.example/gentianstep/internal/streaming/resumer"
 	"gentianstep.example/gentianstep/internal/streaming/sequencer"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
+	"gentianstep.example/gentianstep/internal/upstream/noticer"
 )
 
 // ringCapacity is the maximum number of chunks buffered for a slow caller.
@@ -159,6 +160,10 @@
 // handleBreak records a failed exchange and returns the action that follows it.
 func (s *session) handleBreak(b resumer.Failure, cause error) resumer.Action {
 	s.recordFailure(b, cause)
+	withheld := errors.Is(cause, noticer.ErrWithheld)
+	if withheld && s.postExchange == s.exchanges {
+		s.attempts-- // nothing was sent, so the attempt does not count
+	}
 	decision := resumer.Decide(resumer.Progress{
 		DeliveredChunks:   s.seq.DeliveredChunks(),
 		Resumes:           s.resumes,
@@ -167,6 +172,7 @@
 		MaxAttempts:       s.job.Bundle.Policy.Attempts.MaxAttempts,
 		ContinueElsewhere: s.job.Model.ContinueElsewhere,
 	}, b)
+	decision.UpstreamAtFault = decision.UpstreamAtFault && !withheld
 	s.d.cfg.Log.WithError(cause).WithFields(logrus.Fields{
 		"event":      "stream_break",
 		"request_id": s.job.ID,
@@ -256,11 +262,20 @@
 // choiceFailure returns the error for the caller after no upstream could be
 // chosen. Failures of earlier attempts determine its kind.
 func (s *session) choiceFailure(err error) error {
-	if s.lastErr == nil {
+	if s.lastErr == nil || errors.Is(s.lastErr, noticer.ErrWithheld) && !s.sent {
 		return err
 	}
 	s.lastErr = errors.Join(err, s.lastErr)
-	return s.finalError()
+	return withRetryAt(s.finalError(), err)
+}
+
+// withRetryAt returns final with the retry time of the error of a choice.
+func withRetryAt(final, choice error) error {
+	var to, from *classifier.Error
+	if errors.As(final, &to) && errors.As(choice, &from) && to.RetryAt.IsZero() {
+		to.RetryAt = from.RetryAt
+	}
+	return final
 }
 
 // finalError returns the error for the caller of an answer that cannot be
--- a/internal/standin/generator/engine.go
+++ b/internal/standin/generator/engine.go
@@ -52,8 +52,11 @@
 	streams      map[string]*stream
 	queuedBlocks int
 	leaving      bool
-	placement    placementState
-	stats        Stats
+	// retryAfter lists the Retry-After headers of the next requests, which are
+	// refused.
+	retryAfter []string
+	placement  placementState
+	stats      Stats
 }
 
 // New returns an engine with an empty cache.
--- a/internal/standin/generator/server.go
+++ b/internal/standin/generator/server.go
@@ -31,20 +31,7 @@
 	mux.HandleFunc("GET /v1/control/stats", s.handleStats)
 	mux.HandleFunc("POST /v1/control/leave", s.handleLeave)
 	mux.HandleFunc("POST "+orderer.Path, s.handleOrder)
-	return echoIdentity(mux)
-}
-
-// echoIdentity copies the request ID and the attempt of each request into the
-// response headers.
-func echoIdentity(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		for _, name := range []string{encoder.HeaderRequestID, encoder.HeaderAttempt} {
-			if value := r.Header.Get(name); value != "" {
-				w.Header().Set(name, value)
-			}
-		}
-		next.ServeHTTP(w, r)
-	})
+	return s.identify(mux)
 }
 
 type server struct {
@@ -112,12 +99,11 @@
 	return start.String() == request.ContinueText
 }
 
-// setResponseHeaders sets the weights version, the incarnation and the content
-// type of a response.
+// setResponseHeaders sets the weights version and the content type of a
+// response.
 func (s server) setResponseHeaders(w http.ResponseWriter, r *http.Request, streamed bool) {
 	h := w.Header()
 	h.Set(encoder.HeaderWeightsVersion, r.Header.Get(encoder.HeaderWeightsVersion))
-	h.Set(encoder.HeaderIncarnation, strconv.FormatUint(s.engine.cfg.Incarnation, 10))
 	if streamed {
 		h.Set("Content-Type", "text/event-stream")
 		return
@@ -170,9 +156,6 @@
 // writeRefusal sends an error response that marks the request as not run.
 func writeRefusal(w http.ResponseWriter, status int, err error) {
 	w.Header().Set(encoder.HeaderNotRun, "true")
-	if errors.Is(err, errLeaving) {
-		w.Header().Set(encoder.HeaderLeaving, "true")
-	}
 	http.Error(w, err.Error(), status)
 }
 
--- a/internal/streaming/encoder/header.go
+++ b/internal/streaming/encoder/header.go
@@ -12,8 +12,7 @@
 	HeaderIncarnation = "X-Incarnation"
 	// HeaderNotRun is "true" in a response to a request that was not run.
 	HeaderNotRun = "X-Not-Run"
-	// HeaderLeaving is "true" if the upstream refused the request because it is
-	// leaving.
+	// HeaderLeaving is "true" if the upstream is leaving.
 	HeaderLeaving = "X-Leaving"
 	// HeaderUpstream names the upstream that produced the response.
 	HeaderUpstream = "X-Upstream"
--- a/internal/upstream/caller/call.go
+++ b/internal/upstream/caller/call.go
@@ -40,6 +40,8 @@
 	// Admit, if set, is called right before the first byte of the call is sent on
 	// a connection. An error prevents the sending and becomes that of the call.
 	Admit func() error
+	// Running is true if the call is about work that the upstream runs already.
+	Running bool
 	// ImportBlocks is the number of leading blocks that an engine should import
 	// instead of computing them; 0 requests no import.
 	ImportBlocks int
--- a/internal/upstream/caller/caller.go
+++ b/internal/upstream/caller/caller.go
@@ -26,11 +26,15 @@
 	Dial DialFunc
 	// IdleTimeout is how long an idle connection is kept; 0 means 30 s.
 	IdleTimeout time.Duration
+	// Notices, if set, admits the calls of the project's protocol and gets the
+	// heads of their responses.
+	Notices Notices
 }
 
 // Caller sends requests to upstreams over pooled connections.
 type Caller struct {
-	pool *pool
+	pool    *pool
+	notices Notices
 	// cancelSlots limits the number of concurrent cancellations.
 	cancelSlots chan struct{}
 }
@@ -41,7 +45,11 @@
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: connectTimeout}).DialContext
 	}
-	return &Caller{pool: newPool(dial, cmp.Or(cfg.IdleTimeout, idleConnectionTimeout)), cancelSlots: make(chan struct{}, maxCancels)}
+	return &Caller{
+		pool:        newPool(dial, cmp.Or(cfg.IdleTimeout, idleConnectionTimeout)),
+		notices:     cfg.Notices,
+		cancelSlots: make(chan struct{}, maxCancels),
+	}
 }
 
 // Close closes the idle connections.
@@ -58,6 +66,10 @@
 // Do sends call to target once and returns when the response header has arrived.
 // A returned error is always a *Failure.
 func (c *Caller) Do(ctx context.Context, target Target, call Call) (*Response, error) {
+	heeds := c.notices != nil && call.Head == nil
+	if heeds {
+		call.Admit = func() error { return c.notices.Admit(target, call) }
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	e := &exchange{admit: admission(call.Admit, cancel)}
 	request, err := newRequest(httptrace.WithClientTrace(ctx, e.trace()), target, call)
@@ -94,6 +106,9 @@
 		firstByteDeadline: call.FirstByteDeadline,
 		idleTimeout:       call.IdleTimeout,
 	}
+	if heeds {
+		c.notices.Record(target, httpResponse.StatusCode, httpResponse.Header)
+	}
 	call.RequireEcho = call.RequireEcho && httpResponse.StatusCode == http.StatusOK
 	if err := checkResponse(httpResponse, call); err != nil {
 		response.Discard()
--- a/internal/upstream/caller/cancel.go
+++ b/internal/upstream/caller/cancel.go
@@ -41,6 +41,7 @@
 		Method:            http.MethodDelete,
 		Path:              path,
 		NewConnection:     true,
+		Running:           true,
 		FirstByteDeadline: time.Now().Add(cancelTimeout),
 		IdleTimeout:       cancelTimeout,
 	})
--- a/internal/upstream/noticer/noticer.go
+++ b/internal/upstream/noticer/noticer.go
@@ -74,8 +74,9 @@
 	n.withholder.SetConfig(bounds)
 }
 
-// Record applies the notice in a response to a request to u.
-func (n *Noticer) Record(u *registrar.Upstream, notice withholder.Notice) {
+// Record applies the notice in a response to a request to u and returns the
+// resulting changes.
+func (n *Noticer) Record(u *registrar.Upstream, notice withholder.Notice) []withholder.Change {
 	if notice.Leaving || notice.HoldOff > 0 {
 		u = n.currentEntry(u)
 	}
@@ -112,6 +113,7 @@
 	if len(changes) > 0 {
 		onChange(u.Service)
 	}
+	return changes
 }
 
 // currentEntry returns the current entry of the ID and the address of u. If another
@@ -143,6 +145,19 @@
 	n.mu.Lock()
 	admitted := n.withholder.Admit(time.Now(), u, lastResort)
 	n.mu.Unlock()
+	return n.admission(admitted)
+}
+
+// AdmitProbe is like Admit for a request that asks whether u is there. One that
+// is leaving gets it too, since it shows the next process at the address.
+func (n *Noticer) AdmitProbe(u *registrar.Upstream) error {
+	n.mu.Lock()
+	admitted := n.withholder.AdmitProbe(time.Now(), u)
+	n.mu.Unlock()
+	return n.admission(admitted)
+}
+
+func (n *Noticer) admission(admitted bool) error {
 	if admitted {
 		return nil
 	}
@@ -150,6 +165,14 @@
 	return ErrWithheld
 }
 
+// HeldUntil returns the end of the hold-off of u, or the zero time if it has
+// requested none.
+func (n *Noticer) HeldUntil(u *registrar.Upstream) time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.withholder.HeldUntil(u)
+}
+
 // IsOpen reports whether u may get any request.
 func (n *Noticer) IsOpen(u *registrar.Upstream) bool {
 	n.mu.Lock()
