Tell the other VMs of upstreams that are leaving

A VM learned that an upstream is leaving from the store or from a response of its own alone: with the store away, each VM sent it one request more. VMs now list the incarnations that have told them so in their reports to the hub, when the list changes, and the hub passes them on in its frames and full states. A VM applies them like a notice of its own, also to an incarnation that it does not know yet; hold-offs stay with the VM that got them. A start time that another VM stated is taken as it is: the allowance for clocks applies to responses under an outdated entry only, whose start is corrected once the entry of the sender is there.

Older VMs ignore the new fields.

--- a/internal/gateway/forwarder/withhold.go
+++ b/internal/gateway/forwarder/withhold.go
@@ -82,13 +82,15 @@
 	return until
 }
 
-// wakeWaiting lets all requests that wait for capacity of a service choose again.
+// wakeWaiting lets all requests that wait for capacity of a service, or of any if it
+// is empty, choose again.
 func (f *Forwarder) wakeWaiting(service string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	q, ok := f.queues[service]
-	for ok && len(q.waiters) > 0 {
-		q.wakeFirst()
+	for name, q := range f.queues {
+		for (service == "" || service == name) && len(q.waiters) > 0 {
+			q.wakeFirst()
+		}
 	}
 }
 
--- a/internal/operating/starter/coordination.go
+++ b/internal/operating/starter/coordination.go
@@ -23,6 +23,8 @@
 			Hub:            g.hubAddress,
 			Loads:          g.forwarder.Loads,
 			DrainSentParts: g.forwarder.DrainSentParts,
+			Departures:     g.noticer.Departures,
+			OnDepartures:   g.noticer.RecordDepartures,
 			UrgentReports:  g.forwarder.UrgentReports(),
 			View:           g.view,
 			Client:         &http.Client{Transport: newGatewayTransport()},
--- a/internal/peering/coordinator/coordinator_test.go
+++ b/internal/peering/coordinator/coordinator_test.go
@@ -19,6 +19,7 @@
 	"gentianstep.example/gentianstep/internal/membership/registrar"
 	"gentianstep.example/gentianstep/internal/peering/coordinator"
 	"gentianstep.example/gentianstep/internal/testing/piper"
+	"gentianstep.example/gentianstep/internal/upstream/noticer"
 )
 
 // failoverTimeout is three report intervals: one until the change of the hub is
@@ -36,8 +37,9 @@
 
 // vm is a subscriber with settable loads and sent parts.
 type vm struct {
-	view *coordinator.View
-	stop context.CancelFunc
+	view    *coordinator.View
+	noticer *noticer.Noticer
+	stop    context.CancelFunc
 
 	mu    sync.Mutex
 	loads map[string]coordinator.Load
@@ -63,7 +65,7 @@
 	t.Helper()
 	ctx, stop := context.WithCancel(t.Context())
 	transport := &http.Transport{DialContext: network.Dial}
-	v := &vm{view: coordinator.NewView(), stop: stop}
+	v := &vm{view: coordinator.NewView(), noticer: newNoticer(), stop: stop}
 	go coordinator.NewSubscriber(coordinator.SubscriberConfig{
 		Node: node,
 		Hub:  hub,
@@ -73,6 +75,8 @@
 			return v.loads
 		},
 		DrainSentParts: v.drainSent,
+		Departures:     v.noticer.Departures,
+		OnDepartures:   v.noticer.RecordDepartures,
 		View:           v.view,
 		Client:         &http.Client{Transport: transport},
 		Log:            discardLog(),
--- a/internal/peering/coordinator/frame.go
+++ b/internal/peering/coordinator/frame.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -28,6 +29,7 @@
 	defer h.mu.Unlock()
 	h.expireLoads(now)
 	h.updatePending(now, nil)
+	h.expireDepartures(now)
 	if len(h.sessions) == 0 {
 		h.dropFrames()
 		h.names, h.namesSent = newNameTable(), 0
@@ -49,7 +51,7 @@
 }
 
 func (h *Hub) hasChanges() bool {
-	return len(h.totals.changed)+len(h.changedEngines)+len(h.changedParts) > 0
+	return len(h.totals.changed)+len(h.changedEngines)+len(h.changedParts)+len(h.changedDepartures) > 0
 }
 
 func (h *Hub) lastFrame() *frame {
@@ -72,9 +74,8 @@
 	for c := range h.changedParts {
 		state.Cached = append(state.Cached, h.upstreamPart(c))
 	}
-	clear(h.totals.changed)
-	clear(h.changedEngines)
-	clear(h.changedParts)
+	state.Departures = slices.Collect(maps.Keys(h.changedDepartures))
+	h.clearChanges()
 	state.Names = h.names.names[h.namesSent:]
 	h.namesSent = len(h.names.names)
 	reports := make(map[*session]uint64, len(h.sessions))
@@ -99,11 +100,16 @@
 // dropFrames makes every VM receive the full state next, which holds all changes. The
 // caller must hold h.mu.
 func (h *Hub) dropFrames() {
+	h.clearChanges()
+	h.firstFrame += uint64(len(h.frames)) + 1
+	h.frames, h.full = nil, nil
+}
+
+func (h *Hub) clearChanges() {
 	clear(h.totals.changed)
 	clear(h.changedEngines)
 	clear(h.changedParts)
-	h.firstFrame += uint64(len(h.frames)) + 1
-	h.frames, h.full = nil, nil
+	clear(h.changedDepartures)
 }
 
 // nextMessage returns the next message to a VM and the number of its last report that
@@ -129,7 +135,7 @@
 	if h.full != nil {
 		return h.full
 	}
-	state := State{Full: true}
+	state := State{Full: true, Departures: slices.Collect(maps.Keys(h.departures))}
 	for upstream := range h.totals.sums {
 		state.Loads = append(state.Loads, h.upstreamLoad(upstream))
 	}
--- a/internal/peering/coordinator/hub.go
+++ b/internal/peering/coordinator/hub.go
@@ -46,9 +46,14 @@
 	// count as pending.
 	pending map[CachedPart]time.Time
 
-	// changedEngines and changedParts are the changes since the last frame.
-	changedEngines map[string]struct{}
-	changedParts   map[CachedPart]struct{}
+	// departures maps the reported departures to the time until which VMs are told.
+	departures map[Departure]time.Time
+
+	// changedEngines, changedParts and changedDepartures are the changes since the last
+	// frame.
+	changedEngines    map[string]struct{}
+	changedParts      map[CachedPart]struct{}
+	changedDepartures map[Departure]struct{}
 	// frames holds the latest frames, the newest last. The first one has the number
 	// firstFrame.
 	frames     []*frame
@@ -66,16 +71,18 @@
 // NewHub returns a Hub without sessions. Run builds its messages.
 func NewHub(cfg HubConfig) *Hub {
 	return &Hub{
-		cfg:            cfg,
-		fullStates:     cfg.Capacity.fullStateLimiter(),
-		sessions:       make(map[*session]struct{}),
-		names:          newNameTable(),
-		totals:         newLoadTotals(),
-		engines:        make(map[string]Engine),
-		catalogue:      cataloguer.New(),
-		pending:        make(map[CachedPart]time.Time),
-		changedEngines: make(map[string]struct{}),
-		changedParts:   make(map[CachedPart]struct{}),
+		cfg:               cfg,
+		fullStates:        cfg.Capacity.fullStateLimiter(),
+		sessions:          make(map[*session]struct{}),
+		names:             newNameTable(),
+		totals:            newLoadTotals(),
+		engines:           make(map[string]Engine),
+		catalogue:         cataloguer.New(),
+		pending:           make(map[CachedPart]time.Time),
+		changedEngines:    make(map[string]struct{}),
+		changedParts:      make(map[CachedPart]struct{}),
+		departures:        make(map[Departure]time.Time),
+		changedDepartures: make(map[Departure]struct{}),
 		// Sessions start at frame 0, so that their first message is the full state.
 		firstFrame: 1,
 		wake:       make(chan struct{}, 1),
@@ -207,6 +214,7 @@
 func (h *Hub) applyReport(now time.Time, s *session, r Report) {
 	s.reportedAt, s.reportNumber = now, r.Number
 	h.updatePending(now, r.SentParts)
+	h.addDepartures(now, r.Departures)
 	h.totals.replace(s.loads, r.Loads)
 	s.loads = r.Loads
 	if h.hasChanges() {
--- a/internal/peering/coordinator/message.go
+++ b/internal/peering/coordinator/message.go
@@ -79,6 +79,9 @@
 	SentParts []CachedPart `cbor:"3,keyasint,omitempty"`
 	// Number counts the reports of one connection, from 1 on.
 	Number uint64 `cbor:"4,keyasint"`
+	// Departures lists all departures that the VM was told of, if they have changed
+	// since the last report.
+	Departures []Departure `cbor:"5,keyasint,omitempty"`
 }
 
 // Check returns an error if the node or the number is missing or a load is negative.
@@ -94,6 +97,9 @@
 			return fmt.Errorf("report: load of upstream %q is negative", upstream)
 		}
 	}
+	if err := checkDepartures(r.Departures); err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
 	return nil
 }
 
@@ -131,7 +137,8 @@
 	Cached  []UpstreamPart `cbor:"5,keyasint,omitempty"`
 	// ReportMillis is the interval in milliseconds at which the hub asks VMs to
 	// report. It grows with their number.
-	ReportMillis int64 `cbor:"6,keyasint,omitempty"`
+	ReportMillis int64       `cbor:"6,keyasint,omitempty"`
+	Departures   []Departure `cbor:"7,keyasint,omitempty"`
 }
 
 // Check returns an error if an index lies outside the table of names, which has
@@ -151,5 +158,8 @@
 			return fmt.Errorf("state: upstream %d, scope %d of %d", p.Upstream, p.Scope, names)
 		}
 	}
+	if err := checkDepartures(s.Departures); err != nil {
+		return fmt.Errorf("state: %w", err)
+	}
 	return nil
 }
--- a/internal/peering/coordinator/subscriber.go
+++ b/internal/peering/coordinator/subscriber.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/coder/websocket"
@@ -14,6 +15,7 @@
 
 	"gentianstep.example/gentianstep/internal/operating/pauser"
 	"gentianstep.example/gentianstep/internal/peering/messenger"
+	"gentianstep.example/gentianstep/internal/routing/withholder"
 )
 
 const (
@@ -42,6 +44,11 @@
 	// DrainSentParts returns and clears the prompt parts that were sent to
 	// upstreams since the last call.
 	DrainSentParts func() []CachedPart
+	// Departures returns the incarnations of upstreams that have told this VM that they
+	// are leaving, and OnDepartures is called with those that have told another. Both
+	// may be nil.
+	Departures   func() []withholder.Incarnation
+	OnDepartures func([]withholder.Incarnation)
 	// UrgentReports signals that the loads should be reported before the next interval.
 	UrgentReports <-chan struct{}
 	View          *View
@@ -97,6 +104,9 @@
 		if err := s.cfg.View.Apply(time.Now(), state, sent.confirm(report)); err != nil {
 			return err
 		}
+		if s.cfg.OnDepartures != nil {
+			s.cfg.OnDepartures(incarnations(state.Departures))
+		}
 	}
 }
 
@@ -107,6 +117,7 @@
 	timer := time.NewTimer(reportInterval)
 	defer timer.Stop()
 	var last map[string]Load
+	var lastDepartures []Departure
 	keepAliveAt := time.Time{}
 	for {
 		now := time.Now()
@@ -114,12 +125,17 @@
 			return
 		}
 		loads, sent := s.cfg.Loads(), s.cfg.DrainSentParts()
-		if !maps.Equal(loads, last) || len(sent) > 0 || !now.Before(keepAliveAt) {
+		departures := s.departures()
+		changed := !slices.Equal(departures, lastDepartures)
+		if changed || !maps.Equal(loads, last) || len(sent) > 0 || !now.Before(keepAliveAt) {
 			report := Report{Node: s.cfg.Node, Loads: loads, SentParts: sent, Number: reports.add(loads)}
+			if changed {
+				report.Departures = departures
+			}
 			if err := messenger.WriteValue(ctx, ws, report); err != nil {
 				return
 			}
-			last, keepAliveAt = loads, now.Add(keepAliveInterval)
+			last, lastDepartures, keepAliveAt = loads, departures, now.Add(keepAliveInterval)
 		}
 		select {
 		case <-ctx.Done():
@@ -131,3 +147,10 @@
 		timer.Reset(reports.nextInterval())
 	}
 }
+
+func (s *Subscriber) departures() []Departure {
+	if s.cfg.Departures == nil {
+		return nil
+	}
+	return newDepartures(s.cfg.Departures())
+}
--- a/internal/routing/withholder/notice.go
+++ b/internal/routing/withholder/notice.go
@@ -25,6 +25,9 @@
 	// LeavingTold means that an incarnation has stated for the first time that it
 	// is leaving.
 	LeavingTold ChangeType = "upstream_leaving_told"
+	// LeavingHeard means that another VM has told this one that an incarnation is
+	// leaving.
+	LeavingHeard ChangeType = "upstream_leaving_heard"
 	// HeldOff means that a hold-off has started or was extended.
 	HeldOff ChangeType = "upstream_hold_off"
 	// HoldOffCapped means that a hold-off was shortened to the configured limit.
--- a/internal/routing/withholder/record.go
+++ b/internal/routing/withholder/record.go
@@ -26,6 +26,9 @@
 	// drainUntil is the end of the drain period, zero unless the incarnation is
 	// leaving.
 	drainUntil time.Time
+	// heard is true if another VM has stated the incarnation, so that its start time
+	// is certain.
+	heard bool
 	// heldUntil is the end of the longest hold-off, zero if none was requested.
 	heldUntil time.Time
 	// allowance is the number of requests that may be sent after the end of the
@@ -51,7 +54,7 @@
 // the one that has sent the notices. One that was at the address well before the
 // latest notice has sent it, although an outdated entry named an earlier start.
 func (r *record) endedBy(other Incarnation) bool {
-	sender := other.Address == r.incarnation.Address && other.StartedAt.Add(maxClockSkew).Before(r.toldAt)
+	sender := !r.heard && other.Address == r.incarnation.Address && other.StartedAt.Add(maxClockSkew).Before(r.toldAt)
 	return !sender && r.incarnation.endedBy(other)
 }
 
--- a/internal/routing/withholder/withholder.go
+++ b/internal/routing/withholder/withholder.go
@@ -155,8 +155,8 @@
 	if r == nil || r.endedBy(Incarnation{ID: u.ID, Address: u.Address, StartedAt: u.StartedAt}) {
 		return nil
 	}
-	if r.incarnation.StartedAt.IsZero() {
-		r.incarnation.StartedAt = u.StartedAt // the response did not state it
+	if u.StartedAt.After(r.incarnation.StartedAt) {
+		r.incarnation.StartedAt = u.StartedAt // the response did not state it, or an outdated entry did
 	}
 	return r
 }
--- a/internal/routing/withholder/withholder_test.go
+++ b/internal/routing/withholder/withholder_test.go
@@ -22,7 +22,9 @@
 	Host      byte   `json:"host"`
 	StartedMS int64  `json:"started_ms"`
 	// Told is true if the step is a response.
-	Told      bool   `json:"told"`
+	Told bool `json:"told"`
+	// Heard is true if another VM states that the upstream is leaving.
+	Heard     bool   `json:"heard"`
 	Instance  string `json:"instance"`
 	Leaving   bool   `json:"leaving"`
 	HoldOffMS int    `json:"hold_off_ms"`
@@ -73,9 +75,15 @@
 	if s.StartedMS > 0 {
 		u.StartedAt = start.Add(time.Duration(s.StartedMS) * time.Millisecond)
 	}
+	var recorded []withholder.Change
 	if s.Told {
 		notice := withholder.Notice{Instance: s.Instance, Leaving: s.Leaving, HoldOff: time.Duration(s.HoldOffMS) * time.Millisecond, Accepted: s.Accepted}
-		recorded := w.Record(now, u, notice)
+		recorded = w.Record(now, u, notice)
+	}
+	if s.Heard {
+		recorded = w.RecordDeparture(now, withholder.Incarnation{ID: u.ID, Address: u.Address, StartedAt: u.StartedAt})
+	}
+	if s.Told || s.Heard {
 		changes := make([]change, 0, len(recorded))
 		for _, c := range recorded {
 			changes = append(changes, change{c.Type, int(c.Until.Sub(start).Milliseconds())})
--- a/internal/upstream/noticer/noticer.go
+++ b/internal/upstream/noticer/noticer.go
@@ -48,7 +48,8 @@
 
 	mu         sync.Mutex
 	withholder *withholder.Withholder
-	// onChange is called with the service of an upstream whose access has changed.
+	// onChange is called with the service of an upstream whose access has changed,
+	// empty if it is not known.
 	onChange func(service string)
 	// ignoredLogAt is when the next notice that cannot be decoded is logged.
 	ignoredLogAt time.Time
@@ -99,6 +100,14 @@
 			"address":  u.Address.String(),
 		}).Warn("ignored invalid notice of upstream")
 	}
+	n.logChanges(changes, u.Service)
+	if len(changes) > 0 {
+		onChange(u.Service)
+	}
+	return changes
+}
+
+func (n *Noticer) logChanges(changes []withholder.Change, service string) {
 	for _, c := range changes {
 		n.cfg.Meter.Count(meter.UpstreamNotices, string(c.Type), 1)
 		n.cfg.Log.WithFields(logrus.Fields{
@@ -107,13 +116,9 @@
 			"address":    c.Incarnation.Address.String(),
 			"started_ms": startedMillis(c.Incarnation.StartedAt),
 			"until":      c.Until.UTC().Format(time.RFC3339Nano),
-			"service":    u.Service,
+			"service":    service,
 		}).Info("notice of upstream")
 	}
-	if len(changes) > 0 {
-		onChange(u.Service)
-	}
-	return changes
 }
 
 // currentEntry returns the current entry of the ID and the address of u. If another
