--- a/internal/upstream/noticer/noticer.go
+++ b/internal/upstream/noticer/noticer.go
@@ -48,7 +48,8 @@
 
 	mu         sync.Mutex
 	withholder *withholder.Withholder
-	// onChange is called with the service of an upstream whose access has changed.
+	// onChange is called with the service of an upstream whose access has changed,
+	// empty if it is not known.
 	onChange func(service string)
 	// ignoredLogAt is when the next notice that cannot be decoded is logged.
 	ignoredLogAt time.Time
@@ -74,8 +75,9 @@
 	n.withholder.SetConfig(bounds)
 }
 
-// Record applies the notice in a response to a request to u.
-func (n *Noticer) Record(u *registrar.Upstream, notice withholder.Notice) {
+// Record applies the notice in a response to a request to u and returns the
+// resulting changes.
+func (n *Noticer) Record(u *registrar.Upstream, notice withholder.Notice) []withholder.Change {
 	if notice.Leaving || notice.HoldOff > 0 {
 		u = n.currentEntry(u)
 	}
@@ -98,6 +100,14 @@
 			"address":  u.Address.String(),
 		}).Warn("ignored invalid notice of upstream")
 	}
+	n.logChanges(changes, u.Service)
+	if len(changes) > 0 {
+		onChange(u.Service)
+	}
+	return changes
+}
+
+func (n *Noticer) logChanges(changes []withholder.Change, service string) {
 	for _, c := range changes {
 		n.cfg.Meter.Count(meter.UpstreamNotices, string(c.Type), 1)
 		n.cfg.Log.WithFields(logrus.Fields{
@@ -106,12 +116,9 @@
 			"address":    c.Incarnation.Address.String(),
 			"started_ms": startedMillis(c.Incarnation.StartedAt),
 			"until":      c.Until.UTC().Format(time.RFC3339Nano),
-			"service":    u.Service,
+			"service":    service,
 		}).Info("notice of upstream")
 	}
-	if len(changes) > 0 {
-		onChange(u.Service)
-	}
 }
 
 // currentEntry returns the current entry of the ID and the address of u. If another
@@ -143,6 +150,19 @@
 	n.mu.Lock()
 	admitted := n.withholder.Admit(time.Now(), u, lastResort)
 	n.mu.Unlock()
+	return n.admission(admitted)
+}
+
+// AdmitProbe is like Admit for a request that asks whether u is there. One that
+// is leaving gets it too, since it shows the next process at the address.
+func (n *Noticer) AdmitProbe(u *registrar.Upstream) error {
+	n.mu.Lock()
+	admitted := n.withholder.AdmitProbe(time.Now(), u)
+	n.mu.Unlock()
+	return n.admission(admitted)
+}
+
+func (n *Noticer) admission(admitted bool) error {
 	if admitted {
 		return nil
 	}
@@ -150,6 +170,14 @@
 	return ErrWithheld
 }
 
+// HeldUntil returns the end of the hold-off of u, or the zero time if it has
+// requested none.
+func (n *Noticer) HeldUntil(u *registrar.Upstream) time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.withholder.HeldUntil(u)
+}
+
 // IsOpen reports whether u may get any request.
 func (n *Noticer) IsOpen(u *registrar.Upstream) bool {
 	n.mu.Lock()
