Fault soak of the gateway program

Until now faults were played in virtual time or within one process. `standin soak` (`make soak`) starts gateways as processes of their own before the platform's stand-ins. Callers, upstreams and the store are each behind a loopback link that can delay, hold one direction, be silent, reset and cut. A seeded plan holds planned work only in its first part and then overlapping faults: SIGTERM, SIGKILL, SIGSTOP and SIGCONT, SIGHUP with changed settings, a store that is slow, silent, refuses, loses or delays writes, is compacted or restored from an older copy in a new era, upstreams that leave, refuse or spoil responses, new weights, revoked keys. Callers use a connection until it ends.

What callers sent and received and what upstreams ran is checked against the promises; a failed seed leaves plan, logs, record, verdict and command.

The stand-in of the worker names the request in each event of a stream, so that events of another request are noticed, and records the numbers of orders.

Only processes that the soak started are signalled, through their handles, and they end with it, also when it is interrupted (TestInterruptedSoakEndsItsProcesses). Planted faults (a request run twice, run and refused, answered with the answer to another, altered) are found by TestSoakFindsPlantedFaults, those in records by TestCheckFindsBrokenPromises.

Links between gateways have no proxy yet, and routers with controllers are not soaked.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 export GOLANGCI_LINT_CACHE := $(BIN)/lint-cache
 SEED ?= 1
 
-.PHONY: all build gopls fmt lint unit test demo bench measure replay days rehearse clean
+.PHONY: all build gopls fmt lint unit test demo bench measure replay days rehearse soak clean
 
 all: build
 
@@ -63,3 +63,8 @@
 
 rehearse: build
 	$(BIN)/standin rehearse
+
+# soak plays SEEDS fresh seeds, or those from SEED on: make soak SEEDS=50
+SEEDS ?= 5
+soak: build
+	$(BIN)/standin soak --seeds $(SEEDS) --dir $(BIN) $(if $(filter command line,$(origin SEED)),--seed $(SEED))
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -42,6 +42,7 @@
 		newReportCommand(),
 		newRehearseCommand(),
 		newAskCommand(),
+		newSoakCommand(),
 	}
 	for _, c := range commands {
 		flaggy.AttachSubcommand(c.parser, 1)
--- a/internal/gateway/forwarder/faults_test.go
+++ b/internal/gateway/forwarder/faults_test.go
@@ -107,7 +107,7 @@
 	}
 	var body strings.Builder
 	for n := first; n <= 4; n++ {
-		fmt.Fprintf(&body, "id: %d\ndata: token %d\n\n", n, n)
+		fmt.Fprintf(&body, "id: %d\ndata: token %d of id-1\n\n", n, n)
 	}
 	return body.String()
 }
--- /dev/null
+++ b/internal/standin/soaker/plan.go
@@ -0,0 +1,141 @@
+package soaker
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind is what a step does to its target.
+type Kind string
+
+// Kinds of steps. The first ones are planned work, which callers must not notice.
+const (
+	// Stop ends a gateway with SIGTERM and starts it again.
+	Stop Kind = "stop"
+	// Reload changes the settings of a gateway and sends SIGHUP.
+	Reload Kind = "reload"
+	// Configure publishes a configuration that revokes a key.
+	Configure Kind = "configure"
+	// Name names a newer version of the weights.
+	Name Kind = "name_weights"
+	// Leave makes an upstream announce that it leaves. Another one replaces it.
+	Leave Kind = "leave"
+	// Refuse makes an upstream refuse some requests and ask for a pause.
+	Refuse Kind = "refuse"
+	// Kill ends a gateway with SIGKILL and starts it again.
+	Kill Kind = "kill"
+	// Freeze suspends a gateway with SIGSTOP until the end of the step.
+	Freeze Kind = "freeze"
+	// Disturb gives a link an effect until the end of the step.
+	Disturb Kind = "disturb"
+	// Spoil makes an upstream spoil its responses to some requests.
+	Spoil Kind = "spoil"
+	// Store gives the store a fault until the end of the step.
+	Store Kind = "store"
+)
+
+// storeTarget is the target of steps that concern the store.
+const storeTarget = "store"
+
+// Step is one fault or planned change. Its times count from the start of the plan.
+type Step struct {
+	Kind   Kind          `json:"kind"`
+	Target string        `json:"target"`
+	Detail string        `json:"detail,omitempty"`
+	Begin  time.Duration `json:"begin"`
+	End    time.Duration `json:"end"`
+}
+
+// Targets lists what a plan may choose from.
+type Targets struct {
+	Gateways  []string
+	Upstreams []string
+	Links     []string
+	// StoreFaults and UpstreamFaults are the faults that the site offers.
+	StoreFaults    []string
+	UpstreamFaults []string
+	// Keys are the API keys that may be revoked, each once.
+	Keys []string
+}
+
+const (
+	// quietStart is the time before the first step.
+	quietStart = time.Second
+	// plannedShare is the part of a plan that holds planned work only.
+	plannedShare = 0.4
+	minGap       = 60 * time.Millisecond
+	maxGap       = 600 * time.Millisecond
+	minLength    = 300 * time.Millisecond
+	maxLength    = 2500 * time.Millisecond
+)
+
+// planner draws the steps of a plan.
+type planner struct {
+	random  *rand.Rand
+	targets Targets
+	steps   []Step
+	// busyUntil is the end of the last step of a kind at a target.
+	busyUntil map[string]time.Duration
+}
+
+// NewPlan returns the plan of a seed. All steps end within length.
+func NewPlan(seed uint64, length time.Duration, t Targets) []Step {
+	p := &planner{random: rand.New(rand.NewPCG(seed, seed)), targets: t, busyUntil: make(map[string]time.Duration)} //nolint:gosec // A plan must be repeatable.
+	p.targets.Keys = slices.Clone(t.Keys)
+	planned := []Kind{Stop, Stop, Reload, Configure, Name, Leave, Refuse}
+	all := append(slices.Clone(planned), Kill, Kill, Freeze, Freeze, Spoil, Spoil, Disturb, Disturb, Disturb, Disturb, Store, Store, Store)
+	for at := quietStart; at < length-minLength; at += p.between(minGap, maxGap) {
+		kinds := all
+		if at < time.Duration(plannedShare*float64(length)) {
+			kinds = planned
+		}
+		p.add(kinds[p.random.IntN(len(kinds))], at, min(at+p.between(minLength, maxLength), length))
+	}
+	return p.steps
+}
+
+func (p *planner) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(p.random.Int64N(int64(high-low)))
+}
+
+func (p *planner) choose(list []string) string { return list[p.random.IntN(len(list))] }
+
+// add appends a step unless one of the same kind is under way at its target.
+func (p *planner) add(kind Kind, begin, end time.Duration) {
+	s := Step{Kind: kind, Begin: begin, End: end}
+	switch kind {
+	case Stop, Reload, Kill, Freeze:
+		s.Target = p.choose(p.targets.Gateways)
+	case Configure:
+		if len(p.targets.Keys) == 0 {
+			return
+		}
+		s.Target, s.Detail, s.End = storeTarget, p.targets.Keys[0], begin
+		p.targets.Keys = p.targets.Keys[1:]
+	case Name:
+		s.Target, s.End = storeTarget, begin
+	case Leave, Refuse:
+		s.Target = p.choose(p.targets.Upstreams)
+	case Disturb:
+		s.Target = p.choose(p.targets.Links)
+		effects := Effects()
+		s.Detail = string(effects[p.random.IntN(len(effects))])
+	case Spoil:
+		s.Target, s.Detail = p.choose(p.targets.Upstreams), p.choose(p.targets.UpstreamFaults)
+	case Store:
+		s.Target, s.Detail = storeTarget, p.choose(p.targets.StoreFaults)
+	}
+	resource := string(kind) + " " + s.Target
+	if begin < p.busyUntil[resource] {
+		return
+	}
+	p.busyUntil[resource] = s.End
+	p.steps = append(p.steps, s)
+}
+
+// concerns reports whether the target of a step is name or a link of name.
+func (s Step) concerns(name string) bool {
+	return s.Target == name || slices.Contains(strings.Split(s.Target, "/"), name)
+}
