A reload signal no longer ends a gateway that starts or stops

Cause: the receiver of SIGHUP was registered by the loop that reloads, after the settings were read and the listeners opened, and removed when that loop ended. Before and after, the signal's default ends the process. Ruled out: a reload that fails (process 3 logged nothing; reloads of processes that had started passed).

Change: the command registers the receiver before anything else and keeps it; the loop reads from it. A signal during the start is a reload after it.

Left: the few ms between exec and the first line of the command, in which no program can have a receiver.

--- a/cmd/gentianstep/gateway.go
+++ b/cmd/gentianstep/gateway.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/integrii/flaggy"
 
@@ -21,6 +23,10 @@
 	parser.Description = "Serve clients on the users' platform."
 	parser.String(&path, "s", "settings", "Path of the platform's settings file ("+platform.SettingsVariable+").")
 	return command{parser: parser, run: func(ctx context.Context) error {
+		// Without a receiver, the signal would end the process, also while it starts
+		// and while it stops.
+		reload := make(chan os.Signal, 1)
+		signal.Notify(reload, syscall.SIGHUP)
 		if err := requireFlag("settings", path, "the path of a file"); err != nil {
 			return err
 		}
@@ -51,6 +57,7 @@
 			OperatorPrefix: platform.OperatorPrefix,
 			UpstreamPrefix: platform.UpstreamPrefix,
 			ReadyPath:      platform.ReadyPath,
+			Reload:         reload,
 			LoadSettings:   func() (*configurer.VMSettings, error) { return platform.LoadSettings(path) },
 			NewStore: func(address netip.AddrPort, client *http.Client) starter.Store {
 				return platform.NewClient(platform.ClientConfig{Address: address, HTTPClient: client})
--- a/cmd/gentianstep/gateway_fixture_test.go
+++ b/cmd/gentianstep/gateway_fixture_test.go
@@ -104,6 +104,14 @@
 }
 
 func (p *platformFixture) start(node string) *gatewayVM {
+	p.t.Helper()
+	vm := p.prepare(node)
+	vm.process = launcher.Start(p.t, node, launcher.Build(p.t).Gentianstep, "gateway", "--settings", vm.settings)
+	return vm
+}
+
+// prepare writes the settings of a VM.
+func (p *platformFixture) prepare(node string) *gatewayVM {
 	p.t.Helper()
 	ports := freePorts(p.t)
 	vm := &gatewayVM{
@@ -113,7 +121,6 @@
 		metrics:  fmt.Sprintf("http://%s:%d/metrics", launcher.Host(), ports[3]),
 	}
 	p.writeSettings(vm, node, ports)
-	vm.process = launcher.Start(p.t, node, launcher.Build(p.t).Gentianstep, "gateway", "--settings", vm.settings)
 	return vm
 }
 
--- a/internal/operating/starter/gateway_platform.go
+++ b/internal/operating/starter/gateway_platform.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/netip"
+	"os"
 
 	"gentianstep.example/gentianstep/internal/caching/listener"
 	"gentianstep.example/gentianstep/internal/gateway/forwarder"
@@ -20,6 +21,8 @@
 	OperatorPrefix string
 	UpstreamPrefix string
 	ReadyPath      string
+	// Reload delivers the signals that request a reload.
+	Reload <-chan os.Signal
 	// LoadSettings reads the settings file again, for a reload.
 	LoadSettings func() (*configurer.VMSettings, error)
 	// NewStore returns a client of the platform's store.
--- a/internal/operating/starter/reload.go
+++ b/internal/operating/starter/reload.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"os"
-	"os/signal"
 	"reflect"
-	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -18,11 +15,8 @@
 // changes.
 const reloadInterval = 2 * time.Second
 
-// runReload reloads the settings on SIGHUP and at intervals.
+// runReload reloads the settings on a signal and at intervals.
 func (g *gateway) runReload(ctx context.Context) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	for {
@@ -30,7 +24,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-hup:
+		case <-g.platform.Reload:
 			signalled = true
 		case <-ticker.C:
 		}
