--- a/internal/standin/soaker/caller.go
+++ b/internal/standin/soaker/caller.go
@@ -31,6 +31,9 @@
 	journal  *Journal
 	random   *rand.Rand
 	keys     []string
+	// stubborn is true if the caller uses a connection until it is closed, even after
+	// a response that announces its end.
+	stubborn bool
 	sent     int
 }
 
@@ -67,7 +70,7 @@
 		open := c.site.Exchange(conn, reader, &call)
 		call.EndedAt = time.Now()
 		c.journal.AddCall(call)
-		if !open {
+		if !open && (!c.stubborn || !call.Outcome.isComplete()) {
 			return
 		}
 		sleep(ctx, time.Duration(c.random.Int64N(int64(maxPause))))
--- a/internal/standin/soaker/checker.go
+++ b/internal/standin/soaker/checker.go
@@ -113,23 +113,27 @@
 	if call.Outcome != Broken || call.SentAt.IsZero() || !accepted {
 		return
 	}
-	if !c.happened(onPathOf(call), call.BeganAt.Add(-c.bounds.Stable), call.EndedAt) {
+	if !c.happened(c.onPathOf(call), call.BeganAt.Add(-c.bounds.Stable), call.EndedAt) {
 		c.violate(NothingLost, call.ID, "%s at %s: connection ended %s after the call was sent: %s",
 			call.Route, call.Gateway, call.EndedAt.Sub(call.SentAt).Round(time.Millisecond), call.Error)
 	}
 }
 
 // onPathOf returns whether a step disturbs the path from the caller of a call to the
-// upstreams.
-func onPathOf(call *Call) func(Step) bool {
+// upstreams that it reached, or any if it reached none.
+func (c *checker) onPathOf(call *Call) func(Step) bool {
+	arrivals := c.reached[call.ID]
+	reached := func(target string) bool {
+		return len(arrivals) == 0 || slices.ContainsFunc(arrivals, func(a Arrival) bool { return a.Place == target })
+	}
 	return func(s Step) bool {
 		switch s.Kind {
 		case Kill, Freeze:
 			return s.Target == call.Gateway
 		case Spoil:
-			return true
+			return reached(s.Target)
 		case Disturb:
-			return !strings.HasSuffix(s.Target, "/"+storeTarget) && (s.concerns(call.Gateway) || !strings.Contains(s.Target, "/"))
+			return s.Target == call.Gateway+"/"+frontTarget || !strings.Contains(s.Target, "/") && reached(s.Target)
 		default:
 			return false
 		}
@@ -144,7 +148,7 @@
 	}
 	for _, a := range c.reached[call.ID] {
 		late := a.At.After(call.EndedAt.Add(cancelSlack))
-		if late && !c.happened(onPathOf(call), call.BeganAt.Add(-c.bounds.Stable), a.At) {
+		if late && !c.happened(c.onPathOf(call), call.BeganAt.Add(-c.bounds.Stable), a.At) {
 			c.violate(Cancelled, call.ID, "reached %s %s after its caller had closed the connection", a.Service,
 				a.At.Sub(call.EndedAt).Round(time.Millisecond))
 		}
@@ -175,7 +179,7 @@
 		case Kill, Freeze, Stop:
 			return s.Target == call.Gateway
 		case Disturb:
-			return s.concerns(call.Gateway)
+			return s.Target == call.Gateway+"/"+storeTarget
 		default:
 			return false
 		}
--- a/internal/standin/soaker/fleet.go
+++ b/internal/standin/soaker/fleet.go
@@ -54,7 +54,7 @@
 			Client: nextAddress(), Ready: nextAddress(), Internal: nextAddress(), Metrics: nextAddress(),
 		}
 		var frontErr, linkErr error
-		g.Front, frontErr = f.link(g.Name+"/front", g.Client)
+		g.Front, frontErr = f.link(g.Name+"/"+frontTarget, g.Client)
 		g.Store, linkErr = f.link(g.Name+"/"+storeTarget, store)
 		err = errors.Join(err, frontErr, linkErr)
 		f.gateways = append(f.gateways, g)
--- a/internal/standin/soaker/journal.go
+++ b/internal/standin/soaker/journal.go
@@ -25,6 +25,9 @@
 	GivenUp Outcome = "given_up"
 )
 
+// isComplete reports whether the caller got a complete response.
+func (o Outcome) isComplete() bool { return o != Broken && o != GivenUp }
+
 // Call is a request that a caller sent.
 type Call struct {
 	ID      string `json:"id"`
@@ -52,9 +55,12 @@
 
 // Arrival is the receipt of a call at an upstream, whether it is run or not.
 type Arrival struct {
-	ID      string    `json:"id"`
-	Service string    `json:"service"`
-	At      time.Time `json:"at"`
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	// Place is where the upstream runs: the target of steps, unlike the name of the
+	// upstream, which another one may have taken over from.
+	Place string    `json:"place"`
+	At    time.Time `json:"at"`
 }
 
 // Run is a call that an upstream ran.
--- a/internal/standin/soaker/plan.go
+++ b/internal/standin/soaker/plan.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 )
 
@@ -36,8 +35,11 @@
 	Store Kind = "store"
 )
 
-// storeTarget is the target of steps that concern the store.
-const storeTarget = "store"
+// Targets of steps. Those of links of a gateway follow its name and a slash.
+const (
+	storeTarget = "store"
+	frontTarget = "front"
+)
 
 // Step is one fault or planned change. Its times count from the start of the plan.
 type Step struct {
@@ -84,7 +86,7 @@
 func NewPlan(seed uint64, length time.Duration, t Targets) []Step {
 	p := &planner{random: rand.New(rand.NewPCG(seed, seed)), targets: t, busyUntil: make(map[string]time.Duration)} //nolint:gosec // A plan must be repeatable.
 	p.targets.Keys = slices.Clone(t.Keys)
-	planned := []Kind{Stop, Stop, Reload, Configure, Name, Leave, Refuse}
+	planned := []Kind{Stop, Stop, Reload, Configure, Name, Name, Leave, Refuse}
 	all := append(slices.Clone(planned), Kill, Kill, Freeze, Freeze, Spoil, Spoil, Disturb, Disturb, Disturb, Disturb, Store, Store, Store)
 	for at := quietStart; at < length-minLength; at += p.between(minGap, maxGap) {
 		kinds := all
@@ -134,8 +136,3 @@
 	p.busyUntil[resource] = s.End
 	p.steps = append(p.steps, s)
 }
-
-// concerns reports whether the target of a step is name or a link of name.
-func (s Step) concerns(name string) bool {
-	return s.Target == name || slices.Contains(strings.Split(s.Target, "/"), name)
-}
--- a/internal/standin/soaker/process.go
+++ b/internal/standin/soaker/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/netip"
@@ -34,6 +35,8 @@
 	number int
 	// endWanted is true if a step has ended the process that runs.
 	endWanted bool
+	// logStart is the size of the log when the process started.
+	logStart int64
 	// stopBy is the time by which the process must have exited after SIGTERM, zero if
 	// none was sent.
 	stopBy time.Time
@@ -77,7 +80,7 @@
 func (g *Gateway) begin(p *os.Process) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.process, g.endWanted, g.stopBy = p, false, time.Time{}
+	g.process, g.endWanted, g.stopBy, g.logStart = p, false, time.Time{}, g.logSize()
 	g.number++
 }
 
@@ -88,12 +91,27 @@
 	defer g.mu.Unlock()
 	g.process, g.inRotation = nil, false
 	g.checkStop()
+	var exit *exec.ExitError
+	signalled := errors.As(err, &exit) && exit.ExitCode() < 0
+	// A signal may end a process that has not begun to work.
+	if signalled && g.logSize() == g.logStart {
+		return
+	}
 	killed := err != nil && err.Error() == "signal: killed"
 	if !g.endWanted || err != nil && !killed {
 		g.journal.Violate(Violation{Promise: OwnEnd, Subject: g.Name, Detail: fmt.Sprintf("process %d ended: %v", g.number, err)})
 	}
 }
 
+// logSize returns the size of the log.
+func (g *Gateway) logSize() int64 {
+	info, err := g.log.Stat()
+	if err != nil {
+		return 0
+	}
+	return info.Size()
+}
+
 // checkStop notes a violation if the process has not stopped in time. The caller must
 // hold mu.
 func (g *Gateway) checkStop() {
--- a/internal/standin/soaker/soaker.go
+++ b/internal/standin/soaker/soaker.go
@@ -35,6 +35,7 @@
 	Bounds() Bounds
 	StoreFaults() []string
 	UpstreamFaults() []string
+	// Routes lists the routes that callers choose from. It may name one several times.
 	Routes() []string
 	// Exchange sends a call and reads its response. It returns false if the
 	// connection cannot be used for another call.
@@ -154,7 +155,7 @@
 	var callers sync.WaitGroup
 	for i := range s.Gateways * s.CallersPerGateway {
 		c := &caller{
-			name: fmt.Sprintf("c%d", i), gateways: s.fleet.gateways, site: s.Site, journal: s.journal, keys: s.keys,
+			name: fmt.Sprintf("c%d", i), gateways: s.fleet.gateways, site: s.Site, journal: s.journal, keys: s.keys, stubborn: i%2 == 0,
 			random: rand.New(rand.NewPCG(s.Seed, uint64(i))), //nolint:gosec // Calls are drawn from the seed.
 		}
 		callers.Go(func() { c.run(callersCtx) })
