--- a/cmd/standin/soak.go
+++ b/cmd/standin/soak.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -74,11 +73,11 @@
 	}
 	verdict, err := soaker.Soak(ctx, cfg)
 	if err != nil {
-		return false, err
+		return false, fmt.Errorf("soak in %s: %w", cfg.Dir, err)
 	}
 	verdict.Print(os.Stdout)
 	if verdict.Passes() && !keep {
-		return true, errors.Join(os.RemoveAll(cfg.Dir))
+		return true, os.RemoveAll(cfg.Dir)
 	}
 	fmt.Printf("  kept in %s; again: %s\n", cfg.Dir, strings.TrimSpace(text))
 	return verdict.Passes(), nil
