Keep unused connections of the in-memory network open in tests

Seen: TestUpstreamNotices ('the only upstream is used until the drain bound, then requests are answered at once') failed once in a whole run of its package with 'server closed idle connection'.

Cause, by reading: the client opens a connection for each of three requests and may not use all of them. The server of the in-memory network waits a minute for the first request of a connection. The row sends its next requests after exactly 60 s of virtual time, while that end is on its way.

Ruled out: a fault of the gateway; it closes no connection of a client there.

--- a/internal/testing/piper/network.go
+++ b/internal/testing/piper/network.go
@@ -12,9 +12,14 @@
 	"time"
 )
 
-// backlog is the maximum number of connections that a server has not accepted
-// yet.
-const backlog = 64
+const (
+	// backlog is the maximum number of connections that a server has not accepted
+	// yet.
+	backlog = 64
+	// headerTimeout is when a server closes a connection without a request. It is
+	// longer than tests last.
+	headerTimeout = 24 * time.Hour
+)
 
 // Network maps addresses to servers. Connections to an address without a server
 // are refused.
@@ -30,7 +35,7 @@
 // Serve starts a server for handler at address. It runs until Stop or Close.
 func (n *Network) Serve(address string, handler http.Handler) *Host {
 	h := &Host{incoming: make(chan net.Conn, backlog), cutAfter: neverCut}
-	h.server = &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	h.server = &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
 	n.mu.Lock()
 	n.hosts[address] = h
 	n.mu.Unlock()
