Count the grace of lapsed entries from the store's return

Seen: an upstream that leaves 3 s after a silent outage of the store gets requests for up to 2.94 s more, with a drain limit of 2.5 s (trial on the stand-in, 60 phases of a watch for each of 6 outages; 24 of 360 over the limit).

Cause: missing entries are kept for 2 s from when the VM regains the store. A call that gets no response delays that: a watch hangs for 3.5 s, in an outage as well, and a back-off of up to 1.2 s follows. The VM regained the store up to 4.7 s after its return by arithmetic, when the store has long been stable.

Ruled out: outages with responses (busy, reset, 80 outages each: 2.21 s at most). The registrar alone: it counts from the time that it is told. A smaller grace for all: live upstreams need 2 s.

Change: the store returned 3 s after the last failed call was sent at the latest, or at the end of a suspension; the grace counts from then. A watch after a failed one waits for 0.1 s, so that later calls notice the return within that time. The usual case has no further call; in an outage without responses a call ends after 1.6 s, not 3.5 s, and there are more of them.

--- a/internal/membership/follower/follower.go
+++ b/internal/membership/follower/follower.go
@@ -18,6 +18,9 @@
 	// VMs reconnect to it at the same time once it recovers.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
+	// probeWait is the long-poll timeout of a watch after a failed one. A longer one
+	// delays the next attempt if it gets no response either.
+	probeWait = 100 * time.Millisecond
 )
 
 // Sink receives the entries and changes that a Follower reads.
@@ -94,7 +97,7 @@
 // watch passes changes after version to the sink. It returns when ctx is done
 // or the store no longer has the history, so that a new snapshot is needed.
 func (f *Follower) watch(ctx context.Context, version storer.Version) {
-	backoff := minBackoff
+	backoff, failed := minBackoff, false
 	for ctx.Err() == nil {
 		if f.waitWhileSupplied(ctx) {
 			if supplied := f.cfg.Sink.Version(f.cfg.Prefix); supplied.After(version) {
@@ -103,12 +106,16 @@
 			backoff = minBackoff
 		}
 		pace := f.cfg.pace()
+		if failed {
+			pace.Wait = min(pace.Wait, probeWait)
+		}
 		f.cfg.Sink.HandleCall(time.Now(), f.cfg.Prefix, pace.Wait)
 		changes, next, err := f.cfg.Feed.Changes(ctx, f.cfg.Prefix, version, pace.Wait)
 		if errors.Is(err, storer.ErrHistoryGone) {
 			return
 		}
-		if err != nil {
+		failed = err != nil
+		if failed {
 			f.handleError(ctx, err, &backoff)
 			continue
 		}
--- a/internal/membership/informer/contact.go
+++ b/internal/membership/informer/contact.go
@@ -6,11 +6,16 @@
 	"github.com/sirupsen/logrus"
 )
 
+// maxUnnoticed is the longest time for which the store counts as not having returned while
+// a call is without a response.
+const maxUnnoticed = 3 * time.Second
+
 // HandleError implements follower.Sink. It logs only the first of consecutive
 // errors of a prefix.
 func (i *Informer) HandleError(now time.Time, prefix string, err error) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	i.failedCallAt[prefix] = i.calledAt[prefix]
 	if i.failing[prefix] {
 		return
 	}
@@ -35,7 +40,10 @@
 func (i *Informer) recordResponse(now time.Time, prefix string) {
 	if i.failing[prefix] {
 		i.failing[prefix] = false
-		i.recordRecovery(prefix, now)
+		// The store may have returned since the last failed call was sent. While the process
+		// was suspended, it made no other.
+		latestReturn := latest(i.failedCallAt[prefix].Add(maxUnnoticed), i.confirmation.suspendedUntil)
+		i.recordRecovery(prefix, earliest(now, latestReturn))
 		i.logEvent("store_regained").WithFields(logrus.Fields{
 			"prefix":     prefix,
 			"contact_ms": millisecondsSince(now, i.lastResponseAt[prefix]),
--- a/internal/membership/informer/informer.go
+++ b/internal/membership/informer/informer.go
@@ -71,6 +71,10 @@
 	toldSince map[weightsVersion]time.Time
 	// lastResponseAt is when the last successful call for each prefix returned.
 	lastResponseAt map[string]time.Time
+	// calledAt is when the last call for each prefix was sent, and failedCallAt when the
+	// last one that failed was.
+	calledAt     map[string]time.Time
+	failedCallAt map[string]time.Time
 	// failing is true for prefixes whose last call failed.
 	failing map[string]bool
 	// recoveredAt is when the store last became available again for each prefix.
@@ -90,6 +94,8 @@
 		confirmation:   confirmation{readStopped: cfg.Suspended},
 		toldSince:      make(map[weightsVersion]time.Time),
 		lastResponseAt: make(map[string]time.Time),
+		calledAt:       make(map[string]time.Time),
+		failedCallAt:   make(map[string]time.Time),
 		failing:        make(map[string]bool),
 		recoveredAt:    make(map[string]time.Time),
 		changed:        make(chan struct{}),
--- a/internal/membership/informer/weights_age.go
+++ b/internal/membership/informer/weights_age.go
@@ -53,6 +53,7 @@
 func (i *Informer) HandleCall(now time.Time, prefix string, wait time.Duration) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	i.calledAt[prefix] = now
 	if prefix == i.cfg.OperatorPrefix {
 		i.handleTick(now)
 		i.confirmation.handleCall(now, wait)
