Check the store's entry again once a connection is open

A request reached an upstream whose entry had become draining while the connection opened, which may take 2 s. What upstreams state in responses was checked at that point, the entry was not. The admission of an attempt now checks both; the request is chosen anew and the attempt does not count.

--- a/internal/gateway/forwarder/withhold.go
+++ b/internal/gateway/forwarder/withhold.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"gentianstep.example/gentianstep/internal/failure/classifier"
@@ -114,10 +115,16 @@
 
 // admission returns a function that returns noticer.ErrWithheld if the chosen
 // upstream, or the one that it would copy KV cache from, takes no requests any
-// more.
+// more, by its entry or its notices.
 func (x *exchange) admission(u *registrar.Upstream) func() error {
 	lastResort, source := x.lastResort, x.sourceUpstream()
 	return func() error {
+		usable := slices.ContainsFunc(x.cfg.Directory.Usable(x.service), func(current *registrar.Upstream) bool {
+			return current.ID == u.ID && current.Address == u.Address
+		})
+		if !usable {
+			return noticer.ErrWithheld
+		}
 		if source != nil && !x.cfg.Noticer.IsOpen(source) {
 			return noticer.ErrWithheld
 		}
