Tell upstreams of the time that is left when the connection is open

Deadline-Ms held the time that was left before the connection was opened, up to 2 s more than the client would wait: the upstream worked on for nobody. The caller refreshes the header of a foreign protocol once it has a connection, before it is written.

TestDeadlineAfterDialling before, with 700 ms to open the connection: "1000 != 300"; after: passes, also with the race detector.

--- a/internal/gateway/forwarder/dial_test.go
+++ b/internal/gateway/forwarder/dial_test.go
@@ -44,3 +44,17 @@
 		})
 	}
 }
+
+// TestDeadlineAfterDialling sends a request over a connection that opens slowly. The
+// worker must be told of the time that is left then.
+func TestDeadlineAfterDialling(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, 1)
+		f.dialDelay.Store(int64(slowDial))
+		is.Equal(f.do(f.request(t, "idempotent", "request")).status, 200)
+		left := (timeout - slowDial).Milliseconds()
+		is.Equal(f.workers[0].Runs()[0].Header.Get("Deadline-Ms"), strconv.FormatInt(left, 10))
+	})
+}
--- a/internal/gateway/forwarder/dialect.go
+++ b/internal/gateway/forwarder/dialect.go
@@ -93,6 +93,8 @@
 	Decode(now time.Time, r *http.Request) (Request, error)
 	// Encode returns the headers of an attempt at an upstream.
 	Encode(now time.Time, r *Request, o AttemptOptions) http.Header
+	// SetDeadline sets the header that tells an upstream of the deadline.
+	SetDeadline(now time.Time, h http.Header, deadline time.Time)
 	// CheckResponse returns an error if a response is not signed, or does not
 	// belong to the request with that ID.
 	CheckResponse(id string, status int, h http.Header) error
--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -215,8 +215,9 @@
 		Path:      x.request.Target,
 		Body:      x.body,
 		Head: &caller.RequestHead{
-			Host:   x.request.Host,
-			Header: x.cfg.Dialect.Encode(now, x.request, options),
+			Host:    x.request.Host,
+			Header:  x.cfg.Dialect.Encode(now, x.request, options),
+			Refresh: func(h http.Header) { x.cfg.Dialect.SetDeadline(time.Now(), h, x.deadline) },
 			CheckResponse: func(status int, h http.Header) error {
 				head = x.cfg.Dialect.DecodeResponse(status, h)
 				x.cfg.Noticer.Record(u, head.Notice)
--- a/internal/upstream/caller/call.go
+++ b/internal/upstream/caller/call.go
@@ -11,6 +11,8 @@
 type RequestHead struct {
 	Host   string
 	Header http.Header
+	// Refresh, if set, updates the header once a connection is open.
+	Refresh func(h http.Header)
 	// CheckResponse returns an error if a response does not belong to the request.
 	CheckResponse func(status int, header http.Header) error
 }
--- a/internal/upstream/caller/caller.go
+++ b/internal/upstream/caller/caller.go
@@ -77,6 +77,9 @@
 		cancel(nil)
 		return nil, &Failure{Upstream: target.Name, NotRun: true, Err: err}
 	}
+	if call.Head != nil && call.Head.Refresh != nil {
+		e.onConnection = func() { call.Head.Refresh(request.Header) }
+	}
 	client := &http.Client{
 		Transport:     c.pool.transport(target.Address, call.NewConnection),
 		CheckRedirect: disableRedirects,
--- a/internal/upstream/caller/exchange.go
+++ b/internal/upstream/caller/exchange.go
@@ -9,6 +9,8 @@
 type exchange struct {
 	// onReuse is called when the call is sent on a reused connection.
 	onReuse func()
+	// onConnection, if set, is called before the call is sent on a connection.
+	onConnection func()
 	// admit reports whether the call may be sent; nil admits it.
 	admit func() bool
 
@@ -29,6 +31,9 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.onConnection != nil {
+		e.onConnection()
+	}
 	if e.conn != nil {
 		// The transport replaces the connection; the previous one must send no more.
 		e.sent = e.conn.abort(e) || e.sent
