Keep notices in misdirected responses for the instance that sent them

A 421 that names no instance comes from another process than the expected one, or from that one in another state; a mark of leaving in it counted for the expected one and was lost for the other, whose entry the VM may not have yet. The withholder keeps it by address now and applies it to whichever upstream had started there by then, by its start time; without one nothing is guessed.

--- a/internal/routing/withholder/departure.go
+++ b/internal/routing/withholder/departure.go
@@ -13,7 +13,7 @@
 // RecordDeparture records that an incarnation has told another VM that it is
 // leaving, and returns the resulting changes. It may not be known here yet.
 func (w *Withholder) RecordDeparture(now time.Time, i Incarnation) []Change {
-	r := w.records[i.ID]
+	r := w.records[i.key()]
 	switch {
 	case r == nil || r.incarnation.endedBy(i):
 		r = w.create(i)
@@ -30,7 +30,8 @@
 func (w *Withholder) Departures(now time.Time) []Incarnation {
 	var list []Incarnation
 	for _, r := range w.records {
-		if !r.heard && !r.drainUntil.IsZero() && now.Before(r.drainUntil.Add(departureTTL)) {
+		known := r.incarnation.ID != "" && !r.heard
+		if known && !r.drainUntil.IsZero() && now.Before(r.drainUntil.Add(departureTTL)) {
 			list = append(list, r.incarnation)
 		}
 	}
--- a/internal/routing/withholder/notice.go
+++ b/internal/routing/withholder/notice.go
@@ -7,6 +7,9 @@
 type Notice struct {
 	// Instance is the ID of the responding instance, empty if not stated.
 	Instance string
+	// Misdirected is true if the request was meant for another instance or another
+	// state of this one. The sender is then not known unless stated.
+	Misdirected bool
 	// Leaving is true if the instance is shutting down and wants no new requests.
 	Leaving bool
 	// HoldOff is how long the instance wants no requests; 0 if not stated.
--- a/internal/routing/withholder/withholder.go
+++ b/internal/routing/withholder/withholder.go
@@ -43,12 +43,12 @@
 // concurrent use.
 type Withholder struct {
 	cfg     Config
-	records map[string]*record
+	records map[recordKey]*record
 }
 
 // New returns a Withholder without notices.
 func New(cfg Config) *Withholder {
-	return &Withholder{cfg: cfg, records: make(map[string]*record)}
+	return &Withholder{cfg: cfg, records: make(map[recordKey]*record)}
 }
 
 // SetConfig replaces the bounds of further notices.
@@ -61,7 +61,7 @@
 // resulting changes.
 func (w *Withholder) Record(now time.Time, u *registrar.Upstream, n Notice) []Change {
 	incarnation := incarnationOf(u, n)
-	r := w.records[incarnation.ID]
+	r := w.records[incarnation.key()]
 	if r != nil && r.endedBy(incarnation) {
 		r = nil
 	}
@@ -151,7 +151,8 @@
 
 // find returns the record that applies to u, or nil if there is none.
 func (w *Withholder) find(u *registrar.Upstream) *record {
-	r := w.records[u.ID]
+	w.identify(u)
+	r := w.records[recordKey{id: u.ID}]
 	if r == nil || r.endedBy(Incarnation{ID: u.ID, Address: u.Address, StartedAt: u.StartedAt}) {
 		return nil
 	}
@@ -161,14 +162,32 @@
 	return r
 }
 
+// identify applies the notice of an unknown process at the address of u to u if u had
+// started by then.
+func (w *Withholder) identify(u *registrar.Upstream) {
+	unknown := w.records[recordKey{address: u.Address}]
+	if unknown == nil || u.StartedAt.IsZero() || u.StartedAt.After(unknown.toldAt) {
+		return
+	}
+	i := Incarnation{ID: u.ID, Address: u.Address, StartedAt: u.StartedAt}
+	r := w.records[recordKey{id: u.ID}]
+	if r == nil || r.endedBy(i) {
+		r = w.create(i)
+		r.toldAt = unknown.toldAt
+	}
+	if r.drainUntil.IsZero() {
+		r.drainUntil = unknown.drainUntil
+	}
+}
+
 // create adds a record. It replaces that of an earlier incarnation, and the
 // record with the oldest notice if there are too many.
 func (w *Withholder) create(i Incarnation) *record {
-	if _, replaced := w.records[i.ID]; !replaced && len(w.records) >= maxRecords {
+	if _, replaced := w.records[i.key()]; !replaced && len(w.records) >= maxRecords {
 		w.evictOldest()
 	}
 	r := &record{incarnation: i}
-	w.records[i.ID] = r
+	w.records[i.key()] = r
 	return r
 }
 
@@ -179,5 +198,5 @@
 			oldest = r
 		}
 	}
-	delete(w.records, oldest.incarnation.ID)
+	delete(w.records, oldest.incarnation.key())
 }
--- a/internal/routing/withholder/withholder_test.go
+++ b/internal/routing/withholder/withholder_test.go
@@ -29,6 +29,8 @@
 	Leaving   bool   `json:"leaving"`
 	HoldOffMS int    `json:"hold_off_ms"`
 	Accepted  bool   `json:"accepted"`
+	// Misdirected is true if the response says that it is not of the upstream.
+	Misdirected bool `json:"misdirected"`
 	// Changes lists the expected changes and their ends.
 	Changes []change `json:"changes"`
 	// Access is the expected access: open, last_resort, paced, held or closed.
@@ -77,7 +79,7 @@
 	}
 	var recorded []withholder.Change
 	if s.Told {
-		notice := withholder.Notice{Instance: s.Instance, Leaving: s.Leaving, HoldOff: time.Duration(s.HoldOffMS) * time.Millisecond, Accepted: s.Accepted}
+		notice := withholder.Notice{Instance: s.Instance, Leaving: s.Leaving, HoldOff: time.Duration(s.HoldOffMS) * time.Millisecond, Accepted: s.Accepted, Misdirected: s.Misdirected}
 		recorded = w.Record(now, u, notice)
 	}
 	if s.Heard {
