--- a/internal/upstream/caller/exchange.go
+++ b/internal/upstream/caller/exchange.go
@@ -12,6 +12,8 @@
 	ctx context.Context
 	// onReuse is called when the call is sent on a reused connection.
 	onReuse func()
+	// onConnection, if set, is called before the call is sent on a connection.
+	onConnection func()
 	// admit reports whether the call may be sent; nil admits it.
 	admit func() bool
 
@@ -32,6 +34,9 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.onConnection != nil {
+		e.onConnection()
+	}
 	if e.conn != nil {
 		// The transport replaces the connection; the previous one must send no more.
 		e.sent = e.conn.abort(e) || e.sent
