--- a/internal/standin/soaker/soaker.go
+++ b/internal/standin/soaker/soaker.go
@@ -87,6 +87,9 @@
 	variants map[string]int
 	// endAt is the end of the last step.
 	endAt time.Time
+	// idleDescriptors is the highest number of open descriptors of a gateway before
+	// the first call.
+	idleDescriptors int
 }
 
 // Soak runs a soak and returns its verdict. On a failure, the folder holds what is
@@ -121,7 +124,7 @@
 		processes.Wait()
 		return Verdict{}, err
 	}
-	s.checkProcesses()
+	s.checkProcesses(ctx)
 	cancel()
 	processes.Wait()
 	return s.judge()
@@ -150,6 +153,7 @@
 	if !poll(ctx, startTimeout, s.fleet.isReady) {
 		return fmt.Errorf("start of gateways: not all are ready within %s", startTimeout)
 	}
+	s.countIdle()
 	callersCtx, stopCallers := context.WithCancel(ctx)
 	defer stopCallers()
 	var callers sync.WaitGroup
--- a/internal/standin/soaker/verdict.go
+++ b/internal/standin/soaker/verdict.go
@@ -26,6 +26,7 @@
 	Recovery     Promise = "recovery"
 	OwnEnd       Promise = "no_own_end"
 	MemoryLimit  Promise = "memory_limit"
+	Growth       Promise = "growth"
 	NewerWeights Promise = "newer_weights"
 )
 
