--- a/internal/standin/soaker/journal.go
+++ b/internal/standin/soaker/journal.go
@@ -32,6 +32,7 @@
 type Call struct {
 	ID      string `json:"id"`
 	Route   string `json:"route"`
+	Service string `json:"service,omitempty"`
 	Key     string `json:"key"`
 	Gateway string `json:"gateway"`
 	// Process is the number of the gateway's process when the call was sent.
