--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -18,7 +18,6 @@
 	"github.com/sirupsen/logrus"
 
 	"gentianstep.example/gentianstep/internal/failure/classifier"
-	"gentianstep.example/gentianstep/internal/gateway/noticer"
 	"gentianstep.example/gentianstep/internal/membership/informer"
 	"gentianstep.example/gentianstep/internal/membership/registrar"
 	"gentianstep.example/gentianstep/internal/operating/meter"
@@ -27,6 +26,7 @@
 	"gentianstep.example/gentianstep/internal/routing/matcher"
 	"gentianstep.example/gentianstep/internal/routing/picker"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
+	"gentianstep.example/gentianstep/internal/upstream/noticer"
 )
 
 // startupRetryAfter is the mean Retry-After of a VM that has no configuration
@@ -68,13 +68,15 @@
 	weightsApply atomic.Int64
 	stopping     atomic.Bool
 
-	// mu guards picker, budget, queues and overload.
+	// mu guards picker, budget, queues, overload and linkProvenAt.
 	mu     sync.Mutex
 	picker *picker.Picker
 	budget *budgeter.Budgeter
 	queues map[string]*waitQueue
 	// overload derives the Retry-After of refused long prompts.
 	overload overloadTracker
+	// linkProvenAt is when the latest attempt that was answered was sent.
+	linkProvenAt time.Time
 	// urgentReports has a buffer of one, so that sending never blocks a
 	// request.
 	urgentReports chan struct{}
--- a/internal/gateway/forwarder/old_weights_test.go
+++ b/internal/gateway/forwarder/old_weights_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -38,12 +39,21 @@
 	SecondVersionMS int `json:"second_version_ms"`
 	// NewerMS is when another engine registers with the newest weights, OrderedMS
 	// when the engine is ordered to change its weights; 0 for never.
-	NewerMS         int `json:"newer_ms"`
-	OrderedMS       int `json:"ordered_ms"`
+	NewerMS   int `json:"newer_ms"`
+	OrderedMS int `json:"ordered_ms"`
+	// ChangedMS is when the engine changes to version 2 and keeps what waits,
+	// ReportedMS when the VM is told that it has; 0 for never.
+	ChangedMS       int `json:"changed_ms"`
+	ReportedMS      int `json:"reported_ms"`
 	EventIntervalMS int `json:"event_interval_ms"`
-	// DelayMS is the time that bytes take from the VM to the engine.
+	// DelayMS is the time that bytes take from the VM to the engine, from SlowMS on if
+	// that is set.
 	DelayMS int `json:"delay_ms"`
-	Status  int `json:"status"`
+	SlowMS  int `json:"slow_ms"`
+	// KeptMS is how long before SentMS another request was served on a connection that
+	// is kept; 0 for none.
+	KeptMS int `json:"kept_ms"`
+	Status int `json:"status"`
 	// OtherRequests is the number of requests that other VMs have at the engine.
 	OtherRequests int `json:"other_requests"`
 	// Runs counts the requests that began at an engine. Unsent is true if none
@@ -76,8 +86,7 @@
 	f.directory.setUpstreams(f.directory.Usable("s")[:1])
 	f.workers[0].Slots = 1
 	f.workers[0].EventInterval = time.Duration(row.EventIntervalMS) * time.Millisecond
-	f.workers[0].OccupySlots(1)
-	f.network.Delay(workerAddress(0).String(), time.Duration(row.DelayMS)*time.Millisecond)
+	slow := func() { f.network.Delay(workerAddress(0).String(), time.Duration(row.DelayMS)*time.Millisecond) }
 	named := time.Now().Add(5 * time.Second)
 	versions := []informer.Weights{{Version: 2, Since: named}}
 	at := func(ms int, do func()) {
@@ -101,6 +110,19 @@
 	if row.OrderedMS != 0 {
 		at(row.OrderedMS, func() { f.workers[0].ChangeWeights("m", 2) })
 	}
+	if row.ChangedMS != 0 {
+		at(row.ChangedMS, func() { f.workers[0].SetModel("m", 2) })
+	}
+	if row.SlowMS == 0 {
+		slow()
+	} else {
+		at(row.SlowMS, slow)
+	}
+	kept := f.keepConnection(t, named.Add(time.Duration(row.SentMS-row.KeptMS)*time.Millisecond), row.KeptMS != 0)
+	f.workers[0].OccupySlots(1)
+	if row.ReportedMS != 0 {
+		at(row.ReportedMS, func() { f.reportWeights(t, 2) })
+	}
 	at(row.FreedMS, func() { f.workers[0].FreeSlots(1) })
 
 	time.Sleep(time.Until(named.Add(time.Duration(row.SentMS) * time.Millisecond)))
@@ -118,9 +140,38 @@
 	is.NoErr(a.err)
 	is.Equal(a.status, row.Status)
 	is.Equal(a.header.Get("Retry-After") != "", row.Status == http.StatusServiceUnavailable)
-	is.Equal(f.runs(), row.Runs)
-	is.Equal(f.arrivals() == 0, row.Unsent)
-	is.Equal(strings.Count(f.log.String(), `"event":"request"`), 1)
+	is.Equal(f.runs()-kept, row.Runs)
+	is.Equal(f.arrivals()-kept == 0, row.Unsent)
+	is.True(f.arrivals()-kept <= testConfiguration().Routes[0].MaxAttempts)
+	is.Equal(strings.Count(f.log.String(), `"event":"request"`)-kept, 1)
+	line := f.log.String()[strings.LastIndex(f.log.String(), `"event":"request"`):]
+	is.True(kept == 0 || !strings.Contains(line, `"new_connection":true`)) // the kept one was used if any
+}
+
+// keepConnection has requests served at a time, if wanted, so that a connection is
+// kept. It returns their number.
+func (f *fixture) keepConnection(t *testing.T, at time.Time, wanted bool) int {
+	t.Helper()
+	if !wanted {
+		return 0
+	}
+	time.Sleep(time.Until(at))
+	const requests = 2 // the first may get a connection of its own
+	for n := range requests {
+		if a := f.do(f.request(t, "once", fmt.Sprint("kept-", n))); a.status != http.StatusOK {
+			t.Fatalf("request that keeps a connection: status %d, error %v", a.status, a.err)
+		}
+	}
+	return requests
+}
+
+// reportWeights tells the VM the weights of the first worker.
+func (f *fixture) reportWeights(t *testing.T, version uint64) {
+	t.Helper()
+	state := coordinator.State{Engines: []coordinator.Engine{{Upstream: f.workers[0].ID, Weights: map[string]uint64{"m": version}}}}
+	if err := f.view.Apply(time.Now(), state, nil); err != nil {
+		t.Errorf("report weights %d of %s: %v", version, f.workers[0].ID, err)
+	}
 }
 
 // configureLongTimeouts gives all routes a timeout that is longer than
--- /dev/null
+++ b/internal/gateway/forwarder/outdated.go
@@ -0,0 +1,52 @@
+package forwarder
+
+import (
+	"errors"
+	"time"
+
+	"gentianstep.example/gentianstep/internal/membership/registrar"
+)
+
+// errOutdated is the error of an attempt that was not sent since its engine's weights
+// had become too old while a connection was opened.
+var errOutdated = errors.New("weights of the engine are too old to be sent to")
+
+// checkWeights returns errOutdated if weights of a version must not be used for new
+// requests any more. It is called right before the first byte of an attempt.
+func (x *exchange) checkWeights(u *registrar.Upstream, version uint64) error {
+	if !x.route.CarriesPrompt {
+		return nil
+	}
+	now := time.Now()
+	if oldest, _, _ := x.wantedWeights(now, x.request.Prompt.Model); version >= oldest {
+		return nil
+	}
+	x.logAttempt("attempt_outdated", now, u).Info("request is not sent, the weights of its engine are too old")
+	return errOutdated
+}
+
+// needsNewConnection reports whether an attempt may only be sent on a connection that
+// was opened for it. Bytes on a kept connection may be held back on the VM's link for
+// seconds, and so may be those that withdraw them. With older weights that is too
+// late, unless an upstream has lately shown that what the VM sends arrives.
+func (x *exchange) needsNewConnection(now time.Time) bool {
+	if !x.route.CarriesPrompt {
+		return false
+	}
+	history := x.cfg.Directory.DesiredWeightsHistory(x.request.Prompt.Model)
+	if len(history) == 0 || history[len(history)-1].Version <= x.choice.WeightsVersion {
+		return false
+	}
+	allowed := time.Duration((1 - withdrawShare) * float64(x.weightsApply.Load()))
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return now.Sub(x.linkProvenAt) > allowed
+}
+
+// recordLinkProof records that an attempt was answered, so that what was sent with it
+// has arrived. The caller holds x.mu.
+func (x *exchange) recordLinkProof() {
+	if x.sentAt.After(x.linkProvenAt) {
+		x.linkProvenAt = x.sentAt
+	}
+}
