--- a/cmd/gentianstep/gateway_fixture_test.go
+++ b/cmd/gentianstep/gateway_fixture_test.go
@@ -24,6 +24,11 @@
 	metrics  string
 }
 
+// registration is what the entry of a worker states besides its own state.
+type registration struct {
+	service, address string
+}
+
 // platformFixture is a platform store with two workers. Its methods start and
 // query the VMs that route to the workers.
 type platformFixture struct {
@@ -33,12 +38,14 @@
 	address      string
 	engineWorker *platformtest.Worker
 	appWorker    *platformtest.Worker
-	client       *http.Client
+	// registrations holds the registration of each worker.
+	registrations map[*platformtest.Worker]registration
+	client        *http.Client
 }
 
 func newPlatform(t *testing.T) *platformFixture {
 	t.Helper()
-	p := &platformFixture{t: t, store: platformtest.NewStore(), client: &http.Client{Timeout: 10 * time.Second}}
+	p := &platformFixture{t: t, store: platformtest.NewStore(), registrations: make(map[*platformtest.Worker]registration), client: &http.Client{Timeout: 10 * time.Second}}
 	p.door = p.store.NewEndpoint()
 	server := httptest.NewServer(p.door)
 	t.Cleanup(func() {
@@ -61,7 +68,14 @@
 		server.CloseClientConnections()
 		server.Close()
 	})
-	p.store.Put(w.Key(), w.Entry(service, strings.TrimPrefix(server.URL, "http://"), "z1", 8))
+	p.registrations[w] = registration{service, strings.TrimPrefix(server.URL, "http://")}
+	p.register(w)
+}
+
+// register writes the entry of a worker.
+func (p *platformFixture) register(w *platformtest.Worker) {
+	r := p.registrations[w]
+	p.store.Put(w.Key(), w.Entry(r.service, r.address, "z1", 8))
 }
 
 func (p *platformFixture) configure(version int, keys ...string) {
@@ -88,6 +102,11 @@
 	})
 }
 
+// nameWeights writes the wanted version of a model's weights.
+func (p *platformFixture) nameWeights(model string, version int) {
+	p.store.Put("op/version/"+model, map[string]any{"model": model, "version": version})
+}
+
 // freePorts returns four free ports. The last two are consecutive because
 // internal_ports is a range.
 func freePorts(t *testing.T) []uint16 {
--- a/cmd/gentianstep/gateway_test.go
+++ b/cmd/gentianstep/gateway_test.go
@@ -53,7 +53,7 @@
 	}
 
 	t.Log("publish a new weights version")
-	p.store.Put("op/version/m", map[string]any{"model": "m", "version": 2})
+	p.nameWeights("m", 2)
 	eventually(t, "engine loads the new weights version", func() bool { return p.engineWorker.Version("m") == 2 })
 
 	t.Log("the store stops responding")
