Leave a connection to the pool once its response has ended

Callers saw: a request is refused, or waits out a cooldown, although its engine is well.

Cause: the transport takes a connection back as soon as a response without a body has arrived, or one with a body has been read to its end. A discard then closed it in the pool, and the next call got it before the transport saw that.

Ruled out: closing only after another look at the owner, since the call that is about to get the connection is not known to it.

Change: an exchange is told when the transport takes its connection back, and closes it no more. A response that belongs to another request must still not be followed by another on its connection, so that idle ones are then closed by the transport, which takes them out of the pool first.

--- a/internal/upstream/caller/answer.go
+++ b/internal/upstream/caller/answer.go
@@ -83,7 +83,8 @@
 	return errTrailingData
 }
 
-// Discard releases a response and closes its connection.
+// Discard releases a response and closes its connection, unless the response has ended
+// and the transport has taken the connection back.
 func (a *Response) Discard() {
 	a.exchange.abort()
 	a.watchdog.stop()
--- a/internal/upstream/caller/caller.go
+++ b/internal/upstream/caller/caller.go
@@ -97,6 +97,7 @@
 	call.RequireEcho = call.RequireEcho && httpResponse.StatusCode == http.StatusOK
 	if err := checkResponse(httpResponse, call); err != nil {
 		response.Discard()
+		c.CloseIdle(target) // the transport may have taken the connection back
 		return nil, &Failure{Upstream: target.Name, Sent: true, Reused: response.Reused, Err: err}
 	}
 	return response, nil
--- a/internal/upstream/caller/caller_test.go
+++ b/internal/upstream/caller/caller_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -219,3 +220,35 @@
 		third.Discard()
 	})
 }
+
+// TestDiscardLeavesReturnedConnection discards responses that have ended. The
+// transport has taken their connections back, and another call may be about to use
+// them, which must not find them closed.
+func TestDiscardLeavesReturnedConnection(t *testing.T) {
+	t.Parallel()
+	for _, body := range []string{"", "body"} {
+		t.Run(fmt.Sprint(len(body), " bytes"), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				text := fmt.Sprintf("HTTP/1.1 503 Busy\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+				s := &server{scripts: []script{{ReadBytes: -1, Response: text, Hold: true}}}
+				c := caller.New(caller.Config{Dial: s.dial})
+				defer synctest.Wait()
+				defer c.Close()
+				target := caller.Target{Name: "up", Address: netip.MustParseAddrPort("10.0.0.1:80")}
+				call := caller.Call{Method: http.MethodPost, Path: "/", FirstByteDeadline: time.Now().Add(time.Second), IdleTimeout: time.Second}
+				first, err := c.Do(t.Context(), target, call)
+				is.NoErr(err)
+				_, err = io.ReadAll(first)
+				is.NoErr(err)
+				first.Discard()
+				synctest.Wait()
+				_, err = c.Do(t.Context(), target, call)
+				var failure *caller.Failure
+				is.True(errors.As(err, &failure)) // the script does not answer
+				is.True(failure.Reused)
+			})
+		})
+	}
+}
--- a/internal/upstream/caller/connection.go
+++ b/internal/upstream/caller/connection.go
@@ -84,11 +84,12 @@
 
 // abort closes the connection and fails all later writes. It reports whether a
 // write of the request of e has begun. It leaves alone a connection that carries
-// the request of another exchange: the transport reuses one as soon as a response
-// without a body has arrived.
+// the request of another exchange, or that has carried the response to its end: the
+// transport takes one back as soon as a response without a body has arrived, and
+// may have given it to another call.
 func (c *connection) abort(e *exchange) bool {
 	c.mu.Lock()
-	if c.owner != e {
+	if c.owner != e || c.ended {
 		c.mu.Unlock()
 		return true
 	}
--- a/internal/upstream/caller/exchange.go
+++ b/internal/upstream/caller/exchange.go
@@ -22,7 +22,7 @@
 }
 
 func (e *exchange) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: e.gotConn}
+	return &httptrace.ClientTrace{GotConn: e.gotConn, PutIdleConn: e.putIdleConn}
 }
 
 func (e *exchange) gotConn(info httptrace.GotConnInfo) {
@@ -43,6 +43,13 @@
 	}
 }
 
+// putIdleConn is called when the transport has taken the connection back.
+func (e *exchange) putIdleConn(err error) {
+	if err == nil {
+		e.end()
+	}
+}
+
 // abort closes the connection and reports whether a byte of the call may have
 // been sent.
 func (e *exchange) abort() bool {
