Return responses to requests that were not read to their end

Callers saw: a request that its upstream refuses before it has read the body ends with an unknown outcome, although the refusal states that it was not run.

Cause: an upstream that responds and closes its connection with unread bytes resets it. If the transport sees the failed write before the response, it drops the response.

Ruled out: a loss within the kernel. What arrived before the reset can still be read.

Change: a failed write is reported once a read has failed as well or the connection is closed. The deadline of the call bounds that as before.

--- a/internal/upstream/caller/connection.go
+++ b/internal/upstream/caller/connection.go
@@ -21,6 +21,19 @@
 	ended   bool
 	sent    bool
 	aborted bool
+
+	// unreadable is closed once a read has failed or the connection was closed.
+	unreadable     chan struct{}
+	markUnreadable func()
+}
+
+func newConnection(conn net.Conn) *connection {
+	unreadable := make(chan struct{})
+	return &connection{
+		Conn:           conn,
+		unreadable:     unreadable,
+		markUnreadable: sync.OnceFunc(func() { close(unreadable) }),
+	}
 }
 
 // beginRequest records the start of the request of e and reports whether the
@@ -42,12 +55,26 @@
 	}
 }
 
-// Write implements net.Conn.
+// Read implements net.Conn.
+func (c *connection) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	if err != nil {
+		c.markUnreadable()
+	}
+	return n, err
+}
+
+// Write implements net.Conn. It returns an error only once nothing more can be read,
+// since the transport drops a response that it reads after a failed write.
 func (c *connection) Write(data []byte) (int, error) {
 	if !c.markSent() {
 		return 0, errAborted
 	}
-	return c.Conn.Write(data)
+	n, err := c.Conn.Write(data)
+	if err != nil {
+		<-c.unreadable
+	}
+	return n, err
 }
 
 func (c *connection) markSent() bool {
@@ -69,6 +96,7 @@
 	if abandoned {
 		discardUnsent(c.Conn)
 	}
+	c.markUnreadable()
 	return c.Conn.Close()
 }
 
--- a/internal/upstream/caller/pool.go
+++ b/internal/upstream/caller/pool.go
@@ -67,7 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &connection{Conn: conn}, nil
+	return newConnection(conn), nil
 }
 
 // transport returns the HTTP transport for a call to address.
