Fail a call whose upstream switches protocols

Callers saw: nothing, for good, if an upstream responds with status 101. Neither the deadline of the call nor the end of its context ends the read of the body.

Cause: the transport hands the connection over with such a response and watches the call no more. No call requests a switch.

Ruled out: status 101 without Upgrade, 100 and 103. The first has an empty body, the transport passes over the others, within its limit of header bytes.

--- a/internal/upstream/caller/caller.go
+++ b/internal/upstream/caller/caller.go
@@ -114,6 +114,9 @@
 // of call.
 func checkResponse(response *http.Response, call Call) error {
 	header := response.Header
+	if response.StatusCode == http.StatusSwitchingProtocols {
+		return errProtocolSwitch
+	}
 	if call.Head != nil {
 		return call.Head.CheckResponse(response.StatusCode, header)
 	}
--- a/internal/upstream/caller/failure.go
+++ b/internal/upstream/caller/failure.go
@@ -13,6 +13,10 @@
 	ErrResponseMismatch = errors.New("response belongs to another request")
 )
 
+// errProtocolSwitch reports a response of status 101. Reads of what follows it would
+// not end with the call, and no call requests it.
+var errProtocolSwitch = errors.New("upstream switches to another protocol")
+
 // Failure is a failed call to an upstream. Only errors of the call itself have
 // this type.
 type Failure struct {
