--- a/internal/upstream/caller/caller.go
+++ b/internal/upstream/caller/caller.go
@@ -115,6 +115,7 @@
 	call.RequireEcho = call.RequireEcho && httpResponse.StatusCode == http.StatusOK
 	if err := checkResponse(httpResponse, call); err != nil {
 		response.Discard()
+		c.CloseIdle(target) // the transport may have taken the connection back
 		return nil, &Failure{Upstream: target.Name, Sent: true, Reused: response.Reused, Err: err}
 	}
 	return response, nil
@@ -131,6 +132,9 @@
 // of call.
 func checkResponse(response *http.Response, call Call) error {
 	header := response.Header
+	if response.StatusCode == http.StatusSwitchingProtocols {
+		return errProtocolSwitch
+	}
 	if call.Head != nil {
 		return call.Head.CheckResponse(response.StatusCode, header)
 	}
