Measure the time until calm after a restore of the store

What was unknown: how long the VMs of a deployment take after a restore of the store until their entries, the lease and their replicas are as before, and what they ask of the store meanwhile. Only the writes of lost entries were tested, apart from the rest.

Change: a test runs the loops of a gateway that call the store (replicas, relays, entry, lease) for 9 and 48 VMs in virtual time, and for as many as RESTORED_VMS says by hand, against one store that is restored twice. Bounds are those of the deployments: calls within the store's limits, configuration within its time of 2.5 s, upstreams within 2 s and the drain time, the lease within half of the time for new weights, entries of VMs within the time for which missing ones are retained. For this a gateway takes its dialer and the clock of its leaser from its configuration, its clients share one constructor, and its loops are in a file of their own; what a process does is the same.

--- a/internal/operating/starter/coordination.go
+++ b/internal/operating/starter/coordination.go
@@ -25,7 +25,7 @@
 			DrainSentParts: g.forwarder.DrainSentParts,
 			UrgentReports:  g.forwarder.UrgentReports(),
 			View:           g.view,
-			Client:         &http.Client{Transport: newGatewayTransport()},
+			Client:         g.newClient(),
 			Log:            g.log,
 		}).Run,
 		listener.New(listener.Config{
--- a/internal/operating/starter/dial.go
+++ b/internal/operating/starter/dial.go
@@ -55,13 +55,12 @@
 	return nil
 }
 
-// newGatewayTransport returns an HTTP transport without TLS that connects with
-// newDialer.
-func newGatewayTransport() *http.Transport {
-	return &http.Transport{
-		DialContext:         newDialer().DialContext,
+// newClient returns an HTTP client with connections of its own, without TLS.
+func (g *gateway) newClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         g.dial,
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     upstreamIdleTimeout,
 		DisableCompression:  true,
-	}
+	}}
 }
--- a/internal/operating/starter/gateway.go
+++ b/internal/operating/starter/gateway.go
@@ -2,18 +2,11 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
-	"net"
-	"net/http"
-	"net/netip"
 	"runtime/debug"
-	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sync/errgroup"
 
 	"gentianstep.example/gentianstep/internal/gateway/forwarder"
 	"gentianstep.example/gentianstep/internal/gateway/noticer"
@@ -21,14 +14,12 @@
 	"gentianstep.example/gentianstep/internal/membership/informer"
 	"gentianstep.example/gentianstep/internal/membership/ranker"
 	"gentianstep.example/gentianstep/internal/operating/configurer"
-	"gentianstep.example/gentianstep/internal/operating/limiter"
 	"gentianstep.example/gentianstep/internal/operating/meter"
 	"gentianstep.example/gentianstep/internal/operating/timekeeper"
 	"gentianstep.example/gentianstep/internal/peering/coordinator"
 	"gentianstep.example/gentianstep/internal/peering/exchanger"
 	"gentianstep.example/gentianstep/internal/peering/relayer"
 	"gentianstep.example/gentianstep/internal/placement/leaser"
-	"gentianstep.example/gentianstep/internal/placement/upgrader"
 	"gentianstep.example/gentianstep/internal/platform/storer"
 	"gentianstep.example/gentianstep/internal/routing/picker"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
@@ -98,6 +89,7 @@
 	// reloadError is the error text of the last reload, or empty if it succeeded.
 	reloadError  string
 	platform     Platform
+	dial         caller.DialFunc
 	log          *logrus.Entry
 	meter        *meter.Meter
 	informer     *informer.Informer
@@ -121,14 +113,30 @@
 	if settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.MemoryBytes)))
 	}
-	g := newGateway(settings, p, log)
+	g := newGateway(gatewayConfig{
+		Settings: settings,
+		Platform: p,
+		Dial:     newDialer().DialContext,
+		Log:      log,
+	})
 	return g.run(ctx)
 }
 
-func newGateway(settings *configurer.VMSettings, p Platform, log *logrus.Entry) *gateway {
-	g := &gateway{platform: p, log: log, meter: meter.New()}
+// gatewayConfig configures a gateway.
+type gatewayConfig struct {
+	Settings *configurer.VMSettings
+	Platform Platform
+	Dial     caller.DialFunc
+	// SinceBoot reads the clock of the leaser, see leaser.Config.
+	SinceBoot func() time.Duration
+	Log       *logrus.Entry
+}
+
+func newGateway(cfg gatewayConfig) *gateway {
+	settings, p, log := cfg.Settings, cfg.Platform, cfg.Log
+	g := &gateway{platform: p, log: log, meter: meter.New(), dial: cfg.Dial}
 	g.settings.Store(settings)
-	g.store = p.NewStore(settings.Store.Address, &http.Client{Transport: newGatewayTransport()})
+	g.store = p.NewStore(settings.Store.Address, g.newClient())
 	g.informer = informer.New(informer.Config{
 		Codec:             p.Codec,
 		OperatorPrefix:    p.OperatorPrefix,
@@ -145,7 +153,7 @@
 	})
 	g.vms = &vmDirectory{informer: g.informer, log: log}
 	g.noticer = noticer.New(noticer.Config{Bounds: noticeBounds(settings), Meter: g.meter, Log: log})
-	g.engineClient = p.NewEngineClient(&http.Client{Transport: newGatewayTransport()}, g.noticer)
+	g.engineClient = p.NewEngineClient(g.newClient(), g.noticer)
 	g.view = coordinator.NewView()
 	g.hub = coordinator.NewHub(coordinator.HubConfig{
 		Active:   g.isHub,
@@ -157,7 +165,7 @@
 		Directory: g.informer,
 		View:      g.view,
 		Noticer:   g.noticer,
-		Caller:    caller.New(caller.Config{Dial: newDialer().DialContext, IdleTimeout: upstreamIdleTimeout}),
+		Caller:    caller.New(caller.Config{Dial: g.dial, IdleTimeout: upstreamIdleTimeout}),
 		Picker: picker.Config{
 			AvailabilityZone: settings.AvailabilityZone,
 			Regions:          settings.Regions,
@@ -171,14 +179,15 @@
 	g.exchanger = exchanger.New(exchanger.Config{
 		Replicas: g.informer,
 		Peers:    g.peerAddresses,
-		Client:   &http.Client{Transport: newGatewayTransport()},
+		Client:   g.newClient(),
 		Log:      log,
 	})
 	g.relayClient = g.newRelayClient()
 	g.leaser = leaser.New(leaser.Config{
-		Store: g.store,
-		Key:   weightsLeaseKey,
-		Node:  settings.Node,
+		SinceBoot: cfg.SinceBoot,
+		Store:     g.store,
+		Key:       weightsLeaseKey,
+		Node:      settings.Node,
 		Durations: func() (leaser.Durations, bool) {
 			return leaser.Durations{TTL: max(leaseTTL, settings.Store.MinLeaseTTL), OrderTimeout: settings.Bounds.Lease}, true
 		},
@@ -191,111 +200,3 @@
 	})
 	return g
 }
-
-// loops returns the background loops of the gateway.
-func (g *gateway) loops() []func(context.Context) {
-	settings := g.settings.Load()
-	loops := []func(context.Context){
-		g.informer.Run,
-		g.exchanger.Run,
-		g.forwarder.Run,
-		g.leaser.Run,
-		g.relayClient.Run,
-		g.runVMCount,
-		g.runReload,
-		upgrader.New(upgrader.Config{
-			Node:                settings.Node,
-			Directory:           engineDirectory{g.informer, g.noticer},
-			Lease:               g.leaser,
-			Engines:             g.engineClient,
-			OnLease:             g.hub.Reset,
-			OnChange:            g.publishEngineState,
-			InFlight:            g.inFlightByEngine,
-			WeightsApply:        settings.Bounds.WeightsApply,
-			EnginesCheckFencing: settings.Bounds.EnginesCheckFencing,
-			Log:                 g.log,
-		}).Run,
-		announcer.New(announcer.Config{
-			Store: g.store,
-			Key:   vmPrefix + settings.Node,
-			VM:    g.ownVM(),
-			Spread: func() time.Duration {
-				return announcer.Spread(len(g.vms.load().vms), g.settings.Load().Store.WritesPerSecond)
-			},
-			Log: g.log,
-		}).Run,
-	}
-	return slices.Concat(loops, g.followerLoops(), g.coordinationLoops())
-}
-
-// run serves until ctx is cancelled, then shuts down in stages: it fails the
-// readiness check, serves new requests until the balancer stops sending them,
-// and waits for open requests. The background loops run until the end.
-func (g *gateway) run(ctx context.Context) error {
-	settings := g.settings.Load()
-	clients, err := g.listen(ctx, settings.ClientAddress, limiter.TrackRequests(g.forwarder))
-	if err != nil {
-		return err
-	}
-	clients.listener = limiter.NewListener(limiter.ListenerConfig{
-		Listener: clients.listener,
-		Name:     callersListener,
-		Limit:    int(clientDescriptorShare * float64(settings.MaxDescriptors)),
-		Meter:    g.meter,
-	})
-	servers := []*http.Server{}
-	group, work := errgroup.WithContext(context.WithoutCancel(ctx))
-	work, stopWork := context.WithCancel(work)
-	defer stopWork()
-	serve := func(s *http.Server, l net.Listener) {
-		servers = append(servers, s)
-		group.Go(func() error {
-			if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-				return fmt.Errorf("serve %s: %w", l.Addr(), err)
-			}
-			return nil
-		})
-	}
-	serve(clients.server, clients.listener)
-	internalServers := []struct {
-		address netip.AddrPort
-		handler http.Handler
-	}{
-		{settings.ReadyAddress, http.HandlerFunc(g.serveReady)},
-		{settings.PeerAddress, g.peerHandler()},
-		{settings.MetricsAddress, g.meter},
-	}
-	for _, o := range internalServers {
-		s, err := g.listen(ctx, o.address, o.handler)
-		if err != nil {
-			return err
-		}
-		serve(s.server, s.listener)
-	}
-	for _, loop := range g.loops() {
-		group.Go(func() error {
-			loop(work)
-			return nil
-		})
-	}
-	g.log.WithFields(logrus.Fields{
-		"event":             "started",
-		"client_address":    settings.ClientAddress.String(),
-		"availability_zone": settings.AvailabilityZone,
-	}).Info("gateway started")
-	group.Go(func() error {
-		select {
-		case <-ctx.Done():
-			g.stop(clients.server)
-		case <-work.Done():
-		}
-		stopWork()
-		for _, s := range servers {
-			_ = s.Close()
-		}
-		return nil
-	})
-	err = group.Wait()
-	g.log.WithField("event", "stopped").Info("gateway stopped")
-	return err
-}
--- a/internal/operating/starter/gateway_store.go
+++ b/internal/operating/starter/gateway_store.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"net/netip"
 	"time"
 
@@ -47,7 +46,7 @@
 		},
 		MaxAge: g.maxReplicaAge,
 		Sink:   g.informer,
-		Client: &http.Client{Transport: newGatewayTransport()},
+		Client: g.newClient(),
 		Log:    g.log,
 	})
 }
