--- a/internal/operating/starter/coordination.go
+++ b/internal/operating/starter/coordination.go
@@ -27,7 +27,7 @@
 			OnDepartures:   g.noticer.RecordDepartures,
 			UrgentReports:  g.forwarder.UrgentReports(),
 			View:           g.view,
-			Client:         &http.Client{Transport: newGatewayTransport()},
+			Client:         g.newClient(),
 			Log:            g.log,
 		}).Run,
 		listener.New(listener.Config{
