Ignore changes that a replica has superseded

Callers saw: nothing yet. Found in review: a VM may go on sending requests to an upstream whose entry was removed.

Cause: the response to a watch that arrives late was applied entry by entry. If a relay has told meanwhile that an entry was added and removed, the late response adds it again.

Ruled out: updates of relays, which were compared with the version of the replica already.

Change: that comparison is made where changes are applied, for all sources.

--- a/internal/membership/informer/replica.go
+++ b/internal/membership/informer/replica.go
@@ -51,14 +51,13 @@
 	return changes
 }
 
-// apply applies changes in order and returns those that were not applied before.
+// apply applies changes in order and returns those that were not applied before. The
+// response to a watch may arrive after later changes from another VM.
 func (r *replica) apply(changes []storer.Change, version storer.Version) []storer.Change {
 	applied := make([]storer.Change, 0, len(changes))
-	for _, c := range changes {
+	for _, c := range newer(changes, r.version) {
 		known, ok := r.entries[c.Key]
 		switch {
-		case c.Era < r.version.Era:
-			continue
 		case !c.Removed && !r.put(c.Entry):
 			continue
 		case c.Removed && (!ok || !c.Version().After(known.Version())):
--- a/internal/membership/informer/update.go
+++ b/internal/membership/informer/update.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"gentianstep.example/gentianstep/internal/platform/storer"
@@ -118,9 +119,9 @@
 	if !version.After(r.version) && i.snapshots[u.Prefix] > 0 {
 		return true
 	}
-	startsEra, changes := r.startsEra(version), newer(u.Changes, r.version)
+	startsEra, changes := r.startsEra(version), u.Changes
 	if u.Complete {
-		changes = append(changes, r.missingFrom(u.Keys, version)...)
+		changes = append(slices.Clip(changes), r.missingFrom(u.Keys, version)...)
 		i.snapshots[u.Prefix]++
 	}
 	applied := i.update(now, u.Prefix, version, func(r *replica) []storer.Change { return r.apply(changes, version) })
