Withhold the fixed retry allowance from a process that has just started

Cause: a process counts itself as the only VM until it has read the entries of the others, and starts with a full share of the fixed allowance although the process before it has spent that share in the same window.

Ruled out: retries in proportion to requests. Both processes count their own requests only.

Change: the share of the fixed allowance is available one window after the start of the process. By then its predecessor's retries have left the window, and the other VMs are known.

TestRestartedFleetStaysWithinBudget failed before, 138 and 60 retries where 58 are allowed; now it passes, and also checks when the share becomes available. Cost: in its first window, a VM repeats at most the ratio of its requests.

--- a/internal/operating/starter/gateway.go
+++ b/internal/operating/starter/gateway.go
@@ -90,6 +90,7 @@
 	reloadError  string
 	platform     Platform
 	dial         caller.DialFunc
+	startedAt    time.Time
 	log          *logrus.Entry
 	meter        *meter.Meter
 	informer     *informer.Informer
@@ -134,7 +135,7 @@
 
 func newGateway(cfg gatewayConfig) *gateway {
 	settings, p, log := cfg.Settings, cfg.Platform, cfg.Log
-	g := &gateway{platform: p, log: log, meter: meter.New(), dial: cfg.Dial}
+	g := &gateway{platform: p, log: log, meter: meter.New(), dial: cfg.Dial, startedAt: time.Now()}
 	g.settings.Store(settings)
 	g.store = p.NewStore(settings.Store.Address, g.newClient())
 	g.informer = informer.New(informer.Config{
@@ -142,7 +143,7 @@
 		OperatorPrefix:    p.OperatorPrefix,
 		UpstreamPrefix:    p.UpstreamPrefix,
 		VMPrefix:          systemPrefix,
-		Started:           time.Now(),
+		Started:           g.startedAt,
 		InitialWeightsAge: settings.Bounds.WeightsApply / 2,
 		Suspended:         timekeeper.Suspended,
 		OnWeights:         func() { g.forwarder.HandleWeightsChange() },
@@ -171,7 +172,7 @@
 			Regions:          settings.Regions,
 			Seed:             nodeSeed(settings.Node),
 		},
-		Budget:       retryBudget(settings),
+		Budget:       g.retryBudget(settings),
 		WeightsApply: settings.Bounds.WeightsApply,
 		Meter:        g.meter,
 		Log:          log,
--- a/internal/operating/starter/reload.go
+++ b/internal/operating/starter/reload.go
@@ -50,7 +50,7 @@
 		return
 	}
 	g.settings.Store(settings)
-	g.forwarder.SetBounds(retryBudget(settings), settings.Bounds.WeightsApply)
+	g.forwarder.SetBounds(g.retryBudget(settings), settings.Bounds.WeightsApply)
 	g.noticer.SetBounds(noticeBounds(settings))
 	g.log.WithFields(logrus.Fields{
 		"event":          "reloaded",
@@ -78,10 +78,11 @@
 }
 
 // retryBudget returns the retry budget configured in the settings.
-func retryBudget(settings *configurer.VMSettings) budgeter.Config {
+func (g *gateway) retryBudget(settings *configurer.VMSettings) budgeter.Config {
 	return budgeter.Config{
-		Ratio:  settings.Bounds.RetryRatio,
-		Extra:  settings.Bounds.RetryExtra,
-		Window: settings.Bounds.RetryWindow,
+		Ratio:     settings.Bounds.RetryRatio,
+		Extra:     settings.Bounds.RetryExtra,
+		Window:    settings.Bounds.RetryWindow,
+		StartedAt: g.startedAt,
 	}
 }
--- a/internal/routing/budgeter/budgeter.go
+++ b/internal/routing/budgeter/budgeter.go
@@ -24,6 +24,10 @@
 	// Extra is the number of additional retries per window that all VMs share.
 	Extra  int
 	Window time.Duration
+	// StartedAt is when the process of this VM started, or zero if no other one may
+	// have run before. The share of Extra is available one Window later: the process
+	// before may have spent it, and the other VMs may not be known yet.
+	StartedAt time.Time
 }
 
 // Budgeter counts the requests and retries of each service and limits the
@@ -70,7 +74,7 @@
 // because that bucket may lie outside the window.
 func (b *Budgeter) AllowRetry(now time.Time, service string) bool {
 	w := b.window(now, service)
-	allowed := b.cfg.Ratio*float64(sum(w.requests)-w.requests[w.oldestBucket()]) + float64(b.cfg.Extra)/float64(b.vms)
+	allowed := b.cfg.Ratio*float64(sum(w.requests)-w.requests[w.oldestBucket()]) + b.extraShare(now)
 	if float64(sum(w.retries)+1) > usableFraction*allowed {
 		return false
 	}
@@ -78,6 +82,14 @@
 	return true
 }
 
+// extraShare returns the share of the fixed allowance that this VM may spend.
+func (b *Budgeter) extraShare(now time.Time) float64 {
+	if !b.cfg.StartedAt.IsZero() && now.Before(b.cfg.StartedAt.Add(b.cfg.Window)) {
+		return 0
+	}
+	return float64(b.cfg.Extra) / float64(b.vms)
+}
+
 func (b *Budgeter) window(now time.Time, service string) *window {
 	w, ok := b.services[service]
 	if !ok {
--- a/internal/routing/budgeter/restart_test.go
+++ b/internal/routing/budgeter/restart_test.go
@@ -26,9 +26,12 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
+			cfg := cfg
 			now, retries := time.Unix(0, 0), 0
+			var b *budgeter.Budgeter
 			for range row.processes {
-				b := budgeter.New(cfg)
+				cfg.StartedAt = now
+				b = budgeter.New(cfg)
 				b.SetVMs(row.known)
 				for range tries {
 					if b.AllowRetry(now, "s") {
@@ -39,6 +42,8 @@
 			}
 			t.Logf("%d retries", retries)
 			is.True(retries <= cfg.Extra) // the fixed allowance of one window
+			is.True(!b.AllowRetry(cfg.StartedAt.Add(cfg.Window-1), "s"))
+			is.True(b.AllowRetry(cfg.StartedAt.Add(cfg.Window), "s"))
 		})
 	}
 }
