--- a/internal/membership/informer/late_test.go
+++ b/internal/membership/informer/late_test.go
@@ -35,3 +35,19 @@
 	is.True(!found)
 	is.Equal(i.Version(platform.UpstreamPrefix), at(10))
 }
+
+// TestReplicaKeepsEntriesAfterItsVersion guards against an entry that vanishes. A
+// snapshot of several pages has the version of its first page, and may have later
+// entries, which a replica between those versions lacks.
+func TestReplicaKeepsEntriesAfterItsVersion(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	i, now := newInformer(), time.Now()
+	i.Replace(now, platform.UpstreamPrefix, []storer.Entry{lateEntry(7)}, at(5))
+	i.ApplyReplica(now, informer.Replica{Prefix: platform.UpstreamPrefix, Revision: 6})
+	_, found := i.Entry(lateKey)
+	is.True(found)
+	i.ApplyReplica(now, informer.Replica{Prefix: platform.UpstreamPrefix, Revision: 8})
+	_, found = i.Entry(lateKey)
+	is.True(!found) // removed at revision 8
+}
--- a/internal/membership/informer/replica.go
+++ b/internal/membership/informer/replica.go
@@ -27,7 +27,8 @@
 func newReplica() *replica { return &replica{entries: make(map[string]storer.Entry)} }
 
 // replace applies a snapshot and returns the resulting changes. A snapshot of an older
-// version than the replica's is ignored.
+// version than the replica's is ignored. Entries after its version are kept: the replica
+// has them from a snapshot of several pages, which has the version of the first.
 func (r *replica) replace(entries []storer.Entry, version storer.Version) []storer.Change {
 	if r.version.After(version) {
 		return nil
@@ -41,8 +42,8 @@
 			changes = append(changes, storer.Change{Entry: e})
 		}
 	}
-	for key := range r.entries {
-		if !listed[key] {
+	for key, known := range r.entries {
+		if !listed[key] && !known.Version().After(version) {
 			delete(r.entries, key)
 			changes = append(changes, removal(key, version))
 		}
