Renew and end leases by their ID and era

What VMs saw: after a restore the store assigns IDs of leases again. Renew and Revoke took the ID alone, so that a call for a lease of the era before could renew or end the lease of another VM, even though the client knew of the new era.

Change: both take a storer.Lease with its era.

--- a/internal/membership/announcer/announcer.go
+++ b/internal/membership/announcer/announcer.go
@@ -115,7 +115,7 @@
 // refreshEntry writes the entry under a new one. It returns the lease to renew next.
 func (a *Announcer) refreshEntry(ctx context.Context, lease storer.Lease) (storer.Lease, error) {
 	if lease.ID != 0 {
-		renewed, err := a.cfg.Store.Renew(ctx, lease.ID)
+		renewed, err := a.cfg.Store.Renew(ctx, lease)
 		if err != nil && !errors.Is(err, storer.ErrLeaseGone) {
 			return lease, err
 		}
@@ -170,7 +170,7 @@
 		return // the store was restored, and another VM may have a lease of this ID
 	}
 	if err == nil {
-		err = a.cfg.Store.Revoke(ctx, lease.ID)
+		err = a.cfg.Store.Revoke(ctx, lease)
 	}
 	if err != nil {
 		a.cfg.Log.WithError(err).WithField("event", "announce_failed").Debug("failed to remove the entry of this VM")
--- a/internal/membership/announcer/restore_test.go
+++ b/internal/membership/announcer/restore_test.go
@@ -45,8 +45,8 @@
 	return s.withEra(s.Keeper.Grant(ctx, ttl))
 }
 
-func (s *restorableStore) Renew(ctx context.Context, id uint64) (storer.Lease, error) {
-	return s.withEra(s.Keeper.Renew(ctx, id))
+func (s *restorableStore) Renew(ctx context.Context, lease storer.Lease) (storer.Lease, error) {
+	return s.withEra(s.Keeper.Renew(ctx, lease))
 }
 
 func (s *restorableStore) Get(ctx context.Context, key string) (storer.Entry, error) {
--- a/internal/placement/leaser/era_test.go
+++ b/internal/placement/leaser/era_test.go
@@ -45,8 +45,8 @@
 }
 
 // Renew implements storer.Store.
-func (s eraStore) Renew(ctx context.Context, id uint64) (storer.Lease, error) {
-	lease, err := s.Store.Renew(ctx, id)
+func (s eraStore) Renew(ctx context.Context, granted storer.Lease) (storer.Lease, error) {
+	lease, err := s.Store.Renew(ctx, granted)
 	lease.Era = s.era.Load()
 	return lease, err
 }
--- a/internal/placement/leaser/leaser.go
+++ b/internal/placement/leaser/leaser.go
@@ -264,7 +264,7 @@
 func (l *Leaser) renew(ctx context.Context, deadline time.Time) (storer.Lease, error) {
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	return l.cfg.Store.Renew(ctx, l.granted.ID)
+	return l.cfg.Store.Renew(ctx, l.granted)
 }
 
 // earlier returns the earlier of two times.
@@ -294,5 +294,5 @@
 	if known && entry.Era != l.granted.Era && !bytes.Equal(entry.Value, l.value) {
 		return // the ID of the lease may belong to another node
 	}
-	_ = l.cfg.Store.Revoke(ctx, l.granted.ID)
+	_ = l.cfg.Store.Revoke(ctx, l.granted)
 }
--- a/internal/placement/leaser/leaser_test.go
+++ b/internal/placement/leaser/leaser_test.go
@@ -63,7 +63,7 @@
 	return version, err
 }
 
-func (s *pausableStore) Renew(ctx context.Context, id uint64) (storer.Lease, error) {
+func (s *pausableStore) Renew(ctx context.Context, lease storer.Lease) (storer.Lease, error) {
 	if paused := s.paused.Load(); paused != nil {
 		<-*paused
 	}
@@ -71,7 +71,7 @@
 		<-ctx.Done()
 		return storer.Lease{}, ctx.Err()
 	}
-	return s.Store.Renew(ctx, id)
+	return s.Store.Renew(ctx, lease)
 }
 
 type node struct {
@@ -180,7 +180,7 @@
 	if err != nil {
 		return err
 	}
-	return c.inner.Revoke(ctx, entry.LeaseID)
+	return c.inner.Revoke(ctx, storer.Lease{ID: entry.LeaseID})
 }
 
 func (c *cluster) run(ctx context.Context, s step) error {
--- a/internal/placement/placer/placer_test.go
+++ b/internal/placement/placer/placer_test.go
@@ -43,14 +43,14 @@
 	paused chan struct{}
 }
 
-func (f *pausableStore) Renew(ctx context.Context, id uint64) (storer.Lease, error) {
+func (f *pausableStore) Renew(ctx context.Context, lease storer.Lease) (storer.Lease, error) {
 	f.mu.Lock()
 	paused := f.paused
 	f.mu.Unlock()
 	if paused != nil {
 		<-paused
 	}
-	return f.Store.Renew(ctx, id)
+	return f.Store.Renew(ctx, lease)
 }
 
 // staleHolder always reports a valid lease with an outdated fencing number, as
--- a/internal/placement/upgrader/handover_test.go
+++ b/internal/placement/upgrader/handover_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"gentianstep.example/gentianstep/internal/platform/storer"
 	"gentianstep.example/gentianstep/internal/testing/scripter"
 	"gentianstep.example/gentianstep/platform/platformtest"
 )
@@ -24,7 +25,7 @@
 	case "end_lease":
 		entry, err := d.client.Get(context.Background(), leaseKey)
 		is.NoErr(err)
-		is.NoErr(d.client.Revoke(context.Background(), entry.LeaseID))
+		is.NoErr(d.client.Revoke(context.Background(), storer.Lease{ID: entry.LeaseID, Era: entry.Era}))
 	default:
 		is.Fail()
 	}
--- a/internal/platform/dialer/dialer.go
+++ b/internal/platform/dialer/dialer.go
@@ -90,15 +90,15 @@
 }
 
 // Renew implements storer.Store.
-func (d *Dialer) Renew(ctx context.Context, id uint64) (storer.Lease, error) {
-	var lease storer.Lease
-	err := d.requester.Call(ctx, http.MethodPut, storer.PathLeases+"/"+strconv.FormatUint(id, 10), nil, &lease)
-	return lease, err
+func (d *Dialer) Renew(ctx context.Context, lease storer.Lease) (storer.Lease, error) {
+	var renewed storer.Lease
+	err := d.requester.Call(ctx, http.MethodPut, storer.PathLeases+"/"+strconv.FormatUint(lease.ID, 10), nil, &renewed)
+	return renewed, err
 }
 
 // Revoke implements storer.Store.
-func (d *Dialer) Revoke(ctx context.Context, id uint64) error {
-	return d.requester.Call(ctx, http.MethodDelete, storer.PathLeases+"/"+strconv.FormatUint(id, 10), nil, nil)
+func (d *Dialer) Revoke(ctx context.Context, lease storer.Lease) error {
+	return d.requester.Call(ctx, http.MethodDelete, storer.PathLeases+"/"+strconv.FormatUint(lease.ID, 10), nil, nil)
 }
 
 // VMs implements storer.VMLister.
--- a/internal/platform/storer/store.go
+++ b/internal/platform/storer/store.go
@@ -58,10 +58,12 @@
 	Watch(ctx context.Context, key string, after Version) (Entry, error)
 	// Grant creates a lease.
 	Grant(ctx context.Context, ttl time.Duration) (Lease, error)
-	// Renew extends the deadline of a lease.
-	Renew(ctx context.Context, id uint64) (Lease, error)
-	// Revoke ends a lease and deletes the keys bound to it.
-	Revoke(ctx context.Context, id uint64) error
+	// Renew extends the deadline of a lease. It returns ErrLeaseGone for a lease of an era
+	// that is known to have ended, and the era of the store also with this error.
+	Renew(ctx context.Context, lease Lease) (Lease, error)
+	// Revoke ends a lease and deletes the keys bound to it. It returns ErrLeaseGone for a
+	// lease of an era that is known to have ended.
+	Revoke(ctx context.Context, lease Lease) error
 }
 
 // VMState is the state of a VM in the platform's list.
--- a/internal/standin/keeper/contract_test.go
+++ b/internal/standin/keeper/contract_test.go
@@ -164,9 +164,9 @@
 		lease, r.err = b.store.Grant(ctx, s.TTL.Std())
 		b.leases[s.As] = lease.ID
 	case "renew":
-		_, r.err = b.store.Renew(ctx, b.leases[s.Lease])
+		_, r.err = b.store.Renew(ctx, storer.Lease{ID: b.leases[s.Lease]})
 	case "revoke":
-		r.err = b.store.Revoke(ctx, b.leases[s.Lease])
+		r.err = b.store.Revoke(ctx, storer.Lease{ID: b.leases[s.Lease]})
 	default:
 		r.err = errors.New("unknown step " + s.Do)
 	}
--- a/internal/standin/keeper/faulty.go
+++ b/internal/standin/keeper/faulty.go
@@ -157,18 +157,18 @@
 }
 
 // Renew implements storer.Store.
-func (f *Faulty) Renew(ctx context.Context, id uint64) (storer.Lease, error) {
+func (f *Faulty) Renew(ctx context.Context, lease storer.Lease) (storer.Lease, error) {
 	if err := f.beforeWrite(ctx); err != nil {
 		return storer.Lease{}, err
 	}
-	lease, err := f.store.Renew(ctx, id)
-	return lease, f.injectResponseFaults(err)
+	renewed, err := f.store.Renew(ctx, lease)
+	return renewed, f.injectResponseFaults(err)
 }
 
 // Revoke implements storer.Store.
-func (f *Faulty) Revoke(ctx context.Context, id uint64) error {
+func (f *Faulty) Revoke(ctx context.Context, lease storer.Lease) error {
 	if err := f.beforeWrite(ctx); err != nil {
 		return err
 	}
-	return f.injectResponseFaults(f.store.Revoke(ctx, id))
+	return f.injectResponseFaults(f.store.Revoke(ctx, lease))
 }
--- a/internal/standin/keeper/keeper.go
+++ b/internal/standin/keeper/keeper.go
@@ -159,11 +159,11 @@
 }
 
 // Renew implements storer.Store.
-func (k *Keeper) Renew(_ context.Context, id uint64) (storer.Lease, error) {
+func (k *Keeper) Renew(_ context.Context, lease storer.Lease) (storer.Lease, error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.expireLeases(time.Now())
-	g := k.leases[id]
+	g := k.leases[lease.ID]
 	if g == nil {
 		return storer.Lease{}, storer.ErrLeaseGone
 	}
@@ -172,14 +172,14 @@
 }
 
 // Revoke implements storer.Store.
-func (k *Keeper) Revoke(_ context.Context, id uint64) error {
+func (k *Keeper) Revoke(_ context.Context, lease storer.Lease) error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.expireLeases(time.Now())
-	if k.leases[id] == nil {
+	if k.leases[lease.ID] == nil {
 		return storer.ErrLeaseGone
 	}
-	k.removeLease(id)
+	k.removeLease(lease.ID)
 	return nil
 }
 
--- a/internal/standin/keeper/server.go
+++ b/internal/standin/keeper/server.go
@@ -102,12 +102,12 @@
 }
 
 func (s server) renew(w http.ResponseWriter, r *http.Request) {
-	lease, err := s.store.Renew(r.Context(), leaseID(r))
+	lease, err := s.store.Renew(r.Context(), requestedLease(r))
 	writeResponse(w, lease, err)
 }
 
 func (s server) revoke(w http.ResponseWriter, r *http.Request) {
-	writeResponse(w, struct{}{}, s.store.Revoke(r.Context(), leaseID(r)))
+	writeResponse(w, struct{}{}, s.store.Revoke(r.Context(), requestedLease(r)))
 }
 
 func (s server) vms(w http.ResponseWriter, r *http.Request) {
@@ -124,13 +124,13 @@
 	writeResponse(w, struct{}{}, nil)
 }
 
-// leaseID returns the lease ID in the path, or 0 if it isn't a number.
-func leaseID(r *http.Request) uint64 {
+// requestedLease returns the lease with the ID in the path, or 0 if it isn't a number.
+func requestedLease(r *http.Request) storer.Lease {
 	id, err := strconv.ParseUint(r.PathValue("id"), 10, 64)
 	if err != nil {
-		return 0
+		return storer.Lease{}
 	}
-	return id
+	return storer.Lease{ID: id}
 }
 
 func decodeRequest(w http.ResponseWriter, r *http.Request, body any) bool {
