Remove a lease key that was written under another VM's lease

What VMs saw: a VM is granted a lease, the store is restored, another VM is granted a lease with the same ID, and the first one writes the lease key under that ID. It gave the lease up by revoking the ID, which ended the lease of the other VM and removed its entry. Since Revoke refuses leases of an ended era, the key would instead have stayed for as long as the other lease, with no VM to give orders.

Cause: the ID was revoked if the key held the value of this VM, in whatever era.

TestKeyIsNotLeftUnderOtherLease on the code before: the entry of the other VM is gone.

--- a/internal/placement/leaser/era_test.go
+++ b/internal/placement/leaser/era_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"sync/atomic"
 	"testing"
@@ -122,3 +123,57 @@
 		synctest.Wait()
 	})
 }
+
+// restoringStore is restored right after the first lease was granted. Another node is
+// granted a lease with its ID.
+type restoringStore struct {
+	eraStore
+	inner    *keeper.Keeper
+	restored *atomic.Bool
+}
+
+func (s restoringStore) Grant(ctx context.Context, ttl time.Duration) (storer.Lease, error) {
+	lease, err := s.eraStore.Grant(ctx, ttl)
+	if err != nil || s.restored.Swap(true) {
+		return lease, err
+	}
+	s.inner.Restore(keeper.New().State())
+	s.era.Add(1)
+	other, err := s.eraStore.Grant(ctx, time.Minute)
+	if err != nil || other.ID != lease.ID {
+		return storer.Lease{}, errors.Join(errors.New("lease of the other node has another ID"), err)
+	}
+	_, err = s.Put(ctx, "vms/b", []byte("{}"), storer.PutOptions{LeaseID: other.ID})
+	return lease, err
+}
+
+// TestKeyIsNotLeftUnderOtherLease guards against a lease key that is bound to the lease of
+// another node, granted under the same ID after a restore: it must neither stay for as long
+// as that lease nor be removed by ending it.
+func TestKeyIsNotLeftUnderOtherLease(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, stop := context.WithCancel(t.Context())
+		inner := keeper.New()
+		store := restoringStore{eraStore: eraStore{Store: inner, era: &atomic.Uint64{}}, inner: inner, restored: &atomic.Bool{}}
+		store.era.Store(1)
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		l := leaser.New(leaser.Config{
+			SinceBoot: clocker.SinceBoot,
+			Store:     store, Key: "weights", Node: "a", Log: logrus.NewEntry(log),
+			Durations: func() (leaser.Durations, bool) {
+				return leaser.Durations{TTL: 2 * time.Second, OrderTimeout: time.Second}, true
+			},
+		})
+		go l.Run(ctx)
+		time.Sleep(10 * time.Second)
+		_, err := store.Get(ctx, "vms/b")
+		is.NoErr(err) // the entry of the other node
+		_, held := l.Holding(time.Now())
+		is.True(held)
+		stop()
+		synctest.Wait()
+	})
+}
--- a/internal/placement/leaser/leaser.go
+++ b/internal/placement/leaser/leaser.go
@@ -282,17 +282,3 @@
 	}
 	return a
 }
-
-// release revokes the lease, so that another node can acquire it without
-// waiting for it to expire.
-func (l *Leaser) release(durations Durations) {
-	l.setLease(Lease{})
-	ctx, cancel := context.WithTimeout(context.Background(), durations.safetyMargin())
-	defer cancel()
-	entry, err := l.cfg.Store.Get(ctx, l.cfg.Key)
-	known := err == nil || errors.Is(err, storer.ErrNotFound)
-	if known && entry.Era != l.granted.Era && !bytes.Equal(entry.Value, l.value) {
-		return // the ID of the lease may belong to another node
-	}
-	_ = l.cfg.Store.Revoke(ctx, l.granted)
-}
