End leases of the store's stand-in when they expire

Seen: in review. A watch of the stand-in of the platform's store learns of the end of a lease only when another call reaches the store, so that tests see a lease key or a VM go later than on the platform, by as much as the calls of other VMs happen to take.

Cause: expired leases were looked for at the start of each call only, and nothing woke the waiting watches.

Ruled out: a removal that is missed. It has a revision of its own, and the next call records it.

Change: a timer of each lease removes it with its keys.

--- a/internal/standin/keeper/keeper.go
+++ b/internal/standin/keeper/keeper.go
@@ -28,10 +28,11 @@
 	history  history
 }
 
-// grantedLease holds a lease and its time to live.
+// grantedLease holds a lease, its time to live and the timer that ends it.
 type grantedLease struct {
-	lease storer.Lease
-	ttl   time.Duration
+	lease  storer.Lease
+	ttl    time.Duration
+	expiry *time.Timer
 }
 
 var (
@@ -151,8 +152,9 @@
 	defer k.mu.Unlock()
 	k.nextID++
 	g := &grantedLease{
-		lease: storer.Lease{ID: k.nextID, Deadline: time.Now().Add(ttl)},
-		ttl:   ttl,
+		lease:  storer.Lease{ID: k.nextID, Deadline: time.Now().Add(ttl)},
+		ttl:    ttl,
+		expiry: time.AfterFunc(ttl, k.handleExpiry),
 	}
 	k.leases[k.nextID] = g
 	return g.lease, nil
@@ -168,6 +170,7 @@
 		return storer.Lease{}, storer.ErrLeaseGone
 	}
 	g.lease.Deadline = time.Now().Add(g.ttl)
+	g.expiry.Reset(g.ttl)
 	return g.lease, nil
 }
 
@@ -197,10 +200,17 @@
 	k.vms = slices.Clone(vms)
 }
 
+// handleExpiry wakes the watches of the keys of leases that have expired.
+func (k *Keeper) handleExpiry() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.expireLeases(time.Now())
+}
+
 // expireLeases removes the leases whose deadline has passed, with their keys.
 func (k *Keeper) expireLeases(now time.Time) {
 	for id, g := range k.leases {
-		if now.After(g.lease.Deadline) {
+		if !now.Before(g.lease.Deadline) {
 			k.removeLease(id)
 		}
 	}
@@ -208,6 +218,7 @@
 
 // removeLease removes a lease and all keys attached to it.
 func (k *Keeper) removeLease(id uint64) {
+	k.leases[id].expiry.Stop()
 	delete(k.leases, id)
 	for key, entry := range k.entries {
 		if entry.LeaseID == id {
