Reset TLS connections at once

Callers saw: nothing yet. Found in review of deployments whose upstreams use TLS: giving up on a request to an upstream that reads no more takes 5 s, and so does the reset of its connection.

Cause: closing TLS first writes a message that ends it, which waits behind the bytes that were not sent yet for up to 5 s.

Ruled out: a write that is in progress. TLS is closed without the message then.

Change: the connection below TLS is reset, which drops those bytes as without TLS.

--- a/internal/upstream/caller/connection.go
+++ b/internal/upstream/caller/connection.go
@@ -93,21 +93,23 @@
 	c.mu.Lock()
 	abandoned := c.aborted || c.owner != nil && !c.ended && c.owner.ctx.Err() != nil
 	c.mu.Unlock()
+	c.markUnreadable()
 	if abandoned {
-		discardUnsent(c.Conn)
+		return reset(c.Conn)
 	}
-	c.markUnreadable()
 	return c.Conn.Close()
 }
 
-// discardUnsent makes the next Close of a TCP connection, or of TLS on one, reset it.
-func discardUnsent(conn net.Conn) {
+// reset closes a connection and drops the bytes that were not sent yet. TLS would first
+// write a message, which may wait behind them for seconds.
+func reset(conn net.Conn) error {
 	if c, ok := conn.(interface{ NetConn() net.Conn }); ok {
 		conn = c.NetConn()
 	}
 	if c, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
 		_ = c.SetLinger(0) // fails only on a closed connection
 	}
+	return conn.Close()
 }
 
 // abort closes the connection and fails all later writes. It reports whether a
