The soak counts recovery from when the gateways are back

One gateway refused streams until 4.1 s, when the engines were ordered the newest weights, named 1.3 s before the last step. Cause: the step that stops a gateway ended when the signal was sent. Two gateways that held the lease for orders in turn were still stopping at the end of the plan and came back 1 and 2 s later; the third took the lease at 2 s and waits 2 s before it orders. Ruled out: answers of engines, entries of the restored store.

--- a/internal/standin/soaker/checker.go
+++ b/internal/standin/soaker/checker.go
@@ -18,7 +18,8 @@
 	RetryWindow time.Duration
 	// Stable is the time after a disruption in which its effects are excused.
 	Stable time.Duration
-	// Recover is the time after the last step from which calls succeed again.
+	// Recover is the time from which calls succeed again, counted from when all
+	// gateways were ready after the last step.
 	Recover time.Duration
 	// MemoryMiB is the memory limit of a gateway.
 	MemoryMiB int
--- a/internal/standin/soaker/journal.go
+++ b/internal/standin/soaker/journal.go
@@ -97,7 +97,7 @@
 	Runs     []Run     `json:"runs"`
 	Orders   []Order   `json:"orders"`
 	Spans    []Span    `json:"spans"`
-	// EndAt is the end of the last step.
+	// EndAt is when all gateways were ready after the last step.
 	EndAt time.Time `json:"end_at"`
 }
 
--- a/internal/standin/soaker/soaker.go
+++ b/internal/standin/soaker/soaker.go
@@ -85,7 +85,7 @@
 	plan     []Step
 	keys     []string
 	variants map[string]int
-	// endAt is the end of the last step.
+	// endAt is when all gateways were ready after the last step.
 	endAt time.Time
 	// idleDescriptors is the highest number of open descriptors of a gateway before
 	// the first call.
@@ -165,6 +165,9 @@
 		callers.Go(func() { c.run(callersCtx) })
 	}
 	s.carryOut(ctx)
+	if !poll(ctx, startTimeout, s.fleet.isReady) && ctx.Err() == nil {
+		s.journal.Violate(Violation{Promise: Recovery, Subject: "gateways", Detail: fmt.Sprintf("not all are ready %s after the last step", startTimeout)})
+	}
 	s.endAt = time.Now()
 	sleep(ctx, s.Site.Bounds().Recover+settledTime)
 	if !poll(ctx, time.Until(s.endAt.Add(weightsTimeout)), s.Site.HasNewestWeights) && ctx.Err() == nil {
