--- a/internal/standin/keeper/expiry_test.go
+++ b/internal/standin/keeper/expiry_test.go
@@ -24,7 +24,7 @@
 		version, err := k.Put(t.Context(), "key", nil, storer.PutOptions{LeaseID: lease.ID})
 		is.NoErr(err)
 		time.Sleep(ttl / 2)
-		lease, err = k.Renew(t.Context(), lease.ID)
+		lease, err = k.Renew(t.Context(), lease)
 		is.NoErr(err)
 		changes, err := k.Changes("", version.Revision)
 		is.NoErr(err)
