Count only requests sent after a hold-off as accepted after it

Callers saw: nothing yet. Found in review: an upstream that asked for a hold-off gets several requests at once when it ends, instead of one at first.

Cause: a response counted as an accepted request if it arrived after the end of the hold-off, also if its request had been sent before the hold-off.

Ruled out: responses to requests that were refused, which do not count.

Change: a notice names when the attempt began, and only attempts that began after the end of the hold-off count.

--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -224,6 +224,7 @@
 			Header: x.cfg.Dialect.Encode(now, x.request, options),
 			CheckResponse: func(status int, h http.Header) error {
 				head = x.cfg.Dialect.DecodeResponse(status, h)
+				head.Notice.SentAt = now
 				x.cfg.Noticer.Record(u, head.Notice)
 				return x.cfg.Dialect.CheckResponse(x.request.ID, status, h)
 			},
--- a/internal/routing/withholder/notice.go
+++ b/internal/routing/withholder/notice.go
@@ -13,6 +13,8 @@
 	HoldOff time.Duration
 	// Accepted is true if the instance accepted the request.
 	Accepted bool
+	// SentAt is when the attempt to send the request began.
+	SentAt time.Time
 	// Err describes values that could not be decoded and were ignored.
 	Err error
 }
--- a/internal/routing/withholder/record.go
+++ b/internal/routing/withholder/record.go
@@ -86,9 +86,10 @@
 	r.resendAt = now.Add(resendInterval)
 }
 
-// recordAccepted counts a request that was accepted.
-func (r *record) recordAccepted(now time.Time) {
-	if now.Before(r.heldUntil) || !r.paced(now) {
+// recordAccepted counts a request that was accepted, unless it was sent before the end
+// of the hold-off.
+func (r *record) recordAccepted(now, sentAt time.Time) {
+	if sentAt.Before(r.heldUntil) || !r.paced(now) {
 		return
 	}
 	r.accepted++
--- a/internal/routing/withholder/withholder.go
+++ b/internal/routing/withholder/withholder.go
@@ -67,7 +67,7 @@
 	}
 	if !n.Leaving && n.HoldOff <= 0 {
 		if r != nil && n.Accepted {
-			r.recordAccepted(now)
+			r.recordAccepted(now, n.SentAt)
 		}
 		return nil
 	}
--- a/internal/routing/withholder/withholder_test.go
+++ b/internal/routing/withholder/withholder_test.go
@@ -27,6 +27,8 @@
 	Leaving   bool   `json:"leaving"`
 	HoldOffMS int    `json:"hold_off_ms"`
 	Accepted  bool   `json:"accepted"`
+	// AgoMS is how long before the response its request was sent.
+	AgoMS int `json:"ago_ms"`
 	// Changes lists the expected changes and their ends.
 	Changes []change `json:"changes"`
 	// Access is the expected access: open, last_resort, paced, held or closed.
@@ -74,7 +76,7 @@
 		u.StartedAt = start.Add(time.Duration(s.StartedMS) * time.Millisecond)
 	}
 	if s.Told {
-		notice := withholder.Notice{Instance: s.Instance, Leaving: s.Leaving, HoldOff: time.Duration(s.HoldOffMS) * time.Millisecond, Accepted: s.Accepted}
+		notice := withholder.Notice{Instance: s.Instance, Leaving: s.Leaving, HoldOff: time.Duration(s.HoldOffMS) * time.Millisecond, Accepted: s.Accepted, SentAt: now.Add(-time.Duration(s.AgoMS) * time.Millisecond)}
 		recorded := w.Record(now, u, notice)
 		changes := make([]change, 0, len(recorded))
 		for _, c := range recorded {
