--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -225,6 +225,7 @@
 			Refresh: func(h http.Header) { x.cfg.Dialect.SetDeadline(time.Now(), h, x.deadline) },
 			CheckResponse: func(status int, h http.Header) error {
 				head = x.cfg.Dialect.DecodeResponse(status, h)
+				head.Notice.SentAt = now
 				x.cfg.Noticer.Record(u, head.Notice)
 				return x.cfg.Dialect.CheckResponse(x.request.ID, status, h)
 			},
--- a/internal/routing/withholder/withholder_test.go
+++ b/internal/routing/withholder/withholder_test.go
@@ -31,6 +31,8 @@
 	Accepted  bool   `json:"accepted"`
 	// Misdirected is true if the response says that it is not of the upstream.
 	Misdirected bool `json:"misdirected"`
+	// AgoMS is how long before the response its request was sent.
+	AgoMS int `json:"ago_ms"`
 	// Changes lists the expected changes and their ends.
 	Changes []change `json:"changes"`
 	// Access is the expected access: open, last_resort, paced, held or closed.
@@ -79,7 +81,7 @@
 	}
 	var recorded []withholder.Change
 	if s.Told {
-		notice := withholder.Notice{Instance: s.Instance, Leaving: s.Leaving, HoldOff: time.Duration(s.HoldOffMS) * time.Millisecond, Accepted: s.Accepted, Misdirected: s.Misdirected}
+		notice := withholder.Notice{Instance: s.Instance, Leaving: s.Leaving, HoldOff: time.Duration(s.HoldOffMS) * time.Millisecond, Accepted: s.Accepted, Misdirected: s.Misdirected, SentAt: now.Add(-time.Duration(s.AgoMS) * time.Millisecond)}
 		recorded = w.Record(now, u, notice)
 	}
 	if s.Heard {
--- a/internal/upstream/caller/admit.go
+++ b/internal/upstream/caller/admit.go
@@ -3,14 +3,15 @@
 import (
 	"context"
 	"net/http"
+	"time"
 )
 
 // Notices holds what upstreams state about themselves in their responses.
 type Notices interface {
 	// Admit returns an error if a call must not be sent to an upstream now.
 	Admit(t Target, call Call) error
-	// Record records the head of a response.
-	Record(t Target, status int, h http.Header)
+	// Record records the head of a response to an attempt that began at sentAt.
+	Record(t Target, sentAt time.Time, status int, h http.Header)
 }
 
 // admission returns a function that reports whether a call may be sent, and
--- a/internal/upstream/caller/caller.go
+++ b/internal/upstream/caller/caller.go
@@ -66,7 +66,7 @@
 // Do sends call to target once and returns when the response header has arrived.
 // A returned error is always a *Failure.
 func (c *Caller) Do(ctx context.Context, target Target, call Call) (*Response, error) {
-	heeds := c.notices != nil && call.Head == nil
+	heeds, sentAt := c.notices != nil && call.Head == nil, time.Now()
 	if heeds {
 		call.Admit = func() error { return c.notices.Admit(target, call) }
 	}
@@ -110,7 +110,7 @@
 		idleTimeout:       call.IdleTimeout,
 	}
 	if heeds {
-		c.notices.Record(target, httpResponse.StatusCode, httpResponse.Header)
+		c.notices.Record(target, sentAt, httpResponse.StatusCode, httpResponse.Header)
 	}
 	call.RequireEcho = call.RequireEcho && httpResponse.StatusCode == http.StatusOK
 	if err := checkResponse(httpResponse, call); err != nil {
--- a/internal/upstream/noticer/transport.go
+++ b/internal/upstream/noticer/transport.go
@@ -33,6 +33,7 @@
 		return nil, ErrWithheld
 	}
 	request, cancel := AdmitOnConnection(r, func() error { return t.admit(target) })
+	sentAt := time.Now()
 	response, err := t.Base.RoundTrip(request)
 	if err != nil {
 		if cause := context.Cause(request.Context()); errors.Is(cause, ErrWithheld) {
@@ -41,7 +42,7 @@
 		cancel()
 		return nil, err
 	}
-	t.Processes.Record(target, response.StatusCode, response.Header)
+	t.Processes.Record(target, sentAt, response.StatusCode, response.Header)
 	response.Body = &body{ReadCloser: response.Body, cancel: cancel}
 	return response, nil
 }
