--- a/scripts/unit.sh
+++ b/scripts/unit.sh
@@ -29,5 +29,5 @@
 run 1 $processes
 # Tests that cannot run with the race detector.
 flags=(-count=1 -run '^(TestNoRequestsAfterNotices|TestWeightsChangeWhileRequestsAreSent)$')
-run 1 ./internal/gateway/forwarder
+run 1 ./internal/gateway/forwarder ./internal/serving/chooser
 scripts/known-red.sh "$output" "$status" KNOWN-RED.txt
