--- a/internal/gateway/forwarder/withhold.go
+++ b/internal/gateway/forwarder/withhold.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"gentianstep.example/gentianstep/internal/failure/classifier"
@@ -82,13 +83,15 @@
 	return until
 }
 
-// wakeWaiting lets all requests that wait for capacity of a service choose again.
+// wakeWaiting lets all requests that wait for capacity of a service, or of any if it
+// is empty, choose again.
 func (f *Forwarder) wakeWaiting(service string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	q, ok := f.queues[service]
-	for ok && len(q.waiters) > 0 {
-		q.wakeFirst()
+	for name, q := range f.queues {
+		for (service == "" || service == name) && len(q.waiters) > 0 {
+			q.wakeFirst()
+		}
 	}
 }
 
@@ -112,13 +115,20 @@
 
 // admission returns a function that returns noticer.ErrWithheld if the chosen
 // upstream, or the one that it would copy KV cache from, takes no requests any
-// more, and errOutdated if its weights have become too old.
+// more, by its entry or its notices, and errOutdated if its weights have become too
+// old.
 func (x *exchange) admission(u *registrar.Upstream) func() error {
 	lastResort, source, version := x.lastResort, x.sourceUpstream(), x.choice.WeightsVersion
 	return func() error {
 		if err := x.checkWeights(u, version); err != nil {
 			return err
 		}
+		usable := slices.ContainsFunc(x.cfg.Directory.Usable(x.service), func(current *registrar.Upstream) bool {
+			return current.ID == u.ID && current.Address == u.Address
+		})
+		if !usable {
+			return noticer.ErrWithheld
+		}
 		if source != nil && !x.cfg.Noticer.IsOpen(source) {
 			return noticer.ErrWithheld
 		}
--- a/internal/operating/starter/coordination.go
+++ b/internal/operating/starter/coordination.go
@@ -23,9 +23,11 @@
 			Hub:            g.hubAddress,
 			Loads:          g.forwarder.Loads,
 			DrainSentParts: g.forwarder.DrainSentParts,
+			Departures:     g.noticer.Departures,
+			OnDepartures:   g.noticer.RecordDepartures,
 			UrgentReports:  g.forwarder.UrgentReports(),
 			View:           g.view,
-			Client:         &http.Client{Transport: newGatewayTransport()},
+			Client:         g.newClient(),
 			Log:            g.log,
 		}).Run,
 		listener.New(listener.Config{
--- a/internal/routing/withholder/notice.go
+++ b/internal/routing/withholder/notice.go
@@ -7,6 +7,9 @@
 type Notice struct {
 	// Instance is the ID of the responding instance, empty if not stated.
 	Instance string
+	// Misdirected is true if the request was meant for another instance or another
+	// state of this one. The sender is then not known unless stated.
+	Misdirected bool
 	// Leaving is true if the instance is shutting down and wants no new requests.
 	Leaving bool
 	// HoldOff is how long the instance wants no requests; 0 if not stated.
@@ -25,6 +28,9 @@
 	// LeavingTold means that an incarnation has stated for the first time that it
 	// is leaving.
 	LeavingTold ChangeType = "upstream_leaving_told"
+	// LeavingHeard means that another VM has told this one that an incarnation is
+	// leaving.
+	LeavingHeard ChangeType = "upstream_leaving_heard"
 	// HeldOff means that a hold-off has started or was extended.
 	HeldOff ChangeType = "upstream_hold_off"
 	// HoldOffCapped means that a hold-off was shortened to the configured limit.
--- a/internal/routing/withholder/withholder_test.go
+++ b/internal/routing/withholder/withholder_test.go
@@ -22,11 +22,15 @@
 	Host      byte   `json:"host"`
 	StartedMS int64  `json:"started_ms"`
 	// Told is true if the step is a response.
-	Told      bool   `json:"told"`
+	Told bool `json:"told"`
+	// Heard is true if another VM states that the upstream is leaving.
+	Heard     bool   `json:"heard"`
 	Instance  string `json:"instance"`
 	Leaving   bool   `json:"leaving"`
 	HoldOffMS int    `json:"hold_off_ms"`
 	Accepted  bool   `json:"accepted"`
+	// Misdirected is true if the response says that it is not of the upstream.
+	Misdirected bool `json:"misdirected"`
 	// Changes lists the expected changes and their ends.
 	Changes []change `json:"changes"`
 	// Access is the expected access: open, last_resort, paced, held or closed.
@@ -73,9 +77,15 @@
 	if s.StartedMS > 0 {
 		u.StartedAt = start.Add(time.Duration(s.StartedMS) * time.Millisecond)
 	}
+	var recorded []withholder.Change
 	if s.Told {
-		notice := withholder.Notice{Instance: s.Instance, Leaving: s.Leaving, HoldOff: time.Duration(s.HoldOffMS) * time.Millisecond, Accepted: s.Accepted}
-		recorded := w.Record(now, u, notice)
+		notice := withholder.Notice{Instance: s.Instance, Leaving: s.Leaving, HoldOff: time.Duration(s.HoldOffMS) * time.Millisecond, Accepted: s.Accepted, Misdirected: s.Misdirected}
+		recorded = w.Record(now, u, notice)
+	}
+	if s.Heard {
+		recorded = w.RecordDeparture(now, withholder.Incarnation{ID: u.ID, Address: u.Address, StartedAt: u.StartedAt})
+	}
+	if s.Told || s.Heard {
 		changes := make([]change, 0, len(recorded))
 		for _, c := range recorded {
 			changes = append(changes, change{c.Type, int(c.Until.Sub(start).Milliseconds())})
--- a/internal/upstream/caller/call.go
+++ b/internal/upstream/caller/call.go
@@ -11,6 +11,8 @@
 type RequestHead struct {
 	Host   string
 	Header http.Header
+	// Refresh, if set, updates the header once a connection is open.
+	Refresh func(h http.Header)
 	// CheckResponse returns an error if a response does not belong to the request.
 	CheckResponse func(status int, header http.Header) error
 }
@@ -40,6 +42,8 @@
 	// Admit, if set, is called right before the first byte of the call is sent on
 	// a connection. An error prevents the sending and becomes that of the call.
 	Admit func() error
+	// Running is true if the call is about work that the upstream runs already.
+	Running bool
 	// ImportBlocks is the number of leading blocks that an engine should import
 	// instead of computing them; 0 requests no import.
 	ImportBlocks int
--- a/internal/upstream/caller/exchange.go
+++ b/internal/upstream/caller/exchange.go
@@ -12,6 +12,8 @@
 	ctx context.Context
 	// onReuse is called when the call is sent on a reused connection.
 	onReuse func()
+	// onConnection, if set, is called before the call is sent on a connection.
+	onConnection func()
 	// admit reports whether the call may be sent; nil admits it.
 	admit func() bool
 
@@ -22,7 +24,7 @@
 }
 
 func (e *exchange) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: e.gotConn}
+	return &httptrace.ClientTrace{GotConn: e.gotConn, PutIdleConn: e.putIdleConn}
 }
 
 func (e *exchange) gotConn(info httptrace.GotConnInfo) {
@@ -32,6 +34,9 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.onConnection != nil {
+		e.onConnection()
+	}
 	if e.conn != nil {
 		// The transport replaces the connection; the previous one must send no more.
 		e.sent = e.conn.abort(e) || e.sent
@@ -43,6 +48,13 @@
 	}
 }
 
+// putIdleConn is called when the transport has taken the connection back.
+func (e *exchange) putIdleConn(err error) {
+	if err == nil {
+		e.end()
+	}
+}
+
 // abort closes the connection and reports whether a byte of the call may have
 // been sent.
 func (e *exchange) abort() bool {
