--- a/internal/gateway/forwarder/deliver.go
+++ b/internal/gateway/forwarder/deliver.go
@@ -24,8 +24,8 @@
 	if len(body) == maxBufferedBytes {
 		return x.streamBody(answer, body)
 	}
-	// Finish closes the upstream connection if bytes follow the response, since
-	// they belong to no request.
+	// Finish closes the upstream connection if the body has not ended. It does not
+	// see bytes that follow the end.
 	trailingErr := answer.Finish()
 	x.commitHeader(answer)
 	if x.r.Method != http.MethodHead {
