Log the process, the source and the version of changes of upstreams

For the incident of requests to leaving upstreams. Its hypotheses could not be told apart from logs: lines on upstreams named neither the process of an entry nor whether the store, a relay or another VM sent it, nor whether a restore had brought it, and request lines neither the process that the request was meant for nor the time between the choice and the first byte.

Upstream lines have started_ms, leaving, source, era, revision and restored; request lines have upstream_started_ms, last_resort and send_ms. No logic changes.

--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"gentianstep.example/gentianstep/internal/failure/classifier"
@@ -76,8 +77,11 @@
 	withdrawal *withdrawal
 	// withdrawn is the number of attempts that were withdrawn.
 	withdrawn int
-	// sentAt is when the latest attempt was sent.
+	// sentAt is when the upstream of the latest attempt was chosen.
 	sentAt time.Time
+	// firstByteSentAt is when the first byte of the latest attempt was sent, nil if none
+	// was. The transport sets it.
+	firstByteSentAt atomic.Pointer[time.Time]
 	// readingPrompt is true from sending an attempt until the upstream has read
 	// the prompt.
 	readingPrompt bool
@@ -193,6 +197,7 @@
 	now := time.Now()
 	x.attempts++
 	x.sentAt = now
+	x.firstByteSentAt.Store(nil)
 	options := AttemptOptions{Upstream: u.ID, Deadline: x.deadline, Priority: -1, CacheScope: x.isolationScope(), ResumeAfter: x.lastEvent}
 	options.WeightsVersion = x.expectedWeights(now)
 	if x.choice.Scope != "" {
--- a/internal/gateway/forwarder/log.go
+++ b/internal/gateway/forwarder/log.go
@@ -50,6 +50,13 @@
 		}
 		fields["cost_ms"] = x.choice.Costs.Total().Milliseconds()
 		fields["wait_ms"] = x.sentAt.Sub(x.arrivedAt).Milliseconds()
+		fields["upstream_started_ms"] = registrar.StartMillis(u.StartedAt)
+		if x.lastResort {
+			fields["last_resort"] = true
+		}
+		if at := x.firstByteSentAt.Load(); at != nil {
+			fields["send_ms"] = at.Sub(x.sentAt).Milliseconds()
+		}
 		x.addWeightsFields(fields)
 	}
 	if x.choice.Source != nil {
--- a/internal/gateway/forwarder/withhold.go
+++ b/internal/gateway/forwarder/withhold.go
@@ -132,7 +132,12 @@
 		if source != nil && !x.cfg.Noticer.IsOpen(source) {
 			return noticer.ErrWithheld
 		}
-		return x.cfg.Noticer.Admit(u, lastResort)
+		if err := x.cfg.Noticer.Admit(u, lastResort); err != nil {
+			return err
+		}
+		now := time.Now()
+		x.firstByteSentAt.Store(&now)
+		return nil
 	}
 }
 
--- a/internal/membership/informer/informer.go
+++ b/internal/membership/informer/informer.go
@@ -67,6 +67,8 @@
 	confirmation confirmation
 	// origin is that of the operators' changes that are being applied.
 	origin origin
+	// upstreamSource is the sender of the upstreams' changes that are being applied.
+	upstreamSource string
 	// toldSince is when versions became the desired ones as another VM told last.
 	toldSince map[weightsVersion]time.Time
 	// lastResponseAt is when the last successful call for each prefix returned.
@@ -129,7 +131,7 @@
 			i.mu.Lock()
 			now := time.Now()
 			i.handleTick(now)
-			i.logUpstreamEvents(i.registrar.Expire(now))
+			i.logUpstreamEvents(i.registrar.Expire(now), nil)
 			if i.retained.expire(now) {
 				i.announceChange()
 			}
--- a/internal/membership/informer/take.go
+++ b/internal/membership/informer/take.go
@@ -31,7 +31,7 @@
 func (i *Informer) applyUpstream(now time.Time, c storer.Change, restored bool) {
 	id := i.cfg.Codec.UpstreamID(c.Key)
 	if c.Removed {
-		i.logUpstreamEvents(i.registrar.Remove(now, id))
+		i.logUpstreamEvents(i.registrar.Remove(now, id), i.changeFields(c, restored))
 		return
 	}
 	u, err := i.cfg.Codec.Upstream(c.Key, c.Value)
@@ -40,22 +40,35 @@
 			"upstream":    id,
 			fieldRevision: c.Revision,
 		}).Warn("ignored invalid upstream entry")
-		i.logUpstreamEvents(i.registrar.Remove(now, id))
+		i.logUpstreamEvents(i.registrar.Remove(now, id), i.changeFields(c, restored))
 		return
 	}
 	if restored {
-		i.logUpstreamEvents(i.registrar.PutRestored(u))
+		i.logUpstreamEvents(i.registrar.PutRestored(u), i.changeFields(c, restored))
 		return
 	}
-	i.logUpstreamEvents(i.registrar.Put(u))
+	i.logUpstreamEvents(i.registrar.Put(u), i.changeFields(c, restored))
 }
 
-func (i *Informer) logUpstreamEvents(events []registrar.Event) {
+// changeFields returns the log fields of the change of an entry: its version, its source,
+// and whether the store may have restored it from an older copy.
+func (i *Informer) changeFields(c storer.Change, restored bool) logrus.Fields {
+	return logrus.Fields{
+		fieldEra:      c.Era,
+		fieldRevision: c.Revision,
+		"source":      i.upstreamSource,
+		"restored":    restored,
+	}
+}
+
+func (i *Informer) logUpstreamEvents(events []registrar.Event, fields logrus.Fields) {
 	for _, e := range events {
-		i.logEvent(string(e.Type)).WithFields(logrus.Fields{
-			"upstream": e.Upstream.ID,
-			"service":  e.Upstream.Service,
-			"address":  e.Upstream.Address.String(),
+		i.logEvent(string(e.Type)).WithFields(fields).WithFields(logrus.Fields{
+			"upstream":   e.Upstream.ID,
+			"service":    e.Upstream.Service,
+			"address":    e.Upstream.Address.String(),
+			"started_ms": registrar.StartMillis(e.Upstream.StartedAt),
+			"leaving":    e.Upstream.Leaving,
 		}).Info("upstream changed")
 	}
 }
--- a/internal/membership/informer/weights_age.go
+++ b/internal/membership/informer/weights_age.go
@@ -85,6 +85,9 @@
 
 // recordOrigin records the origin of the changes that follow. The caller must hold i.mu.
 func (i *Informer) recordOrigin(now time.Time, prefix, source string, completeAt time.Time) {
+	if prefix == i.cfg.UpstreamPrefix {
+		i.upstreamSource = source
+	}
 	if prefix != i.cfg.OperatorPrefix {
 		return
 	}
--- a/internal/membership/registrar/upstream.go
+++ b/internal/membership/registrar/upstream.go
@@ -59,3 +59,12 @@
 func (u *Upstream) follows(known *Upstream) bool {
 	return !u.SameProcess(known) && !u.StartedAt.Before(known.StartedAt)
 }
+
+// StartMillis returns the start time of a process in Unix milliseconds, 0 if it is not
+// known.
+func StartMillis(startedAt time.Time) int64 {
+	if startedAt.IsZero() {
+		return 0
+	}
+	return startedAt.UnixMilli()
+}
--- a/internal/peering/coordinator/departure.go
+++ b/internal/peering/coordinator/departure.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"gentianstep.example/gentianstep/internal/membership/registrar"
 	"gentianstep.example/gentianstep/internal/routing/withholder"
 )
 
@@ -27,11 +28,7 @@
 func newDepartures(list []withholder.Incarnation) []Departure {
 	departures := make([]Departure, 0, len(list))
 	for _, i := range list {
-		d := Departure{Upstream: i.ID, Address: i.Address}
-		if !i.StartedAt.IsZero() {
-			d.StartedMillis = i.StartedAt.UnixMilli()
-		}
-		departures = append(departures, d)
+		departures = append(departures, Departure{Upstream: i.ID, Address: i.Address, StartedMillis: registrar.StartMillis(i.StartedAt)})
 	}
 	return departures[:min(len(departures), maxDepartures)]
 }
--- a/internal/upstream/noticer/noticer.go
+++ b/internal/upstream/noticer/noticer.go
@@ -114,7 +114,7 @@
 			"event":      string(c.Type),
 			"upstream":   c.Incarnation.ID,
 			"address":    c.Incarnation.Address.String(),
-			"started_ms": startedMillis(c.Incarnation.StartedAt),
+			"started_ms": registrar.StartMillis(c.Incarnation.StartedAt),
 			"until":      c.Until.UTC().Format(time.RFC3339Nano),
 			"service":    service,
 		}).Info("notice of upstream")
@@ -135,14 +135,6 @@
 	return u
 }
 
-// startedMillis returns a start time in Unix milliseconds, 0 if it is unknown.
-func startedMillis(t time.Time) int64 {
-	if t.IsZero() {
-		return 0
-	}
-	return t.UnixMilli()
-}
-
 // Admit returns ErrWithheld if no request may be sent to u now. It is called
 // right before the first byte of each request. A last resort is a request that
 // no other upstream can serve.
