Tests that show requests to upstreams that have stated that they leave

- TestNoRequestsAfterNotices draws restarts whose entry is not there yet; until now it registered each process with its restart, so that it could not show the fault.

--- a/internal/gateway/forwarder/notices_model_test.go
+++ b/internal/gateway/forwarder/notices_model_test.go
@@ -59,7 +59,7 @@
 			worker: rapid.IntRange(0, noticeWorkers-1).Draw(r, "worker"),
 			kind: rapid.SampledFrom([]string{
 				"requests", "requests", "requests", "requests", "report", "events", "leave", "refuse", "refuse",
-				"restart", "replace", "deregister", "register",
+				"restart", "restart_unseen", "replace", "deregister", "register",
 			}).Draw(r, "kind"),
 			retryAfter: rapid.SliceOfN(rapid.SampledFrom([]string{"0.3", "0.8", "1.5", "3", "-1", "x", "60"}), 1, 4).Draw(r, "retryAfter"),
 			route:      rapid.SampledFrom([]string{"idempotent", "non_idempotent", "stream", "resumable"}).Draw(r, "route"),
@@ -156,6 +156,8 @@
 	case "restart": // the same ID with a later start
 		m.replace(e.worker, worker.ID)
 		m.register(e.worker)
+	case "restart_unseen": // the same ID, whose entry is not there yet
+		m.replace(e.worker, worker.ID)
 	case "replace": // another ID at the address, whose entry is not there yet
 		m.replace(e.worker, worker.ID+"x")
 	case "deregister":
@@ -167,15 +169,8 @@
 
 // replace starts another incarnation at the address of a worker.
 func (m *noticeRunner) replace(n int, id string) {
-	address := workerAddress(n).String()
-	m.network.Stop(address)
-	m.ended = append(m.ended, m.workers[n])
-	w := platformtest.NewWorker(id)
-	w.SetModel("m", 1)
-	w.SetResponseDelay(m.work)
-	w.StartedAtMS = time.Now().UnixMilli()
-	m.workers[n] = w
-	m.network.Serve(address, w)
+	m.ended = append(m.ended, m.fixture.restart(n, id))
+	m.workers[n].SetResponseDelay(m.work)
 }
 
 func (m *noticeRunner) deregister(n int) []*registrar.Upstream {
