Keep an upstream that leaves out of use when writes are repeated

What callers would see: requests reach an upstream whose "draining" this VM has known. Cause, by review for the incident: once the store is back from an older copy, the writes since are repeated. Those at revisions that the VM had before are checked against what it knows; at higher ones, a repeated "ready" was taken for a new state, until the repeated "draining" followed.

A process that leaves does not become ready again, so that the registrar keeps it out of use whatever the version of the write; another start time ends it. An entry without a start time is taken as it is.

--- a/internal/membership/registrar/registrar.go
+++ b/internal/membership/registrar/registrar.go
@@ -74,13 +74,31 @@
 	r.graceUntil = now.Add(recoveryGrace)
 }
 
-// Put adds or updates an upstream and returns the resulting events.
+// Put adds or updates an upstream and returns the resulting events. A process that leaves
+// does not become ready again: a restored store repeats the writes before that.
 func (r *Registrar) Put(u *Upstream) []Event {
+	if r.hasLeft(u) {
+		leaving := *u
+		leaving.Leaving = true
+		u = &leaving
+	}
 	events := r.upsert(u)
 	r.rebuildIndex()
 	return events
 }
 
+// hasLeft reports whether the process of an entry is known to be leaving.
+func (r *Registrar) hasLeft(u *Upstream) bool {
+	if u.StartedAt.IsZero() {
+		return false // a later process cannot be told apart
+	}
+	known, ok := r.gone.Get(u.ID)
+	if rec, registered := r.records[u.ID]; registered {
+		known, ok = rec.upstream, true
+	}
+	return ok && known.Leaving && u.SameProcess(known)
+}
+
 // PutRestored is Put for an entry that the store may have restored from a copy which is
 // older than what is known. It does not show that a process which left is back; a later
 // write of a live process does.
