Cut off bytes without an end on every client of upstreams and store

What users would see: upstreams in trouble send bytes that are no answer without an end, in a head or a body, until the caller closes. A share of 72 upstreams that does so at once fills the memory (112 MB) and the link (10 Mbit/s) of the smallest VM.

Cause: limits were those of net/http for heads, and one for all bodies that fits the largest; each call was limited alone. Streams and long bodies to clients had no limit but the time of the request.

Change: heads have 64 KiB on all clients. Bodies that are read at the same time share an eighth of the memory, those of engines and of the store apart, so that neither starves the other; the first 16 KiB of each are free. A stream must bring a numbered event within 256 KiB, other responses have 16 MiB; beyond that they end as broken ones. Reads of cache events that fail are repeated after 0.3 s to 5 s. Parsers count comments and empty lines, and one event of the cache has 1 MiB. Bytes on an idle connection end it already (net/http); what the library logs about them is now a structured line of at most 200 bytes.

Ruled out: smaller receive buffers, which slow streams down on long ways; what the kernel holds of a connection is not limited here.

--- a/cmd/gentianstep/gateway.go
+++ b/cmd/gentianstep/gateway.go
@@ -13,6 +13,7 @@
 	"gentianstep.example/gentianstep/internal/operating/configurer"
 	"gentianstep.example/gentianstep/internal/operating/logger"
 	"gentianstep.example/gentianstep/internal/operating/starter"
+	"gentianstep.example/gentianstep/internal/streaming/bounder"
 	"gentianstep.example/gentianstep/internal/upstream/noticer"
 	"gentianstep.example/gentianstep/internal/upstream/verifier"
 	"gentianstep.example/gentianstep/platform"
@@ -52,6 +53,7 @@
 		if err != nil {
 			return err
 		}
+		logger.RedirectStandard(log)
 		return starter.RunGateway(ctx, settings, starter.Platform{
 			Codec:          platform.Codec{},
 			Dialect:        platform.Dialect{},
@@ -60,11 +62,11 @@
 			ReadyPath:      platform.ReadyPath,
 			Reload:         reload,
 			LoadSettings:   func() (*configurer.VMSettings, error) { return platform.LoadSettings(path) },
-			NewStore: func(address netip.AddrPort, client *http.Client) starter.Store {
-				return platform.NewClient(platform.ClientConfig{Address: address, HTTPClient: client})
+			NewStore: func(address netip.AddrPort, client *http.Client, bodies *bounder.Bounder) starter.Store {
+				return platform.NewClient(platform.ClientConfig{Address: address, HTTPClient: client, Bodies: bodies})
 			},
-			NewEngineClient: func(client *http.Client, n *noticer.Noticer) starter.EngineClient {
-				return platform.EngineClient{HTTPClient: client, Noticer: n}
+			NewEngineClient: func(client *http.Client, n *noticer.Noticer, bodies *bounder.Bounder) starter.EngineClient {
+				return platform.EngineClient{HTTPClient: client, Noticer: n, Bodies: bodies}
 			},
 			NewHealthClient: func(client *http.Client, n *noticer.Noticer, path func(service string) string) verifier.Checker {
 				return platform.HealthClient{HTTPClient: client, Noticer: n, Path: path}
--- a/cmd/gentianstep/process.go
+++ b/cmd/gentianstep/process.go
@@ -34,6 +34,7 @@
 		if err != nil {
 			return err
 		}
+		logger.RedirectStandard(log)
 		return start(ctx, settings, log)
 	}}
 }
--- a/internal/caching/listener/listener.go
+++ b/internal/caching/listener/listener.go
@@ -22,8 +22,10 @@
 	pollInterval = 150 * time.Millisecond
 	// callTimeout bounds a call, in addition to the long-poll wait.
 	callTimeout = time.Second
-	// retryDelay is the delay after a failed call.
-	retryDelay = 300 * time.Millisecond
+	// minRetryDelay and maxRetryDelay are the bounds of the delay after a failed call,
+	// which doubles with each. An engine in trouble may answer with a lot of bytes.
+	minRetryDelay = 300 * time.Millisecond
+	maxRetryDelay = 5 * time.Second
 )
 
 // Event reports the number of tokens of a part that an engine now holds.
@@ -137,12 +139,15 @@
 	l.cfg.Sink.RemoveUpstream(u.ID)
 	defer l.cfg.Sink.RemoveUpstream(u.ID)
 	since, epoch := uint64(0), uint64(0)
+	retryDelay := minRetryDelay
 	for ctx.Err() == nil {
 		batch, err := l.fetchEvents(ctx, u, since)
 		if err != nil {
 			pauser.Pause(ctx, retryDelay)
+			retryDelay = min(2*retryDelay, maxRetryDelay)
 			continue
 		}
+		retryDelay = minRetryDelay
 		if epoch != 0 && batch.Epoch != epoch {
 			since, epoch = 0, 0
 			l.cfg.Sink.RemoveUpstream(u.ID)
--- a/internal/gateway/forwarder/deliver.go
+++ b/internal/gateway/forwarder/deliver.go
@@ -14,6 +14,13 @@
 // it is sent to the client. Longer ones are sent as they arrive.
 const maxBufferedBytes = 1 << 20
 
+// maxResponseBytes bounds a response that is not a stream. Upstreams in trouble may send
+// bytes without an end.
+const maxResponseBytes = 16 << 20
+
+// errResponseTooLarge is returned for a response of more than maxResponseBytes.
+var errResponseTooLarge = errors.New("response exceeds the size limit")
+
 // sendResponse sends a response that is not a stream to the client.
 func (x *exchange) sendResponse(answer *caller.Response) error {
 	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes))
@@ -51,7 +58,11 @@
 	x.w.WriteHeader(answer.Status)
 	_, err := x.w.Write(start)
 	if err == nil {
-		_, err = io.Copy(x.w, answer)
+		var n int64
+		limit := int64(maxResponseBytes - len(start))
+		if n, err = io.Copy(x.w, io.LimitReader(answer, limit)); err == nil && n == limit {
+			err = errResponseTooLarge
+		}
 	}
 	if err != nil {
 		answer.Discard()
--- a/internal/gateway/forwarder/relay.go
+++ b/internal/gateway/forwarder/relay.go
@@ -16,6 +16,13 @@
 // streamReadBytes is the size of one read of a stream; events are far smaller.
 const streamReadBytes = 4 << 10
 
+// maxIdleBytes bounds the bytes of a stream after which the next numbered event must have
+// followed. Comments, empty lines and events that the client has count towards it.
+const maxIdleBytes = 4 * parser.MaxEventBytes
+
+// errNoProgress is returned for a stream that sends bytes but no events.
+var errNoProgress = errors.New("stream sends bytes without a new event")
+
 // errClientGone is returned if writing to the client failed, since it has
 // disconnected or stopped reading.
 var errClientGone = errors.New("write events to client")
@@ -42,9 +49,11 @@
 func (x *exchange) copyEvents(answer *caller.Response) error {
 	var pending []byte
 	buffer := make([]byte, streamReadBytes)
+	idleBytes, lastEvent := 0, x.lastEvent
 	for {
 		n, err := answer.Read(buffer)
 		pending = append(pending, buffer[:n]...)
+		idleBytes += n
 		complete := completeEventsLen(pending)
 		if complete > 0 {
 			if err := x.sendEvents(pending[:complete]); err != nil {
@@ -52,6 +61,9 @@
 			}
 			pending = append(pending[:0], pending[complete:]...)
 		}
+		if x.lastEvent != lastEvent {
+			idleBytes, lastEvent = 0, x.lastEvent
+		}
 		switch {
 		case errors.Is(err, io.EOF) && len(pending) == 0:
 			return nil
@@ -63,6 +75,8 @@
 			return err
 		case len(pending) > parser.MaxEventBytes:
 			return parser.ErrTooLarge
+		case idleBytes > maxIdleBytes:
+			return errNoProgress
 		}
 	}
 }
--- a/internal/operating/starter/dial.go
+++ b/internal/operating/starter/dial.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"gentianstep.example/gentianstep/internal/upstream/caller"
 )
 
 const (
@@ -67,9 +69,10 @@
 
 func (g *gateway) newTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:         g.dial,
-		MaxIdleConnsPerHost: maxIdlePerHost,
-		IdleConnTimeout:     upstreamIdleTimeout,
-		DisableCompression:  true,
+		DialContext:            g.dial,
+		MaxIdleConnsPerHost:    maxIdlePerHost,
+		IdleConnTimeout:        upstreamIdleTimeout,
+		MaxResponseHeaderBytes: caller.MaxHeaderBytes,
+		DisableCompression:     true,
 	}
 }
--- a/internal/operating/starter/gateway.go
+++ b/internal/operating/starter/gateway.go
@@ -21,6 +21,7 @@
 	"gentianstep.example/gentianstep/internal/placement/leaser"
 	"gentianstep.example/gentianstep/internal/platform/storer"
 	"gentianstep.example/gentianstep/internal/routing/picker"
+	"gentianstep.example/gentianstep/internal/streaming/bounder"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
 	"gentianstep.example/gentianstep/internal/upstream/noticer"
 )
@@ -68,6 +69,9 @@
 	// memoryLimitShare is the fraction of the process's memory limit that is set as
 	// the soft limit of the Go runtime.
 	memoryLimitShare = 0.7
+	// responseMemoryShare is the fraction of that limit for the responses of the store
+	// that are read at the same time, and that for those of engines.
+	responseMemoryShare = 0.125
 	// gcPercent is the GOGC value: the heap growth that triggers a collection.
 	gcPercent = 50
 	// leaseTTL is the time to live of the lease for weight roll-outs, unless the
@@ -137,7 +141,7 @@
 	settings, p, log := cfg.Settings, cfg.Platform, cfg.Log
 	g := &gateway{platform: p, log: log, meter: meter.New(), dial: cfg.Dial, startedAt: time.Now()}
 	g.settings.Store(settings)
-	g.store = p.NewStore(settings.Store.Address, g.newClient())
+	g.store = p.NewStore(settings.Store.Address, g.newClient(), responseBodies(settings))
 	g.informer = informer.New(informer.Config{
 		Codec:             p.Codec,
 		OperatorPrefix:    p.OperatorPrefix,
@@ -154,7 +158,7 @@
 	})
 	g.vms = &vmDirectory{informer: g.informer, log: log}
 	g.noticer = noticer.New(noticer.Config{Bounds: noticeBounds(settings), Meter: g.meter, Log: log})
-	g.engineClient = p.NewEngineClient(g.newClient(), g.noticer)
+	g.engineClient = p.NewEngineClient(g.newClient(), g.noticer, responseBodies(settings))
 	g.view = coordinator.NewView()
 	g.hub = coordinator.NewHub(coordinator.HubConfig{
 		Active:   g.isHub,
@@ -201,3 +205,8 @@
 	})
 	return g
 }
+
+// responseBodies returns a limit of the memory of responses.
+func responseBodies(settings *configurer.VMSettings) *bounder.Bounder {
+	return bounder.New(int64(responseMemoryShare * float64(settings.MemoryBytes)))
+}
--- a/internal/operating/starter/gateway_platform.go
+++ b/internal/operating/starter/gateway_platform.go
@@ -11,6 +11,7 @@
 	"gentianstep.example/gentianstep/internal/operating/configurer"
 	"gentianstep.example/gentianstep/internal/placement/upgrader"
 	"gentianstep.example/gentianstep/internal/platform/storer"
+	"gentianstep.example/gentianstep/internal/streaming/bounder"
 	"gentianstep.example/gentianstep/internal/upstream/noticer"
 	"gentianstep.example/gentianstep/internal/upstream/verifier"
 )
@@ -27,9 +28,9 @@
 	// LoadSettings reads the settings file again, for a reload.
 	LoadSettings func() (*configurer.VMSettings, error)
 	// NewStore returns a client of the platform's store.
-	NewStore func(address netip.AddrPort, client *http.Client) Store
+	NewStore func(address netip.AddrPort, client *http.Client, bodies *bounder.Bounder) Store
 	// NewEngineClient returns a client for the control calls to engines.
-	NewEngineClient func(client *http.Client, n *noticer.Noticer) EngineClient
+	NewEngineClient func(client *http.Client, n *noticer.Noticer, bodies *bounder.Bounder) EngineClient
 	// NewHealthClient returns a client for health checks. Their path is that of the
 	// upstream's service.
 	NewHealthClient func(client *http.Client, n *noticer.Noticer, path func(service string) string) verifier.Checker
--- a/internal/operating/starter/store_restore_test.go
+++ b/internal/operating/starter/store_restore_test.go
@@ -21,6 +21,7 @@
 	"gentianstep.example/gentianstep/internal/operating/configurer"
 	"gentianstep.example/gentianstep/internal/placement/leaser"
 	"gentianstep.example/gentianstep/internal/platform/storer"
+	"gentianstep.example/gentianstep/internal/streaming/bounder"
 	"gentianstep.example/gentianstep/internal/testing/clocker"
 	"gentianstep.example/gentianstep/internal/testing/piper"
 	"gentianstep.example/gentianstep/internal/testing/scripter"
@@ -138,10 +139,10 @@
 		},
 		Platform: Platform{
 			Codec: platform.Codec{}, OperatorPrefix: platform.OperatorPrefix, UpstreamPrefix: platform.UpstreamPrefix,
-			NewStore: func(netip.AddrPort, *http.Client) Store {
+			NewStore: func(netip.AddrPort, *http.Client, *bounder.Bounder) Store {
 				return newStoreClient(f.meter)
 			},
-			NewEngineClient: func(*http.Client, *noticer.Noticer) EngineClient { return nil },
+			NewEngineClient: func(*http.Client, *noticer.Noticer, *bounder.Bounder) EngineClient { return nil },
 		},
 		Dial:      f.network.Dial,
 		SinceBoot: clocker.SinceBoot,
--- a/internal/operating/starter/transport.go
+++ b/internal/operating/starter/transport.go
@@ -17,9 +17,10 @@
 // TLS configured by c, or plain TCP if c is nil.
 func newTransport(c *certifier.Certifier) *http.Transport {
 	t := &http.Transport{
-		MaxIdleConnsPerHost: maxIdlePerHost,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+		MaxIdleConnsPerHost:    maxIdlePerHost,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: caller.MaxHeaderBytes,
+		DisableCompression:     true,
 	}
 	if c != nil {
 		t.DialContext = c.DialContext
--- a/internal/platform/requester/requester.go
+++ b/internal/platform/requester/requester.go
@@ -10,6 +10,8 @@
 	"fmt"
 	"io"
 	"net/http"
+
+	"gentianstep.example/gentianstep/internal/streaming/bounder"
 )
 
 // maxResponseBytes bounds the size of a response body.
@@ -25,6 +27,8 @@
 	// StatusError returns the error that an HTTP status stands for, nil for
 	// success.
 	StatusError func(status int) error
+	// Bodies limits the memory of the bodies of all responses; nil for no limit.
+	Bodies *bounder.Bounder
 }
 
 // Requester sends requests, at most once per call.
@@ -57,10 +61,11 @@
 		return fmt.Errorf("call platform: %w", err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	data, err := r.cfg.Bodies.ReadAll(response.Body, maxResponseBytes)
 	if err != nil {
 		return fmt.Errorf("read platform response: %w", err)
 	}
+	defer data.Release()
 	if check != nil {
 		if err := check(response.Header); err != nil {
 			return err
@@ -69,7 +74,7 @@
 	if err := r.cfg.StatusError(response.StatusCode); err != nil || result == nil {
 		return err
 	}
-	if err := json.Unmarshal(data, result); err != nil {
+	if err := json.Unmarshal(data.Data, result); err != nil {
 		return fmt.Errorf("decode platform response: %w", err)
 	}
 	return nil
--- a/internal/streaming/parser/event.go
+++ b/internal/streaming/parser/event.go
@@ -20,7 +20,8 @@
 	Data string
 }
 
-// MaxEventBytes is the maximum size of an event, field names included.
+// MaxEventBytes is the maximum size of an event, field names and the comments and empty
+// lines before it included.
 const MaxEventBytes = 64 << 10
 
 // ErrTooLarge is returned for an event of more than MaxEventBytes.
@@ -50,14 +51,14 @@
 		if line == "" && started {
 			return event, nil
 		}
+		size += len(line) + 1
+		if size > MaxEventBytes {
+			return Event{}, ErrTooLarge
+		}
 		if line == "" || strings.HasPrefix(line, ":") {
 			continue
 		}
 		started = true
-		size += len(line)
-		if size > MaxEventBytes {
-			return Event{}, ErrTooLarge
-		}
 		if err := event.parseLine(line); err != nil {
 			return Event{}, err
 		}
--- a/internal/upstream/caller/pool.go
+++ b/internal/upstream/caller/pool.go
@@ -19,8 +19,9 @@
 	maxIdlePerUpstream = 64
 	// idleConnectionTimeout is how long an idle connection is kept by default.
 	idleConnectionTimeout = 30 * time.Second
-	// maxHeaderBytes bounds the size of a response header.
-	maxHeaderBytes = 64 << 10
+	// MaxHeaderBytes bounds the size of a response header, and of all informational ones
+	// before it.
+	MaxHeaderBytes = 64 << 10
 )
 
 // DialFunc opens a connection.
@@ -57,7 +58,7 @@
 		DialContext:            p.connect,
 		MaxIdleConnsPerHost:    maxIdlePerUpstream,
 		IdleConnTimeout:        p.idleTimeout,
-		MaxResponseHeaderBytes: maxHeaderBytes,
+		MaxResponseHeaderBytes: MaxHeaderBytes,
 		DisableCompression:     true,
 	}
 }
--- a/internal/upstream/reader/reader.go
+++ b/internal/upstream/reader/reader.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -23,6 +24,8 @@
 	// long. An idle engine cannot be told apart from a broken connection, and
 	// reconnecting costs one request.
 	idleTimeout = 10 * time.Second
+	// maxEventBytes bounds the bytes from one event to the end of the next.
+	maxEventBytes = 1 << 20
 )
 
 // Config configures a Reader.
@@ -89,9 +92,11 @@
 	if response.StatusCode != http.StatusOK {
 		return fmt.Errorf("request cache events: unexpected status %d", response.StatusCode)
 	}
-	decoder := json.NewDecoder(response.Body)
+	limited := &io.LimitedReader{R: response.Body}
+	decoder := json.NewDecoder(limited)
 	for {
 		var e indexer.Event
+		limited.N = maxEventBytes
 		if err := decoder.Decode(&e); err != nil {
 			return fmt.Errorf("decode cache event: %w", err)
 		}
