Cancel calls on their own connection, not in the transport

What callers would see: a request fails with "context canceled" or a closed connection although nobody has cancelled it. Cause: net/http takes a connection back as soon as a response without a body has arrived, before it delivers the response. A call that is cancelled in between makes it close the connection, which may carry the next call by then.

The request's context carries the values of the call's, but does not end with it. The end of the call closes the connection while it carries the call, ends a wait for a connection, and leaves alone what another call has. Reads of a body return the cause of the end, as before for silence.

Ruled out: a lock around the return of the connection, which net/http does not offer.

--- a/internal/upstream/caller/answer.go
+++ b/internal/upstream/caller/answer.go
@@ -27,6 +27,7 @@
 	// ctx holds the cause of a failed read of the body.
 	ctx               context.Context
 	cancel            context.CancelCauseFunc
+	stopCancel        func()
 	body              io.ReadCloser
 	exchange          *exchange
 	watchdog          *watchdog
@@ -45,8 +46,8 @@
 	n, err := a.body.Read(data)
 	a.watchdog.stop()
 	a.started = a.started || n > 0
-	if err != nil && errors.Is(context.Cause(a.ctx), ErrSilent) {
-		return n, ErrSilent
+	if cause := context.Cause(a.ctx); err != nil && !errors.Is(err, io.EOF) && cause != nil {
+		return n, cause
 	}
 	return n, err
 }
@@ -75,6 +76,7 @@
 	a.watchdog.stop()
 	if n == 0 && errors.Is(err, io.EOF) {
 		a.exchange.end()
+		a.stopCancel()
 		_ = a.body.Close()
 		a.cancel(nil)
 		return nil
@@ -87,6 +89,7 @@
 // and the transport has taken the connection back.
 func (a *Response) Discard() {
 	a.exchange.abort()
+	a.stopCancel()
 	a.watchdog.stop()
 	a.cancel(nil)
 	_ = a.body.Close()
--- a/internal/upstream/caller/caller.go
+++ b/internal/upstream/caller/caller.go
@@ -72,8 +72,10 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	e := &exchange{ctx: ctx, admit: admission(call.Admit, cancel)}
-	request, err := newRequest(httptrace.WithClientTrace(ctx, e.trace()), target, call)
+	requestCtx, stopCancel := e.requestContext()
+	request, err := newRequest(httptrace.WithClientTrace(requestCtx, e.trace()), target, call)
 	if err != nil {
+		stopCancel()
 		cancel(nil)
 		return nil, &Failure{Upstream: target.Name, NotRun: true, Err: err}
 	}
@@ -94,6 +96,7 @@
 			err = cause
 		}
 		sent := e.abort()
+		stopCancel()
 		cancel(nil)
 		return nil, &Failure{Upstream: target.Name, Sent: sent, NotRun: !sent, Reused: e.wasReused(), Err: err}
 	}
@@ -103,6 +106,7 @@
 		Reused:            e.wasReused(),
 		ctx:               ctx,
 		cancel:            cancel,
+		stopCancel:        stopCancel,
 		body:              httpResponse.Body,
 		exchange:          e,
 		watchdog:          watchdog,
--- a/internal/upstream/caller/connection.go
+++ b/internal/upstream/caller/connection.go
@@ -113,19 +113,19 @@
 }
 
 // abort closes the connection and fails all later writes. It reports whether a
-// write of the request of e has begun. It leaves alone a connection that carries
-// the request of another exchange, or that has carried the response to its end: the
-// transport takes one back as soon as a response without a body has arrived, and
-// may have given it to another call.
-func (c *connection) abort(e *exchange) bool {
+// write of the request of e has begun, and whether it has closed the connection. It
+// leaves alone a connection that carries the request of another exchange, or that has
+// carried the response to its end: the transport takes one back as soon as a response
+// without a body has arrived, and may have given it to another call.
+func (c *connection) abort(e *exchange) (sent, closed bool) {
 	c.mu.Lock()
 	if c.owner != e || c.ended {
 		c.mu.Unlock()
-		return true
+		return true, false
 	}
 	c.aborted = true
-	sent := c.sent
+	sent = c.sent
 	c.mu.Unlock()
 	_ = c.Close()
-	return sent
+	return sent, true
 }
--- a/internal/upstream/caller/exchange.go
+++ b/internal/upstream/caller/exchange.go
@@ -17,10 +17,37 @@
 	// admit reports whether the call may be sent; nil admits it.
 	admit func() bool
 
-	mu     sync.Mutex
-	conn   *connection
-	sent   bool
-	reused bool
+	// cancelDial ends the wait for a connection.
+	cancelDial context.CancelFunc
+
+	mu        sync.Mutex
+	conn      *connection
+	cancelled bool
+	sent      bool
+	reused    bool
+}
+
+// requestContext returns the context of the request, which carries the values of ctx but
+// does not end with it: the transport closes the connection of a request whose context
+// ends, also if it carries that of another call by then. The end of ctx closes it only
+// while it carries this call. The returned function releases the context.
+func (e *exchange) requestContext() (context.Context, func()) {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(e.ctx))
+	e.cancelDial = cancel
+	stop := context.AfterFunc(e.ctx, e.cancel)
+	return ctx, func() { stop() }
+}
+
+// cancel abandons the call.
+func (e *exchange) cancel() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cancelled = true
+	if e.conn == nil {
+		e.cancelDial()
+		return
+	}
+	e.abortLocked()
 }
 
 func (e *exchange) trace() *httptrace.ClientTrace {
@@ -39,13 +66,17 @@
 	}
 	if e.conn != nil {
 		// The transport replaces the connection; the previous one must send no more.
-		e.sent = e.conn.abort(e) || e.sent
+		sent, _ := e.conn.abort(e)
+		e.sent = sent || e.sent
 	}
 	e.conn = conn
 	e.reused = conn.beginRequest(e)
 	if e.reused && e.onReuse != nil {
 		e.onReuse()
 	}
+	if e.cancelled {
+		e.abortLocked()
+	}
 }
 
 // putIdleConn is called when the transport has taken the connection back.
@@ -60,12 +91,23 @@
 func (e *exchange) abort() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.conn != nil {
-		e.sent = e.conn.abort(e) || e.sent
-	}
+	e.abortLocked()
 	return e.sent
 }
 
+// abortLocked closes the connection and ends the request if the connection carries it. The
+// caller must hold e.mu.
+func (e *exchange) abortLocked() {
+	if e.conn == nil {
+		return
+	}
+	sent, closed := e.conn.abort(e)
+	e.sent = sent || e.sent
+	if closed {
+		e.cancelDial() // the transport must not look for another connection
+	}
+}
+
 // end records that the response was read to its end.
 func (e *exchange) end() {
 	e.mu.Lock()
