Keep the weights of engines when the hub changes

What callers saw: streams were refused with no_upstream for up to a heartbeat after a change of the hub (known red TestRestoredStoreUnderLoad). Cause: a full state of a hub replaced all that a VM knew of engines. A new hub does not know of weights that an engine has loaded for the one before, until the engine's entry or a report shows them, so that VMs fell back to the older weights of the entry, whose time was over.

A VM keeps the weights of an engine's process for a minute; what the new hub states goes before, and the mark of an engine that is changing is dropped.

--- a/internal/peering/coordinator/view.go
+++ b/internal/peering/coordinator/view.go
@@ -21,6 +21,9 @@
 	// changingTTL is how long an engine counts as changing its weights after the last
 	// message about it; loading weights takes a fraction of that time.
 	changingTTL = 5 * time.Second
+	// weightsTTL is how long the weights of an engine are kept that a later hub does not
+	// state. The engine's entry shows them within a heartbeat.
+	weightsTTL = time.Minute
 )
 
 // View is the state that a VM has received from the hub.
@@ -45,10 +48,11 @@
 	corrections map[string]correction
 }
 
-// engineState is an Engine with the expiry of its ChangingWeights mark.
+// engineState is an Engine with the expiry of its ChangingWeights mark and of its weights.
 type engineState struct {
 	Engine
 	changingExpiresAt time.Time
+	weightsExpireAt   time.Time
 }
 
 // NewView returns an empty View.
@@ -70,7 +74,7 @@
 	if s.Full {
 		v.names = nil
 		v.loads = make(map[string]Load)
-		v.engines = make(map[string]engineState)
+		v.keepWeights(now)
 		v.catalogue = cataloguer.New()
 		clear(v.pending)
 	}
@@ -84,7 +88,7 @@
 		// Times are encoded as floating-point seconds, which are not exact.
 		e.StartedAt = e.StartedAt.Round(time.Millisecond)
 		delete(v.corrections, e.Upstream)
-		v.engines[e.Upstream] = engineState{Engine: e, changingExpiresAt: now.Add(changingTTL)}
+		v.engines[e.Upstream] = engineState{Engine: e, changingExpiresAt: now.Add(changingTTL), weightsExpireAt: now.Add(weightsTTL)}
 	}
 	for _, p := range s.Cached {
 		key := CachedPart{Upstream: v.names[p.Upstream], Scope: v.names[p.Scope], ID: p.ID}
@@ -97,6 +101,18 @@
 	return nil
 }
 
+// keepWeights keeps only the weights of the engines when another hub sends its state: it
+// does not know of a change that neither a report nor an entry has shown it.
+func (v *View) keepWeights(now time.Time) {
+	for upstream, e := range v.engines {
+		e.changingExpiresAt = time.Time{}
+		v.engines[upstream] = e
+		if now.After(e.weightsExpireAt) {
+			delete(v.engines, upstream)
+		}
+	}
+}
+
 func (v *View) setLoad(upstream string, load Load) {
 	if load == (Load{}) {
 		delete(v.loads, upstream)
@@ -183,7 +199,7 @@
 			weights[m] = known
 		}
 	}
-	e.Weights = weights
+	e.Weights, e.weightsExpireAt = weights, now.Add(weightsTTL)
 	v.engines[u.ID] = e
 }
 
