Do not follow redirects of upstreams and the store

An upstream or a store in trouble could send a VM to other hosts with a status of 3xx: the gateway's clients followed it for reports, orders, reads of cache events and calls of the store, up to ten times. Found by review beside answers without an end; the client of requests did not follow any.

--- a/internal/operating/starter/endless_test.go
+++ b/internal/operating/starter/endless_test.go
@@ -122,3 +122,22 @@
 		t.Errorf("%d bytes in memory, want at most a quarter of it", got)
 	}
 }
+
+// TestRedirectsAreNotFollowed guards against an upstream or a store in trouble that sends a
+// VM to other hosts.
+func TestRedirectsAreNotFollowed(t *testing.T) {
+	t.Parallel()
+	address := netip.MustParseAddrPort("10.0.0.1:80")
+	for _, call := range []string{"report", "order", "events", "store", "write"} {
+		t.Run(call, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			server := flooder.New(flooder.Redirect)
+			g := &gateway{dial: server.Dial}
+			is.True(endlessCalls[call](t.Context(), g.newClient(), nil, address) != nil)
+			for _, dialled := range server.Addresses() {
+				is.Equal(dialled, address.String())
+			}
+		})
+	}
+}
--- a/internal/testing/flooder/flooder.go
+++ b/internal/testing/flooder/flooder.go
@@ -24,6 +24,8 @@
 	ChunkedBody   Form = "chunked_body"
 	// Trailer is a complete answer of an empty body in chunks, with a trailer.
 	Trailer Form = "trailer"
+	// Redirect sends the client to another host.
+	Redirect Form = "redirect"
 	// Idle is a complete answer, followed by bytes that no request has asked for.
 	Idle Form = "idle"
 )
@@ -52,6 +54,8 @@
 		return chunkedHead + "0\r\n", "X-A: " + line + "\r\n"
 	case Idle:
 		return "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", line
+	case Redirect:
+		return "HTTP/1.1 302 Found\r\nLocation: http://10.0.0.2/\r\nContent-Length: 0\r\n\r\n", line
 	case Garbage:
 	}
 	return "", line
@@ -65,6 +69,7 @@
 	// read is the number of bytes on all connections, open that on those that are open,
 	// and openPeak the highest value of the latter.
 	read, open, openPeak int
+	addresses            []string
 }
 
 // New returns a Flooder that answers in a form.
@@ -85,9 +90,19 @@
 	return f.openPeak
 }
 
+// Addresses returns the addresses of all connections so far.
+func (f *Flooder) Addresses() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]string(nil), f.addresses...)
+}
+
 // Dial opens a connection to the server. It has the signature of
 // http.Transport.DialContext.
-func (f *Flooder) Dial(context.Context, string, string) (net.Conn, error) {
+func (f *Flooder) Dial(_ context.Context, _, address string) (net.Conn, error) {
+	f.mu.Lock()
+	f.addresses = append(f.addresses, address)
+	f.mu.Unlock()
 	client, server := net.Pipe()
 	go f.run(server)
 	return &countedConn{Conn: client, flooder: f}, nil
--- a/internal/upstream/caller/caller.go
+++ b/internal/upstream/caller/caller.go
@@ -59,7 +59,8 @@
 // out, the others may be broken as well.
 func (c *Caller) CloseIdle(target Target) { c.pool.closeIdle(target.Address) }
 
-func disableRedirects(*http.Request, []*http.Request) error {
+// DisableRedirects is an http.Client.CheckRedirect. A redirect becomes the response.
+func DisableRedirects(*http.Request, []*http.Request) error {
 	return http.ErrUseLastResponse
 }
 
@@ -84,7 +85,7 @@
 	}
 	client := &http.Client{
 		Transport:     c.pool.transport(target.Address, call.NewConnection),
-		CheckRedirect: disableRedirects,
+		CheckRedirect: DisableRedirects,
 	}
 	watchdog := newWatchdog(call.FirstByteDeadline, cancel)
 	// A reused connection may be broken, so the wait for it is shorter.
