Soak: upstreams that start again under their ID and state that they leave

The soak had upstreams that leave and are replaced under another ID, and did not check which calls reach one that has stated that it leaves. Now upstreams start again under their ID too; the entry of the later process follows after 0.3 s to 5 s, and one of the two processes states that it leaves. A call that a process of a gateway passes on to such a process later than the drain bound after it has passed on the statement breaks the promise left_alone; a freeze excuses it. Restarts are drawn apart, so that the other steps of a seed stay as they were.

--- a/internal/standin/soaker/checker.go
+++ b/internal/standin/soaker/checker.go
@@ -21,6 +21,9 @@
 	// Recover is the time from which calls succeed again, counted from when all
 	// gateways were ready after the last step.
 	Recover time.Duration
+	// Drain is the time after a response that states that its upstream is leaving from
+	// which its gateway passes no new calls on to it.
+	Drain time.Duration
 	// MemoryMiB is the memory limit of a gateway.
 	MemoryMiB int
 }
@@ -71,6 +74,7 @@
 		c.checkKey(&r.Calls[i])
 	}
 	c.checkUnasked()
+	c.checkLeaving()
 	c.checkRollback()
 	c.checkOrders()
 	c.checkBudget()
--- a/internal/standin/soaker/checker_test.go
+++ b/internal/standin/soaker/checker_test.go
@@ -36,7 +36,7 @@
 	scripter.Read(t, "testdata/records.json", &rows)
 	bounds := soaker.Bounds{
 		ConfigurationApply: 2 * time.Second, RetryRatio: 0.5, RetryExtra: 1, RetryWindow: 10 * time.Second,
-		Stable: time.Second, Recover: 4 * time.Second,
+		Stable: time.Second, Recover: 4 * time.Second, Drain: 2 * time.Second,
 	}
 	for _, row := range rows {
 		t.Run(row.Name, func(t *testing.T) {
@@ -71,5 +71,5 @@
 			kinds[s.Kind]++
 		}
 	}
-	is.Equal(len(kinds), 11) // each kind occurs
+	is.Equal(len(kinds), 12) // each kind occurs
 }
--- a/internal/standin/soaker/journal.go
+++ b/internal/standin/soaker/journal.go
@@ -47,6 +47,8 @@
 	Status  int       `json:"status"`
 	// Upstream is the upstream that the response names, if any.
 	Upstream string `json:"upstream,omitempty"`
+	// Leaving is true if the response states that its upstream is leaving.
+	Leaving bool `json:"leaving,omitempty"`
 	// Mixed says in which way the response is not that of an upstream to this call,
 	// Disordered in which way a stream is not whole and in order.
 	Mixed      string `json:"mixed,omitempty"`
@@ -60,8 +62,11 @@
 	Service string `json:"service"`
 	// Place is where the upstream runs: the target of steps, unlike the name of the
 	// upstream, which another one may have taken over from.
-	Place string    `json:"place"`
-	At    time.Time `json:"at"`
+	Place string `json:"place"`
+	// Upstream is the ID of the upstream, and Process identifies its process.
+	Upstream string    `json:"upstream,omitempty"`
+	Process  string    `json:"process,omitempty"`
+	At       time.Time `json:"at"`
 }
 
 // Run is a call that an upstream ran.
--- a/internal/standin/soaker/plan.go
+++ b/internal/standin/soaker/plan.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -21,6 +22,9 @@
 	Name Kind = "name_weights"
 	// Leave makes an upstream announce that it leaves. Another one replaces it.
 	Leave Kind = "leave"
+	// Restart starts an upstream again under its ID, whose new entry follows at the end of
+	// the step. One of its processes states that it leaves.
+	Restart Kind = "restart"
 	// Refuse makes an upstream refuse some requests and ask for a pause.
 	Refuse Kind = "refuse"
 	// Kill ends a gateway with SIGKILL and starts it again.
@@ -35,6 +39,12 @@
 	Store Kind = "store"
 )
 
+// Details of Restart: the process that states that it leaves.
+const (
+	EarlierLeaves = "earlier_leaves"
+	LaterLeaves   = "later_leaves"
+)
+
 // Targets of steps. Those of links of a gateway follow its name and a slash.
 const (
 	storeTarget = "store"
@@ -67,10 +77,21 @@
 	quietStart = time.Second
 	// plannedShare is the part of a plan that holds planned work only.
 	plannedShare = 0.4
-	minGap       = 60 * time.Millisecond
-	maxGap       = 600 * time.Millisecond
-	minLength    = 300 * time.Millisecond
-	maxLength    = 2500 * time.Millisecond
+	// restartGap is the mean time between two restarts of upstreams, and restartReserve the
+	// time before the end of the plan in which there are none.
+	restartGap     = 1500 * time.Millisecond
+	restartReserve = 8 * time.Second
+	// maxEntryDelay is the longest time until the entry of a restarted upstream follows. It
+	// exceeds the drain bound.
+	maxEntryDelay = 5 * time.Second
+	// restartMargin is the time around a restart in which its upstream is not replaced.
+	restartMargin = 3 * time.Second
+	// restartSeed makes the restarts of a seed independent of its other steps.
+	restartSeed = 1 << 63
+	minGap      = 60 * time.Millisecond
+	maxGap      = 600 * time.Millisecond
+	minLength   = 300 * time.Millisecond
+	maxLength   = 2500 * time.Millisecond
 )
 
 // planner draws the steps of a plan.
@@ -95,9 +116,26 @@
 		}
 		p.add(kinds[p.random.IntN(len(kinds))], at, min(at+p.between(minLength, maxLength), length))
 	}
+	p.random = rand.New(rand.NewPCG(seed, seed^restartSeed)) //nolint:gosec // A plan must be repeatable.
+	for at := quietStart; at < length-restartReserve; at += p.between(restartGap/2, restartGap*3/2) {
+		p.addRestart(at)
+	}
+	slices.SortStableFunc(p.steps, func(a, b Step) int { return cmp.Compare(a.Begin, b.Begin) })
 	return p.steps
 }
 
+// addRestart appends a restart unless its upstream is replaced around it.
+func (p *planner) addRestart(begin time.Duration) {
+	s := Step{Kind: Restart, Target: p.choose(p.targets.Upstreams), Begin: begin, End: begin + p.between(minLength, maxEntryDelay)}
+	s.Detail = p.choose([]string{EarlierLeaves, LaterLeaves})
+	replaced := slices.ContainsFunc(p.steps, func(other Step) bool {
+		return (other.Kind == Leave || other.Kind == Restart) && other.Target == s.Target && other.Begin < s.End+restartMargin && s.Begin < other.End+restartMargin
+	})
+	if !replaced {
+		p.steps = append(p.steps, s)
+	}
+}
+
 func (p *planner) between(low, high time.Duration) time.Duration {
 	return low + time.Duration(p.random.Int64N(int64(high-low)))
 }
--- a/internal/standin/soaker/verdict.go
+++ b/internal/standin/soaker/verdict.go
@@ -28,6 +28,7 @@
 	MemoryLimit  Promise = "memory_limit"
 	Growth       Promise = "growth"
 	NewerWeights Promise = "newer_weights"
+	LeftAlone    Promise = "left_alone"
 )
 
 // Violation is a broken promise.
