--- a/internal/standin/disrupter/disrupter.go
+++ b/internal/standin/disrupter/disrupter.go
@@ -96,7 +96,13 @@
 // respondWithFault applies f instead of calling the wrapped handler.
 func respondWithFault(w http.ResponseWriter, r *http.Request, f Fault) {
 	switch f.Kind {
-	case Refuse:
+	case Refuse, Leaving, HoldOff:
+		if f.Kind == Leaving {
+			w.Header().Set(encoder.HeaderLeaving, "true")
+		}
+		if f.HoldOff != "" {
+			w.Header().Set("Retry-After", f.HoldOff)
+		}
 		w.Header().Set(encoder.HeaderNotRun, "true")
 		http.Error(w, "refused", http.StatusServiceUnavailable)
 	case Fail:
--- a/internal/standin/disrupter/fault.go
+++ b/internal/standin/disrupter/fault.go
@@ -43,6 +43,13 @@
 	OtherWeights Kind = "other_weights"
 	// Double sends the complete response a second time after its end.
 	Double Kind = "double"
+	// Leaving states in the response headers that the upstream is leaving. Before the
+	// handler runs, it refuses the request.
+	Leaving Kind = "leaving"
+	// HoldOff refuses the request and asks for none for Fault.HoldOff seconds.
+	HoldOff Kind = "hold_off"
+	// Flood sends comments until the client closes the connection.
+	Flood Kind = "flood"
 )
 
 // Place is the point of an exchange at which a fault is injected.
@@ -69,6 +76,8 @@
 	Kind       Kind   `json:"kind"`
 	// Event is the number of the write to alter if Place is AtEvent. The first is 1.
 	Event int `json:"event,omitempty"`
+	// HoldOff is the value of Retry-After, in seconds.
+	HoldOff string `json:"hold_off,omitempty"`
 	// Times is the number of requests that the fault still applies to.
 	Times int `json:"times"`
 }
@@ -81,6 +90,9 @@
 	if f.Place == AtEvent && f.Event < 1 {
 		return errors.New("fault at an event takes its number from 1")
 	}
+	if (f.Kind == HoldOff) != (f.HoldOff != "") {
+		return errors.New("fault takes the seconds of a hold-off if it is one")
+	}
 	return nil
 }
 
--- a/internal/standin/disrupter/writer.go
+++ b/internal/standin/disrupter/writer.go
@@ -98,6 +98,9 @@
 		return w.send([]byte("id: 1\ndata: {\n\n"))
 	case Oversized:
 		return w.send([]byte("data: " + strings.Repeat("x", parser.MaxEventBytes+1) + "\n\n"))
+	case Flood:
+		w.flood()
+		return w.send(data)
 	case Crossed:
 		return w.send([]byte(strings.ReplaceAll(string(data), w.request.Header.Get(encoder.HeaderRequestID), "other")))
 	}
@@ -122,6 +125,8 @@
 		w.Header().Set(encoder.HeaderIncarnation, "other")
 	case OtherWeights:
 		w.Header().Set(encoder.HeaderWeightsVersion, "other")
+	case Leaving:
+		w.Header().Set(encoder.HeaderLeaving, "true")
 	case Double:
 	default:
 		if w.fault.Place == AtEvent {
@@ -131,6 +136,19 @@
 	}
 }
 
+// floodBytes is the size of a flood that is let through.
+const floodBytes = 8 << 20
+
+// flood sends comments until the client closes the connection.
+func (w *faultWriter) flood() {
+	block := []byte(strings.Repeat(": comment\n", 1<<10))
+	for sent := 0; sent < floodBytes; sent += len(block) {
+		if w.send(block) != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
 // finish sends the response again for Double.
 func (w *faultWriter) finish() {
 	if w.fault.Kind == Double {
