Use an upstream again whose processes cannot be told apart

A plain service states no incarnation, and some upstreams no start time. Once such an upstream had stated that it leaves, every later process of it counted as leaving, for good: nothing told them apart, and nothing asked. Its departure now ends 10 minutes after its drain period, when the process that made it is gone; one that still leaves says so in its next response. Processes with a start time are not affected.

The random test of notices waits for workers that still delay a response to a caller that has given up: with a stack of all goroutines, that was what ended one of its schedules in some 15,000 as a deadlock of the test.

--- a/internal/gateway/forwarder/notices_model_test.go
+++ b/internal/gateway/forwarder/notices_model_test.go
@@ -124,6 +124,7 @@
 		m.apply(t, engines, n, e)
 	}
 	m.requests.Wait()
+	time.Sleep(m.work) // workers end requests that their callers have given up
 	violations := make([]string, 0, noticeWorkers)
 	for _, w := range append(m.ended, m.workers...) {
 		violations = append(violations, noticeViolations(w)...)
--- a/internal/routing/withholder/departure.go
+++ b/internal/routing/withholder/departure.go
@@ -9,7 +9,8 @@
 )
 
 // departureTTL is how long after the end of its drain period other VMs are told of
-// an incarnation that is leaving.
+// an incarnation that is leaving, and one that cannot be told apart from later ones
+// counts as leaving.
 const departureTTL = 10 * time.Minute
 
 // departure is the statement of a process that it is leaving. Responses state no start
@@ -53,6 +54,12 @@
 	return maybeLeaving // an earlier start is of an outdated entry, or by a clock that was set back
 }
 
+// hasEnded reports whether the departure no longer applies to any process of its ID: they
+// cannot be told apart, and the one that has made the statement is gone by now.
+func (d *departure) hasEnded(now time.Time, i Incarnation) bool {
+	return d.earliest.StartedAt.IsZero() && i.StartedAt.IsZero() && !now.Before(d.drainUntil.Add(departureTTL))
+}
+
 // record adds the statement of a process that has started no earlier than earliest.
 func (d *departure) record(earliest Incarnation) {
 	if earliest.StartedAt.After(d.earliest.StartedAt) {
@@ -83,7 +90,7 @@
 // is leaving.
 func (w *Withholder) recordLeaving(now time.Time, i Incarnation) []Change {
 	d := w.departures[i.key()]
-	if d != nil && d.applies(i) != notLeaving {
+	if d != nil && d.applies(i) != notLeaving && !d.hasEnded(now, i) {
 		d.record(i)
 		d.toldAt, d.told, d.before = now, true, time.Time{}
 		return nil
@@ -98,9 +105,9 @@
 
 // leavingUntil returns the end of the drain period of u and whether it is certain that u
 // is leaving. The time is zero if it is not.
-func (w *Withholder) leavingUntil(u *registrar.Upstream) (time.Time, bool) {
+func (w *Withholder) leavingUntil(now time.Time, u *registrar.Upstream) (time.Time, bool) {
 	i := newIncarnation(u)
-	if d := w.departures[i.key()]; d != nil {
+	if d := w.departures[i.key()]; d != nil && !d.hasEnded(now, i) {
 		if c := d.applies(i); c != notLeaving {
 			return d.drainUntil, c == leaving
 		}
@@ -113,8 +120,8 @@
 
 // Unverified reports whether u may have stated that it is leaving, or an earlier process
 // has. A response of u to a request from now on shows which; see RecordCheck.
-func (w *Withholder) Unverified(u *registrar.Upstream) bool {
-	until, certain := w.leavingUntil(u)
+func (w *Withholder) Unverified(now time.Time, u *registrar.Upstream) bool {
+	until, certain := w.leavingUntil(now, u)
 	return !until.IsZero() && !certain
 }
 
--- a/internal/routing/withholder/withholder.go
+++ b/internal/routing/withholder/withholder.go
@@ -81,7 +81,7 @@
 	if h := w.holdOffOf(u); h != nil {
 		access = h.access(now)
 	}
-	drainUntil, _ := w.leavingUntil(u)
+	drainUntil, _ := w.leavingUntil(now, u)
 	switch {
 	case drainUntil.IsZero():
 		return access
@@ -103,8 +103,8 @@
 
 // DrainUntil returns the end of the drain period of u, or the zero time if it is
 // not leaving.
-func (w *Withholder) DrainUntil(u *registrar.Upstream) time.Time {
-	until, _ := w.leavingUntil(u)
+func (w *Withholder) DrainUntil(now time.Time, u *registrar.Upstream) time.Time {
+	until, _ := w.leavingUntil(now, u)
 	return until
 }
 
@@ -126,7 +126,7 @@
 // AdmitProbe reports whether a request that asks whether u is there may be sent
 // now, and counts it. A leaving upstream may get it, one in a hold-off may not.
 func (w *Withholder) AdmitProbe(now time.Time, u *registrar.Upstream) bool {
-	if !w.DrainUntil(u).IsZero() {
+	if !w.DrainUntil(now, u).IsZero() {
 		return !now.Before(w.HeldUntil(u))
 	}
 	return w.Admit(now, u, false)
--- a/internal/upstream/noticer/noticer.go
+++ b/internal/upstream/noticer/noticer.go
@@ -171,9 +171,10 @@
 	if n.withholder.Empty() {
 		return nil
 	}
+	now := time.Now()
 	var unverified []*registrar.Upstream
 	for _, u := range list {
-		if n.withholder.Unverified(u) {
+		if n.withholder.Unverified(now, u) {
 			unverified = append(unverified, u)
 		}
 	}
@@ -218,12 +219,12 @@
 		if access != withholder.Open && usable != nil && !usable(u) {
 			continue
 		}
-		s.Unverified = s.Unverified || access != withholder.Open && n.withholder.Unverified(u)
+		s.Unverified = s.Unverified || access != withholder.Open && n.withholder.Unverified(now, u)
 		switch access {
 		case withholder.Open:
 			s.Open = append(s.Open, u)
 		case withholder.LastResort:
-			s.addLastResort(u, n.withholder.DrainUntil(u))
+			s.addLastResort(u, n.withholder.DrainUntil(now, u))
 		case withholder.Paced:
 			s.Paced = true
 		case withholder.Held:
