Delay reads of cache events only after bytes that are no response

The delays of up to 5 s came after any failed call, so that a hub that was refused or cut off for a moment read the events of an engine late, and prompts were read again at others. They are for engines that answer with bytes without an end, and now follow those alone: heads and bodies that are too large or no response.

--- a/internal/caching/listener/listener.go
+++ b/internal/caching/listener/listener.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -22,12 +23,15 @@
 	pollInterval = 150 * time.Millisecond
 	// callTimeout bounds a call, in addition to the long-poll wait.
 	callTimeout = time.Second
-	// minRetryDelay and maxRetryDelay are the bounds of the delay after a failed call,
-	// which doubles with each. An engine in trouble may answer with a lot of bytes.
+	// minRetryDelay is the delay after a failed call. It doubles up to maxRetryDelay while
+	// an engine answers with bytes that are no response, which may be many.
 	minRetryDelay = 300 * time.Millisecond
 	maxRetryDelay = 5 * time.Second
 )
 
+// ErrNoResponse is returned by a Source if an engine has sent bytes that are no response.
+var ErrNoResponse = errors.New("engine has sent bytes that are no response")
+
 // Event reports the number of tokens of a part that an engine now holds.
 type Event struct {
 	Part   cataloguer.Part
@@ -139,15 +143,15 @@
 	l.cfg.Sink.RemoveUpstream(u.ID)
 	defer l.cfg.Sink.RemoveUpstream(u.ID)
 	since, epoch := uint64(0), uint64(0)
-	retryDelay := minRetryDelay
+	retryDelay := time.Duration(0)
 	for ctx.Err() == nil {
 		batch, err := l.fetchEvents(ctx, u, since)
 		if err != nil {
+			retryDelay = nextRetryDelay(retryDelay, err)
 			pauser.Pause(ctx, retryDelay)
-			retryDelay = min(2*retryDelay, maxRetryDelay)
 			continue
 		}
-		retryDelay = minRetryDelay
+		retryDelay = 0
 		if epoch != 0 && batch.Epoch != epoch {
 			since, epoch = 0, 0
 			l.cfg.Sink.RemoveUpstream(u.ID)
@@ -166,6 +170,15 @@
 	}
 }
 
+// nextRetryDelay returns the delay after a call that failed with err; last is the one after
+// the call before, 0 if that succeeded.
+func nextRetryDelay(last time.Duration, err error) time.Duration {
+	if !errors.Is(err, ErrNoResponse) {
+		return minRetryDelay
+	}
+	return min(max(2*last, minRetryDelay), maxRetryDelay)
+}
+
 // fetchEvents requests the events of an engine since a position.
 func (l *Listener) fetchEvents(ctx context.Context, u *registrar.Upstream, since uint64) (Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, longPollWait+callTimeout)
--- a/internal/operating/starter/endless_test.go
+++ b/internal/operating/starter/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -10,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"gentianstep.example/gentianstep/internal/caching/listener"
 	"gentianstep.example/gentianstep/internal/membership/registrar"
 	"gentianstep.example/gentianstep/internal/placement/upgrader"
 	"gentianstep.example/gentianstep/internal/platform/dialer"
@@ -95,6 +97,9 @@
 			if row.Form != flooder.Idle {
 				is.True(err != nil || row.Call == "order")
 			}
+			if row.Call == "events" && err != nil {
+				is.True(errors.Is(err, listener.ErrNoResponse))
+			}
 			if got := server.BytesRead(); got > maxEndlessBytes {
 				t.Errorf("read %d bytes, want at most %d", got, maxEndlessBytes)
 			}
