--- a/internal/membership/registrar/registrar.go
+++ b/internal/membership/registrar/registrar.go
@@ -87,10 +87,10 @@
 	return events
 }
 
-// hasLeft reports whether the process of an entry is known to be leaving.
+// hasLeft reports whether the last entry of the same process showed it leaving.
 func (r *Registrar) hasLeft(u *Upstream) bool {
 	if u.StartedAt.IsZero() {
-		return false // a later process cannot be told apart
+		return false // a later process cannot be distinguished
 	}
 	known, ok := r.gone.Get(u.ID)
 	if rec, registered := r.records[u.ID]; registered {
--- a/internal/peering/coordinator/view.go
+++ b/internal/peering/coordinator/view.go
@@ -21,8 +21,8 @@
 	// changingTTL is how long an engine counts as changing its weights after the last
 	// message about it; loading weights takes a fraction of that time.
 	changingTTL = 5 * time.Second
-	// weightsTTL is how long the weights of an engine are kept that a later hub does not
-	// state. The engine's entry shows them within a heartbeat.
+	// weightsTTL is how long the weights of an engine are kept if a later hub does not state
+	// them. The engine's entry shows them within a heartbeat.
 	weightsTTL = time.Minute
 )
 
@@ -101,8 +101,8 @@
 	return nil
 }
 
-// keepWeights keeps only the weights of the engines when another hub sends its state: it
-// does not know of a change that neither a report nor an entry has shown it.
+// keepWeights keeps only the weights of the engines when another hub sends its state, which
+// lacks changes that neither a report nor an entry has shown yet.
 func (v *View) keepWeights(now time.Time) {
 	for upstream, e := range v.engines {
 		e.changingExpiresAt = time.Time{}
--- a/internal/routing/withholder/departure.go
+++ b/internal/routing/withholder/departure.go
@@ -8,26 +8,24 @@
 	"gentianstep.example/gentianstep/internal/membership/registrar"
 )
 
-// departureTTL is how long after the end of its drain period other VMs are told of
-// an incarnation that is leaving, and one that cannot be told apart from later ones
-// counts as leaving.
+// departureTTL is how long after the end of its drain period a departure is sent to
+// other VMs, and applies to an upstream whose processes cannot be distinguished.
 const departureTTL = 10 * time.Minute
 
 // departure is the statement of a process that it is leaving. Responses state no start
-// time, so that the process is known by bounds of it alone.
+// time, so that only bounds of the process are available.
 type departure struct {
 	// earliest is the earliest process that can have made the statement.
 	earliest Incarnation
-	// before is the start of the earliest process that is known not to have made it, zero
-	// if there is none.
+	// before is the start of the earliest process that has been shown not to have made
+	// it, zero if there is none.
 	before time.Time
-	// toldAt is when the latest response with the statement was received.
-	toldAt time.Time
+	// receivedAt is when this VM has received the latest response with the statement.
+	receivedAt time.Time
 	// drainUntil is the end of the drain period.
 	drainUntil time.Time
-	// told is true if this VM has received the statement in a response, false if other
-	// VMs alone have reported it.
-	told bool
+	// received is false if other VMs alone have reported the statement.
+	received bool
 }
 
 // certainty says whether a process has stated that it is leaving.
@@ -55,7 +53,7 @@
 }
 
 // hasEnded reports whether the departure no longer applies to any process of its ID: they
-// cannot be told apart, and the one that has made the statement is gone by now.
+// cannot be distinguished, and the one that has made the statement is gone by now.
 func (d *departure) hasEnded(now time.Time, i Incarnation) bool {
 	return d.earliest.StartedAt.IsZero() && i.StartedAt.IsZero() && !now.Before(d.drainUntil.Add(departureTTL))
 }
@@ -67,8 +65,8 @@
 	}
 }
 
-// RecordDeparture records that an incarnation has told another VM that it is
-// leaving, and returns the resulting changes. It may not be known here yet.
+// RecordDeparture records a report of another VM that an incarnation is leaving, and
+// returns the resulting changes. This VM may not have an entry of it yet.
 func (w *Withholder) RecordDeparture(now time.Time, i Incarnation) []Change {
 	d := w.departures[i.key()]
 	if d != nil && d.applies(i) != notLeaving {
@@ -76,7 +74,7 @@
 		return nil
 	}
 	if d != nil && d.earliest.movedFrom(i) {
-		return nil // a later process is known
+		return nil // superseded by a later process
 	}
 	d = &departure{earliest: i, drainUntil: now.Add(w.cfg.Drain)}
 	if !i.StartedAt.IsZero() {
@@ -92,14 +90,14 @@
 	d := w.departures[i.key()]
 	if d != nil && d.applies(i) != notLeaving && !d.hasEnded(now, i) {
 		d.record(i)
-		d.toldAt, d.told, d.before = now, true, time.Time{}
+		d.receivedAt, d.received, d.before = now, true, time.Time{}
 		return nil
 	}
 	until := now.Add(w.cfg.Drain)
 	if unknown := w.departures[recordKey{address: i.Address}]; unknown != nil && unknown.applies(i) != notLeaving && unknown.drainUntil.Before(until) {
 		until = unknown.drainUntil
 	}
-	add(w.departures, i.key(), &departure{earliest: i, toldAt: now, drainUntil: until, told: true})
+	add(w.departures, i.key(), &departure{earliest: i, receivedAt: now, drainUntil: until, received: true})
 	return []Change{{LeavingTold, i, until}}
 }
 
@@ -139,7 +137,7 @@
 	i, ended := newIncarnation(u), false
 	for _, key := range []recordKey{i.key(), {address: u.Address}} {
 		d := w.departures[key]
-		if d == nil || d.applies(i) != maybeLeaving || !n.SentAt.After(d.toldAt) {
+		if d == nil || d.applies(i) != maybeLeaving || !n.SentAt.After(d.receivedAt) {
 			continue
 		}
 		ended = true
@@ -153,12 +151,12 @@
 	return changes
 }
 
-// Departures returns the incarnations that have told this VM that they are leaving,
-// sorted by ID.
+// Departures returns the incarnations whose statement that they are leaving this VM has
+// received, sorted by ID.
 func (w *Withholder) Departures(now time.Time) []Incarnation {
 	var list []Incarnation
 	for _, d := range w.departures {
-		if d.told && d.earliest.ID != "" && now.Before(d.drainUntil.Add(departureTTL)) {
+		if d.received && d.earliest.ID != "" && now.Before(d.drainUntil.Add(departureTTL)) {
 			list = append(list, d.earliest)
 		}
 	}
--- a/internal/routing/withholder/hold_off.go
+++ b/internal/routing/withholder/hold_off.go
@@ -23,10 +23,10 @@
 )
 
 // holdOff is the time in which an upstream wants no requests. It outlasts a restart under
-// the same ID, since nothing tells which of the processes has requested it.
+// the same ID, since responses do not state which process has requested it.
 type holdOff struct {
-	// toldAt is when the latest request of it was received.
-	toldAt time.Time
+	// receivedAt is when the latest request of it was received.
+	receivedAt time.Time
 	// until is the end of the longest hold-off.
 	until time.Time
 	// allowance is the number of requests that may be sent after the end of the
@@ -91,7 +91,7 @@
 		h = &holdOff{}
 		add(w.holdOffs, i.key(), h)
 	}
-	h.toldAt = now
+	h.receivedAt = now
 	granted := min(requested, w.cfg.MaxHoldOff)
 	if !h.extend(now.Add(granted)) {
 		return nil
@@ -109,4 +109,4 @@
 }
 
 // recordedAt implements dated.
-func (h *holdOff) recordedAt() time.Time { return h.toldAt }
+func (h *holdOff) recordedAt() time.Time { return h.receivedAt }
