--- a/internal/gateway/forwarder/notices_model_test.go
+++ b/internal/gateway/forwarder/notices_model_test.go
@@ -30,9 +30,6 @@
 	noticeMillis = 8000
 	// noticeTimeout is the timeout of requests.
 	noticeTimeout = time.Minute
-	// drainBound is the longest time after a response with a notice of leaving in
-	// which requests may arrive.
-	drainBound = 2500 * time.Millisecond
 	// holdOffGrace is the time after a refusal with a hold-off in which requests
 	// may still arrive, maxHeldArrivals the number that may arrive after it.
 	holdOffGrace    = 500 * time.Millisecond
--- a/internal/gateway/forwarder/restarted_test.go
+++ b/internal/gateway/forwarder/restarted_test.go
@@ -13,8 +13,13 @@
 	"gentianstep.example/gentianstep/platform/platformtest"
 )
 
-// requestsAtOnce is the number of requests of one step.
-const requestsAtOnce = 20
+const (
+	// drainBound is the longest time after a response with a notice of leaving in
+	// which requests may arrive.
+	drainBound = 2500 * time.Millisecond
+	// requestsAtOnce is the number of requests of one step.
+	requestsAtOnce = 20
+)
 
 // restartRow is an upstream that starts again under its ID, and of whose processes one
 // states something about itself.
