Soak: calls that are meant for another upstream do not reach one that leaves

The trace: the gateway had sent it to desk1.2, whose entry a restored store had brought back; desk1.4 at the same address answered 421, which does not count. Arrivals name their process only if the call was meant for the upstream.

--- a/internal/standin/soaker/journal.go
+++ b/internal/standin/soaker/journal.go
@@ -63,7 +63,8 @@
 	// Place is where the upstream runs: the target of steps, unlike the name of the
 	// upstream, which another one may have taken over from.
 	Place string `json:"place"`
-	// Upstream is the ID of the upstream, and Process identifies its process.
+	// Upstream is the ID of the upstream, and Process identifies its process. They are empty
+	// for a call that was meant for another upstream.
 	Upstream string    `json:"upstream,omitempty"`
 	Process  string    `json:"process,omitempty"`
 	At       time.Time `json:"at"`
