--- a/internal/operating/starter/gateway.go
+++ b/internal/operating/starter/gateway.go
@@ -69,8 +69,8 @@
 	// memoryLimitShare is the fraction of the process's memory limit that is set as
 	// the soft limit of the Go runtime.
 	memoryLimitShare = 0.7
-	// responseMemoryShare is the fraction of that limit for the responses of the store
-	// that are read at the same time, and that for those of engines.
+	// responseMemoryShare is the fraction of the process's memory limit for the responses
+	// of the store that are read at the same time, and again for those of engines.
 	responseMemoryShare = 0.125
 	// gcPercent is the GOGC value: the heap growth that triggers a collection.
 	gcPercent = 50
