--- a/internal/standin/soaker/journal.go
+++ b/internal/standin/soaker/journal.go
@@ -38,8 +38,10 @@
 	// Process is the number of the gateway's process when the call was sent.
 	Process int `json:"process"`
 	// Repeatable is true if the call may be run more than once.
-	Repeatable bool      `json:"repeatable"`
-	BeganAt    time.Time `json:"began_at"`
+	Repeatable bool `json:"repeatable"`
+	// Hasty is true if the caller waits for a part of the usual time only.
+	Hasty   bool      `json:"hasty,omitempty"`
+	BeganAt time.Time `json:"began_at"`
 	// SentAt is when the last byte was written, zero if it was not.
 	SentAt  time.Time `json:"sent_at"`
 	EndedAt time.Time `json:"ended_at"`
