Use no upstream whose address a later process has

Cause: the restored store holds the entry of an upstream that has ended, and that of its successor at the same address. A VM that starts then uses both. The first request for the ended one gets 421, and a VM that has started within the window of the retry budget has no allowance for a retry.

Ruled out: the budget (its allowance after a start is what keeps restarts within it), the 421 itself (true: the request has not run), entries of the VMs that ran during the restore (they know that the upstream is gone).

Change: of the upstreams at one address those that started before the latest one are not used. Entries without a start time are used as before. The same holds on a platform whose entries outlast a crash for some heartbeats. If the clock of a machine is set back between two processes, the later one is not used until the entry of the earlier one is removed.

--- a/internal/membership/registrar/registrar.go
+++ b/internal/membership/registrar/registrar.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -191,13 +192,25 @@
 	r.gone.Add(id, rec.upstream)
 }
 
+// newestStarts returns the latest start time of the upstreams at each address.
+func (r *Registrar) newestStarts() map[netip.AddrPort]time.Time {
+	newest := make(map[netip.AddrPort]time.Time, len(r.records))
+	for _, rec := range r.records {
+		if u := rec.upstream; u.StartedAt.After(newest[u.Address]) {
+			newest[u.Address] = u.StartedAt
+		}
+	}
+	return newest
+}
+
 // rebuildIndex builds new lists of the usable upstreams of each service. The old
 // lists are not modified because callers of Usable may still read them.
 func (r *Registrar) rebuildIndex() {
 	byService := make(map[string][]*Upstream)
+	newest := r.newestStarts()
 	for _, id := range slices.Sorted(maps.Keys(r.records)) {
 		u := r.records[id].upstream
-		if !u.Leaving {
+		if !u.Leaving && !u.isReplaced(newest[u.Address]) {
 			byService[u.Service] = append(byService[u.Service], u)
 		}
 	}
--- a/internal/membership/registrar/registrar_test.go
+++ b/internal/membership/registrar/registrar_test.go
@@ -16,11 +16,14 @@
 // steps.
 type step struct {
 	Put string `json:"put"`
+	// Address is where the entry is, an address of its own if empty.
+	Address string `json:"at"`
 	// Restored is true if the entry is one of a restored copy of the store.
-	Restored  bool     `json:"restored"`
-	Weights   uint64   `json:"weights"`
-	Orders    uint64   `json:"orders"`
-	Leaving   bool     `json:"leaving"`
+	Restored bool   `json:"restored"`
+	Weights  uint64 `json:"weights"`
+	Orders   uint64 `json:"orders"`
+	Leaving  bool   `json:"leaving"`
+	// StartedMS is negative if the entry has no start time.
 	StartedMS int64    `json:"started"`
 	Remove    string   `json:"remove"`
 	Replace   []string `json:"replace"`
@@ -36,11 +39,18 @@
 }
 
 func newUpstream(s step, id string) *registrar.Upstream {
-	return &registrar.Upstream{
-		ID: id, Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:80"),
+	u := &registrar.Upstream{
+		ID: id, Service: "s", Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.2"), uint16(id[0])),
 		Weights: map[string]uint64{"m": s.Weights}, Orders: s.Orders,
 		Leaving: s.Leaving, StartedAt: time.UnixMilli(s.StartedMS),
 	}
+	if s.Address != "" {
+		u.Address = netip.MustParseAddrPort(s.Address)
+	}
+	if s.StartedMS < 0 {
+		u.StartedAt = time.Time{}
+	}
+	return u
 }
 
 func TestRegistrar(t *testing.T) {
--- a/internal/membership/registrar/upstream.go
+++ b/internal/membership/registrar/upstream.go
@@ -60,6 +60,13 @@
 	return !u.SameProcess(known) && !u.StartedAt.Before(known.StartedAt)
 }
 
+// isReplaced reports whether the upstream has ended because a process that started at
+// newest has its address. The entry of an upstream that crashed, or that a restored store
+// holds again, remains for some time.
+func (u *Upstream) isReplaced(newest time.Time) bool {
+	return !u.StartedAt.IsZero() && u.StartedAt.Before(newest)
+}
+
 // StartMillis returns the start time of a process in Unix milliseconds, 0 if it is not
 // known.
 func StartMillis(startedAt time.Time) int64 {
