Report a bundle whose version a restored store assigns again

Seen: in a test only. The store is restored from a copy without bundle version N, and an operator publishes another bundle as N. Controllers that hold the first N did not read the second, and logged nothing; processes that started afterwards took the second, so that two documents were in force under one number.

Cause: heads and bundles are compared by version alone.

Ruled out: the publisher cannot refuse it, since the store no longer knows the number; replacing the document in force by the later one would let an older content come back, which no revision orders in a store without eras.

Change: a controller that has seen the head recede, or rewritten with the same number, reads the bundle of that head once. The holder returns bundle_conflict for the version in force with another document, which is logged and counted.

A store without eras that has the head at the very revision of before is not noticed.

--- a/internal/bundle/holder/holder.go
+++ b/internal/bundle/holder/holder.go
@@ -3,6 +3,7 @@
 package holder
 
 import (
+	"bytes"
 	"sync"
 	"time"
 
@@ -39,8 +40,9 @@
 	return &Holder{verifier: cfg.Verifier, changed: make(chan struct{})}
 }
 
-// Offer verifies e and puts its bundle in force. It returns a BundleStale error if
-// the version is not higher than the current one.
+// Offer verifies e and puts its bundle in force. It returns a BundleStale error if the
+// version is not higher than the current one, and a BundleConflict error if it is the
+// current one with another document: a restored store may have assigned it again.
 func (h *Holder) Offer(now time.Time, e signer.Envelope) error {
 	b, err := h.verifier.Verify(e)
 	if err != nil {
@@ -48,7 +50,11 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.current != nil && b.Version <= h.current.Bundle.Version {
+	switch {
+	case h.current == nil:
+	case b.Version == h.current.Bundle.Version && !bytes.Equal(e.Document, h.current.Envelope.Document):
+		return classifier.New(classifier.BundleConflict, "version %d is in force with another document", b.Version)
+	case b.Version <= h.current.Bundle.Version:
 		return classifier.New(classifier.BundleStale, "got version %d, but version %d is in force", b.Version, h.current.Bundle.Version)
 	}
 	h.current = &Accepted{Bundle: b, Envelope: e, Since: now}
--- a/internal/bundle/holder/holder_test.go
+++ b/internal/bundle/holder/holder_test.go
@@ -23,11 +23,13 @@
 // replaces the deployment before signing and Swap the signing key; Find and Replace
 // modify the document after signing.
 type offer struct {
-	Name    string          `json:"name"`
-	Version uint64          `json:"version"`
-	Signers []string        `json:"signers"`
-	Edit    string          `json:"edit"`
-	Swap    string          `json:"swap"`
+	Name    string   `json:"name"`
+	Version uint64   `json:"version"`
+	Signers []string `json:"signers"`
+	Edit    string   `json:"edit"`
+	Swap    string   `json:"swap"`
+	// Revised adds a line to the document before signing.
+	Revised bool            `json:"revised"`
 	Find    string          `json:"find"`
 	Replace string          `json:"replace"`
 	Want    classifier.Kind `json:"want"`
@@ -47,6 +49,9 @@
 	if o.Edit != "" {
 		document = bytes.Replace(document, []byte(`"demo"`), []byte(`"`+o.Edit+`"`), 1)
 	}
+	if o.Revised {
+		document = append(bytes.Clone(document), '\n')
+	}
 	e := signer.Envelope{Document: document}
 	for _, id := range o.Signers {
 		key := privateKey(id)
--- a/internal/controlling/watcher/watcher.go
+++ b/internal/controlling/watcher/watcher.go
@@ -27,7 +27,11 @@
 	fetchedVersion storer.Version
 	// pendingHead is a head whose bundle could not be read yet.
 	pendingHead storer.Entry
-	nextPoll    time.Time
+	// headNumber is the bundle version that the head named last, 0 if none was read.
+	headNumber uint64
+	// receded is true if the head has named an older bundle than the one in force.
+	receded  bool
+	nextPoll time.Time
 }
 
 // New returns a Watcher.
@@ -106,6 +110,15 @@
 // is no delay if no bundle is in force. A head that cannot be decoded is skipped.
 func (w *Watcher) processHead(ctx context.Context, entry storer.Entry) error {
 	pointer, err := publisher.DecodePointer(entry.Value)
+	if err == nil && w.maybeReassigned(entry.Version(), pointer.Version) {
+		if err := w.fetchBundle(ctx, pointer.Version); err != nil {
+			w.pendingHead = entry
+			return err
+		}
+	}
+	if err == nil {
+		w.headNumber, w.receded = pointer.Version, pointer.Version < w.cfg.Holder.Version()
+	}
 	if err != nil || w.cfg.Holder.Version() >= pointer.Version || w.fetchedVersion == entry.Version() {
 		w.headVersion, w.pendingHead = entry.Version(), storer.Entry{}
 		return nil
@@ -123,6 +136,17 @@
 	return nil
 }
 
+// maybeReassigned reports whether a head that names the bundle version in force may mean
+// another bundle: a restored store, in which the version was not claimed, has got it again.
+// Usually the head rises from an older version to the one in force, which peers may have
+// delivered before.
+func (w *Watcher) maybeReassigned(head storer.Version, number uint64) bool {
+	if number != w.cfg.Holder.Version() || head == w.headVersion {
+		return false
+	}
+	return w.receded || w.headNumber >= number
+}
+
 // fetchBundle reads the bundle of a version and passes it to the Holder. A missing
 // bundle is logged and not retried for the same head.
 func (w *Watcher) fetchBundle(ctx context.Context, version uint64) error {
--- a/internal/controlling/watcher/watcher_test.go
+++ b/internal/controlling/watcher/watcher_test.go
@@ -15,12 +15,14 @@
 
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"gentianstep.example/gentianstep/internal/bundle/checker"
 	"gentianstep.example/gentianstep/internal/bundle/holder"
 	"gentianstep.example/gentianstep/internal/bundle/publisher"
 	"gentianstep.example/gentianstep/internal/bundle/signer"
 	"gentianstep.example/gentianstep/internal/controlling/watcher"
+	"gentianstep.example/gentianstep/internal/failure/classifier"
 	"gentianstep.example/gentianstep/internal/platform/storer"
 	"gentianstep.example/gentianstep/internal/standin/keeper"
 	"gentianstep.example/gentianstep/internal/testing/scripter"
@@ -29,7 +31,8 @@
 type step struct {
 	Do      string `json:"do"`
 	Version uint64 `json:"version"`
-	// Alter makes the bundle invalid: unsigned, tampered or garbage.
+	// Alter makes the bundle invalid: unsigned, tampered or garbage; or revised, a valid
+	// one with another document.
 	Alter  string        `json:"alter"`
 	Faults keeper.Faults `json:"faults"`
 	// Within is the time until the expected version is checked.
@@ -37,6 +40,8 @@
 	// Limit is the exclusive upper bound of the calls or bundle reads during the
 	// last expect step.
 	Limit uint64 `json:"below"`
+	// Count is the expected number of logged conflicts since the start.
+	Count int `json:"count"`
 }
 
 // replaceableStore is a store whose service can be replaced and whose watches can be
@@ -76,6 +81,8 @@
 	store   *replaceableStore
 	holder  *holder.Holder
 	stop    context.CancelFunc
+	// warnings receives the log lines of level warning.
+	warnings *logtest.Hook
 	// callsBefore holds the numbers of calls at the start of the last expect step.
 	callsBefore keeper.Calls
 }
@@ -92,9 +99,11 @@
 	return n
 }
 
-func (*testNode) log() *logrus.Entry {
+func (n *testNode) log() *logrus.Entry {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
+	log.SetLevel(logrus.WarnLevel)
+	n.warnings = logtest.NewLocal(log)
 	return logrus.NewEntry(log)
 }
 
@@ -116,6 +125,9 @@
 	version := fmt.Sprintf(`"version": %d`, s.Version)
 	e := signer.Envelope{Document: bytes.Replace(n.document, []byte(`"version": 1`), []byte(version), 1)}
 	switch s.Alter {
+	case "revised":
+		e.Document = append(e.Document, '\n')
+		e.Sign("ops-1", n.key)
 	case "unsigned":
 	case "tampered":
 		e.Sign("ops-1", n.key)
@@ -189,6 +201,16 @@
 		if calls := now.Reads + now.Watches - n.callsBefore.Reads - n.callsBefore.Watches; calls >= s.Limit {
 			return fmt.Errorf("got %d read and watch calls, want fewer than %d", calls, s.Limit)
 		}
+	case "conflicts":
+		conflicts := 0
+		for _, entry := range n.warnings.AllEntries() {
+			if entry.Data["kind"] == classifier.BundleConflict {
+				conflicts++
+			}
+		}
+		if conflicts != s.Count {
+			return fmt.Errorf("got %d logged conflicts, want %d", conflicts, s.Count)
+		}
 	case "bundle_reads":
 		if reads := n.store.bundleReads.Load(); reads >= s.Limit {
 			return fmt.Errorf("got %d bundle reads, want fewer than %d", reads, s.Limit)
