Rehearse engines that leave and engines that refuse requests

A load file may name departures (share of the engines, drain bound, delay of the entry in the store or none, time of replacement) and refusals (share, range of hold-offs), each once or at an interval. Engines state them in the heads of their responses; each VM has the withholder of the gateway. A result counts requests that reach an engine later than its VM may send them.

--- a/internal/standin/rehearser/engine.go
+++ b/internal/standin/rehearser/engine.go
@@ -24,10 +24,11 @@
 	// incarnation counts crashes. Results of requests that were sent in an earlier
 	// incarnation are discarded.
 	incarnation int
+	statement   statement
 }
 
 func newEngine(cfg *Engines, region int) (*engine, error) {
-	e := &engine{region: region, cfg: cfg}
+	e := &engine{region: region, cfg: cfg, statement: newStatement()}
 	// addToCache bounds the cache by tokens. The limit on entries given here is
 	// high enough never to matter, since a part has at least one token.
 	cache, err := simplelru.NewLRU(max(cfg.CacheTokens, 1), func(_ string, tokens int) { e.cachedTokens -= tokens })
--- a/internal/standin/rehearser/load.go
+++ b/internal/standin/rehearser/load.go
@@ -24,6 +24,9 @@
 	Kinds      []Kind  `json:"kinds"`
 	Bursts     []Burst `json:"bursts"`
 	Crashes    []Crash `json:"crashes"`
+	// Departures and Refusals are what engines state in their own responses.
+	Departures []Departure `json:"departures"`
+	Refusals   []Refusal   `json:"refusals"`
 }
 
 // Engines describes a fleet of identical engines.
@@ -111,6 +114,20 @@
 			return fmt.Errorf("share of crash: %w", errOutOfRange)
 		}
 	}
+	return l.validateNotices()
+}
+
+func (l *Load) validateNotices() error {
+	for _, d := range l.Departures {
+		if err := d.validate(); err != nil {
+			return err
+		}
+	}
+	for _, f := range l.Refusals {
+		if err := f.validate(); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
--- a/internal/standin/rehearser/policy.go
+++ b/internal/standin/rehearser/policy.go
@@ -113,8 +113,9 @@
 		return placement{}, false
 	}
 	p.picker.RecordSent(at, q, c)
+	p.r.withholders[p.vm].Admit(at, c.Upstream, false)
 	chosen := placement{engine: p.r.index[c.Upstream.ID], source: -1, choice: c}
-	if c.Source != nil {
+	if c.Source != nil && p.r.isOpen(now, p.vm, p.r.index[c.Source.ID]) {
 		chosen.source = p.r.index[c.Source.ID]
 	}
 	return chosen, true
@@ -130,7 +131,10 @@
 		LoadAge:        now % max(millis(p.r.load.LoadSyncMS), time.Millisecond),
 		Objective:      max(millis(a.kind.ObjectiveMS)-(now-a.at), time.Millisecond),
 		OtherLoad:      func(id string) picker.Load { return p.r.reportedLoad(p.vm, p.r.index[id]) },
-		Usable:         func(u *registrar.Upstream) bool { return now >= p.r.engines[p.r.index[u.ID]].downUntil },
+		Usable: func(u *registrar.Upstream) bool {
+			n := p.r.index[u.ID]
+			return now >= p.r.engines[n].downUntil && p.r.isOpen(now, p.vm, n)
+		},
 		Prompt: &picker.Prompt{
 			Shared:         []picker.SharedPart{{ID: a.subject, Tokens: a.kind.SharedTokens}},
 			Tokens:         a.kind.SharedTokens + a.ownTokens,
--- a/internal/standin/rehearser/rehearser.go
+++ b/internal/standin/rehearser/rehearser.go
@@ -10,6 +10,7 @@
 
 	"gentianstep.example/gentianstep/internal/membership/registrar"
 	"gentianstep.example/gentianstep/internal/routing/picker"
+	"gentianstep.example/gentianstep/internal/routing/withholder"
 )
 
 var errUnknownPolicy = errors.New("unknown policy")
@@ -45,6 +46,9 @@
 	// them in shared parts that another engine had cached.
 	PrefillTokens    int `json:"read"`
 	RecomputedTokens int `json:"again"`
+	// AfterNotices is the number of requests that reached an engine later than its VM may
+	// send them, since a response had stated that the engine leaves or wants none.
+	AfterNotices int `json:"after_notices"`
 	// Seconds holds the benefit by the second in which requests arrived.
 	Seconds []Second `json:"seconds"`
 }
@@ -104,7 +108,10 @@
 	// loads holds the load of each VM on each engine, syncedLoads its state at the
 	// last synchronisation between VMs.
 	loads, syncedLoads [][]picker.Load
-	result             Result
+	// withholders hold the notices that each VM has received.
+	withholders []*withholder.Withholder
+	noticeRNG   *rand.Rand
+	result      Result
 }
 
 // Simulate simulates a load under a policy. Equal seeds give equal results.
@@ -149,6 +156,7 @@
 	for _, c := range l.Crashes {
 		r.schedule(millis(c.AtMS), func(time.Duration) { r.crash(c) })
 	}
+	r.scheduleNotices(seed)
 	r.schedule(0, r.syncLoads)
 	for len(r.events) > 0 {
 		e := heap.Pop(&r.events).(event) //nolint:forcetypeassert // Only events are pushed.
@@ -195,14 +203,21 @@
 // until the request has waited too long and is rejected.
 func (r *simulation) place(now time.Duration, a arrival, received time.Duration, repeated bool) {
 	p, ok := r.policies[a.vm].choose(now, a)
+	wait := retryInterval
 	if ok {
-		r.send(now, a, p)
-		return
+		if r.arrive(now, a.vm, p.engine) {
+			r.send(now, a, p)
+			return
+		}
+		r.policies[a.vm].prefillEnded(p)
+		r.policies[a.vm].requestEnded(p)
+		r.respondRefusal(now, a.vm, p.engine)
+		wait = refusalTime
 	}
 	maxWait := time.Duration(maxWaitShare * float64(millis(a.kind.ObjectiveMS)))
 	switch {
 	case now-received < maxWait:
-		r.schedule(now+retryInterval, func(now time.Duration) { r.place(now, a, received, repeated) })
+		r.schedule(now+wait, func(now time.Duration) { r.place(now, a, received, repeated) })
 	case repeated:
 		r.result.Refused++
 	default:
@@ -211,7 +226,7 @@
 	}
 }
 
-func (r *simulation) send(now time.Duration, a arrival, p placement) {
+func (r *simulation) send(sentAt time.Duration, a arrival, p placement) {
 	e := r.engines[p.engine]
 	copyTime := time.Duration(0)
 	if p.source >= 0 && e.cachedTokensOf(a.subject) == 0 && r.engines[p.source].cachedTokensOf(a.subject) > 0 {
@@ -220,9 +235,9 @@
 	if a.kind.SharedTokens > 0 && copyTime == 0 && e.cachedTokensOf(a.subject) == 0 && r.isCached(a.subject) {
 		r.result.RecomputedTokens += a.kind.SharedTokens
 	}
-	firstToken, prefillTokens := e.prefill(now, a, copyTime)
+	firstToken, prefillTokens := e.prefill(sentAt, a, copyTime)
 	r.result.PrefillTokens += prefillTokens
-	incarnation := e.incarnation
+	incarnation, u := e.incarnation, r.upstreams[p.engine]
 	load := &r.loads[a.vm][p.engine]
 	load.InFlight++
 	load.PromptTokens += prefillTokens
@@ -230,6 +245,7 @@
 		load.PromptTokens -= prefillTokens
 		r.policies[a.vm].prefillEnded(p)
 		if e.incarnation == incarnation {
+			r.respond(now, sentAt, a.vm, p.engine, u)
 			r.countFirstToken(a, now)
 		}
 	})
--- a/internal/standin/rehearser/rehearser_test.go
+++ b/internal/standin/rehearser/rehearser_test.go
@@ -86,6 +86,19 @@
 	}
 }
 
+// TestNoticesAreHeeded plays engines that leave and that refuse requests, with and without
+// entries that show it, on some engines, on all, and again and again.
+func TestNoticesAreHeeded(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	l := readLoad(t, filepath.Join(loadsDir, "notices.json"))
+	for seed := range uint64(noticeSeeds) {
+		is.Equal(simulate(t, l, rehearser.PrefixCost, seed).AfterNotices, 0)
+	}
+	// The check finds a policy that does not consider notices.
+	is.True(simulate(t, l, rehearser.LeastLoaded, 0).AfterNotices > 0)
+}
+
 // TestEqualSeedsGiveEqualResults simulates one load twice.
 func TestEqualSeedsGiveEqualResults(t *testing.T) {
 	t.Parallel()
@@ -97,6 +110,8 @@
 
 const (
 	testSeeds = 2
+	// noticeSeeds is the number of plays with notices.
+	noticeSeeds = 5
 	// testSeconds shortens the loads to include no more than the first burst or crash.
 	testSeconds = 14
 	// rounding is the tolerance for floating-point sums.
@@ -141,6 +156,8 @@
 	for _, text := range []string{
 		``, `{}`, `{"seconds": 1, "vms": 1, "kinds": [{}]}`,
 		`{"seconds": 1, "vms": 1, "engines": {"count": 1, "regions": 1, "slots": 1, "read_per_ms": 1, "copy_per_ms": 1}, "kinds": [{"per_second": 1}]}`,
+		`{"seconds": 1, "vms": 1, "engines": {"count": 1, "regions": 1, "slots": 1, "read_per_ms": 1, "copy_per_ms": 1}, "kinds": [{"per_second": 1, "own": 1, "subjects": 1, "objective_ms": 1, "patience_ms": 1}], "departures": [{"share": 1}]}`,
+		`{"seconds": 1, "vms": 1, "engines": {"count": 1, "regions": 1, "slots": 1, "read_per_ms": 1, "copy_per_ms": 1}, "kinds": [{"per_second": 1, "own": 1, "subjects": 1, "objective_ms": 1, "patience_ms": 1}], "refusals": [{"share": 0.5}]}`,
 	} {
 		_, err := rehearser.Decode([]byte(text))
 		is.True(err != nil) // the load is invalid
--- a/internal/standin/reporter/rehearsal.go
+++ b/internal/standin/reporter/rehearsal.go
@@ -14,6 +14,7 @@
 	seeds, requests, inTime, late, refused    int
 	benefit, maxBenefit, bound, minBoundShare float64
 	prefillTokens, recomputedTokens           int
+	afterNotices                              int
 }
 
 // summarise sums results by load and policy, in order of first appearance.
@@ -40,6 +41,7 @@
 		s.minBoundShare = min(s.minBoundShare, r.Benefit/r.Bound)
 		s.prefillTokens += r.PrefillTokens
 		s.recomputedTokens += r.RecomputedTokens
+		s.afterNotices += r.AfterNotices
 	}
 	return list
 }
@@ -50,10 +52,11 @@
 each other's requests with a delay. The bound is what a scheduler that knows all
 requests could earn at most if shared parts cost nothing to read and requests
 could be divided among engines. Sums over the seeds; "least" is the lowest share
-of one seed.
+of one seed. "After notices" counts requests that reached an engine although a response
+to the same VM had stated that it leaves or wants none; the two simple policies do not consider that.
 
-| load | policy | requests | in time | late | refused | earned of owed | bound of owed | earned of bound | least | tokens read | read again |
-|---|---|---|---|---|---|---|---|---|---|---|---|
+| load | policy | requests | in time | late | refused | earned of owed | bound of owed | earned of bound | least | tokens read | read again | after notices |
+|---|---|---|---|---|---|---|---|---|---|---|---|---|
 `
 
 // Rehearsals writes a Markdown page with the results of policies under loads.
@@ -63,9 +66,9 @@
 		return fmt.Errorf("write page: %w", err)
 	}
 	for _, s := range summarise(results) {
-		_, err := fmt.Fprintf(w, "| %s | `%s` | %d | %d | %d | %d | %.3f | %.3f | %.3f | %.3f | %d | %d |\n",
+		_, err := fmt.Fprintf(w, "| %s | `%s` | %d | %d | %d | %d | %.3f | %.3f | %.3f | %.3f | %d | %d | %d |\n",
 			s.load, s.policy, s.requests, s.inTime, s.late, s.refused,
-			s.benefit/s.maxBenefit, s.bound/s.maxBenefit, s.benefit/s.bound, s.minBoundShare, s.prefillTokens, s.recomputedTokens)
+			s.benefit/s.maxBenefit, s.bound/s.maxBenefit, s.benefit/s.bound, s.minBoundShare, s.prefillTokens, s.recomputedTokens, s.afterNotices)
 		if err != nil {
 			return fmt.Errorf("write page: %w", err)
 		}
