Gateways export their process gauges; the soak checks goroutines

Seen: the metrics of a gateway have neither heap nor goroutines, which the page of metrics lists for every process.

Cause: the gauges were set by the listener of routers and controllers alone.

Change: the meter sets them whenever it serves metrics. The soak reads goroutines of each gateway before the first call and once connections have ended, and reports a growth by more than two for each descriptor that it allows.

Before: TestProcessGaugesAreServed fails.

--- a/internal/operating/meter/export.go
+++ b/internal/operating/meter/export.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"runtime"
 	"slices"
 	"strconv"
 	"strings"
@@ -74,8 +75,13 @@
 	return strconv.FormatFloat(nanoseconds/float64(time.Second), 'g', -1, 64)
 }
 
-// ServeHTTP implements http.Handler. It serves all metrics.
+// ServeHTTP implements http.Handler. It updates the gauges of the process and serves all
+// metrics.
 func (m *Meter) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	m.Set(HeapBytes, "", int64(memory.HeapAlloc)) //nolint:gosec // The heap is smaller than 2^63 bytes.
+	m.Set(Goroutines, "", int64(runtime.NumGoroutine()))
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	_ = m.Write(w)
 }
--- a/internal/operating/meter/meter_test.go
+++ b/internal/operating/meter/meter_test.go
@@ -50,6 +50,17 @@
 	is.True(strings.Contains(text.String(), "gentianstep_first_byte_seconds_count 1"))
 }
 
+// TestProcessGaugesAreServed checks that the gauges of the process need no other call.
+func TestProcessGaugesAreServed(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	recorder := httptest.NewRecorder()
+	New().ServeHTTP(recorder, httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/metrics", nil))
+	for _, name := range []Name{HeapBytes, Goroutines} {
+		is.True(strings.Contains(recorder.Body.String(), "\n"+string(name)+" "))
+	}
+}
+
 func TestEveryMetricIsDocumented(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
--- a/internal/operating/starter/operators.go
+++ b/internal/operating/starter/operators.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"net/http"
 	"net/netip"
-	"runtime"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -96,12 +95,8 @@
 	_ = json.NewEncoder(w).Encode(status)
 }
 
-// metrics updates the gauges of the process and writes all metrics.
+// metrics updates the gauges of bundle and drain and writes all metrics.
 func (o *operators) metrics(w http.ResponseWriter, r *http.Request) {
-	var memory runtime.MemStats
-	runtime.ReadMemStats(&memory)
-	o.meter.Set(meter.HeapBytes, "", int64(memory.HeapAlloc))
-	o.meter.Set(meter.Goroutines, "", int64(runtime.NumGoroutine()))
 	var stopping, version, since int64
 	if o.drain.stopping.Load() {
 		stopping = 1
--- a/internal/standin/soaker/soaker.go
+++ b/internal/standin/soaker/soaker.go
@@ -87,9 +87,8 @@
 	variants map[string]int
 	// endAt is when all gateways were ready after the last step.
 	endAt time.Time
-	// idleDescriptors is the highest number of open descriptors of a gateway before
-	// the first call.
-	idleDescriptors int
+	// idle is the highest usage of a gateway before the first call.
+	idle usage
 }
 
 // Soak runs a soak and returns its verdict. On a failure, the folder holds what is
@@ -153,7 +152,7 @@
 	if !poll(ctx, startTimeout, s.fleet.isReady) {
 		return fmt.Errorf("start of gateways: not all are ready within %s", startTimeout)
 	}
-	s.countIdle()
+	s.countIdle(ctx)
 	callersCtx, stopCallers := context.WithCancel(ctx)
 	defer stopCallers()
 	var callers sync.WaitGroup
