Name the document in the head of bundles; a restored store under requests

A restored store without eras assigns revisions again, so that the second bundle's head usually has the very revision of the first, and neither watch nor poll shows a change.

Ruled out: the holder (its rows pass), the polls (they read the head, whose value and revision are the same).

A controller that reads a head with the version in force and another sum reads that bundle once. Heads of earlier builds have no sum and are not compared; earlier builds ignore the field.

--- a/internal/bundle/publisher/publisher.go
+++ b/internal/bundle/publisher/publisher.go
@@ -55,7 +55,7 @@
 		return err
 	}
 	if h.version == b.Version && h.storedAt.Revision > 0 && p.isClaimedBy(ctx, b.Version, value) {
-		return p.updateHead(ctx, h, b.Version)
+		return p.updateHead(ctx, h, Pointer{Version: b.Version, DocumentSHA256: e.DocumentSHA256()})
 	}
 	if err := p.checkNext(ctx, h.version, b.Version); err != nil {
 		return err
@@ -63,7 +63,7 @@
 	if err := p.claimVersion(ctx, b.Version, value); err != nil {
 		return err
 	}
-	return p.updateHead(ctx, h, b.Version)
+	return p.updateHead(ctx, h, Pointer{Version: b.Version, DocumentSHA256: e.DocumentSHA256()})
 }
 
 // isClaimedBy reports whether the version is claimed by the encoded bundle value. It
@@ -110,13 +110,13 @@
 	return storeUnavailable(putErr, "claim version %d", version)
 }
 
-// updateHead sets the head to version by compare-and-swap. If the write fails, it
+// updateHead sets the head to next by compare-and-swap. If the write fails, it
 // reads the head again, because the write may have taken effect although its
-// response was lost. A head at version is a success: the version is claimed by
+// response was lost. A head at its version is a success: the version is claimed by
 // this bundle, so the head can only refer to it.
-func (p *Publisher) updateHead(ctx context.Context, h head, version uint64) error {
+func (p *Publisher) updateHead(ctx context.Context, h head, next Pointer) error {
 	key := HeadKey(p.verifier.Deployment)
-	value, err := json.Marshal(Pointer{Version: version})
+	value, err := json.Marshal(next)
 	if err != nil {
 		return fmt.Errorf("encode head: %w", err)
 	}
@@ -126,12 +126,12 @@
 	}
 	current, err := p.readHead(ctx)
 	switch {
-	case err == nil && current.storedAt != h.storedAt && current.version == version:
+	case err == nil && current.storedAt != h.storedAt && current.version == next.Version:
 		return nil
 	case err == nil && current.storedAt != h.storedAt:
-		return classifier.New(classifier.BundleConflict, "another operator published version %d before version %d could be published", current.version, version)
+		return classifier.New(classifier.BundleConflict, "another operator published version %d before version %d could be published", current.version, next.Version)
 	}
-	return storeUnavailable(putErr, "publish version %d; publish the same signed bundle again", version)
+	return storeUnavailable(putErr, "publish version %d; publish the same signed bundle again", next.Version)
 }
 
 func (p *Publisher) versionKey(version uint64) string {
--- a/internal/bundle/signer/envelope.go
+++ b/internal/bundle/signer/envelope.go
@@ -3,6 +3,8 @@
 
 import (
 	"crypto/ed25519"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 
 	"gentianstep.example/gentianstep/internal/bundle/checker"
@@ -29,6 +31,12 @@
 	return append([]byte(signatureContext), document...)
 }
 
+// DocumentSHA256 returns the SHA-256 sum of the document in hexadecimal.
+func (e *Envelope) DocumentSHA256() string {
+	sum := sha256.Sum256(e.Document)
+	return hex.EncodeToString(sum[:])
+}
+
 // Sign appends a signature made with key.
 func (e *Envelope) Sign(keyID string, key ed25519.PrivateKey) {
 	value := ed25519.Sign(key, signedBytes(e.Document))
--- a/internal/controlling/watcher/watcher.go
+++ b/internal/controlling/watcher/watcher.go
@@ -27,11 +27,10 @@
 	fetchedVersion storer.Version
 	// pendingHead is a head whose bundle could not be read yet.
 	pendingHead storer.Entry
-	// headNumber is the bundle version that the head named last, 0 if none was read.
-	headNumber uint64
-	// receded is true if the head has named an older bundle than the one in force.
-	receded  bool
-	nextPoll time.Time
+	// reassigned is the sum of the document that a head named last by the version of
+	// another one in force.
+	reassigned string
+	nextPoll   time.Time
 }
 
 // New returns a Watcher.
@@ -110,14 +109,12 @@
 // is no delay if no bundle is in force. A head that cannot be decoded is skipped.
 func (w *Watcher) processHead(ctx context.Context, entry storer.Entry) error {
 	pointer, err := publisher.DecodePointer(entry.Value)
-	if err == nil && w.maybeReassigned(entry.Version(), pointer.Version) {
+	if err == nil && w.isReassigned(pointer) {
 		if err := w.fetchBundle(ctx, pointer.Version); err != nil {
 			w.pendingHead = entry
 			return err
 		}
-	}
-	if err == nil {
-		w.headNumber, w.receded = pointer.Version, pointer.Version < w.cfg.Holder.Version()
+		w.reassigned = pointer.DocumentSHA256
 	}
 	if err != nil || w.cfg.Holder.Version() >= pointer.Version || w.fetchedVersion == entry.Version() {
 		w.headVersion, w.pendingHead = entry.Version(), storer.Entry{}
@@ -136,15 +133,13 @@
 	return nil
 }
 
-// maybeReassigned reports whether a head that names the bundle version in force may mean
-// another bundle: a restored store, in which the version was not claimed, has got it again.
-// Usually the head rises from an older version to the one in force, which peers may have
-// delivered before.
-func (w *Watcher) maybeReassigned(head storer.Version, number uint64) bool {
-	if number != w.cfg.Holder.Version() || head == w.headVersion {
-		return false
-	}
-	return w.receded || w.headNumber >= number
+// isReassigned reports whether the head names another bundle than the one in force by the
+// same version, and has not been read yet: the store was restored from a copy in which the
+// version was not claimed.
+func (w *Watcher) isReassigned(p publisher.Pointer) bool {
+	current := w.cfg.Holder.Current()
+	return current != nil && p.Version == current.Bundle.Version && p.DocumentSHA256 != "" &&
+		p.DocumentSHA256 != w.reassigned && p.DocumentSHA256 != current.Envelope.DocumentSHA256()
 }
 
 // fetchBundle reads the bundle of a version and passes it to the Holder. A missing
--- a/internal/controlling/watcher/watcher_test.go
+++ b/internal/controlling/watcher/watcher_test.go
@@ -157,8 +157,9 @@
 		p := publisher.New(publisher.Config{Store: n.service, Verifier: n.verifier})
 		return p.Publish(ctx, n.envelope(s))
 	case "overwrite":
-		n.overwrite(ctx, publisher.VersionKey("demo", s.Version), n.envelope(s))
-		n.overwrite(ctx, publisher.HeadKey("demo"), publisher.Pointer{Version: s.Version})
+		e := n.envelope(s)
+		n.overwrite(ctx, publisher.VersionKey("demo", s.Version), e)
+		n.overwrite(ctx, publisher.HeadKey("demo"), publisher.Pointer{Version: s.Version, DocumentSHA256: e.DocumentSHA256()})
 	case "set_head":
 		n.overwrite(ctx, publisher.HeadKey("demo"), publisher.Pointer{Version: s.Version})
 	case "offer_from_peer":
--- a/internal/standin/keeper/server.go
+++ b/internal/standin/keeper/server.go
@@ -5,20 +5,24 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"sync"
 
 	"gentianstep.example/gentianstep/internal/platform/storer"
 )
 
-// Paths of the endpoints with which tests inject faults and read call counts.
+// Paths of the endpoints with which tests inject faults, read call counts, and copy and
+// restore the state.
 const (
-	PathFaults = "/v1/control/faults"
-	PathCalls  = "/v1/control/calls"
+	PathFaults  = "/v1/control/faults"
+	PathCalls   = "/v1/control/calls"
+	PathCopy    = "/v1/control/copy"
+	PathRestore = "/v1/control/restore"
 )
 
 // Handler serves a Keeper over HTTP. Faults set through PathFaults apply to the
 // key-value endpoints.
 func Handler(k *Keeper) http.Handler {
-	s := server{keeper: k, store: NewFaulty(k)}
+	s := &server{keeper: k, store: NewFaulty(k), copied: k.State()}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+storer.PathKeys+"{key}", s.get)
 	mux.HandleFunc("PUT "+storer.PathKeys+"{key}", s.put)
@@ -32,15 +36,37 @@
 	mux.HandleFunc("PUT "+storer.PathVMs, s.setVMs)
 	mux.HandleFunc("PUT "+PathFaults, s.setFaults)
 	mux.HandleFunc("GET "+PathCalls, s.calls)
+	mux.HandleFunc("POST "+PathCopy, s.copyState)
+	mux.HandleFunc("POST "+PathRestore, s.restoreState)
 	return mux
 }
 
 type server struct {
 	keeper *Keeper
 	store  *Faulty
+
+	mu sync.Mutex
+	// copied is the state that was copied last, at first that of the start.
+	copied State
+}
+
+// copyState copies the state, to be restored later.
+func (s *server) copyState(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copied = s.keeper.State()
+	writeResponse(w, struct{}{}, nil)
+}
+
+// restoreState replaces the state by the copy.
+func (s *server) restoreState(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.keeper.Restore(s.copied)
+	writeResponse(w, struct{}{}, nil)
 }
 
-func (s server) setFaults(w http.ResponseWriter, r *http.Request) {
+func (s *server) setFaults(w http.ResponseWriter, r *http.Request) {
 	var faults Faults
 	if !decodeRequest(w, r, &faults) {
 		return
@@ -49,16 +75,16 @@
 	writeResponse(w, struct{}{}, nil)
 }
 
-func (s server) calls(w http.ResponseWriter, _ *http.Request) {
+func (s *server) calls(w http.ResponseWriter, _ *http.Request) {
 	writeResponse(w, s.store.Calls(), nil)
 }
 
-func (s server) get(w http.ResponseWriter, r *http.Request) {
+func (s *server) get(w http.ResponseWriter, r *http.Request) {
 	entry, err := s.store.Get(r.Context(), r.PathValue("key"))
 	writeResponse(w, entry, err)
 }
 
-func (s server) put(w http.ResponseWriter, r *http.Request) {
+func (s *server) put(w http.ResponseWriter, r *http.Request) {
 	var body storer.PutRequest
 	if !decodeRequest(w, r, &body) {
 		return
@@ -68,7 +94,7 @@
 	writeResponse(w, storer.PutResponse{Revision: version.Revision}, err)
 }
 
-func (s server) remove(w http.ResponseWriter, r *http.Request) {
+func (s *server) remove(w http.ResponseWriter, r *http.Request) {
 	revision, err := strconv.ParseUint(r.URL.Query().Get("if_revision"), 10, 64)
 	if err != nil {
 		http.Error(w, "if_revision: takes a number", http.StatusBadRequest)
@@ -77,7 +103,7 @@
 	writeResponse(w, struct{}{}, s.store.Delete(r.Context(), r.PathValue("key"), storer.Version{Revision: revision}))
 }
 
-func (s server) watch(w http.ResponseWriter, r *http.Request) {
+func (s *server) watch(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	if err != nil {
 		http.Error(w, "after: takes a number", http.StatusBadRequest)
@@ -87,12 +113,12 @@
 	writeResponse(w, entry, err)
 }
 
-func (s server) list(w http.ResponseWriter, r *http.Request) {
+func (s *server) list(w http.ResponseWriter, r *http.Request) {
 	entries, err := s.store.List(r.Context(), r.PathValue("prefix"))
 	writeResponse(w, entries, err)
 }
 
-func (s server) grant(w http.ResponseWriter, r *http.Request) {
+func (s *server) grant(w http.ResponseWriter, r *http.Request) {
 	var body storer.GrantRequest
 	if !decodeRequest(w, r, &body) {
 		return
@@ -101,21 +127,21 @@
 	writeResponse(w, lease, err)
 }
 
-func (s server) renew(w http.ResponseWriter, r *http.Request) {
+func (s *server) renew(w http.ResponseWriter, r *http.Request) {
 	lease, err := s.store.Renew(r.Context(), requestedLease(r))
 	writeResponse(w, lease, err)
 }
 
-func (s server) revoke(w http.ResponseWriter, r *http.Request) {
+func (s *server) revoke(w http.ResponseWriter, r *http.Request) {
 	writeResponse(w, struct{}{}, s.store.Revoke(r.Context(), requestedLease(r)))
 }
 
-func (s server) vms(w http.ResponseWriter, r *http.Request) {
+func (s *server) vms(w http.ResponseWriter, r *http.Request) {
 	vms, err := s.keeper.VMs(r.Context())
 	writeResponse(w, vms, err)
 }
 
-func (s server) setVMs(w http.ResponseWriter, r *http.Request) {
+func (s *server) setVMs(w http.ResponseWriter, r *http.Request) {
 	var vms []storer.VM
 	if !decodeRequest(w, r, &vms) {
 		return
--- a/internal/testing/launcher/deployment.go
+++ b/internal/testing/launcher/deployment.go
@@ -40,6 +40,8 @@
 	t   testing.TB
 	dir string
 	key configurer.BundleKey
+	// publishes counts the calls of Publish. A version may be published again.
+	publishes int
 }
 
 // Upstream is the process of a simulated engine or plain service.
@@ -136,7 +138,8 @@
 // Publish signs the bundle and publishes it to the platform.
 func (d *Deployment) Publish() {
 	d.t.Helper()
-	plain, signed := d.versionPath("bundle"), d.versionPath("signed")
+	d.publishes++
+	plain, signed := d.publishPath("bundle"), d.publishPath("signed")
 	d.writeJSON(plain, d.Bundle)
 	d.runCommand("bundle", "sign", "--bundle", plain, "--key", filepath.Join(d.dir, "ops-1.key"), "--out", signed)
 	d.runCommand("bundle", "publish", "--bundle", signed, "--settings", d.VMs[0].SettingsPath)
@@ -252,8 +255,7 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// versionPath returns the path of the file name for the current version of the
-// bundle.
-func (d *Deployment) versionPath(name string) string {
-	return filepath.Join(d.dir, fmt.Sprintf("%s-%d.json", name, d.Bundle.Version))
+// publishPath returns the path of the file name for the current publish.
+func (d *Deployment) publishPath(name string) string {
+	return filepath.Join(d.dir, fmt.Sprintf("%s-%d.json", name, d.publishes))
 }
