--- a/internal/standin/rehearser/notice.go
+++ b/internal/standin/rehearser/notice.go
@@ -68,16 +68,16 @@
 	entryAt time.Duration
 	// refusesUntil is the end of the hold-off.
 	refusesUntil time.Duration
-	// leavingHeard and refusalHeard hold the first time by VM, arrivals the requests in
-	// the hold-off.
-	leavingHeard, refusalHeard map[int]time.Duration
-	arrivals                   map[int]int
+	// leavingAt and refusedAt hold when each VM received a statement first, and arrivals
+	// its requests in the hold-off.
+	leavingAt, refusedAt map[int]time.Duration
+	arrivals             map[int]int
 }
 
 func newStatement() statement {
 	return statement{
-		entryAt: never, leavingHeard: make(map[int]time.Duration),
-		refusalHeard: make(map[int]time.Duration), arrivals: make(map[int]int),
+		entryAt: never, leavingAt: make(map[int]time.Duration),
+		refusedAt: make(map[int]time.Duration), arrivals: make(map[int]int),
 	}
 }
 
@@ -156,7 +156,7 @@
 		s := &r.engines[n].statement
 		holdOff := millis(f.MinHoldOffMS + r.noticeRNG.IntN(f.MaxHoldOffMS-f.MinHoldOffMS+1))
 		s.refusesUntil = now + holdOff
-		s.refusalHeard, s.arrivals = make(map[int]time.Duration), make(map[int]int)
+		s.refusedAt, s.arrivals = make(map[int]time.Duration), make(map[int]int)
 	}
 }
 
@@ -171,14 +171,14 @@
 // returns false if the engine refuses it.
 func (r *simulation) arrive(now time.Duration, vm, n int) bool {
 	s := &r.engines[n].statement
-	if heardAt, ok := s.leavingHeard[vm]; ok && now > heardAt+s.drain {
+	if receivedAt, ok := s.leavingAt[vm]; ok && now > receivedAt+s.drain {
 		r.result.AfterNotices++
 	}
 	if now >= s.refusesUntil {
 		return true
 	}
-	heardAt, ok := s.refusalHeard[vm]
-	if ok && now > heardAt+holdOffSlack {
+	receivedAt, ok := s.refusedAt[vm]
+	if ok && now > receivedAt+holdOffSlack {
 		s.arrivals[vm]++
 		if s.arrivals[vm] > maxInHoldOff {
 			r.result.AfterNotices++
@@ -193,20 +193,20 @@
 	s := &r.engines[n].statement
 	notice := withholder.Notice{Instance: u.ID, Accepted: true, Leaving: s.drain > 0, SentAt: r.epoch.Add(sentAt)}
 	if notice.Leaving {
-		record(s.leavingHeard, vm, now)
+		record(s.leavingAt, vm, now)
 	}
 	r.withholders[vm].Record(r.epoch.Add(now), u, notice)
 }
 
 // respondRefusal schedules the response of an engine that refuses a request now.
 func (r *simulation) respondRefusal(sentAt time.Duration, vm, n int) {
-	u, s := r.upstreams[n], r.engines[n].statement
+	u, s := r.upstreams[n], r.engines[n].statement // the maps are those of this incarnation
 	r.schedule(sentAt+refusalTime, func(now time.Duration) {
 		notice := withholder.Notice{Instance: u.ID, Leaving: s.drain > 0, HoldOff: max(s.refusesUntil-now, 0), SentAt: r.epoch.Add(sentAt)}
 		if notice.Leaving {
-			record(s.leavingHeard, vm, now)
+			record(s.leavingAt, vm, now)
 		}
-		record(s.refusalHeard, vm, now)
+		record(s.refusedAt, vm, now)
 		r.withholders[vm].Record(r.epoch.Add(now), u, notice)
 	})
 }
