Gateway: log the parts of prompts and upstreams that have ended under requests

Callers saw streams break off on one engine after the other. The log could not distinguish a part that all prompts under which engines end share from engines that end by themselves: no line named the parts of a prompt, and none stated that an upstream had ended.

A request line names the first parts of its prompt, and the fingerprint of a request without one. When a connection breaks before the response, or right behind its start, the VM opens another: if the port refuses it, the process has ended (upstream_crashed).

The worker's stand-in learns to crash when it begins to answer certain requests.

--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -10,6 +10,7 @@
 	"gentianstep.example/gentianstep/internal/membership/registrar"
 	"gentianstep.example/gentianstep/internal/routing/matcher"
 	"gentianstep.example/gentianstep/internal/routing/picker"
+	"gentianstep.example/gentianstep/internal/routing/quarantiner"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
 	"gentianstep.example/gentianstep/internal/upstream/noticer"
 )
@@ -60,6 +61,8 @@
 	body          []byte
 	arrivedAt     time.Time
 	deadline      time.Time
+	// fingerprintList holds the fingerprints once they are needed.
+	fingerprintList []quarantiner.Fingerprint
 
 	attempts int
 	// tried holds the IDs of upstreams at which the request has failed and to
@@ -91,6 +94,8 @@
 	// lastEvent is the ID of the last event that the client has received.
 	lastEvent string
 	events    int
+	// eventsBefore is the number of events before the latest attempt.
+	eventsBefore int
 	// mayHaveRun is true if an upstream may have run the request.
 	mayHaveRun bool
 }
@@ -197,6 +202,7 @@
 	now := time.Now()
 	x.attempts++
 	x.sentAt = now
+	x.eventsBefore = x.events
 	x.firstByteSentAt.Store(nil)
 	options := AttemptOptions{Upstream: u.ID, Deadline: x.deadline, Priority: -1, CacheScope: x.isolationScope(), ResumeAfter: x.lastEvent}
 	options.WeightsVersion = x.expectedWeights(now)
--- a/internal/gateway/forwarder/fixture_test.go
+++ b/internal/gateway/forwarder/fixture_test.go
@@ -123,24 +123,13 @@
 	log := logrus.New()
 	log.SetOutput(f.log)
 	log.SetFormatter(&logrus.JSONFormatter{})
-	calls := caller.New(caller.Config{Dial: f.dial, IdleTimeout: time.Second})
 	f.noticer = noticer.New(noticer.Config{
 		Bounds: withholder.Config{Drain: 2500 * time.Millisecond, MaxHoldOff: 10 * time.Minute},
 		Meter:  meter.New(),
 		Log:    logrus.NewEntry(log),
 	})
-	f.forwarder = forwarder.New(forwarder.Config{
-		Dialect:      platform.Dialect{},
-		Directory:    f.directory,
-		View:         f.view,
-		Caller:       calls,
-		Noticer:      f.noticer,
-		Picker:       picker.Config{AvailabilityZone: "z", Regions: map[string]string{"z": "r"}, Seed: 1},
-		Budget:       budgeter.Config{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
-		WeightsApply: 8 * time.Second,
-		Meter:        meter.New(),
-		Log:          logrus.NewEntry(log),
-	})
+	calls := caller.New(caller.Config{Dial: f.dial, IdleTimeout: time.Second})
+	f.forwarder = f.newForwarder(calls, logrus.NewEntry(log))
 	f.network.Serve(gatewayAddress, f.forwarder)
 	transport := &http.Transport{DialContext: f.network.Dial, DisableCompression: true}
 	f.client = &http.Client{Transport: transport}
@@ -155,6 +144,22 @@
 	return f
 }
 
+// newForwarder returns a forwarder with the noticer and the view of the fixture.
+func (f *fixture) newForwarder(calls *caller.Caller, log *logrus.Entry) *forwarder.Forwarder {
+	return forwarder.New(forwarder.Config{
+		Dialect:      platform.Dialect{},
+		Directory:    f.directory,
+		View:         f.view,
+		Caller:       calls,
+		Noticer:      f.noticer,
+		Picker:       picker.Config{AvailabilityZone: "z", Regions: map[string]string{"z": "r"}, Seed: 1},
+		Budget:       budgeter.Config{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
+		WeightsApply: 8 * time.Second,
+		Meter:        meter.New(),
+		Log:          log,
+	})
+}
+
 // startChecks checks upstreams that may be leaving until the returned function is called.
 func (f *fixture) startChecks(log *logrus.Logger) func() {
 	v := verifier.New(verifier.Config{
--- /dev/null
+++ b/internal/gateway/forwarder/fleet_test.go
@@ -0,0 +1,173 @@
+package forwarder_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"gentianstep.example/gentianstep/internal/gateway/forwarder"
+	"gentianstep.example/gentianstep/internal/membership/registrar"
+	"gentianstep.example/gentianstep/internal/peering/coordinator"
+	"gentianstep.example/gentianstep/internal/upstream/caller"
+	"gentianstep.example/gentianstep/platform/platformtest"
+)
+
+const (
+	// workerDownTime is the time between the end of a worker and its next start.
+	workerDownTime = 3 * time.Second
+	// workerDelay and workerEventInterval are the times of workers that answer.
+	workerDelay         = 60 * time.Millisecond
+	workerEventInterval = 20 * time.Millisecond
+)
+
+// fleet is a fixture with more VMs before the same workers, and a hub between them.
+type fleet struct {
+	*fixture
+	vms []*fleetVM
+	hub netip.AddrPort
+
+	mu sync.Mutex
+	// hubOff is true while no VM is the hub.
+	hubOff bool
+	// ends holds the times at which workers have ended.
+	ends []time.Time
+	// arrivals holds the requests that have reached workers.
+	arrivals []arrival
+	// generations counts the processes of each worker.
+	generations []int
+	parts       []string
+	targets     []string
+	restarts    sync.WaitGroup
+}
+
+// fleetVM is one VM of a fleet.
+type fleetVM struct {
+	address   string
+	forwarder *forwarder.Forwarder
+}
+
+// arrival is a request that has reached a worker.
+type arrival struct {
+	at       time.Time
+	id       string
+	crashing bool
+}
+
+// newFleet starts VMs before a number of workers.
+func newFleet(t *testing.T, vms, workers int) *fleet {
+	t.Helper()
+	f := &fleet{fixture: newFixture(t, workers), hub: netip.MustParseAddrPort("10.0.1.1:7340"), generations: make([]int, workers)}
+	log := logrus.New()
+	log.SetOutput(f.log)
+	log.SetFormatter(&logrus.JSONFormatter{})
+	hub := coordinator.NewHub(coordinator.HubConfig{Active: f.isHubOn, Log: logrus.NewEntry(log)})
+	f.network.Serve(f.hub.String(), hub)
+	go hub.Run(t.Context())
+	for n := range vms {
+		f.addVM(t, n, log)
+	}
+	list := make([]*registrar.Upstream, 0, workers)
+	for n := range workers {
+		f.network.Stop(workerAddress(n).String())
+		list = append(list, f.startWorker(n))
+	}
+	f.directory.setUpstreams(list)
+	return f
+}
+
+func (f *fleet) addVM(t *testing.T, n int, log *logrus.Logger) {
+	entry := logrus.NewEntry(log).WithField("node", fmt.Sprintf("vm%d", n))
+	calls := caller.New(caller.Config{Dial: f.dial, IdleTimeout: time.Second})
+	vm := &fleetVM{address: fmt.Sprintf("10.0.1.%d:80", n+1)}
+	f.view = coordinator.NewView()
+	vm.forwarder = f.newForwarder(calls, entry)
+	f.network.Serve(vm.address, vm.forwarder)
+	transport := &http.Transport{DialContext: f.network.Dial}
+	go coordinator.NewSubscriber(coordinator.SubscriberConfig{
+		Node:           fmt.Sprintf("vm%d", n),
+		Hub:            func() (netip.AddrPort, bool) { return f.hub, f.isHubOn() },
+		Loads:          vm.forwarder.Loads,
+		DrainSentParts: vm.forwarder.DrainSentParts,
+		UrgentReports:  vm.forwarder.UrgentReports(),
+		View:           f.view,
+		Client:         &http.Client{Transport: transport},
+		Log:            entry,
+	}).Run(t.Context())
+	t.Cleanup(func() {
+		transport.CloseIdleConnections()
+		calls.Close()
+	})
+	f.vms = append(f.vms, vm)
+}
+
+func (f *fleet) isHubOn() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.hubOff
+}
+
+// setCrash makes all workers crash on requests with one of the parts or targets.
+func (f *fleet) setCrash(parts, targets []string) {
+	f.mu.Lock()
+	f.parts, f.targets = parts, targets
+	f.mu.Unlock()
+	for n, w := range f.workers {
+		w.SetCrash(parts, targets, func() { f.endWorker(n) })
+	}
+}
+
+// startWorker starts the next process of a worker and returns its entry.
+func (f *fleet) startWorker(n int) *registrar.Upstream {
+	f.mu.Lock()
+	f.generations[n]++
+	id := fmt.Sprintf("w%d.%d", n+1, f.generations[n])
+	parts, targets := f.parts, f.targets
+	f.mu.Unlock()
+	w := platformtest.NewWorker(id)
+	w.SetModel("m", 1)
+	w.ResponseDelay = workerDelay
+	w.EventInterval = workerEventInterval
+	w.SetCrash(parts, targets, func() { f.endWorker(n) })
+	f.workers[n] = w
+	u := f.entry(n)
+	u.StartedAt = time.Now()
+	f.network.Serve(workerAddress(n).String(), http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		f.recordArrival(r)
+		w.ServeHTTP(rw, r)
+	}))
+	return u
+}
+
+func (f *fleet) recordArrival(r *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	crashing := slices.Contains(f.targets, r.RequestURI) ||
+		slices.ContainsFunc(platformtest.PromptParts(r), func(id string) bool { return slices.Contains(f.parts, id) })
+	f.arrivals = append(f.arrivals, arrival{at: time.Now(), id: r.Header.Get("Request-Id"), crashing: crashing})
+}
+
+// endWorker ends the process of a worker. Another one starts after workerDownTime, and
+// its entry replaces that of the former.
+func (f *fleet) endWorker(n int) {
+	address := workerAddress(n).String()
+	if f.network.Host(address) == nil {
+		return // it has ended already
+	}
+	f.network.Stop(address)
+	f.mu.Lock()
+	f.ends = append(f.ends, time.Now())
+	f.mu.Unlock()
+	f.restarts.Go(func() {
+		time.Sleep(workerDownTime)
+		u := f.startWorker(n)
+		list := slices.Clone(f.directory.Upstreams())
+		list[n] = u
+		f.directory.setUpstreams(list)
+	})
+}
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -83,6 +83,7 @@
 	// weightsChanged has a buffer of one as well.
 	weightsChanged chan struct{}
 	waiting        waitingSet
+	crashes        crashDetector
 }
 
 // New returns a Forwarder with the limits of a single VM; see SetVMs.
--- a/internal/gateway/forwarder/log.go
+++ b/internal/gateway/forwarder/log.go
@@ -36,6 +36,11 @@
 	if x.organisation != nil {
 		fields["organisation"] = x.organisation.Name
 	}
+	if parts := x.loggedParts(); len(parts) > 0 {
+		fields["parts"] = parts
+	} else if x.service != "" {
+		fields["fingerprint"] = x.fingerprints()[0]
+	}
 	if x.choice.Reason != "" {
 		fields["reason"] = x.choice.Reason
 		fields["candidates"] = x.choice.Candidates
--- a/internal/upstream/caller/caller.go
+++ b/internal/upstream/caller/caller.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
+	"syscall"
 	"time"
 
 	"gentianstep.example/gentianstep/internal/streaming/encoder"
@@ -59,6 +60,16 @@
 // out, the others may be broken as well.
 func (c *Caller) CloseIdle(target Target) { c.pool.closeIdle(target.Address) }
 
+// IsRefused reports whether nothing listens at the address of target.
+func (c *Caller) IsRefused(ctx context.Context, target Target) bool {
+	conn, err := c.pool.dial(ctx, "tcp", target.Address.String())
+	if err == nil {
+		_ = conn.Close()
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // DisableRedirects is an http.Client.CheckRedirect. A redirect becomes the response.
 func DisableRedirects(*http.Request, []*http.Request) error {
 	return http.ErrUseLastResponse
