Gateway: quarantine requests under which upstreams crash

Callers saw streams of job-note-tagging break off on one engine after the other: each engine that begins to answer a prompt with a certain part ends, and takes the other streams along.

Cause: nothing remembered what crashes have in common. Each request was placed as if none had been there before, and a VM saw a share of the crashes only.

Change: a VM reports the parts of the prompts (or the hash of a request without one) that were at an upstream when its process ended. The hub counts crashes of different processes that were each under a request sent after the crash before; a complete answer refutes all crashes before it. From two on it asks all VMs for answers since the first; with three, and 0.4 s later, requests with the part are refused at once (503, not run). VMs report what they know to the next hub, and go by their own crashes without one.

--- a/internal/failure/classifier/answer.go
+++ b/internal/failure/classifier/answer.go
@@ -36,6 +36,7 @@
 	Overloaded:          {Status: http.StatusServiceUnavailable, NotRun: true, Retryable: true, RetryAfter: shortRetryAfter},
 	DeadlineUnmeetable:  {Status: http.StatusServiceUnavailable, NotRun: true, Retryable: true, RetryAfter: shortRetryAfter},
 	NoUpstream:          {Status: http.StatusServiceUnavailable, NotRun: true, Retryable: true, RetryAfter: shortRetryAfter},
+	Quarantined:         {Status: http.StatusServiceUnavailable, NotRun: true, Retryable: true, RetryAfter: longRetryAfter},
 	NoBundle:            {Status: http.StatusServiceUnavailable, NotRun: true, Retryable: true, RetryAfter: longRetryAfter},
 	UpstreamFailed:      {Status: http.StatusBadGateway, Retryable: true, RetryAfter: shortRetryAfter},
 	UpstreamRefused:     {Status: http.StatusServiceUnavailable, NotRun: true, Retryable: true, RetryAfter: shortRetryAfter},
--- a/internal/failure/classifier/kind.go
+++ b/internal/failure/classifier/kind.go
@@ -18,6 +18,7 @@
 	Overloaded          Kind = "overloaded"
 	DeadlineUnmeetable  Kind = "deadline_unmeetable"
 	NoUpstream          Kind = "no_upstream"
+	Quarantined         Kind = "quarantined"
 	NoBundle            Kind = "no_bundle"
 	UpstreamFailed      Kind = "upstream_failed"
 	UpstreamRefused     Kind = "upstream_refused"
--- a/internal/gateway/forwarder/crash_test.go
+++ b/internal/gateway/forwarder/crash_test.go
@@ -29,7 +29,7 @@
 	Rate   float64 `json:"rate"`
 	FromMS int     `json:"from_ms"`
 	// Parts lists the parts of the prompts: "%" stands for the number of the request,
-	// "%4" for its remainder by 4. Target ends the path, the number of the request if it
+	// "%4" for its remainder by 4, and "%2" by 2. Target ends the path, the number of the request if it
 	// is empty.
 	Parts  []string `json:"parts"`
 	Target string   `json:"target"`
@@ -51,8 +51,10 @@
 		Count   int `json:"count"`
 		Workers int `json:"workers"`
 	} `json:"ends"`
-	// HubOffMS is the time from which on no VM is the hub, 0 for none.
-	HubOffMS int `json:"hub_off_ms"`
+	// HubOffMS is the time from which on no VM is the hub, 0 for none. HubMovesMS are the
+	// times at which another becomes it.
+	HubOffMS   int   `json:"hub_off_ms"`
+	HubMovesMS []int `json:"hub_moves_ms"`
 }
 
 // soundResult is the outcome of a sound request.
@@ -81,7 +83,7 @@
 	f := newFleet(t, row.VMs, 12)
 	time.Sleep(time.Second) // the VMs connect to the hub
 	began := time.Now()
-	f.setCrash([]string{"deadly"}, []string{"/" + row.Route + "/deadly"})
+	f.setCrash([]string{"deadly", "deadly0", "deadly1"}, []string{"/" + row.Route + "/deadly"})
 	var requests sync.WaitGroup
 	var mu sync.Mutex
 	var results []soundResult
@@ -102,11 +104,13 @@
 			time.Sleep(time.Duration(row.Ends.EveryMS) * time.Millisecond)
 		}
 	})
+	for _, ms := range row.HubMovesMS {
+		time.Sleep(time.Until(began.Add(time.Duration(ms) * time.Millisecond)))
+		f.moveHub(t)
+	}
 	if row.HubOffMS > 0 {
 		time.Sleep(time.Duration(row.HubOffMS) * time.Millisecond)
-		f.mu.Lock()
-		f.hubOff = true
-		f.mu.Unlock()
+		f.stopHub()
 	}
 	requests.Wait()
 	f.restarts.Wait()
@@ -150,6 +154,7 @@
 	names := make([]string, 0, len(parts))
 	for _, part := range parts {
 		part = strings.ReplaceAll(part, "%4", fmt.Sprint(n%4))
+		part = strings.ReplaceAll(part, "%2", fmt.Sprint(n%2))
 		part = strings.ReplaceAll(part, "%", fmt.Sprint(n))
 		names = append(names, part+":30")
 	}
--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -61,8 +62,9 @@
 	body          []byte
 	arrivedAt     time.Time
 	deadline      time.Time
-	// fingerprintList holds the fingerprints once they are needed.
-	fingerprintList []quarantiner.Fingerprint
+	// fingerprints are what the request may have in common with others under which
+	// upstreams crash.
+	fingerprints []quarantiner.Fingerprint
 
 	attempts int
 	// tried holds the IDs of upstreams at which the request has failed and to
@@ -119,6 +121,10 @@
 		if err == nil {
 			return
 		}
+		if errors.Is(err, errQuarantined) {
+			x.attempts--
+			continue // the next choice refuses it
+		}
 		if x.recordWithheld(err) {
 			continue
 		}
@@ -153,8 +159,8 @@
 	w := &waiter{priority: x.priority(), deadline: x.deadline}
 	for {
 		now := time.Now()
-		if !now.Add(minSendTime).Before(x.deadline) {
-			return nil, classifier.New(classifier.DeadlineUnmeetable, "no time is left")
+		if refusal := x.checkSendable(now); refusal != nil {
+			return nil, refusal
 		}
 		q := x.choose(now)
 		switch {
@@ -185,6 +191,14 @@
 	}
 }
 
+// checkSendable returns the refusal of a request that is sent to no upstream, or nil.
+func (x *exchange) checkSendable(now time.Time) *classifier.Error {
+	if !now.Add(minSendTime).Before(x.deadline) {
+		return classifier.New(classifier.DeadlineUnmeetable, "no time is left")
+	}
+	return x.checkQuarantine(now)
+}
+
 // requestUrgentReport signals that the loads should be reported to the hub at
 // once. It does nothing if a signal is pending already.
 func (f *Forwarder) requestUrgentReport() {
--- a/internal/gateway/forwarder/fixture_test.go
+++ b/internal/gateway/forwarder/fixture_test.go
@@ -25,6 +25,7 @@
 	"gentianstep.example/gentianstep/internal/routing/withholder"
 	"gentianstep.example/gentianstep/internal/testing/piper"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
+	"gentianstep.example/gentianstep/internal/upstream/isolator"
 	"gentianstep.example/gentianstep/internal/upstream/noticer"
 	"gentianstep.example/gentianstep/internal/upstream/verifier"
 	"gentianstep.example/gentianstep/platform"
@@ -45,6 +46,7 @@
 	client    *http.Client
 	view      *coordinator.View
 	noticer   *noticer.Noticer
+	isolator  *isolator.Isolator
 	startedAt time.Time
 	// dialDelay is the time to open a connection to a worker in ns.
 	dialDelay atomic.Int64
@@ -129,7 +131,7 @@
 		Log:    logrus.NewEntry(log),
 	})
 	calls := caller.New(caller.Config{Dial: f.dial, IdleTimeout: time.Second})
-	f.forwarder = f.newForwarder(calls, logrus.NewEntry(log))
+	f.forwarder = f.newForwarder("vm", calls, logrus.NewEntry(log))
 	f.network.Serve(gatewayAddress, f.forwarder)
 	transport := &http.Transport{DialContext: f.network.Dial, DisableCompression: true}
 	f.client = &http.Client{Transport: transport}
@@ -144,14 +146,22 @@
 	return f
 }
 
-// newForwarder returns a forwarder with the noticer and the view of the fixture.
-func (f *fixture) newForwarder(calls *caller.Caller, log *logrus.Entry) *forwarder.Forwarder {
+// newForwarder returns a forwarder with the noticer and the view of the fixture, and with
+// an isolator of its own.
+func (f *fixture) newForwarder(node string, calls *caller.Caller, log *logrus.Entry) *forwarder.Forwarder {
+	f.isolator = isolator.New(isolator.Config{
+		Node:      node,
+		IsRefused: calls.IsRefused,
+		Meter:     meter.New(),
+		Log:       log,
+	})
 	return forwarder.New(forwarder.Config{
 		Dialect:      platform.Dialect{},
 		Directory:    f.directory,
 		View:         f.view,
 		Caller:       calls,
 		Noticer:      f.noticer,
+		Isolator:     f.isolator,
 		Picker:       picker.Config{AvailabilityZone: "z", Regions: map[string]string{"z": "r"}, Seed: 1},
 		Budget:       budgeter.Config{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
 		WeightsApply: 8 * time.Second,
--- a/internal/gateway/forwarder/fleet_test.go
+++ b/internal/gateway/forwarder/fleet_test.go
@@ -29,10 +29,12 @@
 // fleet is a fixture with more VMs before the same workers, and a hub between them.
 type fleet struct {
 	*fixture
-	vms []*fleetVM
-	hub netip.AddrPort
+	vms    []*fleetVM
+	hubLog *logrus.Entry
 
 	mu sync.Mutex
+	// hub is the address of the hub.
+	hub netip.AddrPort
 	// hubOff is true while no VM is the hub.
 	hubOff bool
 	// ends holds the times at which workers have ended.
@@ -66,9 +68,8 @@
 	log := logrus.New()
 	log.SetOutput(f.log)
 	log.SetFormatter(&logrus.JSONFormatter{})
-	hub := coordinator.NewHub(coordinator.HubConfig{Active: f.isHubOn, Log: logrus.NewEntry(log)})
-	f.network.Serve(f.hub.String(), hub)
-	go hub.Run(t.Context())
+	f.hubLog = logrus.NewEntry(log)
+	f.serveHub(t)
 	for n := range vms {
 		f.addVM(t, n, log)
 	}
@@ -82,19 +83,21 @@
 }
 
 func (f *fleet) addVM(t *testing.T, n int, log *logrus.Logger) {
-	entry := logrus.NewEntry(log).WithField("node", fmt.Sprintf("vm%d", n))
+	node := fmt.Sprintf("vm%d", n)
+	entry := logrus.NewEntry(log).WithField("node", node)
 	calls := caller.New(caller.Config{Dial: f.dial, IdleTimeout: time.Second})
 	vm := &fleetVM{address: fmt.Sprintf("10.0.1.%d:80", n+1)}
 	f.view = coordinator.NewView()
-	vm.forwarder = f.newForwarder(calls, entry)
+	vm.forwarder = f.newForwarder(node, calls, entry)
 	f.network.Serve(vm.address, vm.forwarder)
 	transport := &http.Transport{DialContext: f.network.Dial}
 	go coordinator.NewSubscriber(coordinator.SubscriberConfig{
-		Node:           fmt.Sprintf("vm%d", n),
-		Hub:            func() (netip.AddrPort, bool) { return f.hub, f.isHubOn() },
+		Node:           node,
+		Hub:            f.hubAddress,
 		Loads:          vm.forwarder.Loads,
 		DrainSentParts: vm.forwarder.DrainSentParts,
 		UrgentReports:  vm.forwarder.UrgentReports(),
+		Quarantines:    f.isolator,
 		View:           f.view,
 		Client:         &http.Client{Transport: transport},
 		Log:            entry,
@@ -106,10 +109,37 @@
 	f.vms = append(f.vms, vm)
 }
 
-func (f *fleet) isHubOn() bool {
+// serveHub starts a hub at f.hub.
+func (f *fleet) serveHub(t *testing.T) {
+	t.Helper()
+	hub := coordinator.NewHub(coordinator.HubConfig{Active: func() bool { return true }, Log: f.hubLog})
+	f.network.Serve(f.hub.String(), hub)
+	go hub.Run(t.Context())
+}
+
+// moveHub replaces the hub by one that knows nothing.
+func (f *fleet) moveHub(t *testing.T) {
+	t.Helper()
+	f.network.Stop(f.hub.String())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hub = netip.AddrPortFrom(f.hub.Addr(), f.hub.Port()+1)
+	f.serveHub(t)
+}
+
+// stopHub leaves the VMs without a hub.
+func (f *fleet) stopHub() {
+	f.network.Stop(f.hub.String())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hubOff = true
+}
+
+// hubAddress returns the address of the hub, false if there is none.
+func (f *fleet) hubAddress() (netip.AddrPort, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return !f.hubOff
+	return f.hub, !f.hubOff
 }
 
 // setCrash makes all workers crash on requests with one of the parts or targets.
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -26,6 +26,7 @@
 	"gentianstep.example/gentianstep/internal/routing/matcher"
 	"gentianstep.example/gentianstep/internal/routing/picker"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
+	"gentianstep.example/gentianstep/internal/upstream/isolator"
 	"gentianstep.example/gentianstep/internal/upstream/noticer"
 )
 
@@ -51,8 +52,10 @@
 	Caller *caller.Caller
 	// Noticer holds what upstreams have stated about themselves.
 	Noticer *noticer.Noticer
-	Picker  picker.Config
-	Budget  budgeter.Config
+	// Isolator decides which requests are not sent since upstreams crash under them.
+	Isolator *isolator.Isolator
+	Picker   picker.Config
+	Budget   budgeter.Config
 	// WeightsApply is the longest time for which older weights may be used once
 	// a newer version is wanted.
 	WeightsApply time.Duration
@@ -83,7 +86,6 @@
 	// weightsChanged has a buffer of one as well.
 	weightsChanged chan struct{}
 	waiting        waitingSet
-	crashes        crashDetector
 }
 
 // New returns a Forwarder with the limits of a single VM; see SetVMs.
@@ -97,6 +99,7 @@
 		weightsChanged: make(chan struct{}, 1),
 	}
 	cfg.Noticer.SetOnChange(f.wakeWaiting)
+	cfg.Isolator.SetHandlers(func() { f.wakeWaiting("") }, f.requestUrgentReport)
 	f.vms.Store(1)
 	f.weightsApply.Store(int64(cfg.WeightsApply))
 	return f
@@ -207,7 +210,11 @@
 		x.deadline = d
 	}
 	x.service = route.SelectService(rand.Float64())
-	return x.readBody()
+	if err := x.readBody(); err != nil {
+		return err
+	}
+	x.setFingerprints()
+	return nil
 }
 
 // readBody buffers the whole body, since a request may be sent more than once.
--- a/internal/gateway/forwarder/log.go
+++ b/internal/gateway/forwarder/log.go
@@ -38,8 +38,8 @@
 	}
 	if parts := x.loggedParts(); len(parts) > 0 {
 		fields["parts"] = parts
-	} else if x.service != "" {
-		fields["fingerprint"] = x.fingerprints()[0]
+	} else if len(x.fingerprints) > 0 {
+		fields["fingerprint"] = x.fingerprints[0]
 	}
 	if x.choice.Reason != "" {
 		fields["reason"] = x.choice.Reason
--- a/internal/gateway/forwarder/relay.go
+++ b/internal/gateway/forwarder/relay.go
@@ -36,6 +36,7 @@
 	}
 	err := x.copyEvents(answer)
 	if err == nil {
+		x.recordAnswer(answer.Status)
 		err = answer.Finish()
 		x.recordOutcome(http.StatusOK, outcomeAnswered, err)
 		return nil
--- a/internal/gateway/forwarder/waiting_test.go
+++ b/internal/gateway/forwarder/waiting_test.go
@@ -16,6 +16,7 @@
 	"gentianstep.example/gentianstep/internal/membership/registrar"
 	"gentianstep.example/gentianstep/internal/peering/coordinator"
 	"gentianstep.example/gentianstep/internal/routing/matcher"
+	"gentianstep.example/gentianstep/internal/upstream/isolator"
 	"gentianstep.example/gentianstep/internal/upstream/noticer"
 )
 
@@ -32,6 +33,7 @@
 	const attempts = 100_000
 	f := New(Config{
 		Directory: noWeights{}, View: coordinator.NewView(), Noticer: noticer.New(noticer.Config{}),
+		Isolator:     isolator.New(isolator.Config{}),
 		WeightsApply: time.Hour, Log: logrus.NewEntry(logrus.New()),
 	})
 	sent := make(chan struct{})
--- a/internal/gateway/forwarder/withhold.go
+++ b/internal/gateway/forwarder/withhold.go
@@ -139,6 +139,9 @@
 		if err := x.cfg.Noticer.Admit(u, lastResort); err != nil {
 			return err
 		}
+		if !x.cfg.Isolator.Admit(x.fingerprints) {
+			return errQuarantined
+		}
 		now := time.Now()
 		x.firstByteSentAt.Store(&now)
 		return nil
--- a/internal/operating/starter/coordination.go
+++ b/internal/operating/starter/coordination.go
@@ -25,6 +25,7 @@
 			DrainSentParts: g.forwarder.DrainSentParts,
 			Departures:     g.noticer.Departures,
 			OnDepartures:   g.noticer.RecordDepartures,
+			Quarantines:    g.isolator,
 			UrgentReports:  g.forwarder.UrgentReports(),
 			View:           g.view,
 			Client:         g.newClient(),
--- a/internal/operating/starter/gateway.go
+++ b/internal/operating/starter/gateway.go
@@ -23,6 +23,7 @@
 	"gentianstep.example/gentianstep/internal/routing/picker"
 	"gentianstep.example/gentianstep/internal/streaming/bounder"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
+	"gentianstep.example/gentianstep/internal/upstream/isolator"
 	"gentianstep.example/gentianstep/internal/upstream/noticer"
 )
 
@@ -107,6 +108,7 @@
 	hub          *coordinator.Hub
 	view         *coordinator.View
 	noticer      *noticer.Noticer
+	isolator     *isolator.Isolator
 	engineClient EngineClient
 	drain        drainState
 }
@@ -165,12 +167,15 @@
 		Capacity: coordinator.Capacity{LinkBytesPerSecond: settings.LinkBytesPerSecond, Processors: settings.Processors},
 		Log:      log,
 	})
+	calls := caller.New(caller.Config{Dial: g.dial, IdleTimeout: upstreamIdleTimeout})
+	g.isolator = isolator.New(isolator.Config{Node: settings.Node, IsRefused: calls.IsRefused, Meter: g.meter, Log: log})
 	g.forwarder = forwarder.New(forwarder.Config{
 		Dialect:   p.Dialect,
 		Directory: g.informer,
 		View:      g.view,
 		Noticer:   g.noticer,
-		Caller:    caller.New(caller.Config{Dial: g.dial, IdleTimeout: upstreamIdleTimeout}),
+		Isolator:  g.isolator,
+		Caller:    calls,
 		Picker: picker.Config{
 			AvailabilityZone: settings.AvailabilityZone,
 			Regions:          settings.Regions,
--- a/internal/peering/coordinator/frame.go
+++ b/internal/peering/coordinator/frame.go
@@ -30,6 +30,7 @@
 	h.expireLoads(now)
 	h.updatePending(now, nil)
 	h.expireDepartures(now)
+	h.advanceLedger(now)
 	if len(h.sessions) == 0 {
 		h.dropFrames()
 		h.names, h.namesSent = newNameTable(), 0
@@ -51,7 +52,7 @@
 }
 
 func (h *Hub) hasChanges() bool {
-	return len(h.totals.changed)+len(h.changedEngines)+len(h.changedParts)+len(h.changedDepartures) > 0
+	return len(h.totals.changed)+len(h.changedEngines)+len(h.changedParts)+len(h.changedDepartures) > 0 || h.ledger.HasChanges()
 }
 
 func (h *Hub) lastFrame() *frame {
@@ -75,6 +76,7 @@
 		state.Cached = append(state.Cached, h.upstreamPart(c))
 	}
 	state.Departures = slices.Collect(maps.Keys(h.changedDepartures))
+	state.Quarantines = h.drainQuarantines(now)
 	h.clearChanges()
 	state.Names = h.names.names[h.namesSent:]
 	h.namesSent = len(h.names.names)
@@ -110,6 +112,7 @@
 	clear(h.changedEngines)
 	clear(h.changedParts)
 	clear(h.changedDepartures)
+	h.drainQuarantines(time.Now())
 }
 
 // nextMessage returns the next message to a VM and the number of its last report that
@@ -135,7 +138,11 @@
 	if h.full != nil {
 		return h.full
 	}
-	state := State{Full: true, Departures: slices.Collect(maps.Keys(h.departures))}
+	state := State{
+		Full:        true,
+		Departures:  slices.Collect(maps.Keys(h.departures)),
+		Quarantines: newQuarantines(time.Now(), h.ledger.Rows()),
+	}
 	for upstream := range h.totals.sums {
 		state.Loads = append(state.Loads, h.upstreamLoad(upstream))
 	}
--- a/internal/peering/coordinator/hub.go
+++ b/internal/peering/coordinator/hub.go
@@ -11,6 +11,7 @@
 
 	"gentianstep.example/gentianstep/internal/caching/cataloguer"
 	"gentianstep.example/gentianstep/internal/operating/pauser"
+	"gentianstep.example/gentianstep/internal/routing/quarantiner"
 )
 
 const (
@@ -49,6 +50,11 @@
 	// departures maps the reported departures to the time until which VMs are told.
 	departures map[Departure]time.Time
 
+	// ledger decides on quarantines from the evidence of all VMs.
+	ledger *quarantiner.Ledger
+	// ledgerTimer wakes Run when the next decision is due; nil before the first.
+	ledgerTimer *time.Timer
+
 	// changedEngines, changedParts and changedDepartures are the changes since the last
 	// frame.
 	changedEngines    map[string]struct{}
@@ -82,6 +88,7 @@
 		changedEngines:    make(map[string]struct{}),
 		changedParts:      make(map[CachedPart]struct{}),
 		departures:        make(map[Departure]time.Time),
+		ledger:            quarantiner.NewLedger(),
 		changedDepartures: make(map[Departure]struct{}),
 		// Sessions start at frame 0, so that their first message is the full state.
 		firstFrame: 1,
@@ -215,6 +222,7 @@
 	s.reportedAt, s.reportNumber = now, r.Number
 	h.updatePending(now, r.SentParts)
 	h.addDepartures(now, r.Departures)
+	h.applyEvidence(now, r.Node, r.Evidence)
 	h.totals.replace(s.loads, r.Loads)
 	s.loads = r.Loads
 	if h.hasChanges() {
--- a/internal/peering/coordinator/message.go
+++ b/internal/peering/coordinator/message.go
@@ -82,6 +82,9 @@
 	// Departures lists all departures that the VM was told of, if they have changed
 	// since the last report.
 	Departures []Departure `cbor:"5,keyasint,omitempty"`
+	// Evidence lists the crashes that the VM has seen since the last report and what
+	// else bears on quarantines.
+	Evidence []Evidence `cbor:"6,keyasint,omitempty"`
 }
 
 // Check returns an error if the node or the number is missing or a load is negative.
@@ -100,6 +103,9 @@
 	if err := checkDepartures(r.Departures); err != nil {
 		return fmt.Errorf("report: %w", err)
 	}
+	if err := checkEvidence(r.Evidence); err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
 	return nil
 }
 
@@ -137,8 +143,9 @@
 	Cached  []UpstreamPart `cbor:"5,keyasint,omitempty"`
 	// ReportMillis is the interval in milliseconds at which the hub asks VMs to
 	// report. It grows with their number.
-	ReportMillis int64       `cbor:"6,keyasint,omitempty"`
-	Departures   []Departure `cbor:"7,keyasint,omitempty"`
+	ReportMillis int64        `cbor:"6,keyasint,omitempty"`
+	Departures   []Departure  `cbor:"7,keyasint,omitempty"`
+	Quarantines  []Quarantine `cbor:"8,keyasint,omitempty"`
 }
 
 // Check returns an error if an index lies outside the table of names, which has
@@ -161,5 +168,8 @@
 	if err := checkDepartures(s.Departures); err != nil {
 		return fmt.Errorf("state: %w", err)
 	}
+	if err := checkQuarantines(s.Quarantines); err != nil {
+		return fmt.Errorf("state: %w", err)
+	}
 	return nil
 }
--- a/internal/peering/coordinator/subscriber.go
+++ b/internal/peering/coordinator/subscriber.go
@@ -15,6 +15,7 @@
 
 	"gentianstep.example/gentianstep/internal/operating/pauser"
 	"gentianstep.example/gentianstep/internal/peering/messenger"
+	"gentianstep.example/gentianstep/internal/routing/quarantiner"
 	"gentianstep.example/gentianstep/internal/routing/withholder"
 )
 
@@ -49,6 +50,9 @@
 	// may be nil.
 	Departures   func() []withholder.Incarnation
 	OnDepartures func([]withholder.Incarnation)
+	// Quarantines reports what bears on quarantines and applies the hub's decisions; nil
+	// for none.
+	Quarantines Quarantines
 	// UrgentReports signals that the loads should be reported before the next interval.
 	UrgentReports <-chan struct{}
 	View          *View
@@ -56,6 +60,16 @@
 	Log           *logrus.Entry
 }
 
+// Quarantines is a VM's part in quarantines.
+type Quarantines interface {
+	// Snapshot returns the events that another hub needs, and the number of the last one.
+	Snapshot() ([]quarantiner.Event, uint64)
+	// Events returns the events after a number, and the number of the last one.
+	Events(after uint64) ([]quarantiner.Event, uint64)
+	// Apply applies decisions of the hub; they are all of them if full is set.
+	Apply(full bool, rows []quarantiner.Row)
+}
+
 // Subscriber maintains the connection of a VM to the hub.
 type Subscriber struct {
 	cfg SubscriberConfig
@@ -93,7 +107,8 @@
 	defer func() { _ = ws.CloseNow() }()
 	s.cfg.Log.WithFields(logrus.Fields{"event": "hub_found", "hub": hub.String()}).Info("connected to hub")
 	sent := &sentReports{interval: reportInterval}
-	go s.runReports(ctx, cancel, ws, hub, sent)
+	// The events for the hub are collected before its first state is applied.
+	go s.runReports(ctx, cancel, ws, hub, sent, newEvidenceQueue(s.cfg.Quarantines))
 	for {
 		var state State
 		var report uint64
@@ -107,12 +122,15 @@
 		if s.cfg.OnDepartures != nil {
 			s.cfg.OnDepartures(incarnations(state.Departures))
 		}
+		if s.cfg.Quarantines != nil {
+			s.cfg.Quarantines.Apply(state.Full, quarantineRows(time.Now(), state.Quarantines))
+		}
 	}
 }
 
 // runReports sends reports until the connection fails or another VM is the hub. It
 // calls cancel when it returns.
-func (s *Subscriber) runReports(ctx context.Context, cancel context.CancelFunc, ws *websocket.Conn, hub netip.AddrPort, reports *sentReports) {
+func (s *Subscriber) runReports(ctx context.Context, cancel context.CancelFunc, ws *websocket.Conn, hub netip.AddrPort, reports *sentReports, evidence *evidenceQueue) {
 	defer cancel()
 	timer := time.NewTimer(reportInterval)
 	defer timer.Stop()
@@ -127,8 +145,9 @@
 		loads, sent := s.cfg.Loads(), s.cfg.DrainSentParts()
 		departures := s.departures()
 		changed := !slices.Equal(departures, lastDepartures)
-		if changed || !maps.Equal(loads, last) || len(sent) > 0 || !now.Before(keepAliveAt) {
-			report := Report{Node: s.cfg.Node, Loads: loads, SentParts: sent, Number: reports.add(loads)}
+		events := evidence.next()
+		if changed || len(events) > 0 || !maps.Equal(loads, last) || len(sent) > 0 || !now.Before(keepAliveAt) {
+			report := Report{Node: s.cfg.Node, Loads: loads, SentParts: sent, Number: reports.add(loads), Evidence: newEvidence(now, events)}
 			if changed {
 				report.Departures = departures
 			}
--- /dev/null
+++ b/internal/routing/quarantiner/ledger.go
@@ -0,0 +1,335 @@
+package quarantiner
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+const (
+	// suspectStrikes is the number of strikes from which on VMs are asked whether they have
+	// seen answers, and quarantineStrikes the number from which on requests are refused.
+	suspectStrikes    = 2
+	quarantineStrikes = 3
+	// answerWait is the time for VMs to report answers before a quarantine begins: some
+	// reports and messages of a large fleet.
+	answerWait = 400 * time.Millisecond
+	// crashTTL is how long a crash counts against what is not quarantined.
+	crashTTL = 10 * time.Minute
+	// maxCrashes bounds the crashes that are kept of one fingerprint.
+	maxCrashes = 8
+	// Bounds of the numbers of fingerprints that are kept. Requests with new ones
+	// displace older suspects, but no quarantines.
+	maxSuspects    = 4096
+	maxQuarantines = 1024
+	maxAnswers     = 4096
+	// MaxFingerprints is the number of fingerprints of one request that crashes count
+	// against.
+	MaxFingerprints = 64
+)
+
+// answer is the latest complete response to a request with a fingerprint.
+type answer struct {
+	at      time.Time
+	weights uint64
+}
+
+// refutes reports whether the answer shows that a crash had another cause: a request with
+// the same fingerprint was answered later, on the same weights or newer ones.
+func (a answer) refutes(c crash) bool { return !a.at.Before(c.at) && a.weights >= c.weights }
+
+// crash is a Crash of one fingerprint.
+type crash struct {
+	process Process
+	weights uint64
+	sentAt  time.Time
+	at      time.Time
+}
+
+// record holds the crashes that count against a fingerprint.
+type record struct {
+	// crashes are sorted by their times.
+	crashes []crash
+	// inherited is the number of strikes that another ledger has counted, the last one at
+	// inheritedAt.
+	inherited   int
+	inheritedAt time.Time
+	// lastAt is when the last crash was, also one that is no longer kept.
+	lastAt time.Time
+	// suspectAt is when the record became that of a suspect, quarantinedAt when it was
+	// quarantined; zero if it is not.
+	suspectAt     time.Time
+	quarantinedAt time.Time
+	trials        trialPlan
+}
+
+// strikes returns the number of crashes of which each was under a request that was sent
+// after the one before. Requests that were under way at the same time tell nothing more: all
+// upstreams may end at once.
+func (r *record) strikes() int {
+	n, last := r.inherited, time.Time{}
+	for _, c := range r.crashes {
+		if last.IsZero() || !c.sentAt.Before(last) {
+			n, last = n+1, c.at
+		}
+	}
+	return n
+}
+
+// Ledger decides what is quarantined, from the crashes and the answers that it is given.
+//
+// Load: requests of which no two are alike share one part that ends each engine which
+// begins to answer them, at several VMs; sound ones share their other parts. Engines also
+// end by themselves, with popular parts under way at each.
+type Ledger struct {
+	suspects    *simplelru.LRU[Fingerprint, *record]
+	quarantines *simplelru.LRU[Fingerprint, *record]
+	answers     *simplelru.LRU[Fingerprint, answer]
+	// suspected holds the suspects that VMs are asked about.
+	suspected map[Fingerprint]*record
+	// changed holds the fingerprints whose rows have changed since DrainChanges.
+	changed map[Fingerprint]struct{}
+}
+
+// NewLedger returns a Ledger without crashes.
+func NewLedger() *Ledger {
+	l := &Ledger{suspected: make(map[Fingerprint]*record), changed: make(map[Fingerprint]struct{})}
+	onEvict := func(f Fingerprint, r *record) {
+		delete(l.suspected, f)
+		if !r.suspectAt.IsZero() {
+			l.changed[f] = struct{}{}
+		}
+	}
+	l.suspects = newLRU(maxSuspects, onEvict)
+	l.quarantines = newLRU(maxQuarantines, onEvict)
+	l.answers = newLRU[answer](maxAnswers, nil)
+	return l
+}
+
+func newLRU[V any](size int, onEvict func(Fingerprint, V)) *simplelru.LRU[Fingerprint, V] {
+	cache, err := simplelru.NewLRU(size, onEvict)
+	if err != nil {
+		panic(fmt.Sprintf("create LRU cache of %d fingerprints: %v", size, err))
+	}
+	return cache
+}
+
+// RecordCrash counts a crash against the fingerprints of a request.
+func (l *Ledger) RecordCrash(now time.Time, c Crash) {
+	for _, f := range c.Fingerprints[:min(len(c.Fingerprints), MaxFingerprints)] {
+		l.recordCrash(now, f, crash{process: c.Process, weights: c.Weights, sentAt: c.SentAt, at: c.At})
+	}
+}
+
+func (l *Ledger) recordCrash(now time.Time, f Fingerprint, c crash) {
+	if a, ok := l.answers.Peek(f); ok && a.refutes(c) {
+		return
+	}
+	r := l.find(f)
+	if r == nil {
+		r = &record{}
+		l.suspects.Add(f, r)
+	}
+	r.expire(now)
+	if !r.merge(c) {
+		r.crashes = append(r.crashes, c)
+	}
+	slices.SortStableFunc(r.crashes, func(a, b crash) int { return a.at.Compare(b.at) })
+	if over := len(r.crashes) - maxCrashes; over > 0 {
+		r.crashes = slices.Delete(r.crashes, 0, over)
+	}
+	if c.at.After(r.lastAt) {
+		r.lastAt = c.at
+	}
+	l.update(now, f, r)
+}
+
+// merge adds a crash of a process that other requests, or other VMs, have reported already.
+// It returns false if none has.
+func (r *record) merge(c crash) bool {
+	for i, known := range r.crashes {
+		if known.process.Upstream == c.process.Upstream && known.process.StartedAt.Equal(c.process.StartedAt) {
+			if c.sentAt.After(known.sentAt) {
+				r.crashes[i].sentAt = c.sentAt
+			}
+			return true
+		}
+	}
+	return false
+}
+
+// expire removes the crashes that are too long ago to count.
+func (r *record) expire(now time.Time) {
+	if r.quarantinedAt.IsZero() {
+		r.crashes = slices.DeleteFunc(r.crashes, func(c crash) bool { return now.Sub(c.at) > crashTTL })
+	}
+}
+
+// find returns the record of a fingerprint and marks it as used, nil if there is none.
+func (l *Ledger) find(f Fingerprint) *record {
+	if r, ok := l.quarantines.Get(f); ok {
+		return r
+	}
+	r, _ := l.suspects.Get(f)
+	return r
+}
+
+// RecordAnswer records the complete response to a request with a fingerprint. It refutes
+// the crashes before.
+func (l *Ledger) RecordAnswer(now time.Time, f Fingerprint, at time.Time, weights uint64) {
+	a := answer{at: at, weights: weights}
+	if known, ok := l.answers.Get(f); !ok || known.at.Before(at) {
+		l.answers.Add(f, a)
+	}
+	r := l.find(f)
+	if r == nil {
+		return
+	}
+	r.crashes = slices.DeleteFunc(r.crashes, a.refutes)
+	if !at.Before(r.inheritedAt) {
+		r.inherited = 0
+	}
+	l.update(now, f, r)
+}
+
+// Answered reports whether a request with a fingerprint was answered at a time or later,
+// and when the latest one was, on which weights.
+func (l *Ledger) Answered(f Fingerprint, since time.Time) (at time.Time, weights uint64, ok bool) {
+	a, ok := l.answers.Peek(f)
+	return a.at, a.weights, ok && !a.at.Before(since)
+}
+
+// update moves a record to what its strikes make it.
+func (l *Ledger) update(now time.Time, f Fingerprint, r *record) {
+	strikes := r.strikes()
+	switch {
+	case strikes == 0:
+		l.remove(f)
+	case strikes < suspectStrikes:
+		if !r.suspectAt.IsZero() {
+			r.suspectAt, r.quarantinedAt = time.Time{}, time.Time{}
+			l.move(f, r)
+		}
+	case r.suspectAt.IsZero():
+		r.suspectAt = now
+		l.move(f, r)
+	case strikes < quarantineStrikes && !r.quarantinedAt.IsZero():
+		r.quarantinedAt = time.Time{}
+		l.move(f, r)
+	}
+	l.advance(now, f, r)
+}
+
+// advance quarantines a suspect once VMs have had the time to report answers.
+func (l *Ledger) advance(now time.Time, f Fingerprint, r *record) {
+	if at := r.quarantineAt(); at.IsZero() || now.Before(at) {
+		return
+	}
+	r.quarantinedAt = now
+	r.trials.start(now)
+	l.move(f, r)
+}
+
+// quarantineAt returns when a suspect is to be quarantined, zero if it is not.
+func (r *record) quarantineAt() time.Time {
+	if r.suspectAt.IsZero() || !r.quarantinedAt.IsZero() || r.strikes() < quarantineStrikes {
+		return time.Time{}
+	}
+	return r.suspectAt.Add(answerWait)
+}
+
+func (l *Ledger) move(f Fingerprint, r *record) {
+	l.changed[f] = struct{}{}
+	l.quarantines.Remove(f)
+	l.suspects.Remove(f)
+	if !r.quarantinedAt.IsZero() {
+		l.quarantines.Add(f, r)
+		return
+	}
+	l.suspects.Add(f, r)
+	if !r.suspectAt.IsZero() {
+		l.suspected[f] = r
+	}
+}
+
+func (l *Ledger) remove(f Fingerprint) {
+	l.quarantines.Remove(f) // marks the change
+	l.suspects.Remove(f)
+}
+
+// Advance quarantines the suspects whose time has come and permits trials. It returns when
+// it is to be called again at the latest, zero for no such time.
+func (l *Ledger) Advance(now time.Time) time.Time {
+	next := time.Time{}
+	for f, r := range l.suspected {
+		l.advance(now, f, r)
+		next = earliest(next, r.quarantineAt())
+	}
+	for _, f := range l.quarantines.Keys() {
+		r, _ := l.quarantines.Peek(f)
+		if r.trials.advance(now) {
+			l.changed[f] = struct{}{}
+		}
+		next = earliest(next, r.trials.nextAt(now))
+	}
+	return next
+}
+
+// earliest returns the earlier of two times; zero is none.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// RecordDemand records that a VM has refused a request with quarantined fingerprints.
+func (l *Ledger) RecordDemand(now time.Time, vm string, fingerprints []Fingerprint) {
+	for _, f := range fingerprints {
+		if r, ok := l.quarantines.Get(f); ok {
+			r.trials.demandVM, r.trials.demandAt = vm, now
+		}
+	}
+}
+
+// Adopt quarantines what another ledger has quarantined. Crashes and answers that this
+// one knows go before.
+func (l *Ledger) Adopt(now time.Time, row Row) {
+	if a, ok := l.answers.Peek(row.Fingerprint); ok && !a.at.Before(row.LastAt) {
+		return
+	}
+	r := l.find(row.Fingerprint)
+	if r == nil {
+		r = &record{}
+	}
+	if !r.quarantinedAt.IsZero() {
+		return
+	}
+	r.inherited, r.inheritedAt = quarantineStrikes, row.LastAt
+	r.suspectAt, r.quarantinedAt = now, now
+	if row.LastAt.After(r.lastAt) {
+		r.lastAt = row.LastAt
+	}
+	r.trials.resume(row)
+	l.move(row.Fingerprint, r)
+}
+
+// IsQuarantined reports whether requests with a fingerprint are to be refused.
+func (l *Ledger) IsQuarantined(f Fingerprint) bool { return l.quarantines.Contains(f) }
+
+// Strikes returns the number of strikes against a fingerprint and the upstreams of its
+// crashes.
+func (l *Ledger) Strikes(f Fingerprint) (strikes int, upstreams []string) {
+	r, ok := l.quarantines.Peek(f)
+	if !ok {
+		if r, ok = l.suspects.Peek(f); !ok {
+			return 0, nil
+		}
+	}
+	for _, c := range r.crashes {
+		upstreams = append(upstreams, c.process.Upstream)
+	}
+	return r.strikes(), upstreams
+}
--- a/internal/upstream/caller/caller.go
+++ b/internal/upstream/caller/caller.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/netip"
 	"strconv"
 	"syscall"
 	"time"
@@ -60,9 +61,9 @@
 // out, the others may be broken as well.
 func (c *Caller) CloseIdle(target Target) { c.pool.closeIdle(target.Address) }
 
-// IsRefused reports whether nothing listens at the address of target.
-func (c *Caller) IsRefused(ctx context.Context, target Target) bool {
-	conn, err := c.pool.dial(ctx, "tcp", target.Address.String())
+// IsRefused reports whether nothing listens at an address.
+func (c *Caller) IsRefused(ctx context.Context, address netip.AddrPort) bool {
+	conn, err := c.pool.dial(ctx, "tcp", address.String())
 	if err == nil {
 		_ = conn.Close()
 		return false
--- /dev/null
+++ b/internal/upstream/isolator/isolator.go
@@ -0,0 +1,149 @@
+// Package isolator keeps requests from upstreams that crash under them, by what this VM
+// and the others have seen, and logs it.
+package isolator
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"gentianstep.example/gentianstep/internal/operating/meter"
+	"gentianstep.example/gentianstep/internal/routing/quarantiner"
+)
+
+// Labels of the metric for quarantines.
+const (
+	quarantineStarted = "started"
+	quarantineEnded   = "ended"
+	quarantineTrial   = "trial"
+)
+
+// Config configures an Isolator.
+type Config struct {
+	// Node is the name of this VM.
+	Node string
+	// IsRefused reports whether nothing listens at an address.
+	IsRefused func(ctx context.Context, address netip.AddrPort) bool
+	Meter     *meter.Meter
+	Log       *logrus.Entry
+}
+
+// Isolator is safe for concurrent use.
+type Isolator struct {
+	cfg Config
+
+	mu     sync.Mutex
+	guard  *quarantiner.Guard
+	checks map[quarantiner.Process]*check
+	// onQuarantine is called after quarantines have begun, onReport when the hub is to be
+	// informed before the next report.
+	onQuarantine func()
+	onReport     func()
+}
+
+// New returns an Isolator without quarantines.
+func New(cfg Config) *Isolator {
+	return &Isolator{
+		cfg:          cfg,
+		guard:        quarantiner.NewGuard(cfg.Node),
+		checks:       make(map[quarantiner.Process]*check),
+		onQuarantine: func() {},
+		onReport:     func() {},
+	}
+}
+
+// SetHandlers sets the functions that are called after quarantines have begun, and when
+// there is something that the hub is to be informed of at once. They must not block.
+func (i *Isolator) SetHandlers(onQuarantine, onReport func()) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.onQuarantine, i.onReport = onQuarantine, onReport
+}
+
+func (i *Isolator) requestReport() {
+	i.mu.Lock()
+	onReport := i.onReport
+	i.mu.Unlock()
+	onReport()
+}
+
+// RecordAnswer records a complete response to a request, on a version of the weights if
+// it is from an engine.
+func (i *Isolator) RecordAnswer(fingerprints []quarantiner.Fingerprint, weights uint64) {
+	i.mu.Lock()
+	urgent := i.guard.RecordAnswer(time.Now(), fingerprints, weights)
+	i.mu.Unlock()
+	if urgent {
+		i.requestReport()
+	}
+}
+
+// Check returns the refusal of a request, or false if it may be sent.
+func (i *Isolator) Check(fingerprints []quarantiner.Fingerprint) (quarantiner.Refusal, bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.guard.Check(time.Now(), fingerprints)
+}
+
+// Admit is like Check, right before the first byte of a request. Some requests are sent in
+// spite of a quarantine, to see whether upstreams still crash.
+func (i *Isolator) Admit(fingerprints []quarantiner.Fingerprint) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.guard.Admit(time.Now(), fingerprints)
+}
+
+// Snapshot returns the events that another hub needs, and the number of the last one.
+func (i *Isolator) Snapshot() ([]quarantiner.Event, uint64) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.guard.Snapshot(time.Now())
+}
+
+// Events returns the events after a number, and the number of the last one.
+func (i *Isolator) Events(after uint64) ([]quarantiner.Event, uint64) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.guard.Events(after)
+}
+
+// Apply applies the decisions in a message of the hub; they are all of its decisions if
+// it is full.
+func (i *Isolator) Apply(full bool, rows []quarantiner.Row) {
+	now := time.Now()
+	i.mu.Lock()
+	changes, urgent := i.guard.Apply(now, full, rows)
+	onQuarantine := i.onQuarantine
+	i.mu.Unlock()
+	if urgent {
+		i.requestReport()
+	}
+	for _, c := range changes {
+		i.logChange(now, c)
+	}
+	if len(changes) > 0 {
+		onQuarantine()
+	}
+}
+
+func (i *Isolator) logChange(now time.Time, c quarantiner.Change) {
+	event, label := "quarantine_started", quarantineStarted
+	switch {
+	case c.Trial:
+		event, label = "quarantine_trial", quarantineTrial
+	case c.Row.State != quarantiner.Quarantined:
+		event, label = "quarantine_ended", quarantineEnded
+	}
+	i.cfg.Meter.Count(meter.Quarantines, label, 1)
+	fields := logrus.Fields{"event": event, "fingerprint": c.Row.Fingerprint}
+	if c.Row.State == quarantiner.Quarantined {
+		fields["first_crash_ms"] = now.Sub(c.Row.FirstAt).Milliseconds()
+		fields["last_crash_ms"] = now.Sub(c.Row.LastAt).Milliseconds()
+		fields["trial_in_ms"] = c.Row.TrialAt.Sub(now).Milliseconds()
+		fields["trials"], fields["trial_vm"] = c.Row.Trials, c.Row.TrialVM
+	}
+	i.cfg.Log.WithFields(fields).Info("quarantine changed")
+}
