Gateway: keep quarantines in the platform's store

The class is that of a key or an upstream that is in use again after a restart.

The hub writes its quarantines under one key when they change, at most once a second and not before the VMs have had 3 s to report to it; VMs that start read them with the other entries of the prefix and report them. A trial 1 s later shows whether they still hold.

TestQuarantinesOutlastARestartOfAllVMs has no counterpart on the code before, which had no such entry; TestInvalidEntryIsIgnored plays entries that no VM writes.

--- a/internal/operating/starter/coordination.go
+++ b/internal/operating/starter/coordination.go
@@ -9,15 +9,26 @@
 	"gentianstep.example/gentianstep/internal/caching/listener"
 	"gentianstep.example/gentianstep/internal/gateway/forwarder"
 	"gentianstep.example/gentianstep/internal/membership/registrar"
+	"gentianstep.example/gentianstep/internal/peering/archivist"
 	"gentianstep.example/gentianstep/internal/peering/coordinator"
 	"gentianstep.example/gentianstep/internal/peering/exchanger"
 	"gentianstep.example/gentianstep/internal/peering/relayer"
+	"gentianstep.example/gentianstep/internal/platform/storer"
 )
 
 // coordinationLoops returns the loops that exchange engine state between VMs.
 func (g *gateway) coordinationLoops() []func(context.Context) {
 	return []func(context.Context){
 		g.hub.Run,
+		archivist.New(archivist.Config{
+			Store:   g.store,
+			Key:     quarantinesKey,
+			Stored:  func() (storer.Entry, bool) { return g.informer.Entry(quarantinesKey) },
+			Active:  g.holdsLease,
+			Rows:    g.hub.Quarantines,
+			Restore: g.isolator.Restore,
+			Log:     g.log,
+		}).Run,
 		coordinator.NewSubscriber(coordinator.SubscriberConfig{
 			Node:           g.settings.Load().Node,
 			Hub:            g.hubAddress,
--- a/internal/operating/starter/gateway.go
+++ b/internal/operating/starter/gateway.go
@@ -85,6 +85,7 @@
 	systemPrefix    = "gentianstep/"
 	vmPrefix        = systemPrefix + "vms/"
 	weightsLeaseKey = systemPrefix + "weights"
+	quarantinesKey  = systemPrefix + "quarantines"
 )
 
 // gateway holds the components of the single process that runs on each VM of a
--- a/internal/operating/starter/gateway_vms.go
+++ b/internal/operating/starter/gateway_vms.go
@@ -53,9 +53,11 @@
 	state := &announcedVMs{changes: changes}
 	for _, e := range d.informer.VMs() {
 		var err error
-		if e.Key == weightsLeaseKey {
+		switch e.Key {
+		case quarantinesKey:
+		case weightsLeaseKey:
 			state.leaseHolder, err = leaser.ParseHolder(e.Value)
-		} else {
+		default:
 			var vm announcer.VM
 			if vm, err = announcer.DecodeVM(e.Value); err == nil {
 				state.vms = append(state.vms, vm)
--- /dev/null
+++ b/internal/peering/archivist/archivist_test.go
@@ -0,0 +1,161 @@
+package archivist_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"gentianstep.example/gentianstep/internal/operating/meter"
+	"gentianstep.example/gentianstep/internal/peering/archivist"
+	"gentianstep.example/gentianstep/internal/platform/storer"
+	"gentianstep.example/gentianstep/internal/routing/quarantiner"
+	"gentianstep.example/gentianstep/internal/upstream/isolator"
+)
+
+var deadly = []quarantiner.Fingerprint{quarantiner.NewPart("m", "deadly")}
+
+// store is a store with one key, which all VMs have in their replicas at once.
+type store struct {
+	storer.Store
+
+	mu     sync.Mutex
+	entry  storer.Entry
+	writes int
+}
+
+// Put implements storer.Store.
+func (s *store) Put(_ context.Context, key string, value []byte, opts storer.PutOptions) (storer.Version, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if opts.IfVersion != s.entry.Version() {
+		return storer.Version{}, storer.ErrConflict
+	}
+	s.writes++
+	s.entry = storer.Entry{Key: key, Value: value, Revision: s.entry.Revision + 1}
+	return s.entry.Version(), nil
+}
+
+func (s *store) get() (storer.Entry, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.entry, s.entry.Revision > 0
+}
+
+func (s *store) writeCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writes
+}
+
+func discardLog() *logrus.Entry {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return logrus.NewEntry(log)
+}
+
+// start runs the archivist of a VM whose hub decides by a ledger, nil if it is not the hub.
+func start(ctx context.Context, s *store, ledger func() *quarantiner.Ledger) *isolator.Isolator {
+	i := isolator.New(isolator.Config{Node: "vm", Meter: meter.New(), Log: discardLog()})
+	go archivist.New(archivist.Config{
+		Store:   s,
+		Key:     "k",
+		Stored:  s.get,
+		Active:  func() bool { return ledger() != nil },
+		Rows:    func() []quarantiner.Row { return ledger().Rows() },
+		Restore: i.Restore,
+		Log:     discardLog(),
+	}).Run(ctx)
+	return i
+}
+
+func quarantined() *quarantiner.Ledger {
+	l := quarantiner.NewLedger()
+	for n := range 3 {
+		at := time.Now().Add(time.Duration(n-10) * time.Second)
+		l.RecordCrash(at, quarantiner.Crash{
+			Fingerprints: deadly, Process: quarantiner.Process{Upstream: fmt.Sprint(n)}, SentAt: at.Add(-time.Millisecond), At: at,
+		})
+	}
+	l.Advance(time.Now())
+	return l
+}
+
+// TestQuarantinesOutlastARestartOfAllVMs guards against requests that crash upstreams
+// again since all VMs have started anew.
+func TestQuarantinesOutlastARestartOfAllVMs(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &store{}
+		ctx, stop := context.WithCancel(t.Context())
+		ledger := quarantined()
+		start(ctx, s, func() *quarantiner.Ledger { return ledger })
+		time.Sleep(10 * time.Second)
+		is.Equal(s.writeCount(), 1)
+		stop()
+		time.Sleep(time.Minute)
+
+		// The new hub knows nothing until the VMs have reported what they have read.
+		ctx, stop = context.WithCancel(t.Context())
+		defer stop()
+		next := quarantiner.NewLedger()
+		vm := start(ctx, s, func() *quarantiner.Ledger { return next })
+		time.Sleep(500 * time.Millisecond)
+		_, refused := vm.Check(deadly)
+		is.True(refused)
+		events, _ := vm.Snapshot()
+		for _, e := range events {
+			next.Apply(time.Now(), "vm", e)
+		}
+		is.True(next.IsQuarantined(deadly[0]))
+		time.Sleep(10 * time.Second)
+		is.Equal(s.writeCount(), 1) // nothing has changed
+
+		// An answer ends it, in the store too.
+		next.RecordAnswer(time.Now(), deadly[0], time.Now(), 0)
+		time.Sleep(2 * time.Second)
+		is.Equal(s.writeCount(), 2)
+		entry, _ := s.get()
+		is.Equal(string(entry.Value), `{"quarantines":[]}`)
+		other := start(ctx, s, func() *quarantiner.Ledger { return nil })
+		time.Sleep(time.Second)
+		_, refused = other.Check(deadly)
+		is.True(!refused)
+	})
+}
+
+// TestInvalidEntryIsIgnored guards against an entry of another writer that ends the VMs
+// which read it, or fills their memory.
+func TestInvalidEntryIsIgnored(t *testing.T) {
+	t.Parallel()
+	for _, value := range []string{
+		"", "null", "[]", "{", `{"quarantines":[{}]}`, `{"quarantines":[{"fingerprint":"x"}]}`,
+		`{"quarantines":[{"fingerprint":"part:1/m/a","trials":-1}]}`, `{"quarantines":[{"fingerprint":"part:1/m/a","last_crash_at":"x"}]}`,
+	} {
+		t.Run(value, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := &store{entry: storer.Entry{Key: "k", Value: []byte(value), Revision: 7}}
+				ctx, stop := context.WithCancel(t.Context())
+				defer stop()
+				ledger := quarantined()
+				vm := start(ctx, s, func() *quarantiner.Ledger { return ledger })
+				time.Sleep(time.Second)
+				_, refused := vm.Check(deadly)
+				is.True(!refused)
+				time.Sleep(4 * time.Second)
+				is.Equal(s.writeCount(), 1) // the hub replaces it
+				_, refused = vm.Check(deadly)
+				is.True(refused)
+			})
+		})
+	}
+}
--- a/internal/peering/coordinator/evidence.go
+++ b/internal/peering/coordinator/evidence.go
@@ -198,6 +198,13 @@
 	h.ledgerTimer.Reset(wait)
 }
 
+// Quarantines returns the decisions on all fingerprints that are not clear.
+func (h *Hub) Quarantines() []quarantiner.Row {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.ledger.Rows()
+}
+
 // drainQuarantines returns the decisions that have changed since the last frame. The caller
 // must hold h.mu.
 func (h *Hub) drainQuarantines(now time.Time) []Quarantine {
--- a/internal/routing/quarantiner/guard.go
+++ b/internal/routing/quarantiner/guard.go
@@ -220,6 +220,22 @@
 	return changes
 }
 
+// Restore applies the quarantines in the platform's store. They are reported to the hub;
+// without one they are in force until there is one.
+func (g *Guard) Restore(now time.Time, rows []Row) {
+	for _, row := range rows {
+		if _, known := g.rows[row.Fingerprint]; known {
+			continue
+		}
+		// The crashes may be over since: a trial shows it.
+		row.TrialAt = now.Add(trialDelays[0])
+		g.report(knownEvent(row))
+		if !now.Before(g.hubUntil) {
+			g.rows[row.Fingerprint] = row
+		}
+	}
+}
+
 // forget removes what is no longer needed.
 func (g *Guard) forget(now time.Time) {
 	for f, until := range g.graceUntil {
@@ -244,6 +260,10 @@
 	return append([]Event(nil), g.events[skip:]...), g.lastEvent
 }
 
+func knownEvent(row Row) Event {
+	return Event{Type: Known, Fingerprints: []Fingerprint{row.Fingerprint}, At: row.LastAt, Trials: row.Trials, TrialAt: row.TrialAt}
+}
+
 // Snapshot returns the events that another hub needs: the latest crashes and answers, and
 // the quarantines in force. It returns the number of the last event.
 func (g *Guard) Snapshot(now time.Time) ([]Event, uint64) {
@@ -253,9 +273,9 @@
 			events = append(events, e)
 		}
 	}
-	for f, row := range g.rows {
+	for _, row := range g.rows {
 		if row.State == Quarantined {
-			events = append(events, Event{Type: Known, Fingerprints: []Fingerprint{f}, At: row.LastAt, Trials: row.Trials, TrialAt: row.TrialAt})
+			events = append(events, knownEvent(row))
 		}
 	}
 	return events, g.lastEvent
--- a/internal/routing/quarantiner/ledger.go
+++ b/internal/routing/quarantiner/ledger.go
@@ -18,6 +18,9 @@
 	answerWait = 400 * time.Millisecond
 	// crashTTL is how long a crash counts against what is not quarantined.
 	crashTTL = 10 * time.Minute
+	// quarantineTTL is how long a quarantine lasts after the last request with its
+	// fingerprint.
+	quarantineTTL = 6 * time.Hour
 	// maxCrashes bounds the crashes that are kept of one fingerprint.
 	maxCrashes = 8
 	// Bounds of the numbers of fingerprints that are kept. Requests with new ones
@@ -62,7 +65,9 @@
 	// quarantined; zero if it is not.
 	suspectAt     time.Time
 	quarantinedAt time.Time
-	trials        trialPlan
+	// usedAt is when a VM last reported a request with the fingerprint.
+	usedAt time.Time
+	trials trialPlan
 }
 
 // strikes returns the number of crashes of which each was under a request that was sent
@@ -132,6 +137,7 @@
 		r = &record{}
 		l.suspects.Add(f, r)
 	}
+	r.usedAt = now
 	r.expire(now)
 	if !r.merge(c) {
 		r.crashes = append(r.crashes, c)
@@ -269,6 +275,10 @@
 	}
 	for _, f := range l.quarantines.Keys() {
 		r, _ := l.quarantines.Peek(f)
+		if now.Sub(r.usedAt) > quarantineTTL {
+			l.remove(f)
+			continue
+		}
 		if r.trials.advance(now) {
 			l.changed[f] = struct{}{}
 		}
@@ -289,6 +299,7 @@
 func (l *Ledger) RecordDemand(now time.Time, vm string, fingerprints []Fingerprint) {
 	for _, f := range fingerprints {
 		if r, ok := l.quarantines.Get(f); ok {
+			r.usedAt = now
 			r.trials.demandVM, r.trials.demandAt = vm, now
 		}
 	}
@@ -308,7 +319,7 @@
 		return
 	}
 	r.inherited, r.inheritedAt = quarantineStrikes, row.LastAt
-	r.suspectAt, r.quarantinedAt = now, now
+	r.suspectAt, r.quarantinedAt, r.usedAt = now, now, now
 	if row.LastAt.After(r.lastAt) {
 		r.lastAt = row.LastAt
 	}
--- a/internal/upstream/isolator/isolator.go
+++ b/internal/upstream/isolator/isolator.go
@@ -129,6 +129,14 @@
 	}
 }
 
+// Restore applies the quarantines in the platform's store.
+func (i *Isolator) Restore(rows []quarantiner.Row) {
+	i.mu.Lock()
+	i.guard.Restore(time.Now(), rows)
+	i.mu.Unlock()
+	i.requestReport()
+}
+
 func (i *Isolator) logChange(now time.Time, c quarantiner.Change) {
 	event, label := "quarantine_started", quarantineStarted
 	switch {
