Router: quarantine requests under which upstreams crash; trials one part at a time

A dispatcher takes an isolator as the gateway does. Messages of a chat, segments of a prompt and whole calls are its fingerprints. A router has no hub: it goes by the crashes that it has seen itself. Upstreams that state no start are told apart by their last end.

While testing: one request whose own attempts ended three upstreams, with nothing answered meanwhile, quarantined the parts that it shares with sound ones, and the trial of these was lost on ports that refused it. A trial without a result is now repeated after 8 s, a crash delays the next one, and trials go to requests with one quarantined part first.

The emulator's engines learn to crash on a text.

--- a/internal/operating/starter/router.go
+++ b/internal/operating/starter/router.go
@@ -25,6 +25,7 @@
 	"gentianstep.example/gentianstep/internal/serving/gatekeeper"
 	"gentianstep.example/gentianstep/internal/serving/rationer"
 	"gentianstep.example/gentianstep/internal/serving/receiver"
+	"gentianstep.example/gentianstep/internal/upstream/isolator"
 	"gentianstep.example/gentianstep/internal/upstream/noticer"
 )
 
@@ -145,12 +146,14 @@
 		return nil, err
 	}
 	r.chooser = upstreamChooser
+	calls := newCaller(certificates.upstreams, r.processes)
 	r.dispatcher = dispatcher.New(dispatcher.Config{
-		Caller:  newCaller(certificates.upstreams, r.processes),
-		Chooser: r.chooser,
-		Claims:  newClaimer(settings, certificates, log),
-		Count:   func(o dispatcher.AnswerEvent, n int) { m.Count(meter.AnswerEvents, string(o), int64(n)) },
-		Log:     log,
+		Caller:   calls,
+		Chooser:  r.chooser,
+		Claims:   newClaimer(settings, certificates, log),
+		Isolator: isolator.New(isolator.Config{Node: settings.Node, IsRefused: calls.IsRefused, Meter: m, Log: log}),
+		Count:    func(o dispatcher.AnswerEvent, n int) { m.Count(meter.AnswerEvents, string(o), int64(n)) },
+		Log:      log,
 	})
 	r.receiver = receiver.New(receiver.Config{Holder: r.bundles, Dispatcher: r.dispatcher, AdmissionQueue: r.admission, RateLimiter: r.rationer, Log: log})
 	return r, nil
--- a/internal/routing/quarantiner/guard.go
+++ b/internal/routing/quarantiner/guard.go
@@ -122,6 +122,9 @@
 	if !refused {
 		return Refusal{}, false
 	}
+	if now.After(g.hubUntil) {
+		g.own.RecordDemand(now, g.node, quarantined)
+	}
 	if g.mayRepeat(now, refusal.Fingerprint, Refused) {
 		g.report(Event{Type: Refused, Fingerprints: quarantined, At: now})
 	}
@@ -154,7 +157,10 @@
 		return Row{}, false
 	}
 	g.own.Advance(now)
-	return Row{Fingerprint: f, State: Quarantined}, g.own.IsQuarantined(f)
+	if !g.own.IsQuarantined(f) {
+		return Row{}, false
+	}
+	return g.own.row(f), true
 }
 
 // onTrial reports whether this VM may send a request in spite of its quarantine.
--- a/internal/routing/quarantiner/ledger.go
+++ b/internal/routing/quarantiner/ledger.go
@@ -146,6 +146,7 @@
 	if over := len(r.crashes) - maxCrashes; over > 0 {
 		r.crashes = slices.Delete(r.crashes, 0, over)
 	}
+	r.trials.recordCrash(now, c.at)
 	if c.at.After(r.lastAt) {
 		r.lastAt = c.at
 	}
@@ -300,7 +301,7 @@
 	for _, f := range fingerprints {
 		if r, ok := l.quarantines.Get(f); ok {
 			r.usedAt = now
-			r.trials.demandVM, r.trials.demandAt = vm, now
+			r.trials.recordDemand(now, vm, len(fingerprints))
 		}
 	}
 }
@@ -323,7 +324,7 @@
 	if row.LastAt.After(r.lastAt) {
 		r.lastAt = row.LastAt
 	}
-	r.trials.resume(row)
+	r.trials.resume(now, row)
 	l.move(row.Fingerprint, r)
 }
 
--- a/internal/serving/dispatcher/dispatcher.go
+++ b/internal/serving/dispatcher/dispatcher.go
@@ -23,7 +23,10 @@
 	// Claims prevents a call with an idempotency key from running twice. If it
 	// is nil, calls that are not idempotent and carry a key are refused.
 	Claims Claims
-	Log    *logrus.Entry
+	// Isolator decides which requests are not sent since upstreams crash under them; nil
+	// sends all.
+	Isolator Isolator
+	Log      *logrus.Entry
 	// Count is called for each event with the number of its occurrences. It
 	// may be nil.
 	Count func(event AnswerEvent, n int)
--- a/internal/serving/dispatcher/exchange.go
+++ b/internal/serving/dispatcher/exchange.go
@@ -28,6 +28,7 @@
 // relays it. A connection that fails after the chunk with the finish reason is
 // not an error, because the answer is already complete.
 func (s *session) runExchange(ctx context.Context, action resumer.Action) (resumer.Failure, error) {
+	s.sentAt = time.Now()
 	call, err := s.newCall(action)
 	if err != nil {
 		return resumer.Failure{Permanent: true}, err
--- a/internal/serving/dispatcher/service.go
+++ b/internal/serving/dispatcher/service.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"gentianstep.example/gentianstep/internal/bundle/checker"
 	"gentianstep.example/gentianstep/internal/failure/classifier"
+	"gentianstep.example/gentianstep/internal/routing/quarantiner"
 	"gentianstep.example/gentianstep/internal/serving/claimer"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
 	"gentianstep.example/gentianstep/internal/upstream/noticer"
@@ -61,7 +63,7 @@
 func (d *Dispatcher) Call(ctx context.Context, j ServiceJob) (ServiceAnswer, error) {
 	total, cancel := context.WithTimeoutCause(ctx, j.Bundle.Policy.Streams.TotalTimeout.Std(), errTotalTimeout)
 	defer cancel()
-	c := &serviceCall{d: d, job: j, idempotent: j.Service.Idempotent(j.Method, j.Path), excluded: make(map[string]bool)}
+	c := &serviceCall{d: d, job: j, idempotent: j.Service.Idempotent(j.Method, j.Path), excluded: make(map[string]bool), fingerprints: j.fingerprints()}
 	if err := c.claimKey(total); err != nil {
 		return ServiceAnswer{}, err
 	}
@@ -78,7 +80,11 @@
 	job        ServiceJob
 	idempotent bool
 	excluded   map[string]bool
-	ticket     *claimer.Ticket
+
+	fingerprints []quarantiner.Fingerprint
+	// sentAt is when the latest attempt began.
+	sentAt time.Time
+	ticket *claimer.Ticket
 	// sent is true once an upstream may have run the call.
 	sent bool
 	// refused is true once an upstream has refused the call without running it,
@@ -112,6 +118,9 @@
 // run attempts the call until it succeeds or must not be retried.
 func (c *serviceCall) run(ctx context.Context) (ServiceAnswer, error) {
 	for attempt := 1; attempt <= c.job.Bundle.Policy.Attempts.MaxAttempts; attempt++ {
+		if err := c.d.admit(c.fingerprints); err != nil {
+			return ServiceAnswer{}, c.choiceFailure(err)
+		}
 		choice, err := c.d.cfg.Chooser.ChooseService(ctx, c.job, attempt, c.excluded)
 		if err != nil {
 			return ServiceAnswer{}, c.choiceFailure(err)
@@ -144,11 +153,15 @@
 		c.refused = true
 		return ServiceAnswer{}, errClaimExpired
 	}
-	c.d.cfg.Chooser.Sent(time.Now(), choice)
+	c.sentAt = time.Now()
+	c.d.cfg.Chooser.Sent(c.sentAt, choice)
 	answer, err := c.d.exchangeService(ctx, c.job, choice)
 	if err == nil {
 		c.sent = true
 		c.d.cfg.Chooser.Finished(time.Now(), choice)
+		if answer.Status < http.StatusMultipleChoices {
+			c.d.recordAnswer(c.fingerprints)
+		}
 		return answer, nil
 	}
 	c.recordFailure(ctx, choice, err)
@@ -161,6 +174,7 @@
 
 func (c *serviceCall) recordFailure(ctx context.Context, choice Choice, err error) {
 	c.lastErr = err
+	c.recordCrash(ctx, choice, err)
 	withheld := errors.Is(err, noticer.ErrWithheld)
 	c.excluded[choice.Target.Name] = !withheld
 	var failure *caller.Failure
--- a/internal/serving/dispatcher/session.go
+++ b/internal/serving/dispatcher/session.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"gentianstep.example/gentianstep/internal/failure/classifier"
+	"gentianstep.example/gentianstep/internal/routing/quarantiner"
 	"gentianstep.example/gentianstep/internal/streaming/buffer"
 	"gentianstep.example/gentianstep/internal/streaming/encoder"
 	"gentianstep.example/gentianstep/internal/streaming/resumer"
@@ -36,6 +37,8 @@
 	seq  *sequencer.Sequencer
 	done chan struct{}
 
+	fingerprints []quarantiner.Fingerprint
+
 	excluded  map[string]bool
 	attempts  int
 	exchanges int
@@ -58,6 +61,10 @@
 	// head; incarnation is that of the engine instance that returned it.
 	answerStarted  bool
 	firstTokenSeen bool
+	// sentAt is when the latest exchange began. chunksBefore is the number of chunks that
+	// were delivered before the attempt.
+	sentAt       time.Time
+	chunksBefore uint64
 }
 
 // failureSummary accumulates the failures of a request, from which the error
@@ -78,6 +85,8 @@
 		seq:      sequencer.New(sequencer.Config{RequestID: j.ID, MaxTokens: j.Request.MaxTokens}),
 		done:     make(chan struct{}),
 		excluded: make(map[string]bool),
+
+		fingerprints: j.fingerprints(),
 	}
 }
 
@@ -117,6 +126,7 @@
 		b, err := s.runExchange(ctx, action)
 		if err == nil {
 			s.d.cfg.Chooser.Finished(time.Now(), s.choice)
+			s.d.recordAnswer(s.fingerprints)
 			return nil
 		}
 		if ctx.Err() != nil {
@@ -147,12 +157,15 @@
 
 func (s *session) chooseUpstream(ctx context.Context) error {
 	s.pinWeights()
+	if err := s.d.admit(s.fingerprints); err != nil {
+		return err
+	}
 	choice, err := s.d.cfg.Chooser.Choose(ctx, s.job, s.attempts+1, s.excluded)
 	if err != nil {
 		return err
 	}
 	s.attempts++
-	s.attemptState = attemptState{choice: choice}
+	s.attemptState = attemptState{choice: choice, chunksBefore: s.seq.DeliveredChunks()}
 	s.d.cfg.Chooser.Sent(time.Now(), choice)
 	return nil
 }
@@ -160,6 +173,7 @@
 // handleBreak records a failed exchange and returns the action that follows it.
 func (s *session) handleBreak(b resumer.Failure, cause error) resumer.Action {
 	s.recordFailure(b, cause)
+	s.recordCrash(b)
 	withheld := errors.Is(cause, noticer.ErrWithheld)
 	if withheld && s.postExchange == s.exchanges {
 		s.attempts-- // nothing was sent, so the attempt does not count
--- a/internal/standin/generator/config.go
+++ b/internal/standin/generator/config.go
@@ -42,4 +42,8 @@
 	CacheStore CacheStore
 	// Incarnation identifies this start of the engine.
 	Incarnation uint64
+	// CrashText makes the engine crash when it begins to generate for a prompt that
+	// contains the text; empty for none. OnCrash is called then and ends its server.
+	CrashText string
+	OnCrash   func()
 }
--- a/internal/standin/generator/engine.go
+++ b/internal/standin/generator/engine.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -116,6 +117,11 @@
 		return
 	}
 	e.exportBlocks(j)
+	if e.cfg.CrashText != "" && strings.Contains(j.prompt, e.cfg.CrashText) {
+		e.Crash()
+		e.cfg.OnCrash()
+		return
+	}
 	if e.decodeTokens(ctx, j) {
 		j.stream.finish(promptUsage)
 	}
--- a/internal/upstream/isolator/check.go
+++ b/internal/upstream/isolator/check.go
@@ -28,9 +28,12 @@
 // the end of a response. If it has, that counts against the request, whose fields but for
 // Process the caller sets.
 func (i *Isolator) RecordBroken(u *registrar.Upstream, crash quarantiner.Crash) {
-	crash.Process = quarantiner.Process{Upstream: u.ID, StartedAt: u.StartedAt}
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	crash.Process = quarantiner.Process{Upstream: u.ID, StartedAt: u.StartedAt}
+	if u.StartedAt.IsZero() {
+		crash.Process.StartedAt = i.latestEnd(u.ID, crash.SentAt)
+	}
 	c := i.checks[crash.Process]
 	if c == nil {
 		c = &check{isolator: i, upstream: u, process: crash.Process, began: crash.At}
@@ -40,6 +43,15 @@
 	c.crashes = append(c.crashes, crash)
 }
 
+// latestEnd returns when an upstream that states no start last ended before a request was
+// sent to it. That tells its processes apart. The caller holds i.mu.
+func (i *Isolator) latestEnd(upstream string, sentAt time.Time) time.Time {
+	if at, ok := i.ends.Get(upstream); ok && at.Before(sentAt) {
+		return at
+	}
+	return time.Time{}
+}
+
 // run opens a connection to the upstream. A process whose port refuses it has ended.
 func (c *check) run() {
 	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
@@ -57,6 +69,7 @@
 		for _, crash := range crashes {
 			i.guard.RecordCrash(now, crash)
 		}
+		i.ends.Add(c.upstream.ID, c.began)
 	}
 	i.mu.Unlock()
 	if !crashed {
--- a/internal/upstream/isolator/isolator.go
+++ b/internal/upstream/isolator/isolator.go
@@ -4,10 +4,12 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"sync"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 	"github.com/sirupsen/logrus"
 
 	"gentianstep.example/gentianstep/internal/operating/meter"
@@ -21,6 +23,9 @@
 	quarantineTrial   = "trial"
 )
 
+// maxEnds bounds the upstreams of which it is known when they have ended.
+const maxEnds = 4096
+
 // Config configures an Isolator.
 type Config struct {
 	// Node is the name of this VM.
@@ -38,6 +43,8 @@
 	mu     sync.Mutex
 	guard  *quarantiner.Guard
 	checks map[quarantiner.Process]*check
+	// ends holds when upstreams have last ended.
+	ends *simplelru.LRU[string, time.Time]
 	// onQuarantine is called after quarantines have begun, onReport when the hub is to be
 	// informed before the next report.
 	onQuarantine func()
@@ -46,8 +53,13 @@
 
 // New returns an Isolator without quarantines.
 func New(cfg Config) *Isolator {
+	ends, err := simplelru.NewLRU[string, time.Time](maxEnds, nil)
+	if err != nil {
+		panic(fmt.Sprintf("create LRU cache of the ends of %d upstreams: %v", maxEnds, err))
+	}
 	return &Isolator{
 		cfg:          cfg,
+		ends:         ends,
 		guard:        quarantiner.NewGuard(cfg.Node),
 		checks:       make(map[quarantiner.Process]*check),
 		onQuarantine: func() {},
