Gateway: a stream without an event has broken off

Callers would have got a complete, empty success: a worker whose response has neither a length nor chunks, and that ends before its first event, ends it as a whole one would. The request that crashes workers so was no evidence either, and went on to crash the next.

Cause: a stream was whole if nothing was left of an event at its end. An engine that answers makes one event at least; a client that resumes behind the last one may get none. A stream that ended with its connection right behind its start does not refute crashes.

--- a/internal/gateway/forwarder/crash_test.go
+++ b/internal/gateway/forwarder/crash_test.go
@@ -53,6 +53,9 @@
 		Count   int `json:"count"`
 		Workers int `json:"workers"`
 	} `json:"ends"`
+	// Text is what workers send before they crash, in a response without a length or chunks;
+	// nil for one that is framed and has no event.
+	Text *string `json:"text"`
 	// HubOffMS is the time from which on no VM is the hub, 0 for none. HubMovesMS are the
 	// times at which another becomes it.
 	HubOffMS   int   `json:"hub_off_ms"`
@@ -83,6 +86,7 @@
 
 func runCrashRow(t *testing.T, row crashRow) {
 	f := newFleet(t, row.VMs, 12)
+	f.crashText = row.Text
 	time.Sleep(time.Second) // the VMs connect to the hub
 	began := time.Now()
 	f.setCrash([]string{"deadly", "deadly0", "deadly1"}, []string{"/" + row.Route + "/deadly"})
@@ -96,7 +100,13 @@
 			results = append(results, r)
 		})
 	})
-	requests.Go(func() { f.sendLoad(t, row, row.Crashing, func(soundResult) {}) })
+	requests.Go(func() {
+		f.sendLoad(t, row, row.Crashing, func(r soundResult) {
+			if r.ok {
+				t.Error("a response that broke off reached the client as complete")
+			}
+		})
+	})
 	requests.Go(func() {
 		time.Sleep(time.Duration(row.Ends.FromMS) * time.Millisecond)
 		for n := range row.Ends.Count {
--- a/internal/gateway/forwarder/deliver.go
+++ b/internal/gateway/forwarder/deliver.go
@@ -31,7 +31,7 @@
 	if len(body) == maxBufferedBytes {
 		return x.streamBody(answer, body)
 	}
-	x.recordAnswer(answer.Status)
+	x.recordAnswer(answer)
 	// Finish closes the upstream connection if the body has not ended. It does not
 	// see bytes that follow the end.
 	trailingErr := answer.Finish()
@@ -70,7 +70,7 @@
 		x.recordOutcome(answer.Status, string(classifier.StreamBroken), err)
 		panic(http.ErrAbortHandler)
 	}
-	x.recordAnswer(answer.Status)
+	x.recordAnswer(answer)
 	err = answer.Finish()
 	x.recordOutcome(answer.Status, outcomeAnswered, err)
 	return nil
--- a/internal/gateway/forwarder/fleet_test.go
+++ b/internal/gateway/forwarder/fleet_test.go
@@ -45,7 +45,9 @@
 	generations []int
 	parts       []string
 	targets     []string
-	restarts    sync.WaitGroup
+	// crashText is the Text of the row.
+	crashText *string
+	restarts  sync.WaitGroup
 }
 
 // fleetVM is one VM of a fleet.
@@ -148,7 +150,14 @@
 	f.parts, f.targets = parts, targets
 	f.mu.Unlock()
 	for n, w := range f.workers {
-		w.SetCrash(parts, targets, func() { f.endWorker(n) })
+		f.setWorkerCrash(w, n, parts, targets)
+	}
+}
+
+func (f *fleet) setWorkerCrash(w *platformtest.Worker, n int, parts, targets []string) {
+	w.SetCrash(parts, targets, func() { f.endWorker(n) })
+	if f.crashText != nil {
+		w.SetCrashText(*f.crashText)
 	}
 }
 
@@ -163,7 +172,7 @@
 	w.SetModel("m", 1)
 	w.ResponseDelay = workerDelay
 	w.EventInterval = workerEventInterval
-	w.SetCrash(parts, targets, func() { f.endWorker(n) })
+	f.setWorkerCrash(w, n, parts, targets)
 	f.workers[n] = w
 	u := f.entry(n)
 	u.StartedAt = time.Now()
--- a/internal/gateway/forwarder/quarantine.go
+++ b/internal/gateway/forwarder/quarantine.go
@@ -10,6 +10,7 @@
 
 	"gentianstep.example/gentianstep/internal/failure/classifier"
 	"gentianstep.example/gentianstep/internal/membership/registrar"
+	"gentianstep.example/gentianstep/internal/routing/matcher"
 	"gentianstep.example/gentianstep/internal/routing/quarantiner"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
 )
@@ -104,9 +105,11 @@
 }
 
 // recordAnswer records a complete response of an upstream. A success shows that the
-// upstream has survived the request.
-func (x *exchange) recordAnswer(status int) {
-	if status < http.StatusOK || status >= http.StatusMultipleChoices {
+// upstream has survived the request, unless it is a stream that ended with its connection
+// right behind its start.
+func (x *exchange) recordAnswer(answer *caller.Response) {
+	mayHaveCrashed := !answer.Framed && x.route.Kind == matcher.Stream && x.events-x.eventsBefore <= maxCrashEvents
+	if mayHaveCrashed || answer.Status < http.StatusOK || answer.Status >= http.StatusMultipleChoices {
 		return
 	}
 	x.cfg.Isolator.RecordAnswer(x.fingerprints, max(x.choice.WeightsVersion, x.withdrawal.statedVersion()))
--- a/internal/gateway/forwarder/relay.go
+++ b/internal/gateway/forwarder/relay.go
@@ -36,7 +36,7 @@
 	}
 	err := x.copyEvents(answer)
 	if err == nil {
-		x.recordAnswer(answer.Status)
+		x.recordAnswer(answer)
 		err = answer.Finish()
 		x.recordOutcome(http.StatusOK, outcomeAnswered, err)
 		return nil
@@ -45,8 +45,8 @@
 	return err
 }
 
-// copyEvents sends the events of a stream to the client until its end. A stream
-// that ends within an event gives io.ErrUnexpectedEOF.
+// copyEvents sends the events of a stream to the client until its end. A stream that ends
+// within an event, or before the first one, gives io.ErrUnexpectedEOF.
 func (x *exchange) copyEvents(answer *caller.Response) error {
 	var pending []byte
 	buffer := make([]byte, streamReadBytes)
@@ -66,7 +66,7 @@
 			idleBytes, lastEvent = 0, x.lastEvent
 		}
 		switch {
-		case errors.Is(err, io.EOF) && len(pending) == 0:
+		case errors.Is(err, io.EOF) && len(pending) == 0 && (x.events > 0 || x.lastEvent != ""):
 			return nil
 		case errors.Is(err, io.EOF):
 			return io.ErrUnexpectedEOF
--- a/internal/upstream/caller/answer.go
+++ b/internal/upstream/caller/answer.go
@@ -23,6 +23,9 @@
 	Header http.Header
 	// Reused is true if the connection has carried an earlier request.
 	Reused bool
+	// Framed is true if the response states where its body ends. Any other ends with its
+	// connection, also if the upstream crashes.
+	Framed bool
 
 	// ctx holds the cause of a failed read of the body.
 	ctx               context.Context
