--- a/internal/peering/archivist/archivist_test.go
+++ b/internal/peering/archivist/archivist_test.go
@@ -60,23 +60,43 @@
 	return logrus.NewEntry(log)
 }
 
-// start runs the archivist of a VM whose hub decides by a ledger, nil if it is not the hub.
-func start(ctx context.Context, s *store, ledger func() *quarantiner.Ledger) *isolator.Isolator {
+// hub is a ledger that the archivist and a test use at the same time.
+type hub struct {
+	mu     sync.Mutex
+	ledger *quarantiner.Ledger
+}
+
+func (h *hub) rows() []quarantiner.Row {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.ledger.Rows()
+}
+
+// with calls a function with the ledger.
+func (h *hub) with(use func(*quarantiner.Ledger)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	use(h.ledger)
+}
+
+// start runs the archivist of a VM, which is the hub unless h is nil.
+func start(ctx context.Context, s *store, h *hub) *isolator.Isolator {
 	i := isolator.New(isolator.Config{Node: "vm", Meter: meter.New(), Log: discardLog()})
 	go archivist.New(archivist.Config{
 		Store:   s,
 		Key:     "k",
 		Stored:  s.get,
 		Changed: func() <-chan struct{} { return nil },
-		Active:  func() bool { return ledger() != nil },
-		Rows:    func() []quarantiner.Row { return ledger().Rows() },
+		Active:  func() bool { return h != nil },
+		Rows:    h.rows,
 		Restore: i.Restore,
 		Log:     discardLog(),
 	}).Run(ctx)
 	return i
 }
 
-func quarantined() *quarantiner.Ledger {
+// quarantined returns a hub that has quarantined deadly.
+func quarantined() *hub {
 	l := quarantiner.NewLedger()
 	for n := range 3 {
 		at := time.Now().Add(time.Duration(n-10) * time.Second)
@@ -85,7 +105,7 @@
 		})
 	}
 	l.Advance(time.Now())
-	return l
+	return &hub{ledger: l}
 }
 
 // TestQuarantinesOutlastARestartOfAllVMs guards against requests that crash upstreams
@@ -96,8 +116,7 @@
 		is := is.New(t)
 		s := &store{}
 		ctx, stop := context.WithCancel(t.Context())
-		ledger := quarantined()
-		start(ctx, s, func() *quarantiner.Ledger { return ledger })
+		start(ctx, s, quarantined())
 		time.Sleep(10 * time.Second)
 		is.Equal(s.writeCount(), 1)
 		stop()
@@ -106,35 +125,36 @@
 		// The new hub knows nothing until the VMs have reported what they have read.
 		ctx, stop = context.WithCancel(t.Context())
 		defer stop()
-		next := quarantiner.NewLedger()
-		vm := start(ctx, s, func() *quarantiner.Ledger { return next })
+		next := &hub{ledger: quarantiner.NewLedger()}
+		vm := start(ctx, s, next)
 		time.Sleep(500 * time.Millisecond)
 		_, refused := vm.Check(deadly)
 		is.True(refused)
 		events, _ := vm.Snapshot()
-		for _, e := range events {
-			next.Apply(time.Now(), "vm", e)
-		}
-		is.True(next.IsQuarantined(deadly[0]))
+		next.with(func(l *quarantiner.Ledger) {
+			for _, e := range events {
+				l.Apply(time.Now(), "vm", e)
+			}
+			is.True(l.IsQuarantined(deadly[0]))
+		})
 		time.Sleep(10 * time.Second)
 		is.Equal(s.writeCount(), 1) // nothing has changed
 
 		// What only the hub before has known is kept until the VMs have had time to report.
 		ctx, stopThird := context.WithCancel(t.Context())
 		defer stopThird()
-		third := quarantiner.NewLedger()
-		start(ctx, s, func() *quarantiner.Ledger { return third })
+		start(ctx, s, &hub{ledger: quarantiner.NewLedger()})
 		time.Sleep(2 * time.Second)
 		is.Equal(s.writeCount(), 1)
 		stopThird()
 
 		// An answer ends it, in the store too.
-		next.RecordAnswer(time.Now(), deadly[0], time.Now(), 0)
+		next.with(func(l *quarantiner.Ledger) { l.RecordAnswer(time.Now(), deadly[0], time.Now(), 0) })
 		time.Sleep(2 * time.Second)
 		is.Equal(s.writeCount(), 2)
 		entry, _ := s.get()
 		is.Equal(string(entry.Value), `{"quarantines":[]}`)
-		other := start(ctx, s, func() *quarantiner.Ledger { return nil })
+		other := start(ctx, s, nil)
 		time.Sleep(time.Second)
 		_, refused = other.Check(deadly)
 		is.True(!refused)
@@ -156,13 +176,12 @@
 				s := &store{entry: storer.Entry{Key: "k", Value: []byte(value), Revision: 7}}
 				ctx, stop := context.WithCancel(t.Context())
 				defer stop()
-				vm := start(ctx, s, func() *quarantiner.Ledger { return nil })
+				vm := start(ctx, s, nil)
 				time.Sleep(5 * time.Second)
 				_, refused := vm.Check(deadly)
 				is.True(!refused)
 				is.Equal(s.writeCount(), 0)
-				ledger := quarantined()
-				start(ctx, s, func() *quarantiner.Ledger { return ledger }) // the hub replaces it
+				start(ctx, s, quarantined()) // the hub replaces it
 				time.Sleep(5 * time.Second)
 				is.Equal(s.writeCount(), 1)
 				_, refused = vm.Check(deadly)
