--- a/internal/gateway/forwarder/fleet_test.go
+++ b/internal/gateway/forwarder/fleet_test.go
@@ -119,7 +119,7 @@
 	go hub.Run(t.Context())
 }
 
-// moveHub replaces the hub by one that knows nothing.
+// moveHub replaces the hub by another, without any state.
 func (f *fleet) moveHub(t *testing.T) {
 	t.Helper()
 	f.network.Stop(f.hub.String())
--- a/internal/peering/archivist/archivist_test.go
+++ b/internal/peering/archivist/archivist_test.go
@@ -122,7 +122,7 @@
 		stop()
 		time.Sleep(time.Minute)
 
-		// The new hub knows nothing until the VMs have reported what they have read.
+		// The new hub has no quarantines until the VMs have reported what they have read.
 		ctx, stop = context.WithCancel(t.Context())
 		defer stop()
 		next := &hub{ledger: quarantiner.NewLedger()}
@@ -140,7 +140,7 @@
 		time.Sleep(10 * time.Second)
 		is.Equal(s.writeCount(), 1) // nothing has changed
 
-		// What only the hub before has known is kept until the VMs have had time to report.
+		// The quarantines of the hub before are kept until the VMs have had time to report.
 		ctx, stopThird := context.WithCancel(t.Context())
 		defer stopThird()
 		start(ctx, s, &hub{ledger: quarantiner.NewLedger()})
--- a/internal/routing/quarantiner/guard_test.go
+++ b/internal/routing/quarantiner/guard_test.go
@@ -116,7 +116,7 @@
 }
 
 // TestGuardKeepsQuarantinesWhenTheHubMoves guards against requests that are sent again
-// until the next hub has learnt what the one before knew.
+// until the next hub has the decisions of the one before.
 func TestGuardKeepsQuarantinesWhenTheHubMoves(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
--- a/internal/routing/quarantiner/ledger.go
+++ b/internal/routing/quarantiner/ledger.go
@@ -71,8 +71,8 @@
 }
 
 // strikes returns the number of crashes of which each was under a request that was sent
-// after the one before. Requests that were under way at the same time tell nothing more: all
-// upstreams may end at once.
+// after the one before. Crashes under requests that were under way at the same time count once, since
+// all upstreams may end at once.
 func (r *record) strikes() int {
 	n, last := r.inherited, time.Time{}
 	for _, c := range r.crashes {
@@ -306,8 +306,8 @@
 	}
 }
 
-// Adopt quarantines what another ledger has quarantined. Crashes and answers that this
-// one knows go before.
+// Adopt quarantines what another ledger has quarantined. Its own
+// crashes and answers go before.
 func (l *Ledger) Adopt(now time.Time, row Row) {
 	if a, ok := l.answers.Peek(row.Fingerprint); ok && !a.at.Before(row.LastAt) {
 		return
--- a/internal/routing/quarantiner/ledger_test.go
+++ b/internal/routing/quarantiner/ledger_test.go
@@ -119,7 +119,7 @@
 }
 
 // TestNewPartsDisplaceNoQuarantine guards against callers that name new parts all the time
-// so that what is known of the others is forgotten.
+// so that the crashes of others are forgotten.
 func TestNewPartsDisplaceNoQuarantine(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
--- a/internal/routing/quarantiner/trial.go
+++ b/internal/routing/quarantiner/trial.go
@@ -3,8 +3,8 @@
 import "time"
 
 // trialDelays are the times from the start of a quarantine, or from the crash in a trial,
-// until the next trial. The last one repeats. The first is short, since what was
-// quarantined by mistake is best known soon.
+// until the next trial. The last one repeats. The first is short, since it ends
+// quarantines that are mistakes.
 var trialDelays = [...]time.Duration{time.Second, 30 * time.Second, 10 * time.Minute, 2 * time.Hour, 12 * time.Hour}
 
 const (
--- a/internal/standin/soaker/checker.go
+++ b/internal/standin/soaker/checker.go
@@ -178,22 +178,26 @@
 	if !served || revokedAt.IsZero() || !call.BeganAt.After(revokedAt.Add(c.bounds.ConfigurationApply)) {
 		return
 	}
-	outOfTouch := func(s Step) bool {
+	if !c.happened(outOfTouch(call.Gateway), call.BeganAt.Add(-c.bounds.ConfigurationApply-c.bounds.Stable), call.BeganAt) {
+		c.violate(KeyRevoked, call.ID, "served at %s %s after its key was revoked", call.Gateway,
+			call.BeganAt.Sub(revokedAt).Round(time.Millisecond))
+	}
+}
+
+// outOfTouch returns whether a step keeps a gateway from the store.
+func outOfTouch(gateway string) func(Step) bool {
+	return func(s Step) bool {
 		switch s.Kind {
 		case Store:
 			return true
 		case Kill, Freeze, Stop:
-			return s.Target == call.Gateway
+			return s.Target == gateway
 		case Disturb:
-			return s.Target == call.Gateway+"/"+storeTarget
+			return s.Target == gateway+"/"+storeTarget
 		default:
 			return false
 		}
 	}
-	if !c.happened(outOfTouch, call.BeganAt.Add(-c.bounds.ConfigurationApply-c.bounds.Stable), call.BeganAt) {
-		c.violate(KeyRevoked, call.ID, "served at %s %s after its key was revoked", call.Gateway,
-			call.BeganAt.Sub(revokedAt).Round(time.Millisecond))
-	}
 }
 
 // revokedAt returns when a key was revoked, zero if it was not.
--- a/internal/standin/soaker/checker_crashing.go
+++ b/internal/standin/soaker/checker_crashing.go
@@ -43,19 +43,7 @@
 		if call == nil || call.Part == "" || !call.BeganAt.After(boundAt) || a.Upstream == "" {
 			continue
 		}
-		outOfTouch := func(s Step) bool {
-			switch s.Kind {
-			case Store:
-				return true
-			case Kill, Freeze, Stop:
-				return s.Target == call.Gateway
-			case Disturb:
-				return s.Target == call.Gateway+"/"+frontTarget || s.Target == call.Gateway+"/"+storeTarget
-			default:
-				return false
-			}
-		}
-		if !c.happened(outOfTouch, a.At.Add(-c.bounds.Stable), a.At) {
+		if !c.happened(outOfTouch(call.Gateway), a.At.Add(-c.bounds.Stable), a.At) {
 			late++
 		}
 	}
--- a/internal/upstream/isolator/check.go
+++ b/internal/upstream/isolator/check.go
@@ -44,7 +44,7 @@
 }
 
 // latestEnd returns when an upstream that states no start last ended before a request was
-// sent to it. That tells its processes apart. The caller holds i.mu.
+// sent to it. It distinguishes its processes. The caller holds i.mu.
 func (i *Isolator) latestEnd(upstream string, sentAt time.Time) time.Time {
 	if at, ok := i.ends.Get(upstream); ok && at.Before(sentAt) {
 		return at
