Quarantines: trials go to requests with the fewest quarantined parts

Callers of all prompts got 503 for 16 s after three engines had ended one after the other with nothing answered meanwhile: two parts that all prompts share were quarantined besides the one that had caused it.

Cause: trials were kept for requests with a single quarantined part for 10 s, counted anew after each move of the hub, and no sound prompt had fewer than two.

Change: a trial is kept for the requests with the fewest quarantined parts, whatever their number; sound ones have fewer than those that crash engines.

--- a/internal/routing/quarantiner/guard_test.go
+++ b/internal/routing/quarantiner/guard_test.go
@@ -41,7 +41,10 @@
 	is.True(!isRefused(g, 3500, "other"))
 	g.Apply(at(4000), true, nil)
 	is.True(!isRefused(g, 4500, deadly...)) // other VMs may have seen answers
-	is.True(isRefused(g, 6500, deadly...))  // the hub has been silent
+	is.True(isRefused(g, 6600, deadly...))  // the hub has been silent
+	is.True(!isRefused(g, 6700, deadly...)) // the VM's own trial
+	is.True(g.Admit(at(6700), deadly))
+	is.True(isRefused(g, 6800, deadly...))
 }
 
 // TestGuardReportsAnswersFromBeforeTheQuestion guards against a popular part that is
--- a/internal/routing/quarantiner/ledger.go
+++ b/internal/routing/quarantiner/ledger.go
@@ -280,7 +280,7 @@
 			l.remove(f)
 			continue
 		}
-		if r.trials.advance(now) {
+		if l.isFewest(now, r.trials.demanded) && r.trials.advance(now) {
 			l.changed[f] = struct{}{}
 		}
 		next = earliest(next, r.trials.nextAt(now))
@@ -288,6 +288,15 @@
 	return next
 }
 
+// isFewest reports whether no requests with any of the fingerprints have fewer quarantined
+// ones.
+func (l *Ledger) isFewest(now time.Time, demanded []Fingerprint) bool {
+	return !slices.ContainsFunc(demanded, func(f Fingerprint) bool {
+		r, ok := l.quarantines.Peek(f)
+		return ok && r.trials.hasFewer(now, len(demanded))
+	})
+}
+
 // earliest returns the earlier of two times; zero is none.
 func earliest(a, b time.Time) time.Time {
 	if a.IsZero() || !b.IsZero() && b.Before(a) {
@@ -301,7 +310,7 @@
 	for _, f := range fingerprints {
 		if r, ok := l.quarantines.Get(f); ok {
 			r.usedAt = now
-			r.trials.recordDemand(now, vm, len(fingerprints))
+			r.trials.recordDemand(now, vm, fingerprints)
 		}
 	}
 }
@@ -324,7 +333,7 @@
 	if row.LastAt.After(r.lastAt) {
 		r.lastAt = row.LastAt
 	}
-	r.trials.resume(now, row)
+	r.trials.resume(row)
 	l.move(row.Fingerprint, r)
 }
 
--- a/internal/routing/quarantiner/trial.go
+++ b/internal/routing/quarantiner/trial.go
@@ -14,9 +14,9 @@
 	trialResultTime = 8 * time.Second
 	// demandTime is how long a refused request shows that a VM gets such requests.
 	demandTime = 3 * time.Second
-	// singleDemandTime is how long trials wait for a request with no other quarantined
-	// fingerprint. A crash under one with several says nothing about each.
-	singleDemandTime = 10 * time.Second
+	// fewestTime is how long trials are kept for requests with the fewest quarantined
+	// fingerprints after the last of these. A crash under one with more shows less.
+	fewestTime = 10 * time.Second
 )
 
 // trialPlan is when one request with a quarantined fingerprint may be sent all the same, at
@@ -35,29 +35,36 @@
 	dueAt    time.Time
 	demandVM string
 	demandAt time.Time
-	// singleAt is when a VM last had a request with no other quarantined fingerprint.
-	singleAt time.Time
+	// demanded are the quarantined fingerprints of that request.
+	demanded []Fingerprint
+	// fewest is the least number of these in any request, the last of which was at
+	// fewestAt.
+	fewest   int
+	fewestAt time.Time
 }
 
 // start plans the first trial.
 func (p *trialPlan) start(now time.Time) {
-	*p = trialPlan{dueAt: now.Add(trialDelays[0]), singleAt: now}
+	*p = trialPlan{dueAt: now.Add(trialDelays[0])}
 }
 
 // resume goes on with the plan of another ledger.
-func (p *trialPlan) resume(now time.Time, row Row) {
-	*p = trialPlan{count: row.Trials, failed: row.Trials, dueAt: row.TrialAt, singleAt: now}
+func (p *trialPlan) resume(row Row) {
+	*p = trialPlan{count: row.Trials, failed: row.Trials, dueAt: row.TrialAt}
 }
 
-// recordDemand records that a VM has refused a request, which has a number of quarantined
-// fingerprints.
-func (p *trialPlan) recordDemand(now time.Time, vm string, fingerprints int) {
-	if fingerprints == 1 {
-		p.singleAt = now
-	}
-	if fingerprints == 1 || now.Sub(p.singleAt) > singleDemandTime {
-		p.demandVM, p.demandAt = vm, now
+// recordDemand records that a VM has refused a request with quarantined fingerprints.
+func (p *trialPlan) recordDemand(now time.Time, vm string, demanded []Fingerprint) {
+	if p.hasFewer(now, len(demanded)) {
+		return
 	}
+	p.fewest, p.fewestAt = len(demanded), now
+	p.demandVM, p.demandAt, p.demanded = vm, now, demanded
+}
+
+// hasFewer reports whether there are requests with less than n quarantined fingerprints.
+func (p *trialPlan) hasFewer(now time.Time, n int) bool {
+	return p.fewest > 0 && p.fewest < n && now.Sub(p.fewestAt) <= fewestTime
 }
 
 // recordCrash records a crash. In a trial it delays the next one.
