--- /dev/null
+++ b/internal/routing/quarantiner/record.go
@@ -0,0 +1,85 @@
+package quarantiner
+
+import (
+	"slices"
+	"time"
+)
+
+// answer is the latest complete response to a request with a fingerprint.
+type answer struct {
+	at      time.Time
+	weights uint64
+}
+
+// refutes reports whether the answer shows that a crash had another cause: a request with
+// the same fingerprint was answered later, on the same weights or newer ones.
+func (a answer) refutes(c crash) bool { return !a.at.Before(c.at) && a.weights >= c.weights }
+
+// crash is a Crash of one fingerprint.
+type crash struct {
+	process Process
+	weights uint64
+	sentAt  time.Time
+	at      time.Time
+}
+
+// record holds the crashes that count against a fingerprint.
+type record struct {
+	// crashes are sorted by their times.
+	crashes []crash
+	// inherited is the number of strikes that another ledger has counted, the last one at
+	// inheritedAt.
+	inherited   int
+	inheritedAt time.Time
+	// lastAt is when the last crash was, also one that is no longer kept.
+	lastAt time.Time
+	// suspectAt is when the record became that of a suspect, quarantinedAt when it was
+	// quarantined; zero if it is not.
+	suspectAt     time.Time
+	quarantinedAt time.Time
+	// usedAt is when a VM last reported a request with the fingerprint.
+	usedAt time.Time
+	trials trialPlan
+}
+
+// strikes returns the number of crashes of which each was under a request that was sent
+// after the one before. Crashes under requests that were under way at the same time count once, since
+// all upstreams may end at once.
+func (r *record) strikes() int {
+	n, last := r.inherited, time.Time{}
+	for _, c := range r.crashes {
+		if last.IsZero() || !c.sentAt.Before(last) {
+			n, last = n+1, c.at
+		}
+	}
+	return n
+}
+
+// merge adds a crash of a process that other requests, or other VMs, have reported already.
+// It returns false if none has.
+func (r *record) merge(c crash) bool {
+	for i, known := range r.crashes {
+		if known.process.Upstream == c.process.Upstream && known.process.StartedAt.Equal(c.process.StartedAt) {
+			if c.sentAt.After(known.sentAt) {
+				r.crashes[i].sentAt = c.sentAt
+			}
+			return true
+		}
+	}
+	return false
+}
+
+// expire removes the crashes that are too long ago to count.
+func (r *record) expire(now time.Time) {
+	if r.quarantinedAt.IsZero() {
+		r.crashes = slices.DeleteFunc(r.crashes, func(c crash) bool { return now.Sub(c.at) > crashTTL })
+	}
+}
+
+// quarantineAt returns when a suspect is to be quarantined, zero if it is not.
+func (r *record) quarantineAt() time.Time {
+	if r.suspectAt.IsZero() || !r.quarantinedAt.IsZero() || r.strikes() < quarantineStrikes {
+		return time.Time{}
+	}
+	return r.suspectAt.Add(answerWait)
+}
