Noticer: decode and log the limits that upstreams state

Callers saw nothing of it: an upstream that names how many requests a second it takes from all VMs gets as many as before, and no log line tells whether a VM has read the header. The gateway and the router protocol (X-Limit) decode it now, log each change (upstream_limit) and name limit and age in the line of each request at such an upstream. No decision uses it yet.

--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -251,8 +251,12 @@
 			CheckResponse: func(status int, h http.Header) error {
 				head = x.cfg.Dialect.DecodeResponse(status, h)
 				head.Notice.SentAt = now
+				err := x.cfg.Dialect.CheckResponse(x.request.ID, status, h)
+				if err != nil {
+					head.Notice.Limit.Stated = false // the response may be to an earlier request
+				}
 				x.cfg.Noticer.Record(u, head.Notice)
-				return x.cfg.Dialect.CheckResponse(x.request.ID, status, h)
+				return err
 			},
 		},
 		Admit:             x.admission(u),
--- a/internal/gateway/forwarder/log.go
+++ b/internal/gateway/forwarder/log.go
@@ -63,6 +63,9 @@
 			fields["send_ms"] = at.Sub(x.sentAt).Milliseconds()
 		}
 		x.addWeightsFields(fields)
+		if perSecond, age, limited := x.cfg.Noticer.Limit(now, u); limited {
+			fields["limit_per_second"], fields["limit_age_ms"] = perSecond, age.Milliseconds()
+		}
 	}
 	if x.choice.Source != nil {
 		fields["source"] = x.choice.Source.ID
--- /dev/null
+++ b/internal/routing/throttler/statement.go
@@ -0,0 +1,69 @@
+// Package throttler keeps requests within the limits that upstreams state: how many
+// requests a second an upstream takes from all VMs together. It does no I/O and reads no
+// clock.
+package throttler
+
+import (
+	"time"
+
+	"gentianstep.example/gentianstep/internal/membership/registrar"
+)
+
+// Process identifies one process of an upstream. It is comparable.
+type Process struct {
+	Upstream string
+	// StartedMillis is its start in Unix milliseconds, 0 if unknown.
+	StartedMillis int64
+}
+
+// ProcessOf returns the process of an entry.
+func ProcessOf(u *registrar.Upstream) Process {
+	return Process{Upstream: u.ID, StartedMillis: registrar.StartMillis(u.StartedAt)}
+}
+
+// Statement is what a response says about the limit of its upstream.
+type Statement struct {
+	// Stated is false if the response says nothing: neither a limit, nor that there is none.
+	Stated bool
+	// Limited is false if there is no limit.
+	Limited bool
+	// PerSecond is the limit in requests a second, over all VMs.
+	PerSecond float64
+	// SentAt is when the attempt to send the request began, At when its response was received.
+	SentAt time.Time
+	At     time.Time
+}
+
+// limit is the limit that a process has stated.
+type limit struct {
+	perSecond float64
+	// statedAt is when the latest response with a limit was received.
+	statedAt time.Time
+}
+
+// apply applies a statement to l, which is nil without a limit, and returns the result.
+// Responses overtake each other, so that only one to a request that was sent after the
+// latest statement raises a limit or ends it.
+func (l *limit) apply(s Statement) *limit {
+	switch {
+	case !s.Stated:
+		return l
+	case l == nil:
+		if !s.Limited {
+			return nil
+		}
+		return &limit{s.PerSecond, s.At}
+	}
+	later := !s.SentAt.Before(l.statedAt)
+	switch {
+	case !s.Limited && later:
+		return nil
+	case s.Limited && (later || s.PerSecond <= l.perSecond):
+		statedAt := l.statedAt
+		if s.At.After(statedAt) {
+			statedAt = s.At
+		}
+		return &limit{s.PerSecond, statedAt}
+	}
+	return l
+}
--- a/internal/routing/withholder/notice.go
+++ b/internal/routing/withholder/notice.go
@@ -1,6 +1,10 @@
 package withholder
 
-import "time"
+import (
+	"time"
+
+	"gentianstep.example/gentianstep/internal/routing/throttler"
+)
 
 // Notice is what an upstream states about itself in the head of any of its
 // responses.
@@ -16,6 +20,8 @@
 	HoldOff time.Duration
 	// Accepted is true if the instance accepted the request.
 	Accepted bool
+	// Limit is what the response says about the limit of the instance; its times are not set.
+	Limit throttler.Statement
 	// SentAt is when the attempt to send the request began.
 	SentAt time.Time
 	// Err describes values that could not be decoded and were ignored.
--- a/internal/streaming/encoder/header.go
+++ b/internal/streaming/encoder/header.go
@@ -12,6 +12,9 @@
 	HeaderIncarnation = "X-Incarnation"
 	// HeaderNotRun is "true" in a response to a request that was not run.
 	HeaderNotRun = "X-Not-Run"
+	// HeaderLimit is the number of requests a second that the upstream takes from all
+	// VMs together. It takes any number if it is absent.
+	HeaderLimit = "X-Limit"
 	// HeaderLeaving is "true" if the upstream is leaving.
 	HeaderLeaving = "X-Leaving"
 	// HeaderUpstream names the upstream that produced the response.
--- a/internal/upstream/noticer/decode.go
+++ b/internal/upstream/noticer/decode.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"gentianstep.example/gentianstep/internal/routing/throttler"
 )
 
 // maxSeconds is the longest time that time.Duration holds, in seconds.
@@ -36,3 +38,17 @@
 	}
 	return time.Duration(min(wait, maxSeconds) * float64(time.Second)), nil
 }
+
+// DecodeLimit decodes a header in which an upstream states how many requests a second it
+// takes. A response without the header says that there is no limit.
+func DecodeLimit(h http.Header, name string) (throttler.Statement, error) {
+	values := h.Values(name)
+	if len(values) == 0 {
+		return throttler.Statement{Stated: true}, nil
+	}
+	perSecond, err := strconv.ParseFloat(values[0], 64)
+	if len(values) != 1 || err != nil || !(perSecond >= 0) || math.IsInf(perSecond, 0) {
+		return throttler.Statement{}, fmt.Errorf("header %s: got %.40q, want requests a second of 0 or more", name, values)
+	}
+	return throttler.Statement{Stated: true, Limited: true, PerSecond: perSecond}, nil
+}
--- a/internal/upstream/noticer/noticer.go
+++ b/internal/upstream/noticer/noticer.go
@@ -11,6 +11,7 @@
 
 	"gentianstep.example/gentianstep/internal/membership/registrar"
 	"gentianstep.example/gentianstep/internal/operating/meter"
+	"gentianstep.example/gentianstep/internal/routing/throttler"
 	"gentianstep.example/gentianstep/internal/routing/withholder"
 )
 
@@ -40,6 +41,10 @@
 
 	mu         sync.Mutex
 	withholder *withholder.Withholder
+	throttler  *throttler.Throttler
+	// limitLogAt is when the next change of a limit is logged, which upstreams may change
+	// in each response.
+	limitLogAt time.Time
 	// onChange is called with the service of an upstream whose access has changed,
 	// empty if it is not known.
 	onChange func(service string)
@@ -54,6 +59,7 @@
 	return &Noticer{
 		cfg:           cfg,
 		withholder:    withholder.New(cfg.Bounds),
+		throttler:     throttler.New(),
 		onChange:      func(string) {},
 		checkRequests: make(chan struct{}, 1),
 	}
@@ -91,6 +97,7 @@
 	now := time.Now()
 	n.mu.Lock()
 	changes := apply(now, u, notice)
+	limitLine := n.recordLimit(now, u, notice)
 	onChange := n.onChange
 	logIgnored := notice.Err != nil && !now.Before(n.ignoredLogAt)
 	if logIgnored {
@@ -108,7 +115,10 @@
 		}).Warn("ignored invalid notice of upstream")
 	}
 	n.logChanges(changes, u.Service)
-	if len(changes) > 0 {
+	if limitLine != nil {
+		limitLine.Info("limit of upstream")
+	}
+	if len(changes) > 0 || limitLine != nil {
 		onChange(u.Service)
 	}
 	return changes
--- a/internal/upstream/noticer/processes.go
+++ b/internal/upstream/noticer/processes.go
@@ -148,11 +148,12 @@
 func decodeNotice(status int, h http.Header) withholder.Notice {
 	refused := h.Get(encoder.HeaderNotRun) == "true" || status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
 	n := withholder.Notice{Accepted: !refused}
-	var leavingErr, holdOffErr error
+	var leavingErr, holdOffErr, limitErr error
 	n.Leaving, leavingErr = DecodeLeaving(h, encoder.HeaderLeaving, "true")
 	if status == http.StatusServiceUnavailable {
 		n.HoldOff, holdOffErr = DecodeHoldOff(h)
 	}
-	n.Err = errors.Join(leavingErr, holdOffErr)
+	n.Limit, limitErr = DecodeLimit(h, encoder.HeaderLimit)
+	n.Err = errors.Join(leavingErr, holdOffErr, limitErr)
 	return n
 }
