--- a/internal/gateway/forwarder/fixture_test.go
+++ b/internal/gateway/forwarder/fixture_test.go
@@ -125,11 +125,7 @@
 	log := logrus.New()
 	log.SetOutput(f.log)
 	log.SetFormatter(&logrus.JSONFormatter{})
-	f.noticer = noticer.New(noticer.Config{
-		Bounds: withholder.Config{Drain: 2500 * time.Millisecond, MaxHoldOff: 10 * time.Minute},
-		Meter:  meter.New(),
-		Log:    logrus.NewEntry(log),
-	})
+	f.noticer = newNoticer(logrus.NewEntry(log))
 	calls := caller.New(caller.Config{Dial: f.dial, IdleTimeout: time.Second})
 	f.forwarder = f.newForwarder("vm", calls, logrus.NewEntry(log))
 	f.network.Serve(gatewayAddress, f.forwarder)
@@ -146,6 +142,15 @@
 	return f
 }
 
+// newNoticer returns a noticer without notices.
+func newNoticer(log *logrus.Entry) *noticer.Noticer {
+	return noticer.New(noticer.Config{
+		Bounds: withholder.Config{Drain: 2500 * time.Millisecond, MaxHoldOff: 10 * time.Minute},
+		Meter:  meter.New(),
+		Log:    log,
+	})
+}
+
 // newForwarder returns a forwarder with the noticer and the view of the fixture, and with
 // an isolator of its own.
 func (f *fixture) newForwarder(node string, calls *caller.Caller, log *logrus.Entry) *forwarder.Forwarder {
--- a/internal/gateway/forwarder/fleet_test.go
+++ b/internal/gateway/forwarder/fleet_test.go
@@ -1,6 +1,7 @@
 package forwarder_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"net/netip"
@@ -54,11 +55,14 @@
 type fleetVM struct {
 	address   string
 	forwarder *forwarder.Forwarder
+	// stop ends its connection to the hub.
+	stop context.CancelFunc
 }
 
 // arrival is a request that has reached a worker.
 type arrival struct {
 	at       time.Time
+	worker   int
 	id       string
 	crashing bool
 }
@@ -73,7 +77,7 @@
 	f.hubLog = logrus.NewEntry(log)
 	f.serveHub(t)
 	for n := range vms {
-		f.addVM(t, n, log)
+		f.vms = append(f.vms, f.startVM(t, n))
 	}
 	list := make([]*registrar.Upstream, 0, workers)
 	for n := range workers {
@@ -84,12 +88,15 @@
 	return f
 }
 
-func (f *fleet) addVM(t *testing.T, n int, log *logrus.Logger) {
+// startVM starts the process of a VM.
+func (f *fleet) startVM(t *testing.T, n int) *fleetVM {
+	t.Helper()
 	node := fmt.Sprintf("vm%d", n)
-	entry := logrus.NewEntry(log).WithField("node", node)
+	entry := f.hubLog.WithField("node", node)
 	calls := caller.New(caller.Config{Dial: f.dial, IdleTimeout: time.Second})
-	vm := &fleetVM{address: fmt.Sprintf("10.0.1.%d:80", n+1)}
-	f.view = coordinator.NewView()
+	ctx, cancel := context.WithCancel(t.Context())
+	vm := &fleetVM{address: fmt.Sprintf("10.0.1.%d:80", n+1), stop: cancel}
+	f.view, f.noticer = coordinator.NewView(), newNoticer(entry)
 	vm.forwarder = f.newForwarder(node, calls, entry)
 	f.network.Serve(vm.address, vm.forwarder)
 	transport := &http.Transport{DialContext: f.network.Dial}
@@ -103,12 +110,21 @@
 		View:           f.view,
 		Client:         &http.Client{Transport: transport},
 		Log:            entry,
-	}).Run(t.Context())
+	}).Run(ctx)
 	t.Cleanup(func() {
+		cancel()
 		transport.CloseIdleConnections()
 		calls.Close()
 	})
-	f.vms = append(f.vms, vm)
+	return vm
+}
+
+// restartVM ends the process of a VM and starts another, which has no memory of it.
+func (f *fleet) restartVM(t *testing.T, n int) {
+	t.Helper()
+	f.network.Stop(f.vms[n].address)
+	f.vms[n].stop()
+	f.vms[n] = f.startVM(t, n)
 }
 
 // serveHub starts a hub at f.hub.
@@ -177,18 +193,18 @@
 	u := f.entry(n)
 	u.StartedAt = time.Now()
 	f.network.Serve(workerAddress(n).String(), http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-		f.recordArrival(r)
+		f.recordArrival(n, r)
 		w.ServeHTTP(rw, r)
 	}))
 	return u
 }
 
-func (f *fleet) recordArrival(r *http.Request) {
+func (f *fleet) recordArrival(worker int, r *http.Request) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	crashing := slices.Contains(f.targets, r.RequestURI) ||
 		slices.ContainsFunc(platformtest.PromptParts(r), func(id string) bool { return slices.Contains(f.parts, id) })
-	f.arrivals = append(f.arrivals, arrival{at: time.Now(), id: r.Header.Get("Request-Id"), crashing: crashing})
+	f.arrivals = append(f.arrivals, arrival{at: time.Now(), worker: worker, id: r.Header.Get("Request-Id"), crashing: crashing})
 }
 
 // endWorker ends the process of a worker. Another one starts after workerDownTime, and
--- /dev/null
+++ b/internal/gateway/forwarder/limit_test.go
@@ -0,0 +1,276 @@
+package forwarder_test
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gentianstep.example/gentianstep/internal/testing/scripter"
+)
+
+const (
+	// limitSettling is the time after the first statement of a limit from which on it must
+	// be kept, limitWindow the span in which requests are counted.
+	limitSettling = 3 * time.Second
+	limitWindow   = 4 * time.Second
+	// limitFactor and limitExtra are what a limit allows in each window: limitFactor times
+	// the limit and limitExtra requests.
+	limitFactor = 1.5
+	limitExtra  = 5.0
+	// toldAfter is the time after which a VM that has passed a statement on counts.
+	toldAfter = 500 * time.Millisecond
+	// minServedShare is the least share of what is usually served, where other upstreams can
+	// take the requests, and of the limits otherwise.
+	minServedShare = 0.7
+	// maxRefusalTime is the longest time until a request that cannot be sent is refused.
+	maxRefusalTime = 100 * time.Millisecond
+)
+
+// limitRow is a load on a fleet whose workers state limits.
+type limitRow struct {
+	Name    string `json:"name"`
+	VMs     int    `json:"vms"`
+	Workers int    `json:"workers"`
+	// Limited is the number of workers that state a limit.
+	Limited int       `json:"limited"`
+	Route   string    `json:"route"`
+	Load    crashLoad `json:"load"`
+	// LoadVMs is the number of VMs that get the load, all if it is 0.
+	LoadVMs int `json:"load_vms"`
+	// Steps are the values of the header from the given times on, empty for none.
+	Steps []struct {
+		MS    int    `json:"ms"`
+		Value string `json:"value"`
+	} `json:"steps"`
+	Seconds int `json:"seconds"`
+	// HubOffMS and HubMovesMS are as in crashRow.
+	HubOffMS   int   `json:"hub_off_ms"`
+	HubMovesMS []int `json:"hub_moves_ms"`
+	// RestartsMS are the times at which a VM is replaced by one without memory.
+	RestartsMS []int `json:"restarts_ms"`
+	// MinServed is the least number of requests served a second while the limit holds, 0 for
+	// as many as without it.
+	MinServed float64 `json:"min_served"`
+}
+
+// limitResult is the outcome of a request under a limit.
+type limitResult struct {
+	vm         int
+	sentAt     time.Time
+	receivedAt time.Time
+	// worker is the ID of the worker that stated a limit in the response, empty for none.
+	worker     string
+	status     int
+	retryAfter string
+}
+
+// TestLimitsOfUpstreamsAreKeptByAllVMs guards against VMs that send an upstream in need as
+// many requests as before, or each of them as many as it takes from all together.
+func TestLimitsOfUpstreamsAreKeptByAllVMs(t *testing.T) {
+	t.Parallel()
+	var rows []limitRow
+	scripter.Read(t, "testdata/limits.json", &rows)
+	for _, row := range rows {
+		t.Run(row.Name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { runLimitRow(t, row) })
+		})
+	}
+}
+
+func runLimitRow(t *testing.T, row limitRow) {
+	f := newFleet(t, row.VMs, row.Workers)
+	time.Sleep(time.Second) // the VMs connect to the hub
+	began := time.Now()
+	at := func(ms int) time.Time { return began.Add(time.Duration(ms) * time.Millisecond) }
+	var requests sync.WaitGroup
+	var mu sync.Mutex
+	var results []limitResult
+	requests.Go(func() {
+		f.sendLimitLoad(t, row, func(r limitResult) {
+			mu.Lock()
+			defer mu.Unlock()
+			results = append(results, r)
+		})
+	})
+	requests.Go(func() {
+		for _, step := range row.Steps {
+			time.Sleep(time.Until(at(step.MS)))
+			for n := range row.Limited {
+				f.workers[n].SetLimit(step.Value)
+			}
+		}
+	})
+	requests.Go(func() {
+		for n, ms := range row.RestartsMS {
+			time.Sleep(time.Until(at(ms)))
+			f.restartVM(t, n%row.VMs)
+		}
+	})
+	for _, ms := range row.HubMovesMS {
+		time.Sleep(time.Until(at(ms)))
+		f.moveHub(t)
+	}
+	if row.HubOffMS > 0 {
+		time.Sleep(time.Until(at(row.HubOffMS)))
+		f.stopHub()
+	}
+	requests.Wait()
+	f.checkLimits(t, row, began, results)
+	checkServed(t, row, began, results)
+}
+
+// sendLimitLoad sends the requests of a row to its VMs in turn and reports each outcome.
+func (f *fleet) sendLimitLoad(t *testing.T, row limitRow, record func(limitResult)) {
+	var requests sync.WaitGroup
+	defer requests.Wait()
+	vms := row.VMs
+	if row.LoadVMs > 0 {
+		vms = row.LoadVMs
+	}
+	end := time.Now().Add(time.Duration(row.Seconds) * time.Second)
+	for n := 0; time.Now().Before(end); n++ {
+		r := f.request(t, row.Route, strconv.Itoa(n))
+		r.URL.Host, r.URL.Path = f.vms[n%vms].address, fmt.Sprintf("/%s/%d", row.Route, n)
+		if len(row.Load.Parts) > 0 {
+			r.Header.Set("Prompt-Prefix", promptPrefix(row.Load.Parts, n))
+		}
+		requests.Go(func() {
+			result := limitResult{vm: n % vms, sentAt: time.Now()}
+			a := f.do(r)
+			result.receivedAt, result.status = time.Now(), a.status
+			if a.err == nil {
+				result.retryAfter = a.header.Get("Retry-After")
+			}
+			if a.err == nil && a.header.Get("Server-Limit") != "" {
+				result.worker = a.header.Get("Server-Signature")[len("sig.")+len(strconv.Itoa(n))+1:]
+			}
+			record(result)
+		})
+		time.Sleep(time.Duration(float64(time.Second) / row.Load.Rate))
+	}
+}
+
+// toldKey is a VM and the number of a worker.
+type toldKey struct{ vm, worker int }
+
+// checkLimits counts the requests at each limited worker from VMs that have passed its
+// statement on.
+func (f *fleet) checkLimits(t *testing.T, row limitRow, began time.Time, results []limitResult) {
+	t.Helper()
+	told := make(map[toldKey]time.Time)
+	firstTold := make(map[int]time.Time)
+	for _, r := range results {
+		for n := range row.Limited {
+			if r.worker != f.workers[n].ID {
+				continue
+			}
+			key := toldKey{r.vm, n}
+			if at, ok := told[key]; !ok || r.receivedAt.Before(at) {
+				told[key] = r.receivedAt
+			}
+			if at, ok := firstTold[n]; !ok || r.receivedAt.Before(at) {
+				firstTold[n] = r.receivedAt
+			}
+		}
+	}
+	vms := row.VMs
+	if row.LoadVMs > 0 {
+		vms = row.LoadVMs
+	}
+	for worker := range row.Limited {
+		if firstTold[worker].IsZero() {
+			t.Errorf("worker %d has stated no limit", worker)
+			continue
+		}
+		var counted []time.Time
+		var worst float64
+		for _, a := range f.arrivals {
+			number, err := strconv.Atoi(a.id)
+			if a.worker != worker || err != nil {
+				continue
+			}
+			at, ok := told[toldKey{number % vms, worker}]
+			if !ok || a.at.Before(at.Add(toldAfter)) {
+				continue
+			}
+			for len(counted) > 0 && !a.at.Before(counted[0].Add(limitWindow)) {
+				counted = counted[1:]
+			}
+			counted = append(counted, a.at)
+			allowed, limited := row.allowed(began, counted[0], a.at)
+			if limited && a.at.After(firstTold[worker].Add(limitSettling)) {
+				worst = max(worst, float64(len(counted))/allowed)
+				if worst > 1 {
+					t.Errorf("worker %d got %d requests in %v until %v, want at most %.1f", worker, len(counted), limitWindow, a.at.Sub(began), allowed)
+					break
+				}
+			}
+		}
+		t.Logf("worker %d got at most %.2f of what its limit allows", worker, worst)
+	}
+}
+
+// allowed returns the number of requests that the highest limit between two times allows
+// in a window, false if there was none for a part of that time.
+func (row limitRow) allowed(began, from, to time.Time) (float64, bool) {
+	highest, known := 0.0, false
+	for i, step := range row.Steps {
+		since := began.Add(time.Duration(step.MS) * time.Millisecond)
+		if i == 0 {
+			since = time.Time{} // what came before is not counted
+		}
+		until := to.Add(time.Second)
+		if i+1 < len(row.Steps) {
+			until = began.Add(time.Duration(row.Steps[i+1].MS) * time.Millisecond)
+		}
+		if !until.After(from) || since.After(to) {
+			continue
+		}
+		perSecond, err := strconv.ParseFloat(step.Value, 64)
+		if err != nil {
+			return 0, false
+		}
+		highest, known = max(highest, perSecond), true
+	}
+	return limitFactor*highest*limitWindow.Seconds() + limitExtra, known
+}
+
+// checkServed checks how many requests are served while the limits hold, and that the others
+// are refused at once.
+func checkServed(t *testing.T, row limitRow, began time.Time, results []limitResult) {
+	t.Helper()
+	from := began.Add(time.Duration(row.Steps[0].MS)*time.Millisecond + limitSettling)
+	until := began.Add(time.Duration(row.Seconds) * time.Second)
+	if n := len(row.Steps); n > 1 {
+		until = began.Add(time.Duration(row.Steps[n-1].MS) * time.Millisecond)
+	}
+	served, late := 0, 0
+	for _, r := range results {
+		if r.sentAt.Before(from) || !r.sentAt.Before(until) {
+			continue
+		}
+		switch {
+		case r.status == http.StatusOK:
+			served++
+		case r.receivedAt.Sub(r.sentAt) > maxRefusalTime:
+			late++
+		}
+	}
+	want := row.MinServed
+	if want == 0 {
+		want = row.Load.Rate
+	}
+	rate := float64(served) / until.Sub(from).Seconds()
+	t.Logf("%.1f requests a second served, %d refusals after %v", rate, late, maxRefusalTime)
+	if rate < minServedShare*want {
+		t.Errorf("%.1f requests a second are served, want at least %.2f of %.1f", rate, minServedShare, want)
+	}
+	if late > 0 {
+		t.Errorf("%d requests were refused later than after %v", late, maxRefusalTime)
+	}
+}
