Gateway: keep the limits that upstreams state, over all VMs

Cause: no VM read the limit; and a bound that each VM keeps for itself would add up to as many times the limit as there are VMs.

Change: VMs report limits, and the requests that they would send, to the hub. VMs without a hub use a fixed share: only as many VMs as the limit allows at once have one, chosen by rendezvous hashing, and the hub leaves out the shares of those that it has no connection to. A limit counts for the process that stated it and ends with a response that has none, to a request sent after the latest statement. Requests for which every upstream is out of requests wait for a round trip to the hub, or are refused at once with a Retry-After at this VM's share of the limits. Health checks count; calls that take no slot do not. Messages between VMs changed, so that their path is new.

--- a/internal/gateway/forwarder/fleet_test.go
+++ b/internal/gateway/forwarder/fleet_test.go
@@ -15,6 +15,7 @@
 	"gentianstep.example/gentianstep/internal/gateway/forwarder"
 	"gentianstep.example/gentianstep/internal/membership/registrar"
 	"gentianstep.example/gentianstep/internal/peering/coordinator"
+	"gentianstep.example/gentianstep/internal/routing/throttler"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
 	"gentianstep.example/gentianstep/platform/platformtest"
 )
@@ -31,6 +32,7 @@
 type fleet struct {
 	*fixture
 	vms    []*fleetVM
+	size   int
 	hubLog *logrus.Entry
 
 	mu sync.Mutex
@@ -67,10 +69,19 @@
 	crashing bool
 }
 
+// throttlerFleet returns all VMs, as they are known to that of a node.
+func (f *fleet) throttlerFleet(node string) throttler.Fleet {
+	nodes := make([]string, 0, f.size)
+	for n := range f.size {
+		nodes = append(nodes, fmt.Sprintf("vm%d", n))
+	}
+	return throttler.NewFleet(node, nodes)
+}
+
 // newFleet starts VMs before a number of workers.
 func newFleet(t *testing.T, vms, workers int) *fleet {
 	t.Helper()
-	f := &fleet{fixture: newFixture(t, workers), hub: netip.MustParseAddrPort("10.0.1.1:7340"), generations: make([]int, workers)}
+	f := &fleet{fixture: newFixture(t, workers), size: vms, hub: netip.MustParseAddrPort("10.0.1.1:7340"), generations: make([]int, workers)}
 	log := logrus.New()
 	log.SetOutput(f.log)
 	log.SetFormatter(&logrus.JSONFormatter{})
@@ -97,6 +108,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	vm := &fleetVM{address: fmt.Sprintf("10.0.1.%d:80", n+1), stop: cancel}
 	f.view, f.noticer = coordinator.NewView(), newNoticer(entry)
+	f.noticer.SetFleet(f.throttlerFleet(node))
 	vm.forwarder = f.newForwarder(node, calls, entry)
 	f.network.Serve(vm.address, vm.forwarder)
 	transport := &http.Transport{DialContext: f.network.Dial}
@@ -107,6 +119,7 @@
 		DrainSentParts: vm.forwarder.DrainSentParts,
 		UrgentReports:  vm.forwarder.UrgentReports(),
 		Quarantines:    f.isolator,
+		Limits:         f.noticer,
 		View:           f.view,
 		Client:         &http.Client{Transport: transport},
 		Log:            entry,
@@ -130,7 +143,7 @@
 // serveHub starts a hub at f.hub.
 func (f *fleet) serveHub(t *testing.T) {
 	t.Helper()
-	hub := coordinator.NewHub(coordinator.HubConfig{Active: func() bool { return true }, Log: f.hubLog})
+	hub := coordinator.NewHub(coordinator.HubConfig{Active: func() bool { return true }, Fleet: func() throttler.Fleet { return f.throttlerFleet("") }, Log: f.hubLog})
 	f.network.Serve(f.hub.String(), hub)
 	go hub.Run(t.Context())
 }
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -71,13 +71,15 @@
 	weightsApply atomic.Int64
 	stopping     atomic.Bool
 
-	// mu guards picker, budget, queues, overload and linkProvenAt.
+	// mu guards picker, budget, queues, overload, returns and linkProvenAt.
 	mu     sync.Mutex
 	picker *picker.Picker
 	budget *budgeter.Budgeter
 	queues map[string]*waitQueue
 	// overload derives the Retry-After of refused long prompts.
 	overload overloadTracker
+	// returns holds the schedule of refused clients of each service with limits.
+	returns map[string]*returnSchedule
 	// linkProvenAt is when the latest attempt that was answered was sent.
 	linkProvenAt time.Time
 	// urgentReports has a buffer of one, so that sending never blocks a
@@ -95,6 +97,7 @@
 		picker:         picker.New(cfg.Picker),
 		budget:         budgeter.New(cfg.Budget),
 		queues:         make(map[string]*waitQueue),
+		returns:        make(map[string]*returnSchedule),
 		urgentReports:  make(chan struct{}, 1),
 		weightsChanged: make(chan struct{}, 1),
 	}
--- a/internal/gateway/forwarder/log.go
+++ b/internal/gateway/forwarder/log.go
@@ -47,6 +47,9 @@
 		fields["in_flight"] = x.choice.Load.InFlight
 		fields["queued_tokens"] = x.choice.Load.PromptTokens
 	}
+	if x.access.Limited > 0 {
+		fields["limited"] = x.access.Limited
+	}
 	if u := x.choice.Upstream; u != nil {
 		fields["upstream"] = u.ID
 		fields["read_tokens"] = x.choice.PromptTokens
--- a/internal/gateway/forwarder/withhold.go
+++ b/internal/gateway/forwarder/withhold.go
@@ -53,6 +53,9 @@
 	if x.access.Unverified && now.Before(soon) {
 		return nil
 	}
+	if x.access.Limited > 0 {
+		return x.refuseLimited(now, soon)
+	}
 	if !x.access.Paced && x.access.BackAt.IsZero() {
 		return classifier.New(classifier.NoUpstream, "no upstream of %s can be used", x.service)
 	}
@@ -76,7 +79,7 @@
 // accessChangeAt returns the time until which a request that waits for capacity
 // need not check the upstreams, at most until.
 func (x *exchange) accessChangeAt(now, until time.Time) time.Time {
-	if x.access.Paced || x.access.Unverified {
+	if x.access.Paced || x.access.Unverified || x.access.Limited > 0 {
 		until = earlierTime(until, now.Add(pacedPollInterval))
 	}
 	for _, at := range []time.Time{x.access.BackAt, x.access.ClosesAt} {
--- a/internal/operating/starter/coordination.go
+++ b/internal/operating/starter/coordination.go
@@ -14,6 +14,7 @@
 	"gentianstep.example/gentianstep/internal/peering/exchanger"
 	"gentianstep.example/gentianstep/internal/peering/relayer"
 	"gentianstep.example/gentianstep/internal/platform/storer"
+	"gentianstep.example/gentianstep/internal/routing/throttler"
 )
 
 // coordinationLoops returns the loops that exchange engine state between VMs.
@@ -38,6 +39,7 @@
 			Departures:     g.noticer.Departures,
 			OnDepartures:   g.noticer.RecordDepartures,
 			Quarantines:    g.isolator,
+			Limits:         g.noticer,
 			UrgentReports:  g.forwarder.UrgentReports(),
 			View:           g.view,
 			Client:         g.newClient(),
@@ -54,6 +56,16 @@
 	}
 }
 
+// fleet returns the VMs of the deployment.
+func (g *gateway) fleet() throttler.Fleet {
+	vms := g.vms.load().vms
+	nodes := make([]string, 0, len(vms))
+	for _, vm := range vms {
+		nodes = append(nodes, vm.Node)
+	}
+	return throttler.NewFleet(g.settings.Load().Node, nodes)
+}
+
 // holdsLease reports whether this VM holds the lease for weight roll-outs.
 func (g *gateway) holdsLease() bool {
 	_, held := g.leaser.Holding(time.Now())
--- a/internal/operating/starter/gateway.go
+++ b/internal/operating/starter/gateway.go
@@ -165,6 +165,7 @@
 	g.view = coordinator.NewView()
 	g.hub = coordinator.NewHub(coordinator.HubConfig{
 		Active:   g.isHub,
+		Fleet:    g.fleet,
 		Capacity: coordinator.Capacity{LinkBytesPerSecond: settings.LinkBytesPerSecond, Processors: settings.Processors},
 		Log:      log,
 	})
--- a/internal/operating/starter/gateway_vms.go
+++ b/internal/operating/starter/gateway_vms.go
@@ -94,7 +94,7 @@
 	}
 }
 
-// runVMCount counts the VMs, among which the limits are divided. A lower count
+// runVMCount counts the VMs, among which limits are divided, and passes on which they are. A lower count
 // takes effect only after the current one has not been reached for vmCountTTL.
 func (g *gateway) runVMCount(ctx context.Context) {
 	ticker := time.NewTicker(vmCountInterval)
@@ -102,6 +102,7 @@
 	highest, expires := 0, time.Time{}
 	for {
 		now := time.Now()
+		g.noticer.SetFleet(g.fleet())
 		if n := len(g.vms.load().vms); n >= highest || !now.Before(expires) {
 			if n != highest {
 				g.forwarder.SetVMs(n)
--- a/internal/peering/coordinator/evidence.go
+++ b/internal/peering/coordinator/evidence.go
@@ -190,12 +190,7 @@
 	if next.IsZero() {
 		return
 	}
-	wait := max(next.Sub(now), minPushInterval)
-	if h.ledgerTimer == nil {
-		h.ledgerTimer = time.AfterFunc(wait, h.signal)
-		return
-	}
-	h.ledgerTimer.Reset(wait)
+	h.ledgerTimer.reset(max(next.Sub(now), minPushInterval), h.signal)
 }
 
 // Quarantines returns the decisions on all fingerprints that are not clear.
--- a/internal/peering/coordinator/frame.go
+++ b/internal/peering/coordinator/frame.go
@@ -31,6 +31,7 @@
 	h.updatePending(now, nil)
 	h.expireDepartures(now)
 	h.advanceLedger(now)
+	granted := h.grantLimits(now)
 	if len(h.sessions) == 0 {
 		h.dropFrames()
 		h.names, h.namesSent = newNameTable(), 0
@@ -42,7 +43,7 @@
 		messageBytes = len(last.data)
 	}
 	interval := h.cfg.Capacity.pushInterval(len(h.sessions), messageBytes)
-	if last == nil || h.hasChanges() || now.Sub(last.builtAt) >= keepAliveInterval/2 {
+	if last == nil || granted || h.hasChanges() || now.Sub(last.builtAt) >= keepAliveInterval/2 {
 		h.appendFrame(now, interval)
 		for s := range h.sessions {
 			notify(s.changed)
@@ -52,7 +53,7 @@
 }
 
 func (h *Hub) hasChanges() bool {
-	return len(h.totals.changed)+len(h.changedEngines)+len(h.changedParts)+len(h.changedDepartures) > 0 || h.ledger.HasChanges()
+	return len(h.totals.changed)+len(h.changedEngines)+len(h.changedParts)+len(h.changedDepartures) > 0 || h.ledger.HasChanges() || h.limits.HasChanges()
 }
 
 func (h *Hub) lastFrame() *frame {
@@ -77,6 +78,7 @@
 	}
 	state.Departures = slices.Collect(maps.Keys(h.changedDepartures))
 	state.Quarantines = h.drainQuarantines(now)
+	state.Limits = newLimits(now, h.limits.DrainChanges())
 	h.clearChanges()
 	state.Names = h.names.names[h.namesSent:]
 	h.namesSent = len(h.names.names)
@@ -113,23 +115,23 @@
 	clear(h.changedParts)
 	clear(h.changedDepartures)
 	h.drainQuarantines(time.Now())
+	h.limits.DrainChanges()
 }
 
-// nextMessage returns the next message to a VM and the number of its last report that
-// the message includes, or false if the VM has received everything. The caller must
-// hold h.mu.
-func (h *Hub) nextMessage(s *session) (data []byte, report uint64, isFull, ok bool) {
+// nextMessage returns the next message to a VM and its head, or false if the VM has
+// received everything. The caller must hold h.mu.
+func (h *Hub) nextMessage(s *session) (data []byte, head Head, isFull, ok bool) {
 	newest := h.firstFrame + uint64(len(h.frames))
 	switch {
 	case len(h.frames) == 0 || s.nextFrame == newest:
-		return nil, 0, false, false
+		return nil, Head{}, false, false
 	case s.nextFrame < h.firstFrame || s.nextFrame > newest:
 		s.nextFrame = newest
-		return h.fullState(), h.lastFrame().reports[s], true, true
+		return h.fullState(), s.takeHead(h.lastFrame()), true, true
 	}
 	f := h.frames[s.nextFrame-h.firstFrame]
 	s.nextFrame++
-	return f.data, f.reports[s], false, true
+	return f.data, s.takeHead(f), false, true
 }
 
 // fullState returns the encoded state as of the newest frame. Changes since then may
@@ -138,10 +140,12 @@
 	if h.full != nil {
 		return h.full
 	}
+	now := time.Now()
 	state := State{
 		Full:        true,
 		Departures:  slices.Collect(maps.Keys(h.departures)),
-		Quarantines: newQuarantines(time.Now(), h.ledger.Rows()),
+		Quarantines: newQuarantines(now, h.ledger.Rows()),
+		Limits:      newLimits(now, h.limits.Limits()),
 	}
 	for upstream := range h.totals.sums {
 		state.Loads = append(state.Loads, h.upstreamLoad(upstream))
--- a/internal/peering/coordinator/hub.go
+++ b/internal/peering/coordinator/hub.go
@@ -12,6 +12,7 @@
 	"gentianstep.example/gentianstep/internal/caching/cataloguer"
 	"gentianstep.example/gentianstep/internal/operating/pauser"
 	"gentianstep.example/gentianstep/internal/routing/quarantiner"
+	"gentianstep.example/gentianstep/internal/routing/throttler"
 )
 
 const (
@@ -26,7 +27,10 @@
 // HubConfig configures a Hub.
 type HubConfig struct {
 	// Active reports whether this VM currently is the hub.
-	Active   func() bool
+	Active func() bool
+	// Fleet returns all VMs of the deployment, with a connection to the hub or without. It
+	// may be nil.
+	Fleet    func() throttler.Fleet
 	Capacity Capacity
 	Log      *logrus.Entry
 }
@@ -52,8 +56,12 @@
 
 	// ledger decides on quarantines from the evidence of all VMs.
 	ledger *quarantiner.Ledger
-	// ledgerTimer wakes Run when the next decision is due; nil before the first.
-	ledgerTimer *time.Timer
+	// ledgerTimer wakes Run when the next decision is due.
+	ledgerTimer wakeTimer
+	// limits divides the limits that upstreams state, and limitTimer wakes Run when the next
+	// request can be granted.
+	limits     *throttler.Allocator[*session]
+	limitTimer wakeTimer
 
 	// changedEngines, changedParts and changedDepartures are the changes since the last
 	// frame.
@@ -89,6 +97,7 @@
 		changedParts:      make(map[CachedPart]struct{}),
 		departures:        make(map[Departure]time.Time),
 		ledger:            quarantiner.NewLedger(),
+		limits:            throttler.NewAllocator[*session](),
 		changedDepartures: make(map[Departure]struct{}),
 		// Sessions start at frame 0, so that their first message is the full state.
 		firstFrame: 1,
@@ -223,9 +232,10 @@
 	h.updatePending(now, r.SentParts)
 	h.addDepartures(now, r.Departures)
 	h.applyEvidence(now, r.Node, r.Evidence)
+	h.applyLimits(now, s, r.Node, r.Limits)
 	h.totals.replace(s.loads, r.Loads)
 	s.loads = r.Loads
-	if h.hasChanges() {
+	if h.hasChanges() || len(r.Limits) > 0 {
 		h.signal()
 	}
 }
--- a/internal/peering/coordinator/message.go
+++ b/internal/peering/coordinator/message.go
@@ -14,7 +14,7 @@
 )
 
 // Path is the HTTP path at which the hub accepts connections.
-const Path = "/v2/coordination"
+const Path = "/v3/coordination"
 
 // maxMessageBytes bounds one message; the largest holds the whole catalogue.
 const maxMessageBytes = 8 << 20
@@ -85,6 +85,10 @@
 	// Evidence lists the crashes that the VM has seen since the last report and what
 	// else bears on quarantines.
 	Evidence []Evidence `cbor:"6,keyasint,omitempty"`
+	// Limits lists what responses have said about limits since the last report, and the
+	// requests that the VM would send to upstreams with a limit. The first report of a
+	// connection lists all limits.
+	Limits []Limit `cbor:"7,keyasint,omitempty"`
 }
 
 // Check returns an error if the node or the number is missing or a load is negative.
@@ -106,6 +110,9 @@
 	if err := checkEvidence(r.Evidence); err != nil {
 		return fmt.Errorf("report: %w", err)
 	}
+	if err := checkLimits(r.Limits); err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
 	return nil
 }
 
@@ -146,6 +153,8 @@
 	ReportMillis int64        `cbor:"6,keyasint,omitempty"`
 	Departures   []Departure  `cbor:"7,keyasint,omitempty"`
 	Quarantines  []Quarantine `cbor:"8,keyasint,omitempty"`
+	// Limits lists the limits that have changed, or all if Full is set.
+	Limits []Limit `cbor:"9,keyasint,omitempty"`
 }
 
 // Check returns an error if an index lies outside the table of names, which has
@@ -171,5 +180,8 @@
 	if err := checkQuarantines(s.Quarantines); err != nil {
 		return fmt.Errorf("state: %w", err)
 	}
+	if err := checkLimits(s.Limits); err != nil {
+		return fmt.Errorf("state: %w", err)
+	}
 	return nil
 }
--- a/internal/peering/coordinator/session.go
+++ b/internal/peering/coordinator/session.go
@@ -18,6 +18,8 @@
 	reportNumber uint64
 	// nextFrame is the number of the next frame to send.
 	nextFrame uint64
+	// grants holds the requests that the VM may send and that it has not been told of.
+	grants []Grant
 	// changed has a buffer of one, so that a slow VM blocks nobody.
 	changed chan struct{}
 }
@@ -71,15 +73,24 @@
 	h.totals.replace(s.loads, nil)
 	s.loads = nil
 	delete(h.sessions, s)
+	h.limits.RemoveVM(time.Now(), s)
 	h.signal()
 }
 
+// takeHead returns the head of a message with a frame. The caller must hold the mu of the
+// hub.
+func (s *session) takeHead(f *frame) Head {
+	head := Head{Report: f.reports[s], Grants: s.grants}
+	s.grants = nil
+	return head
+}
+
 // runPush sends the frames to a VM until its connection ends.
 func (h *Hub) runPush(ctx context.Context, ws *websocket.Conn, s *session) {
 	defer func() { _ = ws.CloseNow() }()
 	for {
 		h.mu.Lock()
-		data, report, isFull, ok := h.nextMessage(s)
+		data, head, isFull, ok := h.nextMessage(s)
 		h.mu.Unlock()
 		if !ok {
 			select {
@@ -94,7 +105,7 @@
 				return
 			}
 		}
-		if err := messenger.WriteSequence(ctx, ws, report, data); err != nil {
+		if err := messenger.WriteSequence(ctx, ws, head, data); err != nil {
 			return
 		}
 	}
--- a/internal/peering/coordinator/subscriber.go
+++ b/internal/peering/coordinator/subscriber.go
@@ -53,6 +53,8 @@
 	// Quarantines reports what bears on quarantines and applies the hub's decisions; nil
 	// for none.
 	Quarantines Quarantines
+	// Limits keeps the limits that upstreams state; nil for none.
+	Limits Limits
 	// UrgentReports signals that the loads should be reported before the next interval.
 	UrgentReports <-chan struct{}
 	View          *View
@@ -111,14 +113,21 @@
 	go s.runReports(ctx, cancel, ws, hub, sent, newEvidenceQueue(s.cfg.Quarantines))
 	for {
 		var state State
-		var report uint64
-		if err := messenger.ReadSequence(ctx, ws, &report, &state); err != nil {
+		var head Head
+		if err := messenger.ReadSequence(ctx, ws, &head, &state); err != nil {
+			return err
+		}
+		if err := head.Check(); err != nil {
 			return err
 		}
 		sent.setInterval(time.Duration(state.ReportMillis) * time.Millisecond)
-		if err := s.cfg.View.Apply(time.Now(), state, sent.confirm(report)); err != nil {
+		loads, reportedAt := sent.confirm(head.Report)
+		if err := s.cfg.View.Apply(time.Now(), state, loads); err != nil {
 			return err
 		}
+		if s.cfg.Limits != nil {
+			s.cfg.Limits.ApplyLimits(limitReports(time.Now(), state.Limits), throttlerGrants(head.Grants), reportedAt)
+		}
 		if s.cfg.OnDepartures != nil {
 			s.cfg.OnDepartures(incarnations(state.Departures))
 		}
@@ -146,8 +155,9 @@
 		departures := s.departures()
 		changed := !slices.Equal(departures, lastDepartures)
 		events := evidence.next()
-		if changed || len(events) > 0 || !maps.Equal(loads, last) || len(sent) > 0 || !now.Before(keepAliveAt) {
-			report := Report{Node: s.cfg.Node, Loads: loads, SentParts: sent, Number: reports.add(loads), Evidence: newEvidence(now, events)}
+		limits := s.limitReports(now, reports.isFirst())
+		if changed || len(events) > 0 || len(limits) > 0 || !maps.Equal(loads, last) || len(sent) > 0 || !now.Before(keepAliveAt) {
+			report := Report{Node: s.cfg.Node, Loads: loads, SentParts: sent, Number: reports.add(now, loads), Evidence: newEvidence(now, events), Limits: limits}
 			if changed {
 				report.Departures = departures
 			}
@@ -167,6 +177,13 @@
 	}
 }
 
+func (s *Subscriber) limitReports(now time.Time, all bool) []Limit {
+	if s.cfg.Limits == nil {
+		return nil
+	}
+	return newLimits(now, s.cfg.Limits.LimitReports(all))
+}
+
 func (s *Subscriber) departures() []Departure {
 	if s.cfg.Departures == nil {
 		return nil
--- /dev/null
+++ b/internal/routing/throttler/allocator.go
@@ -0,0 +1,203 @@
+package throttler
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// burstRequests and burstTime are the requests that the hub grants at once after a time
+	// without any: burstRequests, and what the limit allows in burstTime.
+	burstRequests = 2
+	burstTime     = 250 * time.Millisecond
+	// wantedTTL is how long after a report its wanted requests are granted.
+	wantedTTL = 500 * time.Millisecond
+)
+
+// Allocator divides the limits of upstreams among the VMs of a hub. VMs are identified by
+// keys of type K, for example those of their connections. It is not safe for concurrent use.
+type Allocator[K comparable] struct {
+	fleet       Fleet
+	vms         map[K]string
+	allocations map[Process]*allocation[K]
+	changes     map[Process]Statement
+}
+
+// allocation is the division of one limit.
+type allocation[K comparable] struct {
+	limit *limit
+	// share is the part of the limit that is left for the VMs of the hub.
+	share float64
+	// saved is the number of requests that can be granted, as of savedAt.
+	saved   float64
+	savedAt time.Time
+	// wants holds what VMs want to send, the one to be granted next first.
+	wants []want[K]
+}
+
+type want[K comparable] struct {
+	vm       K
+	requests int
+	until    time.Time
+}
+
+// NewAllocator returns an Allocator without VMs and limits.
+func NewAllocator[K comparable]() *Allocator[K] {
+	return &Allocator[K]{
+		vms:         make(map[K]string),
+		allocations: make(map[Process]*allocation[K]),
+		changes:     make(map[Process]Statement),
+	}
+}
+
+// SetFleet sets the VMs that share the limits, with a hub or without.
+func (a *Allocator[K]) SetFleet(now time.Time, f Fleet) {
+	if f.Equal(a.fleet) {
+		return
+	}
+	a.fleet = f
+	a.updateShares(now)
+}
+
+// AddVM adds a VM with the name of its node.
+func (a *Allocator[K]) AddVM(now time.Time, vm K, node string) {
+	if a.vms[vm] == node {
+		return
+	}
+	a.vms[vm] = node
+	a.updateShares(now)
+}
+
+// RemoveVM removes a VM, which uses its own share from now on.
+func (a *Allocator[K]) RemoveVM(now time.Time, vm K) {
+	if _, known := a.vms[vm]; !known {
+		return
+	}
+	delete(a.vms, vm)
+	for _, al := range a.allocations {
+		al.wants = slices.DeleteFunc(al.wants, func(w want[K]) bool { return w.vm == vm })
+	}
+	a.updateShares(now)
+}
+
+func (a *Allocator[K]) updateShares(now time.Time) {
+	connected := make(map[string]bool, len(a.vms))
+	for _, node := range a.vms {
+		connected[node] = true
+	}
+	for p, al := range a.allocations {
+		al.refill(now)
+		al.share = a.fleet.connectedShare(p, al.perSecond(), connected)
+	}
+}
+
+// Record applies the report of a VM.
+func (a *Allocator[K]) Record(now time.Time, vm K, r Report) {
+	al := a.allocations[r.Process]
+	if al == nil {
+		al = &allocation[K]{savedAt: now}
+	} else {
+		al.refill(now)
+	}
+	before := al.limit
+	al.limit = before.apply(r.Statement)
+	switch {
+	case al.limit == nil:
+		delete(a.allocations, r.Process)
+		if before != nil {
+			a.changes[r.Process] = r.Statement
+		}
+		return
+	case before == nil:
+		dropOldest(a.allocations, func(al *allocation[K]) time.Time { return al.limit.statedAt })
+		a.allocations[r.Process] = al
+	}
+	if before == nil || before.perSecond != al.limit.perSecond {
+		a.changes[r.Process] = al.limit.statement()
+		a.updateShares(now)
+	}
+	al.setWanted(now, vm, r.Wanted)
+}
+
+// setWanted replaces what a VM wants. It keeps its place among the other VMs.
+func (al *allocation[K]) setWanted(now time.Time, vm K, requests int) {
+	if requests <= 0 {
+		return
+	}
+	w := want[K]{vm, requests, now.Add(wantedTTL)}
+	if i := slices.IndexFunc(al.wants, func(w want[K]) bool { return w.vm == vm }); i >= 0 {
+		al.wants[i] = w
+		return
+	}
+	al.wants = append(al.wants, w)
+}
+
+func (al *allocation[K]) perSecond() float64 { return max(al.limit.perSecond, minPerSecond) }
+
+// rate returns the rate of grants.
+func (al *allocation[K]) rate() float64 { return al.share * al.perSecond() }
+
+// refill adds the requests that the limit has allowed since the last call.
+func (al *allocation[K]) refill(now time.Time) {
+	burst := burstRequests + burstTime.Seconds()*al.rate()
+	al.saved = min(al.saved+al.rate()*now.Sub(al.savedAt).Seconds(), burst)
+	al.savedAt = now
+}
+
+// VMGrant is a grant to one VM.
+type VMGrant[K comparable] struct {
+	VM K
+	Grant
+}
+
+// Advance returns the grants that are due, and the time of the next one, zero if none is
+// wanted.
+func (a *Allocator[K]) Advance(now time.Time) (grants []VMGrant[K], next time.Time) {
+	for p, al := range a.allocations {
+		al.refill(now)
+		al.wants = slices.DeleteFunc(al.wants, func(w want[K]) bool { return !now.Before(w.until) })
+		for al.saved >= 1 && len(al.wants) > 0 {
+			// Few at a time, so that VMs with little demand get some as well.
+			w := al.wants[0]
+			n := min(w.requests, max(int(al.saved)/len(al.wants), 1))
+			grants = append(grants, VMGrant[K]{w.vm, Grant{p, n}})
+			al.saved -= float64(n)
+			al.wants = al.wants[1:]
+			if w.requests -= n; w.requests > 0 {
+				al.wants = append(al.wants, w)
+			}
+		}
+		if len(al.wants) == 0 || al.rate() <= 0 {
+			continue
+		}
+		at := now.Add(time.Duration((1 - al.saved) / al.rate() * float64(time.Second)))
+		if next.IsZero() || at.Before(next) {
+			next = at
+		}
+	}
+	return grants, next
+}
+
+// HasChanges reports whether a limit has changed since the last DrainChanges.
+func (a *Allocator[K]) HasChanges() bool { return len(a.changes) > 0 }
+
+// DrainChanges returns the limits that have changed since the last call, and those that
+// have ended.
+func (a *Allocator[K]) DrainChanges() []Report {
+	list := make([]Report, 0, len(a.changes))
+	for p, s := range a.changes {
+		list = append(list, Report{Process: p, Statement: s})
+	}
+	clear(a.changes)
+	return list
+}
+
+// Limits returns all limits.
+func (a *Allocator[K]) Limits() []Report {
+	list := make([]Report, 0, len(a.allocations))
+	for p := range maps.Keys(a.allocations) {
+		list = append(list, Report{Process: p, Statement: a.allocations[p].limit.statement()})
+	}
+	return list
+}
--- a/internal/routing/throttler/statement.go
+++ b/internal/routing/throttler/statement.go
@@ -48,22 +48,30 @@
 	switch {
 	case !s.Stated:
 		return l
+	case l == nil && !s.Limited:
+		return nil
 	case l == nil:
-		if !s.Limited {
-			return nil
-		}
 		return &limit{s.PerSecond, s.At}
 	}
 	later := !s.SentAt.Before(l.statedAt)
+	lower := s.At.After(l.statedAt) && s.PerSecond < l.perSecond
 	switch {
 	case !s.Limited && later:
 		return nil
-	case s.Limited && (later || s.PerSecond <= l.perSecond):
-		statedAt := l.statedAt
-		if s.At.After(statedAt) {
-			statedAt = s.At
-		}
-		return &limit{s.PerSecond, statedAt}
+	case s.Limited && (later || lower || s.PerSecond == l.perSecond):
+		return &limit{s.PerSecond, laterTime(s.At, l.statedAt)}
 	}
 	return l
 }
+
+func laterTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// statement returns a statement that repeats the limit.
+func (l *limit) statement() Statement {
+	return Statement{Stated: true, Limited: true, PerSecond: l.perSecond, SentAt: l.statedAt, At: l.statedAt}
+}
--- a/internal/upstream/noticer/noticer.go
+++ b/internal/upstream/noticer/noticer.go
@@ -150,14 +150,24 @@
 // right before the first byte of each request. A last resort is a request that
 // no other upstream can serve.
 func (n *Noticer) Admit(u *registrar.Upstream, lastResort bool) error {
+	now, p := time.Now(), throttler.ProcessOf(u)
+	n.mu.Lock()
+	admitted := n.throttler.MaySend(now, p) && n.withholder.Admit(now, u, lastResort) && n.throttler.Take(now, p)
+	n.mu.Unlock()
+	return n.admission(admitted)
+}
+
+// AdmitCall is like Admit for a call that takes no slot of u and does not count against
+// its limit: one of this VM itself, or about a request that runs there.
+func (n *Noticer) AdmitCall(u *registrar.Upstream, lastResort bool) error {
 	n.mu.Lock()
 	admitted := n.withholder.Admit(time.Now(), u, lastResort)
 	n.mu.Unlock()
 	return n.admission(admitted)
 }
 
-// AdmitProbe is like Admit for a request that asks whether u is there. One that
-// is leaving gets it too, since it shows the next process at the address.
+// AdmitProbe is like AdmitCall for a call that asks whether u is there. One that is
+// leaving gets it too, since it shows the next process at the address.
 func (n *Noticer) AdmitProbe(u *registrar.Upstream) error {
 	n.mu.Lock()
 	admitted := n.withholder.AdmitProbe(time.Now(), u)
@@ -165,6 +175,16 @@
 	return n.admission(admitted)
 }
 
+// AdmitCheck is like AdmitProbe for a health check, which takes a slot of u and counts
+// against its limit.
+func (n *Noticer) AdmitCheck(u *registrar.Upstream) error {
+	now, p := time.Now(), throttler.ProcessOf(u)
+	n.mu.Lock()
+	admitted := n.throttler.MaySend(now, p) && n.withholder.AdmitProbe(now, u) && n.throttler.Take(now, p)
+	n.mu.Unlock()
+	return n.admission(admitted)
+}
+
 func (n *Noticer) admission(admitted bool) error {
 	if admitted {
 		return nil
@@ -202,34 +222,50 @@
 	return n.withholder.HeldUntil(u)
 }
 
-// IsOpen reports whether u may get any request.
+// IsOpen reports whether u may get calls of this VM itself, and any request that is within
+// its limit.
 func (n *Noticer) IsOpen(u *registrar.Upstream) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.withholder.Access(time.Now(), u) == withholder.Open
 }
 
-// Open returns the upstreams that may get any request. It returns list itself if
-// that is all of them.
+// Open returns the upstreams that may get calls of this VM itself. It returns list itself
+// if that is all of them.
 func (n *Noticer) Open(list []*registrar.Upstream) []*registrar.Upstream {
-	return n.Split(time.Now(), list, nil).Open
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.withholder.Empty() {
+		return list
+	}
+	now := time.Now()
+	open := make([]*registrar.Upstream, 0, len(list))
+	for _, u := range list {
+		if n.withholder.Access(now, u) == withholder.Open {
+			open = append(open, u)
+		}
+	}
+	return open
 }
 
-// Split divides upstreams by their access. BackAt and Paced count those for
+// Split divides upstreams by their access. BackAt, Paced and Limited count those for
 // which usable returns true.
 func (n *Noticer) Split(now time.Time, list []*registrar.Upstream, usable func(*registrar.Upstream) bool) Split {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.withholder.Empty() {
+	if n.withholder.Empty() && n.throttler.Empty() {
 		return Split{Open: list}
 	}
 	s := Split{Open: make([]*registrar.Upstream, 0, len(list))}
 	for _, u := range list {
 		access := n.withholder.Access(now, u)
-		if access != withholder.Open && usable != nil && !usable(u) {
+		if access != withholder.Open && !usable(u) {
 			continue
 		}
 		s.Unverified = s.Unverified || access != withholder.Open && n.withholder.Unverified(now, u)
+		if (access == withholder.Open || access == withholder.LastResort) && !n.mayTakeRequest(now, u, usable, &s) {
+			continue
+		}
 		switch access {
 		case withholder.Open:
 			s.Open = append(s.Open, u)
@@ -250,3 +286,19 @@
 	}
 	return s
 }
+
+// mayTakeRequest reports whether a request to u is within its limit now. Otherwise it asks
+// for one and counts u in s. The caller holds n.mu.
+func (n *Noticer) mayTakeRequest(now time.Time, u *registrar.Upstream, usable func(*registrar.Upstream) bool, s *Split) bool {
+	p := throttler.ProcessOf(u)
+	if n.throttler.MaySend(now, p) {
+		return true
+	}
+	if usable(u) {
+		n.throttler.Want(p)
+		perSecond, _, _ := n.throttler.Limit(p)
+		s.Limited++
+		s.LimitPerSecond += perSecond / float64(n.throttler.FleetSize())
+	}
+	return false
+}
--- a/internal/upstream/noticer/processes.go
+++ b/internal/upstream/noticer/processes.go
@@ -65,7 +65,10 @@
 
 // Admit implements caller.Notices.
 func (p *Processes) Admit(t caller.Target, call caller.Call) error {
-	return p.cfg.Noticer.Admit(p.process(t), call.Running)
+	if call.Running {
+		return p.cfg.Noticer.AdmitCall(p.process(t), true)
+	}
+	return p.cfg.Noticer.Admit(p.process(t), false)
 }
 
 // Record implements caller.Notices.
@@ -105,7 +108,7 @@
 
 // IsOpen reports whether an upstream of the bundle may get any request.
 func (p *Processes) IsOpen(name string) bool {
-	return p.cfg.Noticer.IsOpen(p.process(p.target(name)))
+	return p.cfg.Noticer.MayRequest(p.process(p.target(name)))
 }
 
 // HeldUntil returns the end of the hold-off of an upstream of the bundle, or the
--- a/internal/upstream/noticer/transport.go
+++ b/internal/upstream/noticer/transport.go
@@ -61,7 +61,7 @@
 	if t.Probes {
 		return t.Processes.cfg.Noticer.AdmitProbe(u)
 	}
-	return t.Processes.cfg.Noticer.Admit(u, false)
+	return t.Processes.cfg.Noticer.AdmitCall(u, false)
 }
 
 func closeBody(r *http.Request) {
