Router: keep the limits that upstreams state, over all routers

Callers of an upstream in need behind routers: it got as many requests as before. Without a hub, each router uses a fixed share of the limit, as gateways do whose hub is lost; the controller names the routers of the deployment in its replies to usage reports. A router that knows only their number picks its share as if it knew the others. Requests without a candidate for that reason are refused with a Retry-After at the router's share.

--- a/internal/controlling/collector/collector.go
+++ b/internal/controlling/collector/collector.go
@@ -4,6 +4,7 @@
 package collector
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -35,10 +36,10 @@
 	sums *limiter.Collector
 	// owners maps each organisation to the controller that aggregates its usage.
 	owners *rendezvous.Rendezvous
-	// liveNodes is the number of live nodes, each of which runs one router.
-	liveNodes int
-	// listedVMs is the number of this system's own VMs in the platform's list.
-	listedVMs int
+	// liveNodes holds the live nodes, each of which runs one router.
+	liveNodes []string
+	// listedVMs holds this system's own VMs in the platform's list.
+	listedVMs []string
 }
 
 // New returns a Collector with this controller as the only member.
@@ -53,15 +54,15 @@
 func (c *Collector) SetMembers(nodes []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.liveNodes = len(nodes)
+	c.liveNodes = slices.Clone(nodes)
 	c.owners = rendezvous.New(nodes, xxhash.Sum64String)
 }
 
-// SetListedVMs sets the number of this system's own VMs in the platform's list.
-func (c *Collector) SetListedVMs(n int) {
+// SetListedVMs sets the names of this system's own VMs in the platform's list.
+func (c *Collector) SetListedVMs(names []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.listedVMs = n
+	c.listedVMs = slices.Clone(names)
 }
 
 // HandleRouterUsage processes the usage report of a router connected to this
@@ -72,8 +73,11 @@
 	own, others := c.split(router, usage)
 	sums := c.observe(now, router, own)
 	c.mu.Lock()
-	sums.LiveRouters = c.liveNodes
-	sums.ListedRouters = max(c.listedVMs, c.liveNodes)
+	sums.LiveRouters = len(c.liveNodes)
+	sums.ListedRouters = max(len(c.listedVMs), len(c.liveNodes))
+	sums.Nodes = slices.Concat(c.liveNodes, c.listedVMs)
+	slices.Sort(sums.Nodes)
+	sums.Nodes = slices.Compact(sums.Nodes)
 	c.mu.Unlock()
 	c.cfg.SendRouter(router, messenger.Message{UsageTotals: &sums})
 	for owner, part := range others {
@@ -126,7 +130,7 @@
 	if !ok {
 		sum = limiter.Usage{Peer: c.cfg.Self, Organisation: organisation}
 	}
-	sum.Routers = max(sum.Routers, c.liveNodes-1)
+	sum.Routers = max(sum.Routers, len(c.liveNodes)-1)
 	return sum, sum.Routers > 0
 }
 
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -25,6 +25,7 @@
 	"gentianstep.example/gentianstep/internal/routing/budgeter"
 	"gentianstep.example/gentianstep/internal/routing/matcher"
 	"gentianstep.example/gentianstep/internal/routing/picker"
+	"gentianstep.example/gentianstep/internal/routing/throttler"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
 	"gentianstep.example/gentianstep/internal/upstream/isolator"
 	"gentianstep.example/gentianstep/internal/upstream/noticer"
@@ -78,8 +79,8 @@
 	queues map[string]*waitQueue
 	// overload derives the Retry-After of refused long prompts.
 	overload overloadTracker
-	// returns holds the schedule of refused clients of each service with limits.
-	returns map[string]*returnSchedule
+	// returns holds the times at which refused clients of each service come back, if it has limits.
+	returns map[string]*throttler.Returns
 	// linkProvenAt is when the latest attempt that was answered was sent.
 	linkProvenAt time.Time
 	// urgentReports has a buffer of one, so that sending never blocks a
@@ -97,7 +98,7 @@
 		picker:         picker.New(cfg.Picker),
 		budget:         budgeter.New(cfg.Budget),
 		queues:         make(map[string]*waitQueue),
-		returns:        make(map[string]*returnSchedule),
+		returns:        make(map[string]*throttler.Returns),
 		urgentReports:  make(chan struct{}, 1),
 		weightsChanged: make(chan struct{}, 1),
 	}
--- a/internal/operating/starter/membership.go
+++ b/internal/operating/starter/membership.go
@@ -59,7 +59,11 @@
 func (c *control) handleVMList(vms []storer.VM) {
 	own := c.excludeUpstreamVMs(vms)
 	c.announcer.ReceiveVMList(own)
-	c.collector.SetListedVMs(len(own))
+	names := make([]string, 0, len(own))
+	for _, vm := range own {
+		names = append(names, vm.Name)
+	}
+	c.collector.SetListedVMs(names)
 	if current := c.bundles.Current(); current != nil {
 		c.departures.handleVMList(current.Bundle, vms)
 	}
--- a/internal/operating/starter/router.go
+++ b/internal/operating/starter/router.go
@@ -19,6 +19,7 @@
 	"gentianstep.example/gentianstep/internal/peering/connector"
 	"gentianstep.example/gentianstep/internal/peering/inquirer"
 	"gentianstep.example/gentianstep/internal/peering/messenger"
+	"gentianstep.example/gentianstep/internal/routing/throttler"
 	"gentianstep.example/gentianstep/internal/serving/chooser"
 	"gentianstep.example/gentianstep/internal/serving/claimer"
 	"gentianstep.example/gentianstep/internal/serving/dispatcher"
@@ -45,6 +46,8 @@
 	dispatcher *dispatcher.Dispatcher
 	receiver   *receiver.Receiver
 	admission  *gatekeeper.Gate
+	// node is the name of this router's VM.
+	node string
 	// routers is the number of routers in the deployment.
 	routers int
 }
@@ -118,7 +121,7 @@
 }
 
 func newRouter(settings *configurer.Settings, certificates certifiers, m *meter.Meter, log *logrus.Entry) (*router, error) {
-	r := &router{routers: len(controllerAddresses(settings)), admission: newAdmissionGate(log)}
+	r := &router{node: settings.Node, routers: len(controllerAddresses(settings)), admission: newAdmissionGate(log)}
 	r.bundles = holder.New(holder.Config{Verifier: settings.Verifier()})
 	r.connector = connector.New(connector.Config{
 		Hello:     newHello(settings, messenger.Router),
@@ -131,6 +134,7 @@
 	r.rationer = rationer.New(rationer.Config{Node: settings.Node, Routers: r.routers, Send: r.connector.Send, Log: log})
 	r.withdrawer = withdrawer.New(withdrawer.Config{OnDepartures: r.sendDepartures, Log: log})
 	r.processes = newProcesses(m, r.withdrawer.HandleLeavingRefusal, log)
+	r.processes.SetFleet(throttler.NewUnnamedFleet(settings.Node, r.routers))
 	r.inquirer = inquirer.New(inquirer.Config{Send: r.connector.Send})
 	upstreamChooser, err := chooser.New(chooser.Config{
 		Region:           settings.Region,
@@ -180,6 +184,9 @@
 		r.chooser.RecordReports(m.Reports.Reports)
 	case m.UsageTotals != nil:
 		r.rationer.ObserveUsage(*m.UsageTotals)
+		if m.UsageTotals.LiveRouters > 0 {
+			r.processes.SetFleet(throttler.NewFleet(r.node, append(m.UsageTotals.Nodes, r.node)))
+		}
 	case m.Departures != nil:
 		r.withdrawer.ApplyDepartures(m.Departures.Departures)
 	case m.LookupReply != nil:
--- a/internal/peering/messenger/use.go
+++ b/internal/peering/messenger/use.go
@@ -23,6 +23,8 @@
 	// fill them in.
 	LiveRouters   int `cbor:"3,keyasint,omitempty"`
 	ListedRouters int `cbor:"4,keyasint,omitempty"`
+	// Nodes lists the nodes of the live and the listed routers, if LiveRouters is set.
+	Nodes []string `cbor:"5,keyasint,omitempty"`
 }
 
 // Check returns an error if there are too many usages or one is invalid.
@@ -33,6 +35,9 @@
 	if u.Router == "" || u.LiveRouters < 0 || u.ListedRouters < 0 {
 		return fmt.Errorf("usage totals: router is missing or a count is negative")
 	}
+	if err := checkBatch("nodes", len(u.Nodes)); err != nil {
+		return err
+	}
 	return checkUsages(u.Totals)
 }
 
--- a/internal/routing/throttler/share.go
+++ b/internal/routing/throttler/share.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -27,13 +28,22 @@
 	return Fleet{own: own, nodes: slices.Compact(nodes)}
 }
 
+// NewUnnamedFleet returns the fleet of a VM that knows only how many VMs there are.
+func NewUnnamedFleet(own string, n int) Fleet {
+	nodes := []string{own}
+	for i := 1; i < n; i++ {
+		nodes = append(nodes, "\x00"+strconv.Itoa(i))
+	}
+	return NewFleet(own, nodes)
+}
+
 // Equal reports whether two fleets have the same VMs.
 func (f Fleet) Equal(other Fleet) bool {
 	return f.own == other.own && slices.Equal(f.nodes, other.nodes)
 }
 
-// Size returns the number of VMs, at least 1.
-func (f Fleet) Size() int { return max(len(f.nodes), 1) }
+// size returns the number of VMs, at least 1.
+func (f Fleet) size() int { return max(len(f.nodes), 1) }
 
 // senders returns the VMs that use a limit of a process while there is no hub. They are
 // the same on all VMs that know the same ones, and change little with the VMs.
--- a/internal/routing/throttler/throttler.go
+++ b/internal/routing/throttler/throttler.go
@@ -87,8 +87,15 @@
 	}
 }
 
-// FleetSize returns the number of VMs that share the limits.
-func (t *Throttler) FleetSize() int { return t.fleet.Size() }
+// EvenShare returns the rate of requests that each VM may send to a process if all want to
+// send some, 0 if it has no limit.
+func (t *Throttler) EvenShare(p Process) float64 {
+	r := t.records[p]
+	if r == nil {
+		return 0
+	}
+	return r.perSecond() / float64(t.fleet.size())
+}
 
 // ConfirmHub records that a message of the hub was received.
 func (t *Throttler) ConfirmHub(now time.Time) {
--- a/internal/serving/chooser/access.go
+++ b/internal/serving/chooser/access.go
@@ -6,6 +6,7 @@
 
 	"gentianstep.example/gentianstep/internal/bundle/checker"
 	"gentianstep.example/gentianstep/internal/failure/classifier"
+	"gentianstep.example/gentianstep/internal/routing/throttler"
 	"gentianstep.example/gentianstep/internal/serving/dispatcher"
 )
 
@@ -13,6 +14,10 @@
 // callers are spread after its end.
 const holdOffSpreadShare = 0.5
 
+// maxReturnAfter is the longest time after which a caller is told to come back that was
+// refused because of limits.
+const maxReturnAfter = time.Minute
+
 // acceptsRequests reports whether an upstream may be sent new requests, that is
 // whether it is not leaving and in no hold-off.
 func (c *Chooser) acceptsRequests(upstream string) bool {
@@ -40,11 +45,15 @@
 }
 
 // noCandidate returns the error of a request without a candidate: err, or one that
-// says when the first upstream in a hold-off takes requests again.
-func (c *Chooser) noCandidate(now time.Time, names []string, serves func(string) bool, err *classifier.Error) error {
+// says when the first upstream in a hold-off takes requests again, or one that has got as
+// many as it takes. key is the model or the service. The caller holds c.mu.
+func (c *Chooser) noCandidate(now time.Time, key string, names []string, serves func(string) bool, err *classifier.Error) error {
 	if c.cfg.Notices == nil {
 		return err
 	}
+	if err := c.checkLimits(now, key, names, serves); err != nil {
+		return err
+	}
 	var backAt time.Time
 	for _, name := range names {
 		until := c.cfg.Notices.HeldUntil(name)
@@ -60,6 +69,29 @@
 	return held
 }
 
+// checkLimits returns the error of a request whose upstreams have got as many as they take
+// of this router for now, nil if there are none. The caller holds c.mu.
+func (c *Chooser) checkLimits(now time.Time, key string, names []string, serves func(string) bool) *classifier.Error {
+	share := 0.0
+	for _, name := range names {
+		if c.inService(name) && serves(name) && !c.cfg.Notices.HeldUntil(name).After(now) {
+			share += c.cfg.Notices.LimitShare(name)
+		}
+	}
+	if share == 0 {
+		return nil
+	}
+	returns := c.returns[key]
+	if returns == nil {
+		returns = &throttler.Returns{}
+		c.returns[key] = returns
+	}
+	err := classifier.New(classifier.Overloaded, "every upstream has got as many requests as it takes")
+	at, ok := returns.Reserve(now, now.Add(maxReturnAfter), share)
+	err.RetryAt, err.Final = at, !ok
+	return err
+}
+
 // engineNames returns the names of the engines of a bundle.
 func engineNames(b *checker.Bundle) []string {
 	names := make([]string, 0, len(b.Upstreams))
--- a/internal/serving/chooser/chooser.go
+++ b/internal/serving/chooser/chooser.go
@@ -17,6 +17,7 @@
 	"gentianstep.example/gentianstep/internal/routing/replicator"
 	"gentianstep.example/gentianstep/internal/routing/retrier"
 	"gentianstep.example/gentianstep/internal/routing/selector"
+	"gentianstep.example/gentianstep/internal/routing/throttler"
 	"gentianstep.example/gentianstep/internal/serving/dispatcher"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
 	"gentianstep.example/gentianstep/internal/upstream/observer"
@@ -42,6 +43,9 @@
 	health      *retrier.Retrier
 	reports     map[string]observer.Report
 	inFlight    map[attemptKey]attemptState
+	// returns holds the times at which refused callers of each model and service come back,
+	// for those with limits.
+	returns map[string]*throttler.Returns
 	// abandoned holds the IDs of requests whose last attempt was abandoned. The
 	// next attempt does not use the retry budget.
 	abandoned *simplelru.LRU[string, struct{}]
@@ -80,6 +84,7 @@
 		health:      retrier.New(retrier.Config{Seed: cfg.Seed}),
 		reports:     make(map[string]observer.Report),
 		inFlight:    make(map[attemptKey]attemptState),
+		returns:     make(map[string]*throttler.Returns),
 	}, nil
 }
 
@@ -125,7 +130,7 @@
 	c.logDecision(j, attempt, decision, plan, known)
 	u, ok := j.Bundle.Upstream(decision.Chosen)
 	if !ok {
-		return dispatcher.Choice{}, c.noCandidate(now, engineNames(j.Bundle), func(upstream string) bool { return c.serves(j, upstream) },
+		return dispatcher.Choice{}, c.noCandidate(now, j.Model.Name, engineNames(j.Bundle), func(upstream string) bool { return c.serves(j, upstream) },
 			classifier.New(classifier.NoUpstream, "no upstream serves model %s now", j.Model.Name))
 	}
 	c.inFlight[attemptKey{request: j.ID, attempt: attempt}] = attemptState{
--- a/internal/serving/chooser/config.go
+++ b/internal/serving/chooser/config.go
@@ -30,6 +30,9 @@
 type Notices interface {
 	// IsOpen reports whether an upstream may be sent new requests.
 	IsOpen(upstream string) bool
+	// LimitShare returns this router's share of the limit of an upstream in requests a
+	// second, 0 if it has none.
+	LimitShare(upstream string) float64
 	// HeldUntil returns until when an upstream wants no requests, or the zero time.
 	HeldUntil(upstream string) time.Time
 }
--- a/internal/serving/chooser/service.go
+++ b/internal/serving/chooser/service.go
@@ -27,7 +27,9 @@
 		"idempotent":     j.Service.Idempotent(j.Method, j.Path),
 	}).Info("routing decision")
 	if !ok {
-		return dispatcher.Choice{}, c.noCandidate(time.Now(), j.Service.Upstreams, func(string) bool { return true },
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return dispatcher.Choice{}, c.noCandidate(time.Now(), "service "+j.Service.Name, j.Service.Upstreams, func(string) bool { return true },
 			classifier.New(classifier.NoUpstream, "no upstream of service %s is left", j.Service.Name))
 	}
 	return dispatcher.Choice{
--- a/internal/upstream/noticer/limit.go
+++ b/internal/upstream/noticer/limit.go
@@ -64,6 +64,14 @@
 	return n.withholder.Access(now, u) == withholder.Open && n.throttler.MaySend(now, throttler.ProcessOf(u))
 }
 
+// LimitShare returns this VM's even share of the limit of u in requests a second, 0 if it
+// has none.
+func (n *Noticer) LimitShare(u *registrar.Upstream) float64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.throttler.EvenShare(throttler.ProcessOf(u))
+}
+
 // SetFleet sets the VMs that share the limits of upstreams.
 func (n *Noticer) SetFleet(f throttler.Fleet) {
 	n.mu.Lock()
--- a/internal/upstream/noticer/noticer.go
+++ b/internal/upstream/noticer/noticer.go
@@ -296,9 +296,8 @@
 	}
 	if usable(u) {
 		n.throttler.Want(p)
-		perSecond, _, _ := n.throttler.Limit(p)
 		s.Limited++
-		s.LimitPerSecond += perSecond / float64(n.throttler.FleetSize())
+		s.LimitPerSecond += n.throttler.EvenShare(p)
 	}
 	return false
 }
--- a/internal/upstream/noticer/processes.go
+++ b/internal/upstream/noticer/processes.go
@@ -10,6 +10,7 @@
 
 	"gentianstep.example/gentianstep/internal/bundle/checker"
 	"gentianstep.example/gentianstep/internal/membership/registrar"
+	"gentianstep.example/gentianstep/internal/routing/throttler"
 	"gentianstep.example/gentianstep/internal/routing/withholder"
 	"gentianstep.example/gentianstep/internal/streaming/encoder"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
@@ -111,6 +112,15 @@
 	return p.cfg.Noticer.MayRequest(p.process(p.target(name)))
 }
 
+// LimitShare returns this process's even share of the limit of an upstream of the bundle in
+// requests a second, 0 if it has none.
+func (p *Processes) LimitShare(name string) float64 {
+	return p.cfg.Noticer.LimitShare(p.process(p.target(name)))
+}
+
+// SetFleet sets the VMs that share the limits of upstreams.
+func (p *Processes) SetFleet(f throttler.Fleet) { p.cfg.Noticer.SetFleet(f) }
+
 // HeldUntil returns the end of the hold-off of an upstream of the bundle, or the
 // zero time if it has requested none.
 func (p *Processes) HeldUntil(name string) time.Time {
