Limits: a VM whose hub answers late uses its own share; model of fleets

TestResponsesOvertakeEachOther: 14 rows. TestRefusedClientsComeBackAtTheRateOfTheLimit. Four more rows on the gateway: limits that end, with a hub and without, 0 that ends, another process at the address.

--- a/internal/peering/coordinator/hub.go
+++ b/internal/peering/coordinator/hub.go
@@ -232,7 +232,7 @@
 	h.updatePending(now, r.SentParts)
 	h.addDepartures(now, r.Departures)
 	h.applyEvidence(now, r.Node, r.Evidence)
-	h.applyLimits(now, s, r.Node, r.Limits)
+	h.applyLimits(now, s, r)
 	h.totals.replace(s.loads, r.Loads)
 	s.loads = r.Loads
 	if h.hasChanges() || len(r.Limits) > 0 {
--- a/internal/peering/coordinator/limit.go
+++ b/internal/peering/coordinator/limit.go
@@ -57,8 +57,9 @@
 
 // Limits is a VM's part in keeping the limits of upstreams.
 type Limits interface {
-	// LimitReports returns what has changed since the last call, or all for another hub.
-	LimitReports(all bool) []throttler.Report
+	// LimitReports returns what has changed since the last call, or all for another hub, and
+	// whether the VM uses its own share of the limits.
+	LimitReports(all bool) (list []throttler.Report, alone bool)
 	// ApplyLimits applies a message of the hub. reportedAt is when the report was sent that
 	// the grants answer, zero if unknown.
 	ApplyLimits(changes []throttler.Report, grants []throttler.Grant, reportedAt time.Time)
@@ -123,9 +124,9 @@
 }
 
 // applyLimits applies what a VM has reported of limits. The caller must hold h.mu.
-func (h *Hub) applyLimits(now time.Time, s *session, node string, list []Limit) {
-	h.limits.AddVM(now, s, node)
-	for _, r := range limitReports(now, list) {
+func (h *Hub) applyLimits(now time.Time, s *session, r Report) {
+	h.limits.AddVM(now, s, r.Node, r.Alone)
+	for _, r := range limitReports(now, r.Limits) {
 		h.limits.Record(now, s, r)
 	}
 }
--- a/internal/peering/coordinator/message.go
+++ b/internal/peering/coordinator/message.go
@@ -89,6 +89,9 @@
 	// requests that the VM would send to upstreams with a limit. The first report of a
 	// connection lists all limits.
 	Limits []Limit `cbor:"7,keyasint,omitempty"`
+	// Alone is true if the VM uses its own share of the limits, since the hub's answers
+	// are missing or late.
+	Alone bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Check returns an error if the node or the number is missing or a load is negative.
--- a/internal/peering/coordinator/subscriber.go
+++ b/internal/peering/coordinator/subscriber.go
@@ -155,9 +155,9 @@
 		departures := s.departures()
 		changed := !slices.Equal(departures, lastDepartures)
 		events := evidence.next()
-		limits := s.limitReports(now, reports.isFirst())
+		limits, alone := s.limitReports(now, reports.isFirst())
 		if changed || len(events) > 0 || len(limits) > 0 || !maps.Equal(loads, last) || len(sent) > 0 || !now.Before(keepAliveAt) {
-			report := Report{Node: s.cfg.Node, Loads: loads, SentParts: sent, Number: reports.add(now, loads), Evidence: newEvidence(now, events), Limits: limits}
+			report := Report{Node: s.cfg.Node, Loads: loads, SentParts: sent, Number: reports.add(now, loads), Evidence: newEvidence(now, events), Limits: limits, Alone: alone}
 			if changed {
 				report.Departures = departures
 			}
@@ -177,11 +177,12 @@
 	}
 }
 
-func (s *Subscriber) limitReports(now time.Time, all bool) []Limit {
+func (s *Subscriber) limitReports(now time.Time, all bool) (limits []Limit, alone bool) {
 	if s.cfg.Limits == nil {
-		return nil
+		return nil, false
 	}
-	return newLimits(now, s.cfg.Limits.LimitReports(all))
+	list, alone := s.cfg.Limits.LimitReports(all)
+	return newLimits(now, list), alone
 }
 
 func (s *Subscriber) departures() []Departure {
--- a/internal/routing/throttler/allocator.go
+++ b/internal/routing/throttler/allocator.go
@@ -19,11 +19,20 @@
 // keys of type K, for example those of their connections. It is not safe for concurrent use.
 type Allocator[K comparable] struct {
 	fleet       Fleet
-	vms         map[K]string
+	vms         map[K]*allocatedVM
 	allocations map[Process]*allocation[K]
 	changes     map[Process]Statement
 }
 
+// allocatedVM is a VM of the hub.
+type allocatedVM struct {
+	node string
+	// alone is true if the VM uses its own share of the limits, as it states or since
+	// reports are missing.
+	alone      bool
+	reportedAt time.Time
+}
+
 // allocation is the division of one limit.
 type allocation[K comparable] struct {
 	limit *limit
@@ -45,7 +54,7 @@
 // NewAllocator returns an Allocator without VMs and limits.
 func NewAllocator[K comparable]() *Allocator[K] {
 	return &Allocator[K]{
-		vms:         make(map[K]string),
+		vms:         make(map[K]*allocatedVM),
 		allocations: make(map[Process]*allocation[K]),
 		changes:     make(map[Process]Statement),
 	}
@@ -60,15 +69,31 @@
 	a.updateShares(now)
 }
 
-// AddVM adds a VM with the name of its node.
-func (a *Allocator[K]) AddVM(now time.Time, vm K, node string) {
-	if a.vms[vm] == node {
+// AddVM records a report of a VM with the name of its node, and whether the VM uses its own
+// share of the limits.
+func (a *Allocator[K]) AddVM(now time.Time, vm K, node string, alone bool) {
+	v := a.vms[vm]
+	if v != nil && v.node == node && v.alone == alone {
+		v.reportedAt = now
 		return
 	}
-	a.vms[vm] = node
+	a.vms[vm] = &allocatedVM{node: node, alone: alone, reportedAt: now}
 	a.updateShares(now)
 }
 
+// expireVMs leaves their own shares to the VMs that send no reports any more.
+func (a *Allocator[K]) expireVMs(now time.Time) {
+	changed := false
+	for _, v := range a.vms {
+		if !v.alone && now.Sub(v.reportedAt) >= hubTTL {
+			v.alone, changed = true, true
+		}
+	}
+	if changed {
+		a.updateShares(now)
+	}
+}
+
 // RemoveVM removes a VM, which uses its own share from now on.
 func (a *Allocator[K]) RemoveVM(now time.Time, vm K) {
 	if _, known := a.vms[vm]; !known {
@@ -83,8 +108,10 @@
 
 func (a *Allocator[K]) updateShares(now time.Time) {
 	connected := make(map[string]bool, len(a.vms))
-	for _, node := range a.vms {
-		connected[node] = true
+	for _, v := range a.vms {
+		if !v.alone {
+			connected[v.node] = true
+		}
 	}
 	for p, al := range a.allocations {
 		al.refill(now)
@@ -154,6 +181,7 @@
 // Advance returns the grants that are due, and the time of the next one, zero if none is
 // wanted.
 func (a *Allocator[K]) Advance(now time.Time) (grants []VMGrant[K], next time.Time) {
+	a.expireVMs(now)
 	for p, al := range a.allocations {
 		al.refill(now)
 		al.wants = slices.DeleteFunc(al.wants, func(w want[K]) bool { return !now.Before(w.until) })
--- a/internal/routing/throttler/throttler.go
+++ b/internal/routing/throttler/throttler.go
@@ -10,9 +10,10 @@
 	// grantTTL is the time after the report that a grant answers for which it can be used.
 	// What the hub grants in that time and a window of limits may be sent within the window.
 	grantTTL = 1500 * time.Millisecond
-	// hubTTL is the time since the last message of the hub from which on a VM uses its own
-	// share of the limits.
-	hubTTL = time.Second
+	// hubTTL is the time after a report that the hub has answered until which a VM leaves
+	// its own share of the limits to the hub, and the time after which the hub leaves it to
+	// a VM that sends no reports.
+	hubTTL = 1500 * time.Millisecond
 	// maxWanted bounds the number of requests that one report asks for.
 	maxWanted = 1024
 )
@@ -97,14 +98,22 @@
 	return r.perSecond() / float64(t.fleet.size())
 }
 
-// ConfirmHub records that a message of the hub was received.
-func (t *Throttler) ConfirmHub(now time.Time) {
+// ConfirmHub records that the hub has answered a report that was sent at a time, which says
+// more than the arrival of its answer on links that hold messages back.
+func (t *Throttler) ConfirmHub(now, reportedAt time.Time) {
+	until := reportedAt.Add(hubTTL)
+	if !until.After(t.hubUntil) {
+		return
+	}
 	for _, r := range t.records {
 		t.refill(now, r)
 	}
-	t.hubUntil = now.Add(hubTTL)
+	t.hubUntil = until
 }
 
+// Alone reports whether this VM uses its own share of the limits.
+func (t *Throttler) Alone(now time.Time) bool { return !now.Before(t.hubUntil) }
+
 // perSecond returns the rate of requests that all VMs may send together.
 func (r *record) perSecond() float64 { return max(r.limit.perSecond, minPerSecond) }
 
@@ -229,7 +238,7 @@
 	}
 	from := r.savedAt
 	r.savedAt = now
-	if now.Before(t.hubUntil) {
+	if !t.Alone(now) {
 		r.saved = 0
 		return
 	}
--- a/internal/upstream/noticer/limit.go
+++ b/internal/upstream/noticer/limit.go
@@ -80,11 +80,11 @@
 }
 
 // LimitReports returns what the hub is to be told of limits since the last call, or of all
-// limits.
-func (n *Noticer) LimitReports(all bool) []throttler.Report {
+// limits, and whether this VM uses its own share of them.
+func (n *Noticer) LimitReports(all bool) (list []throttler.Report, alone bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.throttler.Reports(all)
+	return n.throttler.Reports(all), n.throttler.Alone(time.Now())
 }
 
 // ApplyLimits applies a message of the hub: limits that have changed, and what this VM may
@@ -92,7 +92,7 @@
 func (n *Noticer) ApplyLimits(changes []throttler.Report, grants []throttler.Grant, reportedAt time.Time) {
 	now := time.Now()
 	n.mu.Lock()
-	n.throttler.ConfirmHub(now)
+	n.throttler.ConfirmHub(now, reportedAt)
 	var lines []*logrus.Entry
 	for _, c := range changes {
 		if !n.throttler.ApplyHub(now, c.Process, c.Statement) {
