Limits: VMs that have not learned of an end do not bring a limit back

Cause: the hub learns of an end while reports of other VMs, which repeat the former statement with what they want, are on their way; each brought the limit back. Endings are kept now, and a statement that was received before the request was sent that has shown the end does not count.

--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -248,14 +248,8 @@
 			Host:    x.request.Host,
 			Header:  x.cfg.Dialect.Encode(now, x.request, options),
 			Refresh: func(h http.Header) { x.cfg.Dialect.SetDeadline(time.Now(), h, x.deadline) },
-			CheckResponse: func(status int, h http.Header) error {
-				head = x.cfg.Dialect.DecodeResponse(status, h)
-				head.Notice.SentAt = now
-				err := x.cfg.Dialect.CheckResponse(x.request.ID, status, h)
-				if err != nil {
-					head.Notice.Limit.Stated = false // the response may be to an earlier request
-				}
-				x.cfg.Noticer.Record(u, head.Notice)
+			CheckResponse: func(status int, h http.Header) (err error) {
+				head, err = x.checkResponse(u, status, h)
 				return err
 			},
 		},
@@ -289,6 +283,19 @@
 	return x.sendResponse(answer)
 }
 
+// checkResponse decodes the head of the response to the latest attempt and records its
+// notices. It returns an error if the response does not belong to the request.
+func (x *exchange) checkResponse(u *registrar.Upstream, status int, h http.Header) (ResponseHead, error) {
+	head := x.cfg.Dialect.DecodeResponse(status, h)
+	head.Notice.SentAt = x.sentAt
+	err := x.cfg.Dialect.CheckResponse(x.request.ID, status, h)
+	if err != nil {
+		head.Notice.Limit.Stated = false // the response may be to an earlier request
+	}
+	x.cfg.Noticer.Record(u, head.Notice)
+	return head, err
+}
+
 // recordResponse updates the weights and the health of the upstream from the
 // head of its response.
 func (x *exchange) recordResponse(u *registrar.Upstream, status int, head ResponseHead) {
--- a/internal/gateway/forwarder/limit_test.go
+++ b/internal/gateway/forwarder/limit_test.go
@@ -145,10 +145,7 @@
 func (f *fleet) sendLimitLoad(t *testing.T, row limitRow, record func(limitResult)) {
 	var requests sync.WaitGroup
 	defer requests.Wait()
-	vms := row.VMs
-	if row.LoadVMs > 0 {
-		vms = row.LoadVMs
-	}
+	vms := row.loadVMs()
 	end := time.Now().Add(time.Duration(row.Seconds) * time.Second)
 	for n := 0; time.Now().Before(end); n++ {
 		r := f.request(t, row.Route, strconv.Itoa(n))
@@ -172,65 +169,83 @@
 	}
 }
 
-// toldKey is a VM and the number of a worker.
-type toldKey struct{ vm, worker int }
+// loadVMs returns the number of VMs that get the load.
+func (row limitRow) loadVMs() int {
+	if row.LoadVMs > 0 {
+		return row.LoadVMs
+	}
+	return row.VMs
+}
+
+// toldTimes returns when each VM has first passed on a statement of a worker, and when the
+// first of them has.
+func toldTimes(worker int, results []limitResult) (told map[int]time.Time, first time.Time) {
+	told = make(map[int]time.Time)
+	for _, r := range results {
+		if r.worker != fmt.Sprintf("w%d.1", worker+1) {
+			continue
+		}
+		if at, ok := told[r.vm]; !ok || r.receivedAt.Before(at) {
+			told[r.vm] = r.receivedAt
+		}
+		if first.IsZero() || r.receivedAt.Before(first) {
+			first = r.receivedAt
+		}
+	}
+	return told, first
+}
 
 // checkLimits counts the requests at each limited worker from VMs that have passed its
 // statement on.
 func (f *fleet) checkLimits(t *testing.T, row limitRow, began time.Time, results []limitResult) {
 	t.Helper()
-	told := make(map[toldKey]time.Time)
-	firstTold := make(map[int]time.Time)
-	for _, r := range results {
-		for n := range row.Limited {
-			if r.worker != fmt.Sprintf("w%d.1", n+1) {
-				continue
-			}
-			key := toldKey{r.vm, n}
-			if at, ok := told[key]; !ok || r.receivedAt.Before(at) {
-				told[key] = r.receivedAt
-			}
-			if at, ok := firstTold[n]; !ok || r.receivedAt.Before(at) {
-				firstTold[n] = r.receivedAt
-			}
+	for worker := range row.Limited {
+		told, first := toldTimes(worker, results)
+		if first.IsZero() {
+			t.Errorf("worker %d has stated no limit", worker)
+			continue
 		}
+		f.checkLimit(t, row, worker, began, first, f.countedArrivals(row, worker, began, told))
 	}
-	vms := row.VMs
-	if row.LoadVMs > 0 {
-		vms = row.LoadVMs
-	}
+}
+
+// countedArrivals returns when a worker got requests from VMs that had passed its statement
+// on toldAfter before.
+func (f *fleet) countedArrivals(row limitRow, worker int, began time.Time, told map[int]time.Time) []time.Time {
 	endsAt := began.Add(time.Duration(row.EndsMS) * time.Millisecond)
-	for worker := range row.Limited {
-		if firstTold[worker].IsZero() {
-			t.Errorf("worker %d has stated no limit", worker)
+	var counted []time.Time
+	for _, a := range f.arrivals {
+		number, err := strconv.Atoi(a.id)
+		if a.worker != worker || err != nil || row.EndsMS > 0 && worker == 0 && a.at.After(endsAt) {
 			continue
 		}
-		var counted []time.Time
-		var worst float64
-		for _, a := range f.arrivals {
-			number, err := strconv.Atoi(a.id)
-			if a.worker != worker || err != nil || row.EndsMS > 0 && worker == 0 && a.at.After(endsAt) {
-				continue
-			}
-			at, ok := told[toldKey{number % vms, worker}]
-			if !ok || a.at.Before(at.Add(toldAfter)) {
-				continue
-			}
-			for len(counted) > 0 && !a.at.Before(counted[0].Add(limitWindow)) {
-				counted = counted[1:]
-			}
+		if at, ok := told[number%row.loadVMs()]; ok && !a.at.Before(at.Add(toldAfter)) {
 			counted = append(counted, a.at)
-			allowed, limited := row.allowed(began, counted[0], a.at)
-			if limited && a.at.After(firstTold[worker].Add(limitSettling)) {
-				worst = max(worst, float64(len(counted))/allowed)
-				if worst > 1 {
-					t.Errorf("worker %d got %d requests in %v until %v, want at most %.1f", worker, len(counted), limitWindow, a.at.Sub(began), allowed)
-					break
-				}
-			}
 		}
-		t.Logf("worker %d got at most %.2f of what its limit allows", worker, worst)
 	}
+	return counted
+}
+
+// checkLimit compares the requests at a worker in each window with what its limit allows.
+func (f *fleet) checkLimit(t *testing.T, row limitRow, worker int, began, first time.Time, counted []time.Time) {
+	t.Helper()
+	var worst float64
+	from := 0
+	for i, at := range counted {
+		for !at.Before(counted[from].Add(limitWindow)) {
+			from++
+		}
+		allowed, limited := row.allowed(began, counted[from], at)
+		if !limited || !at.After(first.Add(limitSettling)) {
+			continue
+		}
+		n := i - from + 1
+		if worst = max(worst, float64(n)/allowed); worst > 1 {
+			t.Errorf("worker %d got %d requests in %v until %v, want at most %.1f", worker, n, limitWindow, at.Sub(began), allowed)
+			break
+		}
+	}
+	t.Logf("worker %d got at most %.2f of what its limit allows", worker, worst)
 }
 
 // allowed returns the number of requests that the highest limit between two times allows
--- a/internal/gateway/forwarder/log.go
+++ b/internal/gateway/forwarder/log.go
@@ -47,9 +47,7 @@
 		fields["in_flight"] = x.choice.Load.InFlight
 		fields["queued_tokens"] = x.choice.Load.PromptTokens
 	}
-	if x.access.Limited > 0 {
-		fields["limited"] = x.access.Limited
-	}
+	x.addLimitFields(now, fields)
 	if u := x.choice.Upstream; u != nil {
 		fields["upstream"] = u.ID
 		fields["read_tokens"] = x.choice.PromptTokens
@@ -66,9 +64,6 @@
 			fields["send_ms"] = at.Sub(x.sentAt).Milliseconds()
 		}
 		x.addWeightsFields(fields)
-		if perSecond, age, limited := x.cfg.Noticer.Limit(now, u); limited {
-			fields["limit_per_second"], fields["limit_age_ms"] = perSecond, age.Milliseconds()
-		}
 	}
 	if x.choice.Source != nil {
 		fields["source"] = x.choice.Source.ID
@@ -93,6 +88,21 @@
 	}
 }
 
+// addLimitFields adds the number of upstreams that took no request at the latest choice
+// since they have a limit, and the limit of the chosen one.
+func (x *exchange) addLimitFields(now time.Time, fields logrus.Fields) {
+	if x.access.Limited > 0 {
+		fields["limited"] = x.access.Limited
+	}
+	u := x.choice.Upstream
+	if u == nil {
+		return
+	}
+	if perSecond, age, limited := x.cfg.Noticer.Limit(now, u); limited {
+		fields["limit_per_second"], fields["limit_age_ms"] = perSecond, age.Milliseconds()
+	}
+}
+
 // logRetry logs a failed attempt that is followed by another.
 func (x *exchange) logRetry(u *registrar.Upstream, failure *caller.Failure) {
 	x.cfg.Log.WithError(failure).WithFields(logrus.Fields{
--- a/internal/routing/throttler/allocator.go
+++ b/internal/routing/throttler/allocator.go
@@ -21,6 +21,7 @@
 	fleet       Fleet
 	vms         map[K]*allocatedVM
 	allocations map[Process]*allocation[K]
+	endings     endings
 	changes     map[Process]Statement
 }
 
@@ -56,6 +57,7 @@
 	return &Allocator[K]{
 		vms:         make(map[K]*allocatedVM),
 		allocations: make(map[Process]*allocation[K]),
+		endings:     make(endings),
 		changes:     make(map[Process]Statement),
 	}
 }
@@ -128,7 +130,7 @@
 		al.refill(now)
 	}
 	before := al.limit
-	al.limit = before.apply(r.Statement)
+	al.limit = a.endings.apply(r.Process, before, r.Statement)
 	switch {
 	case al.limit == nil:
 		delete(a.allocations, r.Process)
--- a/internal/routing/throttler/statement.go
+++ b/internal/routing/throttler/statement.go
@@ -64,6 +64,27 @@
 	return l
 }
 
+// endings holds the processes whose limit has ended, with the time at which the request was
+// sent whose response has shown it. Other VMs repeat an earlier statement until they learn
+// of the end.
+type endings map[Process]time.Time
+
+// apply applies a statement of a process with the limit l, and returns the result.
+func (e endings) apply(p Process, l *limit, s Statement) *limit {
+	if at, ended := e[p]; ended && l == nil && s.Limited && !s.At.After(at) {
+		return nil
+	}
+	after := l.apply(s)
+	switch {
+	case after != nil:
+		delete(e, p)
+	case l != nil:
+		dropOldest(e, func(at time.Time) time.Time { return at })
+		e[p] = s.SentAt
+	}
+	return after
+}
+
 func laterTime(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/routing/throttler/statement_test.go
+++ b/internal/routing/throttler/statement_test.go
@@ -116,4 +116,8 @@
 	is.Equal(len(changes), 1)
 	is.True(!changes[0].Limited)
 	is.True(th.Empty())
+	// Another VM has not learned of the end yet.
+	hub.Record(at(1720), 2, reports[0])
+	is.Equal(len(hub.DrainChanges()), 0)
+	is.Equal(len(hub.Limits()), 0)
 }
--- a/internal/routing/throttler/throttler.go
+++ b/internal/routing/throttler/throttler.go
@@ -26,6 +26,7 @@
 // that each VM keeps for itself add up to hundreds of times as many.
 type Throttler struct {
 	records map[Process]*record
+	endings endings
 	fleet   Fleet
 	// hubUntil is the time until which the hub's grants are used.
 	hubUntil time.Time
@@ -68,7 +69,7 @@
 
 // New returns a Throttler without limits.
 func New() *Throttler {
-	return &Throttler{records: make(map[Process]*record), unreported: make(map[Process]Statement)}
+	return &Throttler{records: make(map[Process]*record), endings: make(endings), unreported: make(map[Process]Statement)}
 }
 
 // Empty reports whether no process has a limit.
@@ -153,7 +154,7 @@
 		r = &record{savedAt: now}
 	}
 	before := r.limit
-	r.limit = before.apply(s)
+	r.limit = t.endings.apply(p, before, s)
 	switch {
 	case r.limit == nil:
 		delete(t.records, p)
--- a/internal/upstream/noticer/limit_test.go
+++ b/internal/upstream/noticer/limit_test.go
@@ -129,7 +129,7 @@
 func newRouters(row routerLimitRow, target caller.Target) []*noticer.Processes {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	var nodes []string
+	nodes := make([]string, 0, row.Routers)
 	for n := range row.Routers {
 		nodes = append(nodes, fmt.Sprint("vm", n))
 	}
--- a/internal/upstream/noticer/noticer.go
+++ b/internal/upstream/noticer/noticer.go
@@ -258,25 +258,7 @@
 	}
 	s := Split{Open: make([]*registrar.Upstream, 0, len(list))}
 	for _, u := range list {
-		access := n.withholder.Access(now, u)
-		if access != withholder.Open && !usable(u) {
-			continue
-		}
-		s.Unverified = s.Unverified || access != withholder.Open && n.withholder.Unverified(now, u)
-		if (access == withholder.Open || access == withholder.LastResort) && !n.mayTakeRequest(now, u, usable, &s) {
-			continue
-		}
-		switch access {
-		case withholder.Open:
-			s.Open = append(s.Open, u)
-		case withholder.LastResort:
-			s.addLastResort(u, n.withholder.DrainUntil(now, u))
-		case withholder.Paced:
-			s.Paced = true
-		case withholder.Held:
-			s.addHeld(n.withholder.HeldUntil(u))
-		case withholder.Closed:
-		}
+		n.addTo(&s, now, u, usable)
 	}
 	if s.Unverified {
 		select {
@@ -287,9 +269,33 @@
 	return s
 }
 
+// addTo adds u to a Split. The caller holds n.mu.
+func (n *Noticer) addTo(s *Split, now time.Time, u *registrar.Upstream, usable func(*registrar.Upstream) bool) {
+	access := n.withholder.Access(now, u)
+	if access != withholder.Open && !usable(u) {
+		return
+	}
+	s.Unverified = s.Unverified || access != withholder.Open && n.withholder.Unverified(now, u)
+	switch access {
+	case withholder.Open:
+		if n.mayTakeRequest(s, now, u, usable) {
+			s.Open = append(s.Open, u)
+		}
+	case withholder.LastResort:
+		if n.mayTakeRequest(s, now, u, usable) {
+			s.addLastResort(u, n.withholder.DrainUntil(now, u))
+		}
+	case withholder.Paced:
+		s.Paced = true
+	case withholder.Held:
+		s.addHeld(n.withholder.HeldUntil(u))
+	case withholder.Closed:
+	}
+}
+
 // mayTakeRequest reports whether a request to u is within its limit now. Otherwise it asks
 // for one and counts u in s. The caller holds n.mu.
-func (n *Noticer) mayTakeRequest(now time.Time, u *registrar.Upstream, usable func(*registrar.Upstream) bool, s *Split) bool {
+func (n *Noticer) mayTakeRequest(s *Split, now time.Time, u *registrar.Upstream, usable func(*registrar.Upstream) bool) bool {
 	p := throttler.ProcessOf(u)
 	if n.throttler.MaySend(now, p) {
 		return true
