Limits: ask a process that takes none at least once in four seconds

A process that takes 0 or 0.01 requests a second was asked once in ten seconds whether that still holds, and callers were refused for that long after the end.

--- a/internal/routing/throttler/allocator.go
+++ b/internal/routing/throttler/allocator.go
@@ -9,8 +9,8 @@
 const (
 	// burstRequests and burstTime are the requests that the hub grants at once after a time
 	// without any: burstRequests, and what the limit allows in burstTime.
-	burstRequests = 2
-	burstTime     = 250 * time.Millisecond
+	burstRequests = 1
+	burstTime     = 500 * time.Millisecond
 	// wantedTTL is how long after a report its wanted requests are granted.
 	wantedTTL = 500 * time.Millisecond
 )
--- a/internal/routing/throttler/throttler.go
+++ b/internal/routing/throttler/throttler.go
@@ -6,7 +6,7 @@
 	// maxRecords bounds the number of processes with a limit.
 	maxRecords = 4096
 	// minPerSecond is the rate at which a process is asked whether its limit still holds.
-	minPerSecond = 0.1
+	minPerSecond = 0.25
 	// grantTTL is the time after the report that a grant answers for which it can be used.
 	// What the hub grants in that time and a window of limits may be sent within the window.
 	grantTTL = 1500 * time.Millisecond
