--- a/internal/standin/soaker/checker.go
+++ b/internal/standin/soaker/checker.go
@@ -76,6 +76,7 @@
 	c.checkUnasked()
 	c.checkLeaving()
 	c.checkCrashing()
+	c.checkLimits()
 	c.checkRollback()
 	c.checkOrders()
 	c.checkBudget()
--- a/internal/standin/soaker/journal.go
+++ b/internal/standin/soaker/journal.go
@@ -53,6 +53,8 @@
 	Upstream string `json:"upstream,omitempty"`
 	// Leaving is true if the response states that its upstream is leaving.
 	Leaving bool `json:"leaving,omitempty"`
+	// Limit is the limit that the response states, if any.
+	Limit string `json:"limit,omitempty"`
 	// Mixed says in which way the response is not that of an upstream to this call,
 	// Disordered in which way a stream is not whole and in order.
 	Mixed      string `json:"mixed,omitempty"`
--- a/internal/standin/soaker/plan.go
+++ b/internal/standin/soaker/plan.go
@@ -40,6 +40,8 @@
 	// Crash makes engines crash on calls with a part in their prompts, some of which callers
 	// send until the end of the step.
 	Crash Kind = "crash"
+	// Limit makes an upstream state a limit, the detail, until the end of the step.
+	Limit Kind = "limit"
 )
 
 // Details of Restart: the process that states that it leaves.
@@ -64,6 +66,9 @@
 	End    time.Duration `json:"end"`
 }
 
+// limitValues are the limits that upstreams state, in requests a second.
+var limitValues = []string{"0", "0.5", "1", "2.5", "4.3", "6.1"}
+
 // Targets lists what a plan may choose from.
 type Targets struct {
 	Gateways  []string
@@ -78,6 +83,8 @@
 	// others.
 	Crashes bool
 	Calm    bool
+	// Limits adds steps in which upstreams state limits, also to a calm plan.
+	Limits bool
 }
 
 const (
@@ -102,10 +109,19 @@
 	earliestCrash  = 0.05
 	latestCrash    = 0.15
 	crashStepShare = 0.6
-	minGap         = 60 * time.Millisecond
-	maxGap         = 600 * time.Millisecond
-	minLength      = 300 * time.Millisecond
-	maxLength      = 2500 * time.Millisecond
+	// limitSeed does so for the steps with limits. Each upstream has limitChance of one, the
+	// first of which begins at earliestLimit to latestLimit of the plan. They last
+	// minLimitShare to maxLimitShare of it, and some are followed by another.
+	limitSeed     = 1 << 61
+	limitChance   = 0.6
+	earliestLimit = 0.05
+	latestLimit   = 0.2
+	minLimitShare = 0.25
+	maxLimitShare = 0.5
+	minGap        = 60 * time.Millisecond
+	maxGap        = 600 * time.Millisecond
+	minLength     = 300 * time.Millisecond
+	maxLength     = 2500 * time.Millisecond
 )
 
 // planner draws the steps of a plan.
@@ -139,6 +155,10 @@
 		begin := p.between(share(length, earliestCrash), share(length, latestCrash))
 		p.steps = append(p.steps, Step{Kind: Crash, Target: crashTarget, Begin: begin, End: begin + share(length, crashStepShare)})
 	}
+	if t.Limits {
+		p.random = rand.New(rand.NewPCG(seed, seed^limitSeed)) //nolint:gosec // A plan must be repeatable.
+		p.addLimits(length)
+	}
 	slices.SortStableFunc(p.steps, func(a, b Step) int { return cmp.Compare(a.Begin, b.Begin) })
 	return p.steps
 }
@@ -155,6 +175,21 @@
 	}
 }
 
+// addLimits appends the steps in which upstreams state limits.
+func (p *planner) addLimits(length time.Duration) {
+	for _, upstream := range p.targets.Upstreams {
+		if p.random.Float64() >= limitChance {
+			continue
+		}
+		begin := p.between(share(length, earliestLimit), share(length, latestLimit))
+		for begin < length {
+			end := min(begin+p.between(share(length, minLimitShare), share(length, maxLimitShare)), length)
+			p.steps = append(p.steps, Step{Kind: Limit, Target: upstream, Detail: p.choose(limitValues), Begin: begin, End: end})
+			begin = end + p.between(minGap, share(length, minLimitShare))
+		}
+	}
+}
+
 func (p *planner) between(low, high time.Duration) time.Duration {
 	return low + time.Duration(p.random.Int64N(int64(high-low)))
 }
--- a/internal/standin/soaker/soaker.go
+++ b/internal/standin/soaker/soaker.go
@@ -66,6 +66,8 @@
 	// all other steps.
 	Crashes bool
 	Calm    bool
+	// Limits makes upstreams state limits.
+	Limits bool
 	// Dir is the folder for settings, logs and the verdict.
 	Dir  string
 	Site Site
@@ -117,7 +119,7 @@
 	s.plan = NewPlan(cfg.Seed, cfg.Length, Targets{
 		Gateways: fleet.names(), Upstreams: fleet.upstreamNames(), Links: fleet.linkNames(),
 		StoreFaults: cfg.Site.StoreFaults(), UpstreamFaults: cfg.Site.UpstreamFaults(), Keys: s.keys[1:],
-		Crashes: cfg.Crashes, Calm: cfg.Calm,
+		Crashes: cfg.Crashes, Calm: cfg.Calm, Limits: cfg.Limits,
 	})
 	if err := s.writeFile("plan.json", s.plan); err != nil {
 		return Verdict{}, err
--- a/internal/standin/soaker/verdict.go
+++ b/internal/standin/soaker/verdict.go
@@ -31,6 +31,8 @@
 	LeftAlone    Promise = "left_alone"
 	// Quarantine is that calls which crash engines do not reach them without an end.
 	Quarantine Promise = "quarantine"
+	// WithinLimit is that upstreams get as many calls as the limits allow that they state.
+	WithinLimit Promise = "within_limit"
 )
 
 // Violation is a broken promise.
