Rehearser and emulator: engines that state limits

deploy/loads/limits.json: engines that state 4.3, 0.5 and 0 requests a second, one after the other and together; VMs divide the limits as gateways do.

--- a/internal/standin/generator/engine.go
+++ b/internal/standin/generator/engine.go
@@ -53,6 +53,8 @@
 	streams      map[string]*stream
 	queuedBlocks int
 	leaving      bool
+	// limit is the limit that responses state, empty for none.
+	limit string
 	// retryAfter lists the Retry-After headers of the next requests, which are
 	// refused.
 	retryAfter []string
--- a/internal/standin/generator/notices.go
+++ b/internal/standin/generator/notices.go
@@ -19,6 +19,20 @@
 	e.retryAfter = append(e.retryAfter, retryAfter...)
 }
 
+// SetLimit sets the limit that the responses to all further requests state, in requests a
+// second; an empty value states none.
+func (e *Engine) SetLimit(perSecond string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.limit = perSecond
+}
+
+func (e *Engine) statedLimit() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.limit
+}
+
 // takeRefusal returns the Retry-After header of a request to refuse, empty if the
 // request is served, and whether the engine is leaving.
 func (e *Engine) takeRefusal() (retryAfter string, leaving bool) {
@@ -44,6 +58,9 @@
 		if leaving {
 			w.Header().Set(encoder.HeaderLeaving, "true")
 		}
+		if limit := s.engine.statedLimit(); limit != "" {
+			w.Header().Set(encoder.HeaderLimit, limit)
+		}
 		if retryAfter != "" {
 			w.Header().Set("Retry-After", retryAfter)
 			writeRefusal(w, http.StatusServiceUnavailable, errHoldOff)
--- a/internal/standin/rehearser/engine.go
+++ b/internal/standin/rehearser/engine.go
@@ -25,6 +25,8 @@
 	// incarnation are discarded.
 	incarnation int
 	statement   statement
+	// limit is nil for an engine that has stated none.
+	limit *engineLimit
 }
 
 func newEngine(cfg *Engines, region int) (*engine, error) {
--- a/internal/standin/rehearser/load.go
+++ b/internal/standin/rehearser/load.go
@@ -24,9 +24,10 @@
 	Kinds      []Kind  `json:"kinds"`
 	Bursts     []Burst `json:"bursts"`
 	Crashes    []Crash `json:"crashes"`
-	// Departures and Refusals are what engines state in their own responses.
+	// Departures, Refusals and Limits are what engines state in their own responses.
 	Departures []Departure `json:"departures"`
 	Refusals   []Refusal   `json:"refusals"`
+	Limits     []Limit     `json:"limits"`
 }
 
 // Engines describes a fleet of identical engines.
@@ -128,6 +129,11 @@
 			return err
 		}
 	}
+	for _, limit := range l.Limits {
+		if err := limit.validate(); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
--- a/internal/standin/rehearser/policy.go
+++ b/internal/standin/rehearser/policy.go
@@ -8,6 +8,7 @@
 	"gentianstep.example/gentianstep/internal/caching/cataloguer"
 	"gentianstep.example/gentianstep/internal/membership/registrar"
 	"gentianstep.example/gentianstep/internal/routing/picker"
+	"gentianstep.example/gentianstep/internal/routing/throttler"
 )
 
 // Names of scheduling policies.
@@ -114,6 +115,7 @@
 	}
 	p.picker.RecordSent(at, q, c)
 	p.r.withholders[p.vm].Admit(at, c.Upstream, false)
+	p.r.sharing.throttlers[p.vm].Take(at, throttler.ProcessOf(c.Upstream))
 	chosen := placement{engine: p.r.index[c.Upstream.ID], source: -1, choice: c}
 	if c.Source != nil && p.r.isOpen(now, p.vm, p.r.index[c.Source.ID]) {
 		chosen.source = p.r.index[c.Source.ID]
@@ -133,7 +135,7 @@
 		OtherLoad:      func(id string) picker.Load { return p.r.reportedLoad(p.vm, p.r.index[id]) },
 		Usable: func(u *registrar.Upstream) bool {
 			n := p.r.index[u.ID]
-			return now >= p.r.engines[n].downUntil && p.r.isOpen(now, p.vm, n)
+			return now >= p.r.engines[n].downUntil && p.r.isOpen(now, p.vm, n) && p.r.withinLimit(now, p.vm, u)
 		},
 		Prompt: &picker.Prompt{
 			Shared:         []picker.SharedPart{{ID: a.subject, Tokens: a.kind.SharedTokens}},
--- a/internal/standin/rehearser/rehearser.go
+++ b/internal/standin/rehearser/rehearser.go
@@ -49,6 +49,9 @@
 	// AfterNotices is the number of requests that reached an engine later than its VM may
 	// send them, since a response had stated that the engine leaves or wants none.
 	AfterNotices int `json:"after_notices"`
+	// OverLimits is the number of requests that reached an engine beyond the limit that it
+	// had stated to their VMs.
+	OverLimits int `json:"over_limits"`
 	// Seconds holds the benefit by the second in which requests arrived.
 	Seconds []Second `json:"seconds"`
 }
@@ -111,6 +114,7 @@
 	// withholders hold the notices that each VM has received.
 	withholders []*withholder.Withholder
 	noticeRNG   *rand.Rand
+	sharing     sharing
 	result      Result
 }
 
@@ -157,6 +161,7 @@
 		r.schedule(millis(c.AtMS), func(time.Duration) { r.crash(c) })
 	}
 	r.scheduleNotices(seed)
+	r.scheduleLimits()
 	r.schedule(0, r.syncLoads)
 	for len(r.events) > 0 {
 		e := heap.Pop(&r.events).(event) //nolint:forcetypeassert // Only events are pushed.
@@ -177,6 +182,7 @@
 	for vm := range r.loads {
 		copy(r.syncedLoads[vm], r.loads[vm])
 	}
+	r.shareLimits(now)
 	if next := now + max(millis(r.load.LoadSyncMS), time.Millisecond); next < r.load.end() {
 		r.schedule(next, r.syncLoads)
 	}
@@ -205,6 +211,7 @@
 	p, ok := r.policies[a.vm].choose(now, a)
 	wait := retryInterval
 	if ok {
+		r.countArrival(now, a.vm, p.engine)
 		if r.arrive(now, a.vm, p.engine) {
 			r.send(now, a, p)
 			return
@@ -246,6 +253,7 @@
 		r.policies[a.vm].prefillEnded(p)
 		if e.incarnation == incarnation {
 			r.respond(now, sentAt, a.vm, p.engine, u)
+			r.stateLimit(now, sentAt, a.vm, p.engine, u)
 			r.countFirstToken(a, now)
 		}
 	})
--- a/internal/standin/rehearser/rehearser_test.go
+++ b/internal/standin/rehearser/rehearser_test.go
@@ -99,6 +99,19 @@
 	is.True(simulate(t, l, rehearser.LeastLoaded, 0).AfterNotices > 0)
 }
 
+// TestLimitsAreKeptOverAllVMs plays engines that state limits, one after the other and
+// several at the same time.
+func TestLimitsAreKeptOverAllVMs(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	l := readLoad(t, filepath.Join(loadsDir, "limits.json"))
+	for seed := range uint64(noticeSeeds) {
+		is.Equal(simulate(t, l, rehearser.PrefixCost, seed).OverLimits, 0)
+	}
+	// The check finds a policy that does not consider limits.
+	is.True(simulate(t, l, rehearser.LeastLoaded, 0).OverLimits > 0)
+}
+
 // TestEqualSeedsGiveEqualResults simulates one load twice.
 func TestEqualSeedsGiveEqualResults(t *testing.T) {
 	t.Parallel()
