--- a/internal/serving/chooser/notices_test.go
+++ b/internal/serving/chooser/notices_test.go
@@ -24,6 +24,7 @@
 	"gentianstep.example/gentianstep/internal/operating/meter"
 	"gentianstep.example/gentianstep/internal/placement/orderer"
 	"gentianstep.example/gentianstep/internal/placement/planner"
+	"gentianstep.example/gentianstep/internal/routing/throttler"
 	"gentianstep.example/gentianstep/internal/routing/withholder"
 	"gentianstep.example/gentianstep/internal/serving/chooser"
 	"gentianstep.example/gentianstep/internal/serving/dispatcher"
@@ -50,6 +51,8 @@
 	Engine     int      `json:"engine"`
 	Leave      bool     `json:"leave"`
 	RetryAfter []string `json:"retry_after"`
+	// Limit sets the limit that the engine states, in requests a second.
+	Limit string `json:"limit"`
 	// Incarnation starts another process of the engine.
 	Incarnation uint64            `json:"incarnation"`
 	Faults      []disrupter.Fault `json:"faults"`
@@ -149,6 +152,7 @@
 	}
 	f.withdrawer.SetUpstreams(names)
 	f.processes.SetUpstreams(f.bundle.Upstreams)
+	f.processes.SetFleet(throttler.NewFleet("router", []string{"router"}))
 	c, err := chooser.New(chooser.Config{
 		Region: "west", AvailabilityZone: "west-1", Departures: f.withdrawer, Notices: f.processes, Log: f.log,
 	})
@@ -255,6 +259,9 @@
 	f.mu.Unlock()
 	u := f.bundle.Upstreams[s.Engine-1]
 	engine.RefuseNext(s.RetryAfter...)
+	if s.Limit != "" {
+		engine.SetLimit(s.Limit)
+	}
 	if s.Leave {
 		engine.Leave()
 	}
