Gateway: copy cache from upstreams that have got as many requests as they take

Callers with a prompt whose parts an engine with a limit holds: the prompt was computed again elsewhere, since the engine was no candidate and only candidates were sources of copies. A copy takes no slot of the source.

--- a/internal/gateway/forwarder/log.go
+++ b/internal/gateway/forwarder/log.go
@@ -91,8 +91,8 @@
 // addLimitFields adds the number of upstreams that took no request at the latest choice
 // since they have a limit, and the limit of the chosen one.
 func (x *exchange) addLimitFields(now time.Time, fields logrus.Fields) {
-	if x.access.Limited > 0 {
-		fields["limited"] = x.access.Limited
+	if n := len(x.access.Limited); n > 0 {
+		fields["limited"] = n
 	}
 	u := x.choice.Upstream
 	if u == nil {
--- a/internal/gateway/forwarder/withhold.go
+++ b/internal/gateway/forwarder/withhold.go
@@ -33,7 +33,7 @@
 	x.access = x.cfg.Noticer.Split(now, q.Upstreams, func(u *registrar.Upstream) bool {
 		return !q.Exclude[u.ID] && (q.Usable == nil || q.Usable(u))
 	})
-	q.Upstreams, x.lastResort = x.access.Open, false
+	q.Upstreams, q.Sources, x.lastResort = x.access.Open, x.access.Limited, false
 	x.choice = x.picker.Choose(now, q)
 	if x.choice.Reason != picker.NoUpstream || len(x.access.LastResort) == 0 {
 		return q
@@ -53,7 +53,7 @@
 	if x.access.Unverified && now.Before(soon) {
 		return nil
 	}
-	if x.access.Limited > 0 {
+	if len(x.access.Limited) > 0 {
 		return x.refuseLimited(now, soon)
 	}
 	if !x.access.Paced && x.access.BackAt.IsZero() {
@@ -79,7 +79,7 @@
 // accessChangeAt returns the time until which a request that waits for capacity
 // need not check the upstreams, at most until.
 func (x *exchange) accessChangeAt(now, until time.Time) time.Time {
-	if x.access.Paced || x.access.Unverified || x.access.Limited > 0 {
+	if x.access.Paced || x.access.Unverified || len(x.access.Limited) > 0 {
 		until = earlierTime(until, now.Add(pacedPollInterval))
 	}
 	for _, at := range []time.Time{x.access.BackAt, x.access.ClosesAt} {
@@ -157,7 +157,7 @@
 	if x.choice.Source == nil {
 		return nil
 	}
-	for _, u := range x.access.Open {
+	for _, u := range slices.Concat(x.access.Open, x.access.Limited) {
 		if u.ID == x.choice.Source.ID {
 			return u
 		}
--- a/internal/routing/picker/held.go
+++ b/internal/routing/picker/held.go
@@ -64,7 +64,7 @@
 func (e *costEstimator) fetchSources(holdings map[string]cataloguer.Holding) []fetchSource {
 	var list []fetchSource
 	best := make(map[string]fetchSource)
-	for _, u := range e.query.Upstreams {
+	for _, u := range slices.Concat(e.query.Upstreams, e.query.Sources) {
 		holding := holdings[u.ID]
 		if holding.Tokens < minFetchTokens || holding.Pending {
 			continue
--- a/internal/routing/picker/picker_test.go
+++ b/internal/routing/picker/picker_test.go
@@ -29,6 +29,8 @@
 	Unreachable bool `json:"down"`
 	Failing     bool `json:"failing"`
 	Unusable    bool `json:"unfit"`
+	// Limited is true if the upstream takes no request now.
+	Limited bool `json:"limited"`
 	// CopyingMS is the time in ms that copies keep the upstream's link busy.
 	CopyingMS int `json:"copying_ms"`
 }
@@ -146,10 +148,15 @@
 		if u.HeldTokens > 0 {
 			holders[u.ID] = cataloguer.Holding{Tokens: u.HeldTokens, Pending: u.Coming}
 		}
-		q.Upstreams = append(q.Upstreams, &registrar.Upstream{
+		upstream := &registrar.Upstream{
 			ID: u.ID, AvailabilityZone: u.AvailabilityZone, Slots: 24,
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 80),
-		})
+		}
+		if u.Limited {
+			q.Sources = append(q.Sources, upstream)
+		} else {
+			q.Upstreams = append(q.Upstreams, upstream)
+		}
 	}
 	if row.StoreHeldTokens > 0 {
 		holders[storeID] = cataloguer.Holding{Tokens: row.StoreHeldTokens}
--- a/internal/routing/picker/query.go
+++ b/internal/routing/picker/query.go
@@ -87,6 +87,8 @@
 // Query describes a request to route.
 type Query struct {
 	Upstreams []*registrar.Upstream
+	// Sources are upstreams that take no request now, but from which KV cache may be copied.
+	Sources []*registrar.Upstream
 	// MaxOwnInFlight is the maximum number of requests that this VM may have in
 	// flight at one upstream, MaxInFlight that of all VMs together.
 	MaxOwnInFlight int
--- a/internal/upstream/noticer/noticer.go
+++ b/internal/upstream/noticer/noticer.go
@@ -248,7 +248,7 @@
 	return open
 }
 
-// Split divides upstreams by their access. BackAt, Paced and Limited count those for
+// Split divides upstreams by their access. BackAt, Paced and Limited concern those for
 // which usable returns true.
 func (n *Noticer) Split(now time.Time, list []*registrar.Upstream, usable func(*registrar.Upstream) bool) Split {
 	n.mu.Lock()
@@ -294,7 +294,7 @@
 }
 
 // mayTakeRequest reports whether a request to u is within its limit now. Otherwise it asks
-// for one and counts u in s. The caller holds n.mu.
+// for one and adds u to s. The caller holds n.mu.
 func (n *Noticer) mayTakeRequest(s *Split, now time.Time, u *registrar.Upstream, usable func(*registrar.Upstream) bool) bool {
 	p := throttler.ProcessOf(u)
 	if n.throttler.MaySend(now, p) {
@@ -302,7 +302,7 @@
 	}
 	if usable(u) {
 		n.throttler.Want(p)
-		s.Limited++
+		s.Limited = append(s.Limited, u)
 		s.LimitPerSecond += n.throttler.EvenShare(p)
 	}
 	return false
--- a/internal/upstream/noticer/split.go
+++ b/internal/upstream/noticer/split.go
@@ -21,9 +21,9 @@
 	Paced bool
 	// BackAt is the earliest end of a hold-off, zero if there is none.
 	BackAt time.Time
-	// Limited is the number of upstreams that take no request of this VM now since they
-	// have a limit, and LimitPerSecond this VM's even share of their limits.
-	Limited        int
+	// Limited holds the upstreams that take no request of this VM now since they have a
+	// limit, and LimitPerSecond is this VM's even share of their limits.
+	Limited        []*registrar.Upstream
 	LimitPerSecond float64
 }
 
