Tests: one count of requests in a window for all stand-ins of limits

The rule of the users (1.5 times the limit in any 4 s, and 5) stood in five places of tests and stand-ins; it is in testing/windower now, with the same values.

--- a/internal/gateway/forwarder/limit_test.go
+++ b/internal/gateway/forwarder/limit_test.go
@@ -10,19 +10,10 @@
 	"time"
 
 	"gentianstep.example/gentianstep/internal/testing/scripter"
+	"gentianstep.example/gentianstep/internal/testing/windower"
 )
 
 const (
-	// limitSettling is the time after the first statement of a limit from which on it must
-	// be kept, limitWindow the span in which requests are counted.
-	limitSettling = 3 * time.Second
-	limitWindow   = 4 * time.Second
-	// limitFactor and limitExtra are what a limit allows in each window: limitFactor times
-	// the limit and limitExtra requests.
-	limitFactor = 1.5
-	limitExtra  = 5.0
-	// toldAfter is the time after which a VM that has passed a statement on counts.
-	toldAfter = 500 * time.Millisecond
 	// minServedShare is the least share of what is usually served, where other upstreams can
 	// take the requests, and of the limits otherwise.
 	minServedShare = 0.7
@@ -210,7 +201,7 @@
 }
 
 // countedArrivals returns when a worker got requests from VMs that had passed its statement
-// on toldAfter before.
+// on windower.CountsAfter before.
 func (f *fleet) countedArrivals(row limitRow, worker int, began time.Time, told map[int]time.Time) []time.Time {
 	endsAt := began.Add(time.Duration(row.EndsMS) * time.Millisecond)
 	var counted []time.Time
@@ -219,7 +210,7 @@
 		if a.worker != worker || err != nil || row.EndsMS > 0 && worker == 0 && a.at.After(endsAt) {
 			continue
 		}
-		if at, ok := told[number%row.loadVMs()]; ok && !a.at.Before(at.Add(toldAfter)) {
+		if at, ok := told[number%row.loadVMs()]; ok && !a.at.Before(at.Add(windower.CountsAfter)) {
 			counted = append(counted, a.at)
 		}
 	}
@@ -230,18 +221,15 @@
 func (f *fleet) checkLimit(t *testing.T, row limitRow, worker int, began, first time.Time, counted []time.Time) {
 	t.Helper()
 	var worst float64
-	from := 0
-	for i, at := range counted {
-		for !at.Before(counted[from].Add(limitWindow)) {
-			from++
-		}
-		allowed, limited := row.allowed(began, counted[from], at)
-		if !limited || !at.After(first.Add(limitSettling)) {
+	var window windower.Window
+	for _, at := range counted {
+		n := window.Add(at)
+		allowed, limited := row.allowed(began, window.Start(), at)
+		if !limited || !at.After(first.Add(windower.Settling)) {
 			continue
 		}
-		n := i - from + 1
 		if worst = max(worst, float64(n)/allowed); worst > 1 {
-			t.Errorf("worker %d got %d requests in %v until %v, want at most %.1f", worker, n, limitWindow, at.Sub(began), allowed)
+			t.Errorf("worker %d got %d requests in %v until %v, want at most %.1f", worker, n, windower.Length, at.Sub(began), allowed)
 			break
 		}
 	}
@@ -270,7 +258,7 @@
 		}
 		highest, known = max(highest, perSecond), true
 	}
-	return limitFactor*highest*limitWindow.Seconds() + limitExtra, known
+	return windower.Allowed(highest), known
 }
 
 // checkBack checks that the first worker gets its usual part of the requests again.
@@ -300,7 +288,7 @@
 // are refused at once.
 func checkServed(t *testing.T, row limitRow, began time.Time, results []limitResult) {
 	t.Helper()
-	from := began.Add(time.Duration(row.Steps[0].MS)*time.Millisecond + limitSettling)
+	from := began.Add(time.Duration(row.Steps[0].MS)*time.Millisecond + windower.Settling)
 	until := began.Add(time.Duration(row.Seconds) * time.Second)
 	if n := len(row.Steps); n > 1 {
 		until = began.Add(time.Duration(row.Steps[n-1].MS) * time.Millisecond)
--- a/internal/routing/throttler/model_test.go
+++ b/internal/routing/throttler/model_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"gentianstep.example/gentianstep/internal/testing/scripter"
+	"gentianstep.example/gentianstep/internal/testing/windower"
 )
 
 const (
@@ -21,11 +22,6 @@
 	pushEvery   = 40 * time.Millisecond
 	maxDelay    = 60 * time.Millisecond
 	heldFor     = 3 * time.Second
-	// windowLength, windowFactor and windowExtra are what the users allow: in any span of
-	// that length windowFactor times the limit, and windowExtra requests.
-	windowLength = 4 * time.Second
-	windowFactor = 1.5
-	windowExtra  = 5.0
 )
 
 var modelStart = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -39,8 +35,8 @@
 	// do, all if it is 0.
 	Press    float64 `json:"press"`
 	Pressing int     `json:"pressing"`
-	// Hubs is the number of VMs that act as hub at the same time, 1 if it is 0; each VM
-	// knows one of them. Hubless is the part of VMs that never reach one.
+	// Hubs is the number of VMs that act as hub at the same time, 1 if it is 0; each VM is
+	// connected to one of them. Hubless is the part of VMs that never reach one.
 	Hubs    int     `json:"hubs"`
 	Hubless float64 `json:"hubless"`
 	// Cuts and Restarts are the chances a second that a VM loses its hub for some seconds,
@@ -124,7 +120,7 @@
 
 var modelProcess = Process{Upstream: "u", StartedMillis: 1}
 
-// start gives a VM a throttler that has just been told of the limit.
+// start gives a VM a throttler that has just received the limit.
 func (m *model) start(now time.Time, vm *modelVM) {
 	vm.throttler = New()
 	vm.throttler.SetFleet(now, NewFleet(vm.node, m.fleet))
@@ -266,18 +262,15 @@
 // check compares the requests in each window with what the limit allows.
 func (m *model) check(t *testing.T, run int) {
 	t.Helper()
-	allowed := windowFactor*m.row.PerSecond*windowLength.Seconds() + windowExtra
-	first, worst := 0, 0
-	for i, at := range m.sent {
-		for !at.Before(m.sent[first].Add(windowLength)) {
-			first++
-		}
-		worst = max(worst, i-first+1)
+	allowed, worst := windower.Allowed(m.row.PerSecond), 0
+	var window windower.Window
+	for _, at := range m.sent {
+		worst = max(worst, window.Add(at))
 	}
 	used := float64(len(m.sent)) / modelRun.Seconds()
 	t.Logf("run %d: at most %d of %.1f requests in a window, %.2f a second", run, worst, allowed, used)
 	if float64(worst) > allowed {
-		t.Errorf("run %d: got %d requests in %v, want at most %.1f", run, worst, windowLength, allowed)
+		t.Errorf("run %d: got %d requests in %v, want at most %.1f", run, worst, windower.Length, allowed)
 	}
 	if used < m.row.MinUsed*m.row.PerSecond {
 		t.Errorf("run %d: got %.2f requests a second, want at least %.2f of %.2f", run, used, m.row.MinUsed, m.row.PerSecond)
--- a/internal/routing/throttler/returns.go
+++ b/internal/routing/throttler/returns.go
@@ -12,8 +12,8 @@
 // Returns spreads the clients that were refused because of limits, so that they come back
 // at the rate at which a VM may send requests. The zero value is ready for use.
 //
-// Load: a thousand clients a second at upstreams that take twenty. All are told to come back
-// within the second in which the next twenty are taken.
+// Load: a thousand clients a second at upstreams that take twenty. If all come back when the next
+// one is taken, nearly all are refused again.
 type Returns struct {
 	// nextAt is the time for the next client.
 	nextAt time.Time
--- a/internal/routing/throttler/share.go
+++ b/internal/routing/throttler/share.go
@@ -21,14 +21,14 @@
 	nodes []string
 }
 
-// NewFleet returns the fleet of a VM and all VMs that it knows. own is empty for none.
+// NewFleet returns the fleet of a VM and all VMs in its directory. own is empty for none.
 func NewFleet(own string, nodes []string) Fleet {
 	nodes = slices.Clone(nodes)
 	slices.Sort(nodes)
 	return Fleet{own: own, nodes: slices.Compact(nodes)}
 }
 
-// NewUnnamedFleet returns the fleet of a VM that knows only how many VMs there are.
+// NewUnnamedFleet returns the fleet of a VM for which only the number of VMs is given.
 func NewUnnamedFleet(own string, n int) Fleet {
 	nodes := []string{own}
 	for i := 1; i < n; i++ {
--- a/internal/standin/rehearser/limit.go
+++ b/internal/standin/rehearser/limit.go
@@ -6,17 +6,7 @@
 
 	"gentianstep.example/gentianstep/internal/membership/registrar"
 	"gentianstep.example/gentianstep/internal/routing/throttler"
-)
-
-const (
-	// limitWindow is the span in which limitFactor times a limit and limitExtra requests may
-	// reach an engine, from limitSettling after its first statement on.
-	limitWindow   = 4 * time.Second
-	limitSettling = 3 * time.Second
-	limitFactor   = 1.5
-	limitExtra    = 5.0
-	// toldAfter is the time after its first response with the limit from which on a VM counts.
-	toldAfter = 500 * time.Millisecond
+	"gentianstep.example/gentianstep/internal/testing/windower"
 )
 
 // Limit makes a share of the engines state for a time how many requests a second they take
@@ -45,7 +35,7 @@
 	// VM received its first one.
 	statedAt time.Duration
 	toldAt   map[int]time.Duration
-	arrivals []time.Duration
+	window   windower.Window
 }
 
 // sharing is the exchange of limits between VMs, in place of the hub.
@@ -130,15 +120,11 @@
 	if l == nil || now >= l.until {
 		return
 	}
-	if at, told := l.toldAt[vm]; !told || now < at+toldAfter {
+	if at, told := l.toldAt[vm]; !told || now < at+windower.CountsAfter {
 		return
 	}
-	for len(l.arrivals) > 0 && now >= l.arrivals[0]+limitWindow {
-		l.arrivals = l.arrivals[1:]
-	}
-	l.arrivals = append(l.arrivals, now)
-	allowed := limitFactor*l.perSecond*limitWindow.Seconds() + limitExtra
-	if now >= l.statedAt+limitSettling && float64(len(l.arrivals)) > allowed {
+	count := l.window.Add(r.epoch.Add(now))
+	if now >= l.statedAt+windower.Settling && float64(count) > windower.Allowed(l.perSecond) {
 		r.result.OverLimits++
 	}
 }
--- a/internal/standin/soaker/checker_limits.go
+++ b/internal/standin/soaker/checker_limits.go
@@ -5,16 +5,8 @@
 	"strconv"
 	"strings"
 	"time"
-)
 
-const (
-	// limitWindow is the span in which limitFactor times a limit and limitExtra calls may
-	// reach an upstream.
-	limitWindow = 4 * time.Second
-	limitFactor = 1.5
-	limitExtra  = 5.0
-	// toldAfter is the time after a response with a limit from which on its gateway counts.
-	toldAfter = 500 * time.Millisecond
+	"gentianstep.example/gentianstep/internal/testing/windower"
 )
 
 // limitSpan is a time in which a process of an upstream stated a limit.
@@ -53,18 +45,15 @@
 			byProcess[a.Process] = append(byProcess[a.Process], a)
 		}
 	}
-	allowed := limitFactor*s.perSecond*limitWindow.Seconds() + limitExtra
+	allowed := windower.Allowed(s.perSecond)
 	for process, list := range byProcess {
 		told, first := c.toldTimes(s, process)
 		list = slices.DeleteFunc(list, func(a Arrival) bool { return !c.countsForLimit(a, told) })
 		slices.SortFunc(list, func(a, b Arrival) int { return a.At.Compare(b.At) })
-		from := 0
-		for i, a := range list {
-			for !a.At.Before(list[from].At.Add(limitWindow)) {
-				from++
-			}
-			if n := i - from + 1; float64(n) > allowed && a.At.After(first.Add(c.bounds.Stable)) {
-				c.violate(WithinLimit, process, "at %s with a limit of %v a second got %d calls in %s, allowed %.1f", s.place, s.perSecond, n, limitWindow, allowed)
+		var window windower.Window
+		for _, a := range list {
+			if n := window.Add(a.At); float64(n) > allowed && a.At.After(first.Add(c.bounds.Stable)) {
+				c.violate(WithinLimit, process, "at %s with a limit of %v a second got %d calls in %s, allowed %.1f", s.place, s.perSecond, n, windower.Length, allowed)
 				break
 			}
 		}
@@ -106,7 +95,7 @@
 		return false
 	}
 	at, ok := told[gatewayProcess{call.Gateway, call.Process}]
-	if !ok || a.At.Before(at.Add(toldAfter)) {
+	if !ok || a.At.Before(at.Add(windower.CountsAfter)) {
 		return false
 	}
 	excused := func(s Step) bool {
--- a/internal/upstream/noticer/limit.go
+++ b/internal/upstream/noticer/limit.go
@@ -79,8 +79,8 @@
 	n.throttler.SetFleet(time.Now(), f)
 }
 
-// LimitReports returns what the hub is to be told of limits since the last call, or of all
-// limits, and whether this VM uses its own share of them.
+// LimitReports returns the changes of limits since the last call for the hub, or all limits,
+// and whether this VM uses its own share of them.
 func (n *Noticer) LimitReports(all bool) (list []throttler.Report, alone bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/upstream/noticer/limit_test.go
+++ b/internal/upstream/noticer/limit_test.go
@@ -19,6 +19,7 @@
 	"gentianstep.example/gentianstep/internal/routing/withholder"
 	"gentianstep.example/gentianstep/internal/streaming/encoder"
 	"gentianstep.example/gentianstep/internal/testing/scripter"
+	"gentianstep.example/gentianstep/internal/testing/windower"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
 	"gentianstep.example/gentianstep/internal/upstream/noticer"
 )
@@ -28,15 +29,6 @@
 	answerTime = 50 * time.Millisecond
 	// limitRun is the time for which requests press.
 	limitRun = 30 * time.Second
-	// limitWindow is the span in which limitFactor times the limit and limitExtra requests
-	// are allowed, from limitSettling after the first response on.
-	limitWindow   = 4 * time.Second
-	limitSettling = 3 * time.Second
-	limitFactor   = 1.5
-	limitExtra    = 5.0
-	// toldAfter is the time after its first response with the limit from which on a router
-	// counts.
-	toldAfter = 500 * time.Millisecond
 )
 
 // routerLimitRow is a load on routers in front of one upstream with a limit.
@@ -91,7 +83,7 @@
 			sent++
 			router := n % active
 			mu.Lock()
-			if at := told[router]; !at.IsZero() && !sentAt.Before(at.Add(toldAfter)) {
+			if at := told[router]; !at.IsZero() && !sentAt.Before(at.Add(windower.CountsAfter)) {
 				arrivals = append(arrivals, sentAt)
 			}
 			mu.Unlock()
@@ -106,14 +98,11 @@
 		}
 		time.Sleep(time.Duration(float64(time.Second) / (row.Rate * float64(active))))
 	}
-	allowed := limitFactor*perSecond*limitWindow.Seconds() + limitExtra
-	first := 0
-	for i, at := range arrivals {
-		for !at.Before(arrivals[first].Add(limitWindow)) {
-			first++
-		}
-		if n := i - first + 1; at.After(began.Add(limitSettling)) && float64(n) > allowed {
-			t.Fatalf("got %d requests in %v until %v, want at most %.1f", n, limitWindow, at.Sub(began), allowed)
+	var window windower.Window
+	for _, at := range arrivals {
+		n, allowed := window.Add(at), windower.Allowed(perSecond)
+		if at.After(began.Add(windower.Settling)) && float64(n) > allowed {
+			t.Fatalf("got %d requests in %v until %v, want at most %.1f", n, windower.Length, at.Sub(began), allowed)
 		}
 	}
 	used := float64(sent) / limitRun.Seconds()
