--- a/internal/peering/coordinator/session.go
+++ b/internal/peering/coordinator/session.go
@@ -18,7 +18,7 @@
 	reportNumber uint64
 	// nextFrame is the number of the next frame to send.
 	nextFrame uint64
-	// grants holds the requests that the VM may send and that it has not been told of.
+	// grants holds the grants to the VM that no message has carried yet.
 	grants []Grant
 	// changed has a buffer of one, so that a slow VM blocks nobody.
 	changed chan struct{}
--- a/internal/routing/throttler/allocator.go
+++ b/internal/routing/throttler/allocator.go
@@ -44,7 +44,7 @@
 	// saved is the number of requests that can be granted, as of savedAt.
 	saved   float64
 	savedAt time.Time
-	// wants holds what VMs want to send, the one to be granted next first.
+	// wants holds the demand of VMs, the one to be granted next first.
 	wants []want[K]
 }
 
@@ -158,7 +158,7 @@
 	al.setWanted(now, vm, r.Wanted)
 }
 
-// setWanted replaces what a VM wants. It keeps its place among the other VMs.
+// setWanted replaces the demand of a VM, which keeps its place among the other VMs.
 func (al *allocation[K]) setWanted(now time.Time, vm K, requests int) {
 	if requests <= 0 {
 		return
--- a/internal/routing/throttler/statement.go
+++ b/internal/routing/throttler/statement.go
@@ -65,8 +65,8 @@
 }
 
 // endings holds the processes whose limit has ended, with the time at which the request was
-// sent whose response has shown it. Other VMs repeat an earlier statement until they learn
-// of the end.
+// sent whose response has shown it. Other VMs repeat an earlier statement until the end
+// has reached them.
 type endings map[Process]time.Time
 
 // apply applies a statement of a process with the limit l, and returns the result.
--- a/internal/routing/throttler/statement_test.go
+++ b/internal/routing/throttler/statement_test.go
@@ -80,8 +80,8 @@
 	is.True(!ok)
 }
 
-// TestReportsOfAnotherHub checks that a hub learns of all limits from the first report, and
-// of what VMs want while it has no limit.
+// TestReportsOfAnotherHub checks that the first report restores all limits at another hub, and
+// that a report of demand restores one.
 func TestReportsOfAnotherHub(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
--- a/internal/routing/throttler/throttler.go
+++ b/internal/routing/throttler/throttler.go
@@ -14,12 +14,12 @@
 	// its own share of the limits to the hub, and the time after which the hub leaves it to
 	// a VM that sends no reports.
 	hubTTL = 1500 * time.Millisecond
-	// maxWanted bounds the number of requests that one report asks for.
+	// maxWanted bounds the demand for one process in a report.
 	maxWanted = 1024
 )
 
 // Throttler keeps the requests of one VM within the limits that upstreams have stated. The
-// hub grants requests to the VMs that want to send some. A VM without a hub uses a fixed
+// hub grants requests to the VMs with demand. A VM without a hub uses a fixed
 // share of each limit. It is not safe for concurrent use.
 //
 // Load: hundreds of VMs in front of an upstream that takes four requests a second. Limits
--- a/internal/serving/chooser/access.go
+++ b/internal/serving/chooser/access.go
@@ -14,8 +14,7 @@
 // callers are spread after its end.
 const holdOffSpreadShare = 0.5
 
-// maxReturnAfter is the longest time after which a caller is told to come back that was
-// refused because of limits.
+// maxReturnAfter is the longest Retry-After of a refusal because of limits.
 const maxReturnAfter = time.Minute
 
 // acceptsRequests reports whether an upstream may be sent new requests, that is
@@ -45,8 +44,8 @@
 }
 
 // noCandidate returns the error of a request without a candidate: err, or one that
-// says when the first upstream in a hold-off takes requests again, or one that has got as
-// many as it takes. key is the model or the service. The caller holds c.mu.
+// says when the first upstream in a hold-off takes requests again, or when
+// the caller should retry because of limits. key is the model or the service. The caller holds c.mu.
 func (c *Chooser) noCandidate(now time.Time, key string, names []string, serves func(string) bool, err *classifier.Error) error {
 	if c.cfg.Notices == nil {
 		return err
--- a/internal/standin/rehearser/limit.go
+++ b/internal/standin/rehearser/limit.go
@@ -90,8 +90,8 @@
 	}
 }
 
-// withinLimit reports whether a VM may send a request to an engine. Otherwise it asks for
-// one.
+// withinLimit reports whether a VM may send a request to an engine. Otherwise it records
+// the demand.
 func (r *simulation) withinLimit(now time.Duration, vm int, u *registrar.Upstream) bool {
 	t, p := r.sharing.throttlers[vm], throttler.ProcessOf(u)
 	if t.MaySend(r.epoch.Add(now), p) {
--- a/internal/standin/soaker/checker_limits.go
+++ b/internal/standin/soaker/checker_limits.go
@@ -87,7 +87,7 @@
 	return told, first
 }
 
-// countsForLimit reports whether an arrival is from a gateway that has been told of the limit
+// countsForLimit reports whether an arrival is from a gateway that has passed the limit on
 // and is not excused.
 func (c *checker) countsForLimit(a Arrival, told map[gatewayProcess]time.Time) bool {
 	call := c.byID[a.ID]
--- a/internal/upstream/noticer/noticer.go
+++ b/internal/upstream/noticer/noticer.go
@@ -293,8 +293,8 @@
 	}
 }
 
-// mayTakeRequest reports whether a request to u is within its limit now. Otherwise it asks
-// for one and adds u to s. The caller holds n.mu.
+// mayTakeRequest reports whether a request to u is within its limit now. Otherwise it
+// records the demand and adds u to s. The caller holds n.mu.
 func (n *Noticer) mayTakeRequest(s *Split, now time.Time, u *registrar.Upstream, usable func(*registrar.Upstream) bool) bool {
 	p := throttler.ProcessOf(u)
 	if n.throttler.MaySend(now, p) {
