--- a/internal/gateway/forwarder/fleet_test.go
+++ b/internal/gateway/forwarder/fleet_test.go
@@ -99,6 +99,9 @@
 	return f
 }
 
+// vmAddress returns the address of a VM.
+func vmAddress(n int) string { return fmt.Sprintf("10.0.1.%d:80", n+1) }
+
 // startVM starts the process of a VM.
 func (f *fleet) startVM(t *testing.T, n int) *fleetVM {
 	t.Helper()
@@ -106,7 +109,7 @@
 	entry := f.hubLog.WithField("node", node)
 	calls := caller.New(caller.Config{Dial: f.dial, IdleTimeout: time.Second})
 	ctx, cancel := context.WithCancel(t.Context())
-	vm := &fleetVM{address: fmt.Sprintf("10.0.1.%d:80", n+1), stop: cancel}
+	vm := &fleetVM{address: vmAddress(n), stop: cancel}
 	f.view, f.noticer = coordinator.NewView(), newNoticer(entry)
 	f.noticer.SetFleet(f.throttlerFleet(node))
 	vm.forwarder = f.newForwarder(node, calls, entry)
--- a/internal/gateway/forwarder/limit_test.go
+++ b/internal/gateway/forwarder/limit_test.go
@@ -140,7 +140,7 @@
 	end := time.Now().Add(time.Duration(row.Seconds) * time.Second)
 	for n := 0; time.Now().Before(end); n++ {
 		r := f.request(t, row.Route, strconv.Itoa(n))
-		r.URL.Host, r.URL.Path = f.vms[n%vms].address, fmt.Sprintf("/%s/%d", row.Route, n)
+		r.URL.Host, r.URL.Path = vmAddress(n%vms), fmt.Sprintf("/%s/%d", row.Route, n)
 		if len(row.Load.Parts) > 0 {
 			r.Header.Set("Prompt-Prefix", promptPrefix(row.Load.Parts, n))
 		}
