--- a/review/_stand/gateway.go
+++ b/review/_stand/gateway.go
@@ -145,12 +145,7 @@
 	return nil
 }
 
-// kill ends the process by SIGKILL and waits for its end.
-func (g *gateway) kill() {
-	g.site.Record.printf("%s: process is killed", g.name)
-	g.end()
-}
-
+// end ends the process by SIGKILL and waits for its end.
 func (g *gateway) end() {
 	g.mu.Lock()
 	command, exited := g.command, g.exited
