forwarder: log how the response to the client and that of the upstream end

The log of a stream that ended too early said `answered` and the status of the last upstream, though the client had got another. Nothing said how either response ended.

The request line now has client_status, client_end, upstream_status, upstream_framed, content_type and attempt_events, and attempt_failed has those of its attempt. With them the three hypotheses of the incident differ: an upstream_status over 299 beside client_status 200 (1), upstream_framed false beside client_end complete (2), a last_event behind attempt_events (3). left_ms is left out where a request has no deadline yet; it was - there. No decision changes.

--- a/internal/gateway/forwarder/deliver.go
+++ b/internal/gateway/forwarder/deliver.go
@@ -41,7 +41,7 @@
 	}
 	x.w.WriteHeader(answer.Status)
 	_, err = x.w.Write(body)
-	x.recordOutcome(answer.Status, outcomeAnswered, errors.Join(trailingErr, err))
+	x.recordOutcome(answer.Status, outcomeAnswered, clientComplete, errors.Join(trailingErr, err))
 	return nil
 }
 
@@ -49,6 +49,9 @@
 // request cannot be answered with an error.
 func (x *exchange) commitHeader(answer *caller.Response) {
 	x.cfg.Dialect.CopyHeader(x.w.Header(), answer.Header)
+	if !x.committed {
+		x.clientStatus = answer.Status
+	}
 	x.committed = true
 }
 
@@ -67,11 +70,11 @@
 	}
 	if err != nil {
 		answer.Discard()
-		x.recordOutcome(answer.Status, string(classifier.StreamBroken), err)
+		x.recordOutcome(answer.Status, string(classifier.StreamBroken), clientBrokenOff, err)
 		panic(http.ErrAbortHandler)
 	}
 	x.recordAnswer(answer)
 	err = answer.Finish()
-	x.recordOutcome(answer.Status, outcomeAnswered, err)
+	x.recordOutcome(answer.Status, outcomeAnswered, clientComplete, err)
 	return nil
 }
--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -90,9 +90,13 @@
 	// readingPrompt is true from sending an attempt until the upstream has read
 	// the prompt.
 	readingPrompt bool
-	// committed is true once a response header was sent to the client.
-	committed   bool
-	firstByteAt time.Time
+	// upstreamResponse describes the response to the latest attempt.
+	upstreamResponse upstreamResponse
+	// committed is true once a response header was sent to the client, clientStatus is its
+	// status.
+	committed    bool
+	clientStatus int
+	firstByteAt  time.Time
 	// lastEvent is the ID of the last event that the client has received.
 	lastEvent string
 	events    int
@@ -217,6 +221,7 @@
 	x.attempts++
 	x.sentAt = now
 	x.eventsBefore = x.events
+	x.upstreamResponse = upstreamResponse{}
 	x.firstByteSentAt.Store(nil)
 	options := AttemptOptions{Upstream: u.ID, Deadline: x.deadline, Priority: -1, CacheScope: x.isolationScope(), ResumeAfter: x.lastEvent}
 	options.WeightsVersion = x.expectedWeights(now)
@@ -261,6 +266,7 @@
 	if err != nil {
 		return err
 	}
+	x.upstreamResponse = newUpstreamResponse(answer)
 	x.recordResponse(u, answer.Status, head)
 	x.withdrawal.setVersion(head.WeightsVersion)
 	if head.NotRun {
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -270,7 +270,8 @@
 			wait = max(time.Until(err.RetryAt), time.Millisecond)
 		}
 	}
-	x.recordOutcome(answer.Status, string(err.Kind), err)
+	x.clientStatus = answer.Status
+	x.recordOutcome(answer.Status, string(err.Kind), clientComplete, err)
 	x.cfg.Dialect.SetErrorHeader(x.w.Header(), x.request.ID, wait)
 	text := string(err.Kind) + ": " + err.Detail + "\n"
 	x.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
--- a/internal/gateway/forwarder/log.go
+++ b/internal/gateway/forwarder/log.go
@@ -15,9 +15,18 @@
 // an upstream; any other outcome is an error kind.
 const outcomeAnswered = "answered"
 
+// clientEnd is the logged end of the response to the client.
+type clientEnd string
+
+// Ends of a response to the client.
+const (
+	clientComplete  clientEnd = "complete"
+	clientBrokenOff clientEnd = "broken_off"
+)
+
 // recordOutcome writes the log line and the metrics of a request that ended. It
 // is called once per request.
-func (x *exchange) recordOutcome(status int, outcome string, err error) {
+func (x *exchange) recordOutcome(status int, outcome string, end clientEnd, err error) {
 	now := time.Now()
 	fields := logrus.Fields{
 		"event":      "request",
@@ -26,11 +35,17 @@
 		"status":     status,
 		"attempts":   x.attempts,
 		"total_ms":   now.Sub(x.arrivedAt).Milliseconds(),
+
+		"client_status": x.clientStatus,
+		"client_end":    end,
 	}
+	x.upstreamResponse.addFields(fields)
 	if x.route != nil {
 		fields["route"] = x.route.Name
 		fields["service"] = x.service
 		fields["configuration"] = x.configuration.Version
+	}
+	if !x.deadline.IsZero() {
 		fields["left_ms"] = x.deadline.Sub(now).Milliseconds()
 	}
 	if x.organisation != nil {
@@ -73,6 +88,7 @@
 	}
 	if x.events > 0 {
 		fields["events"] = x.events
+		fields["attempt_events"] = x.events - x.eventsBefore
 		fields["first_event_ms"] = x.firstByteAt.Sub(x.arrivedAt).Milliseconds()
 		x.cfg.Meter.Observe(meter.FirstByteSeconds, x.firstByteAt.Sub(x.arrivedAt))
 	}
@@ -88,6 +104,28 @@
 	}
 }
 
+// upstreamResponse is what the log tells of the head of an upstream's response.
+type upstreamResponse struct {
+	// status is 0 if no response has arrived.
+	status      int
+	contentType string
+	// framed is true if the response states where its body ends.
+	framed bool
+}
+
+func newUpstreamResponse(answer *caller.Response) upstreamResponse {
+	return upstreamResponse{status: answer.Status, contentType: answer.Header.Get("Content-Type"), framed: answer.Framed}
+}
+
+func (r upstreamResponse) addFields(fields logrus.Fields) {
+	if r.status == 0 {
+		return
+	}
+	fields["upstream_status"] = r.status
+	fields["upstream_framed"] = r.framed
+	fields["content_type"] = r.contentType
+}
+
 // addLimitFields adds the number of upstreams that took no request at the latest choice
 // since they have a limit, and the limit of the chosen one.
 func (x *exchange) addLimitFields(now time.Time, fields logrus.Fields) {
@@ -105,15 +143,18 @@
 
 // logRetry logs a failed attempt that is followed by another.
 func (x *exchange) logRetry(u *registrar.Upstream, failure *caller.Failure) {
-	x.cfg.Log.WithError(failure).WithFields(logrus.Fields{
-		"event":      "attempt_failed",
-		"request_id": x.request.ID,
-		"upstream":   u.ID,
-		"attempt":    x.attempts,
-		"not_run":    failure.NotRun,
-		"took_ms":    time.Since(x.sentAt).Milliseconds(),
-		"last_event": x.lastEvent,
-	}).Info("attempt failed, request is retried")
+	fields := logrus.Fields{
+		"event":          "attempt_failed",
+		"request_id":     x.request.ID,
+		"upstream":       u.ID,
+		"attempt":        x.attempts,
+		"not_run":        failure.NotRun,
+		"took_ms":        time.Since(x.sentAt).Milliseconds(),
+		"last_event":     x.lastEvent,
+		"attempt_events": x.events - x.eventsBefore,
+	}
+	x.upstreamResponse.addFields(fields)
+	x.cfg.Log.WithError(failure).WithFields(fields).Info("attempt failed, request is retried")
 }
 
 // logUpstream returns a log entry for a change of an upstream's health that a
--- a/internal/gateway/forwarder/relay.go
+++ b/internal/gateway/forwarder/relay.go
@@ -38,7 +38,7 @@
 	if err == nil {
 		x.recordAnswer(answer)
 		err = answer.Finish()
-		x.recordOutcome(http.StatusOK, outcomeAnswered, err)
+		x.recordOutcome(http.StatusOK, outcomeAnswered, clientComplete, err)
 		return nil
 	}
 	answer.Discard()
--- a/internal/gateway/forwarder/retry.go
+++ b/internal/gateway/forwarder/retry.go
@@ -111,7 +111,7 @@
 // has received a part of a response.
 func (x *exchange) failRequest(ctx context.Context, err *classifier.Error) {
 	if err.Kind == classifier.CallerGone || x.committed {
-		x.recordOutcome(0, string(err.Kind), err)
+		x.recordOutcome(0, string(err.Kind), clientBrokenOff, err)
 		panic(http.ErrAbortHandler) // aborts the connection, so that the response does not look complete
 	}
 	if x.mayHaveRun && classifier.AnswerOf(err.Kind).NotRun {
