--- a/internal/testing/piper/host.go
+++ b/internal/testing/piper/host.go
@@ -16,6 +16,8 @@
 	server   *http.Server
 	// clientConns are the client sides of all connections.
 	clientConns []*clientConn
+	// refuses makes the server refuse new connections.
+	refuses bool
 	// silent makes new connections silent.
 	silent bool
 	// cutAfter is the write limit of new connections, or neverCut.
--- a/internal/testing/piper/network.go
+++ b/internal/testing/piper/network.go
@@ -52,7 +52,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	h := n.hosts[address]
-	if h == nil {
+	if h == nil || h.refuses {
 		return nil, syscall.ECONNREFUSED
 	}
 	clientSide, serverSide := net.Pipe()
@@ -86,6 +86,13 @@
 	}
 }
 
+// Refuse makes the server at address refuse new connections. Open ones stay.
+func (n *Network) Refuse(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.hosts[address].refuses = true
+}
+
 // Lose makes the open connections to address silent for good: writes succeed but
 // are dropped, and reads block until the connection is closed. If frozen is set,
 // later connections are silent too.
