forwarder: nothing but its own rest follows a response that has begun

Cause: a stream breaks off, is sent to another upstream, and that one answers with a status that is no success and is not retried. sendAttempt handed it to sendResponse, which wrote header and body whether or not the response had begun. Each place that writes had to know; only failRequest did. Class: an invariant of the client's connection kept by each of its writers.

The type response is now the only access to the client's connection: it begins once, takes writes only between its begin and its end, and ends as complete only if complete was called; ServeHTTP aborts the connection otherwise. A response that is not of the same status and media type as the begun one fails its attempt, so that another may follow, and the stream is broken off when none is left.

--- a/internal/gateway/forwarder/deliver.go
+++ b/internal/gateway/forwarder/deliver.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 
 	"gentianstep.example/gentianstep/internal/failure/classifier"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
@@ -35,46 +34,43 @@
 	// Finish closes the upstream connection if the body has not ended. It does not
 	// see bytes that follow the end.
 	trailingErr := answer.Finish()
-	x.commitHeader(answer)
-	if x.r.Method != http.MethodHead {
-		x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	}
-	x.w.WriteHeader(answer.Status)
-	_, err = x.w.Write(body)
-	x.recordOutcome(answer.Status, outcomeAnswered, clientComplete, errors.Join(trailingErr, err))
+	err = x.response.sendWhole(answer.Status, body, x.r.Method == http.MethodHead, x.copyHeader(answer))
+	x.recordOutcome(answer.Status, outcomeAnswered, errors.Join(trailingErr, err))
 	return nil
 }
 
-// commitHeader sets the response header for the client. From here on the
-// request cannot be answered with an error.
-func (x *exchange) commitHeader(answer *caller.Response) {
-	x.cfg.Dialect.CopyHeader(x.w.Header(), answer.Header)
-	if !x.committed {
-		x.clientStatus = answer.Status
-	}
-	x.committed = true
+// copyHeader returns a function that sets the header of an upstream's response.
+func (x *exchange) copyHeader(answer *caller.Response) func(h http.Header) {
+	return func(h http.Header) { x.cfg.Dialect.CopyHeader(h, answer.Header) }
 }
 
 // streamBody sends a response to the client as it arrives, after the part that
 // was already read.
 func (x *exchange) streamBody(answer *caller.Response, start []byte) error {
-	x.commitHeader(answer)
-	x.w.WriteHeader(answer.Status)
-	_, err := x.w.Write(start)
-	if err == nil {
-		var n int64
-		limit := int64(maxResponseBytes - len(start))
-		if n, err = io.Copy(x.w, io.LimitReader(answer, limit)); err == nil && n == limit {
-			err = errResponseTooLarge
-		}
-	}
-	if err != nil {
+	if err := x.copyBody(answer, start); err != nil {
 		answer.Discard()
-		x.recordOutcome(answer.Status, string(classifier.StreamBroken), clientBrokenOff, err)
-		panic(http.ErrAbortHandler)
+		x.recordOutcome(answer.Status, string(classifier.StreamBroken), err)
+		return nil
 	}
 	x.recordAnswer(answer)
-	err = answer.Finish()
-	x.recordOutcome(answer.Status, outcomeAnswered, clientComplete, err)
+	err := answer.Finish()
+	x.response.complete()
+	x.recordOutcome(answer.Status, outcomeAnswered, err)
 	return nil
 }
+
+// copyBody sends a body whose start was read to the client until its end.
+func (x *exchange) copyBody(answer *caller.Response, start []byte) error {
+	if err := x.response.begin(answer.Status, x.copyHeader(answer)); err != nil {
+		return err
+	}
+	if _, err := x.response.Write(start); err != nil {
+		return err
+	}
+	limit := int64(maxResponseBytes - len(start))
+	n, err := io.Copy(x.response, io.LimitReader(answer, limit))
+	if err == nil && n == limit {
+		err = errResponseTooLarge
+	}
+	return err
+}
--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -51,8 +51,8 @@
 // exchange holds the state of one client request across its attempts.
 type exchange struct {
 	*Forwarder
-	w http.ResponseWriter
-	r *http.Request
+	r        *http.Request
+	response *response
 
 	request       *Request
 	configuration *matcher.Configuration
@@ -92,11 +92,7 @@
 	readingPrompt bool
 	// upstreamResponse describes the response to the latest attempt.
 	upstreamResponse upstreamResponse
-	// committed is true once a response header was sent to the client, clientStatus is its
-	// status.
-	committed    bool
-	clientStatus int
-	firstByteAt  time.Time
+	firstByteAt      time.Time
 	// lastEvent is the ID of the last event that the client has received.
 	lastEvent string
 	events    int
@@ -143,12 +139,11 @@
 // its request open. The returned function clears the deadline, so that it does
 // not apply to the next request of the connection.
 func (x *exchange) setWriteDeadline() func() {
-	control := http.NewResponseController(x.w)
-	if err := control.SetWriteDeadline(x.deadline.Add(writeGrace)); err != nil {
+	if err := x.response.setWriteDeadline(x.deadline.Add(writeGrace)); err != nil {
 		x.cfg.Log.WithError(err).WithField("event", "deadline_unset").Warn("could not set write deadline of client connection")
 		return func() {}
 	}
-	return func() { _ = control.SetWriteDeadline(time.Time{}) } // fails only on a closed connection
+	return func() { _ = x.response.setWriteDeadline(time.Time{}) } // fails only on a closed connection
 }
 
 // acquireUpstream waits until an upstream has capacity for the request, and
@@ -279,6 +274,10 @@
 		answer.Discard()
 		return &caller.Failure{Upstream: u.ID, Status: answer.Status, Sent: true}
 	}
+	if x.response.begun() && !x.response.isContinuedBy(answer.Status, answer.Header) {
+		answer.Discard()
+		return &caller.Failure{Upstream: u.ID, Status: answer.Status, Sent: true}
+	}
 	if x.route.Kind == matcher.Stream && answer.Status < http.StatusMultipleChoices {
 		return x.relayStream(answer)
 	}
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -9,7 +9,6 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -170,11 +169,17 @@
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
 	request, err := f.cfg.Dialect.Decode(now, r)
-	x := &exchange{Forwarder: f, w: w, r: r, request: &request, arrivedAt: now}
+	x := &exchange{Forwarder: f, response: newResponse(w), r: r, request: &request, arrivedAt: now}
+	x.serve(err)
+	x.response.end()
+}
+
+// serve answers the request, whose head was decoded with err.
+func (x *exchange) serve(err error) {
 	// Prevents request smuggling: an intermediary may parse a chunked body
 	// differently, so the connection is not reused after it.
-	if f.stopping.Load() || len(r.TransferEncoding) > 0 {
-		w.Header().Set("Connection", "close")
+	if x.stopping.Load() || len(x.r.TransferEncoding) > 0 {
+		x.response.closeAfter()
 	}
 	if err != nil {
 		x.writeError(classifier.Wrap(classifier.InvalidRequest, err, "the request's head is not valid"))
@@ -230,18 +235,17 @@
 	if x.r.Body == nil || x.r.Body == http.NoBody {
 		return nil
 	}
-	control := http.NewResponseController(x.w)
-	if err := control.SetReadDeadline(x.deadline); err != nil {
+	if err := x.response.setReadDeadline(x.deadline); err != nil {
 		return classifier.Wrap(classifier.Internal, err, "the connection takes no deadline")
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	body, err := io.ReadAll(x.response.limitBody(x.r.Body, limit))
 	if err != nil {
 		// Keeps the read deadline: net/http reads the rest of the body before
 		// it writes the response.
-		x.w.Header().Set("Connection", "close")
+		x.response.closeAfter()
 		return bodyError(err, limit)
 	}
-	if err := control.SetReadDeadline(time.Time{}); err != nil {
+	if err := x.response.setReadDeadline(time.Time{}); err != nil {
 		return classifier.Wrap(classifier.Internal, err, "the connection takes no deadline")
 	}
 	x.body = body
@@ -270,12 +274,10 @@
 			wait = max(time.Until(err.RetryAt), time.Millisecond)
 		}
 	}
-	x.clientStatus = answer.Status
-	x.recordOutcome(answer.Status, string(err.Kind), clientComplete, err)
-	x.cfg.Dialect.SetErrorHeader(x.w.Header(), x.request.ID, wait)
 	text := string(err.Kind) + ": " + err.Detail + "\n"
-	x.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	x.w.Header().Set("Content-Length", strconv.Itoa(len(text)))
-	x.w.WriteHeader(answer.Status)
-	_, _ = io.WriteString(x.w, text) // the client may have disconnected
+	sendErr := x.response.sendWhole(answer.Status, []byte(text), false, func(h http.Header) {
+		x.cfg.Dialect.SetErrorHeader(h, x.request.ID, wait)
+		h.Set("Content-Type", "text/plain; charset=utf-8")
+	})
+	x.recordOutcome(answer.Status, string(err.Kind), errors.Join(err, sendErr))
 }
--- a/internal/gateway/forwarder/log.go
+++ b/internal/gateway/forwarder/log.go
@@ -15,18 +15,9 @@
 // an upstream; any other outcome is an error kind.
 const outcomeAnswered = "answered"
 
-// clientEnd is the logged end of the response to the client.
-type clientEnd string
-
-// Ends of a response to the client.
-const (
-	clientComplete  clientEnd = "complete"
-	clientBrokenOff clientEnd = "broken_off"
-)
-
 // recordOutcome writes the log line and the metrics of a request that ended. It
 // is called once per request.
-func (x *exchange) recordOutcome(status int, outcome string, end clientEnd, err error) {
+func (x *exchange) recordOutcome(status int, outcome string, err error) {
 	now := time.Now()
 	fields := logrus.Fields{
 		"event":      "request",
@@ -36,8 +27,8 @@
 		"attempts":   x.attempts,
 		"total_ms":   now.Sub(x.arrivedAt).Milliseconds(),
 
-		"client_status": x.clientStatus,
-		"client_end":    end,
+		"client_status": x.response.status,
+		"client_end":    x.response.result(),
 	}
 	x.upstreamResponse.addFields(fields)
 	if x.route != nil {
--- a/internal/gateway/forwarder/overload.go
+++ b/internal/gateway/forwarder/overload.go
@@ -52,7 +52,7 @@
 // where the client retries after a refusal: the time of its first request is
 // not known.
 func (x *exchange) remainingObjective(now time.Time) time.Duration {
-	if !x.route.CarriesPrompt || x.route.TargetLatency <= 0 || x.committed {
+	if !x.route.CarriesPrompt || x.route.TargetLatency <= 0 || x.response.begun() {
 		return 0
 	}
 	return max(x.route.TargetLatency-now.Sub(x.arrivedAt), time.Millisecond)
--- a/internal/gateway/forwarder/relay.go
+++ b/internal/gateway/forwarder/relay.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
 	"strconv"
 	"time"
 
@@ -30,15 +29,17 @@
 // relayStream sends the events of a stream to the client as they arrive. Only
 // complete events are sent, so that another upstream can resume the stream.
 func (x *exchange) relayStream(answer *caller.Response) error {
-	if !x.committed {
-		x.commitHeader(answer)
-		x.w.WriteHeader(answer.Status)
+	if !x.response.begun() {
+		if err := x.response.begin(answer.Status, x.copyHeader(answer)); err != nil {
+			return err
+		}
 	}
 	err := x.copyEvents(answer)
 	if err == nil {
 		x.recordAnswer(answer)
 		err = answer.Finish()
-		x.recordOutcome(http.StatusOK, outcomeAnswered, clientComplete, err)
+		x.response.complete()
+		x.recordOutcome(answer.Status, outcomeAnswered, err)
 		return nil
 	}
 	answer.Discard()
@@ -113,10 +114,10 @@
 	if x.firstByteAt.IsZero() {
 		x.firstByteAt = time.Now()
 	}
-	if _, err := x.w.Write(data); err != nil {
+	if _, err := x.response.Write(data); err != nil {
 		return fmt.Errorf("%w: %w", errClientGone, err)
 	}
-	if err := http.NewResponseController(x.w).Flush(); err != nil {
+	if err := x.response.flush(); err != nil {
 		return fmt.Errorf("%w: %w", errClientGone, err)
 	}
 	return nil
--- a/internal/gateway/forwarder/retry.go
+++ b/internal/gateway/forwarder/retry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"time"
 
 	"gentianstep.example/gentianstep/internal/failure/classifier"
@@ -107,12 +106,12 @@
 }
 
 // failRequest ends a request that got no complete response from an upstream. It
-// responds with an error, or aborts the connection if the client has left or
-// has received a part of a response.
+// responds with an error, unless the client has left or has received a part of a
+// response, which is broken off then.
 func (x *exchange) failRequest(ctx context.Context, err *classifier.Error) {
-	if err.Kind == classifier.CallerGone || x.committed {
-		x.recordOutcome(0, string(err.Kind), clientBrokenOff, err)
-		panic(http.ErrAbortHandler) // aborts the connection, so that the response does not look complete
+	if err.Kind == classifier.CallerGone || x.response.begun() {
+		x.recordOutcome(0, string(err.Kind), err)
+		return
 	}
 	if x.mayHaveRun && classifier.AnswerOf(err.Kind).NotRun {
 		// An earlier attempt may have run, so the error must not state that the
