forwarder: a response without a length is not complete if its upstream crashes

Callers got streams and bodies as complete that lacked their rest.

Cause: a response with neither a length nor chunks ends with its connection, also if the upstream crashes. Any end of the connection counted as the end of the response; on a resumed stream even one before the first event, since the response had events of the upstream before.

When such a response ends, the VM opens a connection to the upstream now: a port that refuses it shows a crash, and the response has broken off. Upstreams that leave are not asked, since they may stop listening before their last response has ended. A resumed stream without an event of its own has broken off too.

--- a/internal/gateway/forwarder/broken_stream_test.go
+++ b/internal/gateway/forwarder/broken_stream_test.go
@@ -23,10 +23,12 @@
 	// ResumeAfter is the last event that the client has.
 	ResumeAfter string           `json:"resume_after"`
 	Answers     []scriptedAnswer `json:"answers"`
-	// Body is what the client gets, Complete whether its response ends as complete.
-	Body     string `json:"body"`
-	Complete bool   `json:"complete"`
-	Status   int    `json:"status"`
+	// Body is what the client gets, or BodyBytes its length, and Complete whether its
+	// response ends as complete.
+	Body      string `json:"body"`
+	BodyBytes int    `json:"body_bytes"`
+	Complete  bool   `json:"complete"`
+	Status    int    `json:"status"`
 	// ResumedAfter lists the last events that the attempts name; empty is not checked.
 	ResumedAfter []string `json:"resumed_after"`
 }
@@ -85,7 +87,11 @@
 	}
 	a := f.do(r)
 	is.Equal(a.status, row.Status)
-	is.Equal(a.body, row.Body)
+	if row.BodyBytes > 0 {
+		is.Equal(len(a.body), row.BodyBytes)
+	} else {
+		is.Equal(a.body, row.Body)
+	}
 	is.Equal(a.err == nil, row.Complete)
 	if len(row.ResumedAfter) > 0 {
 		is.Equal(script.resumedAfter, row.ResumedAfter)
--- a/internal/gateway/forwarder/deliver.go
+++ b/internal/gateway/forwarder/deliver.go
@@ -1,9 +1,11 @@
 package forwarder
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"gentianstep.example/gentianstep/internal/failure/classifier"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
@@ -20,16 +22,38 @@
 // errResponseTooLarge is returned for a response of more than maxResponseBytes.
 var errResponseTooLarge = errors.New("response exceeds the size limit")
 
+// endCheckTimeout bounds the connection that shows whether an upstream has crashed. Ports
+// without a listener refuse it within a round trip.
+const endCheckTimeout = 250 * time.Millisecond
+
+// checkEnd returns io.ErrUnexpectedEOF if a response that has ended is not known to be
+// complete: it does not state where it ends, and its upstream has crashed.
+func (x *exchange) checkEnd(ctx context.Context, answer *caller.Response) error {
+	u := x.choice.Upstream
+	if answer.Framed || !x.isOpen(u) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
+	defer cancel()
+	if x.cfg.Caller.IsRefused(ctx, u.Address) {
+		return io.ErrUnexpectedEOF
+	}
+	return nil
+}
+
 // sendResponse sends a response that is not a stream to the client.
-func (x *exchange) sendResponse(answer *caller.Response) error {
+func (x *exchange) sendResponse(ctx context.Context, answer *caller.Response) error {
 	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes))
+	if err == nil && len(body) == maxBufferedBytes {
+		return x.streamBody(ctx, answer, body)
+	}
+	if err == nil {
+		err = x.checkEnd(ctx, answer)
+	}
 	if err != nil {
 		answer.Discard()
 		return err
 	}
-	if len(body) == maxBufferedBytes {
-		return x.streamBody(answer, body)
-	}
 	x.recordAnswer(answer)
 	// Finish closes the upstream connection if the body has not ended. It does not
 	// see bytes that follow the end.
@@ -46,8 +70,8 @@
 
 // streamBody sends a response to the client as it arrives, after the part that
 // was already read.
-func (x *exchange) streamBody(answer *caller.Response, start []byte) error {
-	if err := x.copyBody(answer, start); err != nil {
+func (x *exchange) streamBody(ctx context.Context, answer *caller.Response, start []byte) error {
+	if err := x.copyBody(ctx, answer, start); err != nil {
 		answer.Discard()
 		x.recordOutcome(answer.Status, string(classifier.StreamBroken), err)
 		return nil
@@ -60,7 +84,7 @@
 }
 
 // copyBody sends a body whose start was read to the client until its end.
-func (x *exchange) copyBody(answer *caller.Response, start []byte) error {
+func (x *exchange) copyBody(ctx context.Context, answer *caller.Response, start []byte) error {
 	if err := x.response.begin(answer.Status, x.copyHeader(answer)); err != nil {
 		return err
 	}
@@ -69,8 +93,11 @@
 	}
 	limit := int64(maxResponseBytes - len(start))
 	n, err := io.Copy(x.response, io.LimitReader(answer, limit))
-	if err == nil && n == limit {
-		err = errResponseTooLarge
+	switch {
+	case err != nil:
+		return err
+	case n == limit:
+		return errResponseTooLarge
 	}
-	return err
+	return x.checkEnd(ctx, answer)
 }
--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -279,13 +279,13 @@
 		return &caller.Failure{Upstream: u.ID, Status: answer.Status, Sent: true}
 	}
 	if x.route.Kind == matcher.Stream && answer.Status < http.StatusMultipleChoices {
-		return x.relayStream(answer)
+		return x.relayStream(ctx, answer)
 	}
 	if err := x.withdrawal.end(); err != nil {
 		answer.Discard()
 		return err
 	}
-	return x.sendResponse(answer)
+	return x.sendResponse(ctx, answer)
 }
 
 // checkResponse decodes the head of the response to the latest attempt and records its
--- a/internal/gateway/forwarder/relay.go
+++ b/internal/gateway/forwarder/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -28,13 +29,13 @@
 
 // relayStream sends the events of a stream to the client as they arrive. Only
 // complete events are sent, so that another upstream can resume the stream.
-func (x *exchange) relayStream(answer *caller.Response) error {
+func (x *exchange) relayStream(ctx context.Context, answer *caller.Response) error {
 	if !x.response.begun() {
 		if err := x.response.begin(answer.Status, x.copyHeader(answer)); err != nil {
 			return err
 		}
 	}
-	err := x.copyEvents(answer)
+	err := x.copyEvents(ctx, answer)
 	if err == nil {
 		x.recordAnswer(answer)
 		err = answer.Finish()
@@ -46,9 +47,9 @@
 	return err
 }
 
-// copyEvents sends the events of a stream to the client until its end. A stream that ends
-// within an event, or before the first one, gives io.ErrUnexpectedEOF.
-func (x *exchange) copyEvents(answer *caller.Response) error {
+// copyEvents sends the events of a stream to the client until its end. A stream that breaks
+// off gives io.ErrUnexpectedEOF.
+func (x *exchange) copyEvents(ctx context.Context, answer *caller.Response) error {
 	var pending []byte
 	buffer := make([]byte, streamReadBytes)
 	idleBytes, lastEvent := 0, x.lastEvent
@@ -67,10 +68,8 @@
 			idleBytes, lastEvent = 0, x.lastEvent
 		}
 		switch {
-		case errors.Is(err, io.EOF) && len(pending) == 0 && (x.events > 0 || x.lastEvent != ""):
-			return nil
 		case errors.Is(err, io.EOF):
-			return io.ErrUnexpectedEOF
+			return x.checkStreamEnd(ctx, answer, len(pending))
 		case err != nil && x.withdrawal.end() != nil:
 			return errWithdrawn
 		case err != nil:
@@ -83,6 +82,20 @@
 	}
 }
 
+// checkStreamEnd returns io.ErrUnexpectedEOF for a stream that has ended with its connection
+// or its last chunk, but within an event, before the first one, or since its upstream has
+// crashed.
+func (x *exchange) checkStreamEnd(ctx context.Context, answer *caller.Response, pending int) error {
+	hasEvents := x.events > 0 || x.lastEvent != ""
+	if !answer.Framed {
+		hasEvents = x.events > x.eventsBefore
+	}
+	if pending > 0 || !hasEvents {
+		return io.ErrUnexpectedEOF
+	}
+	return x.checkEnd(ctx, answer)
+}
+
 // completeEventsLen returns the length of the complete events at the start of
 // data.
 func completeEventsLen(data []byte) int {
--- a/internal/upstream/caller/caller.go
+++ b/internal/upstream/caller/caller.go
@@ -117,7 +117,7 @@
 		Status:            httpResponse.StatusCode,
 		Header:            httpResponse.Header,
 		Reused:            e.wasReused(),
-		Framed:            httpResponse.ContentLength >= 0 || len(httpResponse.TransferEncoding) > 0,
+		Framed:            httpResponse.ContentLength >= 0 || len(httpResponse.TransferEncoding) > 0 || call.Method == http.MethodHead,
 		ctx:               ctx,
 		cancel:            cancel,
 		stopCancel:        stopCancel,
