forwarder: events that were not sent do not count as sent

A faulty upstream spoils one byte of a stream, the number of an event. Callers got streams that ended as complete without the events before it, or with its text, or with events that came from text without a number.

Cause: dropSeenEvents recorded the events of a read before the next one was checked; an error dropped them, and the stream was resumed behind them. IDs that are no numbers were not checked at all, nor that the first event of a resumed stream has a number, nor that an event which counts as seen has been sent.

The events before a wrong one are sent now, then the attempt fails. sequence holds what the client has: numbers must rise by one from the first event on; a number in place of a text or the reverse is wrong; an event below the first one was never sent. A stream is resumed only where it is known behind which event: not behind events without a number, nor while the number of the first event may be the wrong one. A resumed stream must begin with an event that has a number.

--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -93,9 +93,12 @@
 	// upstreamResponse describes the response to the latest attempt.
 	upstreamResponse upstreamResponse
 	firstByteAt      time.Time
-	// lastEvent is the ID of the last event that the client has received.
-	lastEvent string
-	events    int
+	// sequence is the order of the events that the client has received.
+	sequence sequence
+	// resumed is true unless the response has begun and the latest attempt has sent no event
+	// with a number yet, so that it may be something else than the rest of the stream.
+	resumed bool
+	events  int
 	// eventsBefore is the number of events before the latest attempt.
 	eventsBefore int
 	// mayHaveRun is true if an upstream may have run the request.
@@ -107,7 +110,7 @@
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
 	defer x.setWriteDeadline()()
-	x.lastEvent = x.request.ResumeAfter
+	x.sequence = newSequence(x.request.ResumeAfter)
 	x.mu.Lock()
 	x.budget.RecordRequest(x.arrivedAt, x.service)
 	x.mu.Unlock()
@@ -216,9 +219,10 @@
 	x.attempts++
 	x.sentAt = now
 	x.eventsBefore = x.events
+	x.resumed = !x.response.begun()
 	x.upstreamResponse = upstreamResponse{}
 	x.firstByteSentAt.Store(nil)
-	options := AttemptOptions{Upstream: u.ID, Deadline: x.deadline, Priority: -1, CacheScope: x.isolationScope(), ResumeAfter: x.lastEvent}
+	options := AttemptOptions{Upstream: u.ID, Deadline: x.deadline, Priority: -1, CacheScope: x.isolationScope(), ResumeAfter: x.sequence.last}
 	options.WeightsVersion = x.expectedWeights(now)
 	if x.choice.Scope != "" {
 		options.CacheScope, options.WeightsVersion = x.choice.Scope, x.choice.WeightsVersion
--- a/internal/gateway/forwarder/log.go
+++ b/internal/gateway/forwarder/log.go
@@ -141,7 +141,7 @@
 		"attempt":        x.attempts,
 		"not_run":        failure.NotRun,
 		"took_ms":        time.Since(x.sentAt).Milliseconds(),
-		"last_event":     x.lastEvent,
+		"last_event":     x.sequence.last,
 		"attempt_events": x.events - x.eventsBefore,
 	}
 	x.upstreamResponse.addFields(fields)
--- a/internal/gateway/forwarder/relay.go
+++ b/internal/gateway/forwarder/relay.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"strconv"
 	"time"
 
 	"gentianstep.example/gentianstep/internal/streaming/parser"
@@ -52,7 +51,7 @@
 func (x *exchange) copyEvents(ctx context.Context, answer *caller.Response) error {
 	var pending []byte
 	buffer := make([]byte, streamReadBytes)
-	idleBytes, lastEvent := 0, x.lastEvent
+	idleBytes, lastEvent := 0, x.sequence.last
 	for {
 		n, err := answer.Read(buffer)
 		pending = append(pending, buffer[:n]...)
@@ -64,8 +63,8 @@
 			}
 			pending = append(pending[:0], pending[complete:]...)
 		}
-		if x.lastEvent != lastEvent {
-			idleBytes, lastEvent = 0, x.lastEvent
+		if x.sequence.last != lastEvent {
+			idleBytes, lastEvent = 0, x.sequence.last
 		}
 		switch {
 		case errors.Is(err, io.EOF):
@@ -86,7 +85,7 @@
 // or its last chunk, but within an event, before the first one, or since its upstream has
 // crashed.
 func (x *exchange) checkStreamEnd(ctx context.Context, answer *caller.Response, pending int) error {
-	hasEvents := x.events > 0 || x.lastEvent != ""
+	hasEvents := x.events > 0 || x.sequence.last != ""
 	if !answer.Framed {
 		hasEvents = x.events > x.eventsBefore
 	}
@@ -120,9 +119,9 @@
 		x.picker.RecordFirstEvent(x.choice, time.Since(x.sentAt))
 		x.mu.Unlock()
 	}
-	data, err := x.dropSeenEvents(data)
-	if err != nil || len(data) == 0 {
-		return err
+	data, orderErr := x.dropSeenEvents(data)
+	if len(data) == 0 {
+		return orderErr
 	}
 	if x.firstByteAt.IsZero() {
 		x.firstByteAt = time.Now()
@@ -133,27 +132,31 @@
 	if err := x.response.flush(); err != nil {
 		return fmt.Errorf("%w: %w", errClientGone, err)
 	}
-	return nil
+	return orderErr
 }
 
-// dropSeenEvents returns the events of data that the client has not received,
-// and records them as sent.
+// dropSeenEvents returns the events of data that the client has not received, and records
+// them as sent. With an error it returns those before the event that is not the next one.
 func (x *exchange) dropSeenEvents(data []byte) ([]byte, error) {
 	kept := data[:0:0]
 	for len(data) > 0 {
 		end := firstEventLen(data)
 		event := data[:end]
 		data = data[end:]
-		id := eventID(event)
-		if id != "" {
-			skip, err := x.checkEventOrder(id)
+		if id := eventID(event); id != "" {
+			skip, err := x.sequence.accept(id)
 			if err != nil {
-				return nil, err
+				return kept, err
 			}
+			x.resumed = true
 			if skip {
 				continue
 			}
-			x.lastEvent = id
+		} else if !isComment(event) {
+			if !x.resumed {
+				return kept, errNotResumed
+			}
+			x.sequence.acceptUnnumbered()
 		}
 		x.events++
 		kept = append(kept, event...)
@@ -182,23 +185,3 @@
 	}
 	return ""
 }
-
-// checkEventOrder reports whether to skip an event since the client has
-// received it. A gap in the event numbers is an error.
-func (x *exchange) checkEventOrder(id string) (skip bool, err error) {
-	if x.lastEvent == "" {
-		return false, nil
-	}
-	last, lastErr := strconv.ParseUint(x.lastEvent, 10, 64)
-	next, nextErr := strconv.ParseUint(id, 10, 64)
-	if lastErr != nil || nextErr != nil {
-		return false, nil // IDs that are not numbers are not ordered
-	}
-	if next <= last {
-		return true, nil
-	}
-	if next > last+1 {
-		return false, fmt.Errorf("gap in stream: event %d follows event %d", next, last)
-	}
-	return false, nil
-}
--- a/internal/gateway/forwarder/retry.go
+++ b/internal/gateway/forwarder/retry.go
@@ -36,6 +36,9 @@
 	if x.mayHaveRun && !x.route.Repeatable() {
 		return classifier.Wrap(classifier.OutcomeUnknown, err, "the upstream did not answer")
 	}
+	if x.response.begun() && x.sequence.unresumable {
+		return classifier.Wrap(classifier.StreamBroken, err, "the stream cannot be resumed")
+	}
 	unsent := failure.NotRun && failure.Status == 0
 	if unsent {
 		x.attempts-- // nothing was sent, so the attempt does not count
--- /dev/null
+++ b/internal/gateway/forwarder/sequence.go
@@ -0,0 +1,72 @@
+package forwarder
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strconv"
+)
+
+// errNotResumed is returned for a stream that should go on behind an event and has another
+// content instead.
+var errNotResumed = errors.New("response does not resume the stream")
+
+// sequence is the order of the events that the client has. Events of a stream have numbers
+// that rise by one, which tells those apart that are missing or come twice.
+type sequence struct {
+	// last is the ID of the last event, empty if there is none.
+	last string
+	// first is the lowest number that the client has.
+	first uint64
+	// confirmed is true once an event has followed the one before by its number. Until then
+	// the number of the first event may be wrong.
+	confirmed bool
+	// unresumable is true if it is not known behind which event the stream would go on.
+	unresumable bool
+}
+
+// newSequence returns the sequence of a client that has all events up to one, or none.
+func newSequence(resumeAfter string) sequence { return sequence{last: resumeAfter, confirmed: true} }
+
+// accept adds an event to those that the client has. It reports whether to skip the event,
+// since the client has it, and returns an error if it is not the next one.
+func (s *sequence) accept(id string) (skip bool, err error) {
+	if s.last == "" {
+		s.first, _ = strconv.ParseUint(id, 10, 64) // IDs that are not numbers are not ordered
+		s.last, s.confirmed = id, false
+		return false, nil
+	}
+	last, lastErr := strconv.ParseUint(s.last, 10, 64)
+	next, nextErr := strconv.ParseUint(id, 10, 64)
+	switch {
+	case lastErr != nil && nextErr != nil:
+		s.last, s.unresumable = id, true
+		return false, nil
+	case lastErr != nil || nextErr != nil:
+		err = fmt.Errorf("event %q follows event %q", id, s.last)
+	case next > last && next != last+1:
+		err = fmt.Errorf("gap in stream: event %d follows event %d", next, last)
+	case next < s.first:
+		err = fmt.Errorf("event %d follows event %d, and the client has none before %d", next, last, s.first)
+	case next <= last:
+		return true, nil
+	default:
+		s.last, s.confirmed = id, true
+		return false, nil
+	}
+	s.unresumable = s.unresumable || !s.confirmed
+	return false, err
+}
+
+// acceptUnnumbered adds an event without an ID.
+func (s *sequence) acceptUnnumbered() { s.unresumable = true }
+
+// isComment reports whether an event has nothing but comments and empty lines.
+func isComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
