forwarder: begin the response of a stream with its first event

A stream that broke off before its first event had its connection closed without an answer, since the response counted as begun with the head of the upstream's response, although nothing of it was sent. A client could not tell that from a lost request, and a second upstream's error could not be passed on.

The response begins with the first event now. A stream without any event is answered with 502, or with what the next upstream answers. TestCrashesAreLogged asked for a closed connection there; it asks for the 502 now.

--- a/internal/gateway/forwarder/crash_log_test.go
+++ b/internal/gateway/forwarder/crash_log_test.go
@@ -1,6 +1,7 @@
 package forwarder_test
 
 import (
+	"net/http"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -20,7 +21,7 @@
 		r := f.request(t, "stream", "r1")
 		r.URL.Host = f.vms[0].address
 		r.Header.Set("Prompt-Prefix", "shared:10,deadly:20,own:30")
-		is.True(f.do(r).err != nil)
+		is.Equal(f.do(r).status, http.StatusBadGateway)
 		time.Sleep(time.Second)
 		is.Equal(strings.Count(f.log.String(), `"event":"upstream_crashed"`), 1)
 		is.True(strings.Contains(f.log.String(), `"parts":["shared","deadly","own"]`))
--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -95,8 +95,8 @@
 	firstByteAt      time.Time
 	// sequence is the order of the events that the client has received.
 	sequence sequence
-	// resumed is true unless the response has begun and the latest attempt has sent no event
-	// with a number yet, so that it may be something else than the rest of the stream.
+	// resumed is false while the client has events and the latest attempt has sent none with
+	// a number, so that it may be something else than the rest of the stream.
 	resumed bool
 	events  int
 	// eventsBefore is the number of events before the latest attempt.
@@ -219,7 +219,7 @@
 	x.attempts++
 	x.sentAt = now
 	x.eventsBefore = x.events
-	x.resumed = !x.response.begun()
+	x.resumed = x.sequence.last == ""
 	x.upstreamResponse = upstreamResponse{}
 	x.firstByteSentAt.Store(nil)
 	options := AttemptOptions{Upstream: u.ID, Deadline: x.deadline, Priority: -1, CacheScope: x.isolationScope(), ResumeAfter: x.sequence.last}
--- a/internal/gateway/forwarder/relay.go
+++ b/internal/gateway/forwarder/relay.go
@@ -29,12 +29,10 @@
 // relayStream sends the events of a stream to the client as they arrive. Only
 // complete events are sent, so that another upstream can resume the stream.
 func (x *exchange) relayStream(ctx context.Context, answer *caller.Response) error {
-	if !x.response.begun() {
-		if err := x.response.begin(answer.Status, x.copyHeader(answer)); err != nil {
-			return err
-		}
-	}
 	err := x.copyEvents(ctx, answer)
+	if err == nil {
+		err = x.beginStream(answer) // one without an event
+	}
 	if err == nil {
 		x.recordAnswer(answer)
 		err = answer.Finish()
@@ -46,6 +44,14 @@
 	return err
 }
 
+// beginStream begins the response of a stream unless it has begun.
+func (x *exchange) beginStream(answer *caller.Response) error {
+	if x.response.begun() {
+		return nil
+	}
+	return x.response.begin(answer.Status, x.copyHeader(answer))
+}
+
 // copyEvents sends the events of a stream to the client until its end. A stream that breaks
 // off gives io.ErrUnexpectedEOF.
 func (x *exchange) copyEvents(ctx context.Context, answer *caller.Response) error {
@@ -58,7 +64,7 @@
 		idleBytes += n
 		complete := completeEventsLen(pending)
 		if complete > 0 {
-			if err := x.sendEvents(pending[:complete]); err != nil {
+			if err := x.sendEvents(answer, pending[:complete]); err != nil {
 				return err
 			}
 			pending = append(pending[:0], pending[complete:]...)
@@ -110,7 +116,7 @@
 
 // sendEvents sends complete events to the client. It skips events that the
 // client has received before; a gap in the event numbers is an error.
-func (x *exchange) sendEvents(data []byte) error {
+func (x *exchange) sendEvents(answer *caller.Response, data []byte) error {
 	if err := x.withdrawal.end(); err != nil {
 		return err
 	}
@@ -126,6 +132,9 @@
 	if x.firstByteAt.IsZero() {
 		x.firstByteAt = time.Now()
 	}
+	if err := x.beginStream(answer); err != nil {
+		return err
+	}
 	if _, err := x.response.Write(data); err != nil {
 		return fmt.Errorf("%w: %w", errClientGone, err)
 	}
