soaker: soaks of one process take no port of another's gateway

TestSoak failed now and then: not all gateways were ready, one ended again and again since its address was in use, or the stand-in ended by a panic when a link could not listen.

A gateway listens for metrics at the port after its internal one. Soaks that begin at the same time took ports in turn, so that this port could be another's. Both ports are taken together now.

--- a/internal/standin/soaker/fleet.go
+++ b/internal/standin/soaker/fleet.go
@@ -23,12 +23,30 @@
 // portCounter counts the ports that soaks of this process have taken.
 var portCounter atomic.Uint32
 
-// nextAddress returns an unused loopback address. Its IP address derives from the
-// process ID, so that soaks that run at the same time do not meet.
-func nextAddress() netip.AddrPort {
+// processAddress returns a loopback address that derives from the process ID, so that soaks
+// of several processes do not meet.
+func processAddress() netip.Addr {
 	id := os.Getpid()
-	ip := netip.AddrFrom4([4]byte{127, byte(128 + id>>16&63), byte(id >> 8), byte(id)}) //nolint:gosec // The bytes of the ID are wanted.
-	return netip.AddrPortFrom(ip, uint16(firstPort+portCounter.Add(1)%(lastPort-firstPort)))
+	return netip.AddrFrom4([4]byte{127, byte(128 + id>>16&63), byte(id >> 8), byte(id)}) //nolint:gosec // The bytes of the ID are wanted.
+}
+
+// nextAddress returns an unused loopback address.
+func nextAddress() netip.AddrPort { return netip.AddrPortFrom(processAddress(), nextPorts(1)) }
+
+// nextAddresses returns two unused loopback addresses with consecutive ports. A gateway
+// listens at the port after its internal one.
+func nextAddresses() (first, second netip.AddrPort) {
+	ip, port := processAddress(), nextPorts(2)
+	return netip.AddrPortFrom(ip, port), netip.AddrPortFrom(ip, port+1)
+}
+
+// nextPorts takes n consecutive ports and returns the first.
+func nextPorts(n uint32) uint16 {
+	for {
+		if first := (portCounter.Add(n) - n) % (lastPort - firstPort); first+n <= lastPort-firstPort {
+			return uint16(firstPort + first)
+		}
+	}
 }
 
 // fleet holds the gateways, the servers that surround them and the links between
@@ -51,8 +69,9 @@
 	for i := range cfg.Gateways {
 		g := &Gateway{
 			Name: fmt.Sprintf("vm%d", i+1), program: cfg.Program, journal: journal,
-			Client: nextAddress(), Ready: nextAddress(), Internal: nextAddress(), Metrics: nextAddress(),
+			Client: nextAddress(), Ready: nextAddress(),
 		}
+		g.Internal, g.Metrics = nextAddresses()
 		var frontErr, linkErr error
 		g.Front, frontErr = f.link(g.Name+"/"+frontTarget, g.Client)
 		g.Store, linkErr = f.link(g.Name+"/"+storeTarget, store)
