forwarder: register a worker's restart before its connections close

endWorker closed the connections of a worker and then called restarts.Go, so that nothing ordered that before restarts.Wait of a test that had seen the connection end. The restart is registered first now, and recordEnd decides once which of several crashing requests ends the worker.

--- a/internal/gateway/forwarder/fleet_test.go
+++ b/internal/gateway/forwarder/fleet_test.go
@@ -44,8 +44,10 @@
 	ends []time.Time
 	// arrivals holds the requests that have reached workers.
 	arrivals []arrival
-	// generations counts the processes of each worker.
+	// generations counts the processes of each worker, and down holds those that have ended
+	// and not started again.
 	generations []int
+	down        []bool
 	parts       []string
 	targets     []string
 	// crashText is the Text of the row.
@@ -81,7 +83,7 @@
 // newFleet starts VMs before a number of workers.
 func newFleet(t *testing.T, vms, workers int) *fleet {
 	t.Helper()
-	f := &fleet{fixture: newFixture(t, workers), size: vms, hub: netip.MustParseAddrPort("10.0.1.1:7340"), generations: make([]int, workers)}
+	f := &fleet{fixture: newFixture(t, workers), size: vms, hub: netip.MustParseAddrPort("10.0.1.1:7340"), generations: make([]int, workers), down: make([]bool, workers)}
 	log := logrus.New()
 	log.SetOutput(f.log)
 	log.SetFormatter(&logrus.JSONFormatter{})
@@ -197,6 +199,7 @@
 func (f *fleet) startWorker(n int) *registrar.Upstream {
 	f.mu.Lock()
 	f.generations[n]++
+	f.down[n] = false
 	id := fmt.Sprintf("w%d.%d", n+1, f.generations[n])
 	parts, targets := f.parts, f.targets
 	f.mu.Unlock()
@@ -226,14 +229,11 @@
 // endWorker ends the process of a worker. Another one starts after workerDownTime, and
 // its entry replaces that of the former.
 func (f *fleet) endWorker(n int) {
-	address := workerAddress(n).String()
-	if f.network.Host(address) == nil {
+	if !f.recordEnd(n) {
 		return // it has ended already
 	}
-	f.network.Stop(address)
-	f.mu.Lock()
-	f.ends = append(f.ends, time.Now())
-	f.mu.Unlock()
+	// Tests wait for the restarts once a client's connection has ended, so that the restart
+	// is registered before the connections are closed.
 	f.restarts.Go(func() {
 		time.Sleep(workerDownTime)
 		u := f.startWorker(n)
@@ -241,4 +241,17 @@
 		list[n] = u
 		f.directory.setUpstreams(list)
 	})
+	f.network.Stop(workerAddress(n).String())
+}
+
+// recordEnd records the end of a worker. It returns false if it has ended already.
+func (f *fleet) recordEnd(n int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down[n] {
+		return false
+	}
+	f.down[n] = true
+	f.ends = append(f.ends, time.Now())
+	return true
 }
