caller: send a path that begins with two slashes unchanged

The request target was set as the opaque part of the URL, and net/http writes an opaque part that begins with two slashes as an absolute URL. Such a target is set as path and query now; what cannot be written byte for byte that way is refused with 400 before an upstream is chosen.

--- a/internal/gateway/forwarder/fixture_test.go
+++ b/internal/gateway/forwarder/fixture_test.go
@@ -88,6 +88,8 @@
 	}
 	public := route("public", matcher.Idempotent)
 	public.Public = true
+	anyPath := route("any", matcher.Idempotent)
+	anyPath.Host, anyPath.Prefix = "any.example", "/"
 	once := route("once", matcher.Stream)
 	once.MaxAttempts = 1
 	return &matcher.Configuration{
@@ -97,7 +99,7 @@
 			route("non_idempotent", matcher.NonIdempotent),
 			route("stream", matcher.Stream),
 			route("resumable", matcher.Stream),
-			public, once,
+			public, once, anyPath,
 		},
 		Services:      map[string]matcher.Service{"s": {Name: "s", Engine: &matcher.Engine{Slots: 4}}},
 		Organisations: []matcher.Organisation{{Name: "o1", Keys: []string{"k1"}}, {Name: "o2", Keys: []string{"k2"}, Isolated: true}},
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -218,6 +218,9 @@
 	if d := x.request.Deadline; !d.IsZero() && d.Before(x.deadline) {
 		x.deadline = d
 	}
+	if err := caller.CheckTarget(x.request.Target); err != nil {
+		return classifier.Wrap(classifier.InvalidRequest, err, "the path cannot be forwarded")
+	}
 	x.service = route.SelectService(rand.Float64())
 	if err := x.readBody(); err != nil {
 		return err
--- a/internal/upstream/caller/caller.go
+++ b/internal/upstream/caller/caller.go
@@ -185,7 +185,9 @@
 	request.ContentLength = int64(len(call.Body))
 	request.GetBody = nil
 	if call.Head != nil {
-		request.URL.Opaque, request.URL.RawQuery, request.URL.ForceQuery = call.Path, "", false
+		if err := setTarget(request.URL, call.Path); err != nil {
+			return nil, fmt.Errorf("build upstream request: %w", err)
+		}
 		request.Host = call.Head.Host
 		request.Header = call.Head.Header
 		return request, nil
