--- a/internal/gateway/forwarder/log.go
+++ b/internal/gateway/forwarder/log.go
@@ -47,6 +47,27 @@
 	} else if len(x.fingerprints) > 0 {
 		fields["fingerprint"] = x.fingerprints[0]
 	}
+	x.addChoiceFields(now, fields)
+	if x.events > 0 {
+		fields["events"] = x.events
+		fields["attempt_events"] = x.events - x.eventsBefore
+		fields["first_event_ms"] = x.firstByteAt.Sub(x.arrivedAt).Milliseconds()
+		x.cfg.Meter.Observe(meter.FirstByteSeconds, x.firstByteAt.Sub(x.arrivedAt))
+	}
+	entry := x.cfg.Log.WithFields(fields)
+	if err != nil {
+		entry = entry.WithError(err)
+	}
+	entry.Info("request ended")
+	x.cfg.Meter.Count(meter.Requests, strconv.Itoa(status), 1)
+	x.cfg.Meter.Observe(meter.RequestSeconds, now.Sub(x.arrivedAt))
+	if outcome != outcomeAnswered {
+		x.cfg.Meter.Count(meter.Failures, outcome, 1)
+	}
+}
+
+// addChoiceFields adds what decided the latest choice of an upstream, and what is known of it.
+func (x *exchange) addChoiceFields(now time.Time, fields logrus.Fields) {
 	if x.choice.Reason != "" {
 		fields["reason"] = x.choice.Reason
 		fields["candidates"] = x.choice.Candidates
@@ -77,22 +98,6 @@
 	if x.choice.SaveStore != nil {
 		fields["save"] = x.choice.SaveStore.ID
 	}
-	if x.events > 0 {
-		fields["events"] = x.events
-		fields["attempt_events"] = x.events - x.eventsBefore
-		fields["first_event_ms"] = x.firstByteAt.Sub(x.arrivedAt).Milliseconds()
-		x.cfg.Meter.Observe(meter.FirstByteSeconds, x.firstByteAt.Sub(x.arrivedAt))
-	}
-	entry := x.cfg.Log.WithFields(fields)
-	if err != nil {
-		entry = entry.WithError(err)
-	}
-	entry.Info("request ended")
-	x.cfg.Meter.Count(meter.Requests, strconv.Itoa(status), 1)
-	x.cfg.Meter.Observe(meter.RequestSeconds, now.Sub(x.arrivedAt))
-	if outcome != outcomeAnswered {
-		x.cfg.Meter.Count(meter.Failures, outcome, 1)
-	}
 }
 
 // upstreamResponse is what the log tells of the head of an upstream's response.
--- a/internal/gateway/forwarder/retry.go
+++ b/internal/gateway/forwarder/retry.go
@@ -33,11 +33,8 @@
 	if ctx.Err() != nil || !now.Add(minSendTime).Before(x.deadline) {
 		return x.deadlineError(err)
 	}
-	if x.mayHaveRun && !x.route.Repeatable() {
-		return classifier.Wrap(classifier.OutcomeUnknown, err, "the upstream did not answer")
-	}
-	if x.response.begun() && x.sequence.unresumable {
-		return classifier.Wrap(classifier.StreamBroken, err, "the stream cannot be resumed")
+	if final := x.checkRepeatable(err); final != nil {
+		return final
 	}
 	unsent := failure.NotRun && failure.Status == 0
 	if unsent {
@@ -56,6 +53,18 @@
 	return nil
 }
 
+// checkRepeatable returns the final error of a request that may not be sent once more, whatever
+// attempts are left, or nil.
+func (x *exchange) checkRepeatable(err error) *classifier.Error {
+	switch {
+	case x.mayHaveRun && !x.route.Repeatable():
+		return classifier.Wrap(classifier.OutcomeUnknown, err, "the upstream did not answer")
+	case x.response.begun() && x.sequence.unresumable:
+		return classifier.Wrap(classifier.StreamBroken, err, "the stream cannot be resumed")
+	}
+	return nil
+}
+
 // recordTried excludes the upstream of a failed attempt from further ones. An engine
 // from which the request was withdrawn stays: it is chosen again only with newer
 // weights, and each time the attempt counts.
