limiter: serve the requests that a stopping process has read

Cause: from the call of http.Server.Shutdown on, net/http drops each request that it reads from a connection, and closes connections whose next request it has not looked at yet. The gateway called it a fixed time after SIGTERM; a busy VM reads requests later than that.

Listener.Drain takes its place, for the gateway and for routers and controllers: it closes the listener, ends the reads of connections that wait for a request, and leaves those alone that have one. Their responses end their connections. Hijacked connections are not waited for, as before.

--- a/internal/operating/limiter/conn.go
+++ b/internal/operating/limiter/conn.go
@@ -28,6 +28,10 @@
 	// is served.
 	queue   *connQueue
 	element *list.Element
+	// receiving is true from the header of a request until the next one is awaited.
+	receiving bool
+	// hijacked is true once the connection no longer carries requests.
+	hijacked bool
 	// removed is true once the connection is closed or evicted.
 	removed bool
 }
@@ -77,10 +81,23 @@
 	defer c.listener.mu.Unlock()
 	switch state {
 	case http.StateIdle:
+		c.receiving = false
 		c.enqueue(&c.listener.idle)
 	case http.StateActive:
+		c.markReceiving()
 		c.enqueue(&c.listener.incomplete)
-	case http.StateNew, http.StateHijacked, http.StateClosed:
+	case http.StateHijacked:
+		c.markHijacked()
+	case http.StateNew, http.StateClosed:
+	}
+}
+
+// markHijacked notes that the server no longer ends the connection. The caller holds
+// listener.mu.
+func (c *Conn) markHijacked() {
+	if !c.removed {
+		c.hijacked = true
+		c.listener.hijacked++
 	}
 }
 
--- a/internal/operating/limiter/handler.go
+++ b/internal/operating/limiter/handler.go
@@ -51,6 +51,9 @@
 		case !c.markServing():
 			panic(http.ErrAbortHandler)
 		}
+		if ok && c.listener.isDraining() {
+			w.Header().Set("Connection", "close")
+		}
 		next.ServeHTTP(w, r)
 	})
 }
--- a/internal/operating/limiter/listener.go
+++ b/internal/operating/limiter/listener.go
@@ -37,6 +37,10 @@
 
 	mu   sync.Mutex
 	open int
+	// hijacked is the number of open connections that no longer carry requests.
+	hijacked int
+	// draining is true once Drain was called.
+	draining bool
 	// incomplete holds connections whose request is not received completely, idle
 	// those that wait for their next request. Both are eviction queues, oldest
 	// first.
@@ -117,5 +121,8 @@
 	c.removed = true
 	c.dequeue()
 	l.open--
+	if c.hijacked {
+		l.hijacked--
+	}
 	l.cfg.Meter.Set(meter.Connections, l.cfg.Name, int64(l.open))
 }
--- a/internal/operating/starter/gateway_run.go
+++ b/internal/operating/starter/gateway_run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -77,7 +76,7 @@
 	if err != nil {
 		return err
 	}
-	clients.listener = limiter.NewListener(limiter.ListenerConfig{
+	clientListener := limiter.NewListener(limiter.ListenerConfig{
 		Listener: clients.listener,
 		Name:     callersListener,
 		Limit:    int(clientDescriptorShare * float64(settings.MaxDescriptors)),
@@ -90,13 +89,13 @@
 	serve := func(s *http.Server, l net.Listener) {
 		servers = append(servers, s)
 		group.Go(func() error {
-			if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			if err := s.Serve(l); !isClosed(err) {
 				return fmt.Errorf("serve %s: %w", l.Addr(), err)
 			}
 			return nil
 		})
 	}
-	serve(clients.server, clients.listener)
+	serve(clients.server, clientListener)
 	internalServers := []struct {
 		address netip.AddrPort
 		handler http.Handler
@@ -126,7 +125,7 @@
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
-			g.stop(clients.server)
+			g.stop(clientListener)
 		case <-work.Done():
 		}
 		stopWork()
--- a/internal/operating/starter/gateway_server.go
+++ b/internal/operating/starter/gateway_server.go
@@ -7,12 +7,14 @@
 	"net/http"
 	"net/netip"
 	"time"
+
+	"gentianstep.example/gentianstep/internal/operating/limiter"
 )
 
 // stop fails the readiness check, accepts requests until the balancer has
 // noticed, then waits for open requests until the stop grace period is nearly
 // over.
-func (g *gateway) stop(clients *http.Server) {
+func (g *gateway) stop(clients *limiter.Listener) {
 	deadline := time.Now().Add(g.settings.Load().Bounds.StopGrace - exitMargin)
 	g.drain.stopping.Store(true)
 	g.forwarder.Stop()
@@ -20,7 +22,7 @@
 	time.Sleep(balancerDrainDelay)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	if err := clients.Shutdown(ctx); err != nil {
+	if err := clients.Drain(ctx); err != nil {
 		g.log.WithError(err).WithField("event", "requests_cut").Warn("closing open requests: stop grace period is over")
 	}
 }
--- a/internal/operating/starter/server.go
+++ b/internal/operating/starter/server.go
@@ -53,7 +53,9 @@
 type server struct {
 	name     string
 	listener net.Listener
-	http     *http.Server
+	// connections is the listener without TLS.
+	connections *limiter.Listener
+	http        *http.Server
 }
 
 // listen opens a listener and returns a server that is not yet accepting.
@@ -62,19 +64,21 @@
 	if err != nil {
 		return nil, fmt.Errorf("open %s listener: %w", cfg.name, err)
 	}
-	var listener net.Listener = limiter.NewListener(limiter.ListenerConfig{
+	connections := limiter.NewListener(limiter.ListenerConfig{
 		Listener: plain,
 		Name:     cfg.name,
 		Limit:    cfg.maxConnections,
 		Meter:    cfg.meter,
 	})
+	var listener net.Listener = connections
 	if cfg.certifier != nil {
 		listener = tls.NewListener(listener, cfg.certifier.ServerConfig())
 	}
 	return &server{
-		name:     cfg.name,
-		listener: listener,
-		http:     newHTTPServer(cfg.handler, idleTimeout, cfg.name, cfg.log),
+		name:        cfg.name,
+		listener:    listener,
+		connections: connections,
+		http:        newHTTPServer(cfg.handler, idleTimeout, cfg.name, cfg.log),
 	}, nil
 }
 
@@ -102,21 +106,24 @@
 // run accepts and serves connections until the server is shut down.
 func (s *server) run() error {
 	err := s.http.Serve(s.listener)
-	if errors.Is(err, http.ErrServerClosed) {
+	if isClosed(err) {
 		return nil
 	}
 	return fmt.Errorf("serve %s listener: %w", s.name, err)
 }
 
+// isClosed reports whether a server has ended since it, or its listener, was closed.
+func isClosed(err error) bool {
+	return errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed)
+}
+
 // shutdown stops accepting connections and waits for open requests. If they are
 // not done after timeout, it closes their connections and returns an error.
 func (s *server) shutdown(timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	err := s.http.Shutdown(ctx)
-	if err != nil {
-		s.close()
-	}
+	err := s.connections.Drain(ctx)
+	s.close()
 	return err
 }
 
