forwarder: comments are no events of a stream

A resumed stream whose upstream sent only a comment and closed the connection of a response without a length ended as complete, and so did a stream that began with a comment and broke off, if the next upstream sent nothing.

Cause: blocks of comments counted as events, which decide whether a stream may be complete, and a block with nothing but retry: as an event without a number.

Neither is an event now. Both are still sent on.

--- a/internal/gateway/forwarder/relay.go
+++ b/internal/gateway/forwarder/relay.go
@@ -152,7 +152,9 @@
 		end := firstEventLen(data)
 		event := data[:end]
 		data = data[end:]
-		if id := eventID(event); id != "" {
+		id := eventID(event)
+		switch {
+		case id != "":
 			skip, err := x.sequence.accept(id)
 			if err != nil {
 				return kept, err
@@ -161,10 +163,12 @@
 			if skip {
 				continue
 			}
-		} else if !isComment(event) {
-			if !x.resumed {
-				return kept, errNotResumed
-			}
+		case isComment(event):
+			kept = append(kept, event...)
+			continue
+		case !x.resumed:
+			return kept, errNotResumed
+		default:
 			x.sequence.acceptUnnumbered()
 		}
 		x.events++
--- a/internal/gateway/forwarder/sequence.go
+++ b/internal/gateway/forwarder/sequence.go
@@ -61,10 +61,12 @@
 // acceptUnnumbered adds an event without an ID.
 func (s *sequence) acceptUnnumbered() { s.unresumable = true }
 
-// isComment reports whether an event has nothing but comments and empty lines.
-func isComment(event []byte) bool {
-	for line := range bytes.Lines(event) {
-		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+// isComment reports whether a block of lines is no event: it has nothing but comments, empty
+// lines and the time after which to reconnect.
+func isComment(block []byte) bool {
+	for line := range bytes.Lines(block) {
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) > 0 && line[0] != ':' && !bytes.HasPrefix(line, []byte("retry:")) {
 			return false
 		}
 	}
