forwarder: an upstream in a hold-off that crashes has not left

An engine that had refused requests for some time and then crashed under one that it ran left the client with a stream or a body that ended as complete without its rest, if the response had no length.

Cause: checkEnd asks no upstream that is leaving, and took for that any that is not open to requests. One in a hold-off is not open, but its end is a crash. recordCrash asked the same; such crashes count for the quarantine now (there is no test of its own for that).

Before: go test -cpu 4 -run TestErrorOfSecond ./internal/gateway/forwarder, 2 of 2 new rows failed. Now all pass, and -run 'Crash|Quarantine|Notice|Leav' too.

--- a/internal/gateway/forwarder/broken_stream_test.go
+++ b/internal/gateway/forwarder/broken_stream_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"gentianstep.example/gentianstep/internal/routing/withholder"
 	"gentianstep.example/gentianstep/internal/testing/scripter"
 )
 
@@ -47,6 +48,8 @@
 	// Breaks ends the connection without the end of the body, Crashes ends the upstream.
 	Breaks  bool `json:"breaks"`
 	Crashes bool `json:"crashes"`
+	// HoldsOff is true if the upstream has stated that it wants no further requests for now.
+	HoldsOff bool `json:"holds_off"`
 	// Raw replaces the whole response.
 	Raw string `json:"raw"`
 }
@@ -139,6 +142,9 @@
 		if err != nil {
 			panic(err)
 		}
+		if answer.HoldsOff {
+			s.fixture.noticer.Record(s.fixture.entry(n), withholder.Notice{HoldOff: timeout})
+		}
 		if answer.Crashes {
 			s.fixture.network.Refuse(workerAddress(n).String())
 		}
--- a/internal/gateway/forwarder/deliver.go
+++ b/internal/gateway/forwarder/deliver.go
@@ -30,7 +30,7 @@
 // complete: it does not state where it ends, and its upstream has crashed.
 func (x *exchange) checkEnd(ctx context.Context, answer *caller.Response) error {
 	u := x.choice.Upstream
-	if answer.Framed || !x.isOpen(u) {
+	if answer.Framed || !x.isStaying(u) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
--- a/internal/gateway/forwarder/quarantine.go
+++ b/internal/gateway/forwarder/quarantine.go
@@ -83,7 +83,7 @@
 func (x *exchange) recordCrash(ctx context.Context, now time.Time, u *registrar.Upstream, failure *caller.Failure) {
 	broken := failure.Sent && !failure.NotRun && failure.Status == 0
 	endedHere := ctx.Err() != nil || errors.Is(failure, errClientGone) || errors.Is(failure, errWithdrawn)
-	if !broken || endedHere || x.events-x.eventsBefore > maxCrashEvents || !x.isOpen(u) {
+	if !broken || endedHere || x.events-x.eventsBefore > maxCrashEvents || !x.isStaying(u) {
 		return
 	}
 	sentAt := x.sentAt
@@ -95,13 +95,13 @@
 	})
 }
 
-// isOpen reports whether an upstream may get requests. The end of one that leaves is no
-// crash.
-func (x *exchange) isOpen(u *registrar.Upstream) bool {
+// isStaying reports whether an upstream is in service and has not stated that it is leaving.
+// The end of one that leaves is no crash.
+func (x *exchange) isStaying(u *registrar.Upstream) bool {
 	usable := slices.ContainsFunc(x.cfg.Directory.Usable(x.service), func(current *registrar.Upstream) bool {
 		return current.ID == u.ID && current.StartedAt.Equal(u.StartedAt)
 	})
-	return usable && x.cfg.Noticer.IsOpen(u)
+	return usable && !x.cfg.Noticer.IsLeaving(u)
 }
 
 // recordAnswer records a complete response of an upstream. A success shows that the
--- a/internal/upstream/noticer/departure.go
+++ b/internal/upstream/noticer/departure.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"gentianstep.example/gentianstep/internal/membership/registrar"
 	"gentianstep.example/gentianstep/internal/routing/withholder"
 )
 
@@ -29,3 +30,10 @@
 		onChange("")
 	}
 }
+
+// IsLeaving reports whether u has stated that it is leaving, or may have.
+func (n *Noticer) IsLeaving(u *registrar.Upstream) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.withholder.DrainUntil(time.Now(), u).IsZero()
+}
