--- a/internal/gateway/forwarder/response.go
+++ b/internal/gateway/forwarder/response.go
@@ -4,9 +4,9 @@
 	"errors"
 	"fmt"
 	"io"
-	"mime"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -21,8 +21,9 @@
 	control *http.ResponseController
 	// status is the status that the client got, 0 before the response has begun.
 	status int
-	// mediaType is that of the response.
+	// mediaType and encoding are those of the response.
 	mediaType string
+	encoding  string
 	completed bool
 }
 
@@ -39,24 +40,22 @@
 		return errResponseBegun
 	}
 	setHeader(p.w.Header())
-	p.status, p.mediaType = status, mediaType(p.w.Header())
+	p.status, p.mediaType, p.encoding = status, mediaType(p.w.Header()), p.w.Header().Get("Content-Encoding")
 	p.w.WriteHeader(status)
 	return nil
 }
 
 // isContinuedBy reports whether the response of another upstream may hold the rest of this
-// one: it is of the same kind. An error, or a text of another type, is not.
+// one: it is of the same kind. An error, or a text of another type or encoding, is not.
 func (p *response) isContinuedBy(status int, h http.Header) bool {
-	return status == p.status && mediaType(h) == p.mediaType
+	return status == p.status && mediaType(h) == p.mediaType && h.Get("Content-Encoding") == p.encoding
 }
 
-// mediaType returns the type of a body without its parameters, empty if it is not stated.
+// mediaType returns the type of a body without its parameters, which may be malformed. It is
+// empty if none is stated.
 func mediaType(h http.Header) string {
-	text := h.Get("Content-Type")
-	if t, _, err := mime.ParseMediaType(text); err == nil {
-		return t
-	}
-	return text
+	text, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(text))
 }
 
 // Write implements io.Writer.
