caller: refuse responses whose status is below 100

An upstream's response with status 000 or 099 closed the client's connection without an answer, a line in the log or a count: net/http refuses to write such a status by a panic. The attempt fails now, and the request is sent again if its route permits that.

Before: go test -cpu 4 -run TestErrorOfSecond ./internal/gateway/forwarder, 3 of 5 new rows failed. Now all pass, and so does ./internal/upstream/caller.

--- a/internal/upstream/caller/caller.go
+++ b/internal/upstream/caller/caller.go
@@ -150,8 +150,11 @@
 // of call.
 func checkResponse(response *http.Response, call Call) error {
 	header := response.Header
-	if response.StatusCode == http.StatusSwitchingProtocols {
+	switch {
+	case response.StatusCode == http.StatusSwitchingProtocols:
 		return errProtocolSwitch
+	case response.StatusCode < http.StatusContinue:
+		return fmt.Errorf("status %03d: %w", response.StatusCode, errStatus)
 	}
 	if call.Head != nil {
 		return call.Head.CheckResponse(response.StatusCode, header)
