forwarder: a response without a body is no stream

On routes of streams, responses with status 204 and those to HEAD requests were answered with 502 (before the connection was closed): a stream without an event counts as broken off. They are sent on as any response that is no stream now.

--- a/internal/gateway/forwarder/attempt.go
+++ b/internal/gateway/forwarder/attempt.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"gentianstep.example/gentianstep/internal/membership/registrar"
-	"gentianstep.example/gentianstep/internal/routing/matcher"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
 )
 
@@ -62,7 +61,7 @@
 		answer.Discard()
 		return &caller.Failure{Upstream: u.ID, Status: answer.Status, Sent: true}
 	}
-	if x.route.Kind == matcher.Stream && answer.Status < http.StatusMultipleChoices {
+	if x.isStream(answer) {
 		return x.relayStream(ctx, answer)
 	}
 	if err := x.withdrawal.end(); err != nil {
--- a/internal/gateway/forwarder/broken_stream_test.go
+++ b/internal/gateway/forwarder/broken_stream_test.go
@@ -21,6 +21,8 @@
 type brokenStreamRow struct {
 	Name  string `json:"name"`
 	Route string `json:"route"`
+	// Method is that of the request, empty for the one that the route usually has.
+	Method string `json:"method"`
 	// ResumeAfter is the last event that the client has.
 	ResumeAfter string           `json:"resume_after"`
 	Answers     []scriptedAnswer `json:"answers"`
@@ -85,6 +87,9 @@
 		f.network.Host(workerAddress(n).String()).Handle(script.handler(n))
 	}
 	r := f.request(t, row.Route, "id-1")
+	if row.Method != "" {
+		r.Method = row.Method
+	}
 	if row.ResumeAfter != "" {
 		r.Header.Set("Last-Event-Id", row.ResumeAfter)
 	}
--- a/internal/gateway/forwarder/deliver.go
+++ b/internal/gateway/forwarder/deliver.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"gentianstep.example/gentianstep/internal/failure/classifier"
+	"gentianstep.example/gentianstep/internal/routing/matcher"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
 )
 
@@ -41,6 +42,12 @@
 	return nil
 }
 
+// isStream reports whether a response is a series of events. Those without a body are not.
+func (x *exchange) isStream(answer *caller.Response) bool {
+	hasBody := x.r.Method != http.MethodHead && answer.Status != http.StatusNoContent
+	return hasBody && x.route.Kind == matcher.Stream && answer.Status < http.StatusMultipleChoices
+}
+
 // sendResponse sends a response that is not a stream to the client.
 func (x *exchange) sendResponse(ctx context.Context, answer *caller.Response) error {
 	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes))
