--- a/internal/gateway/forwarder/sequence.go
+++ b/internal/gateway/forwarder/sequence.go
@@ -16,6 +16,8 @@
 type sequence struct {
 	// last is the ID of the last event, empty if there is none.
 	last string
+	// begun is true once an event has arrived. Until then last is what the client has stated.
+	begun bool
 	// first is the lowest number that the client has.
 	first uint64
 	// confirmed is true once an event has followed the one before by its number. Until then
@@ -31,12 +33,12 @@
 // accept adds an event to those that the client has. It reports whether to skip the event,
 // since the client has it, and returns an error if it is not the next one.
 func (s *sequence) accept(id string) (skip bool, err error) {
-	if s.last == "" {
+	last, lastErr := strconv.ParseUint(s.last, 10, 64)
+	if s.last == "" || !s.begun && lastErr != nil {
 		s.first, _ = strconv.ParseUint(id, 10, 64) // IDs that are not numbers are not ordered
-		s.last, s.confirmed = id, false
+		s.last, s.begun, s.confirmed = id, true, false
 		return false, nil
 	}
-	last, lastErr := strconv.ParseUint(s.last, 10, 64)
 	next, nextErr := strconv.ParseUint(id, 10, 64)
 	switch {
 	case lastErr != nil && nextErr != nil:
@@ -51,7 +53,7 @@
 	case next <= last:
 		return true, nil
 	default:
-		s.last, s.confirmed = id, true
+		s.last, s.begun, s.confirmed = id, true, true
 		return false, nil
 	}
 	s.unresumable = s.unresumable || !s.confirmed
