forwarder: reset the connection of a broken response to an HTTP/1.0 client

A stream or a body over 1 MB that broke off ended as complete for an HTTP/1.0 client: it gets no chunks, the end of its connection is that of the response, and net/http closes a connection in the usual way when a handler aborts. The connection is reset now.

Open: the end of the grace of a stop closes connections in the usual way still.

--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -169,7 +169,7 @@
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
 	request, err := f.cfg.Dialect.Decode(now, r)
-	x := &exchange{Forwarder: f, response: newResponse(w), r: r, request: &request, arrivedAt: now}
+	x := &exchange{Forwarder: f, response: newResponse(w, r), r: r, request: &request, arrivedAt: now}
 	x.serve(err)
 	x.response.end()
 }
--- a/internal/gateway/forwarder/response.go
+++ b/internal/gateway/forwarder/response.go
@@ -25,10 +25,13 @@
 	mediaType string
 	encoding  string
 	completed bool
+	// chunked is true if the client understands chunks. A response without a length ends with
+	// its connection otherwise.
+	chunked bool
 }
 
-func newResponse(w http.ResponseWriter) *response {
-	return &response{w: w, control: http.NewResponseController(w)}
+func newResponse(w http.ResponseWriter, r *http.Request) *response {
+	return &response{w: w, control: http.NewResponseController(w), chunked: r.ProtoAtLeast(1, 1)}
 }
 
 // begun reports whether the client may have got a part of the response.
@@ -97,9 +100,25 @@
 // end ends the response. It aborts the connection of one that is not complete, so that it
 // does not look complete.
 func (p *response) end() {
-	if !p.completed {
-		panic(http.ErrAbortHandler)
+	if p.completed {
+		return
+	}
+	if p.begun() && !p.chunked {
+		p.reset()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// reset resets the connection. Its usual end would look like that of the response.
+func (p *response) reset() {
+	conn, _, err := p.control.Hijack()
+	if err != nil {
+		return // HTTP/1 connections allow it, others state the end of a response
+	}
+	if c, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = c.SetLinger(0) // fails only on a closed connection
 	}
+	_ = conn.Close()
 }
 
 // result returns how the response ends, for the log.
--- a/internal/operating/limiter/conn.go
+++ b/internal/operating/limiter/conn.go
@@ -44,6 +44,15 @@
 	return c.Conn.Close()
 }
 
+// SetLinger sets what becomes of unsent data when the connection is closed, as that of a
+// net.TCPConn does. Connections of other kinds have no such setting.
+func (c *Conn) SetLinger(seconds int) error {
+	if conn, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return conn.SetLinger(seconds)
+	}
+	return nil
+}
+
 // markServing exempts the connection from eviction while its request is served.
 // It returns false if the connection is already evicted or closed.
 func (c *Conn) markServing() bool {
