forwarder: a stream that ends behind an earlier event has broken off

A stream whose last event had its number spoilt to an earlier one ended as complete without it, and so did a resumed stream whose upstream began again from the start and ended before the events that the client had.

Cause: events that the client has are skipped, and nothing looked at whether others followed them. An event behind which the client has others must be followed now, up to the last one.

Before: go test -cpu 4 -run TestErrorOfSecond ./internal/gateway/forwarder, 5 of 6 new rows failed. Now all pass.

--- a/internal/gateway/forwarder/relay.go
+++ b/internal/gateway/forwarder/relay.go
@@ -58,6 +58,7 @@
 	var pending []byte
 	buffer := make([]byte, streamReadBytes)
 	idleBytes, lastEvent := 0, x.sequence.last
+	x.sequence.behind = false
 	for {
 		n, err := answer.Read(buffer)
 		pending = append(pending, buffer[:n]...)
@@ -88,14 +89,14 @@
 }
 
 // checkStreamEnd returns io.ErrUnexpectedEOF for a stream that has ended with its connection
-// or its last chunk, but within an event, before the first one, or since its upstream has
-// crashed.
+// or its last chunk, but within an event, before the first one, behind one that the client
+// has followed by others, or since its upstream has crashed.
 func (x *exchange) checkStreamEnd(ctx context.Context, answer *caller.Response, pending int) error {
 	hasEvents := x.events > 0 || x.sequence.last != ""
 	if !answer.Framed {
 		hasEvents = x.events > x.eventsBefore
 	}
-	if pending > 0 || !hasEvents {
+	if pending > 0 || !hasEvents || x.sequence.behind {
 		return io.ErrUnexpectedEOF
 	}
 	return x.checkEnd(ctx, answer)
--- a/internal/gateway/forwarder/sequence.go
+++ b/internal/gateway/forwarder/sequence.go
@@ -23,6 +23,9 @@
 	// confirmed is true once an event has followed the one before by its number. Until then
 	// the number of the first event may be wrong.
 	confirmed bool
+	// behind is true if the latest event of the attempt comes before the last one, so that the
+	// attempt has events to follow.
+	behind bool
 	// unresumable is true if it is not known behind which event the stream would go on.
 	unresumable bool
 }
@@ -51,9 +54,10 @@
 	case next < s.first:
 		err = fmt.Errorf("event %d follows event %d, and the client has none before %d", next, last, s.first)
 	case next <= last:
+		s.behind = next < last
 		return true, nil
 	default:
-		s.last, s.begun, s.confirmed = id, true, true
+		s.last, s.begun, s.confirmed, s.behind = id, true, true, false
 		return false, nil
 	}
 	s.unresumable = s.unresumable || !s.confirmed
