forwarder: an event that repeats a number with another content is not skipped

A stream whose last event had its number spoilt to the one before ended as complete without it: the event counted as one that came twice and was skipped. An upstream that gives one number to several events had all but the first dropped in the same way.

An event with the number of the last one must be that event again now, if the same attempt sent it; another run may write it in another way.

--- a/internal/gateway/forwarder/relay.go
+++ b/internal/gateway/forwarder/relay.go
@@ -58,7 +58,7 @@
 	var pending []byte
 	buffer := make([]byte, streamReadBytes)
 	idleBytes, lastEvent := 0, x.sequence.last
-	x.sequence.behind = false
+	x.sequence.beginAttempt()
 	for {
 		n, err := answer.Read(buffer)
 		pending = append(pending, buffer[:n]...)
@@ -156,7 +156,7 @@
 		id := eventID(event)
 		switch {
 		case id != "":
-			skip, err := x.sequence.accept(id)
+			skip, err := x.sequence.accept(id, event)
 			if err != nil {
 				return kept, err
 			}
--- a/internal/gateway/forwarder/sequence.go
+++ b/internal/gateway/forwarder/sequence.go
@@ -26,6 +26,8 @@
 	// behind is true if the latest event of the attempt comes before the last one, so that the
 	// attempt has events to follow.
 	behind bool
+	// text is the last event if the attempt has sent it, and empty otherwise.
+	text []byte
 	// unresumable is true if it is not known behind which event the stream would go on.
 	unresumable bool
 }
@@ -33,13 +35,17 @@
 // newSequence returns the sequence of a client that has all events up to one, or none.
 func newSequence(resumeAfter string) sequence { return sequence{last: resumeAfter, confirmed: true} }
 
+// beginAttempt records that further events are those of another attempt.
+func (s *sequence) beginAttempt() { s.behind, s.text = false, s.text[:0] }
+
 // accept adds an event to those that the client has. It reports whether to skip the event,
 // since the client has it, and returns an error if it is not the next one.
-func (s *sequence) accept(id string) (skip bool, err error) {
+func (s *sequence) accept(id string, event []byte) (skip bool, err error) {
 	last, lastErr := strconv.ParseUint(s.last, 10, 64)
 	if s.last == "" || !s.begun && lastErr != nil {
 		s.first, _ = strconv.ParseUint(id, 10, 64) // IDs that are not numbers are not ordered
 		s.last, s.begun, s.confirmed = id, true, false
+		s.text = append(s.text[:0], event...)
 		return false, nil
 	}
 	next, nextErr := strconv.ParseUint(id, 10, 64)
@@ -51,19 +57,32 @@
 		err = fmt.Errorf("event %q follows event %q", id, s.last)
 	case next > last && next != last+1:
 		err = fmt.Errorf("gap in stream: event %d follows event %d", next, last)
-	case next < s.first:
-		err = fmt.Errorf("event %d follows event %d, and the client has none before %d", next, last, s.first)
 	case next <= last:
-		s.behind = next < last
-		return true, nil
+		if err = s.checkSeen(next, last, event); err == nil {
+			return true, nil
+		}
 	default:
 		s.last, s.begun, s.confirmed, s.behind = id, true, true, false
+		s.text = append(s.text[:0], event...)
 		return false, nil
 	}
 	s.unresumable = s.unresumable || !s.confirmed
 	return false, err
 }
 
+// checkSeen returns an error if an event that does not come after the last one is none that
+// the client has.
+func (s *sequence) checkSeen(number, last uint64, event []byte) error {
+	switch {
+	case number < s.first:
+		return fmt.Errorf("event %d follows event %d, and the client has none before %d", number, last, s.first)
+	case number == last && len(s.text) > 0 && !bytes.Equal(event, s.text):
+		return fmt.Errorf("event %d follows itself with another content", number)
+	}
+	s.behind = number < last
+	return nil
+}
+
 // acceptUnnumbered adds an event without an ID.
 func (s *sequence) acceptUnnumbered() { s.unresumable = true }
 
