caller: require the request ID of every response on a reused connection

A faulty worker wrote an earlier refusal once more on a kept connection, in place of the answer to a request that it had run. If the refusal named no request, clients of requests that may not be repeated were told 503, "not run, try again" (REFUSED), or the request ran at a second worker (TWICE). An earlier 500 or 404 without an ID became the answer of another request (MIXED).

Only successes had to name their request. On a connection that has carried an earlier request every response has to now; others are those of an earlier one, and the outcome of the request is unknown. On the first request of a connection there is no earlier response. The rule stands once, in caller.CheckEcho, for the platform and for the project's own protocol. There only "not run" needed the ID: an earlier 400 ended a stream as if it were its own, and the work of the engine went on. Response.NotRun needs no check of its own any more.

--- a/internal/gateway/forwarder/attempt.go
+++ b/internal/gateway/forwarder/attempt.go
@@ -35,8 +35,8 @@
 			Host:    x.request.Host,
 			Header:  x.cfg.Dialect.Encode(now, x.request, options),
 			Refresh: func(h http.Header) { x.cfg.Dialect.SetDeadline(time.Now(), h, x.deadline) },
-			CheckResponse: func(status int, h http.Header) (err error) {
-				head, err = x.checkResponse(u, status, h)
+			CheckResponse: func(status int, h http.Header, reused bool) (err error) {
+				head, err = x.checkResponse(u, status, h, reused)
 				return err
 			},
 		},
@@ -104,10 +104,10 @@
 
 // checkResponse decodes the head of the response to the latest attempt and records its
 // notices. It returns an error if the response does not belong to the request.
-func (x *exchange) checkResponse(u *registrar.Upstream, status int, h http.Header) (ResponseHead, error) {
+func (x *exchange) checkResponse(u *registrar.Upstream, status int, h http.Header, reused bool) (ResponseHead, error) {
 	head := x.cfg.Dialect.DecodeResponse(status, h)
 	head.Notice.SentAt = x.sentAt
-	err := x.cfg.Dialect.CheckResponse(x.request.ID, status, h)
+	err := x.cfg.Dialect.CheckResponse(x.request.ID, status, h, reused)
 	if err != nil {
 		head.Notice.Limit.Stated = false // the response may be to an earlier request
 	}
--- a/internal/gateway/forwarder/dialect.go
+++ b/internal/gateway/forwarder/dialect.go
@@ -96,8 +96,9 @@
 	// SetDeadline sets the header that tells an upstream of the deadline.
 	SetDeadline(now time.Time, h http.Header, deadline time.Time)
 	// CheckResponse returns an error if a response is not signed, or does not
-	// belong to the request with that ID.
-	CheckResponse(id string, status int, h http.Header) error
+	// belong to the request with that ID. reused is true if its connection has
+	// carried an earlier request.
+	CheckResponse(id string, status int, h http.Header, reused bool) error
 	// DecodeResponse parses the head of an upstream's response.
 	DecodeResponse(status int, h http.Header) ResponseHead
 	// CopyHeader copies the headers of an upstream's response that the client
--- /dev/null
+++ b/internal/gateway/forwarder/repeated_response_test.go
@@ -0,0 +1,101 @@
+package forwarder_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+
+	"gentianstep.example/gentianstep/internal/membership/registrar"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
+	"gentianstep.example/gentianstep/platform/platformtest"
+)
+
+// repeatRow is an earlier response that a worker sends once more on a kept connection,
+// instead of the response to a request that it has run.
+type repeatRow struct {
+	Name   string            `json:"name"`
+	Status int               `json:"status"`
+	Header map[string]string `json:"header"`
+	Body   string            `json:"body"`
+}
+
+// repeater is a worker that answers the request "id-1" as its row says.
+type repeater struct {
+	worker   *platformtest.Worker
+	row      repeatRow
+	repeated atomic.Bool
+}
+
+// ServeHTTP implements http.Handler.
+func (p *repeater) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get("Request-Id") != "id-1" || p.repeated.Swap(true) {
+		p.worker.ServeHTTP(w, r)
+		return
+	}
+	p.worker.ServeHTTP(httptest.NewRecorder(), r)
+	for name, value := range p.row.Header {
+		w.Header().Set(name, value)
+	}
+	w.WriteHeader(p.row.Status)
+	_, _ = io.WriteString(w, p.row.Body) // fails if the client has left
+}
+
+// TestRepeatedResponses guards against the belief in a response that a worker has sent
+// before: to a request that has run, the statement that it was not run.
+func TestRepeatedResponses(t *testing.T) {
+	t.Parallel()
+	var rows []repeatRow
+	scripter.Read(t, "testdata/repeated_responses.json", &rows)
+	for _, row := range rows {
+		for _, route := range []string{"non_idempotent", "stream", "idempotent", "resumable"} {
+			t.Run(route+": "+row.Name, func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) { checkRepeatRow(t, row, route) })
+			})
+		}
+	}
+}
+
+func checkRepeatRow(t *testing.T, row repeatRow, route string) {
+	is := is.New(t)
+	f := newFixture(t, 2)
+	first, second := f.entry(0), f.entry(1)
+	second.AvailabilityZone = "far"
+	p := &repeater{worker: f.workers[0], row: row}
+	f.network.Stop(first.Address.String())
+	f.network.Serve(first.Address.String(), p)
+	f.directory.setUpstreams([]*registrar.Upstream{first})
+	is.Equal(f.do(f.request(t, route, "earlier")).status, http.StatusOK)
+	f.directory.setUpstreams([]*registrar.Upstream{first, second})
+	a := f.do(f.request(t, route, "id-1"))
+	is.NoErr(a.err)
+	repeatable := slices.Contains([]string{"idempotent", "resumable"}, route)
+	if !repeatable {
+		is.Equal(a.status, http.StatusBadGateway)
+		is.True(strings.Contains(a.body, "outcome_unknown"))
+		is.Equal(f.runsOf("id-1"), 1)
+		return
+	}
+	is.Equal(a.status, http.StatusOK)
+	is.Equal(a.body, wholeBody(faultRow{Route: route}))
+}
+
+// runsOf counts the runs of a request.
+func (f *fixture) runsOf(id string) int {
+	n := 0
+	for _, w := range f.workers {
+		for _, run := range w.Runs() {
+			if run.ID == id {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/internal/upstream/caller/answer.go
+++ b/internal/upstream/caller/answer.go
@@ -55,14 +55,9 @@
 	return n, err
 }
 
-// NotRun reports whether the upstream rejected this request without executing
-// it. On a reused connection the rejection must carry the request ID, since it
-// may otherwise belong to an earlier request.
+// NotRun reports whether the upstream rejected this request without executing it.
 func (a *Response) NotRun() bool {
-	if a.Status < http.StatusBadRequest || a.Header.Get(encoder.HeaderNotRun) != "true" {
-		return false
-	}
-	return !a.Reused || a.Header.Get(encoder.HeaderRequestID) != ""
+	return a.Status >= http.StatusBadRequest && a.Header.Get(encoder.HeaderNotRun) == "true"
 }
 
 // Leaving reports whether the upstream rejected the request because it is leaving
--- a/internal/upstream/caller/call.go
+++ b/internal/upstream/caller/call.go
@@ -13,8 +13,9 @@
 	Header http.Header
 	// Refresh, if set, updates the header once a connection is open.
 	Refresh func(h http.Header)
-	// CheckResponse returns an error if a response does not belong to the request.
-	CheckResponse func(status int, header http.Header) error
+	// CheckResponse returns an error if a response does not belong to the request. reused
+	// is true if the connection has carried an earlier one; see CheckEcho.
+	CheckResponse func(status int, header http.Header, reused bool) error
 }
 
 // Target is the upstream that a call is sent to.
@@ -52,7 +53,8 @@
 	// NewConnection sends the call on a new connection, outside the pool.
 	NewConnection bool
 	// RequireEcho requires a response of status 200 to echo the request ID and
-	// the attempt. Values that a response does echo must match in any case.
+	// the attempt. On a reused connection every response to a call with an ID must do so.
+	// Values that a response does echo must match in any case.
 	RequireEcho bool
 	// FirstByteDeadline is the deadline for the first byte of the response.
 	FirstByteDeadline time.Time
--- a/internal/upstream/caller/caller.go
+++ b/internal/upstream/caller/caller.go
@@ -130,8 +130,7 @@
 	if heeds {
 		c.notices.Record(target, sentAt, httpResponse.StatusCode, httpResponse.Header)
 	}
-	call.RequireEcho = call.RequireEcho && httpResponse.StatusCode == http.StatusOK
-	if err := checkResponse(httpResponse, call); err != nil {
+	if err := checkResponse(httpResponse, call, response.Reused); err != nil {
 		response.Discard()
 		c.CloseIdle(target) // the transport may have taken the connection back
 		return nil, &Failure{Upstream: target.Name, Sent: true, Reused: response.Reused, Err: err}
@@ -146,9 +145,19 @@
 	return b
 }
 
+// CheckEcho checks the request ID that a response echoes. One without an ID belongs to the
+// request unless required is true. It has to be on a reused connection, where an upstream
+// may send the response to an earlier request once more.
+func CheckEcho(echoed, id string, required bool) error {
+	if echoed == id || echoed == "" && !required {
+		return nil
+	}
+	return fmt.Errorf("check request ID %q of response: %w", echoed, ErrResponseMismatch)
+}
+
 // checkResponse checks that the response belongs to the request and the attempt
 // of call.
-func checkResponse(response *http.Response, call Call) error {
+func checkResponse(response *http.Response, call Call, reused bool) error {
 	header := response.Header
 	switch {
 	case response.StatusCode == http.StatusSwitchingProtocols:
@@ -157,14 +166,14 @@
 		return fmt.Errorf("status %03d: %w", response.StatusCode, errStatus)
 	}
 	if call.Head != nil {
-		return call.Head.CheckResponse(response.StatusCode, header)
+		return call.Head.CheckResponse(response.StatusCode, header, reused)
 	}
-	id := header.Get(encoder.HeaderRequestID)
-	if id != call.RequestID && (id != "" || call.RequireEcho) {
-		return fmt.Errorf("check request ID %q of response: %w", id, ErrResponseMismatch)
+	required := call.RequireEcho && response.StatusCode == http.StatusOK || reused && call.RequestID != ""
+	if err := CheckEcho(header.Get(encoder.HeaderRequestID), call.RequestID, required); err != nil {
+		return err
 	}
 	attempt := header.Get(encoder.HeaderAttempt)
-	if attempt != strconv.Itoa(call.Attempt) && (attempt != "" || call.RequireEcho) {
+	if attempt != strconv.Itoa(call.Attempt) && (attempt != "" || required) {
 		return fmt.Errorf("check attempt %q of response: %w", attempt, ErrResponseMismatch)
 	}
 	return nil
--- a/internal/upstream/caller/caller_test.go
+++ b/internal/upstream/caller/caller_test.go
@@ -127,7 +127,7 @@
 // mistake could make an upstream execute the request twice.
 func TestFailureReportsWhetherRequestWasSent(t *testing.T) {
 	t.Parallel()
-	for _, name := range []string{"positions.json", "resend.json"} {
+	for _, name := range []string{"positions.json", "resend.json", "repeated.json"} {
 		for _, r := range loadRows(t, name) {
 			t.Run(r.Name, func(t *testing.T) {
 				t.Parallel()
