noticer: ignore the limit in a response to another call

A limit of an upstream ended, or was raised, for a router that got a response to an earlier call once more: Processes.Record took the head of each response before it was known whether it belongs to the call. The router then sends more than its share (LIMIT).

The caller says now whether a response is that of the call. Notice.OfOther holds what remains of one that isn't, for routers and the gateway: that the upstream leaves and its hold-off. A false one of these costs the use of one upstream for its time, a true one that is ignored sends requests to an upstream that has just said that it wants none. The limit, and that the request was accepted, are left out; the next response of its own brings them.

--- a/internal/gateway/forwarder/attempt.go
+++ b/internal/gateway/forwarder/attempt.go
@@ -110,7 +110,7 @@
 	head.Notice.SentAt = x.sentAt
 	err := x.cfg.Dialect.CheckResponse(x.request.ID, status, h, reused)
 	if err != nil {
-		head.Notice.Limit.Stated = false // the response may be to an earlier request
+		head.Notice = head.Notice.OfOther()
 	}
 	x.cfg.Noticer.Record(u, head.Notice)
 	return head, err
--- a/internal/gateway/forwarder/repeated_response_test.go
+++ b/internal/gateway/forwarder/repeated_response_test.go
@@ -9,10 +9,12 @@
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
 	"gentianstep.example/gentianstep/internal/membership/registrar"
+	"gentianstep.example/gentianstep/internal/routing/throttler"
 	"gentianstep.example/gentianstep/internal/testing/scripter"
 	"gentianstep.example/gentianstep/platform/platformtest"
 )
@@ -68,17 +70,24 @@
 	}
 }
 
-func checkRepeatRow(t *testing.T, row repeatRow, route string) {
-	is := is.New(t)
-	f := newFixture(t, 2)
+// serveRepeater sends a request over a connection to a repeater, which is then kept, and
+// returns its entry. It is chosen before the other worker.
+func (f *fixture) serveRepeater(t *testing.T, row repeatRow, route string) *registrar.Upstream {
+	t.Helper()
 	first, second := f.entry(0), f.entry(1)
 	second.AvailabilityZone = "far"
-	p := &repeater{worker: f.workers[0], row: row}
 	f.network.Stop(first.Address.String())
-	f.network.Serve(first.Address.String(), p)
+	f.network.Serve(first.Address.String(), &repeater{worker: f.workers[0], row: row})
 	f.directory.setUpstreams([]*registrar.Upstream{first})
-	is.Equal(f.do(f.request(t, route, "earlier")).status, http.StatusOK)
+	is.New(t).Equal(f.do(f.request(t, route, "earlier")).status, http.StatusOK)
 	f.directory.setUpstreams([]*registrar.Upstream{first, second})
+	return first
+}
+
+func checkRepeatRow(t *testing.T, row repeatRow, route string) {
+	is := is.New(t)
+	f := newFixture(t, 2)
+	first := f.serveRepeater(t, row, route)
 	if row.SameRequest {
 		replaced := f.entry(0)
 		replaced.ID = "replaced"
@@ -113,3 +122,42 @@
 	}
 	return n
 }
+
+// repeatedNoticeRow is a repeated response that states something about its worker, which has
+// a limit of 20.
+type repeatedNoticeRow struct {
+	Name   string    `json:"name"`
+	Repeat repeatRow `json:"repeat"`
+	// Limit, Leaving and HeldMS are what the VM believes after it.
+	Limit   float64 `json:"limit"`
+	Leaving bool    `json:"leaving"`
+	HeldMS  int64   `json:"held_ms"`
+}
+
+// TestRepeatedNotices guards against the end or the increase of a limit by a response of
+// before. A departure and a hold-off are believed: ignoring a true one would send requests
+// to an upstream that wants none.
+func TestRepeatedNotices(t *testing.T) {
+	t.Parallel()
+	var rows []repeatedNoticeRow
+	scripter.Read(t, "testdata/repeated_notices.json", &rows)
+	for _, row := range rows {
+		t.Run(row.Name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFixture(t, 2)
+				f.noticer.SetFleet(throttler.NewFleet("vm", []string{"vm"}))
+				f.workers[0].SetLimit("20")
+				u := f.serveRepeater(t, row.Repeat, "idempotent")
+				f.directory.setUpstreams([]*registrar.Upstream{u})
+				time.Sleep(500 * time.Millisecond) // the limit allows a request again
+				is.Equal(f.do(f.request(t, "non_idempotent", "id-1")).status, http.StatusBadGateway)
+				limit, _, _ := f.noticer.Limit(time.Now(), u)
+				is.Equal(limit, row.Limit)
+				is.Equal(len(f.noticer.Departures()) > 0, row.Leaving)
+				is.Equal(max(time.Until(f.noticer.HeldUntil(u)).Milliseconds(), 0), row.HeldMS)
+			})
+		})
+	}
+}
--- a/internal/routing/withholder/notice.go
+++ b/internal/routing/withholder/notice.go
@@ -28,6 +28,14 @@
 	Err error
 }
 
+// OfOther returns the part of a notice that holds if its response belongs to another request
+// than the one that was sent, and may be one of before: that the instance leaves and how long
+// it wants no requests, but not its limit, nor that it has accepted the request.
+func (n Notice) OfOther() Notice {
+	n.Limit.Stated, n.Accepted = false, false
+	return n
+}
+
 // ChangeType is a kind of change of a Withholder. Its values are logged.
 type ChangeType string
 
--- a/internal/upstream/caller/admit.go
+++ b/internal/upstream/caller/admit.go
@@ -10,8 +10,9 @@
 type Notices interface {
 	// Admit returns an error if a call must not be sent to an upstream now.
 	Admit(t Target, call Call) error
-	// Record records the head of a response to an attempt that began at sentAt.
-	Record(t Target, sentAt time.Time, status int, h http.Header)
+	// Record records the head of a response to an attempt that began at sentAt. own is false
+	// if the response belongs to another call.
+	Record(t Target, sentAt time.Time, status int, h http.Header, own bool)
 }
 
 // admission returns a function that reports whether a call may be sent, and
--- a/internal/upstream/caller/caller.go
+++ b/internal/upstream/caller/caller.go
@@ -127,10 +127,11 @@
 		firstByteDeadline: call.FirstByteDeadline,
 		idleTimeout:       call.IdleTimeout,
 	}
+	err = checkResponse(httpResponse, call, response.Reused)
 	if heeds {
-		c.notices.Record(target, sentAt, httpResponse.StatusCode, httpResponse.Header)
+		c.notices.Record(target, sentAt, httpResponse.StatusCode, httpResponse.Header, err == nil)
 	}
-	if err := checkResponse(httpResponse, call, response.Reused); err != nil {
+	if err != nil {
 		response.Discard()
 		c.CloseIdle(target) // the transport may have taken the connection back
 		return nil, &Failure{Upstream: target.Name, Sent: true, Reused: response.Reused, Err: err}
--- a/internal/upstream/noticer/limit_test.go
+++ b/internal/upstream/noticer/limit_test.go
@@ -88,7 +88,7 @@
 			}
 			mu.Unlock()
 			time.AfterFunc(answerTime, func() {
-				p.Record(target, sentAt, http.StatusOK, header)
+				p.Record(target, sentAt, http.StatusOK, header, true)
 				mu.Lock()
 				defer mu.Unlock()
 				if told[router].IsZero() {
--- a/internal/upstream/noticer/processes.go
+++ b/internal/upstream/noticer/processes.go
@@ -73,13 +73,16 @@
 }
 
 // Record implements caller.Notices.
-func (p *Processes) Record(t caller.Target, sentAt time.Time, status int, h http.Header) {
+func (p *Processes) Record(t caller.Target, sentAt time.Time, status int, h http.Header, own bool) {
 	stated, _ := strconv.ParseUint(h.Get(encoder.HeaderIncarnation), 10, 64) // plain services state none
 	if !p.recordIncarnation(t.Name, stated) {
 		return // a late response of an earlier process
 	}
 	notice := decodeNotice(status, h)
 	notice.SentAt = sentAt
+	if !own {
+		notice = notice.OfOther()
+	}
 	changes := p.cfg.Noticer.Record(p.process(t), notice)
 	for _, c := range changes {
 		if c.Type == withholder.LeavingTold && p.cfg.OnLeaving != nil {
--- a/internal/upstream/noticer/transport.go
+++ b/internal/upstream/noticer/transport.go
@@ -42,7 +42,7 @@
 		cancel()
 		return nil, err
 	}
-	t.Processes.Record(target, sentAt, response.StatusCode, response.Header)
+	t.Processes.Record(target, sentAt, response.StatusCode, response.Header, true)
 	response.Body = &body{ReadCloser: response.Body, cancel: cancel}
 	return response, nil
 }
