receiver: add nothing to a service's answer without a body

Callers of a plain service whose upstream answered 404 without a body got the body of the router's own "no such path", with not_run true, though the call had run; other statuses from 400 on got the name of the status as their body.

The HTTP framework runs its handlers for error statuses after a handler that has written nothing, also if the header was sent. They are turned off; the answer to a request without a route comes from a handler around the routes, which checks that the response has not begun.

--- a/internal/serving/receiver/fixture_test.go
+++ b/internal/serving/receiver/fixture_test.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
@@ -24,7 +25,11 @@
 
 const callerKey = "caller-key"
 
-var upstreamAddress = netip.MustParseAddrPort("10.0.0.1:80")
+var upstreamAddress = addressOf(0)
+
+func addressOf(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n + 1)}), 80)
+}
 
 func discardLog() *logrus.Entry {
 	log := logrus.New()
@@ -55,7 +60,7 @@
 		},
 		Upstreams: []checker.Upstream{engine, service},
 		Services: []checker.Service{
-			{Name: "sample-desk", Upstreams: []string{"desk-0"}},
+			{Name: "sample-desk", Upstreams: []string{"desk-0"}, Calls: []checker.Call{{Method: http.MethodGet, Path: "/stock/*", Idempotent: true}}},
 			{Name: "other-desk", Upstreams: []string{"desk-0"}},
 		},
 		Policy: checker.Policy{
@@ -99,44 +104,50 @@
 	return h
 }
 
-// singleChooser always chooses the upstream up-0 unless it is excluded, or fails
+// orderedChooser chooses the first upstream that is not excluded, up-0 to up-N, or fails
 // with err.
-type singleChooser struct{ err error }
+type orderedChooser struct {
+	err error
+	// more is the number of upstreams beside up-0.
+	more int
+}
 
-func (c singleChooser) choose(id string, attempt int, excluded map[string]bool) (dispatcher.Choice, error) {
+func (c orderedChooser) choose(id string, attempt int, excluded map[string]bool) (dispatcher.Choice, error) {
 	if c.err != nil {
 		return dispatcher.Choice{}, c.err
 	}
-	if excluded["up-0"] {
-		return dispatcher.Choice{}, errNoUpstream
+	for n := range c.more + 1 {
+		if name := fmt.Sprintf("up-%d", n); !excluded[name] {
+			return dispatcher.Choice{RequestID: id, Attempt: attempt, Target: caller.Target{Name: name, Address: addressOf(n)}}, nil
+		}
 	}
-	return dispatcher.Choice{RequestID: id, Attempt: attempt, Target: caller.Target{Name: "up-0", Address: upstreamAddress}}, nil
+	return dispatcher.Choice{}, errNoUpstream
 }
 
 // Choose implements dispatcher.Chooser.
-func (c singleChooser) Choose(_ context.Context, j dispatcher.Job, attempt int, excluded map[string]bool) (dispatcher.Choice, error) {
+func (c orderedChooser) Choose(_ context.Context, j dispatcher.Job, attempt int, excluded map[string]bool) (dispatcher.Choice, error) {
 	return c.choose(j.ID, attempt, excluded)
 }
 
 // ChooseService implements dispatcher.Chooser.
-func (c singleChooser) ChooseService(_ context.Context, j dispatcher.ServiceJob, attempt int, excluded map[string]bool) (dispatcher.Choice, error) {
+func (c orderedChooser) ChooseService(_ context.Context, j dispatcher.ServiceJob, attempt int, excluded map[string]bool) (dispatcher.Choice, error) {
 	return c.choose(j.ID, attempt, excluded)
 }
 
 // Sent implements dispatcher.Chooser.
-func (c singleChooser) Sent(time.Time, dispatcher.Choice) {}
+func (c orderedChooser) Sent(time.Time, dispatcher.Choice) {}
 
 // FirstToken implements dispatcher.Chooser.
-func (c singleChooser) FirstToken(time.Time, dispatcher.Choice) {}
+func (c orderedChooser) FirstToken(time.Time, dispatcher.Choice) {}
 
 // Finished implements dispatcher.Chooser.
-func (c singleChooser) Finished(time.Time, dispatcher.Choice) {}
+func (c orderedChooser) Finished(time.Time, dispatcher.Choice) {}
 
 // Failed implements dispatcher.Chooser.
-func (c singleChooser) Failed(time.Time, dispatcher.Choice, error) {}
+func (c orderedChooser) Failed(time.Time, dispatcher.Choice, error) {}
 
 // Abandoned implements dispatcher.Chooser.
-func (c singleChooser) Abandoned(time.Time, dispatcher.Choice) {}
+func (c orderedChooser) Abandoned(time.Time, dispatcher.Choice) {}
 
 // newHandler returns the HTTP handler of a router that connects to its upstreams
 // through dial.
--- a/internal/serving/receiver/output.go
+++ b/internal/serving/receiver/output.go
@@ -7,11 +7,15 @@
 	"time"
 
 	"github.com/kataras/iris/v12"
+	"github.com/kataras/iris/v12/context"
 
 	"gentianstep.example/gentianstep/internal/bundle/checker"
 	"gentianstep.example/gentianstep/internal/failure/classifier"
 )
 
+// hasBegun reports whether the caller may have got a part of the response.
+func hasBegun(ctx iris.Context) bool { return ctx.ResponseWriter().Written() != context.NoWritten }
+
 // deadlineWriter writes a response to a caller and sets a new deadline for each
 // write, so that a caller that stops reading cannot block its request forever.
 type deadlineWriter struct {
--- a/internal/serving/receiver/receiver.go
+++ b/internal/serving/receiver/receiver.go
@@ -63,11 +63,12 @@
 // Handler returns the HTTP handler with all routes for callers.
 func (r *Receiver) Handler() (http.Handler, error) {
 	app := iris.New()
+	app.Configure(iris.WithoutAutoFireStatusCode) // it adds bodies to responses of services
 	app.Logger().SetLevel("disable")
+	app.UseRouter(r.serveNotFound)
 	app.Post("/v1/completions", r.serveCompletion)
 	app.Post("/v1/chat/completions", r.serveCompletion)
 	app.Any("/v1/services/{service}/{path:path}", r.serveServiceCall)
-	app.OnErrorCode(iris.StatusNotFound, r.writeNotFound)
 	if err := app.Build(); err != nil {
 		return nil, fmt.Errorf("build HTTP routes for callers: %w", err)
 	}
@@ -82,8 +83,12 @@
 	organisation checker.Organisation
 }
 
-func (r *Receiver) writeNotFound(ctx iris.Context) {
-	r.writeError(ctx, uuid.NewString(), classifier.New(classifier.NotFound, "no such path"))
+// serveNotFound writes the response to a request that has no route.
+func (r *Receiver) serveNotFound(ctx iris.Context) {
+	ctx.Next()
+	if !hasBegun(ctx) && ctx.GetStatusCode() == http.StatusNotFound {
+		r.writeError(ctx, uuid.NewString(), classifier.New(classifier.NotFound, "no such path"))
+	}
 }
 
 // authenticate assigns a request ID, finds the organisation by the API key of the
--- a/internal/serving/receiver/refusal_test.go
+++ b/internal/serving/receiver/refusal_test.go
@@ -72,7 +72,7 @@
 
 func runErrorCase(t *testing.T, tc errorCase) {
 	is := is.New(t)
-	chooser := singleChooser{}
+	chooser := orderedChooser{}
 	if tc.ChooserError != "" {
 		chooserError := classifier.New(tc.ChooserError, "injected by the test")
 		if tc.RetryInMillis > 0 {
@@ -105,7 +105,7 @@
 	t.Parallel()
 	is := is.New(t)
 	for _, kind := range classifier.Kinds() {
-		handler, _ := newHandler(t, newHolder(t, true), refuseDial, singleChooser{err: classifier.New(kind, "injected by the test")})
+		handler, _ := newHandler(t, newHolder(t, true), refuseDial, orderedChooser{err: classifier.New(kind, "injected by the test")})
 		body := strings.NewReader(`{"model": "tile-match", "prompt": "p"}`)
 		request := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/v1/completions", body)
 		request.Header.Set("Authorization", "Bearer "+callerKey)
--- a/internal/serving/receiver/slow_test.go
+++ b/internal/serving/receiver/slow_test.go
@@ -42,7 +42,7 @@
 		Slots: 8, CacheBlocks: 8, PrefillPerBlock: time.Millisecond, TokenInterval: 10 * time.Millisecond, Incarnation: 1,
 	})
 	f.network.Serve(upstreamAddress.String(), generator.Handler(f.engine))
-	handler, calls := newHandler(t, newHolder(t, true), f.network.Dial, singleChooser{})
+	handler, calls := newHandler(t, newHolder(t, true), f.network.Dial, orderedChooser{})
 	callers := piper.New()
 	callers.Serve(callerAddress, handler)
 	conn, err := callers.Dial(t.Context(), "tcp", callerAddress)
