dispatcher: a service's answer without a length is not complete if the upstream crashes

Callers of a plain service got a part of its answer as a whole one when the upstream ended within an answer that has neither a length nor chunks; a call that may be repeated was not, and the outcome of one that may not was reported as known.

The check moves to caller.CheckEnd, which both use.

--- a/internal/gateway/forwarder/deliver.go
+++ b/internal/gateway/forwarder/deliver.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"time"
 
 	"gentianstep.example/gentianstep/internal/failure/classifier"
 	"gentianstep.example/gentianstep/internal/routing/matcher"
@@ -23,23 +22,13 @@
 // errResponseTooLarge is returned for a response of more than maxResponseBytes.
 var errResponseTooLarge = errors.New("response exceeds the size limit")
 
-// endCheckTimeout bounds the connection that shows whether an upstream has crashed. Ports
-// without a listener refuse it within a round trip.
-const endCheckTimeout = 250 * time.Millisecond
-
-// checkEnd returns io.ErrUnexpectedEOF if a response that has ended is not known to be
-// complete: it does not state where it ends, and its upstream has crashed.
+// checkEnd returns an error if a response that has ended is not known to be complete.
 func (x *exchange) checkEnd(ctx context.Context, answer *caller.Response) error {
 	u := x.choice.Upstream
 	if answer.Framed || !x.isStaying(u) {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
-	defer cancel()
-	if x.cfg.Caller.IsRefused(ctx, u.Address) {
-		return io.ErrUnexpectedEOF
-	}
-	return nil
+	return x.cfg.Caller.CheckEnd(ctx, u.Address, answer)
 }
 
 // isStream reports whether a response is a series of events. Those without a body are not.
--- a/internal/serving/dispatcher/service.go
+++ b/internal/serving/dispatcher/service.go
@@ -254,6 +254,9 @@
 	if err == nil && len(body) > maxServiceAnswerBytes {
 		err = errAnswerTooLarge
 	}
+	if err == nil {
+		err = d.cfg.Caller.CheckEnd(ctx, choice.Target.Address, answer)
+	}
 	if err != nil {
 		return ServiceAnswer{}, &caller.Failure{Upstream: choice.Target.Name, Sent: true, Err: err}
 	}
--- a/internal/serving/receiver/script_test.go
+++ b/internal/serving/receiver/script_test.go
@@ -132,8 +132,17 @@
 	return server.URL, lines
 }
 
-// exchange sends a request of a caller and reads its response. err is that of the body.
-func exchange(t *testing.T, method, url, body string) (response *http.Response, got string, err error) {
+// callerReply is what a caller got.
+type callerReply struct {
+	status int
+	header http.Header
+	body   string
+	// err is that of reading the body.
+	err error
+}
+
+// exchange sends a request of a caller and reads its response.
+func exchange(t *testing.T, method, url, body string) callerReply {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), processTimeout)
 	defer cancel()
@@ -142,13 +151,13 @@
 		t.Fatal(err)
 	}
 	request.Header.Set("Authorization", "Bearer "+callerKey)
-	response, err = (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(request)
+	response, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(request)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(response.Body)
-	return response, string(data), err
+	return callerReply{status: response.StatusCode, header: response.Header, body: string(data), err: err}
 }
 
 func checkError(is *is.I, got string, kind classifier.Kind) {
--- a/internal/serving/receiver/service_end_test.go
+++ b/internal/serving/receiver/service_end_test.go
@@ -33,15 +33,15 @@
 			t.Parallel()
 			is := is.New(t)
 			url, lines := serveScript(t, &script{answers: row.Answers})
-			response, got, err := exchange(t, row.Method, url+"/v1/services/sample-desk"+row.Path, "")
-			is.NoErr(err)
-			is.Equal(response.StatusCode, row.Status)
+			reply := exchange(t, row.Method, url+"/v1/services/sample-desk"+row.Path, "")
+			is.NoErr(reply.err)
+			is.Equal(reply.status, row.Status)
 			is.Equal(strings.Count(lines.String(), "superfluous"), 0)
 			if row.Kind != "" {
-				checkError(is, strings.TrimSpace(got), row.Kind)
+				checkError(is, strings.TrimSpace(reply.body), row.Kind)
 				return
 			}
-			is.Equal(got, row.Body)
+			is.Equal(reply.body, row.Body)
 		})
 	}
 }
