receiver: a stream that ends with an error does not end as complete

A caller that ignores unknown events took a stream for whole that had ended with an error event, since its response ended regularly. Callers got no bytes but those of their own stream and the event: the dispatcher passes on checked chunks alone, and no status or body of an engine.

The response now ends with its connection after the error event has been flushed (http.ErrAbortHandler, which the HTTP framework passes on). fail alone decides how a response ends with an error, by whether the framework has sent a part of it: as an error response, as an error event, or by the end of the connection alone, which a response of a service gets whose caller takes it too slowly.

TestWrongAnswerDoesNotEndStream, go test ./internal/serving/receiver: before 150 of 592 cases failed, all at "the response does not end as complete"; now none, five times in a row with -race. Its callers use TCP on the loopback, and each of the 150 reads the error event before the connection ends. The whole package passes.

--- a/internal/serving/receiver/call.go
+++ b/internal/serving/receiver/call.go
@@ -13,25 +13,27 @@
 // serveServiceCall forwards a call of a plain service and writes its response.
 func (r *Receiver) serveServiceCall(ctx iris.Context) {
 	info, err := r.authenticate(ctx)
+	p := newResponse(ctx, info.id)
 	if err != nil {
-		r.writeError(ctx, info.id, err)
+		r.fail(p, err)
 		return
 	}
 	job, err := newServiceJob(ctx, info)
 	if err != nil {
-		r.writeError(ctx, info.id, err)
+		r.fail(p, err)
 		return
 	}
-	response, err := r.cfg.Dispatcher.Call(ctx.Request().Context(), job)
+	answer, err := r.cfg.Dispatcher.Call(ctx.Request().Context(), job)
 	if err != nil {
-		r.writeError(ctx, info.id, err)
+		r.fail(p, err)
 		return
 	}
-	w := newDeadlineWriter(ctx, job.Bundle.Policy.Streams)
-	defer w.clearDeadline()
-	ctx.ContentType(response.ContentType)
-	ctx.StatusCode(response.Status)
-	_ = w.write(response.Body)
+	p.setPolicy(job.Bundle.Policy.Streams)
+	defer p.clearDeadline()
+	p.setHead(answer.Status, answer.ContentType)
+	if err := p.write(answer.Body); err != nil {
+		r.fail(p, err)
+	}
 }
 
 // newServiceJob builds the job of a service call from its path, headers and
--- a/internal/serving/receiver/complete.go
+++ b/internal/serving/receiver/complete.go
@@ -21,26 +21,29 @@
 // as a single JSON document.
 func (r *Receiver) serveCompletion(ctx iris.Context) {
 	info, err := r.authenticate(ctx)
+	p := newResponse(ctx, info.id)
 	if err != nil {
-		r.writeError(ctx, info.id, err)
+		r.fail(p, err)
 		return
 	}
 	job, err := newJob(ctx, info)
 	if err != nil {
-		r.writeError(ctx, info.id, err)
+		r.fail(p, err)
 		return
 	}
 	release, err := r.acquireSlot(ctx.Request().Context(), job)
 	if err != nil {
-		r.writeError(ctx, info.id, err)
+		r.fail(p, err)
 		return
 	}
 	defer release()
+	p.setPolicy(job.Bundle.Policy.Streams)
+	defer p.clearDeadline()
 	if job.Request.Stream {
-		r.streamCompletion(ctx, job)
+		r.streamCompletion(p, job)
 		return
 	}
-	r.bufferCompletion(ctx, job)
+	r.bufferCompletion(p, job)
 }
 
 // promptBytesPerToken is the assumed size of a prompt token in cost estimates.
@@ -112,50 +115,36 @@
 
 // streamSink writes each chunk as a server-sent event.
 type streamSink struct {
-	w             deadlineWriter
-	headerWritten bool
+	p *response
 }
 
 // WriteChunk implements dispatcher.Sink.
 func (s *streamSink) WriteChunk(n uint64, c encoder.Chunk) error {
-	s.writeHeader()
 	data, err := json.Marshal(c)
 	if err != nil {
 		return fmt.Errorf("encode completion chunk: %w", err)
 	}
-	return s.w.write(fmt.Appendf(nil, "id: %d\ndata: %s\n\n", n, data))
+	if !s.p.hasBegun() {
+		s.p.streamed = true
+		s.p.setHead(http.StatusOK, "text/event-stream")
+		s.p.ctx.Header("Cache-Control", "no-store")
+	}
+	return s.p.write(fmt.Appendf(nil, "id: %d\ndata: %s\n\n", n, data))
 }
 
 // Head implements dispatcher.HeadSink.
 func (s *streamSink) Head(upstream string) {
-	s.w.ctx.Header(encoder.HeaderUpstream, upstream)
+	s.p.ctx.Header(encoder.HeaderUpstream, upstream)
 }
 
-// writeHeader sets the status and headers of the stream; only the first call has
-// an effect.
-func (s *streamSink) writeHeader() {
-	if s.headerWritten {
-		return
+// streamCompletion writes the answer as server-sent events.
+func (r *Receiver) streamCompletion(p *response, job dispatcher.Job) {
+	err := r.cfg.Dispatcher.Complete(p.ctx.Request().Context(), job, &streamSink{p: p})
+	if err == nil {
+		err = p.write([]byte("data: " + encoder.Done + "\n\n"))
 	}
-	s.headerWritten = true
-	s.w.ctx.ContentType("text/event-stream")
-	s.w.ctx.Header("Cache-Control", "no-store")
-	s.w.ctx.StatusCode(http.StatusOK)
-}
-
-// streamCompletion writes the answer as server-sent events. A failure before the
-// first event is answered with an HTTP error, a later one with an error event.
-func (r *Receiver) streamCompletion(ctx iris.Context, job dispatcher.Job) {
-	sink := &streamSink{w: newDeadlineWriter(ctx, job.Bundle.Policy.Streams)}
-	defer sink.w.clearDeadline()
-	err := r.cfg.Dispatcher.Complete(ctx.Request().Context(), job, sink)
-	switch {
-	case err == nil:
-		_ = sink.w.write([]byte("data: " + encoder.Done + "\n\n"))
-	case !sink.headerWritten:
-		r.writeError(ctx, job.ID, err)
-	default:
-		r.writeErrorEvent(sink, job.ID, err)
+	if err != nil {
+		r.fail(p, err)
 	}
 }
 
@@ -190,20 +179,19 @@
 
 // bufferCompletion waits for the complete answer and writes it as one JSON
 // document.
-func (r *Receiver) bufferCompletion(ctx iris.Context, job dispatcher.Job) {
+func (r *Receiver) bufferCompletion(p *response, job dispatcher.Job) {
 	sink := &bufferedSink{}
-	if err := r.cfg.Dispatcher.Complete(ctx.Request().Context(), job, sink); err != nil {
-		r.writeError(ctx, job.ID, err)
+	if err := r.cfg.Dispatcher.Complete(p.ctx.Request().Context(), job, sink); err != nil {
+		r.fail(p, err)
 		return
 	}
 	data, err := json.Marshal(sink.response())
 	if err != nil {
-		r.writeError(ctx, job.ID, fmt.Errorf("encode completion response: %w", err))
+		r.fail(p, fmt.Errorf("encode completion response: %w", err))
 		return
 	}
-	w := newDeadlineWriter(ctx, job.Bundle.Policy.Streams)
-	defer w.clearDeadline()
-	ctx.ContentType("application/json")
-	ctx.StatusCode(http.StatusOK)
-	_ = w.write(data)
+	p.setHead(http.StatusOK, "application/json")
+	if err := p.write(data); err != nil {
+		r.fail(p, err)
+	}
 }
--- a/internal/serving/receiver/fail.go
+++ b/internal/serving/receiver/fail.go
@@ -5,10 +5,11 @@
 	"errors"
 	"fmt"
 	"math"
+	"net/http"
 	"strconv"
 	"time"
 
-	"github.com/kataras/iris/v12"
+	"github.com/sirupsen/logrus"
 
 	"gentianstep.example/gentianstep/internal/failure/classifier"
 	"gentianstep.example/gentianstep/internal/streaming/encoder"
@@ -55,28 +56,44 @@
 	return detail
 }
 
-// writeError writes err as the response of a request whose response header has
-// not been sent yet.
-func (r *Receiver) writeError(ctx iris.Context, id string, err error) {
-	detail := newErrorDetail(id, err, time.Now())
-	r.cfg.Log.WithError(err).WithField("request_id", id).WithField("kind", detail.Kind).Info("request failed before its response began")
+// fail ends a response with err. A caller that has got nothing of it gets an error
+// response. One that has begun ends with its connection, so that it does not look complete,
+// after an error event if it is a stream.
+func (r *Receiver) fail(p *response, err error) {
+	begun, detail := p.hasBegun(), newErrorDetail(p.id, err, time.Now())
+	level := logrus.InfoLevel
+	if begun {
+		level = logrus.WarnLevel
+	}
+	r.cfg.Log.WithError(err).WithFields(logrus.Fields{
+		"event": "response_failed", "request_id": p.id, "kind": detail.Kind, "begun": begun,
+	}).Log(level, "response ends with an error")
+	if !begun {
+		r.writeError(p, detail)
+		return
+	}
+	if p.streamed {
+		p.writeErrorEvent(detail)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// writeError writes an error response.
+func (r *Receiver) writeError(p *response, detail errorDetail) {
 	if detail.RetryAfterSeconds > 0 {
-		ctx.Header("Retry-After", strconv.Itoa(detail.RetryAfterSeconds))
+		p.ctx.Header("Retry-After", strconv.Itoa(detail.RetryAfterSeconds))
 	}
-	ctx.Header(encoder.HeaderRequestID, id)
-	ctx.Header(encoder.HeaderNotRun, strconv.FormatBool(detail.NotRun))
-	ctx.StatusCode(classifier.AnswerOf(detail.Kind).Status)
-	_ = ctx.JSON(errorBody{Error: detail})
+	p.ctx.Header(encoder.HeaderRequestID, p.id)
+	p.ctx.Header(encoder.HeaderNotRun, strconv.FormatBool(detail.NotRun))
+	p.ctx.StatusCode(classifier.AnswerOf(detail.Kind).Status)
+	_ = p.ctx.JSON(errorBody{Error: detail})
 }
 
-// writeErrorEvent ends a stream that has begun with an error event, from which
-// the caller can tell that the answer is incomplete.
-func (r *Receiver) writeErrorEvent(sink *streamSink, id string, err error) {
-	detail := newErrorDetail(id, err, time.Now())
-	r.cfg.Log.WithError(err).WithField("request_id", id).WithField("kind", detail.Kind).Warn("stream failed after its response began")
+// writeErrorEvent writes an error event. It fails only if the caller has gone.
+func (p *response) writeErrorEvent(detail errorDetail) {
 	data, err := json.Marshal(errorBody{Error: detail})
 	if err != nil {
-		return
+		panic(fmt.Sprintf("encode error event of request %s: %v", p.id, err)) // its fields are texts and numbers
 	}
-	_ = sink.w.write(fmt.Appendf(nil, "event: error\ndata: %s\n\n", data))
+	_ = p.write(fmt.Appendf(nil, "event: error\ndata: %s\n\n", data))
 }
--- a/internal/serving/receiver/receiver.go
+++ b/internal/serving/receiver/receiver.go
@@ -86,8 +86,9 @@
 // serveNotFound writes the response to a request that has no route.
 func (r *Receiver) serveNotFound(ctx iris.Context) {
 	ctx.Next()
-	if !hasBegun(ctx) && ctx.GetStatusCode() == http.StatusNotFound {
-		r.writeError(ctx, uuid.NewString(), classifier.New(classifier.NotFound, "no such path"))
+	p := newResponse(ctx, uuid.NewString())
+	if !p.hasBegun() && ctx.GetStatusCode() == http.StatusNotFound {
+		r.fail(p, classifier.New(classifier.NotFound, "no such path"))
 	}
 }
 
