platform: an entry that cannot be of an upstream names none

Another writer's entry named an upstream to use although no process can have its values: port 0, addresses that are unspecified, multicast, broadcast or of one link, 0 or negative slots, slots beyond all counts, a start before 1970 or in the year, an ID with a control character, an empty service, or without cold_remaining_ms. Requests, health checks and calls for reports went there.

The decoder checked that most fields exist and fit their Go types, nothing else. An Upstream checks itself now (registrar.Upstream.Check), and the decoder requires all fields of the page and times that fit an int64 of nanoseconds. The bounds are those of the types. A start in the future, orders and weights at the limit of their type remain valid.

The entries of existing tests that lacked cold_remaining_ms have it now: rows on one missing field still lack only that one.

--- a/internal/membership/informer/log_test.go
+++ b/internal/membership/informer/log_test.go
@@ -31,7 +31,7 @@
 	})
 	entry := storer.Entry{
 		Key:      platform.UpstreamPrefix + "a",
-		Value:    []byte(`{"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":"draining","sequence":0,"version":"1","born":1700000000123}`),
+		Value:    []byte(`{"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":"draining","cold_remaining_ms":0,"sequence":0,"version":"1","born":1700000000123}`),
 		Era:      3,
 		Revision: 40,
 	}
--- a/internal/membership/informer/model_test.go
+++ b/internal/membership/informer/model_test.go
@@ -95,7 +95,7 @@
 		m.store.write(storer.Change{Entry: storer.Entry{Key: key}, Removed: true})
 		return
 	}
-	m.store.put(key, fmt.Sprintf(`{"service":"s","address":"10.1.0.%d:80","zone":"z","slots":4,"state":%q,"sequence":0,"version":"1","born":%d}`, n+1, u.state, u.born))
+	m.store.put(key, fmt.Sprintf(`{"service":"s","address":"10.1.0.%d:80","zone":"z","slots":4,"state":%q,"cold_remaining_ms":0,"sequence":0,"version":"1","born":%d}`, n+1, u.state, u.born))
 }
 
 // read has a VM read a state of the store: the changes if it has an earlier version of
--- a/internal/membership/registrar/upstream.go
+++ b/internal/membership/registrar/upstream.go
@@ -4,10 +4,19 @@
 package registrar
 
 import (
+	"errors"
+	"fmt"
+	"math"
 	"net/netip"
+	"strings"
 	"time"
+	"unicode"
 )
 
+// maxSlots is the most slots of an upstream. The sum over all upstreams of a deployment
+// fits an int.
+const maxSlots = math.MaxInt32
+
 // Upstream is the decoded store entry of an upstream.
 type Upstream struct {
 	// ID is the identifier under which the upstream's process registered.
@@ -28,6 +37,31 @@
 	Orders uint64
 }
 
+// Check returns an error for an upstream that no process can be.
+func (u *Upstream) Check() error {
+	switch {
+	case u.ID == "" || strings.ContainsFunc(u.ID, unicode.IsControl):
+		return errors.New("invalid ID") // requests state it in a header
+	case u.Service == "":
+		return errors.New("service is empty")
+	case u.Slots < 1 || u.Slots > maxSlots:
+		return fmt.Errorf("%d slots, want 1 to %d", u.Slots, maxSlots)
+	}
+	return checkAddress(u.Address)
+}
+
+// checkAddress returns an error for an address that is not the same process to all VMs, or
+// none at all. Loopback addresses are those of a deployment on one machine.
+func checkAddress(a netip.AddrPort) error {
+	switch ip := a.Addr().Unmap(); {
+	case a.Port() == 0:
+		return errors.New("port is 0")
+	case ip.Zone() != "", !ip.IsGlobalUnicast() && !ip.IsLoopback():
+		return fmt.Errorf("address %s is not a unicast address of all networks", ip)
+	}
+	return nil
+}
+
 // SameProcess reports whether two entries were written by the same process of an
 // upstream.
 func (u *Upstream) SameProcess(other *Upstream) bool {
