registrar: an odd entry hides no sound upstream at its address

newestStarts compared the starts of all entries. It takes account only of those whose service the configuration names, and of starts that the VM's clock has reached. Until the clock has reached a start, both upstreams at the address are used: a request states its instance, so that the process there refuses those for the other one unrun. Upstreams of services that aren't named are no longer in Usable and All; they are as soon as a configuration names them. Without a configuration all are.

--- a/internal/gateway/forwarder/places_test.go
+++ b/internal/gateway/forwarder/places_test.go
@@ -104,11 +104,11 @@
 		f := newFixture(t, 2)
 		r := registrar.New()
 		for _, u := range f.directory.upstreams["s"] {
-			r.Put(u)
+			r.Put(time.Now(), u)
 		}
 		leaving := *f.directory.upstreams["s"][0]
 		leaving.Leaving = true
-		r.Put(&leaving)
+		r.Put(time.Now(), &leaving)
 		f.directory.upstreams["s"] = r.Usable("s")
 		for n := range 10 {
 			is.Equal(f.do(f.request(t, "idempotent", fmt.Sprint(n))).status, http.StatusOK)
--- a/internal/membership/informer/take.go
+++ b/internal/membership/informer/take.go
@@ -19,7 +19,7 @@
 		case prefix == i.cfg.UpstreamPrefix:
 			i.applyUpstream(now, c, c.Revision <= restoredUpTo)
 		case i.cfg.Codec.IsConfiguration(c.Key) && !c.Removed:
-			i.applyConfiguration(c)
+			i.applyConfiguration(now, c)
 		case i.cfg.Codec.IsWeights(c.Key) && !c.Removed:
 			i.applyWeights(now, c)
 		}
@@ -44,10 +44,10 @@
 		return
 	}
 	if restored {
-		i.logUpstreamEvents(i.registrar.PutRestored(u), i.changeFields(c, restored))
+		i.logUpstreamEvents(i.registrar.PutRestored(now, u), i.changeFields(c, restored))
 		return
 	}
-	i.logUpstreamEvents(i.registrar.Put(u), i.changeFields(c, restored))
+	i.logUpstreamEvents(i.registrar.Put(now, u), i.changeFields(c, restored))
 }
 
 // changeFields returns the log fields of the change of an entry: its version, its source,
@@ -75,7 +75,7 @@
 
 // applyConfiguration puts a configuration into force unless it is invalid or its
 // version is not above the current one.
-func (i *Informer) applyConfiguration(c storer.Change) {
+func (i *Informer) applyConfiguration(now time.Time, c storer.Change) {
 	configuration, err := i.cfg.Codec.Configuration(c.Value)
 	if err != nil {
 		i.logEvent("configuration_ignored").WithError(err).WithFields(logrus.Fields{fieldRevision: c.Revision}).Error("ignored invalid configuration")
@@ -85,6 +85,10 @@
 		return
 	}
 	i.matcher.Store(matcher.New(configuration))
+	i.registrar.SetServices(now, func(service string) bool {
+		_, ok := configuration.Services[service]
+		return ok
+	})
 	i.logEvent("configuration_in_force").WithFields(logrus.Fields{
 		"version":     configuration.Version,
 		fieldRevision: c.Revision,
--- a/internal/membership/registrar/registrar.go
+++ b/internal/membership/registrar/registrar.go
@@ -56,6 +56,11 @@
 	// graceUntil is the end of the grace period after the store's recovery, in
 	// which live upstreams may still have to register again.
 	graceUntil time.Time
+	// named reports whether the configuration names a service, nil if there is none yet.
+	named func(service string) bool
+	// nextStartAt is the earliest start that the index does not take account of because it
+	// is yet to come, or zero.
+	nextStartAt time.Time
 	// byService lists the usable upstreams of each service in order of their IDs.
 	byService map[string][]*Upstream
 }
@@ -75,16 +80,23 @@
 	r.graceUntil = now.Add(recoveryGrace)
 }
 
+// SetServices sets which services the configuration names. The entry of an upstream of
+// another service names no upstream to use, and does not show that another one has ended.
+func (r *Registrar) SetServices(now time.Time, named func(service string) bool) {
+	r.named = named
+	r.rebuildIndex(now)
+}
+
 // Put adds or updates an upstream and returns the resulting events. A process that leaves
 // does not become ready again: a restored store repeats the writes before that.
-func (r *Registrar) Put(u *Upstream) []Event {
+func (r *Registrar) Put(now time.Time, u *Upstream) []Event {
 	if r.hasLeft(u) {
 		leaving := *u
 		leaving.Leaving = true
 		u = &leaving
 	}
 	events := r.upsert(u)
-	r.rebuildIndex()
+	r.rebuildIndex(now)
 	return events
 }
 
@@ -103,10 +115,10 @@
 // PutRestored is Put for an entry that the store may have restored from a copy which is
 // older than what is known. It does not show that a process which left is back; a later
 // write of a live process does.
-func (r *Registrar) PutRestored(u *Upstream) []Event {
+func (r *Registrar) PutRestored(now time.Time, u *Upstream) []Event {
 	if rec, ok := r.records[u.ID]; ok {
 		if u.supersedes(rec.upstream) {
-			return r.Put(u)
+			return r.Put(now, u)
 		}
 		rec.removeAt = time.Time{}
 		return nil
@@ -114,14 +126,14 @@
 	if gone, ok := r.gone.Get(u.ID); ok && !u.follows(gone) {
 		return nil
 	}
-	return r.Put(u)
+	return r.Put(now, u)
 }
 
 // Remove handles the removal of an upstream's entry and returns the resulting
 // events.
 func (r *Registrar) Remove(now time.Time, id string) []Event {
 	events := r.markMissing(now, id)
-	r.rebuildIndex()
+	r.rebuildIndex(now)
 	return events
 }
 
@@ -135,8 +147,8 @@
 			events = append(events, Event{Gone, rec.upstream})
 		}
 	}
-	if len(events) > 0 {
-		r.rebuildIndex()
+	if len(events) > 0 || !r.nextStartAt.IsZero() && !now.Before(r.nextStartAt) {
+		r.rebuildIndex(now)
 	}
 	return events
 }
@@ -145,15 +157,20 @@
 // of their IDs. The returned slice must not be modified.
 func (r *Registrar) Usable(service string) []*Upstream { return r.byService[service] }
 
-// All returns all upstreams in no particular order.
+// All returns all upstreams of named services in no particular order.
 func (r *Registrar) All() []*Upstream {
 	all := make([]*Upstream, 0, len(r.records))
 	for _, rec := range r.records {
-		all = append(all, rec.upstream)
+		if r.isNamed(rec.upstream) {
+			all = append(all, rec.upstream)
+		}
 	}
 	return all
 }
 
+// isNamed reports whether the configuration names the service of u, or is not known yet.
+func (r *Registrar) isNamed(u *Upstream) bool { return r.named == nil || r.named(u.Service) }
+
 func (r *Registrar) upsert(u *Upstream) []Event {
 	rec, ok := r.records[u.ID]
 	if !ok {
@@ -192,11 +209,21 @@
 	r.gone.Add(id, rec.upstream)
 }
 
-// newestStarts returns the latest start time of the upstreams at each address.
-func (r *Registrar) newestStarts() map[netip.AddrPort]time.Time {
+// newestStarts returns the latest start time of the upstreams at each address. A start that
+// is yet to come shows no process that has started there: another clock may be ahead, or
+// another writer wrote it.
+func (r *Registrar) newestStarts(now time.Time) map[netip.AddrPort]time.Time {
 	newest := make(map[netip.AddrPort]time.Time, len(r.records))
+	r.nextStartAt = time.Time{}
 	for _, rec := range r.records {
-		if u := rec.upstream; u.StartedAt.After(newest[u.Address]) {
+		u := rec.upstream
+		switch {
+		case !r.isNamed(u):
+		case u.StartedAt.After(now):
+			if r.nextStartAt.IsZero() || u.StartedAt.Before(r.nextStartAt) {
+				r.nextStartAt = u.StartedAt
+			}
+		case u.StartedAt.After(newest[u.Address]):
 			newest[u.Address] = u.StartedAt
 		}
 	}
@@ -205,12 +232,12 @@
 
 // rebuildIndex builds new lists of the usable upstreams of each service. The old
 // lists are not modified because callers of Usable may still read them.
-func (r *Registrar) rebuildIndex() {
+func (r *Registrar) rebuildIndex(now time.Time) {
 	byService := make(map[string][]*Upstream)
-	newest := r.newestStarts()
+	newest := r.newestStarts(now)
 	for _, id := range slices.Sorted(maps.Keys(r.records)) {
 		u := r.records[id].upstream
-		if !u.Leaving && !u.isReplaced(newest[u.Address]) {
+		if !u.Leaving && r.isNamed(u) && !u.isReplaced(newest[u.Address]) {
 			byService[u.Service] = append(byService[u.Service], u)
 		}
 	}
