informer: large odd entries stop no VM from following the list

With 24 odd entries of 1 MiB among those of upstreams, VMs no longer followed the list. A VM that the store doesn't serve got no upstreams at all: the replica of another VM is over the 8 MiB of a message. One that the store serves stopped: a watch answers with all changes at once, over the 16 MiB that a response may have, and was repeated with the same result. Each VM kept and passed on the values of entries that it ignores, and each write of an odd entry gave a line.

The replica of the upstreams' entries keeps only key and version of an entry that names no upstream, and passes on no more. A line is written when an entry ceases to name an upstream, not at each write.

--- a/internal/membership/informer/informer.go
+++ b/internal/membership/informer/informer.go
@@ -62,6 +62,8 @@
 	// snapshots counts the complete lists applied per prefix.
 	snapshots map[string]int
 	registrar *registrar.Registrar
+	// ignored holds the keys of the entries that name no upstream.
+	ignored map[string]bool
 	// weights holds the desired versions of each model in ascending order.
 	weights map[string][]Weights
 	// confirmation tracks until when the operators' entries are known to be complete.
@@ -93,6 +95,7 @@
 		replicas:       make(map[string]*replica),
 		snapshots:      make(map[string]int),
 		registrar:      registrar.New(),
+		ignored:        make(map[string]bool),
 		weights:        make(map[string][]Weights),
 		confirmation:   confirmation{readStopped: cfg.Suspended},
 		toldSince:      make(map[weightsVersion]time.Time),
@@ -107,8 +110,9 @@
 		i.confirmation.readStopped = func() time.Duration { return 0 }
 	}
 	for _, prefix := range i.prefixes() {
-		i.replicas[prefix] = newReplica()
+		i.replicas[prefix] = newReplica(nil)
 	}
+	i.replicas[cfg.UpstreamPrefix] = newReplica(i.namesUpstream)
 	return i
 }
 
--- a/internal/membership/informer/informer_test.go
+++ b/internal/membership/informer/informer_test.go
@@ -48,7 +48,11 @@
 	t.Helper()
 	quiet := logrus.New()
 	quiet.SetOutput(io.Discard)
-	log := logrus.NewEntry(quiet)
+	return startVMWithLog(t, network, door, n, vms, logrus.NewEntry(quiet))
+}
+
+func startVMWithLog(t *testing.T, network *piper.Network, door *platformtest.Endpoint, n, vms int, log *logrus.Entry) *vm {
+	t.Helper()
 	v := &vm{door: door}
 	name := fmt.Sprintf("%s-%d", storeAddress, n)
 	network.Serve(name, v.door)
--- a/internal/membership/informer/replica.go
+++ b/internal/membership/informer/replica.go
@@ -22,9 +22,14 @@
 	version storer.Version
 	entries map[string]storer.Entry
 	log     changeLog
+	// isUsed reports whether the value of an entry is of use, nil if all are. The others
+	// are neither kept nor passed on to other VMs, however large they are.
+	isUsed func(storer.Entry) bool
 }
 
-func newReplica() *replica { return &replica{entries: make(map[string]storer.Entry)} }
+func newReplica(isUsed func(storer.Entry) bool) *replica {
+	return &replica{entries: make(map[string]storer.Entry), isUsed: isUsed}
+}
 
 // replace applies a snapshot and returns the resulting changes. A snapshot of an older
 // version than the replica's is ignored. Entries after its version are kept: the replica
@@ -35,55 +40,68 @@
 	}
 	r.version = version
 	listed := make(map[string]bool, len(entries))
-	var changes []storer.Change
+	var changes, logged []storer.Change
 	for _, e := range entries {
 		listed[e.Key] = true
-		if r.put(e) {
-			changes = append(changes, storer.Change{Entry: e})
+		if kept, changed := r.put(e); changed {
+			changes, logged = append(changes, storer.Change{Entry: e}), append(logged, storer.Change{Entry: kept})
 		}
 	}
 	for key, known := range r.entries {
 		if !listed[key] && !known.Version().After(version) {
 			delete(r.entries, key)
-			changes = append(changes, removal(key, version))
+			changes, logged = append(changes, removal(key, version)), append(logged, removal(key, version))
 		}
 	}
-	r.log.add(changes)
+	r.log.add(logged)
 	return changes
 }
 
 // apply applies changes in order and returns those that were not applied before. The
 // response to a watch may arrive after later changes from another VM.
 func (r *replica) apply(changes []storer.Change, version storer.Version) []storer.Change {
-	applied := make([]storer.Change, 0, len(changes))
+	var applied, logged []storer.Change
 	for _, c := range newer(changes, r.version) {
-		known, ok := r.entries[c.Key]
-		switch {
-		case !c.Removed && !r.put(c.Entry):
-			continue
-		case c.Removed && (!ok || !c.Version().After(known.Version())):
-			continue
-		case c.Removed:
-			delete(r.entries, c.Key)
+		kept, changed := c.Entry, false
+		if c.Removed {
+			changed = r.remove(c)
+		} else {
+			kept, changed = r.put(c.Entry)
+		}
+		if changed {
+			applied, logged = append(applied, c), append(logged, storer.Change{Entry: kept, Removed: c.Removed})
 		}
-		applied = append(applied, c)
 	}
 	if version.After(r.version) {
 		r.version = version
 	}
-	r.log.add(applied)
+	r.log.add(logged)
 	return applied
 }
 
-// put stores an entry that is newer than the known one and reports whether it differs
-// from it. Entries that a restored copy of the store has unchanged do not differ.
-func (r *replica) put(e storer.Entry) bool {
+// put stores an entry that is newer than the known one. It returns what it has stored, and
+// whether that differs from the known one. Entries that a restored copy of the store has
+// unchanged do not differ.
+func (r *replica) put(e storer.Entry) (kept storer.Entry, changed bool) {
 	known, ok := r.entries[e.Key]
 	if ok && !e.Version().After(known.Version()) {
-		return false
+		return known, false
+	}
+	if r.isUsed != nil && !r.isUsed(e) {
+		e.Value = nil
 	}
 	r.entries[e.Key] = e
-	return !ok || known.Era == e.Era || !bytes.Equal(known.Value, e.Value) || known.LeaseID != e.LeaseID
+	return e, !ok || known.Era == e.Era || !bytes.Equal(known.Value, e.Value) || known.LeaseID != e.LeaseID
+}
+
+// remove removes an entry and reports whether there was one before the change.
+func (r *replica) remove(c storer.Change) bool {
+	known, ok := r.entries[c.Key]
+	if !ok || !c.Version().After(known.Version()) {
+		return false
+	}
+	delete(r.entries, c.Key)
+	return true
 }
 
 // removal returns the removal of a key at a version.
--- a/internal/membership/informer/take.go
+++ b/internal/membership/informer/take.go
@@ -26,23 +26,22 @@
 	}
 }
 
-// applyUpstream registers or removes an upstream. An entry that cannot be
-// decoded removes it. What is known of an upstream goes before a restored entry.
+// applyUpstream registers or removes an upstream. An entry that names none removes it. What
+// is known of an upstream goes before a restored entry.
 func (i *Informer) applyUpstream(now time.Time, c storer.Change, restored bool) {
 	id := i.cfg.Codec.UpstreamID(c.Key)
 	if c.Removed {
+		delete(i.ignored, c.Key)
 		i.logUpstreamEvents(i.registrar.Remove(now, id), i.changeFields(c, restored))
 		return
 	}
 	u, err := i.cfg.Codec.Upstream(c.Key, c.Value)
 	if err != nil {
-		i.logEvent("entry_ignored").WithError(err).WithFields(logrus.Fields{
-			"upstream":    id,
-			fieldRevision: c.Revision,
-		}).Warn("ignored invalid upstream entry")
+		i.logIgnored(c, id, err)
 		i.logUpstreamEvents(i.registrar.Remove(now, id), i.changeFields(c, restored))
 		return
 	}
+	delete(i.ignored, c.Key)
 	if restored {
 		i.logUpstreamEvents(i.registrar.PutRestored(now, u), i.changeFields(c, restored))
 		return
@@ -50,6 +49,26 @@
 	i.logUpstreamEvents(i.registrar.Put(now, u), i.changeFields(c, restored))
 }
 
+// logIgnored logs that an entry names no upstream, once until it does or is removed.
+func (i *Informer) logIgnored(c storer.Change, id string, err error) {
+	if i.ignored[c.Key] {
+		return
+	}
+	i.ignored[c.Key] = true
+	i.logEvent("entry_ignored").WithError(err).WithFields(logrus.Fields{
+		"upstream":    id,
+		fieldRevision: c.Revision,
+		"source":      i.upstreamSource,
+		"bytes":       len(c.Value),
+	}).Warn("ignored invalid upstream entry")
+}
+
+// namesUpstream reports whether an entry names an upstream.
+func (i *Informer) namesUpstream(e storer.Entry) bool {
+	_, err := i.cfg.Codec.Upstream(e.Key, e.Value)
+	return err == nil
+}
+
 // changeFields returns the log fields of the change of an entry: its version, its source,
 // and whether the store may have restored it from an older copy.
 func (i *Informer) changeFields(c storer.Change, restored bool) logrus.Fields {
