picker: limit the requests at an upstream by its own slots

One odd entry changed how many requests all upstreams of its service take: with 1 slot, six of 24 requests at once were served and the others refused; with slots, all of 120 went to two upstreams of four slots each.

The limits of all upstreams were those of the first one in order of IDs. Query.Limits returns them for each upstream by its own slots, which also holds for fleets of unequal upstreams.

--- a/internal/gateway/forwarder/query.go
+++ b/internal/gateway/forwarder/query.go
@@ -36,9 +36,8 @@
 			}
 		},
 	}
-	if len(q.Upstreams) > 0 {
-		x.setLimits(&q, q.Upstreams[0].Slots)
-	}
+	vms, connections := x.vms.Load(), x.configuration.Services[x.service].MaxConnections
+	q.Limits = func(u *registrar.Upstream) picker.Limits { return x.limits(u.Slots, connections, int(vms)) }
 	if x.route.CarriesPrompt {
 		x.addPrompt(now, &q)
 	}
@@ -49,20 +48,22 @@
 // use; the rest is for idle connections, orders and cache events.
 const connectionShare = 0.6
 
-// setLimits sets how many requests may wait or run at one upstream, from all
-// VMs and from this one.
-func (x *exchange) setLimits(q *picker.Query, slots int) {
+// limits returns how many requests may wait or run at an upstream with a number of slots
+// and connections, 0 if those are not limited, from all VMs and from this one.
+func (x *exchange) limits(slots, connections, vms int) picker.Limits {
 	limit := plainRequestsPerSlot
 	if x.route.CarriesPrompt {
 		limit = engineRequestsPerSlot
 	}
 	limit *= float64(max(slots, 1))
-	if connections := x.configuration.Services[x.service].MaxConnections; connections > 0 {
+	if connections > 0 {
 		// Each request in flight occupies a connection.
 		limit = min(limit, connectionShare*float64(connections))
 	}
-	q.MaxInFlight = int(limit)
-	q.MaxOwnInFlight = max(int(imbalanceFactor*limit/float64(x.vms.Load())), minRequestsPerVM)
+	return picker.Limits{
+		Own: max(int(imbalanceFactor*limit/float64(vms)), minRequestsPerVM),
+		All: int(limit),
+	}
 }
 
 // addPrompt adds the prompt to a query, and excludes engines that are changing
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -114,8 +114,8 @@
 	choices := make([]Choice, 0, len(candidates))
 	best := Choice{Reason: Full}
 	for _, u := range candidates {
-		load := p.totalLoad(q, u)
-		if load.InFlight >= q.MaxInFlight || p.ownLoad(u.ID).InFlight >= q.MaxOwnInFlight {
+		load, limits := p.totalLoad(q, u), q.Limits(u)
+		if load.InFlight >= limits.All || p.ownLoad(u.ID).InFlight >= limits.Own {
 			continue
 		}
 		c := e.estimateCosts(u, load)
--- a/internal/routing/picker/picker_test.go
+++ b/internal/routing/picker/picker_test.go
@@ -133,13 +133,18 @@
 	return false
 }
 
+// limitsOf returns the same limit for all upstreams, and for this VM that of 24.
+func limitsOf(limit int) func(*registrar.Upstream) picker.Limits {
+	return func(*registrar.Upstream) picker.Limits { return picker.Limits{Own: 24, All: limit} }
+}
+
 func query(row decisionRow) picker.Query {
 	q := picker.Query{
-		MaxInFlight: 24, MaxOwnInFlight: 24, BodyBytes: 34_000,
+		Limits: limitsOf(24), BodyBytes: 34_000,
 		Objective: time.Duration(row.ObjectiveMS) * time.Millisecond,
 	}
 	if row.Limit > 0 {
-		q.MaxInFlight = row.Limit
+		q.Limits = limitsOf(row.Limit)
 	}
 	rows := make(map[string]upstreamRow)
 	holders := make(map[string]cataloguer.Holding)
@@ -214,7 +219,7 @@
 		chosen := make(map[string]bool)
 		for vm := range uint64(9) {
 			p := picker.New(picker.Config{AvailabilityZone: "z1", Regions: regions, Seed: vm})
-			c := p.Choose(now, picker.Query{Upstreams: upstreams, MaxInFlight: 24, MaxOwnInFlight: 24, Prompt: &picker.Prompt{
+			c := p.Choose(now, picker.Query{Upstreams: upstreams, Limits: limitsOf(24), Prompt: &picker.Prompt{
 				Shared:         []picker.SharedPart{{ID: fmt.Sprint("subject ", prompt), Tokens: 13_000}},
 				Tokens:         17_000,
 				WeightsVersion: func(*registrar.Upstream) uint64 { return 1 },
@@ -256,7 +261,7 @@
 	for prompt := range 300 {
 		chosen := make(map[string]bool)
 		for _, p := range vms {
-			q := picker.Query{Upstreams: upstreams, MaxInFlight: 24, MaxOwnInFlight: 24, Prompt: &picker.Prompt{
+			q := picker.Query{Upstreams: upstreams, Limits: limitsOf(24), Prompt: &picker.Prompt{
 				Shared:         []picker.SharedPart{{ID: "instructions", Tokens: 500}, {ID: fmt.Sprint("work ", prompt), Tokens: 5000}},
 				Tokens:         12_000,
 				WeightsVersion: func(*registrar.Upstream) uint64 { return 1 },
--- a/internal/routing/picker/query.go
+++ b/internal/routing/picker/query.go
@@ -84,15 +84,20 @@
 // cached prefixes.
 func (p *Prompt) Long() bool { return p.SharedTokens() >= minLongPromptTokens }
 
+// Limits are the maximum numbers of requests in flight at an upstream.
+type Limits struct {
+	// Own is that of this VM, All that of all VMs together.
+	Own int
+	All int
+}
+
 // Query describes a request to route.
 type Query struct {
 	Upstreams []*registrar.Upstream
 	// Sources are upstreams that take no request now, but from which KV cache may be copied.
 	Sources []*registrar.Upstream
-	// MaxOwnInFlight is the maximum number of requests that this VM may have in
-	// flight at one upstream, MaxInFlight that of all VMs together.
-	MaxOwnInFlight int
-	MaxInFlight    int
+	// Limits returns the limits of an upstream.
+	Limits func(u *registrar.Upstream) Limits
 	// BodyBytes is the size of the request body.
 	BodyBytes int
 	// Objective is the time left until the latency objective of the first
--- a/internal/standin/rehearser/policy.go
+++ b/internal/standin/rehearser/policy.go
@@ -126,13 +126,14 @@
 func (p *prefixCost) query(now time.Duration, a arrival) picker.Query {
 	limit := inFlightPerSlot * p.r.load.Engines.Slots
 	return picker.Query{
-		Upstreams:      p.r.upstreams,
-		MaxOwnInFlight: max(2*limit/p.r.load.VMs, 2),
-		MaxInFlight:    limit,
-		OtherVMs:       p.r.load.VMs - 1,
-		LoadAge:        now % max(millis(p.r.load.LoadSyncMS), time.Millisecond),
-		Objective:      max(millis(a.kind.ObjectiveMS)-(now-a.at), time.Millisecond),
-		OtherLoad:      func(id string) picker.Load { return p.r.reportedLoad(p.vm, p.r.index[id]) },
+		Upstreams: p.r.upstreams,
+		Limits: func(*registrar.Upstream) picker.Limits {
+			return picker.Limits{Own: max(2*limit/p.r.load.VMs, 2), All: limit}
+		},
+		OtherVMs:  p.r.load.VMs - 1,
+		LoadAge:   now % max(millis(p.r.load.LoadSyncMS), time.Millisecond),
+		Objective: max(millis(a.kind.ObjectiveMS)-(now-a.at), time.Millisecond),
+		OtherLoad: func(id string) picker.Load { return p.r.reportedLoad(p.vm, p.r.index[id]) },
 		Usable: func(u *registrar.Upstream) bool {
 			n := p.r.index[u.ID]
 			return now >= p.r.engines[n].downUntil && p.r.isOpen(now, p.vm, n) && p.r.withinLimit(now, p.vm, u)
