quarantiner: count crashes under prompts that are read at the same time

Cause: a crash was a strike only if its request was sent after the strike before, so that prompts which are read at the same time count once; and the latest eight crashes were kept, strikes or not, so that others displaced the strikes, and ended a quarantine that had begun.

Five crashes 250 ms apart suffice as well, whenever their requests were sent. Upstreams that end at once still count once. Beyond eight crashes the oldest one goes that no count needs.

--- a/internal/gateway/forwarder/crash_test.go
+++ b/internal/gateway/forwarder/crash_test.go
@@ -35,6 +35,8 @@
 	// is empty.
 	Parts  []string `json:"parts"`
 	Target string   `json:"target"`
+	// ReadMS is how long workers read a request that crashes them.
+	ReadMS int `json:"read_ms"`
 }
 
 // crashRow is a load on a fleet whose workers end, under certain requests or by
@@ -86,7 +88,7 @@
 
 func runCrashRow(t *testing.T, row crashRow) {
 	f := newFleet(t, row.VMs, 12)
-	f.crashText = row.Text
+	f.crashText, f.crashReadTime = row.Text, time.Duration(row.Crashing.ReadMS)*time.Millisecond
 	time.Sleep(time.Second) // the VMs connect to the hub
 	began := time.Now()
 	f.setCrash([]string{"deadly", "deadly0", "deadly1"}, []string{"/" + row.Route + "/deadly"})
--- a/internal/gateway/forwarder/fixture_test.go
+++ b/internal/gateway/forwarder/fixture_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -92,6 +93,8 @@
 	anyPath.Host, anyPath.Prefix = "any.example", "/"
 	once := route("once", matcher.Stream)
 	once.MaxAttempts = 1
+	long := route("long", matcher.Stream)
+	long.Timeout, long.Resumable = 5*time.Second, true
 	return &matcher.Configuration{
 		Version: 1,
 		Routes: []matcher.Route{
@@ -99,7 +102,7 @@
 			route("non_idempotent", matcher.NonIdempotent),
 			route("stream", matcher.Stream),
 			route("resumable", matcher.Stream),
-			public, once, anyPath,
+			public, once, long, anyPath,
 		},
 		Services:      map[string]matcher.Service{"s": {Name: "s", Engine: &matcher.Engine{Slots: 4}}},
 		Organisations: []matcher.Organisation{{Name: "o1", Keys: []string{"k1"}}, {Name: "o2", Keys: []string{"k2"}, Isolated: true}},
@@ -237,7 +240,7 @@
 	r.Header.Set("Request-Id", id)
 	r.Header.Set("Credential", "k1")
 	r.Header.Set("Deadline-Ms", "5000")
-	if route == "stream" || route == "resumable" || route == "once" {
+	if slices.Contains([]string{"stream", "resumable", "once", "long"}, route) {
 		r.Header.Set("Model", "m")
 		r.Header.Set("Token-Usage", "100,10")
 	}
--- a/internal/gateway/forwarder/fleet_test.go
+++ b/internal/gateway/forwarder/fleet_test.go
@@ -52,7 +52,9 @@
 	targets     []string
 	// crashText is the Text of the row.
 	crashText *string
-	restarts  sync.WaitGroup
+	// crashReadTime is how long workers read a request before they crash under it.
+	crashReadTime time.Duration
+	restarts      sync.WaitGroup
 }
 
 // fleetVM is one VM of a fleet.
@@ -212,18 +214,26 @@
 	u := f.entry(n)
 	u.StartedAt = time.Now()
 	f.network.Serve(workerAddress(n).String(), http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-		f.recordArrival(n, r)
+		if f.recordArrival(n, r) {
+			select {
+			case <-time.After(f.crashReadTime):
+			case <-r.Context().Done():
+				return
+			}
+		}
 		w.ServeHTTP(rw, r)
 	}))
 	return u
 }
 
-func (f *fleet) recordArrival(worker int, r *http.Request) {
+// recordArrival records a request and reports whether it crashes workers.
+func (f *fleet) recordArrival(worker int, r *http.Request) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	crashing := slices.Contains(f.targets, r.RequestURI) ||
 		slices.ContainsFunc(platformtest.PromptParts(r), func(id string) bool { return slices.Contains(f.parts, id) })
 	f.arrivals = append(f.arrivals, arrival{at: time.Now(), worker: worker, id: r.Header.Get("Request-Id"), crashing: crashing})
+	return crashing
 }
 
 // endWorker ends the process of a worker. Another one starts after workerDownTime, and
--- a/internal/routing/quarantiner/ledger.go
+++ b/internal/routing/quarantiner/ledger.go
@@ -13,6 +13,11 @@
 	// seen answers, and quarantineStrikes the number from which on requests are refused.
 	suspectStrikes    = 2
 	quarantineStrikes = 3
+	// suspectSpread and quarantineSpread are the same for crashes that are spreadInterval
+	// apart, under requests that were under way at the same time: they are read for seconds.
+	suspectSpread    = 3
+	quarantineSpread = 5
+	spreadInterval   = 250 * time.Millisecond
 	// answerWait is the time for VMs to report answers before a quarantine begins: some
 	// reports and messages of a large fleet.
 	answerWait = 400 * time.Millisecond
@@ -89,13 +94,7 @@
 	}
 	r.usedAt = now
 	r.expire(now)
-	if !r.merge(c) {
-		r.crashes = append(r.crashes, c)
-	}
-	slices.SortStableFunc(r.crashes, func(a, b crash) int { return a.at.Compare(b.at) })
-	if over := len(r.crashes) - maxCrashes; over > 0 {
-		r.crashes = slices.Delete(r.crashes, 0, over)
-	}
+	r.add(c)
 	r.trials.recordCrash(now, c.at)
 	if c.at.After(r.lastAt) {
 		r.lastAt = c.at
@@ -139,11 +138,10 @@
 
 // update moves a record to what its strikes make it.
 func (l *Ledger) update(now time.Time, f Fingerprint, r *record) {
-	strikes := r.strikes()
 	switch {
-	case strikes == 0:
+	case r.strikes() == 0:
 		l.remove(f)
-	case strikes < suspectStrikes:
+	case !r.isSuspect():
 		if !r.suspectAt.IsZero() {
 			r.suspectAt, r.quarantinedAt = time.Time{}, time.Time{}
 			l.move(f, r)
@@ -151,7 +149,7 @@
 	case r.suspectAt.IsZero():
 		r.suspectAt = now
 		l.move(f, r)
-	case strikes < quarantineStrikes && !r.quarantinedAt.IsZero():
+	case !r.isGuilty() && !r.quarantinedAt.IsZero():
 		r.quarantinedAt = time.Time{}
 		l.move(f, r)
 	}
--- a/internal/routing/quarantiner/record.go
+++ b/internal/routing/quarantiner/record.go
@@ -45,14 +45,57 @@
 // strikes returns the number of crashes of which each was under a request that was sent
 // after the one before. Crashes under requests that were under way at the same time count once, since
 // all upstreams may end at once.
-func (r *record) strikes() int {
-	n, last := r.inherited, time.Time{}
-	for _, c := range r.crashes {
-		if last.IsZero() || !c.sentAt.Before(last) {
-			n, last = n+1, c.at
+func (r *record) strikes() int { return r.inherited + len(chain(r.crashes, follows)) }
+
+// spread returns the number of crashes of which each was spreadInterval after the one
+// before, whenever their requests were sent. Upstreams that end at once count once.
+func (r *record) spread() int { return len(chain(r.crashes, isApart)) }
+
+// follows reports whether the request of a crash was sent after another crash.
+func follows(c, last crash) bool { return !c.sentAt.Before(last.at) }
+
+// isApart reports whether a crash was long enough after another one to have a cause of its
+// own.
+func isApart(c, last crash) bool { return c.at.Sub(last.at) >= spreadInterval }
+
+// chain returns the indices of the longest chain of crashes, sorted by their times, each of
+// which counts after the one before.
+func chain(crashes []crash, counts func(c, last crash) bool) []int {
+	var list []int
+	for i, c := range crashes {
+		if n := len(list); n == 0 || counts(c, crashes[list[n-1]]) {
+			list = append(list, i)
 		}
 	}
-	return n
+	return list
+}
+
+// isSuspect reports whether VMs are to be asked for answers.
+func (r *record) isSuspect() bool {
+	return r.strikes() >= suspectStrikes || r.spread() >= suspectSpread
+}
+
+// isGuilty reports whether the crashes suffice for a quarantine.
+func (r *record) isGuilty() bool {
+	return r.strikes() >= quarantineStrikes || r.spread() >= quarantineSpread
+}
+
+// add adds a crash. Beyond maxCrashes the oldest one goes of those that no chain needs, so
+// that crashes under requests that were under way displace no strike.
+func (r *record) add(c crash) {
+	if !r.merge(c) {
+		r.crashes = append(r.crashes, c)
+	}
+	slices.SortStableFunc(r.crashes, func(a, b crash) int { return a.at.Compare(b.at) })
+	if len(r.crashes) <= maxCrashes {
+		return
+	}
+	var needed [maxCrashes + 1]bool
+	for _, i := range slices.Concat(chain(r.crashes, follows), chain(r.crashes, isApart)) {
+		needed[i] = true
+	}
+	surplus := max(slices.Index(needed[:], false), 0)
+	r.crashes = slices.Delete(r.crashes, surplus, surplus+1)
 }
 
 // merge adds a crash of a process that other requests, or other VMs, have reported already.
@@ -78,7 +121,7 @@
 
 // quarantineAt returns when a suspect is to be quarantined, zero if it is not.
 func (r *record) quarantineAt() time.Time {
-	if r.suspectAt.IsZero() || !r.quarantinedAt.IsZero() || r.strikes() < quarantineStrikes {
+	if r.suspectAt.IsZero() || !r.quarantinedAt.IsZero() || !r.isGuilty() {
 		return time.Time{}
 	}
 	return r.suspectAt.Add(answerWait)
