quarantiner: blame the parts that were never answered for crashes first

Cause: a crash counted against all parts of its prompt alike, and only an answer since the first crash spoke for a part. A trial with a request that has both parts then failed for both.

VMs that are asked about a part state their last answer, whenever it was. A crash doesn't count against a part that was answered before if one that never was, with two strikes, was under way at the same process. Five crashes suffice all the same while that part is a suspect only, since a part that has been in use may begin to crash engines. A quarantine ends by answers alone, also by such an older one that is reported late.

--- a/internal/gateway/forwarder/crash_test.go
+++ b/internal/gateway/forwarder/crash_test.go
@@ -27,7 +27,7 @@
 
 // crashLoad is a kind of requests at a rate.
 type crashLoad struct {
-	// Rate is the number of requests a second, FromMS the time of the first.
+	// Rate is the number of requests, or of batches, a second, FromMS the time of the first.
 	Rate   float64 `json:"rate"`
 	FromMS int     `json:"from_ms"`
 	// Parts lists the parts of the prompts: "%" stands for the number of the request,
@@ -37,6 +37,8 @@
 	Target string   `json:"target"`
 	// ReadMS is how long workers read a request that crashes them.
 	ReadMS int `json:"read_ms"`
+	// Batch is the number of requests that are sent at once, 1 if it is 0.
+	Batch int `json:"batch"`
 }
 
 // crashRow is a load on a fleet whose workers end, under certain requests or by
@@ -62,6 +64,9 @@
 	// times at which another becomes it.
 	HubOffMS   int   `json:"hub_off_ms"`
 	HubMovesMS []int `json:"hub_moves_ms"`
+	// MaxQuarantined is the number of sound requests that may be refused as quarantined, any
+	// if it is nil. It is 0 where no request crashes workers.
+	MaxQuarantined *int `json:"max_quarantined"`
 }
 
 // soundResult is the outcome of a sound request.
@@ -159,7 +164,9 @@
 				quarantined: strings.Contains(a.body, "quarantined"),
 			})
 		})
-		time.Sleep(time.Duration(float64(time.Second) / load.Rate))
+		if (n+1)%max(load.Batch, 1) == 0 {
+			time.Sleep(time.Duration(float64(time.Second) / load.Rate))
+		}
 	}
 }
 
@@ -234,7 +241,7 @@
 	if share := float64(beforeOK) / float64(before); float64(ok) < minSoundShare*share*float64(all) {
 		t.Errorf("%d of %d sound requests are served, usually %.2f of them", ok, all, share)
 	}
-	if row.Crashing.Rate == 0 && quarantined > 0 {
+	if row.Crashing.Rate == 0 && quarantined > 0 || row.MaxQuarantined != nil && quarantined > *row.MaxQuarantined {
 		t.Errorf("%d sound requests were refused as quarantined", quarantined)
 	}
 }
--- a/internal/routing/quarantiner/guard.go
+++ b/internal/routing/quarantiner/guard.go
@@ -188,7 +188,8 @@
 		if row.State == Clear {
 			continue
 		}
-		if at, weights, ok := g.own.Answered(row.Fingerprint, row.FirstAt); ok {
+		// One from before the first crash shows that other parts are likelier causes.
+		if at, weights, ok := g.own.Answered(row.Fingerprint); ok && (known.State == Clear || !at.Before(row.FirstAt)) {
 			g.report(Event{Type: Answered, Fingerprints: []Fingerprint{row.Fingerprint}, Weights: weights, At: at})
 			urgent = true
 		}
--- a/internal/routing/quarantiner/ledger.go
+++ b/internal/routing/quarantiner/ledger.go
@@ -47,6 +47,7 @@
 	suspects    *simplelru.LRU[Fingerprint, *record]
 	quarantines *simplelru.LRU[Fingerprint, *record]
 	answers     *simplelru.LRU[Fingerprint, answer]
+	ends        *simplelru.LRU[processKey, *end]
 	// suspected holds the suspects that VMs are asked about.
 	suspected map[Fingerprint]*record
 	// changed holds the fingerprints whose rows have changed since DrainChanges.
@@ -64,22 +65,31 @@
 	}
 	l.suspects = newLRU(maxSuspects, onEvict)
 	l.quarantines = newLRU(maxQuarantines, onEvict)
-	l.answers = newLRU[answer](maxAnswers, nil)
+	l.answers = newLRU[Fingerprint, answer](maxAnswers, nil)
+	l.ends = newLRU[processKey, *end](maxEnds, nil)
 	return l
 }
 
-func newLRU[V any](size int, onEvict func(Fingerprint, V)) *simplelru.LRU[Fingerprint, V] {
+func newLRU[K comparable, V any](size int, onEvict func(K, V)) *simplelru.LRU[K, V] {
 	cache, err := simplelru.NewLRU(size, onEvict)
 	if err != nil {
-		panic(fmt.Sprintf("create LRU cache of %d fingerprints: %v", size, err))
+		panic(fmt.Sprintf("create LRU cache of size %d: %v", size, err))
 	}
 	return cache
 }
 
 // RecordCrash counts a crash against the fingerprints of a request.
 func (l *Ledger) RecordCrash(now time.Time, c Crash) {
-	for _, f := range c.Fingerprints[:min(len(c.Fingerprints), MaxFingerprints)] {
-		l.recordCrash(now, f, crash{process: c.Process, weights: c.Weights, sentAt: c.SentAt, at: c.At})
+	c.Fingerprints = c.Fingerprints[:min(len(c.Fingerprints), MaxFingerprints)]
+	e := l.recordEnd(c)
+	for _, f := range c.Fingerprints {
+		l.recordCrash(now, f, crash{process: c.Process, weights: c.Weights, sentAt: c.SentAt, at: c.At, end: e})
+	}
+	// Which of them the crash counts against depends on the others.
+	for _, f := range c.Fingerprints {
+		if r := l.find(f); r != nil {
+			l.update(now, f, r)
+		}
 	}
 }
 
@@ -99,7 +109,6 @@
 	if c.at.After(r.lastAt) {
 		r.lastAt = c.at
 	}
-	l.update(now, f, r)
 }
 
 // find returns the record of a fingerprint and marks it as used, nil if there is none.
@@ -112,7 +121,7 @@
 }
 
 // RecordAnswer records the complete response to a request with a fingerprint. It refutes
-// the crashes before.
+// the crashes before, and can make others a likelier cause of the ones after.
 func (l *Ledger) RecordAnswer(now time.Time, f Fingerprint, at time.Time, weights uint64) {
 	a := answer{at: at, weights: weights}
 	if known, ok := l.answers.Get(f); !ok || known.at.Before(at) {
@@ -126,14 +135,18 @@
 	if !at.Before(r.inheritedAt) {
 		r.inherited = 0
 	}
+	if !r.quarantinedAt.IsZero() && !l.isGuilty(f, r) {
+		r.quarantinedAt = time.Time{}
+		l.move(f, r)
+	}
 	l.update(now, f, r)
 }
 
-// Answered reports whether a request with a fingerprint was answered at a time or later,
-// and when the latest one was, on which weights.
-func (l *Ledger) Answered(f Fingerprint, since time.Time) (at time.Time, weights uint64, ok bool) {
+// Answered returns when the latest request with a fingerprint was answered, on which
+// weights, false if none was.
+func (l *Ledger) Answered(f Fingerprint) (at time.Time, weights uint64, ok bool) {
 	a, ok := l.answers.Peek(f)
-	return a.at, a.weights, ok && !a.at.Before(since)
+	return a.at, a.weights, ok
 }
 
 // update moves a record to what its strikes make it.
@@ -149,16 +162,13 @@
 	case r.suspectAt.IsZero():
 		r.suspectAt = now
 		l.move(f, r)
-	case !r.isGuilty() && !r.quarantinedAt.IsZero():
-		r.quarantinedAt = time.Time{}
-		l.move(f, r)
 	}
 	l.advance(now, f, r)
 }
 
 // advance quarantines a suspect once VMs have had the time to report answers.
 func (l *Ledger) advance(now time.Time, f Fingerprint, r *record) {
-	if at := r.quarantineAt(); at.IsZero() || now.Before(at) {
+	if at := l.quarantineAt(f, r); at.IsZero() || now.Before(at) {
 		return
 	}
 	r.quarantinedAt = now
@@ -166,6 +176,14 @@
 	l.move(f, r)
 }
 
+// quarantineAt returns when a suspect is to be quarantined, zero if it is not.
+func (l *Ledger) quarantineAt(f Fingerprint, r *record) time.Time {
+	if r.suspectAt.IsZero() || !r.quarantinedAt.IsZero() || !l.isGuilty(f, r) {
+		return time.Time{}
+	}
+	return r.suspectAt.Add(answerWait)
+}
+
 func (l *Ledger) move(f Fingerprint, r *record) {
 	l.changed[f] = struct{}{}
 	l.quarantines.Remove(f)
@@ -191,7 +209,7 @@
 	next := time.Time{}
 	for f, r := range l.suspected {
 		l.advance(now, f, r)
-		next = earliest(next, r.quarantineAt())
+		next = earliest(next, l.quarantineAt(f, r))
 	}
 	for _, f := range l.quarantines.Keys() {
 		r, _ := l.quarantines.Peek(f)
--- a/internal/routing/quarantiner/record.go
+++ b/internal/routing/quarantiner/record.go
@@ -21,6 +21,8 @@
 	weights uint64
 	sentAt  time.Time
 	at      time.Time
+	// end is that of the process.
+	end *end
 }
 
 // record holds the crashes that count against a fingerprint.
@@ -118,11 +120,3 @@
 		r.crashes = slices.DeleteFunc(r.crashes, func(c crash) bool { return now.Sub(c.at) > crashTTL })
 	}
 }
-
-// quarantineAt returns when a suspect is to be quarantined, zero if it is not.
-func (r *record) quarantineAt() time.Time {
-	if r.suspectAt.IsZero() || !r.quarantinedAt.IsZero() || !r.isGuilty() {
-		return time.Time{}
-	}
-	return r.suspectAt.Add(answerWait)
-}
