quarantiner: tell VMs the time of the next trial after a failed one

Cause: the crash that is the result of a trial moves the next one, but the row did not count as changed, so that VMs kept the time that they had been told when the trial began. It counts now.

Before: go test ./internal/routing/quarantiner, the new row of TestDecisions fails (12 s told, 34.2 s due; 42.2 s, 634.4 s). After: all rows pass.

--- a/internal/routing/quarantiner/ledger.go
+++ b/internal/routing/quarantiner/ledger.go
@@ -105,7 +105,9 @@
 	r.usedAt = now
 	r.expire(now)
 	r.add(c)
-	r.trials.recordCrash(now, c.at)
+	if r.trials.recordCrash(now, c) {
+		l.changed[f] = struct{}{} // clients are told the time of the next trial
+	}
 	if c.at.After(r.lastAt) {
 		r.lastAt = c.at
 	}
--- a/internal/routing/quarantiner/ledger_test.go
+++ b/internal/routing/quarantiner/ledger_test.go
@@ -35,6 +35,8 @@
 	Want        map[quarantiner.Fingerprint]string `json:"want"`
 	WantTrials  map[quarantiner.Fingerprint]int    `json:"want_trials"`
 	WantTrialVM string                             `json:"want_trial_vm"`
+	// WantTold holds when VMs know the next trials to be due.
+	WantTold map[quarantiner.Fingerprint]int `json:"want_told_ms"`
 	NextMS      int                                `json:"next_ms"`
 }
 
@@ -85,6 +87,7 @@
 		t.Run(row.Name, func(t *testing.T) {
 			t.Parallel()
 			l := quarantiner.NewLedger()
+			told := make(map[quarantiner.Fingerprint]quarantiner.Row)
 			for n, step := range row.Steps {
 				now := at(step.AtMS)
 				if e, ok := step.event(); ok {
@@ -92,6 +95,14 @@
 				}
 				next := l.Advance(now)
 				step.check(t, n+1, l)
+				for _, row := range l.DrainChanges() {
+					told[row.Fingerprint] = row
+				}
+				for f, want := range step.WantTold {
+					if got := told[f].TrialAt; !got.Equal(at(want)) {
+						t.Errorf("step %d: VMs are told that %s is on trial %v after the start, want %d ms", n+1, f, got.Sub(start), want)
+					}
+				}
 				if step.NextMS > 0 && !next.Equal(at(step.NextMS)) {
 					t.Errorf("step %d: next decision is due %v after the start, want %d ms", n+1, next.Sub(start), step.NextMS)
 				}
--- a/internal/routing/quarantiner/trial.go
+++ b/internal/routing/quarantiner/trial.go
@@ -67,14 +67,16 @@
 	return p.fewest > 0 && p.fewest < n && now.Sub(p.fewestAt) <= fewestTime
 }
 
-// recordCrash records a crash. In a trial it delays the next one.
-func (p *trialPlan) recordCrash(now, at time.Time) {
-	if !p.pending || at.Before(p.began) {
-		return
+// recordCrash records a crash. If it is the result of a trial, it delays the next one. It
+// reports whether it did.
+func (p *trialPlan) recordCrash(now time.Time, c crash) bool {
+	if !p.pending || c.at.Before(p.began) {
+		return false
 	}
 	p.pending = false
 	p.failed++
 	p.dueAt = now.Add(trialDelays[min(p.failed, len(trialDelays)-1)])
+	return true
 }
 
 // advance begins the next trial if it is due, and reports whether it did.
