quarantiner: a crash under a request sent before a trial is not its result

Sound callers were refused for 30 s instead of 8 s at most if an engine crashed during a trial under a request that was under way before it: of long prompts, several are when a quarantine begins.

Cause: the trial was compared with the time of the crash instead of that at which its request was sent.

Before: go test ./internal/routing/quarantiner, the new row of TestDecisions fails (1 trial, want 2). After: all rows pass.

--- a/internal/routing/quarantiner/trial.go
+++ b/internal/routing/quarantiner/trial.go
@@ -70,7 +70,7 @@
 // recordCrash records a crash. If it is the result of a trial, it delays the next one. It
 // reports whether it did.
 func (p *trialPlan) recordCrash(now time.Time, c crash) bool {
-	if !p.pending || c.at.Before(p.began) {
+	if !p.pending || c.sentAt.Before(p.began) {
 		return false
 	}
 	p.pending = false
