quarantiner: a failed trial of two parts together delays no trial of one alone

A request with fewer quarantined parts than that of the failed trial still has now makes the next trial due at once. Parts that answers have cleared since don't count, so that the other part gains no trial by it.

--- a/internal/routing/quarantiner/ledger.go
+++ b/internal/routing/quarantiner/ledger.go
@@ -227,15 +227,6 @@
 	return next
 }
 
-// isFewest reports whether no requests with any of the fingerprints have fewer quarantined
-// ones.
-func (l *Ledger) isFewest(now time.Time, demanded []Fingerprint) bool {
-	return !slices.ContainsFunc(demanded, func(f Fingerprint) bool {
-		r, ok := l.quarantines.Peek(f)
-		return ok && r.trials.hasFewer(now, len(demanded))
-	})
-}
-
 // earliest returns the earlier of two times; zero is none.
 func earliest(a, b time.Time) time.Time {
 	if a.IsZero() || !b.IsZero() && b.Before(a) {
@@ -244,16 +235,6 @@
 	return a
 }
 
-// RecordDemand records that a VM has refused a request with quarantined fingerprints.
-func (l *Ledger) RecordDemand(now time.Time, vm string, fingerprints []Fingerprint) {
-	for _, f := range fingerprints {
-		if r, ok := l.quarantines.Get(f); ok {
-			r.usedAt = now
-			r.trials.recordDemand(now, vm, fingerprints)
-		}
-	}
-}
-
 // Adopt quarantines what another ledger has quarantined. Its own
 // crashes and answers go before.
 func (l *Ledger) Adopt(now time.Time, row Row) {
--- a/internal/routing/quarantiner/ledger_test.go
+++ b/internal/routing/quarantiner/ledger_test.go
@@ -37,7 +37,7 @@
 	WantTrialVM string                             `json:"want_trial_vm"`
 	// WantTold holds when VMs know the next trials to be due.
 	WantTold map[quarantiner.Fingerprint]int `json:"want_told_ms"`
-	NextMS      int                                `json:"next_ms"`
+	NextMS   int                             `json:"next_ms"`
 }
 
 type ledgerRow struct {
--- a/internal/routing/quarantiner/trial.go
+++ b/internal/routing/quarantiner/trial.go
@@ -35,8 +35,11 @@
 	dueAt    time.Time
 	demandVM string
 	demandAt time.Time
-	// demanded are the quarantined fingerprints of that request.
-	demanded []Fingerprint
+	// demanded are the quarantined fingerprints of that request, tried those of the request
+	// of the latest trial, and failedWith those of the latest one with a crash.
+	demanded   []Fingerprint
+	tried      []Fingerprint
+	failedWith []Fingerprint
 	// fewest is the least number of these in any request, the last of which was at
 	// fewestAt.
 	fewest   int
@@ -67,6 +70,13 @@
 	return p.fewest > 0 && p.fewest < n && now.Sub(p.fewestAt) <= fewestTime
 }
 
+// hasten makes the next trial due, unless the result of one is awaited.
+func (p *trialPlan) hasten(now time.Time) {
+	if !p.pending && now.Before(p.dueAt) {
+		p.dueAt = now
+	}
+}
+
 // recordCrash records a crash. If it is the result of a trial, it delays the next one. It
 // reports whether it did.
 func (p *trialPlan) recordCrash(now time.Time, c crash) bool {
@@ -75,6 +85,7 @@
 	}
 	p.pending = false
 	p.failed++
+	p.failedWith = p.tried
 	p.dueAt = now.Add(trialDelays[min(p.failed, len(trialDelays)-1)])
 	return true
 }
@@ -87,7 +98,7 @@
 	p.count++
 	p.vm, p.began, p.until, p.pending = p.demandVM, now, now.Add(trialTime), true
 	p.dueAt = now.Add(trialResultTime)
-	p.demandVM = ""
+	p.demandVM, p.tried = "", p.demanded
 	return true
 }
 
