archivist: write the quarantines again if the store has lost the entry

Cause: an entry that is missing left in place what had been read before, so that the hub took it for what the store still has.

Before: go test ./internal/peering/archivist, TestLostEntryIsWrittenAgain fails (1 write, want 2). After: the package passes.

--- a/internal/peering/archivist/archivist.go
+++ b/internal/peering/archivist/archivist.go
@@ -110,7 +110,11 @@
 // readEntry restores the quarantines of an entry that has changed.
 func (a *Archivist) readEntry(now time.Time) {
 	stored, ok := a.cfg.Stored()
-	if !ok || stored.Version() == a.read {
+	if !ok { // also after a restore of the store from an older copy
+		a.read, a.records = storer.Version{}, nil
+		return
+	}
+	if stored.Version() == a.read {
 		return
 	}
 	a.read = stored.Version()
--- a/internal/peering/archivist/archivist_test.go
+++ b/internal/peering/archivist/archivist_test.go
@@ -48,6 +48,13 @@
 	return s.entry, s.entry.Revision > 0
 }
 
+// lose removes the entry.
+func (s *store) lose() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entry = storer.Entry{}
+}
+
 func (s *store) writeCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -161,6 +168,28 @@
 	})
 }
 
+// TestLostEntryIsWrittenAgain guards against a restore of the store from a copy without the
+// entry: VMs that start later would know nothing of the quarantines.
+func TestLostEntryIsWrittenAgain(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &store{}
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		start(ctx, s, quarantined())
+		time.Sleep(10 * time.Second)
+		is.Equal(s.writeCount(), 1)
+		s.lose()
+		time.Sleep(10 * time.Second)
+		is.Equal(s.writeCount(), 2)
+		vm := start(ctx, s, nil)
+		time.Sleep(time.Second)
+		_, refused := vm.Check(deadly)
+		is.True(refused)
+	})
+}
+
 // TestInvalidEntryIsIgnored guards against an entry of another writer that ends the VMs
 // which read it, or fills their memory.
 func TestInvalidEntryIsIgnored(t *testing.T) {
