archivist: keep the times of the next trials in the store

A VM that started set the next trial of all quarantines to a second later.

Cause: the store had the number of trials, not the time of the next one. It is written with them now; one that is past, or that an earlier build has not written, is due a second after the start as before, and none later than 12 h.

Before: go test ./internal/peering/archivist, 2 of 4 rows of TestTrialsWaitAfterARestart fail (due in 700 ms, 25 s and 540 s wanted); the others hold what stays. After: the package passes.

--- a/internal/peering/archivist/archivist.go
+++ b/internal/peering/archivist/archivist.go
@@ -24,6 +24,9 @@
 	settleTime = 3 * time.Second
 	// writeInterval is the least time between two writes.
 	writeInterval = time.Second
+	// trialTolerance is the difference of the times of trials that needs no write: VMs report
+	// them to a new hub as ages.
+	trialTolerance = 2 * time.Second
 	// maxRecords bounds the quarantines of an entry.
 	maxRecords = 1024
 )
@@ -35,6 +38,9 @@
 	LastCrashAt time.Time `json:"last_crash_at"`
 	// Trials is the number of requests that were sent to see whether upstreams still crash.
 	Trials int `json:"trials"`
+	// TrialAt is when the next one is due, by the same clock, zero if earlier versions have
+	// written the entry.
+	TrialAt time.Time `json:"next_trial_at,omitzero"`
 }
 
 // entry is the value of the key.
@@ -131,6 +137,7 @@
 			State:       quarantiner.Quarantined,
 			LastAt:      now.Add(-max(now.Sub(r.LastCrashAt), 0)),
 			Trials:      r.Trials,
+			TrialAt:     r.TrialAt,
 		})
 	}
 	a.cfg.Restore(rows)
@@ -164,7 +171,7 @@
 	if now.Sub(a.activeSince) < settleTime {
 		records = addMissing(records, a.records)
 	}
-	if slices.EqualFunc(a.records, records, isSame) {
+	if slices.EqualFunc(a.records, records, func(x, y record) bool { return isSame(now, x, y) }) {
 		return
 	}
 	value, err := json.Marshal(entry{Quarantines: records})
@@ -186,7 +193,9 @@
 	for _, row := range rows {
 		if row.State == quarantiner.Quarantined && len(records) < maxRecords {
 			// Without the reading of the monotonic clock, which means nothing elsewhere.
-			records = append(records, record{Fingerprint: row.Fingerprint, LastCrashAt: row.LastAt.Round(0).UTC(), Trials: row.Trials})
+			records = append(records, record{
+				Fingerprint: row.Fingerprint, LastCrashAt: row.LastAt.Round(0).UTC(), Trials: row.Trials, TrialAt: row.TrialAt.Round(0).UTC(),
+			})
 		}
 	}
 	return sortRecords(records)
@@ -208,4 +217,7 @@
 }
 
 // isSame reports whether two records differ in nothing that must be written.
-func isSame(a, b record) bool { return a.Fingerprint == b.Fingerprint && a.Trials == b.Trials }
+func isSame(now time.Time, a, b record) bool {
+	delay := func(r record) time.Duration { return max(r.TrialAt.Sub(now), 0) }
+	return a.Fingerprint == b.Fingerprint && a.Trials == b.Trials && (delay(a)-delay(b)).Abs() <= trialTolerance
+}
--- a/internal/peering/archivist/archivist_test.go
+++ b/internal/peering/archivist/archivist_test.go
@@ -16,6 +16,7 @@
 	"gentianstep.example/gentianstep/internal/peering/archivist"
 	"gentianstep.example/gentianstep/internal/platform/storer"
 	"gentianstep.example/gentianstep/internal/routing/quarantiner"
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 	"gentianstep.example/gentianstep/internal/upstream/isolator"
 )
 
@@ -86,6 +87,21 @@
 	use(h.ledger)
 }
 
+// failTrial begins the next trial once it is due, and records a crash in it.
+func (h *hub) failTrial(n int) {
+	time.Sleep(time.Until(h.rows()[0].TrialAt))
+	h.with(func(l *quarantiner.Ledger) {
+		l.RecordDemand(time.Now(), "vm", deadly)
+		l.Advance(time.Now())
+	})
+	time.Sleep(time.Second)
+	h.with(func(l *quarantiner.Ledger) {
+		l.RecordCrash(time.Now(), quarantiner.Crash{
+			Fingerprints: deadly, Process: quarantiner.Process{Upstream: fmt.Sprint("trial ", n)}, SentAt: time.Now(), At: time.Now(),
+		})
+	})
+}
+
 // start runs the archivist of a VM, which is the hub unless h is nil.
 func start(ctx context.Context, s *store, h *hub) *isolator.Isolator {
 	i := isolator.New(isolator.Config{Node: "vm", Meter: meter.New(), Log: discardLog()})
@@ -168,6 +184,47 @@
 	})
 }
 
+// TestTrialsWaitAfterARestart guards against a crash by a trial at each start of a VM, though
+// the next one is due much later.
+func TestTrialsWaitAfterARestart(t *testing.T) {
+	t.Parallel()
+	var rows []struct {
+		Name string `json:"name"`
+		// FailedTrials is the number of trials with a crash, the last one RestartMS before
+		// the restart.
+		FailedTrials int `json:"failed_trials"`
+		RestartMS    int `json:"restart_ms"`
+		WantMS       int `json:"want_ms"`
+	}
+	scripter.Read(t, "testdata/trials.json", &rows)
+	for _, row := range rows {
+		t.Run(row.Name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := &store{}
+				ctx, stop := context.WithCancel(t.Context())
+				h := quarantined()
+				start(ctx, s, h)
+				time.Sleep(2 * time.Second)
+				for n := range row.FailedTrials {
+					h.failTrial(n)
+				}
+				time.Sleep(time.Duration(row.RestartMS) * time.Millisecond)
+				stop()
+				vm := start(t.Context(), s, nil)
+				time.Sleep(300 * time.Millisecond)
+				refusal, refused := vm.Check(deadly)
+				is.True(refused)
+				got, want := time.Until(refusal.TrialAt).Milliseconds(), int64(row.WantMS)
+				if got < want-1000 || got > want {
+					t.Errorf("the next trial is due in %d ms, want %d or up to a second less", got, want)
+				}
+			})
+		})
+	}
+}
+
 // TestLostEntryIsWrittenAgain guards against a restore of the store from a copy without the
 // entry: VMs that start later would know nothing of the quarantines.
 func TestLostEntryIsWrittenAgain(t *testing.T) {
@@ -197,6 +254,7 @@
 	for _, value := range []string{
 		"", "null", "[]", "{", `{"quarantines":[{}]}`, `{"quarantines":[{"fingerprint":"x"}]}`,
 		`{"quarantines":[{"fingerprint":"part:1/m/a","trials":-1}]}`, `{"quarantines":[{"fingerprint":"part:1/m/a","last_crash_at":"x"}]}`,
+		`{"quarantines":[{"fingerprint":"part:1/m/a","next_trial_at":"x"}]}`,
 	} {
 		t.Run(value, func(t *testing.T) {
 			t.Parallel()
--- a/internal/routing/quarantiner/guard.go
+++ b/internal/routing/quarantiner/guard.go
@@ -234,8 +234,8 @@
 		if _, known := g.rows[row.Fingerprint]; known {
 			continue
 		}
-		// The crashes may be over since: a trial shows it.
-		row.TrialAt = now.Add(trialDelays[0])
+		// The crashes may be over since a trial that was due meanwhile.
+		row.TrialAt = now.Add(min(max(row.TrialAt.Sub(now), trialDelays[0]), trialDelays[len(trialDelays)-1]))
 		g.report(knownEvent(row))
 		if !now.Before(g.hubUntil) {
 			g.rows[row.Fingerprint] = row
