forwarder: a trial of a request that no upstream has run is not used up

Cause: the trial was used up when the first byte was sent, whatever came back. An attempt keeps the numbers of the trials that permit it, and gives them back if it has not run; the same request, or another one, may use them for the rest of the 3 s. Routers' own trials are as before.

Before: go test -cpu 1 -run TestTrialsNeedARun ./internal/gateway/forwarder, 2 of 3 rows fail (503, want 200); the third, a lost response, stays refused. After: all rows pass, and TestTrialOfARequestThatDidNotRunIsReturned.

--- a/internal/gateway/forwarder/attempt.go
+++ b/internal/gateway/forwarder/attempt.go
@@ -21,6 +21,7 @@
 	x.resumed = x.sequence.last == ""
 	x.upstreamResponse = upstreamResponse{}
 	x.firstByteSentAt.Store(nil)
+	x.pass.Store(nil)
 	options := x.attemptOptions(now, u)
 	x.newConnection = x.needsNewConnection(now)
 	ctx, x.withdrawal = x.watchWeights(ctx, u, options.WeightsVersion)
--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -89,6 +89,8 @@
 	// firstByteSentAt is when the first byte of the latest attempt was sent, nil if none
 	// was. The transport sets it.
 	firstByteSentAt atomic.Pointer[time.Time]
+	// pass holds the trials that permit the latest attempt. The transport sets it.
+	pass atomic.Pointer[quarantiner.Pass]
 	// readingPrompt is true from sending an attempt until the upstream has read
 	// the prompt.
 	readingPrompt bool
--- a/internal/gateway/forwarder/quarantine.go
+++ b/internal/gateway/forwarder/quarantine.go
@@ -95,6 +95,13 @@
 	})
 }
 
+// returnPass gives back the trial that permitted the latest attempt, if it has not run.
+func (x *exchange) returnPass(failure *caller.Failure) {
+	if pass := x.pass.Swap(nil); pass != nil && failure.NotRun {
+		x.cfg.Isolator.Return(*pass)
+	}
+}
+
 // isStaying reports whether an upstream is in service and has not stated that it is leaving.
 // The end of one that leaves is no crash.
 func (x *exchange) isStaying(u *registrar.Upstream) bool {
--- a/internal/gateway/forwarder/retry.go
+++ b/internal/gateway/forwarder/retry.go
@@ -24,6 +24,7 @@
 	_ = errors.As(err, &failure) // any other error means that the response broke off
 	x.recordFailure(now, u, failure)
 	x.recordCrash(ctx, now, u, failure)
+	x.returnPass(failure)
 	if x.r.Context().Err() != nil || errors.Is(err, errClientGone) {
 		return classifier.Wrap(classifier.CallerGone, err, "the client left")
 	}
--- a/internal/gateway/forwarder/withhold.go
+++ b/internal/gateway/forwarder/withhold.go
@@ -142,9 +142,11 @@
 		if err := x.cfg.Noticer.Admit(u, lastResort); err != nil {
 			return err
 		}
-		if !x.cfg.Isolator.Admit(x.fingerprints) {
+		pass, admitted := x.cfg.Isolator.AdmitWithPass(x.fingerprints)
+		if !admitted {
 			return errQuarantined
 		}
+		x.pass.Store(&pass)
 		now := time.Now()
 		x.firstByteSentAt.Store(&now)
 		return nil
--- a/internal/routing/quarantiner/guard.go
+++ b/internal/routing/quarantiner/guard.go
@@ -131,20 +131,6 @@
 	return refusal, true
 }
 
-// Admit is like Check, right before a request is sent. It uses up the trials that permit
-// it.
-func (g *Guard) Admit(now time.Time, fingerprints []Fingerprint) bool {
-	if _, refused := g.Check(now, fingerprints); refused {
-		return false
-	}
-	for _, f := range fingerprints {
-		if row, ok := g.quarantine(now, f); ok {
-			g.triedTrials[f] = row.Trials
-		}
-	}
-	return true
-}
-
 // quarantine returns the row of a quarantined fingerprint.
 func (g *Guard) quarantine(now time.Time, f Fingerprint) (Row, bool) {
 	if row, ok := g.rows[f]; ok && row.State == Quarantined {
@@ -163,11 +149,6 @@
 	return g.own.row(f), true
 }
 
-// onTrial reports whether this VM may send a request in spite of its quarantine.
-func (g *Guard) onTrial(now time.Time, row Row) bool {
-	return row.TrialVM == g.node && now.Before(row.TrialUntil) && g.triedTrials[row.Fingerprint] < row.Trials
-}
-
 // Apply applies the rows of a message of the hub; all of its rows if it is full. It
 // returns what has changed, and whether the hub is to be informed of answers at once.
 func (g *Guard) Apply(now time.Time, full bool, rows []Row) (changes []Change, urgent bool) {
--- a/internal/routing/quarantiner/guard_test.go
+++ b/internal/routing/quarantiner/guard_test.go
@@ -100,6 +100,31 @@
 	is.True(g.Admit(at(7000), deadly))
 }
 
+// TestTrialOfARequestThatDidNotRunIsReturned guards against trials that end without a result
+// since their upstream was just starting again.
+func TestTrialOfARequestThatDidNotRunIsReturned(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	g := quarantiner.NewGuard("vm1")
+	before, admitted := g.AdmitWithPass(at(3000), deadly)
+	is.True(admitted)
+	trial := quarantinedRow("deadly")
+	trial.Trials, trial.TrialVM, trial.TrialUntil = 1, "vm1", at(8000)
+	g.Apply(at(5000), true, []quarantiner.Row{trial})
+	pass, admitted := g.AdmitWithPass(at(5100), deadly)
+	is.True(admitted)
+	g.Return(before) // it was sent before the quarantine
+	is.True(isRefused(g, 5200, deadly...))
+	g.Return(pass)
+	is.True(!isRefused(g, 5300, deadly...))
+	is.True(g.Admit(at(5300), deadly))
+	trial.Trials = 2
+	g.Apply(at(7000), false, []quarantiner.Row{trial})
+	is.True(g.Admit(at(7100), deadly))
+	g.Return(pass) // the trial is over
+	is.True(isRefused(g, 7200, deadly...))
+}
+
 // TestTrialNeedsAllQuarantines checks that a request with two quarantined parts waits for
 // trials of both.
 func TestTrialNeedsAllQuarantines(t *testing.T) {
--- a/internal/upstream/isolator/isolator.go
+++ b/internal/upstream/isolator/isolator.go
@@ -108,6 +108,20 @@
 	return i.guard.Admit(time.Now(), fingerprints)
 }
 
+// AdmitWithPass is like Admit. It returns the trials that permit the request.
+func (i *Isolator) AdmitWithPass(fingerprints []quarantiner.Fingerprint) (quarantiner.Pass, bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.guard.AdmitWithPass(time.Now(), fingerprints)
+}
+
+// Return gives back the trials of a request that no upstream has run.
+func (i *Isolator) Return(pass quarantiner.Pass) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.guard.Return(pass)
+}
+
 // Snapshot returns the events that another hub needs, and the number of the last one.
 func (i *Isolator) Snapshot() ([]quarantiner.Event, uint64) {
 	i.mu.Lock()
