--- a/internal/gateway/forwarder/attempt.go
+++ b/internal/gateway/forwarder/attempt.go
@@ -59,7 +59,7 @@
 		return &caller.Failure{Upstream: u.ID, Status: answer.Status, NotRun: true, Leaving: otherInstance}
 	}
 	x.mayHaveRun = true
-	if !x.mayDeliver(answer) {
+	if !x.mayDeliver(answer, head) {
 		answer.Discard()
 		return &caller.Failure{Upstream: u.ID, Status: answer.Status, Sent: true}
 	}
@@ -74,11 +74,16 @@
 }
 
 // mayDeliver reports whether the client may get the response of an upstream: it is the rest of
-// the response that has begun, or the first one and no error that a retry may avoid.
-func (x *exchange) mayDeliver(answer *caller.Response) bool {
+// the response that has begun, or the first one and no error that a retry may avoid. A status
+// that claims that the request was not run is not passed on without proof if a client would
+// send the request again that may run once only.
+func (x *exchange) mayDeliver(answer *caller.Response, head ResponseHead) bool {
 	if x.response.begun() {
 		return x.response.isContinuedBy(answer.Status, answer.Header)
 	}
+	if head.ClaimsNotRun && !x.route.Repeatable() {
+		return false
+	}
 	return answer.Status < http.StatusInternalServerError || !x.canRetryAfterRun()
 }
 
--- a/internal/gateway/forwarder/dialect.go
+++ b/internal/gateway/forwarder/dialect.go
@@ -74,6 +74,9 @@
 type ResponseHead struct {
 	// NotRun is true if the upstream states that it did not run the request.
 	NotRun bool
+	// ClaimsNotRun is true if the status tells a client that the request was not run, whether
+	// or not the upstream states that.
+	ClaimsNotRun bool
 	// Misdirected is true if the upstream is another instance, or has another
 	// version of the weights, than the request expects.
 	Misdirected bool
