archivist: an odd number of trials ends no hub

An entry of quarantines that states trials ended the hub's process as soon as an upstream crashed in the next trial, and then each later hub to which the VMs report what they have read: the count of failed trials overflowed and was an index.

The number was only checked to be no less than 0. It is at most that of an int32 in the entry now; trials that follow are counted beyond it, but stored as that many, so that a hub doesn't ignore and rewrite its own entry.

--- a/internal/peering/archivist/archivist.go
+++ b/internal/peering/archivist/archivist.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -29,6 +30,9 @@
 	trialTolerance = 2 * time.Second
 	// maxRecords bounds the quarantines of an entry.
 	maxRecords = 1024
+	// maxTrials bounds the trials of a quarantine. Those that follow are counted beyond it,
+	// but not stored.
+	maxTrials = math.MaxInt32
 )
 
 // record is a quarantine in the store.
@@ -57,8 +61,8 @@
 		if err := r.Fingerprint.Check(); err != nil {
 			return err
 		}
-		if r.Trials < 0 {
-			return fmt.Errorf("quarantine %s: number of trials is negative", r.Fingerprint)
+		if r.Trials < 0 || r.Trials > maxTrials {
+			return fmt.Errorf("quarantine %s: number of trials %d is out of range", r.Fingerprint, r.Trials)
 		}
 	}
 	return nil
@@ -194,7 +198,7 @@
 		if row.State == quarantiner.Quarantined && len(records) < maxRecords {
 			// Without the reading of the monotonic clock, which means nothing elsewhere.
 			records = append(records, record{
-				Fingerprint: row.Fingerprint, LastCrashAt: row.LastAt.Round(0).UTC(), Trials: row.Trials, TrialAt: row.TrialAt.Round(0).UTC(),
+				Fingerprint: row.Fingerprint, LastCrashAt: row.LastAt.Round(0).UTC(), Trials: min(row.Trials, maxTrials), TrialAt: row.TrialAt.Round(0).UTC(),
 			})
 		}
 	}
--- a/internal/peering/archivist/archivist_test.go
+++ b/internal/peering/archivist/archivist_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -255,8 +256,16 @@
 		"", "null", "[]", "{", `{"quarantines":[{}]}`, `{"quarantines":[{"fingerprint":"x"}]}`,
 		`{"quarantines":[{"fingerprint":"part:1/m/a","trials":-1}]}`, `{"quarantines":[{"fingerprint":"part:1/m/a","last_crash_at":"x"}]}`,
 		`{"quarantines":[{"fingerprint":"part:1/m/a","next_trial_at":"x"}]}`,
+		`{"quarantines":[{"fingerprint":"part:1/m/a","trials":9223372036854775807}]}`,
+		`{"quarantines":[{"fingerprint":"part:1/m/a","trials":2147483648}]}`,
+		`{"quarantines":[{"fingerprint":"part:1/m/a","trials":18446744073709551616}]}`,
+		`{"quarantines":[{"fingerprint":"part:1/m/a","last_crash_at":"10000-01-01T00:00:00Z"}]}`,
+		strings.Repeat("[", 1_000_000),
+		`{"quarantines":` + strings.Repeat(`[`, 500_000) + strings.Repeat(`]`, 500_000) + `}`,
+		`{"quarantines":[` + strings.Repeat(`{},`, 300_000) + `{}]}`,
+		`{"quarantines":[{"fingerprint":"part:1/m/` + strings.Repeat("a", 1_000_000) + `"}]}`,
 	} {
-		t.Run(value, func(t *testing.T) {
+		t.Run(value[:min(len(value), 80)], func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
@@ -277,3 +286,22 @@
 		})
 	}
 }
+
+// TestTrialsBeyondTheBoundAreStored guards against an entry that its own writer ignores, so
+// that it is written again and again.
+func TestTrialsBeyondTheBoundAreStored(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const value = `{"quarantines":[{"fingerprint":"part:1/m/deadly","last_crash_at":"2000-01-01T00:00:00Z","trials":2147483647}]}`
+		s := &store{entry: storer.Entry{Key: "k", Value: []byte(value), Revision: 7}}
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		h := &hub{ledger: quarantiner.NewLedger()}
+		row := quarantiner.Row{Fingerprint: deadly[0], State: quarantiner.Quarantined, LastAt: time.Now(), Trials: 1 << 31}
+		h.ledger.Adopt(time.Now(), row)
+		start(ctx, s, h)
+		time.Sleep(time.Minute)
+		is.Equal(s.writeCount(), 0)
+	})
+}
