--- a/internal/peering/relayer/restore_test.go
+++ b/internal/peering/relayer/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -90,15 +91,15 @@
 	f := startFleet(t, 10)
 	f.store.StartEra(1)
 	overwritten, removed, added := prefix+"overwritten", prefix+"removed", prefix+"added"
-	f.store.Put(overwritten, []byte("before"))
-	f.store.Put(removed, []byte("before"))
+	f.store.Put(overwritten, entryValue("before"))
+	f.store.Put(removed, entryValue("before"))
 	time.Sleep(5 * time.Second)
 	older := f.store.Copy()
 	f.vms[0].door.SetFault(platformtest.Unresponsive)
 	synctest.Wait() // its watches have ended
-	f.store.Put(overwritten, []byte("after"))
+	f.store.Put(overwritten, entryValue("after"))
 	f.store.Remove(removed)
-	f.store.Put(added, []byte("after"))
+	f.store.Put(added, entryValue("after"))
 	time.Sleep(maxAge + 100*time.Millisecond)
 	for _, v := range f.vms[relays:] {
 		is.True(v.has(added, "after")) // ahead of the relay
@@ -117,5 +118,10 @@
 
 func (v *vm) has(key, value string) bool {
 	entry, ok := v.informer.Entry(key)
-	return ok && bytes.Equal(entry.Value, []byte(value))
+	return ok && bytes.Equal(entry.Value, entryValue(value))
+}
+
+// entryValue returns a value that all replicas keep, also among those of upstreams.
+func entryValue(service string) []byte {
+	return fmt.Appendf(nil, `{"service":%q,"address":"10.1.0.1:80","zone":"z","version":"v1","slots":4,"state":"ready","cold_remaining_ms":0,"sequence":1}`, service)
 }
