announcer: an odd entry among those of VMs counts as no VM

An entry under gentianstep/ with a node and an unspecified, multicast or link-local address or port 0 counted as a VM, and one with the node of another key was found in place of that VM, in the order of a map. Each change of any entry logged all odd ones again, with lines as long as the entry.

DecodeVM checks the address as that of an upstream is (registrar.CheckAddress). The entry of a VM is under the name of its node. Each version of an odd entry is logged once. Errors of package json are shortened in one place, storer.Decode, for entries of upstreams, VMs, quarantines and leases.

--- a/internal/membership/announcer/announcer.go
+++ b/internal/membership/announcer/announcer.go
@@ -13,6 +13,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"gentianstep.example/gentianstep/internal/membership/registrar"
 	"gentianstep.example/gentianstep/internal/operating/pauser"
 	"gentianstep.example/gentianstep/internal/platform/storer"
 )
@@ -62,12 +63,15 @@
 // DecodeVM decodes and validates the entry of a VM.
 func DecodeVM(value []byte) (VM, error) {
 	var vm VM
-	if err := json.Unmarshal(value, &vm); err != nil {
+	if err := storer.Decode(value, &vm); err != nil {
 		return VM{}, fmt.Errorf("decode entry of VM: %w", err)
 	}
 	if vm.Node == "" || !vm.PeerAddress.IsValid() {
 		return VM{}, fmt.Errorf("decode entry of VM: node or peer_address is missing")
 	}
+	if err := registrar.CheckAddress(vm.PeerAddress); err != nil {
+		return VM{}, fmt.Errorf("decode entry of VM %q: peer_address: %w", vm.Node, err)
+	}
 	if vm.LinkBytesPerSecond < 0 || vm.Processors < 0 {
 		return VM{}, fmt.Errorf("decode entry of VM %q: capacity is negative", vm.Node)
 	}
--- a/internal/membership/registrar/upstream.go
+++ b/internal/membership/registrar/upstream.go
@@ -47,12 +47,12 @@
 	case u.Slots < 1 || u.Slots > maxSlots:
 		return fmt.Errorf("%d slots, want 1 to %d", u.Slots, maxSlots)
 	}
-	return checkAddress(u.Address)
+	return CheckAddress(u.Address)
 }
 
-// checkAddress returns an error for an address that is not the same process to all VMs, or
+// CheckAddress returns an error for an address that is not the same process to all VMs, or
 // none at all. Loopback addresses are those of a deployment on one machine.
-func checkAddress(a netip.AddrPort) error {
+func CheckAddress(a netip.AddrPort) error {
 	switch ip := a.Addr().Unmap(); {
 	case a.Port() == 0:
 		return errors.New("port is 0")
--- a/internal/operating/starter/gateway_vms.go
+++ b/internal/operating/starter/gateway_vms.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"sync"
 	"time"
@@ -12,6 +13,7 @@
 	"gentianstep.example/gentianstep/internal/membership/informer"
 	"gentianstep.example/gentianstep/internal/peering/exchanger"
 	"gentianstep.example/gentianstep/internal/placement/leaser"
+	"gentianstep.example/gentianstep/internal/platform/storer"
 )
 
 // vmDirectory holds the decoded entries of the deployment's VMs. They are decoded once
@@ -22,6 +24,8 @@
 
 	mu     sync.Mutex
 	latest *announcedVMs
+	// ignored holds the entries that cannot be decoded, by key, as of the last change.
+	ignored map[string]storer.Version
 }
 
 // announcedVMs is the decoded state of the VMs' entries. It is not modified.
@@ -42,7 +46,8 @@
 	return announcer.VM{}, false
 }
 
-// load returns the current state. It logs and skips entries that cannot be decoded.
+// load returns the current state. It skips entries that cannot be decoded, and logs each
+// of their versions once.
 func (d *vmDirectory) load() *announcedVMs {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -50,7 +55,7 @@
 	if d.latest != nil && d.latest.changes == changes {
 		return d.latest
 	}
-	state := &announcedVMs{changes: changes}
+	state, ignored := &announcedVMs{changes: changes}, make(map[string]storer.Version)
 	for _, e := range d.informer.VMs() {
 		var err error
 		switch e.Key {
@@ -59,18 +64,31 @@
 			state.leaseHolder, err = leaser.ParseHolder(e.Value)
 		default:
 			var vm announcer.VM
-			if vm, err = announcer.DecodeVM(e.Value); err == nil {
+			if vm, err = decodeVM(e); err == nil {
 				state.vms = append(state.vms, vm)
 			}
 		}
-		if err != nil {
+		if err == nil {
+			continue
+		}
+		ignored[e.Key] = e.Version()
+		if d.ignored[e.Key] != e.Version() {
 			d.log.WithError(err).WithFields(logrus.Fields{"event": "entry_ignored", "key": e.Key}).Warn("ignoring an invalid store entry")
 		}
 	}
-	d.latest = state
+	d.latest, d.ignored = state, ignored
 	return state
 }
 
+// decodeVM decodes the entry of a VM, which is under the name of its node.
+func decodeVM(e storer.Entry) (announcer.VM, error) {
+	vm, err := announcer.DecodeVM(e.Value)
+	if err == nil && e.Key != vmPrefix+vm.Node {
+		return announcer.VM{}, fmt.Errorf("entry of VM %q is under another key", vm.Node)
+	}
+	return vm, err
+}
+
 // peerAddresses returns the peer addresses of the other VMs: those announced in
 // the store and the seed peers from the settings.
 func (g *gateway) peerAddresses() []netip.AddrPort {
--- a/internal/peering/archivist/archivist.go
+++ b/internal/peering/archivist/archivist.go
@@ -149,7 +149,7 @@
 
 func decode(value []byte) ([]record, error) {
 	var e entry
-	if err := json.Unmarshal(value, &e); err != nil {
+	if err := storer.Decode(value, &e); err != nil {
 		return nil, fmt.Errorf("decode quarantines: %w", err)
 	}
 	if err := e.check(); err != nil {
--- a/internal/placement/leaser/leaser.go
+++ b/internal/placement/leaser/leaser.go
@@ -32,7 +32,7 @@
 // the lease.
 func ParseHolder(value []byte) (string, error) {
 	var record leaseRecord
-	if err := json.Unmarshal(value, &record); err != nil {
+	if err := storer.Decode(value, &record); err != nil {
 		return "", fmt.Errorf("decode value of lease key: %w", err)
 	}
 	return record.Node, nil
