upgrader: odd entries have no more engines change weights at once

With one odd entry beside nine engines, four of them changed their weights at once instead of three; with 90, all nine did, so that requests had no engine. The number is a third of all entries, also of those whose engine doesn't exist.

It is a third of the engines that have reported to the holder of the lease. The others get no order anyway.

--- a/internal/placement/upgrader/fixture_test.go
+++ b/internal/placement/upgrader/fixture_test.go
@@ -38,6 +38,8 @@
 	workers []*platformtest.Worker
 	// ignoreFencing is true if the engines do not check fencing numbers.
 	ignoreFencing bool
+	// odd are upstreams that entries of another writer name.
+	odd []*registrar.Upstream
 	// watchLease is true if the VMs see at once that the lease has ended.
 	watchLease bool
 
@@ -67,7 +69,7 @@
 			Weights: map[string]uint64{model: w.Version(model)},
 		})
 	}
-	return list
+	return append(list, d.odd...)
 }
 
 // DesiredWeights implements upgrader.Directory.
--- a/internal/placement/upgrader/upgrader.go
+++ b/internal/placement/upgrader/upgrader.go
@@ -45,7 +45,7 @@
 	overdueBonus   = 1000
 	unusedBonus    = 2000
 	// loadDivisor sets the number of simultaneous loads as a fraction of the
-	// engines.
+	// engines that have reported.
 	loadDivisor = 3
 )
 
@@ -158,10 +158,13 @@
 			MinReplicas:            1,
 		})
 	}
-	loads, unused := g.cfg.InFlight(), 0
+	loads, reported, unused := g.cfg.InFlight(), 0, 0
 	for _, u := range engines {
 		e := g.engine(now, u)
 		e.Load = loads[u.ID]
+		if !e.Unschedulable {
+			reported++
+		}
 		switch unusable, overdue := g.lateness(now, u); {
 		case unusable:
 			e.Load -= unusedBonus
@@ -173,8 +176,9 @@
 		}
 		in.Engines = append(in.Engines, e)
 	}
-	// Loading weights on engines that are not used takes no capacity away.
-	in.Policy = checker.PlacementPolicy{MaxLoads: max((len(engines)+loadDivisor-1)/loadDivisor, 1) + unused}
+	// Loading weights on engines that are not used takes no capacity away. An entry whose
+	// engine has not reported may be of none, and adds no capacity.
+	in.Policy = checker.PlacementPolicy{MaxLoads: max((reported+loadDivisor-1)/loadDivisor, 1) + unused}
 	return in
 }
 
