caller: take no response that arrives before the request

A worker that sends a refusal before it gets a request, such as one for a channel too many or an earlier one on a connection that is about to be used, was believed if the bytes came between the choice of the connection and the first write. net/http sends the request all the same, and the worker may run it. On a new connection no ID is required, so that the client was told "not run" (REFUSED).

Reads of a connection fail while no byte of its request was sent, and nothing is sent on it any more. The call counts as not sent. net/http itself closes connections that get bytes while idle; what comes once a request is on its way to them it takes for the response.

Before: go test -run TestResponseBefore ./internal/upstream/caller, 5 of 5 rows red. Now: none, with -race -count 5.

--- a/internal/upstream/caller/connection.go
+++ b/internal/upstream/caller/connection.go
@@ -4,10 +4,16 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 )
 
-// errAborted reports a write to a connection whose request was aborted.
-var errAborted = errors.New("write to an aborted connection")
+var (
+	// errAborted reports a write to a connection whose request was aborted.
+	errAborted = errors.New("write to an aborted connection")
+	// errEarlyData reports bytes that an upstream has sent before the request, so that they
+	// cannot be its response.
+	errEarlyData = errors.New("upstream has sent data before the request")
+)
 
 // connection records whether a byte of the current request may have been sent. It
 // is reset if that request is abandoned.
@@ -19,8 +25,9 @@
 	// last, and ended is true once its response was read to the end.
 	owner   *exchange
 	ended   bool
-	sent    bool
 	aborted bool
+	// sent is set while mu is held; reads do not wait for the admission of a request.
+	sent atomic.Bool
 
 	// unreadable is closed once a read has failed or the connection was closed.
 	unreadable     chan struct{}
@@ -42,7 +49,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	reused := c.owner != nil
-	c.owner, c.sent, c.ended = e, false, false
+	c.owner, c.ended = e, false
+	c.sent.Store(false)
 	return reused
 }
 
@@ -55,15 +63,27 @@
 	}
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It fails if bytes arrive before the request: the upstream may
+// still run it, whatever they say.
 func (c *connection) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
+	if n > 0 && !c.sent.Load() {
+		c.refuseSend()
+		n, err = 0, errEarlyData
+	}
 	if err != nil {
 		c.markUnreadable()
 	}
 	return n, err
 }
 
+// refuseSend fails all writes if no byte of the current request was sent.
+func (c *connection) refuseSend() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.aborted = c.aborted || !c.sent.Load()
+}
+
 // Write implements net.Conn. It returns an error only once nothing more can be read,
 // since the transport drops a response that it reads after a failed write.
 func (c *connection) Write(data []byte) (int, error) {
@@ -80,10 +100,10 @@
 func (c *connection) markSent() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.aborted || !c.sent && c.owner != nil && c.owner.admit != nil && !c.owner.admit() {
+	if c.aborted || !c.sent.Load() && c.owner != nil && c.owner.admit != nil && !c.owner.admit() {
 		return false
 	}
-	c.sent = true
+	c.sent.Store(true)
 	return true
 }
 
@@ -124,7 +144,7 @@
 		return true, false
 	}
 	c.aborted = true
-	sent = c.sent
+	sent = c.sent.Load()
 	c.mu.Unlock()
 	_ = c.Close()
 	return sent, true
--- a/internal/upstream/caller/early_test.go
+++ b/internal/upstream/caller/early_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -13,6 +17,7 @@
 
 	"github.com/matryer/is"
 
+	"gentianstep.example/gentianstep/internal/testing/scripter"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
 )
 
@@ -66,3 +71,82 @@
 		})
 	}
 }
+
+// hastyConn is a connection whose upstream answers with okResponse, or sends a response of its
+// own choice.
+type hastyConn struct {
+	net.Conn
+	responses chan string
+	answers   bool
+	written   atomic.Int64
+}
+
+func (c *hastyConn) Write(data []byte) (int, error) {
+	c.written.Add(int64(len(data)))
+	if c.answers {
+		c.responses <- okResponse
+	}
+	return len(data), nil
+}
+
+func (c *hastyConn) Read(data []byte) (int, error) {
+	response, ok := <-c.responses
+	if !ok {
+		return 0, net.ErrClosed
+	}
+	return copy(data, response), nil
+}
+
+// hastyRow is a response that arrives before the first byte of its request is sent.
+type hastyRow struct {
+	Name     string `json:"name"`
+	Response string `json:"answer"`
+	Reused   bool   `json:"reused"`
+}
+
+// TestResponseBeforeRequestIsDropped guards against the belief in a response that has arrived
+// before the request was sent, which the upstream may then run.
+func TestResponseBeforeRequestIsDropped(t *testing.T) {
+	t.Parallel()
+	var rows []hastyRow
+	scripter.Read(t, "testdata/hasty.json", &rows)
+	for _, row := range rows {
+		t.Run(row.Name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { runHastyRow(t, row) })
+		})
+	}
+}
+
+func runHastyRow(t *testing.T, row hastyRow) {
+	is := is.New(t)
+	inner, _ := net.Pipe()
+	conn := &hastyConn{Conn: inner, responses: make(chan string, 1)}
+	defer close(conn.responses)
+	c := caller.New(caller.Config{Dial: func(context.Context, string, string) (net.Conn, error) { return conn, nil }})
+	defer c.Close()
+	target := caller.Target{Name: "up", Address: netip.MustParseAddrPort("10.0.0.1:80")}
+	call := caller.Call{Method: http.MethodPost, RequestID: "id", Attempt: 1, Path: "/", FirstByteDeadline: time.Now().Add(time.Second), IdleTimeout: time.Second}
+	if row.Reused {
+		conn.answers = true
+		first, err := c.Do(t.Context(), target, call)
+		is.NoErr(err)
+		is.NoErr(first.Finish())
+		synctest.Wait()
+		conn.answers = false
+		conn.written.Store(0)
+	}
+	var once sync.Once
+	ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{WroteHeaderField: func(string, []string) {
+		once.Do(func() { // the header is written to a buffer
+			conn.responses <- row.Response
+			synctest.Wait()
+		})
+	}})
+	_, err := c.Do(ctx, target, call)
+	var failure *caller.Failure
+	is.True(errors.As(err, &failure))
+	is.True(failure.NotRun)
+	is.Equal(failure.Status, 0)
+	is.Equal(conn.written.Load(), int64(0))
+}
