platform: send each order to an engine over a new connection

An engine that answers an order with the response to an earlier call once more was believed: the 200 of a report made an order accepted that was refused, an earlier 409 or 503 made one refused that was accepted, and an earlier 412 made its holder believe that another had a higher fencing number.

Responses to orders name no call. Reports, orders and reads of cache events shared kept connections. An order has a connection of its own now, which has carried no earlier response; there are few of them. Reports and reads of cache events go on as before: an older report is checked by the engine when the next order names the count of orders in it, and weights only rise.

--- a/cmd/gentianstep/gateway.go
+++ b/cmd/gentianstep/gateway.go
@@ -65,8 +65,8 @@
 			NewStore: func(address netip.AddrPort, client *http.Client, bodies *bounder.Bounder) starter.Store {
 				return platform.NewClient(platform.ClientConfig{Address: address, HTTPClient: client, Bodies: bodies})
 			},
-			NewEngineClient: func(client *http.Client, n *noticer.Noticer, bodies *bounder.Bounder) starter.EngineClient {
-				return platform.EngineClient{HTTPClient: client, Noticer: n, Bodies: bodies}
+			NewEngineClient: func(client, orders *http.Client, n *noticer.Noticer, bodies *bounder.Bounder) starter.EngineClient {
+				return platform.EngineClient{HTTPClient: client, OrderClient: orders, Noticer: n, Bodies: bodies}
 			},
 			NewHealthClient: func(client *http.Client, n *noticer.Noticer, path func(service string) string) verifier.Checker {
 				return platform.HealthClient{HTTPClient: client, Noticer: n, Path: path}
--- a/internal/gateway/forwarder/notices_model_test.go
+++ b/internal/gateway/forwarder/notices_model_test.go
@@ -104,7 +104,7 @@
 func (m *noticeRunner) run(t *testing.T, events []noticeEvent) []string {
 	transport := &http.Transport{DialContext: m.dial}
 	defer transport.CloseIdleConnections()
-	engines := platform.EngineClient{HTTPClient: &http.Client{Transport: transport}, Noticer: m.noticer}
+	engines := platform.EngineClient{HTTPClient: &http.Client{Transport: transport}, OrderClient: &http.Client{Transport: transport}, Noticer: m.noticer}
 	c := testConfiguration()
 	for i := range c.Routes {
 		c.Routes[i].Timeout = noticeTimeout // a worker's response must not come too late to be read
--- a/internal/operating/starter/endless_test.go
+++ b/internal/operating/starter/endless_test.go
@@ -47,7 +47,7 @@
 		return err
 	},
 	"order": func(ctx context.Context, gateway, _ *http.Client, address netip.AddrPort) error {
-		_, err := platform.EngineClient{HTTPClient: gateway}.Order(ctx, upstreamAt(address), upgrader.Order{Model: "m", Version: 1})
+		_, err := platform.EngineClient{OrderClient: gateway}.Order(ctx, upstreamAt(address), upgrader.Order{Model: "m", Version: 1})
 		return err
 	},
 	"events": func(ctx context.Context, gateway, _ *http.Client, address netip.AddrPort) error {
--- a/internal/operating/starter/gateway.go
+++ b/internal/operating/starter/gateway.go
@@ -161,7 +161,7 @@
 	})
 	g.vms = &vmDirectory{informer: g.informer, log: log}
 	g.noticer = noticer.New(noticer.Config{Bounds: noticeBounds(settings), Meter: g.meter, Log: log})
-	g.engineClient = p.NewEngineClient(g.newClient(), g.noticer, responseBodies(settings))
+	g.engineClient = p.NewEngineClient(g.newClient(), g.newUnpooledClient(), g.noticer, responseBodies(settings))
 	g.view = coordinator.NewView()
 	g.hub = coordinator.NewHub(coordinator.HubConfig{
 		Active:   g.isHub,
--- a/internal/operating/starter/gateway_platform.go
+++ b/internal/operating/starter/gateway_platform.go
@@ -29,8 +29,9 @@
 	LoadSettings func() (*configurer.VMSettings, error)
 	// NewStore returns a client of the platform's store.
 	NewStore func(address netip.AddrPort, client *http.Client, bodies *bounder.Bounder) Store
-	// NewEngineClient returns a client for the control calls to engines.
-	NewEngineClient func(client *http.Client, n *noticer.Noticer, bodies *bounder.Bounder) EngineClient
+	// NewEngineClient returns a client for the control calls to engines. orders opens a
+	// connection for each call.
+	NewEngineClient func(client, orders *http.Client, n *noticer.Noticer, bodies *bounder.Bounder) EngineClient
 	// NewHealthClient returns a client for health checks. Their path is that of the
 	// upstream's service.
 	NewHealthClient func(client *http.Client, n *noticer.Noticer, path func(service string) string) verifier.Checker
--- a/internal/operating/starter/store_restore_test.go
+++ b/internal/operating/starter/store_restore_test.go
@@ -142,7 +142,7 @@
 			NewStore: func(netip.AddrPort, *http.Client, *bounder.Bounder) Store {
 				return newStoreClient(f.meter)
 			},
-			NewEngineClient: func(*http.Client, *noticer.Noticer, *bounder.Bounder) EngineClient { return nil },
+			NewEngineClient: func(_, _ *http.Client, _ *noticer.Noticer, _ *bounder.Bounder) EngineClient { return nil },
 		},
 		Dial:      f.network.Dial,
 		SinceBoot: clocker.SinceBoot,
--- a/internal/placement/upgrader/fixture_test.go
+++ b/internal/placement/upgrader/fixture_test.go
@@ -147,7 +147,7 @@
 		Node:      fmt.Sprintf("vm%d", n),
 		Directory: d,
 		Lease:     lease,
-		Engines:   platform.EngineClient{HTTPClient: &http.Client{Transport: transport}},
+		Engines:   platform.EngineClient{HTTPClient: &http.Client{Transport: transport}, OrderClient: &http.Client{Transport: transport}},
 		OnLease:   func() {},
 		OnChange: func(u *registrar.Upstream, changing bool, _ map[string]uint64) {
 			d.mu.Lock()
--- a/internal/placement/upgrader/lease_test.go
+++ b/internal/placement/upgrader/lease_test.go
@@ -94,7 +94,7 @@
 		var loop sync.WaitGroup
 		up := upgrader.New(upgrader.Config{
 			Node: "vm", Directory: d, Lease: expiringHolder{time.Now().Add(250 * time.Millisecond)},
-			Engines:      platform.EngineClient{HTTPClient: &http.Client{Transport: transport}},
+			Engines:      platform.EngineClient{HTTPClient: &http.Client{Transport: transport}, OrderClient: &http.Client{Transport: transport}},
 			OnLease:      func() {},
 			OnChange:     func(*registrar.Upstream, bool, map[string]uint64) {},
 			InFlight:     func() map[string]int { return nil },
