orderer: send each order over a new connection

Controllers sent orders over the kept connections of their reads of cache events. An engine that sends the response to an earlier order once more there makes a refused order accepted, or an accepted one refused. Orders of controllers have a connection of their own now, as those of gateways; calls still heed notices.

--- a/internal/operating/starter/controller.go
+++ b/internal/operating/starter/controller.go
@@ -33,6 +33,7 @@
 	settings    *configurer.Settings
 	log         *logrus.Entry
 	client      *http.Client
+	orders      *http.Client
 	processes   *noticer.Processes
 	store       *dialer.Dialer
 	bundles     *holder.Holder
@@ -112,6 +113,7 @@
 	c.processes = newProcesses(m, c.handleLeaving, log)
 	transport := newTransport(certificates.upstreams)
 	c.client = &http.Client{Transport: &noticer.Transport{Processes: c.processes, Base: transport}}
+	c.orders = newOrderClient(certificates.upstreams, c.processes)
 	probes := &http.Client{Transport: &noticer.Transport{Processes: c.processes, Base: transport, Probes: true}}
 	c.store = newPlatform(settings, certificates)
 	c.bundles = holder.New(holder.Config{Verifier: settings.Verifier()})
--- a/internal/operating/starter/placement.go
+++ b/internal/operating/starter/placement.go
@@ -22,7 +22,7 @@
 		Node:    c.settings.Node,
 		Bundles: c.bundles,
 		Lease:   c.leaser,
-		Orders:  orderer.New(orderer.Config{Client: c.client}),
+		Orders:  orderer.New(orderer.Config{Client: c.orders}),
 		Log:     c.log,
 	})
 }
--- a/internal/operating/starter/transport.go
+++ b/internal/operating/starter/transport.go
@@ -8,6 +8,7 @@
 	"gentianstep.example/gentianstep/internal/operating/certifier"
 	"gentianstep.example/gentianstep/internal/operating/configurer"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
+	"gentianstep.example/gentianstep/internal/upstream/noticer"
 )
 
 // maxIdlePerHost limits the idle connections kept open to each host.
@@ -28,6 +29,15 @@
 	return t
 }
 
+// newOrderClient returns a client for orders to upstreams, with a new connection for each:
+// responses do not name their order, and one on a kept connection may be that to an earlier
+// call.
+func newOrderClient(c *certifier.Certifier, processes *noticer.Processes) *http.Client {
+	t := newTransport(c)
+	t.DisableKeepAlives = true
+	return &http.Client{Transport: &noticer.Transport{Processes: processes, Base: t}}
+}
+
 // newCaller returns a caller of upstreams that heeds notices. Its connections use
 // TLS configured by c, or plain TCP if c is nil.
 func newCaller(c *certifier.Certifier, notices caller.Notices) *caller.Caller {
--- a/internal/placement/orderer/orderer.go
+++ b/internal/placement/orderer/orderer.go
@@ -21,6 +21,7 @@
 
 // Config holds the dependencies of an Orderer.
 type Config struct {
+	// Client opens a connection for each order.
 	Client *http.Client
 }
 
