forwarder: draw hold-offs beside crashes

TestStreamsAreCompleteOnlyWithAllEvents lets the workers of half the draws refuse a request with Retry-After first.

--- a/internal/gateway/forwarder/stream_model_test.go
+++ b/internal/gateway/forwarder/stream_model_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -19,6 +20,8 @@
 	streamMillis = 500
 	// downTime is the time from the crash of a worker to its next start.
 	downTime = 300 * time.Millisecond
+	// holdOff is the hold-off in seconds with which workers refuse requests.
+	holdOff = "0.1"
 )
 
 // streamRequest is a request of a stream whose attempts meet faults, one after the other.
@@ -60,11 +63,12 @@
 func TestStreamsAreCompleteOnlyWithAllEvents(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(r *rapid.T) {
+		refusals := rapid.IntRange(0, 1).Draw(r, "refusals")
 		requests := drawStreamRequests(r)
 		var violations []string
 		synctest.Test(t, func(t *testing.T) {
 			s := &streamScenario{fixture: newFixture(t, scenarioWorkers), faults: make(map[string][]platformtest.WorkerFault)}
-			violations = s.play(t, requests)
+			violations = s.play(t, refusals, requests)
 		})
 		if len(violations) > 0 {
 			r.Fatalf("%s", strings.Join(violations, "\n"))
@@ -72,11 +76,13 @@
 	})
 }
 
-// play sends the requests and returns the violations.
-func (s *streamScenario) play(t *testing.T, requests []streamRequest) []string {
+// play sends the requests and returns the violations. Each worker refuses some requests
+// first, with a hold-off.
+func (s *streamScenario) play(t *testing.T, refusals int, requests []streamRequest) []string {
 	for n, w := range s.workers {
 		w.Faults, w.EventInterval, w.FaultOf = &platformtest.Faults{}, 10*time.Millisecond, s.faultOf
 		w.Crash = func(string) bool { return s.crash(n) }
+		w.RefuseNext(slices.Repeat([]string{holdOff}, refusals)...)
 	}
 	for n, q := range requests {
 		s.faults[fmt.Sprint("id-", n)] = q.faults
