dispatcher: the end of a service that leaves is no crash

The router goes by the answer alone: one that begins to leave within an answer is still taken for crashed.

--- a/internal/serving/dispatcher/service.go
+++ b/internal/serving/dispatcher/service.go
@@ -13,6 +13,7 @@
 	"gentianstep.example/gentianstep/internal/failure/classifier"
 	"gentianstep.example/gentianstep/internal/routing/quarantiner"
 	"gentianstep.example/gentianstep/internal/serving/claimer"
+	"gentianstep.example/gentianstep/internal/streaming/encoder"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
 	"gentianstep.example/gentianstep/internal/upstream/noticer"
 )
@@ -254,7 +255,8 @@
 	if err == nil && len(body) > maxServiceAnswerBytes {
 		err = errAnswerTooLarge
 	}
-	if err == nil {
+	// An upstream that leaves may stop listening before its last answer has ended.
+	if err == nil && answer.Header.Get(encoder.HeaderLeaving) != "true" {
 		err = d.cfg.Caller.CheckEnd(ctx, choice.Target.Address, answer)
 	}
 	if err != nil {
