--- a/internal/routing/quarantiner/cause.go
+++ b/internal/routing/quarantiner/cause.go
@@ -15,9 +15,20 @@
 	startedMillis int64
 }
 
-// end holds the fingerprints of all requests under which a process has ended.
+// end is the end of a process.
 type end struct {
-	fingerprints []Fingerprint
+	// requests are the fingerprints of all requests under way, with the versions of their
+	// weights.
+	requests []requestPart
+	// suspects and guilty are those among them that were never answered, as of a
+	// generation.
+	suspects, guilty []Fingerprint
+	generation       uint64
+}
+
+type requestPart struct {
+	fingerprint Fingerprint
+	weights     uint64
 }
 
 // recordEnd adds the fingerprints of a crash to those of its process.
@@ -29,8 +40,9 @@
 		l.ends.Add(key, e)
 	}
 	for _, f := range c.Fingerprints {
-		if len(e.fingerprints) < maxEndFingerprints && !slices.Contains(e.fingerprints, f) {
-			e.fingerprints = append(e.fingerprints, f)
+		known := slices.ContainsFunc(e.requests, func(p requestPart) bool { return p.fingerprint == f })
+		if len(e.requests) < maxEndFingerprints && !known {
+			e.requests = append(e.requests, requestPart{f, c.Weights})
 		}
 	}
 	return e
@@ -43,24 +55,44 @@
 	if !r.isGuilty() {
 		return false
 	}
-	open := record{inherited: r.inherited, crashes: l.unexplained(f, r, (*record).isSuspect)}
+	open := record{inherited: r.inherited, crashes: l.unexplained(f, r, func(e *end) []Fingerprint { return e.suspects })}
 	if len(open.crashes) == len(r.crashes) || open.isGuilty() {
 		return true
 	}
-	open.crashes = l.unexplained(f, r, (*record).isGuilty)
+	open.crashes = l.unexplained(f, r, func(e *end) []Fingerprint { return e.guilty })
 	return max(open.strikes(), open.spread()) >= quarantineSpread
 }
 
 // unexplained returns the crashes of a fingerprint for which no request under way at the
 // same process has a likelier one.
-func (l *Ledger) unexplained(f Fingerprint, r *record, counts func(*record) bool) []crash {
+func (l *Ledger) unexplained(f Fingerprint, r *record, causes func(*end) []Fingerprint) []crash {
 	return slices.DeleteFunc(slices.Clone(r.crashes), func(c crash) bool {
-		return l.wasAnswered(f, c.weights) && slices.ContainsFunc(c.end.fingerprints, func(other Fingerprint) bool {
-			return !l.wasAnswered(other, c.weights) && l.is(other, counts)
-		})
+		if !l.wasAnswered(f, c.weights) {
+			return false
+		}
+		l.refresh(c.end)
+		return slices.ContainsFunc(causes(c.end), func(other Fingerprint) bool { return other != f })
 	})
 }
 
+// refresh updates the suspects of an end if crashes or answers were recorded since.
+func (l *Ledger) refresh(e *end) {
+	if e.generation == l.generation {
+		return
+	}
+	e.generation, e.suspects, e.guilty = l.generation, nil, nil
+	for _, p := range e.requests {
+		r := l.peek(p.fingerprint)
+		if r == nil || !r.isSuspect() || l.wasAnswered(p.fingerprint, p.weights) {
+			continue
+		}
+		e.suspects = append(e.suspects, p.fingerprint)
+		if r.isGuilty() {
+			e.guilty = append(e.guilty, p.fingerprint)
+		}
+	}
+}
+
 // wasAnswered reports whether a request with a fingerprint has ever been answered on the
 // same weights or newer ones. Upstreams crash under each request with the same content, so
 // that one that was never answered is the likelier cause.
@@ -69,11 +101,11 @@
 	return ok && a.weights >= weights
 }
 
-// is reports whether the record of a fingerprint has a property.
-func (l *Ledger) is(f Fingerprint, property func(*record) bool) bool {
-	r, ok := l.quarantines.Peek(f)
-	if !ok {
-		r, ok = l.suspects.Peek(f)
+// peek returns the record of a fingerprint, nil if there is none.
+func (l *Ledger) peek(f Fingerprint) *record {
+	if r, ok := l.quarantines.Peek(f); ok {
+		return r
 	}
-	return ok && property(r)
+	r, _ := l.suspects.Peek(f)
+	return r
 }
--- a/internal/routing/quarantiner/ledger.go
+++ b/internal/routing/quarantiner/ledger.go
@@ -48,8 +48,13 @@
 	quarantines *simplelru.LRU[Fingerprint, *record]
 	answers     *simplelru.LRU[Fingerprint, answer]
 	ends        *simplelru.LRU[processKey, *end]
-	// suspected holds the suspects that VMs are asked about.
-	suspected map[Fingerprint]*record
+	// suspected holds the suspects that VMs are asked about, dueAt when the next of them is
+	// to be quarantined, as of dueGeneration.
+	suspected     map[Fingerprint]*record
+	dueAt         time.Time
+	dueGeneration uint64
+	// generation counts the changes of crashes and answers.
+	generation uint64
 	// changed holds the fingerprints whose rows have changed since DrainChanges.
 	changed map[Fingerprint]struct{}
 }
@@ -85,6 +90,7 @@
 	for _, f := range c.Fingerprints {
 		l.recordCrash(now, f, crash{process: c.Process, weights: c.Weights, sentAt: c.SentAt, at: c.At, end: e})
 	}
+	l.generation++
 	// Which of them the crash counts against depends on the others.
 	for _, f := range c.Fingerprints {
 		if r := l.find(f); r != nil {
@@ -133,6 +139,7 @@
 	if r == nil {
 		return
 	}
+	l.generation++
 	r.crashes = slices.DeleteFunc(r.crashes, a.refutes)
 	if !at.Before(r.inheritedAt) {
 		r.inherited = 0
@@ -208,11 +215,7 @@
 // Advance quarantines the suspects whose time has come and permits trials. It returns when
 // it is to be called again at the latest, zero for no such time.
 func (l *Ledger) Advance(now time.Time) time.Time {
-	next := time.Time{}
-	for f, r := range l.suspected {
-		l.advance(now, f, r)
-		next = earliest(next, l.quarantineAt(f, r))
-	}
+	next := l.advanceSuspects(now)
 	for _, f := range l.quarantines.Keys() {
 		r, _ := l.quarantines.Peek(f)
 		if now.Sub(r.usedAt) > quarantineTTL {
@@ -227,6 +230,20 @@
 	return next
 }
 
+// advanceSuspects quarantines the suspects whose time has come and returns when the next
+// one's does.
+func (l *Ledger) advanceSuspects(now time.Time) time.Time {
+	if l.dueGeneration == l.generation && (l.dueAt.IsZero() || now.Before(l.dueAt)) {
+		return l.dueAt
+	}
+	l.dueGeneration, l.dueAt = l.generation, time.Time{}
+	for f, r := range l.suspected {
+		l.advance(now, f, r)
+		l.dueAt = earliest(l.dueAt, l.quarantineAt(f, r))
+	}
+	return l.dueAt
+}
+
 // earliest returns the earlier of two times; zero is none.
 func earliest(a, b time.Time) time.Time {
 	if a.IsZero() || !b.IsZero() && b.Before(a) {
@@ -248,6 +265,7 @@
 	if !r.quarantinedAt.IsZero() {
 		return
 	}
+	l.generation++
 	r.inherited, r.inheritedAt = quarantineStrikes, row.LastAt
 	r.suspectAt, r.quarantinedAt, r.usedAt = now, now, now
 	if row.LastAt.After(r.lastAt) {
@@ -263,11 +281,9 @@
 // Strikes returns the number of strikes against a fingerprint and the upstreams of its
 // crashes.
 func (l *Ledger) Strikes(f Fingerprint) (strikes int, upstreams []string) {
-	r, ok := l.quarantines.Peek(f)
-	if !ok {
-		if r, ok = l.suspects.Peek(f); !ok {
-			return 0, nil
-		}
+	r := l.peek(f)
+	if r == nil {
+		return 0, nil
 	}
 	for _, c := range r.crashes {
 		upstreams = append(upstreams, c.process.Upstream)
