quarantiner: crashes count against the first 512 parts of a prompt

Cause: one event holds 64 fingerprints, and a crash was one event. It is several now; the process joins them, and older builds of the hub accept them. A refused request with more than 64 quarantined parts is reported so too, in events of equal size, else it would never be on trial.

Before: go test -cpu 1 -run TestRequestsThatCrash.*/a_part_behind ./internal/gateway/forwarder, 2 of 3 rows fail (58 late each; in the third one the parts before it are quarantined, too); go test ./internal/routing/quarantiner, TestManyQuarantinesOfOneRequest fails. After: all rows pass.

--- a/internal/gateway/forwarder/crash_test.go
+++ b/internal/gateway/forwarder/crash_test.go
@@ -35,6 +35,8 @@
 	// is empty.
 	Parts  []string `json:"parts"`
 	Target string   `json:"target"`
+	// Lead is the number of parts before these that all prompts share.
+	Lead int `json:"lead"`
 	// ReadMS is how long workers read a request that crashes them.
 	ReadMS int `json:"read_ms"`
 	// Batch is the number of requests that are sent at once, 1 if it is 0.
@@ -154,7 +156,7 @@
 		}
 		r.URL.Host, r.URL.Path = f.vms[n%len(f.vms)].address, "/"+row.Route+"/"+target
 		if len(load.Parts) > 0 {
-			r.Header.Set("Prompt-Prefix", promptPrefix(load.Parts, n))
+			r.Header.Set("Prompt-Prefix", promptPrefix(load.allParts(), n))
 		}
 		requests.Go(func() {
 			sentAt := time.Now()
@@ -170,6 +172,15 @@
 	}
 }
 
+// allParts returns the parts of the prompts, those before Parts included.
+func (l crashLoad) allParts() []string {
+	list := make([]string, 0, l.Lead+len(l.Parts))
+	for n := range l.Lead {
+		list = append(list, fmt.Sprintf("lead-%d", n))
+	}
+	return append(list, l.Parts...)
+}
+
 // promptPrefix returns the header that names the parts of a prompt.
 func promptPrefix(parts []string, n int) string {
 	names := make([]string, 0, len(parts))
--- a/internal/routing/quarantiner/cause.go
+++ b/internal/routing/quarantiner/cause.go
@@ -6,7 +6,7 @@
 	// maxEnds bounds the ends of processes whose requests are kept, maxEndFingerprints the
 	// fingerprints of one.
 	maxEnds            = 512
-	maxEndFingerprints = 256
+	maxEndFingerprints = 1024
 )
 
 // processKey identifies a process, whatever the time zone of its start.
--- a/internal/routing/quarantiner/guard.go
+++ b/internal/routing/quarantiner/guard.go
@@ -1,6 +1,7 @@
 package quarantiner
 
 import (
+	"slices"
 	"time"
 )
 
@@ -65,11 +66,15 @@
 	}
 }
 
-// RecordCrash records a crash that this VM has seen.
+// RecordCrash records a crash that this VM has seen. Each event holds a part of the
+// fingerprints; the process joins them.
 func (g *Guard) RecordCrash(now time.Time, c Crash) {
-	c.Fingerprints = c.Fingerprints[:min(len(c.Fingerprints), MaxFingerprints)]
-	g.own.RecordCrash(now, c)
-	g.report(Event{Type: Crashed, Fingerprints: c.Fingerprints, Process: c.Process, Weights: c.Weights, SentAt: c.SentAt, At: c.At})
+	all := c.Fingerprints[:min(len(c.Fingerprints), maxCrashFingerprints)]
+	for list := range slices.Chunk(all, MaxFingerprints) {
+		c.Fingerprints = list
+		g.own.RecordCrash(now, c)
+		g.report(Event{Type: Crashed, Fingerprints: list, Process: c.Process, Weights: c.Weights, SentAt: c.SentAt, At: c.At})
+	}
 }
 
 // RecordAnswer records a complete response to a request. It reports whether the hub is to
@@ -126,7 +131,11 @@
 		g.own.RecordDemand(now, g.node, quarantined)
 	}
 	if g.mayRepeat(now, refusal.Fingerprint, Refused) {
-		g.report(Event{Type: Refused, Fingerprints: quarantined, At: now})
+		// Events of equal size, since requests with few quarantined fingerprints go on trial first.
+		events := (len(quarantined) + MaxFingerprints - 1) / MaxFingerprints
+		for list := range slices.Chunk(quarantined, (len(quarantined)+events-1)/events) {
+			g.report(Event{Type: Refused, Fingerprints: list, At: now})
+		}
 	}
 	return refusal, true
 }
--- a/internal/routing/quarantiner/guard_test.go
+++ b/internal/routing/quarantiner/guard_test.go
@@ -125,6 +125,36 @@
 	is.True(isRefused(g, 7200, deadly...))
 }
 
+// TestManyQuarantinesOfOneRequest guards against requests with more quarantined parts than
+// one event holds, which would never be on trial.
+func TestManyQuarantinesOfOneRequest(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	list := make([]quarantiner.Fingerprint, 200)
+	for n := range list {
+		list[n] = quarantiner.Fingerprint(fmt.Sprint("p", n))
+	}
+	g, hub := quarantiner.NewGuard("vm1"), quarantiner.NewLedger()
+	for n := 1; n <= 3; n++ {
+		recordCrash(g, n, list...)
+	}
+	apply := func(now int) {
+		events, _ := g.Events(0)
+		for _, e := range events {
+			is.True(len(e.Fingerprints) <= quarantiner.MaxFingerprints)
+			hub.Apply(at(now), "vm1", e)
+		}
+		hub.Advance(at(now))
+		g.Apply(at(now), true, hub.Rows())
+	}
+	apply(3100)
+	apply(3600)
+	is.Equal(len(hub.Rows()), len(list))
+	is.True(isRefused(g, 4700, list...))
+	apply(4800)
+	is.True(!isRefused(g, 4900, list...))
+}
+
 // TestTrialNeedsAllQuarantines checks that a request with two quarantined parts waits for
 // trials of both.
 func TestTrialNeedsAllQuarantines(t *testing.T) {
--- a/internal/routing/quarantiner/ledger.go
+++ b/internal/routing/quarantiner/ledger.go
@@ -33,9 +33,10 @@
 	maxSuspects    = 4096
 	maxQuarantines = 1024
 	maxAnswers     = 4096
-	// MaxFingerprints is the number of fingerprints of one request that crashes count
-	// against.
-	MaxFingerprints = 64
+	// MaxFingerprints is the number of fingerprints of one event, maxCrashFingerprints that
+	// of one request that crashes count against.
+	MaxFingerprints      = 64
+	maxCrashFingerprints = 512
 )
 
 // Ledger decides what is quarantined, from the crashes and the answers that it is given.
