quarantiner: report one answer for all parts that it clears

A VM that is asked about the parts of a prompt reported an answer for each: with hundreds of parts these displace the crashes among the 1,024 events that it keeps for the next hub, and take several messages of 256.

Parts that one answer clears go into one event, of 64 at most, which hubs of older builds take as well.

Before: go test ./internal/routing/quarantiner, TestAnswersAreReportedTogether fails (100 events, want 2). After: the package passes.

--- a/internal/routing/quarantiner/guard.go
+++ b/internal/routing/quarantiner/guard.go
@@ -80,15 +80,22 @@
 // RecordAnswer records a complete response to a request. It reports whether the hub is to
 // be informed at once.
 func (g *Guard) RecordAnswer(now time.Time, fingerprints []Fingerprint, weights uint64) bool {
-	urgent := false
+	asked := make([]Fingerprint, 0)
 	for _, f := range fingerprints {
 		g.own.RecordAnswer(now, f, now, weights)
 		if _, ok := g.rows[f]; ok && g.mayRepeat(now, f, Answered) {
-			g.report(Event{Type: Answered, Fingerprints: []Fingerprint{f}, Weights: weights, At: now})
-			urgent = true
+			asked = append(asked, f)
 		}
 	}
-	return urgent
+	g.reportAnswer(answer{at: now, weights: weights}, asked)
+	return len(asked) > 0
+}
+
+// reportAnswer reports one answer for a list of fingerprints.
+func (g *Guard) reportAnswer(a answer, list []Fingerprint) {
+	for part := range slices.Chunk(list, MaxFingerprints) {
+		g.report(Event{Type: Answered, Fingerprints: part, Weights: a.weights, At: a.at})
+	}
 }
 
 // mayRepeat reports whether an event on a fingerprint has not been reported lately.
@@ -166,6 +173,7 @@
 	if full {
 		changes = g.replace(now, rows)
 	}
+	answers := make(map[answer][]Fingerprint)
 	for _, row := range rows {
 		known := g.rows[row.Fingerprint]
 		g.set(row)
@@ -179,12 +187,14 @@
 			continue
 		}
 		// One from before the first crash shows that other parts are likelier causes.
-		if at, weights, ok := g.own.Answered(row.Fingerprint); ok && (known.State == Clear || !at.Before(row.FirstAt)) {
-			g.report(Event{Type: Answered, Fingerprints: []Fingerprint{row.Fingerprint}, Weights: weights, At: at})
-			urgent = true
+		if a, ok := g.own.answered(row.Fingerprint); ok && (known.State == Clear || !a.at.Before(row.FirstAt)) {
+			answers[a] = append(answers[a], row.Fingerprint)
 		}
 	}
-	return changes, urgent
+	for a, list := range answers {
+		g.reportAnswer(a, list)
+	}
+	return changes, len(answers) > 0
 }
 
 func (g *Guard) set(row Row) {
--- a/internal/routing/quarantiner/guard_test.go
+++ b/internal/routing/quarantiner/guard_test.go
@@ -155,6 +155,29 @@
 	is.True(!isRefused(g, 4900, list...))
 }
 
+// TestAnswersAreReportedTogether guards against an event for each part of a prompt, which
+// displace the crashes that are kept for the next hub.
+func TestAnswersAreReportedTogether(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	g := quarantiner.NewGuard("vm1")
+	list := make([]quarantiner.Fingerprint, 100)
+	rows := make([]quarantiner.Row, 100)
+	for n := range list {
+		list[n] = quarantiner.Fingerprint(fmt.Sprint("p", n))
+		rows[n] = quarantinedRow(list[n])
+	}
+	g.RecordAnswer(at(500), list, 1)
+	_, urgent := g.Apply(at(4000), true, rows)
+	is.True(urgent)
+	events, last := g.Events(0)
+	is.Equal(len(events), 2)
+	is.True(g.RecordAnswer(at(5000), list, 1))
+	events, _ = g.Events(last)
+	is.Equal(len(events), 2)
+	is.Equal(len(events[0].Fingerprints)+len(events[1].Fingerprints), 100)
+}
+
 // TestTrialNeedsAllQuarantines checks that a request with two quarantined parts waits for
 // trials of both.
 func TestTrialNeedsAllQuarantines(t *testing.T) {
--- a/internal/routing/quarantiner/ledger.go
+++ b/internal/routing/quarantiner/ledger.go
@@ -152,12 +152,9 @@
 	l.update(now, f, r)
 }
 
-// Answered returns when the latest request with a fingerprint was answered, on which
-// weights, false if none was.
-func (l *Ledger) Answered(f Fingerprint) (at time.Time, weights uint64, ok bool) {
-	a, ok := l.answers.Peek(f)
-	return a.at, a.weights, ok
-}
+// answered returns the latest answer to a request with a fingerprint, false if there is
+// none.
+func (l *Ledger) answered(f Fingerprint) (answer, bool) { return l.answers.Peek(f) }
 
 // update moves a record to what its strikes make it.
 func (l *Ledger) update(now time.Time, f Fingerprint, r *record) {
