--- a/internal/routing/quarantiner/ledger.go
+++ b/internal/routing/quarantiner/ledger.go
@@ -276,8 +276,8 @@
 // IsQuarantined reports whether requests with a fingerprint are to be refused.
 func (l *Ledger) IsQuarantined(f Fingerprint) bool { return l.quarantines.Contains(f) }
 
-// Strikes returns the number of strikes against a fingerprint and the upstreams of its
-// crashes.
+// Strikes returns the number of strikes against a fingerprint, or of crashes that are apart
+// if these are more, and the upstreams of its crashes.
 func (l *Ledger) Strikes(f Fingerprint) (strikes int, upstreams []string) {
 	r := l.peek(f)
 	if r == nil {
@@ -286,5 +286,5 @@
 	for _, c := range r.crashes {
 		upstreams = append(upstreams, c.process.Upstream)
 	}
-	return r.strikes(), upstreams
+	return max(r.strikes(), r.spread()), upstreams
 }
