scripts: run the tests on one processor beside the others

They run beside the packages without processes now, which use all processors for some minutes; tests that start processes still run alone, and the same tests run with the same flags.

--- a/scripts/unit.sh
+++ b/scripts/unit.sh
@@ -29,12 +29,17 @@
 # alone.
 one_processor=(./internal/gateway/forwarder ./internal/serving/chooser)
 others=$(grep -vxF "$("$GO" list "${one_processor[@]}")" <<<"$others")
+# The first of these takes as long as all packages below together, and runs beside them.
+race_output=$(mktemp)
+trap 'rm -f "$output" "$race_output"' EXIT
+"$GO" test -p 1 "${flags[@]}" -cpu 1 "${one_processor[@]}" >"$race_output" 2>&1 &
+one_processor_race=$!
 # shellcheck disable=SC2086 # both variables are split into words on purpose
 run "$(nproc)" $others
+wait "$one_processor_race" || status=$?
+tee -a "$output" <"$race_output"
 # shellcheck disable=SC2086
 run 1 $processes
-flags=("$@" -cpu 1)
-run 1 "${one_processor[@]}"
 flags=(-count=1)
 run 1 "${one_processor[@]}"
 scripts/known-red.sh "$output" "$status" KNOWN-RED.txt
