soaker: streams that break and meet a wrong answer of the next engine

No engine sent a stream without a length or a wrong event number.

go test ./platform/platformtest ./internal/standin/soaker pass.

--- a/internal/standin/soaker/checker.go
+++ b/internal/standin/soaker/checker.go
@@ -114,12 +114,15 @@
 }
 
 // checkLoss checks that a call that its gateway has accepted got a response, unless
-// its gateway or an upstream was disturbed.
+// its gateway or an upstream was disturbed, or upstreams broke its stream.
 func (c *checker) checkLoss(call *Call) {
 	accepted := len(c.reached[call.ID]) > 0 || call.EndedAt.Sub(call.SentAt) > lossSlack
 	if call.Outcome != Broken || call.SentAt.IsZero() || !accepted {
 		return
 	}
+	if slices.Contains(c.Broken, call.ID) {
+		return
+	}
 	if !c.crashedUnder(call) && !c.happened(c.onPathOf(call), call.BeganAt.Add(-c.bounds.Stable), call.EndedAt) {
 		c.violate(NothingLost, call.ID, "%s at %s: connection ended %s after the call was sent: %s",
 			call.Route, call.Gateway, call.EndedAt.Sub(call.SentAt).Round(time.Millisecond), call.Error)
--- a/internal/standin/soaker/journal.go
+++ b/internal/standin/soaker/journal.go
@@ -109,7 +109,9 @@
 	Runs     []Run         `json:"runs"`
 	Orders   []Order       `json:"orders"`
 	Crashes  []EngineCrash `json:"crashes,omitempty"`
-	Spans    []Span        `json:"spans"`
+	// Broken lists the calls whose streams upstreams have broken on purpose.
+	Broken []string `json:"broken,omitempty"`
+	Spans  []Span   `json:"spans"`
 	// EndAt is when all gateways were ready after the last step.
 	EndAt time.Time `json:"end_at"`
 }
--- a/internal/standin/soaker/link.go
+++ b/internal/standin/soaker/link.go
@@ -95,13 +95,18 @@
 // Refuse resets the connections and refuses new ones, like a machine on which the process
 // of the server has ended.
 func (l *Link) Refuse() {
+	l.RefuseNew()
+	l.resetPairs()
+}
+
+// RefuseNew refuses new connections.
+func (l *Link) RefuseNew() {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	if l.listener != nil {
 		_ = l.listener.Close()
 		l.listener = nil
 	}
-	l.mu.Unlock()
-	l.resetPairs()
 }
 
 // run accepts connections until its listener is closed.
--- a/internal/standin/soaker/soaker.go
+++ b/internal/standin/soaker/soaker.go
@@ -68,6 +68,8 @@
 	Calm    bool
 	// Limits makes upstreams state limits.
 	Limits bool
+	// Breaks makes engines break streams and answer their next attempts wrongly.
+	Breaks bool
 	// Dir is the folder for settings, logs and the verdict.
 	Dir  string
 	Site Site
@@ -119,7 +121,7 @@
 	s.plan = NewPlan(cfg.Seed, cfg.Length, Targets{
 		Gateways: fleet.names(), Upstreams: fleet.upstreamNames(), Links: fleet.linkNames(),
 		StoreFaults: cfg.Site.StoreFaults(), UpstreamFaults: cfg.Site.UpstreamFaults(), Keys: s.keys[1:],
-		Crashes: cfg.Crashes, Calm: cfg.Calm, Limits: cfg.Limits,
+		Crashes: cfg.Crashes, Calm: cfg.Calm, Limits: cfg.Limits, Breaks: cfg.Breaks,
 	})
 	if err := s.writeFile("plan.json", s.plan); err != nil {
 		return Verdict{}, err
