--- a/internal/gateway/forwarder/outdated.go
+++ b/internal/gateway/forwarder/outdated.go
@@ -28,9 +28,10 @@
 
 // needsNewConnection reports whether an attempt may only be sent on a connection that
 // was opened for it. At an address to which an earlier attempt was sent, a kept one could
-// bring the response to that attempt once more, under the same ID. Bytes on a kept connection may be held back on the VM's link for
-// seconds, and so may be those that withdraw them. With older weights that is too
-// late, unless an upstream has lately shown that what the VM sends arrives.
+// bring the response to that attempt once more, under the same ID. With older weights, bytes
+// on a kept connection may be held back on the VM's link for seconds, and so may be those
+// that withdraw them. That is too late then, unless an upstream has lately shown that what
+// the VM sends arrives.
 func (x *exchange) needsNewConnection(now time.Time) bool {
 	if x.addresses[x.choice.Upstream.Address] {
 		return true
