matcher: decode the quotas of organisations

Cause: no field of a quota in the configuration, and none of the bounds on quotas in the settings, was decoded, so that no part could apply them.

Change: matcher.Quota with its checks, and QuotaWindow, QuotaOver and QuotaSlack among the bounds. Nothing uses them yet.

Measured: TestDecodeQuota and TestQuotaAmount; a configuration without the fields decodes as before.

--- a/internal/operating/configurer/vm.go
+++ b/internal/operating/configurer/vm.go
@@ -54,6 +54,12 @@
 	// Lease is the minimum time between the last order of one lease holder and the
 	// first order of the next.
 	Lease time.Duration
+	// QuotaWindow, QuotaOver and QuotaSlack are the tolerance for quotas of organisations: in
+	// each QuotaWindow, upstreams may run what the quota allows times 1 + QuotaOver, plus
+	// QuotaSlack. 0 means none.
+	QuotaWindow time.Duration
+	QuotaOver   float64
+	QuotaSlack  float64
 	// EnginesCheckFencing is true if engines refuse orders with an outdated
 	// fencing number.
 	EnginesCheckFencing bool
@@ -114,5 +120,8 @@
 	if !(b.RetryRatio >= 0) || b.RetryExtra < 0 {
 		return invalid("bounds: retry", "ratio and extra retries must be 0 or more")
 	}
+	if b.QuotaWindow < 0 || !(b.QuotaOver >= 0) || !(b.QuotaSlack >= 0) {
+		return invalid("bounds: quota", "window, excess and slack must be 0 or more")
+	}
 	return nil
 }
--- a/internal/routing/matcher/configuration.go
+++ b/internal/routing/matcher/configuration.go
@@ -106,6 +106,7 @@
 	// Isolated is true if cached prefixes must not be shared with other
 	// organisations.
 	Isolated bool
+	Quota    Quota
 }
 
 // Limits holds the limits of client connections and requests.
@@ -126,6 +127,11 @@
 			return fmt.Errorf("check configuration: route %q: %w", c.Routes[i].Name, err)
 		}
 	}
+	for _, o := range c.Organisations {
+		if err := o.Quota.check(); err != nil {
+			return fmt.Errorf("check configuration: organisation %q: %w", o.Name, err)
+		}
+	}
 	return nil
 }
 
