throttler, rationer: quotas of organisations over all VMs

Cause: nothing kept an organisation within its quota; in 8 s one used 1,289,206 tokens where 1,139,609 are allowed, and no 429 was ever sent.

Change: the hub's allocator divides quotas as it divides limits of upstreams, with amounts in place of requests; VMs hold credit, and requests without any wait for a grant or are refused with the time at which the quota has room.

--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"gentianstep.example/gentianstep/internal/failure/classifier"
+	"gentianstep.example/gentianstep/internal/gateway/rationer"
 	"gentianstep.example/gentianstep/internal/membership/registrar"
 	"gentianstep.example/gentianstep/internal/routing/matcher"
 	"gentianstep.example/gentianstep/internal/routing/picker"
@@ -59,9 +60,11 @@
 	route         *matcher.Route
 	organisation  *matcher.Organisation
 	service       string
-	body          []byte
-	arrivedAt     time.Time
-	deadline      time.Time
+	// charge is what the request has used of its organisation's quota.
+	charge    *rationer.Charge
+	body      []byte
+	arrivedAt time.Time
+	deadline  time.Time
 	// fingerprints are what the request may have in common with others under which
 	// upstreams crash.
 	fingerprints []quarantiner.Fingerprint
@@ -176,7 +179,7 @@
 			x.picker.RecordSent(now, q, x.choice)
 			if x.choice.PromptTokens >= urgentPromptTokens {
 				x.overload.recordDecision(false)
-				x.requestUrgentReport()
+				x.RequestUrgentReport()
 			}
 			return x.choice.Upstream, nil
 		case x.choice.Reason == picker.NoUpstream:
@@ -210,9 +213,9 @@
 	return x.checkQuarantine(now)
 }
 
-// requestUrgentReport signals that the loads should be reported to the hub at
+// RequestUrgentReport signals that the loads should be reported to the hub at
 // once. It does nothing if a signal is pending already.
-func (f *Forwarder) requestUrgentReport() {
+func (f *Forwarder) RequestUrgentReport() {
 	select {
 	case f.urgentReports <- struct{}{}:
 	default:
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 
 	"gentianstep.example/gentianstep/internal/failure/classifier"
+	"gentianstep.example/gentianstep/internal/gateway/rationer"
 	"gentianstep.example/gentianstep/internal/membership/informer"
 	"gentianstep.example/gentianstep/internal/membership/registrar"
 	"gentianstep.example/gentianstep/internal/operating/meter"
@@ -53,6 +54,8 @@
 	Caller *caller.Caller
 	// Noticer holds what upstreams have stated about themselves.
 	Noticer *noticer.Noticer
+	// Rationer keeps requests within the quotas of organisations.
+	Rationer *rationer.Rationer
 	// Isolator decides which requests are not sent since upstreams crash under them.
 	Isolator *isolator.Isolator
 	Picker   picker.Config
@@ -108,7 +111,7 @@
 	}
 	f.ended, f.end = context.WithCancelCause(context.Background())
 	cfg.Noticer.SetOnChange(f.wakeWaiting)
-	cfg.Isolator.SetHandlers(func() { f.wakeWaiting("") }, f.requestUrgentReport)
+	cfg.Isolator.SetHandlers(func() { f.wakeWaiting("") }, f.RequestUrgentReport)
 	f.vms.Store(1)
 	f.weightsApply.Store(int64(cfg.WeightsApply))
 	return f
@@ -187,6 +190,7 @@
 		x.writeError(classifier.Wrap(classifier.InvalidRequest, err, "the request's head is not valid"))
 		return
 	}
+	defer func() { x.charge.Release(x.mayHaveRun) }()
 	if err := x.admit(); err != nil {
 		x.writeError(err)
 		return
@@ -227,6 +231,9 @@
 	if err := x.checkShutdown(time.Now()); err != nil {
 		return err
 	}
+	if err := x.chargeQuota(); err != nil {
+		return err
+	}
 	if err := x.readBody(); err != nil {
 		return err
 	}
--- a/internal/gateway/forwarder/limited.go
+++ b/internal/gateway/forwarder/limited.go
@@ -15,7 +15,7 @@
 		ahead = len(q.waiters)
 	}
 	if now.Before(soon) && float64(ahead) <= x.access.LimitPerSecond*soon.Sub(now).Seconds() {
-		x.requestUrgentReport() // carries the demand to the hub
+		x.RequestUrgentReport() // carries the demand to the hub
 		return nil
 	}
 	err := classifier.New(classifier.Overloaded, "every upstream of %s has got as many requests as it takes", x.service)
--- a/internal/operating/starter/coordination.go
+++ b/internal/operating/starter/coordination.go
@@ -40,6 +40,7 @@
 			OnDepartures:   g.noticer.RecordDepartures,
 			Quarantines:    g.isolator,
 			Limits:         g.noticer,
+			Quotas:         g.rationer,
 			UrgentReports:  g.forwarder.UrgentReports(),
 			View:           g.view,
 			Client:         g.newClient(),
--- a/internal/operating/starter/gateway.go
+++ b/internal/operating/starter/gateway.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"gentianstep.example/gentianstep/internal/gateway/forwarder"
+	"gentianstep.example/gentianstep/internal/gateway/rationer"
 	"gentianstep.example/gentianstep/internal/membership/announcer"
 	"gentianstep.example/gentianstep/internal/membership/informer"
 	"gentianstep.example/gentianstep/internal/membership/ranker"
@@ -103,6 +104,7 @@
 	view         *coordinator.View
 	noticer      *noticer.Noticer
 	isolator     *isolator.Isolator
+	rationer     *rationer.Rationer
 	engineClient EngineClient
 	stopping     atomic.Bool
 }
@@ -159,17 +161,25 @@
 	g.hub = coordinator.NewHub(coordinator.HubConfig{
 		Active:   g.isHub,
 		Fleet:    g.fleet,
+		Quotas:   g.newQuotas(),
 		Capacity: coordinator.Capacity{LinkBytesPerSecond: settings.LinkBytesPerSecond, Processors: settings.Processors},
 		Log:      log,
 	})
 	calls := caller.New(caller.Config{Dial: g.dial, IdleTimeout: upstreamIdleTimeout})
 	g.isolator = isolator.New(isolator.Config{Node: settings.Node, IsRefused: calls.IsRefused, Meter: g.meter, Log: log})
+	g.rationer = rationer.New(rationer.Config{
+		Configuration: g.configuration,
+		Bounds:        quotaBounds(settings),
+		OnDemand:      func() { g.forwarder.RequestUrgentReport() },
+		Meter:         g.meter,
+	})
 	g.forwarder = forwarder.New(forwarder.Config{
 		Dialect:   p.Dialect,
 		Directory: g.informer,
 		View:      g.view,
 		Noticer:   g.noticer,
 		Isolator:  g.isolator,
+		Rationer:  g.rationer,
 		Caller:    calls,
 		Picker: picker.Config{
 			AvailabilityZone: settings.AvailabilityZone,
--- a/internal/operating/starter/gateway_vms.go
+++ b/internal/operating/starter/gateway_vms.go
@@ -124,6 +124,7 @@
 		if latest := g.vms.load(); latest != known {
 			known = latest
 			g.noticer.SetFleet(g.fleet())
+			g.rationer.SetFleet(g.fleet())
 		}
 		if n := len(g.vms.load().vms); n >= highest || !now.Before(expires) {
 			if n != highest {
--- a/internal/operating/starter/reload.go
+++ b/internal/operating/starter/reload.go
@@ -52,6 +52,7 @@
 	g.settings.Store(settings)
 	g.forwarder.SetBounds(g.retryBudget(settings), settings.Bounds.WeightsApply)
 	g.noticer.SetBounds(noticeBounds(settings))
+	g.rationer.SetBounds(quotaBounds(settings))
 	g.log.WithFields(logrus.Fields{
 		"event":          "reloaded",
 		"signal":         signalled,
--- a/internal/peering/coordinator/frame.go
+++ b/internal/peering/coordinator/frame.go
@@ -53,7 +53,7 @@
 }
 
 func (h *Hub) hasChanges() bool {
-	return len(h.totals.changed)+len(h.changedEngines)+len(h.changedParts)+len(h.changedDepartures) > 0 || h.ledger.HasChanges() || h.limits.HasChanges()
+	return len(h.totals.changed)+len(h.changedEngines)+len(h.changedParts)+len(h.changedDepartures) > 0 || h.ledger.HasChanges() || h.limits.HasChanges() || h.limits.HasQuotaChanges()
 }
 
 func (h *Hub) lastFrame() *frame {
@@ -79,6 +79,7 @@
 	state.Departures = slices.Collect(maps.Keys(h.changedDepartures))
 	state.Quarantines = h.drainQuarantines(now)
 	state.Limits = newLimits(now, h.limits.DrainChanges())
+	state.Quotas = newQuotaStates(h.limits.DrainQuotaStates())
 	h.clearChanges()
 	state.Names = h.names.names[h.namesSent:]
 	h.namesSent = len(h.names.names)
@@ -146,6 +147,7 @@
 		Departures:  slices.Collect(maps.Keys(h.departures)),
 		Quarantines: newQuarantines(now, h.ledger.Rows()),
 		Limits:      newLimits(now, h.limits.Limits()),
+		Quotas:      newQuotaStates(h.limits.QuotaStates()),
 	}
 	for upstream := range h.totals.sums {
 		state.Loads = append(state.Loads, h.upstreamLoad(upstream))
--- a/internal/peering/coordinator/hub.go
+++ b/internal/peering/coordinator/hub.go
@@ -30,7 +30,10 @@
 	Active func() bool
 	// Fleet returns all VMs of the deployment, with a connection to the hub or without. It
 	// may be nil.
-	Fleet    func() throttler.Fleet
+	Fleet func() throttler.Fleet
+	// Quotas returns the quotas of organisations and the version of the configuration that
+	// they are from. It may be nil.
+	Quotas   func() (quotas map[string]throttler.Quota, version uint64)
 	Capacity Capacity
 	Log      *logrus.Entry
 }
@@ -62,6 +65,10 @@
 	// request can be granted.
 	limits     *throttler.Allocator[*session]
 	limitTimer wakeTimer
+	// quotasVersion is the version of the quotas of limits, and quotaTimer wakes Run while
+	// requests wait for one.
+	quotasVersion uint64
+	quotaTimer    wakeTimer
 
 	// changedEngines, changedParts and changedDepartures are the changes since the last
 	// frame.
@@ -235,7 +242,7 @@
 	h.applyLimits(now, s, r)
 	h.totals.replace(s.loads, r.Loads)
 	s.loads = r.Loads
-	if h.hasChanges() || len(r.Limits) > 0 {
+	if h.hasChanges() || len(r.Limits)+len(r.Quotas) > 0 {
 		h.signal()
 	}
 }
--- a/internal/peering/coordinator/limit.go
+++ b/internal/peering/coordinator/limit.go
@@ -40,6 +40,8 @@
 	// Report is the number of the VM's last report that the message includes.
 	Report uint64  `cbor:"1,keyasint,omitempty"`
 	Grants []Grant `cbor:"2,keyasint,omitempty"`
+	// Quotas are the grants of quotas.
+	Quotas []QuotaGrant `cbor:"3,keyasint,omitempty"`
 }
 
 // Check returns an error if a grant is not valid.
@@ -52,6 +54,9 @@
 			return errors.New("head: upstream, start or number of a grant is invalid")
 		}
 	}
+	if err := checkQuotaGrants(h.Quotas); err != nil {
+		return fmt.Errorf("head: %w", err)
+	}
 	return nil
 }
 
@@ -129,11 +134,15 @@
 	for _, r := range limitReports(now, r.Limits) {
 		h.limits.Record(now, s, r)
 	}
+	for _, u := range r.Quotas {
+		h.limits.RecordQuota(now, s, u.report())
+	}
 }
 
 // grantLimits hands the requests that are due to the sessions, and reports whether there
 // are any. The caller must hold h.mu.
 func (h *Hub) grantLimits(now time.Time) bool {
+	h.updateQuotas(now)
 	if h.limits.Empty() {
 		return false
 	}
@@ -150,7 +159,7 @@
 	if !next.IsZero() {
 		h.limitTimer.reset(max(next.Sub(now), minPushInterval), h.signal)
 	}
-	return len(grants) > 0
+	return h.grantQuotas(now) || len(grants) > 0
 }
 
 // wakeTimer calls a function once after a time. The zero value is stopped.
--- a/internal/peering/coordinator/message.go
+++ b/internal/peering/coordinator/message.go
@@ -92,6 +92,9 @@
 	// Alone is true if the VM uses its own share of the limits, since the hub's answers
 	// are missing or late.
 	Alone bool `cbor:"8,keyasint,omitempty"`
+	// Quotas lists the use of quotas since the last report, and the demand of requests that
+	// wait for one.
+	Quotas []QuotaUse `cbor:"9,keyasint,omitempty"`
 }
 
 // Check returns an error if the node or the number is missing or a load is negative.
@@ -116,6 +119,9 @@
 	if err := checkLimits(r.Limits); err != nil {
 		return fmt.Errorf("report: %w", err)
 	}
+	if err := checkQuotaUses(r.Quotas); err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
 	return nil
 }
 
@@ -158,6 +164,8 @@
 	Quarantines  []Quarantine `cbor:"8,keyasint,omitempty"`
 	// Limits lists the limits that have changed, or all if Full is set.
 	Limits []Limit `cbor:"9,keyasint,omitempty"`
+	// Quotas lists the quotas whose state has changed, or all if Full is set.
+	Quotas []QuotaState `cbor:"11,keyasint,omitempty"`
 }
 
 // Check returns an error if an index lies outside the table of names, which has
@@ -186,5 +194,8 @@
 	if err := checkLimits(s.Limits); err != nil {
 		return fmt.Errorf("state: %w", err)
 	}
+	if err := checkQuotaStates(s.Quotas); err != nil {
+		return fmt.Errorf("state: %w", err)
+	}
 	return nil
 }
--- a/internal/peering/coordinator/session.go
+++ b/internal/peering/coordinator/session.go
@@ -20,6 +20,8 @@
 	nextFrame uint64
 	// grants holds the grants to the VM that no message has carried yet.
 	grants []Grant
+	// quotaGrants holds the grants of quotas that no message has carried yet.
+	quotaGrants []QuotaGrant
 	// changed has a buffer of one, so that a slow VM blocks nobody.
 	changed chan struct{}
 }
@@ -80,8 +82,8 @@
 // takeHead returns the head of a message with a frame. The caller must hold the mu of the
 // hub.
 func (s *session) takeHead(f *frame) Head {
-	head := Head{Report: f.reports[s], Grants: s.grants}
-	s.grants = nil
+	head := Head{Report: f.reports[s], Grants: s.grants, Quotas: s.quotaGrants}
+	s.grants, s.quotaGrants = nil, nil
 	return head
 }
 
--- a/internal/peering/coordinator/subscriber.go
+++ b/internal/peering/coordinator/subscriber.go
@@ -55,6 +55,8 @@
 	Quarantines Quarantines
 	// Limits keeps the limits that upstreams state; nil for none.
 	Limits Limits
+	// Quotas keeps the quotas of organisations; nil for none.
+	Quotas Quotas
 	// UrgentReports signals that the loads should be reported before the next interval.
 	UrgentReports <-chan struct{}
 	View          *View
@@ -128,6 +130,10 @@
 		if s.cfg.Limits != nil {
 			s.cfg.Limits.ApplyLimits(limitReports(time.Now(), state.Limits), throttlerGrants(head.Grants), reportedAt)
 		}
+		if s.cfg.Quotas != nil {
+			states, grants := throttlerQuotas(state.Quotas, head.Quotas)
+			s.cfg.Quotas.ApplyQuotas(states, grants, reportedAt)
+		}
 		if s.cfg.OnDepartures != nil {
 			s.cfg.OnDepartures(incarnations(state.Departures))
 		}
@@ -156,8 +162,9 @@
 		changed := !slices.Equal(departures, lastDepartures)
 		events := evidence.next()
 		limits, alone := s.limitReports(now, reports.isFirst())
-		if changed || len(events) > 0 || len(limits) > 0 || !maps.Equal(loads, last) || len(sent) > 0 || !now.Before(keepAliveAt) {
-			report := Report{Node: s.cfg.Node, Loads: loads, SentParts: sent, Number: reports.add(now, loads), Evidence: newEvidence(now, events), Limits: limits, Alone: alone}
+		quotas, aloneInQuotas := s.quotaReports()
+		if changed || len(events) > 0 || len(limits)+len(quotas) > 0 || !maps.Equal(loads, last) || len(sent) > 0 || !now.Before(keepAliveAt) {
+			report := Report{Node: s.cfg.Node, Loads: loads, SentParts: sent, Number: reports.add(now, loads), Evidence: newEvidence(now, events), Limits: limits, Alone: alone || aloneInQuotas, Quotas: quotas}
 			if changed {
 				report.Departures = departures
 			}
@@ -185,6 +192,14 @@
 	return newLimits(now, list), alone
 }
 
+func (s *Subscriber) quotaReports() (uses []QuotaUse, alone bool) {
+	if s.cfg.Quotas == nil {
+		return nil, false
+	}
+	list, alone := s.cfg.Quotas.QuotaReports()
+	return newQuotaUses(list), alone
+}
+
 func (s *Subscriber) departures() []Departure {
 	if s.cfg.Departures == nil {
 		return nil
--- a/internal/routing/throttler/allocator.go
+++ b/internal/routing/throttler/allocator.go
@@ -15,14 +15,16 @@
 	wantedTTL = 500 * time.Millisecond
 )
 
-// Allocator divides the limits of upstreams among the VMs of a hub. VMs are identified by
-// keys of type K, for example those of their connections. It is not safe for concurrent use.
+// Allocator divides the limits of upstreams and the quotas of organisations among the VMs of
+// a hub. VMs are identified by keys of type K, for example those of their connections. It is
+// not safe for concurrent use.
 type Allocator[K comparable] struct {
 	fleet       Fleet
 	vms         map[K]*allocatedVM
 	allocations map[Process]*allocation[K]
 	endings     endings
 	changes     map[Process]Statement
+	quotas      map[string]*quotaAllocation[K]
 }
 
 // allocatedVM is a VM of the hub.
@@ -41,9 +43,8 @@
 	senders []string
 	// share is the part of the limit that is left for the VMs of the hub.
 	share float64
-	// saved is the number of requests that can be granted, as of savedAt.
-	saved   float64
-	savedAt time.Time
+	// bucket holds the requests that can be granted.
+	bucket
 	// wants holds the demand of VMs, the one to be granted next first.
 	wants []want[K]
 }
@@ -61,11 +62,12 @@
 		allocations: make(map[Process]*allocation[K]),
 		endings:     make(endings),
 		changes:     make(map[Process]Statement),
+		quotas:      make(map[string]*quotaAllocation[K]),
 	}
 }
 
-// Empty reports whether no process has a limit.
-func (a *Allocator[K]) Empty() bool { return len(a.allocations) == 0 }
+// Empty reports whether no process has a limit and no organisation a quota.
+func (a *Allocator[K]) Empty() bool { return len(a.allocations)+len(a.quotas) == 0 }
 
 // SetFleet sets the VMs that share the limits, with a hub or without.
 func (a *Allocator[K]) SetFleet(now time.Time, f Fleet) {
@@ -113,6 +115,9 @@
 	for _, al := range a.allocations {
 		al.wants = slices.DeleteFunc(al.wants, func(w want[K]) bool { return w.vm == vm })
 	}
+	for _, q := range a.quotas {
+		q.removeVM(now, vm)
+	}
 	a.updateShares(now)
 }
 
@@ -127,13 +132,17 @@
 		al.refill(now)
 		al.share = connectedShare(al.senders, connected)
 	}
+	share := connectedShare(a.fleet.nodes, connected)
+	for _, q := range a.quotas {
+		q.setShare(now, share)
+	}
 }
 
 // Record applies the report of a VM.
 func (a *Allocator[K]) Record(now time.Time, vm K, r Report) {
 	al := a.allocations[r.Process]
 	if al == nil {
-		al = &allocation[K]{savedAt: now}
+		al = &allocation[K]{bucket: bucket{savedAt: now}}
 	} else {
 		al.refill(now)
 	}
@@ -178,9 +187,7 @@
 
 // refill adds the requests that the limit has allowed since the last call.
 func (al *allocation[K]) refill(now time.Time) {
-	burst := burstRequests + burstTime.Seconds()*al.rate()
-	al.saved = min(al.saved+al.rate()*now.Sub(al.savedAt).Seconds(), burst)
-	al.savedAt = now
+	al.bucket.refill(now, al.rate(), burstRequests+burstTime.Seconds()*al.rate())
 }
 
 // VMGrant is a grant to one VM.
--- /dev/null
+++ b/internal/routing/throttler/quota_allocator.go
@@ -0,0 +1,276 @@
+package throttler
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// standingTime is the time for which the credit of a VM lasts at its recent use. It
+	// covers a report and the answer of a hub that serves many VMs.
+	standingTime = 500 * time.Millisecond
+	// useGain is the weight of the latest second in the recent use of a VM.
+	useGain = 0.5
+	// calmShare is the share of the capacity from which on a bucket is calm.
+	calmShare = 0.5
+	// initialShare is the share of the capacity that a new bucket holds. Another hub may have
+	// granted the rest of late; without it, organisations that stay below their quotas are
+	// refused while a new hub's bucket fills.
+	initialShare = 0.125
+	// roomStep is the change of the room that VMs are told of.
+	roomStep = 50 * time.Millisecond
+)
+
+// quotaAllocation is the division of one quota.
+type quotaAllocation[K comparable] struct {
+	quota Quota
+	// share is the part of the quota that is left for the VMs of the hub.
+	share float64
+	bucket
+	users map[K]*quotaUser
+	// order lists the VMs whose requests wait, the one to be granted next first.
+	order []K
+	// lapsing holds credit of VMs that have left the hub. They may still use it.
+	lapsing []expiringAmount
+	// published is the state that VMs were told last.
+	published QuotaState
+}
+
+// quotaUser is the use of a quota by one VM.
+type quotaUser struct {
+	// outstanding is what was granted and is neither used nor returned.
+	outstanding float64
+	// grantedAt is when credit was granted last.
+	grantedAt     time.Time
+	first, wanted float64
+	wantedUntil   time.Time
+	// perSecond is the recent use, as of usedAt.
+	perSecond float64
+	usedAt    time.Time
+}
+
+// expiringAmount is an amount that can be used until a time.
+type expiringAmount struct {
+	amount float64
+	until  time.Time
+}
+
+// VMQuotaGrant is a grant to one VM.
+type VMQuotaGrant[K comparable] struct {
+	VM K
+	QuotaGrant
+}
+
+// SetQuotas replaces the quotas.
+func (a *Allocator[K]) SetQuotas(now time.Time, quotas map[string]Quota) {
+	changed := false
+	for name := range a.quotas {
+		if _, ok := quotas[name]; !ok {
+			delete(a.quotas, name)
+		}
+	}
+	for name, quota := range quotas {
+		q := a.quotas[name]
+		switch {
+		case q == nil:
+			q = &quotaAllocation[K]{quota: quota, bucket: bucket{savedAt: now}, users: make(map[K]*quotaUser)}
+			q.published.Organisation = name
+			a.quotas[name], changed = q, true
+		case q.quota != quota:
+			q.refill(now)
+			q.quota = quota
+			q.refill(now)
+		}
+	}
+	if changed {
+		a.updateShares(now)
+	}
+}
+
+// RecordQuota applies the report of a VM. Organisations without a quota are left out.
+func (a *Allocator[K]) RecordQuota(now time.Time, vm K, r QuotaReport) {
+	q := a.quotas[r.Organisation]
+	if q == nil || a.vms[vm] == nil {
+		return
+	}
+	q.refill(now)
+	u := q.users[vm]
+	if u == nil {
+		u = &quotaUser{usedAt: now}
+		q.users[vm] = u
+	}
+	u.recordUse(now, max(r.Used+r.Owed, 0))
+	u.outstanding = max(u.outstanding-r.Used-r.Returned, 0)
+	q.saved = min(q.saved+r.Returned, q.capacity()) - r.Owed
+	u.first, u.wanted, u.wantedUntil = r.First, r.Wanted, now.Add(wantedTTL)
+	switch i := slices.Index(q.order, vm); {
+	case r.Wanted > 0 && i < 0:
+		q.order = append(q.order, vm)
+	case r.Wanted <= 0 && i >= 0:
+		q.order = slices.Delete(q.order, i, i+1)
+	}
+}
+
+// recordUse updates the recent use.
+func (u *quotaUser) recordUse(now time.Time, amount float64) {
+	weight := math.Pow(1-useGain, now.Sub(u.usedAt).Seconds())
+	u.perSecond = u.perSecond*weight - amount*math.Log(1-useGain)
+	u.usedAt = now
+}
+
+// capacity returns what the bucket may hold beside the credit of the VMs.
+func (q *quotaAllocation[K]) capacity() float64 {
+	outstanding := 0.0
+	for _, u := range q.users {
+		outstanding += u.outstanding
+	}
+	for _, l := range q.lapsing {
+		outstanding += l.amount
+	}
+	return q.share*q.quota.Capacity - outstanding
+}
+
+func (q *quotaAllocation[K]) refill(now time.Time) {
+	q.lapsing = slices.DeleteFunc(q.lapsing, func(l expiringAmount) bool { return !now.Before(l.until) })
+	q.bucket.refill(now, q.share*q.quota.PerSecond, q.capacity())
+}
+
+// setShare replaces the part of the quota that is left for the VMs of the hub.
+func (q *quotaAllocation[K]) setShare(now time.Time, share float64) {
+	q.refill(now)
+	q.saved += initialShare * max(share-q.share, 0) * q.quota.Capacity
+	q.share = share
+	q.refill(now)
+}
+
+// removeVM removes a VM, which may use its credit until that expires.
+func (q *quotaAllocation[K]) removeVM(now time.Time, vm K) {
+	u := q.users[vm]
+	if u == nil {
+		return
+	}
+	if u.outstanding > 0 {
+		q.lapsing = append(q.lapsing, expiringAmount{u.outstanding, now.Add(grantTTL)})
+	}
+	delete(q.users, vm)
+	q.order = slices.DeleteFunc(q.order, func(other K) bool { return other == vm })
+}
+
+// grant moves an amount from the bucket to a VM.
+func (q *quotaAllocation[K]) grant(now time.Time, vm K, amount float64) VMQuotaGrant[K] {
+	u := q.users[vm]
+	q.saved -= amount
+	u.outstanding += amount
+	u.grantedAt = now
+	return VMQuotaGrant[K]{vm, QuotaGrant{q.published.Organisation, amount}}
+}
+
+// advance returns the grants that are due: what requests that wait need, the VMs in turn,
+// then credit in proportion to recent use while the bucket is calm.
+func (q *quotaAllocation[K]) advance(now time.Time) []VMQuotaGrant[K] {
+	q.refill(now)
+	var grants []VMQuotaGrant[K]
+	for len(q.order) > 0 {
+		vm := q.order[0]
+		u := q.users[vm]
+		if u.wanted <= 0 || !now.Before(u.wantedUntil) {
+			u.first, u.wanted = 0, 0
+			q.order = q.order[1:]
+			continue
+		}
+		// One request at a time, so that VMs with few requests get their turn. A request
+		// that exceeds the capacity uses all of it and leaves a debt.
+		amount := max(u.first, min(u.wanted, math.Floor(q.saved/float64(len(q.order)))))
+		if q.saved < min(u.first, q.share*q.quota.Capacity) || amount < 1 {
+			break
+		}
+		grants = append(grants, q.grant(now, vm, amount))
+		u.wanted -= amount
+		u.first = min(u.first, u.wanted)
+		q.order = q.order[1:]
+		if u.wanted > 0 {
+			q.order = append(q.order, vm)
+		}
+	}
+	if len(q.order) == 0 {
+		grants = append(grants, q.standingGrants(now)...)
+	}
+	return grants
+}
+
+// standingGrants returns credit for the VMs that have used the quota of late. It leaves the
+// bucket calm.
+func (q *quotaAllocation[K]) standingGrants(now time.Time) []VMQuotaGrant[K] {
+	var grants []VMQuotaGrant[K]
+	for vm, u := range q.users {
+		u.recordUse(now, 0)
+		target := u.perSecond * standingTime.Seconds()
+		missing := math.Floor(target - u.outstanding)
+		if missing < max(target/2, 1) || q.saved-missing < calmShare*q.share*q.quota.Capacity {
+			continue
+		}
+		grants = append(grants, q.grant(now, vm, missing))
+	}
+	return grants
+}
+
+// state returns what VMs are told.
+func (q *quotaAllocation[K]) state() QuotaState {
+	s := QuotaState{Organisation: q.published.Organisation, Calm: q.saved >= calmShare*q.share*q.quota.Capacity}
+	missing := -q.saved
+	for _, vm := range q.order {
+		missing += q.users[vm].wanted
+	}
+	if rate := q.share * q.quota.PerSecond; missing > 0 && rate > 0 {
+		s.Room = time.Duration(min(missing/rate, maxRoom.Seconds()) * float64(time.Second))
+	}
+	return s
+}
+
+// maxRoom bounds the time until a quota has room.
+const maxRoom = time.Minute
+
+// AdvanceQuotas returns the grants that are due, and whether further requests wait for some.
+func (a *Allocator[K]) AdvanceQuotas(now time.Time) (grants []VMQuotaGrant[K], waiting bool) {
+	a.expireVMs(now)
+	for _, q := range a.quotas {
+		grants = append(grants, q.advance(now)...)
+		waiting = waiting || len(q.order) > 0
+	}
+	return grants, waiting
+}
+
+// DrainQuotaStates returns the states of the quotas that have changed since the last call.
+func (a *Allocator[K]) DrainQuotaStates() []QuotaState {
+	var list []QuotaState
+	for _, q := range a.quotas {
+		s := q.state()
+		if s.Calm == q.published.Calm && (s.Room-q.published.Room).Abs() < roomStep {
+			continue
+		}
+		q.published = s
+		list = append(list, s)
+	}
+	return list
+}
+
+// HasQuotaChanges reports whether DrainQuotaStates would return any.
+func (a *Allocator[K]) HasQuotaChanges() bool {
+	for _, q := range a.quotas {
+		s := q.state()
+		if s.Calm != q.published.Calm || (s.Room-q.published.Room).Abs() >= roomStep {
+			return true
+		}
+	}
+	return false
+}
+
+// QuotaStates returns the states of all quotas that were published last.
+func (a *Allocator[K]) QuotaStates() []QuotaState {
+	list := make([]QuotaState, 0, len(a.quotas))
+	for _, q := range a.quotas {
+		list = append(list, q.published)
+	}
+	return list
+}
--- a/internal/routing/throttler/throttler.go
+++ b/internal/routing/throttler/throttler.go
@@ -28,8 +28,8 @@
 	records map[Process]*record
 	endings endings
 	fleet   Fleet
-	// hubUntil is the time until which the hub's grants are used.
-	hubUntil time.Time
+	// hub is the time for which the hub's grants are used.
+	hub contact
 	// unreported holds the latest statement of each process that is to be reported.
 	unreported map[Process]Statement
 }
@@ -102,18 +102,14 @@
 // ConfirmHub records that the hub has answered a report that was sent at a time, which says
 // more than the arrival of its answer on links that hold messages back.
 func (t *Throttler) ConfirmHub(now, reportedAt time.Time) {
-	until := reportedAt.Add(hubTTL)
-	if !until.After(t.hubUntil) {
-		return
-	}
 	for _, r := range t.records {
 		t.refill(now, r)
 	}
-	t.hubUntil = until
+	t.hub.confirm(reportedAt)
 }
 
 // Alone reports whether this VM uses its own share of the limits.
-func (t *Throttler) Alone(now time.Time) bool { return !now.Before(t.hubUntil) }
+func (t *Throttler) Alone(now time.Time) bool { return t.hub.lost(now) }
 
 // perSecond returns the rate of requests that all VMs may send together.
 func (r *record) perSecond() float64 { return max(r.limit.perSecond, minPerSecond) }
@@ -243,8 +239,8 @@
 		r.saved = 0
 		return
 	}
-	if t.hubUntil.After(from) {
-		from = t.hubUntil
+	if t.hub.until.After(from) {
+		from = t.hub.until
 	}
 	r.saved = min(r.saved+r.share*now.Sub(from).Seconds(), 1)
 }
