throttler: use the tolerance of quotas but for a reserve

Change: the bucket refills at the rate with its tolerance and holds the burst and 0.6 of the slack; the rest is the reserve for VMs without a hub, new hubs and use in advance.

--- a/internal/gateway/rationer/sharing.go
+++ b/internal/gateway/rationer/sharing.go
@@ -9,9 +9,8 @@
 
 // Bounds are the tolerance for quotas.
 type Bounds struct {
-	Window time.Duration
-	Over   float64
-	Slack  float64
+	Over  float64
+	Slack float64
 }
 
 // Quotas returns the quotas of a configuration by the name of their organisation.
@@ -22,7 +21,6 @@
 			quotas[o.Name] = throttler.NewQuota(throttler.QuotaConfig{
 				PerSecond: o.Quota.PerSecond,
 				Burst:     o.Quota.Burst,
-				Window:    b.Window,
 				Over:      b.Over,
 				Slack:     b.Slack,
 			})
--- a/internal/operating/starter/gateway_quotas.go
+++ b/internal/operating/starter/gateway_quotas.go
@@ -16,11 +16,7 @@
 }
 
 func quotaBounds(settings *configurer.VMSettings) rationer.Bounds {
-	return rationer.Bounds{
-		Window: settings.Bounds.QuotaWindow,
-		Over:   settings.Bounds.QuotaOver,
-		Slack:  settings.Bounds.QuotaSlack,
-	}
+	return rationer.Bounds{Over: settings.Bounds.QuotaOver, Slack: settings.Bounds.QuotaSlack}
 }
 
 // newQuotas returns a function that returns the quotas in force and a number that changes
--- a/internal/routing/throttler/credits.go
+++ b/internal/routing/throttler/credits.go
@@ -6,10 +6,10 @@
 )
 
 const (
-	// advanceShare is the share of the capacity that all VMs together may use without a grant
-	// while a quota is calm, so that no request of an organisation that stays below its quota
-	// waits for one. It is a part of reservedTolerance.
-	advanceShare = 0.25
+	// advanceShare is the share of the reserve that all VMs together may use without a grant
+	// while a quota is calm, so that few requests of an organisation that stays below its
+	// quota wait for one.
+	advanceShare = 0.5
 	// stateTTL is how long the hub's state of a quota is used. Requests that wait then are
 	// refused or served, so that an older one says little.
 	stateTTL = time.Second
@@ -140,7 +140,7 @@
 			return false
 		}
 		r.own.saved -= amount
-	case !r.exhausted && !r.stateAt.IsZero() && r.advance+amount <= advanceShare*r.quota.Capacity/float64(c.fleet.size()):
+	case !r.exhausted && !r.stateAt.IsZero() && r.advance+amount <= advanceShare*r.quota.Reserve/float64(c.fleet.size()):
 		r.advance += amount
 		r.report.Owed += amount
 	default:
--- a/internal/routing/throttler/quota.go
+++ b/internal/routing/throttler/quota.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// reservedTolerance is the share of the tolerance of a quota that no bucket holds. It covers
-// what VMs use that have no hub, or another one, and what they use before they ask.
-const reservedTolerance = 0.5
+// reservedSlack is the share of the slack of a quota that no bucket holds. It covers what VMs
+// use that have no hub, or another one, and what they use before they ask.
+const reservedSlack = 0.4
 
 // Quota is a token bucket for what all VMs together run for an organisation. Amounts are
 // requests, or tokens of prompts and outputs.
@@ -15,23 +15,28 @@
 	PerSecond float64
 	// Capacity is what may be used at once after a time without use.
 	Capacity float64
+	// Reserve is what may be used beyond that for a short time.
+	Reserve float64
 }
 
 // QuotaConfig configures a Quota.
 type QuotaConfig struct {
 	PerSecond float64
 	Burst     float64
-	// Window, Over and Slack are the tolerance: in each Window, Over times what the quota
-	// allows may be used beyond it, and Slack.
-	Window time.Duration
-	Over   float64
-	Slack  float64
+	// Over and Slack are the tolerance: in each window, Over times what the quota allows may
+	// be used beyond it, and Slack.
+	Over  float64
+	Slack float64
 }
 
-// NewQuota returns a quota whose capacity is the burst and a part of the tolerance.
+// NewQuota returns a quota that uses the tolerance but for a reserve, since a request that
+// is refused within the tolerance is lost to its caller.
 func NewQuota(cfg QuotaConfig) Quota {
-	tolerance := cfg.Over*(cfg.PerSecond*cfg.Window.Seconds()+cfg.Burst) + cfg.Slack
-	return Quota{PerSecond: cfg.PerSecond, Capacity: cfg.Burst + (1-reservedTolerance)*tolerance}
+	return Quota{
+		PerSecond: (1 + cfg.Over) * cfg.PerSecond,
+		Capacity:  (1+cfg.Over)*cfg.Burst + (1-reservedSlack)*cfg.Slack,
+		Reserve:   reservedSlack * cfg.Slack,
+	}
 }
 
 // QuotaReport is what a VM reports of an organisation to the hub: amounts since the last
--- a/internal/routing/throttler/quota_allocator.go
+++ b/internal/routing/throttler/quota_allocator.go
@@ -14,10 +14,11 @@
 	useGain = 0.5
 	// calmShare is the share of the capacity from which on a bucket is calm.
 	calmShare = 0.5
-	// initialShare is the share of the capacity that a new bucket holds. Another hub may have
-	// granted the rest of late; without it, organisations that stay below their quotas are
-	// refused while a new hub's bucket fills.
-	initialShare = 0.125
+	// initialShare is the share of its part of the reserve that a VM adds to the bucket when
+	// it connects. Another hub may have granted the capacity of late; without it,
+	// organisations that stay below their quotas are refused while the bucket of a new hub
+	// fills.
+	initialShare = 0.25
 	// roomStep is the change of the room that VMs are told of.
 	roomStep = 50 * time.Millisecond
 )
@@ -139,7 +140,7 @@
 // setShare replaces the part of the quota that is left for the VMs of the hub.
 func (q *quotaAllocation[K]) setShare(now time.Time, share float64) {
 	q.refill(now)
-	q.saved += initialShare * max(share-q.share, 0) * q.quota.Capacity
+	q.saved += initialShare * max(share-q.share, 0) * q.quota.Reserve
 	q.share = share
 	q.refill(now)
 }
--- a/internal/routing/throttler/quota_test.go
+++ b/internal/routing/throttler/quota_test.go
@@ -94,7 +94,7 @@
 	row.Hubs = max(row.Hubs, 1)
 	m := &quotaModel{row: row, model: model{rng: rand.New(rand.NewPCG(seed, 1))}}
 	m.model.row.Held = row.Held
-	m.config = QuotaConfig{PerSecond: row.PerSecond, Burst: row.PerSecond, Window: quotaWindow, Over: quotaOver, Slack: 190000}
+	m.config = QuotaConfig{PerSecond: row.PerSecond, Burst: row.PerSecond, Over: quotaOver, Slack: 190000}
 	if row.Requests {
 		m.config.Slack = row.PerSecond * 2
 	}
