--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -192,8 +192,11 @@
 			return nil, classifier.New(classifier.Overloaded, "every upstream of %s is full", x.service)
 		}
 		until := latest
-		if recheckAt := now.Add(backlogPollInterval); x.choice.Reason == picker.Behind && recheckAt.Before(latest) {
-			until = recheckAt
+		switch x.choice.Reason {
+		case picker.Behind:
+			until = earlierTime(until, now.Add(backlogPollInterval))
+		case picker.Full:
+			until = earlierTime(until, now.Add(fullPollInterval))
 		}
 		x.waitForCapacity(ctx, x.service, w, x.accessChangeAt(now, until))
 		if x.r.Context().Err() != nil {
--- a/internal/gateway/forwarder/overload.go
+++ b/internal/gateway/forwarder/overload.go
@@ -16,6 +16,9 @@
 	// backlog checks the engines: the end of other VMs' requests does not wake
 	// it.
 	backlogPollInterval = 20 * time.Millisecond
+	// fullPollInterval is how often a request looks for a free place, which the other VMs'
+	// loads show. They are updated about as often.
+	fullPollInterval = 50 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound the Retry-After of a refused
 	// client, before jitter.
 	minRetryAfter = 300 * time.Millisecond
--- a/internal/gateway/forwarder/query.go
+++ b/internal/gateway/forwarder/query.go
@@ -27,6 +27,7 @@
 		BodyBytes: len(x.body),
 		OtherVMs:  int(x.vms.Load()) - 1,
 		LoadAge:   x.cfg.View.LoadAge(now),
+		LoadsAt:   x.cfg.View.LoadsAt(now),
 		OtherLoad: func(id string) picker.Load {
 			load := x.cfg.View.OtherLoad(now, id)
 			return picker.Load{
--- a/internal/peering/coordinator/view.go
+++ b/internal/peering/coordinator/view.go
@@ -144,6 +144,17 @@
 	return min(now.Sub(v.receivedAt)+v.interval/2+networkLatency, maxLoadAge)
 }
 
+// LoadsAt returns when the latest loads of other VMs were received, zero if they are too old
+// to be used.
+func (v *View) LoadsAt(now time.Time) time.Time {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	if now.After(v.loadsExpireAt) {
+		return time.Time{}
+	}
+	return v.receivedAt
+}
+
 // ChangingWeights reports whether an engine, identified by its ID and start time,
 // is changing its weights.
 func (v *View) ChangingWeights(now time.Time, u *registrar.Upstream) bool {
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -81,6 +81,8 @@
 	pendingParts []SentPart
 	// sendRates holds the rates of work sent to engines (true) and plain services.
 	sendRates map[bool]*sendRate
+	// rooms holds this VM's part of the free places at engines (true) and plain services.
+	rooms map[bool]*room
 }
 
 // SentPart is a shared part that was sent to an upstream for prefill.
@@ -99,6 +101,7 @@
 		calibration: newCalibration(),
 		sent:        make(map[string]sentPart),
 		sendRates:   make(map[bool]*sendRate),
+		rooms:       map[bool]*room{true: {}, false: {}},
 	}
 }
 
@@ -113,8 +116,10 @@
 	e := newCostEstimator(now, p, q, candidates)
 	choices := make([]Choice, 0, len(candidates))
 	best := Choice{Reason: Full}
+	free, all := 0, 0
 	for _, u := range candidates {
 		load, limits := p.totalLoad(q, u), q.Limits(u)
+		free, all = free+max(limits.All-load.InFlight, 0), all+limits.All
 		if load.InFlight >= limits.All || p.ownLoad(u.ID).InFlight >= limits.Own {
 			continue
 		}
@@ -125,9 +130,15 @@
 		}
 		choices = append(choices, c)
 	}
+	room := p.rooms[q.Prompt != nil]
+	room.divide(now, p.rng, q, free, all)
+	if len(choices) > 0 && room.taken() {
+		best, choices = Choice{Reason: Full}, nil
+	}
 	if len(choices) > 0 {
 		own := slices.MinFunc(choices, func(a, b Choice) int { return cmp.Compare(a.Costs.Total(), b.Costs.Total()) }).work(q)
 		best = selectChoice(p.rng, choices, p.unseenWork(now, q), own)
+		best.prompt = q.Prompt != nil
 	}
 	best.Candidates = len(candidates)
 	return best
@@ -211,6 +222,7 @@
 	s := p.touchState(now, c.Upstream.ID)
 	s.load.InFlight++
 	s.load.PromptTokens += c.PromptTokens
+	p.rooms[q.Prompt != nil].take()
 	rate := p.sendRates[q.Prompt != nil]
 	if rate == nil {
 		rate = &sendRate{}
@@ -256,4 +268,7 @@
 
 // EndRequest records that a request has ended. The end of its prefill must have
 // been recorded before.
-func (p *Picker) EndRequest(c Choice) { p.states[c.Upstream.ID].load.InFlight-- }
+func (p *Picker) EndRequest(c Choice) {
+	p.states[c.Upstream.ID].load.InFlight--
+	p.rooms[c.prompt].giveBack()
+}
--- a/internal/routing/picker/query.go
+++ b/internal/routing/picker/query.go
@@ -111,6 +111,8 @@
 	// the age of the loads that this VM knows of them.
 	OtherVMs int
 	LoadAge  time.Duration
+	// LoadsAt is when the latest loads of the other VMs were received, zero if none are known.
+	LoadsAt time.Time
 	// Usable reports whether an upstream can serve the request; nil admits all.
 	Usable func(*registrar.Upstream) bool
 	// Exclude holds the IDs of upstreams at which the request has already
@@ -171,4 +173,7 @@
 	// Load is the load of all VMs at the upstream before this request.
 	Load  Load
 	Costs Costs
+
+	// prompt is true if the request has a prompt.
+	prompt bool
 }
