throttler: amounts that were lost, doubled or given again

Cause: by review. Each new connection of a VM added to the bucket, without a bound; a VM's credit was deducted a second time when its session ended; a grant that a VM did not receive lessened the quota for ever; use in advance was forgotten at each message of the hub, reported or not; a request above the capacity was never granted beside other credit, and one of any size ran without a hub; VMs that started during a flood each ran a request of any size.

Change: what connections add is a bucket; a bucket never drops below zero for credit in hand; credit ends at the hub twice its life after the last grant; use in advance counts until its report is answered; amounts above capacity and reserve are refused; a VM without a state owes at most its part of the capacity.

--- a/internal/peering/coordinator/subscriber.go
+++ b/internal/peering/coordinator/subscriber.go
@@ -164,7 +164,7 @@
 		limits, alone := s.limitReports(now, reports.isFirst())
 		quotas, aloneInQuotas := s.quotaReports()
 		if changed || len(events) > 0 || len(limits)+len(quotas) > 0 || !maps.Equal(loads, last) || len(sent) > 0 || !now.Before(keepAliveAt) {
-			report := Report{Node: s.cfg.Node, Loads: loads, SentParts: sent, Number: reports.add(now, loads), Evidence: newEvidence(now, events), Limits: limits, Alone: alone || aloneInQuotas, Quotas: quotas}
+			report := Report{Node: s.cfg.Node, Loads: loads, SentParts: sent, Number: reports.add(time.Now(), loads), Evidence: newEvidence(now, events), Limits: limits, Alone: alone || aloneInQuotas, Quotas: quotas}
 			if changed {
 				report.Departures = departures
 			}
--- a/internal/routing/throttler/credits.go
+++ b/internal/routing/throttler/credits.go
@@ -1,6 +1,7 @@
 package throttler
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -29,22 +30,6 @@
 	records   map[string]*creditRecord
 }
 
-// creditRecord is the credit of one organisation.
-type creditRecord struct {
-	quota   Quota
-	credits []expiringAmount
-	// own is the VM's share of the quota without a hub.
-	own bucket
-	// advance is what was used without a grant and is not reported.
-	advance float64
-	// exhausted is true if the hub has stated last that the quota is not calm.
-	exhausted bool
-	roomAt    time.Time
-	stateAt   time.Time
-	// report holds the amounts since the last report, and the demand.
-	report QuotaReport
-}
-
 // NewCredits returns Credits without quotas.
 func NewCredits() *Credits { return &Credits{records: make(map[string]*creditRecord)} }
 
@@ -93,10 +78,11 @@
 		return
 	}
 	for _, r := range c.records {
+		r.advances = slices.DeleteFunc(r.advances, func(e expiringAmount) bool { return !reportedAt.Before(e.until) })
 		if r.own.saved < 0 {
 			r.report.Owed -= r.own.saved
 		}
-		r.own.saved, r.advance = 0, 0
+		r.own.saved = 0
 	}
 }
 
@@ -131,16 +117,23 @@
 	}
 	c.refill(now, r)
 	switch {
+	case !r.quota.admits(amount):
+		return false
 	case r.credit() >= amount:
 		r.use(amount)
 	case c.hub.lost(now):
 		// A debt of one request, unless the quota was short when the hub was lost: its next
-		// requests wait until the share has repaid it.
-		if r.own.saved < amount && (r.exhausted || r.own.saved < 0) {
+		// requests wait until the share has repaid it. A VM that starts does not know that;
+		// what all of them owe if they start at once during a flood is within the capacity.
+		most := math.Inf(1)
+		if r.stateAt.IsZero() {
+			most = r.quota.Capacity / float64(c.fleet.size())
+		}
+		if r.own.saved < amount && (r.exhausted || r.own.saved < 0 || amount > most) {
 			return false
 		}
 		r.own.saved -= amount
-	case !r.exhausted && !r.stateAt.IsZero() && r.advance+amount <= advanceShare*r.quota.Reserve/float64(c.fleet.size()):
+	case !r.exhausted && !r.stateAt.IsZero() && r.advanced()+amount <= advanceShare*r.quota.Reserve/float64(c.fleet.size()):
 		r.advance += amount
 		r.report.Owed += amount
 	default:
@@ -177,6 +170,8 @@
 	switch {
 	case r == nil || r.quota.PerSecond <= 0:
 		return time.Time{}
+	case !r.quota.admits(amount):
+		return now.Add(maxRoom)
 	case c.hub.lost(now) && now.Sub(laterTime(c.hub.until, c.startedAt)) < hubTTL:
 		return time.Time{} // another hub may be about to answer
 	case c.hub.lost(now):
@@ -225,6 +220,10 @@
 			list = append(list, r.report)
 		}
 		r.report.Used, r.report.Returned, r.report.Owed = 0, 0, 0
+		if r.advance > 0 {
+			r.advances = append(r.advances, expiringAmount{r.advance, now})
+			r.advance = 0
+		}
 	}
 	return list
 }
@@ -245,35 +244,3 @@
 	}
 	r.own.refill(now, c.share(r), r.quota.Capacity/float64(c.fleet.size()))
 }
-
-// returnCredits gives the credits back for which expired returns true.
-func (r *creditRecord) returnCredits(expired func(expiringAmount) bool) {
-	r.credits = slices.DeleteFunc(r.credits, func(e expiringAmount) bool {
-		if !expired(e) {
-			return false
-		}
-		r.report.Returned += e.amount
-		return true
-	})
-}
-
-func (r *creditRecord) credit() float64 {
-	sum := 0.0
-	for _, e := range r.credits {
-		sum += e.amount
-	}
-	return sum
-}
-
-// use takes an amount from the credits, those first that expire first.
-func (r *creditRecord) use(amount float64) {
-	r.report.Used += amount
-	for amount > 0 && len(r.credits) > 0 {
-		part := min(amount, r.credits[0].amount)
-		amount -= part
-		if r.credits[0].amount -= part; r.credits[0].amount > 0 {
-			return
-		}
-		r.credits = r.credits[1:]
-	}
-}
--- a/internal/routing/throttler/quota.go
+++ b/internal/routing/throttler/quota.go
@@ -19,6 +19,11 @@
 	Reserve float64
 }
 
+// admits reports whether a request may ever use an amount. One above the capacity leaves a
+// debt, which the reserve covers; a quota with hardly any capacity takes what it gives in a
+// second.
+func (q Quota) admits(amount float64) bool { return amount <= max(q.Capacity+q.Reserve, q.PerSecond) }
+
 // QuotaConfig configures a Quota.
 type QuotaConfig struct {
 	PerSecond float64
--- a/internal/routing/throttler/quota_allocator.go
+++ b/internal/routing/throttler/quota_allocator.go
@@ -10,8 +10,6 @@
 	// standingTime is the time for which the credit of a VM lasts at its recent use. It
 	// covers a report and the answer of a hub that serves many VMs.
 	standingTime = 500 * time.Millisecond
-	// useGain is the weight of the latest second in the recent use of a VM.
-	useGain = 0.5
 	// calmShare is the share of the capacity from which on a bucket is calm.
 	calmShare = 0.5
 	// initialShare is the share of its part of the reserve that a VM adds to the bucket when
@@ -19,6 +17,13 @@
 	// organisations that stay below their quotas are refused while the bucket of a new hub
 	// fills.
 	initialShare = 0.25
+	// initialInterval is the time after which a VM may add that share again. Without it,
+	// connections that end and begin several times a second add more than the rate.
+	initialInterval = 10 * time.Second
+	// grantTimeout is the time after its last grant from which on a VM has no credit. It is
+	// longer than grantTTL and the way of a late report; credit that no report accounts for
+	// by then has not arrived, or its quota was removed at the VM meanwhile.
+	grantTimeout = 2 * grantTTL
 	// roomStep is the change of the room that VMs are told of.
 	roomStep = 50 * time.Millisecond
 )
@@ -29,7 +34,9 @@
 	// share is the part of the quota that is left for the VMs of the hub.
 	share float64
 	bucket
-	users map[K]*quotaUser
+	// initial holds what VMs that connect may add to the bucket.
+	initial bucket
+	users   map[K]*quotaUser
 	// order lists the VMs whose requests wait, the one to be granted next first.
 	order []K
 	// lapsing holds credit of VMs that have left the hub. They may still use it.
@@ -38,25 +45,6 @@
 	published QuotaState
 }
 
-// quotaUser is the use of a quota by one VM.
-type quotaUser struct {
-	// outstanding is what was granted and is neither used nor returned.
-	outstanding float64
-	// grantedAt is when credit was granted last.
-	grantedAt     time.Time
-	first, wanted float64
-	wantedUntil   time.Time
-	// perSecond is the recent use, as of usedAt.
-	perSecond float64
-	usedAt    time.Time
-}
-
-// expiringAmount is an amount that can be used until a time.
-type expiringAmount struct {
-	amount float64
-	until  time.Time
-}
-
 // VMQuotaGrant is a grant to one VM.
 type VMQuotaGrant[K comparable] struct {
 	VM K
@@ -75,7 +63,7 @@
 		q := a.quotas[name]
 		switch {
 		case q == nil:
-			q = &quotaAllocation[K]{quota: quota, bucket: bucket{savedAt: now}, users: make(map[K]*quotaUser)}
+			q = &quotaAllocation[K]{quota: quota, bucket: bucket{savedAt: now}, initial: bucket{initialShare * quota.Reserve, now}, users: make(map[K]*quotaUser)}
 			q.published.Organisation = name
 			a.quotas[name], changed = q, true
 		case q.quota != quota:
@@ -103,6 +91,9 @@
 	}
 	u.recordUse(now, max(r.Used+r.Owed, 0))
 	u.outstanding = max(u.outstanding-r.Used-r.Returned, 0)
+	if r.Used < 0 {
+		u.grantedAt = now
+	}
 	q.saved = min(q.saved+r.Returned, q.capacity()) - r.Owed
 	u.first, u.wanted, u.wantedUntil = r.First, r.Wanted, now.Add(wantedTTL)
 	switch i := slices.Index(q.order, vm); {
@@ -113,14 +104,8 @@
 	}
 }
 
-// recordUse updates the recent use.
-func (u *quotaUser) recordUse(now time.Time, amount float64) {
-	weight := math.Pow(1-useGain, now.Sub(u.usedAt).Seconds())
-	u.perSecond = u.perSecond*weight - amount*math.Log(1-useGain)
-	u.usedAt = now
-}
-
-// capacity returns what the bucket may hold beside the credit of the VMs.
+// capacity returns what the bucket may hold beside the credit of the VMs. It is not negative:
+// credit has been deducted when it was granted, and would be deducted again.
 func (q *quotaAllocation[K]) capacity() float64 {
 	outstanding := 0.0
 	for _, u := range q.users {
@@ -129,18 +114,27 @@
 	for _, l := range q.lapsing {
 		outstanding += l.amount
 	}
-	return q.share*q.quota.Capacity - outstanding
+	return max(q.share*q.quota.Capacity-outstanding, 0)
 }
 
 func (q *quotaAllocation[K]) refill(now time.Time) {
 	q.lapsing = slices.DeleteFunc(q.lapsing, func(l expiringAmount) bool { return !now.Before(l.until) })
+	for _, u := range q.users {
+		if now.Sub(u.grantedAt) >= grantTimeout {
+			u.outstanding = 0
+		}
+	}
 	q.bucket.refill(now, q.share*q.quota.PerSecond, q.capacity())
 }
 
 // setShare replaces the part of the quota that is left for the VMs of the hub.
 func (q *quotaAllocation[K]) setShare(now time.Time, share float64) {
 	q.refill(now)
-	q.saved += initialShare * max(share-q.share, 0) * q.quota.Reserve
+	most := initialShare * q.quota.Reserve
+	q.initial.refill(now, most/initialInterval.Seconds(), most)
+	added := min(max(share-q.share, 0)*most, q.initial.saved)
+	q.initial.saved -= added
+	q.saved += added
 	q.share = share
 	q.refill(now)
 }
@@ -181,9 +175,10 @@
 			continue
 		}
 		// One request at a time, so that VMs with few requests get their turn. A request
-		// that exceeds the capacity uses all of it and leaves a debt.
+		// that exceeds the capacity beside the credit of others leaves a debt if the bucket
+		// is full, or at least calm: the others may always hold some credit.
 		amount := max(u.first, min(u.wanted, math.Floor(q.saved/float64(len(q.order)))))
-		if q.saved < min(u.first, q.share*q.quota.Capacity) || amount < 1 {
+		if q.saved < min(u.first, max(q.capacity(), calmShare*q.share*q.quota.Capacity)) || amount < 1 {
 			break
 		}
 		grants = append(grants, q.grant(now, vm, amount))
