rationer: spread returns from the time with room; forget removed organisations

Cause: by review. Clients that were refused before a quota has room all returned at that same time; queues and times of return stayed for organisations that had been removed; a request that got no credit in time was told that the quota is used up.

Change: returns are reserved from the time with room on; what is kept for an organisation goes with its quota; the error says which of both it is. The test demands that all returns differ and are after the time with room.

--- a/internal/gateway/rationer/rationer.go
+++ b/internal/gateway/rationer/rationer.go
@@ -113,7 +113,7 @@
 		return charge, nil
 	case at.After(waitUntil):
 		r.count(outcomeExhausted)
-		return nil, r.refuse(now, request, w.amount, at)
+		return nil, r.refuse(now, request, w.amount, at, "has used up its quota")
 	}
 	q.add(w)
 	r.setDemand(o.Name, q)
@@ -129,7 +129,7 @@
 	}
 	r.count(outcomeNoCredit)
 	now = time.Now()
-	return nil, r.refuse(now, request, w.amount, r.credits.RoomAt(now, o.Name, w.amount))
+	return nil, r.refuse(now, request, w.amount, r.credits.RoomAt(now, o.Name, w.amount), "got no credit of its quota in time")
 }
 
 // wait waits until w has got its credit, and reports whether it has. The caller holds r.mu,
@@ -159,20 +159,24 @@
 }
 
 // refuse returns the refusal of a request that its quota does not cover. Clients return as
-// the VM's share of the quota allows.
-func (r *Rationer) refuse(now time.Time, request Request, amount float64, roomAt time.Time) *classifier.Error {
+// the VM's share of the quota allows, from roomAt on.
+func (r *Rationer) refuse(now time.Time, request Request, amount float64, roomAt time.Time, reason string) *classifier.Error {
 	name := request.Organisation.Name
 	age, known := r.credits.StateAge(now, name)
 	cause := fmt.Errorf("amount %.0f, credit %.0f, room in %v, state of the hub known: %t, age %v",
 		amount, r.credits.Credit(now, name), max(roomAt.Sub(now), 0), known, age)
-	err := classifier.Wrap(classifier.RateLimited, cause, "organisation %s has used up its quota", name)
+	err := classifier.Wrap(classifier.RateLimited, cause, "organisation %s %s", name, reason)
 	s := r.returns[name]
 	if s == nil {
 		s = &throttler.Returns{}
 		r.returns[name] = s
 	}
-	at, ok := s.Reserve(now, request.Deadline, r.credits.Share(name)/max(amount, 1))
-	if at.Before(roomAt) {
+	from := now
+	if roomAt.After(from) {
+		from = roomAt
+	}
+	at, ok := s.Reserve(from, request.Deadline, r.credits.Share(name)/max(amount, 1))
+	if !ok {
 		at = roomAt
 	}
 	err.RetryAt, err.Final = at, !ok || !at.Before(request.Deadline)
--- a/internal/gateway/rationer/sharing.go
+++ b/internal/gateway/rationer/sharing.go
@@ -1,6 +1,7 @@
 package rationer
 
 import (
+	"maps"
 	"time"
 
 	"gentianstep.example/gentianstep/internal/routing/matcher"
@@ -36,7 +37,18 @@
 		return
 	}
 	r.current = c
-	r.credits.SetQuotas(now, Quotas(c, r.bounds))
+	quotas := Quotas(c, r.bounds)
+	r.credits.SetQuotas(now, quotas)
+	maps.DeleteFunc(r.returns, func(name string, _ *throttler.Returns) bool {
+		_, ok := quotas[name]
+		return !ok
+	})
+	// Those with waiting requests stay until the next configuration; the requests find that
+	// there is no quota.
+	maps.DeleteFunc(r.queues, func(name string, q *queue) bool {
+		_, ok := quotas[name]
+		return !ok && len(q.waiters) == 0
+	})
 }
 
 // SetBounds replaces the tolerance.
