throttler: model rows in which the hub is lost before or in a flood

Cause: a debt of one request at each VM is allowed while the hub is lost, and no row of the model had a flood that begins then.

--- a/internal/routing/throttler/quota_test.go
+++ b/internal/routing/throttler/quota_test.go
@@ -41,6 +41,8 @@
 	Restarts   float64 `json:"restarts"`
 	Held       float64 `json:"held"`
 	HubMovesMS int     `json:"hub_moves_ms"`
+	// LostS is the time after which no VM has a hub.
+	LostS int `json:"lost_s"`
 	// MinUsed is the least share of the quota that is used, MaxRefused the largest share of
 	// requests that are refused.
 	MinUsed    float64 `json:"min_used"`
@@ -144,6 +146,9 @@
 		if m.row.Lowered > 0 && now.Equal(modelStart.Add(modelRun/2)) {
 			m.lower(now)
 		}
+		if m.row.LostS > 0 && now.Equal(modelStart.Add(time.Duration(m.row.LostS)*time.Second)) {
+			m.loseHubs()
+		}
 		m.deliver(now)
 		m.arrive(now)
 		for n, vm := range m.vms {
@@ -159,6 +164,13 @@
 	}
 }
 
+func (m *quotaModel) loseHubs() {
+	for _, vm := range m.vms {
+		vm.hub = -1
+		vm.newSession()
+	}
+}
+
 func (m *quotaModel) lower(now time.Time) {
 	m.config.PerSecond *= m.row.Lowered
 	m.config.Burst *= m.row.Lowered
