throttler, coordinator: use the own share as soon as the connection to the hub ends

Cause: a VM whose hub had ended waited until 1.5 s after its last answered report before it used its share; meanwhile it refused requests of an organisation far below its quota.

Change: the end of the connection ends the contact. The hub leaves a VM its share from then on, and a VM that is cut off without an end still waits.

--- a/internal/gateway/rationer/sharing.go
+++ b/internal/gateway/rationer/sharing.go
@@ -76,6 +76,17 @@
 	return r.credits.Reports(now), r.credits.Alone(now)
 }
 
+// EndHub implements coordinator.Quotas.
+func (r *Rationer) EndHub() {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.credits.EndHub(now)
+	for name := range r.queues {
+		r.dispatch(now, name)
+	}
+}
+
 // ApplyQuotas implements coordinator.Quotas.
 func (r *Rationer) ApplyQuotas(states []throttler.QuotaState, grants []throttler.QuotaGrant, reportedAt time.Time) {
 	now := time.Now()
--- a/internal/peering/coordinator/quota.go
+++ b/internal/peering/coordinator/quota.go
@@ -56,6 +56,8 @@
 	// ApplyQuotas applies a message of the hub. reportedAt is when the report was sent that
 	// the grants answer, zero if unknown.
 	ApplyQuotas(states []throttler.QuotaState, grants []throttler.QuotaGrant, reportedAt time.Time)
+	// EndHub is called when the connection to a hub has ended.
+	EndHub()
 }
 
 func newQuotaUses(list []throttler.QuotaReport) []QuotaUse {
--- a/internal/peering/coordinator/subscriber.go
+++ b/internal/peering/coordinator/subscriber.go
@@ -90,6 +90,9 @@
 	for ctx.Err() == nil {
 		if hub, ok := s.cfg.Hub(); ok && (hub != lastHub || !time.Now().Before(retryAt)) {
 			err := s.subscribe(ctx, hub)
+			if s.cfg.Quotas != nil {
+				s.cfg.Quotas.EndHub()
+			}
 			s.cfg.Log.WithError(err).WithFields(logrus.Fields{"event": "hub_lost", "hub": hub.String()}).Info("connection to hub ended")
 			lastHub, retryAt = hub, time.Now().Add(reconnectDelay+rand.N(reconnectDelay))
 		}
--- a/internal/routing/throttler/bucket.go
+++ b/internal/routing/throttler/bucket.go
@@ -32,5 +32,12 @@
 	return true
 }
 
+// end records that the connection to the hub has ended.
+func (c *contact) end(now time.Time) {
+	if now.Before(c.until) {
+		c.until = now
+	}
+}
+
 // lost reports whether the VM uses its own shares.
 func (c *contact) lost(now time.Time) bool { return !now.Before(c.until) }
--- a/internal/routing/throttler/credits.go
+++ b/internal/routing/throttler/credits.go
@@ -86,6 +86,15 @@
 	}
 }
 
+// EndHub records that the connection to the hub has ended. The hub leaves the VM its share
+// from then on; a VM that waited longer would refuse what its organisations may use.
+func (c *Credits) EndHub(now time.Time) {
+	for _, r := range c.records {
+		c.refill(now, r)
+	}
+	c.hub.end(now)
+}
+
 // Alone reports whether this VM uses its own share of the quotas.
 func (c *Credits) Alone(now time.Time) bool { return c.hub.lost(now) }
 
--- a/internal/routing/throttler/quota_faults_test.go
+++ b/internal/routing/throttler/quota_faults_test.go
@@ -135,6 +135,25 @@
 	is.True(c.Take(at(3), organisation, 500))
 }
 
+// TestEndOfHub guards against VMs that refuse requests within the quota for some time after the
+// connection to their hub has ended, and against ones that run more than their share then.
+func TestEndOfHub(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	now := modelStart.Add(reportTime)
+	c := newFaultCredits(modelStart)
+	is.True(!c.Take(now, organisation, 1500))
+	c.EndHub(now)
+	is.True(c.Take(now, organisation, 1500))
+	is.True(!c.Take(now.Add(time.Second), organisation, 100)) // the share repays the debt first
+
+	c = newFaultCredits(modelStart)
+	c.ApplyState(modelStart, QuotaState{Organisation: organisation})
+	c.EndHub(now)
+	is.True(!c.Take(now.Add(time.Second/2), organisation, 600))
+	is.True(c.Take(now.Add(time.Second/2), organisation, 500))
+}
+
 // TestDebtWithoutState guards against VMs that all start during a flood without a hub and run a
 // long prompt each, and against ones that refuse short ones then.
 func TestDebtWithoutState(t *testing.T) {
--- a/internal/routing/throttler/quota_test.go
+++ b/internal/routing/throttler/quota_test.go
@@ -132,6 +132,7 @@
 		m.hubs = append(m.hubs, a)
 	}
 	for _, vm := range m.vms {
+		vm.credits.EndHub(now)
 		vm.newSession()
 	}
 }
@@ -244,6 +245,9 @@
 	if m.rng.Float64() < m.row.Cuts*quotaTick.Seconds() && vm.hub >= 0 {
 		vm.cutUntil = now.Add(time.Duration(m.rng.Int64N(int64(5 * time.Second))))
 		m.hubs[vm.hub].RemoveVM(now, [2]int{n, vm.session})
+		if m.rng.IntN(2) == 0 { // else its messages are lost
+			vm.credits.EndHub(now)
+		}
 		vm.newSession()
 	}
 	if m.rng.Float64() < m.row.Restarts*quotaTick.Seconds() {
