--- a/cmd/gentianstep/gateway_fixture_test.go
+++ b/cmd/gentianstep/gateway_fixture_test.go
@@ -22,6 +22,8 @@
 	client   string
 	ready    string
 	metrics  string
+	// peers is the address for other VMs.
+	peers string
 }
 
 // registration is what the entry of a worker states besides its own state.
@@ -44,6 +46,9 @@
 	// graceS is the stop grace period of VMs in seconds, and routeTimeoutMS the timeout of routes.
 	graceS         float64
 	routeTimeoutMS int
+	// organisations, if set, replace the only one, and bounds are further lines of settings.
+	organisations []any
+	bounds        string
 }
 
 func newPlatform(t *testing.T) *platformFixture {
@@ -88,6 +93,10 @@
 			"target_latency_ms": 800, "priority": 1, "max_attempts": 2, "sticky": sticky, "resumable": resumable, "gap_target_ms": 300,
 		}
 	}
+	organisations := p.organisations
+	if organisations == nil {
+		organisations = []any{map[string]any{"name": "o1", "api_keys": keys, "priority": 1, "isolated": false}}
+	}
 	p.store.Put("op/config", map[string]any{
 		"version": version,
 		"routes": []any{
@@ -101,7 +110,7 @@
 			map[string]any{"name": "llm", "max_connections": 210, "engine": map[string]any{"slots": 8, "token_kv_bytes": 1000, "link_mbps": 1000.0}},
 		},
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []any{map[string]any{"name": "o1", "api_keys": keys, "priority": 1, "isolated": false}},
+		"tenants": organisations,
 	})
 }
 
@@ -141,6 +150,7 @@
 		client:   fmt.Sprintf("%s:%d", launcher.Host(), ports[0]),
 		ready:    fmt.Sprintf("http://%s:%d/api/ready", launcher.Host(), ports[1]),
 		metrics:  fmt.Sprintf("http://%s:%d/metrics", launcher.Host(), ports[3]),
+		peers:    fmt.Sprintf("%s:%d", launcher.Host(), ports[2]),
 	}
 	p.writeSettings(vm, node, ports)
 	return vm
@@ -173,10 +183,10 @@
 budget_window_s = 10
 lease_ms = 3000
 require_fencing = true
-[platform]
+%s[platform]
 address = %q
 ttl_min_ms = 1000
-`, node, launcher.Host(), ports[2], ports[3], vm.client, launcher.Host(), ports[1], memoryLimitMB, p.graceS, p.address)
+`, node, launcher.Host(), ports[2], ports[3], vm.client, launcher.Host(), ports[1], memoryLimitMB, p.graceS, p.bounds, p.address)
 	if err := os.WriteFile(vm.settings, []byte(text), 0o600); err != nil {
 		p.t.Fatal(err)
 	}
