throttler: let VMs use their own share while a hub is silent

Cause: a VM whose hub hangs used up its credit within half a second and refused requests within the quota until it had lost the hub after 1.5 s.

Change: what a VM may use in advance grows by its own share for as long as a report is not answered. It is reported as owed, so that a hub that goes on deducts it.

--- a/internal/routing/throttler/credits.go
+++ b/internal/routing/throttler/credits.go
@@ -25,6 +25,9 @@
 type Credits struct {
 	fleet Fleet
 	hub   contact
+	// unansweredAt is the time of the first report that the hub has not answered, zero if it
+	// has answered all.
+	unansweredAt time.Time
 	// startedAt is when quotas were set first.
 	startedAt time.Time
 	records   map[string]*creditRecord
@@ -74,6 +77,9 @@
 	for _, r := range c.records {
 		c.refill(now, r)
 	}
+	if !reportedAt.Before(c.unansweredAt) {
+		c.unansweredAt = time.Time{}
+	}
 	if !c.hub.confirm(reportedAt) || c.hub.lost(now) {
 		return
 	}
@@ -93,6 +99,7 @@
 		c.refill(now, r)
 	}
 	c.hub.end(now)
+	c.unansweredAt = time.Time{}
 }
 
 // Alone reports whether this VM uses its own share of the quotas.
@@ -142,7 +149,7 @@
 			return false
 		}
 		r.own.saved -= amount
-	case !r.exhausted && !r.stateAt.IsZero() && r.advanced()+amount <= advanceShare*r.quota.Reserve/float64(c.fleet.size()):
+	case !r.exhausted && !r.stateAt.IsZero() && r.advanced()+amount <= c.mostAdvance(now, r):
 		r.advance += amount
 		r.report.Owed += amount
 	default:
@@ -151,6 +158,17 @@
 	return true
 }
 
+// mostAdvance returns what may be used without a grant and an answer of the hub. It grows by the
+// VM's own share while the hub is silent: a hub that goes on deducts it, and without one it is
+// the VM's part.
+func (c *Credits) mostAdvance(now time.Time, r *creditRecord) float64 {
+	most := advanceShare * r.quota.Reserve / float64(c.fleet.size())
+	if !c.unansweredAt.IsZero() {
+		most += c.share(r) * max(now.Sub(c.unansweredAt), 0).Seconds()
+	}
+	return most
+}
+
 // Refund returns the amount of a request that was not run.
 func (c *Credits) Refund(now time.Time, organisation string, amount float64) {
 	r := c.records[organisation]
@@ -234,6 +252,9 @@
 			r.advance = 0
 		}
 	}
+	if len(list) > 0 && c.unansweredAt.IsZero() {
+		c.unansweredAt = now
+	}
 	return list
 }
 
--- a/internal/routing/throttler/quota_faults_test.go
+++ b/internal/routing/throttler/quota_faults_test.go
@@ -154,6 +154,24 @@
 	is.True(c.Take(now.Add(time.Second/2), organisation, 500))
 }
 
+// TestSilentHub guards against VMs that refuse requests within the quota until they have lost a
+// hub that hangs.
+func TestSilentHub(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newFaultCredits(modelStart)
+	is.True(c.Take(modelStart, organisation, 500))
+	c.Reports(modelStart.Add(reportTime))
+	is.True(!c.Take(modelStart.Add(reportTime), organisation, 500))
+	later := modelStart.Add(reportTime + time.Second/2)
+	is.True(c.Take(later, organisation, 500))
+	is.True(!c.Take(later, organisation, 200))
+	is.Equal(c.Reports(later)[0].Owed, 500.0) // a hub that goes on deducts it
+	c.ConfirmHub(later, later)
+	is.True(!c.Take(later, organisation, 700))
+	is.True(c.Take(later, organisation, 600))
+}
+
 // TestDebtWithoutState guards against VMs that all start during a flood without a hub and run a
 // long prompt each, and against ones that refuse short ones then.
 func TestDebtWithoutState(t *testing.T) {
