--- a/internal/routing/throttler/credits.go
+++ b/internal/routing/throttler/credits.go
@@ -1,15 +1,19 @@
 package throttler
 
 import (
+	"math"
 	"slices"
 	"time"
 )
 
 const (
 	// advanceShare is the share of the capacity that all VMs together may use without a grant
-	// between two reports while a quota is calm, so that few requests of an organisation that
-	// stays below its quota wait for one. A calm bucket holds as much.
+	// while a quota is calm, so that few requests of an organisation that stays below its
+	// quota wait for one. A calm bucket holds as much.
 	advanceShare = calmShare
+	// silentTime is the time after a report from which on a hub is silent for a quota that is
+	// not calm. Requests wait for 250 ms, and hubs answer within 150 ms as a rule.
+	silentTime = 150 * time.Millisecond
 	// stateTTL is how long the hub's state of a quota is used. Requests that wait then are
 	// refused or served, so that an older one says little.
 	stateTTL = time.Second
@@ -24,27 +28,14 @@
 type Credits struct {
 	fleet Fleet
 	hub   contact
+	// unansweredAt is the time of the first report that the hub has not answered, zero if it
+	// has answered all.
+	unansweredAt time.Time
 	// startedAt is when quotas were set first.
 	startedAt time.Time
 	records   map[string]*creditRecord
 }
 
-// creditRecord is the credit of one organisation.
-type creditRecord struct {
-	quota   Quota
-	credits []expiringAmount
-	// own is the VM's share of the quota without a hub.
-	own bucket
-	// advance is what was used without a grant and is not reported.
-	advance float64
-	// exhausted is true if the hub has stated last that the quota is not calm.
-	exhausted bool
-	roomAt    time.Time
-	stateAt   time.Time
-	// report holds the amounts since the last report, and the demand.
-	report QuotaReport
-}
-
 // NewCredits returns Credits without quotas.
 func NewCredits() *Credits { return &Credits{records: make(map[string]*creditRecord)} }
 
@@ -89,15 +80,29 @@
 	for _, r := range c.records {
 		c.refill(now, r)
 	}
+	if !reportedAt.Before(c.unansweredAt) {
+		c.unansweredAt = time.Time{}
+	}
 	if !c.hub.confirm(reportedAt) || c.hub.lost(now) {
 		return
 	}
 	for _, r := range c.records {
+		r.advances = slices.DeleteFunc(r.advances, func(e expiringAmount) bool { return !reportedAt.Before(e.until) })
 		if r.own.saved < 0 {
 			r.report.Owed -= r.own.saved
 		}
-		r.own.saved, r.advance = 0, 0
+		r.own.saved = 0
+	}
+}
+
+// EndHub records that the connection to the hub has ended. The hub leaves the VM its share
+// from then on; a VM that waited longer would refuse what its organisations may use.
+func (c *Credits) EndHub(now time.Time) {
+	for _, r := range c.records {
+		c.refill(now, r)
 	}
+	c.hub.end(now)
+	c.unansweredAt = time.Time{}
 }
 
 // Alone reports whether this VM uses its own share of the quotas.
@@ -131,16 +136,23 @@
 	}
 	c.refill(now, r)
 	switch {
+	case !r.quota.admits(amount):
+		return false
 	case r.credit() >= amount:
 		r.use(amount)
 	case c.hub.lost(now):
 		// A debt of one request, unless the quota was short when the hub was lost: its next
-		// requests wait until the share has repaid it.
-		if r.own.saved < amount && (r.exhausted || r.own.saved < 0) {
+		// requests wait until the share has repaid it. A VM that starts does not know that;
+		// what all of them owe if they start at once during a flood is within the capacity.
+		most := math.Inf(1)
+		if r.stateAt.IsZero() {
+			most = r.quota.Capacity / float64(c.fleet.size())
+		}
+		if r.own.saved < amount && (r.exhausted || r.own.saved < 0 || amount > most) {
 			return false
 		}
 		r.own.saved -= amount
-	case !r.exhausted && !r.stateAt.IsZero() && amount <= r.credit()+advanceShare*r.quota.Capacity/float64(c.fleet.size())-r.advance:
+	case r.advanced()+amount <= c.mostAdvance(now, r)+r.credit():
 		missing := amount - r.credit()
 		r.use(r.credit())
 		r.advance += missing
@@ -151,6 +163,23 @@
 	return true
 }
 
+// mostAdvance returns what may be used without a grant and an answer of the hub. It grows by the
+// VM's own share while the hub is silent: a hub that goes on deducts it, and without one it is
+// the VM's part. It is no more than that if the quota is not calm, as it is at first with a new
+// hub, and begins later, since a hub that answers in time grants more.
+func (c *Credits) mostAdvance(now time.Time, r *creditRecord) float64 {
+	most, silence := 0.0, time.Duration(0)
+	if !c.unansweredAt.IsZero() {
+		silence = max(now.Sub(c.unansweredAt), 0)
+	}
+	if r.exhausted || r.stateAt.IsZero() {
+		silence = max(silence-silentTime, 0)
+	} else {
+		most = advanceShare * r.quota.Capacity / float64(c.fleet.size())
+	}
+	return most + c.share(r)*silence.Seconds()
+}
+
 // Refund returns the amount of a request that was not run.
 func (c *Credits) Refund(now time.Time, organisation string, amount float64) {
 	r := c.records[organisation]
@@ -179,6 +208,8 @@
 	switch {
 	case r == nil || r.quota.PerSecond <= 0:
 		return time.Time{}
+	case !r.quota.admits(amount):
+		return now.Add(maxRoom)
 	case c.hub.lost(now) && now.Sub(laterTime(c.hub.until, c.startedAt)) < hubTTL:
 		return time.Time{} // another hub may be about to answer
 	case c.hub.lost(now):
@@ -227,6 +258,13 @@
 			list = append(list, r.report)
 		}
 		r.report.Used, r.report.Returned, r.report.Owed = 0, 0, 0
+		if r.advance > 0 {
+			r.advances = append(r.advances, expiringAmount{r.advance, now})
+			r.advance = 0
+		}
+	}
+	if len(list) > 0 && c.unansweredAt.IsZero() {
+		c.unansweredAt = now
 	}
 	return list
 }
@@ -247,35 +285,3 @@
 	}
 	r.own.refill(now, c.share(r), r.quota.Capacity/float64(c.fleet.size()))
 }
-
-// returnCredits gives the credits back for which expired returns true.
-func (r *creditRecord) returnCredits(expired func(expiringAmount) bool) {
-	r.credits = slices.DeleteFunc(r.credits, func(e expiringAmount) bool {
-		if !expired(e) {
-			return false
-		}
-		r.report.Returned += e.amount
-		return true
-	})
-}
-
-func (r *creditRecord) credit() float64 {
-	sum := 0.0
-	for _, e := range r.credits {
-		sum += e.amount
-	}
-	return sum
-}
-
-// use takes an amount from the credits, those first that expire first.
-func (r *creditRecord) use(amount float64) {
-	r.report.Used += amount
-	for amount > 0 && len(r.credits) > 0 {
-		part := min(amount, r.credits[0].amount)
-		amount -= part
-		if r.credits[0].amount -= part; r.credits[0].amount > 0 {
-			return
-		}
-		r.credits = r.credits[1:]
-	}
-}
