--- a/cmd/gentianstep/gateway_clients_test.go
+++ b/cmd/gentianstep/gateway_clients_test.go
@@ -26,6 +26,8 @@
 	validRequests = 20
 	// memoryLimitMB is the memory limit in the settings of the VMs under test.
 	memoryLimitMB = 134
+	// descriptorLimit is the limit of open file descriptors in these settings.
+	descriptorLimit = 4100
 )
 
 func TestGatewayServesDespiteStalledClients(t *testing.T) {
--- a/cmd/gentianstep/gateway_fixture_test.go
+++ b/cmd/gentianstep/gateway_fixture_test.go
@@ -44,11 +44,13 @@
 	// graceS is the stop grace period of VMs in seconds, and routeTimeoutMS the timeout of routes.
 	graceS         float64
 	routeTimeoutMS int
+	// maxBodyBytes is the limit of a request body in the configuration.
+	maxBodyBytes int
 }
 
 func newPlatform(t *testing.T) *platformFixture {
 	t.Helper()
-	p := &platformFixture{t: t, store: platformtest.NewStore(), registrations: make(map[*platformtest.Worker]registration), client: &http.Client{Timeout: 10 * time.Second}, graceS: 8, routeTimeoutMS: 3000}
+	p := &platformFixture{t: t, store: platformtest.NewStore(), registrations: make(map[*platformtest.Worker]registration), client: &http.Client{Timeout: 10 * time.Second}, graceS: 8, routeTimeoutMS: 3000, maxBodyBytes: bodyLimit}
 	p.door = p.store.NewEndpoint()
 	server := httptest.NewServer(p.door)
 	t.Cleanup(func() {
@@ -100,7 +102,7 @@
 			map[string]any{"name": "app", "max_connections": 110},
 			map[string]any{"name": "llm", "max_connections": 210, "engine": map[string]any{"slots": 8, "token_kv_bytes": 1000, "link_mbps": 1000.0}},
 		},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": p.maxBodyBytes, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants": []any{map[string]any{"name": "o1", "api_keys": keys, "priority": 1, "isolated": false}},
 	})
 }
@@ -162,7 +164,7 @@
 ready = "%s:%d"
 [limits]
 memory_mb = %d
-max_fds = 4100
+max_fds = %d
 [bounds]
 drain_ms = 2500
 grace_s = %g
@@ -176,7 +178,7 @@
 [platform]
 address = %q
 ttl_min_ms = 1000
-`, node, launcher.Host(), ports[2], ports[3], vm.client, launcher.Host(), ports[1], memoryLimitMB, p.graceS, p.address)
+`, node, launcher.Host(), ports[2], ports[3], vm.client, launcher.Host(), ports[1], memoryLimitMB, descriptorLimit, p.graceS, p.address)
 	if err := os.WriteFile(vm.settings, []byte(text), 0o600); err != nil {
 		p.t.Fatal(err)
 	}
