--- a/internal/operating/meter/name.go
+++ b/internal/operating/meter/name.go
@@ -25,6 +25,7 @@
 	Goroutines         Name = "gentianstep_goroutines"
 	HeapBytes          Name = "gentianstep_heap_bytes"
 	StoreRestores      Name = "gentianstep_store_restores_total"
+	MemoryShort        Name = "gentianstep_memory_short_total"
 )
 
 // metricType is the Prometheus type of a metric.
@@ -64,6 +65,7 @@
 	Goroutines:         {gauge, "Goroutines of the process.", ""},
 	HeapBytes:          {gauge, "Bytes of live and unswept heap.", ""},
 	StoreRestores:      {counter, "Restores of the platform's store from an older copy that this VM has learned of, by prefix of keys.", "prefix"},
+	MemoryShort:        {counter, "Requests that were refused or evicted since memory was short, by reason.", "reason"},
 }
 
 // Names returns the names of all metrics in no particular order.
