forwarder: keep the bytes of clients within the memory of the VM

readBody collected bodies with io.ReadAll, whose buffer grows to about twice the body, and nothing bounded the total. A body is read into a buffer of its announced length. Without memory a request gets 503 overloaded before it is sent; a response is then sent as it arrives instead of being buffered. The body is released once a response has begun that no other attempt can replace or resume; the transport's reference to it is dropped as well.

--- a/internal/gateway/forwarder/deliver.go
+++ b/internal/gateway/forwarder/deliver.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"gentianstep.example/gentianstep/internal/failure/classifier"
+	"gentianstep.example/gentianstep/internal/operating/reserver"
 	"gentianstep.example/gentianstep/internal/routing/matcher"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
 )
@@ -40,11 +41,15 @@
 	return hasBody && x.route.Kind == matcher.Stream && answer.Status < http.StatusMultipleChoices
 }
 
-// sendResponse sends a response that is not a stream to the client.
+// sendResponse sends a response that is not a stream to the client. It is buffered up to
+// maxBufferedBytes, or until memory is short, so that a response that breaks off can be
+// replaced by that of another attempt.
 func (x *exchange) sendResponse(ctx context.Context, answer *caller.Response) error {
-	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes))
-	if err == nil && len(body) == maxBufferedBytes {
-		return x.streamBody(ctx, answer, body)
+	buffer := x.cfg.Memory.OpenBuffer()
+	defer buffer.Release()
+	body, err := buffer.ReadAll(answer, -1, maxBufferedBytes)
+	if errors.Is(err, reserver.ErrFull) || errors.Is(err, reserver.ErrNoMemory) {
+		return x.streamBody(ctx, answer, body, buffer)
 	}
 	if err == nil {
 		err = x.checkEnd(ctx, answer)
@@ -57,6 +62,7 @@
 	// Finish closes the upstream connection if the body has not ended. It does not
 	// see bytes that follow the end.
 	trailingErr := answer.Finish()
+	x.releaseSentBody(answer)
 	err = x.response.sendWhole(answer.Status, body, x.r.Method == http.MethodHead, x.copyHeader(answer))
 	x.recordOutcome(answer.Status, outcomeAnswered, errors.Join(trailingErr, err))
 	return nil
@@ -68,9 +74,10 @@
 }
 
 // streamBody sends a response to the client as it arrives, after the part that
-// was already read.
-func (x *exchange) streamBody(ctx context.Context, answer *caller.Response, start []byte) error {
-	if err := x.copyBody(ctx, answer, start); err != nil {
+// was already read into buffer.
+func (x *exchange) streamBody(ctx context.Context, answer *caller.Response, start []byte, buffer *reserver.Reservation) error {
+	x.releaseSentBody(answer)
+	if err := x.copyBody(ctx, answer, start, buffer); err != nil {
 		answer.Discard()
 		x.recordOutcome(answer.Status, string(classifier.StreamBroken), err)
 		return nil
@@ -83,7 +90,7 @@
 }
 
 // copyBody sends a body whose start was read to the client until its end.
-func (x *exchange) copyBody(ctx context.Context, answer *caller.Response, start []byte) error {
+func (x *exchange) copyBody(ctx context.Context, answer *caller.Response, start []byte, buffer *reserver.Reservation) error {
 	if err := x.response.begin(answer.Status, x.copyHeader(answer)); err != nil {
 		return err
 	}
@@ -91,6 +98,7 @@
 		return err
 	}
 	limit := int64(maxResponseBytes - len(start))
+	buffer.Release()
 	n, err := io.Copy(x.response, io.LimitReader(answer, limit))
 	switch {
 	case err != nil:
--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -11,6 +11,7 @@
 	"gentianstep.example/gentianstep/internal/failure/classifier"
 	"gentianstep.example/gentianstep/internal/gateway/rationer"
 	"gentianstep.example/gentianstep/internal/membership/registrar"
+	"gentianstep.example/gentianstep/internal/operating/reserver"
 	"gentianstep.example/gentianstep/internal/routing/matcher"
 	"gentianstep.example/gentianstep/internal/routing/picker"
 	"gentianstep.example/gentianstep/internal/routing/quarantiner"
@@ -61,10 +62,14 @@
 	organisation  *matcher.Organisation
 	service       string
 	// charge is what the request has used of its organisation's quota.
-	charge    *rationer.Charge
-	body      []byte
-	arrivedAt time.Time
-	deadline  time.Time
+	charge *rationer.Charge
+	// body is the body of the request, reservation its memory. bodyReleased is true once no
+	// further attempt may be made.
+	body         []byte
+	reservation  *reserver.Reservation
+	bodyReleased bool
+	arrivedAt    time.Time
+	deadline     time.Time
 	// fingerprints are what the request may have in common with others under which
 	// upstreams crash.
 	fingerprints []quarantiner.Fingerprint
--- a/internal/gateway/forwarder/fixture_test.go
+++ b/internal/gateway/forwarder/fixture_test.go
@@ -19,6 +19,7 @@
 	"gentianstep.example/gentianstep/internal/gateway/forwarder"
 	"gentianstep.example/gentianstep/internal/membership/registrar"
 	"gentianstep.example/gentianstep/internal/operating/meter"
+	"gentianstep.example/gentianstep/internal/operating/reserver"
 	"gentianstep.example/gentianstep/internal/peering/coordinator"
 	"gentianstep.example/gentianstep/internal/routing/budgeter"
 	"gentianstep.example/gentianstep/internal/routing/matcher"
@@ -36,6 +37,8 @@
 const (
 	gatewayAddress = "10.0.0.100:80"
 	timeout        = time.Second
+	// memoryBudget is the budget for the bytes of clients.
+	memoryBudget = 1 << 20
 )
 
 // fixture runs a forwarder with workers as upstreams on an in-memory network.
@@ -48,6 +51,8 @@
 	view      *coordinator.View
 	noticer   *noticer.Noticer
 	isolator  *isolator.Isolator
+	// memory is the budget of the latest forwarder.
+	memory    *reserver.Reserver
 	startedAt time.Time
 	// dialDelay is the time to open a connection to a worker in ns.
 	dialDelay atomic.Int64
@@ -165,6 +170,7 @@
 		Meter:     meter.New(),
 		Log:       log,
 	})
+	f.memory = reserver.New(reserver.Config{Bytes: memoryBudget, Meter: meter.New(), Log: log})
 	return forwarder.New(forwarder.Config{
 		Dialect:      platform.Dialect{},
 		Directory:    f.directory,
@@ -175,6 +181,7 @@
 		Picker:       picker.Config{AvailabilityZone: "z", Regions: map[string]string{"z": "r"}, Seed: 1},
 		Budget:       budgeter.Config{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
 		WeightsApply: 8 * time.Second,
+		Memory:       f.memory,
 		Meter:        meter.New(),
 		Log:          log,
 	})
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -6,10 +6,8 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -22,6 +20,7 @@
 	"gentianstep.example/gentianstep/internal/membership/informer"
 	"gentianstep.example/gentianstep/internal/membership/registrar"
 	"gentianstep.example/gentianstep/internal/operating/meter"
+	"gentianstep.example/gentianstep/internal/operating/reserver"
 	"gentianstep.example/gentianstep/internal/peering/coordinator"
 	"gentianstep.example/gentianstep/internal/routing/budgeter"
 	"gentianstep.example/gentianstep/internal/routing/matcher"
@@ -63,8 +62,10 @@
 	// WeightsApply is the longest time for which older weights may be used once
 	// a newer version is wanted.
 	WeightsApply time.Duration
-	Meter        *meter.Meter
-	Log          *logrus.Entry
+	// Memory is the budget of the bytes that are held for clients; nil sets no limit.
+	Memory *reserver.Reserver
+	Meter  *meter.Meter
+	Log    *logrus.Entry
 }
 
 // Forwarder is an http.Handler that sends client requests to upstreams.
@@ -191,6 +192,7 @@
 		return
 	}
 	defer func() { x.charge.Release(x.mayHaveRun) }()
+	defer x.releaseBody()
 	if err := x.admit(); err != nil {
 		x.writeError(err)
 		return
@@ -241,48 +243,6 @@
 	return nil
 }
 
-// readBody buffers the whole body, since a request may be sent more than once.
-func (x *exchange) readBody() *classifier.Error {
-	limit := x.configuration.Limits.BodyBytes
-	if x.r.ContentLength > limit {
-		return classifier.New(classifier.TooLarge, "the body is over %d bytes", limit)
-	}
-	if x.r.Body == nil || x.r.Body == http.NoBody {
-		return nil
-	}
-	if err := x.response.setReadDeadline(x.deadline); err != nil {
-		return classifier.Wrap(classifier.Internal, err, "the connection takes no deadline")
-	}
-	keepReadDeadline := x.endReadAtShutdown()
-	body, err := io.ReadAll(x.response.limitBody(x.r.Body, limit))
-	if !keepReadDeadline() {
-		return x.shutdown.Load().refusal(time.Now())
-	}
-	if err != nil {
-		// Keeps the read deadline: net/http reads the rest of the body before
-		// it writes the response.
-		x.response.closeAfter()
-		return bodyError(err, limit)
-	}
-	if err := x.response.setReadDeadline(time.Time{}); err != nil {
-		return classifier.Wrap(classifier.Internal, err, "the connection takes no deadline")
-	}
-	x.body = body
-	return nil
-}
-
-// bodyError classifies an error of reading the body.
-func bodyError(err error, limit int64) *classifier.Error {
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return classifier.New(classifier.TooLarge, "the body is over %d bytes", limit)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return classifier.Wrap(classifier.CallerTooSlow, err, "the body did not come in time")
-	}
-	return classifier.Wrap(classifier.InvalidRequest, err, "the body is not valid")
-}
-
 // writeError responds with an error of the gateway itself.
 func (x *exchange) writeError(err *classifier.Error) {
 	answer := classifier.AnswerOf(err.Kind)
--- a/internal/gateway/forwarder/relay.go
+++ b/internal/gateway/forwarder/relay.go
@@ -136,6 +136,7 @@
 	if err := x.beginStream(answer); err != nil {
 		return err
 	}
+	x.releaseSentBody(answer)
 	if _, err := x.response.Write(data); err != nil {
 		return fmt.Errorf("%w: %w", errClientGone, err)
 	}
--- a/internal/gateway/forwarder/retry.go
+++ b/internal/gateway/forwarder/retry.go
@@ -60,7 +60,7 @@
 	switch {
 	case x.mayHaveRun && !x.route.Repeatable():
 		return classifier.Wrap(classifier.OutcomeUnknown, err, "the upstream did not answer")
-	case x.response.begun() && x.sequence.unresumable:
+	case x.response.begun() && (x.sequence.unresumable || x.bodyReleased):
 		return classifier.Wrap(classifier.StreamBroken, err, "the stream cannot be resumed")
 	}
 	return nil
--- a/internal/gateway/forwarder/shutdown.go
+++ b/internal/gateway/forwarder/shutdown.go
@@ -86,5 +86,5 @@
 // endReadAtShutdown ends reading the body at Shutdown.AnswerBy. The returned function undoes
 // that, and returns false if it is too late.
 func (x *exchange) endReadAtShutdown() func() bool {
-	return context.AfterFunc(x.ended, func() { _ = x.response.setReadDeadline(readDeadlinePassed) }) // fails only on a closed connection
+	return context.AfterFunc(x.ended, x.endRead)
 }
--- a/internal/operating/reserver/reservation.go
+++ b/internal/operating/reserver/reservation.go
@@ -76,7 +76,7 @@
 // the first byte, -1 means that none is known. Bytes that were read before an error are
 // returned with it and stay reserved.
 func (v *Reservation) ReadAll(r io.Reader, announced, limit int64) ([]byte, error) {
-	size := min(smallBytes, limit)
+	size := min(SmallBytes, limit)
 	if announced >= 0 {
 		size = min(announced+1, limit) // one byte more, since the end is seen behind the last byte
 	}
--- a/internal/operating/reserver/reserver.go
+++ b/internal/operating/reserver/reserver.go
@@ -14,10 +14,10 @@
 )
 
 const (
-	// smallBytes is the size up to which a request always gets memory, so that ordinary
+	// SmallBytes is the size up to which a request always gets memory, so that ordinary
 	// requests are served while the budget is exhausted. The limit of connections bounds
 	// the sum.
-	smallBytes = 16 << 10
+	SmallBytes = 16 << 10
 	// mediumBytes is the size up to which a request may use the whole budget. Larger ones
 	// leave a part of it, so that they do not crowd out prompts of usual length.
 	mediumBytes = 128 << 10
@@ -97,7 +97,7 @@
 	if needed <= 0 {
 		return true
 	}
-	if r.evict(v, needed) || v.bytes+n <= smallBytes {
+	if r.evict(v, needed) || v.bytes+n <= SmallBytes {
 		return true
 	}
 	r.record(reasonRefused, n)
--- a/internal/operating/starter/gateway.go
+++ b/internal/operating/starter/gateway.go
@@ -15,6 +15,7 @@
 	"gentianstep.example/gentianstep/internal/membership/ranker"
 	"gentianstep.example/gentianstep/internal/operating/configurer"
 	"gentianstep.example/gentianstep/internal/operating/meter"
+	"gentianstep.example/gentianstep/internal/operating/reserver"
 	"gentianstep.example/gentianstep/internal/operating/timekeeper"
 	"gentianstep.example/gentianstep/internal/peering/coordinator"
 	"gentianstep.example/gentianstep/internal/peering/exchanger"
@@ -188,6 +189,7 @@
 		},
 		Budget:       g.retryBudget(settings),
 		WeightsApply: settings.Bounds.WeightsApply,
+		Memory:       reserver.New(reserver.Config{Bytes: clientMemory(settings.MemoryBytes), Meter: g.meter, Log: log}),
 		Meter:        g.meter,
 		Log:          log,
 	})
--- a/internal/upstream/caller/answer.go
+++ b/internal/upstream/caller/answer.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -32,6 +33,7 @@
 	cancel            context.CancelCauseFunc
 	stopCancel        func()
 	body              io.ReadCloser
+	requestBody       *bytes.Reader
 	exchange          *exchange
 	watchdog          *watchdog
 	firstByteDeadline time.Time
@@ -65,6 +67,17 @@
 	return n, err
 }
 
+// DropRequestBody drops the reference of the transport to the body of the request, which it
+// keeps until the response has ended, and reports whether it could. An upstream may respond
+// before it has read the whole body; the transport still reads it then.
+func (a *Response) DropRequestBody() bool {
+	if !a.exchange.wasWritten() {
+		return false
+	}
+	a.requestBody.Reset(nil)
+	return true
+}
+
 // releaseProbe closes the idle connection to the upstream if there is one.
 func (a *Response) releaseProbe() {
 	if a.probe != nil {
--- a/internal/upstream/caller/caller.go
+++ b/internal/upstream/caller/caller.go
@@ -86,7 +86,8 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	e := &exchange{ctx: ctx, admit: admission(call.Admit, cancel)}
 	requestCtx, stopCancel := e.requestContext()
-	request, err := newRequest(httptrace.WithClientTrace(requestCtx, e.trace()), target, call)
+	requestBody := bytes.NewReader(call.Body)
+	request, err := newRequest(httptrace.WithClientTrace(requestCtx, e.trace()), target, call, requestBody)
 	if err != nil {
 		stopCancel()
 		cancel(nil)
@@ -122,6 +123,7 @@
 		cancel:            cancel,
 		stopCancel:        stopCancel,
 		body:              httpResponse.Body,
+		requestBody:       requestBody,
 		exchange:          e,
 		watchdog:          watchdog,
 		firstByteDeadline: call.FirstByteDeadline,
@@ -185,11 +187,11 @@
 
 // newRequest builds a request without GetBody, so that the transport cannot send
 // the body twice.
-func newRequest(ctx context.Context, target Target, call Call) (*http.Request, error) {
+func newRequest(ctx context.Context, target Target, call Call, requestBody *bytes.Reader) (*http.Request, error) {
 	if !target.Address.IsValid() {
 		return nil, errors.New("upstream has no address")
 	}
-	body := io.NopCloser(bytes.NewReader(call.Body))
+	body := io.NopCloser(requestBody)
 	url := "http://" + target.Address.String()
 	if call.Head == nil {
 		url += call.Path
--- a/internal/upstream/caller/exchange.go
+++ b/internal/upstream/caller/exchange.go
@@ -25,6 +25,8 @@
 	cancelled bool
 	sent      bool
 	reused    bool
+	// written is true once the request has been written completely.
+	written bool
 }
 
 // requestContext returns the context of the request, which carries the values of ctx but
@@ -51,7 +53,7 @@
 }
 
 func (e *exchange) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: e.gotConn, PutIdleConn: e.putIdleConn}
+	return &httptrace.ClientTrace{GotConn: e.gotConn, PutIdleConn: e.putIdleConn, WroteRequest: e.wroteRequest}
 }
 
 func (e *exchange) gotConn(info httptrace.GotConnInfo) {
@@ -79,6 +81,19 @@
 	}
 }
 
+// wroteRequest is called when the transport has written the request or failed to.
+func (e *exchange) wroteRequest(info httptrace.WroteRequestInfo) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.written = info.Err == nil
+}
+
+func (e *exchange) wasWritten() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.written
+}
+
 // putIdleConn is called when the transport has taken the connection back.
 func (e *exchange) putIdleConn(err error) {
 	if err == nil {
