receiver: keep the bytes of callers within the memory of the router

Routers read bodies of up to 8 MiB with io.ReadAll and had no setting for their memory. They now use the budget of the gateway, derived from the new setting router.memory_mb (2048 without it, 160 at least), which also sets the soft limit of the Go runtime.

--- a/cmd/gentianstep/gateway_crowd_test.go
+++ b/cmd/gentianstep/gateway_crowd_test.go
@@ -79,7 +79,7 @@
 // or the file descriptors of its VM because of clients that send much or read nothing. It is
 // not parallel: other processes would compete for the memory of the machine.
 func TestGatewayStaysWithinLimitsDespiteCrowds(t *testing.T) { //nolint:paralleltest // see above
-	for _, c := range crowds() {
+	for _, c := range crowds() { //nolint:paralleltest // one at a time
 		t.Run(c.name, func(t *testing.T) { c.check(t) })
 	}
 }
--- a/internal/gateway/forwarder/deliver.go
+++ b/internal/gateway/forwarder/deliver.go
@@ -49,7 +49,8 @@
 	defer buffer.Release()
 	body, err := buffer.ReadAll(answer, -1, maxBufferedBytes)
 	if errors.Is(err, reserver.ErrFull) || errors.Is(err, reserver.ErrNoMemory) {
-		return x.streamBody(ctx, answer, body, buffer)
+		x.streamBody(ctx, answer, body, buffer)
+		return nil
 	}
 	if err == nil {
 		err = x.checkEnd(ctx, answer)
@@ -75,18 +76,17 @@
 
 // streamBody sends a response to the client as it arrives, after the part that
 // was already read into buffer.
-func (x *exchange) streamBody(ctx context.Context, answer *caller.Response, start []byte, buffer *reserver.Reservation) error {
+func (x *exchange) streamBody(ctx context.Context, answer *caller.Response, start []byte, buffer *reserver.Reservation) {
 	x.releaseSentBody(answer)
 	if err := x.copyBody(ctx, answer, start, buffer); err != nil {
 		answer.Discard()
 		x.recordOutcome(answer.Status, string(classifier.StreamBroken), err)
-		return nil
+		return
 	}
 	x.recordAnswer(answer)
 	err := answer.Finish()
 	x.response.complete()
 	x.recordOutcome(answer.Status, outcomeAnswered, err)
-	return nil
 }
 
 // copyBody sends a body whose start was read to the client until its end.
--- a/internal/operating/configurer/router.go
+++ b/internal/operating/configurer/router.go
@@ -14,6 +14,13 @@
 	maxBodyTimeout  = 10 * time.Minute
 )
 
+// Limits of the router's memory in MB. With the least one a body of the maximum size, which is
+// held in three copies, has its place.
+const (
+	minMemoryMB = 160
+	maxMemoryMB = 1 << 20
+)
+
 // RouterSettings hold the listen addresses, limits and shutdown delays of the
 // router.
 type RouterSettings struct {
@@ -30,6 +37,8 @@
 	MaxConnections int `json:"max_connections,omitzero"`
 	// BodyTimeout limits the time a caller may take to send a request body.
 	BodyTimeout checker.Duration `json:"body_timeout,omitzero"`
+	// MemoryMB is the memory of the process in MB. Requests are refused before they exceed it.
+	MemoryMB int `json:"memory_mb,omitzero"`
 }
 
 func defaultRouter() RouterSettings {
@@ -38,6 +47,7 @@
 		DrainTimeout:   checker.Duration(10 * time.Minute),
 		MaxConnections: 4096,
 		BodyTimeout:    checker.Duration(30 * time.Second),
+		MemoryMB:       2048,
 	}
 }
 
@@ -57,5 +67,8 @@
 	if err := checkCount("router.max_connections", r.MaxConnections); err != nil {
 		return err
 	}
+	if r.MemoryMB < minMemoryMB || r.MemoryMB > maxMemoryMB {
+		return invalid("router.memory_mb", "got %d, want %d to %d", r.MemoryMB, minMemoryMB, maxMemoryMB)
+	}
 	return checkDuration("router.body_timeout", r.BodyTimeout, time.Second, maxBodyTimeout)
 }
--- a/internal/operating/starter/router.go
+++ b/internal/operating/starter/router.go
@@ -5,6 +5,7 @@
 	"hash/fnv"
 	"net/http"
 	"net/netip"
+	"runtime/debug"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -58,6 +59,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(int64(memoryLimitShare * float64(routerMemory(settings))))
 	m := meter.New()
 	r, err := newRouter(settings, certificates, m, log)
 	if err != nil {
@@ -159,7 +161,7 @@
 		Count:    func(o dispatcher.AnswerEvent, n int) { m.Count(meter.AnswerEvents, string(o), int64(n)) },
 		Log:      log,
 	})
-	r.receiver = receiver.New(receiver.Config{Holder: r.bundles, Dispatcher: r.dispatcher, AdmissionQueue: r.admission, RateLimiter: r.rationer, Log: log})
+	r.receiver = receiver.New(receiver.Config{Holder: r.bundles, Dispatcher: r.dispatcher, AdmissionQueue: r.admission, RateLimiter: r.rationer, Memory: newRouterReserver(settings, m, log), Log: log})
 	return r, nil
 }
 
--- a/internal/serving/receiver/call.go
+++ b/internal/serving/receiver/call.go
@@ -6,6 +6,7 @@
 	"github.com/kataras/iris/v12"
 
 	"gentianstep.example/gentianstep/internal/failure/classifier"
+	"gentianstep.example/gentianstep/internal/operating/reserver"
 	"gentianstep.example/gentianstep/internal/serving/dispatcher"
 	"gentianstep.example/gentianstep/internal/streaming/encoder"
 )
@@ -18,7 +19,9 @@
 		r.fail(p, err)
 		return
 	}
-	job, err := newServiceJob(ctx, info)
+	memory := r.openMemory(ctx)
+	defer memory.Release()
+	job, err := newServiceJob(ctx, info, memory)
 	if err != nil {
 		r.fail(p, err)
 		return
@@ -38,7 +41,7 @@
 
 // newServiceJob builds the job of a service call from its path, headers and
 // body, provided that the organisation may use the service.
-func newServiceJob(ctx iris.Context, info requestInfo) (dispatcher.ServiceJob, error) {
+func newServiceJob(ctx iris.Context, info requestInfo, memory *reserver.Reservation) (dispatcher.ServiceJob, error) {
 	name := ctx.Params().Get("service")
 	service, ok := info.bundle.Service(name)
 	if !ok {
@@ -48,7 +51,7 @@
 	if len(allowed) > 0 && !slices.Contains(allowed, name) {
 		return dispatcher.ServiceJob{}, classifier.New(classifier.Forbidden, "service %q is not open to this organisation", name)
 	}
-	body, err := readBody(ctx)
+	body, err := readBody(ctx, memory)
 	if err != nil {
 		return dispatcher.ServiceJob{}, err
 	}
--- a/internal/serving/receiver/complete.go
+++ b/internal/serving/receiver/complete.go
@@ -12,6 +12,7 @@
 
 	"gentianstep.example/gentianstep/internal/bundle/checker"
 	"gentianstep.example/gentianstep/internal/failure/classifier"
+	"gentianstep.example/gentianstep/internal/operating/reserver"
 	"gentianstep.example/gentianstep/internal/routing/admitter"
 	"gentianstep.example/gentianstep/internal/serving/dispatcher"
 	"gentianstep.example/gentianstep/internal/streaming/encoder"
@@ -26,7 +27,9 @@
 		r.fail(p, err)
 		return
 	}
-	job, err := newJob(ctx, info)
+	memory := r.openMemory(ctx)
+	defer memory.Release()
+	job, err := newJob(ctx, info, memory)
 	if err != nil {
 		r.fail(p, err)
 		return
@@ -65,8 +68,8 @@
 
 // newJob decodes and validates a completion request. The priority of the request
 // takes precedence over that of its organisation.
-func newJob(ctx iris.Context, info requestInfo) (dispatcher.Job, error) {
-	body, err := readBody(ctx)
+func newJob(ctx iris.Context, info requestInfo, memory *reserver.Reservation) (dispatcher.Job, error) {
+	body, err := readBody(ctx, memory)
 	if err != nil {
 		return dispatcher.Job{}, err
 	}
--- a/internal/serving/receiver/fixture_test.go
+++ b/internal/serving/receiver/fixture_test.go
@@ -18,12 +18,18 @@
 	"gentianstep.example/gentianstep/internal/bundle/checker"
 	"gentianstep.example/gentianstep/internal/bundle/holder"
 	"gentianstep.example/gentianstep/internal/bundle/signer"
+	"gentianstep.example/gentianstep/internal/operating/meter"
+	"gentianstep.example/gentianstep/internal/operating/reserver"
 	"gentianstep.example/gentianstep/internal/serving/dispatcher"
 	"gentianstep.example/gentianstep/internal/serving/receiver"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
 )
 
-const callerKey = "caller-key"
+const (
+	callerKey = "caller-key"
+	// memoryBudget is the budget for the bytes of callers.
+	memoryBudget = 64 << 20
+)
 
 var upstreamAddress = addressOf(0)
 
@@ -153,9 +159,22 @@
 // through dial.
 func newHandler(t *testing.T, h *holder.Holder, dial caller.DialFunc, chooser dispatcher.Chooser) (http.Handler, *caller.Caller) {
 	t.Helper()
+	memory := reserver.New(reserver.Config{Bytes: memoryBudget, Meter: meter.New(), Log: discardLog()})
+	return newLimitedHandler(t, h, dial, chooser, memory)
+}
+
+// newLimitedHandler returns such a handler with a memory budget. It checks that nothing is
+// left reserved at the end of the test.
+func newLimitedHandler(t *testing.T, h *holder.Holder, dial caller.DialFunc, chooser dispatcher.Chooser, memory *reserver.Reserver) (http.Handler, *caller.Caller) {
+	t.Helper()
+	t.Cleanup(func() {
+		if held := memory.Held(); held != 0 {
+			t.Errorf("%d bytes are left reserved", held)
+		}
+	})
 	upstreamCaller := caller.New(caller.Config{Dial: dial})
 	dispatch := dispatcher.New(dispatcher.Config{Caller: upstreamCaller, Chooser: chooser, Log: discardLog()})
-	handler, err := receiver.New(receiver.Config{Holder: h, Dispatcher: dispatch, Log: discardLog()}).Handler()
+	handler, err := receiver.New(receiver.Config{Holder: h, Dispatcher: dispatch, Memory: memory, Log: discardLog()}).Handler()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/serving/receiver/receiver.go
+++ b/internal/serving/receiver/receiver.go
@@ -4,11 +4,8 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"net/http"
-	"os"
 	"strings"
 
 	"github.com/google/uuid"
@@ -18,14 +15,12 @@
 	"gentianstep.example/gentianstep/internal/bundle/checker"
 	"gentianstep.example/gentianstep/internal/bundle/holder"
 	"gentianstep.example/gentianstep/internal/failure/classifier"
+	"gentianstep.example/gentianstep/internal/operating/reserver"
 	"gentianstep.example/gentianstep/internal/routing/admitter"
 	"gentianstep.example/gentianstep/internal/serving/dispatcher"
 	"gentianstep.example/gentianstep/internal/streaming/encoder"
 )
 
-// maxBodyBytes is the maximum size of a request body.
-const maxBodyBytes = 8 << 20
-
 // AdmissionQueue limits the completion requests that run at the same time.
 type AdmissionQueue interface {
 	// AcquireSlot waits until r is admitted; release frees its slot.
@@ -47,7 +42,9 @@
 	// RateLimiter is applied once the organisation is identified; nil sets no
 	// limit.
 	RateLimiter RateLimiter
-	Log         *logrus.Entry
+	// Memory is the budget of the bytes that are held for callers; nil sets no limit.
+	Memory *reserver.Reserver
+	Log    *logrus.Entry
 }
 
 // Receiver serves the HTTP requests of callers.
@@ -116,19 +113,3 @@
 	}
 	return info, nil
 }
-
-// readBody reads the request body up to maxBodyBytes. Its errors have the kind
-// that is reported to the caller.
-func readBody(ctx iris.Context) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(ctx.ResponseWriter(), ctx.Request().Body, maxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case err == nil:
-		return body, nil
-	case errors.As(err, &tooLarge):
-		return nil, classifier.Wrap(classifier.TooLarge, err, "the body is over %d bytes", maxBodyBytes)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, classifier.Wrap(classifier.CallerTooSlow, err, "the body did not arrive in time")
-	}
-	return nil, classifier.Wrap(classifier.CallerGone, err, "the body did not arrive")
-}
