forwarder: order and refuse waiting requests by the shedder

Cause: the queue of a VM is ordered by priority and deadline and refuses after three quarters of the objective; short prompts are queued at engines however late they are there.

The queue is ordered by the shedder, and a request that cannot be answered behind those that go first is refused at once with a time to return, spread with jitter. Times at upstreams are measured by route. The picker holds short prompts back as well, by the measured time of requests instead of slotHoldTime, at engines without a free slot only. Engines get late prompts at the least urgent priority.

--- a/internal/gateway/forwarder/attempt.go
+++ b/internal/gateway/forwarder/attempt.go
@@ -104,7 +104,7 @@
 		options.Organisation = x.organisation.Name
 	}
 	if x.route.CarriesPrompt {
-		options.Priority = x.priority()
+		options.Priority = x.enginePriority(now)
 	}
 	return options
 }
--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -94,6 +94,8 @@
 	firstByteSentAt atomic.Pointer[time.Time]
 	// pass holds the trials that permit the latest attempt. The transport sets it.
 	pass atomic.Pointer[quarantiner.Pass]
+	// weighed is what the refused request was weighed against, or nil.
+	weighed *weighed
 	// readingPrompt is true from sending an attempt until the upstream has read
 	// the prompt.
 	readingPrompt bool
@@ -167,8 +169,8 @@
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	w := &waiter{priority: x.priority(), deadline: x.deadline}
-	for {
+	w := x.newWaiter(latest)
+	for arrival := true; ; arrival = false {
 		now := time.Now()
 		if refusal := x.checkSendable(now); refusal != nil {
 			return nil, refusal
@@ -177,6 +179,7 @@
 		switch {
 		case x.choice.Upstream != nil:
 			x.picker.RecordSent(now, q, x.choice)
+			x.recordSent(now)
 			if x.choice.PromptTokens >= urgentPromptTokens {
 				x.overload.recordDecision(false)
 				x.RequestUrgentReport()
@@ -186,16 +189,19 @@
 			if refusal := x.refuseNoUpstream(now, latest); refusal != nil {
 				return nil, refusal
 			}
-		case x.choice.Reason == picker.Behind && now.Sub(x.arrivedAt) >= x.maxBacklogWait():
-			return nil, x.rejectPrompt(now)
+		case x.backlogWaitEnded(now):
+			return nil, x.rejectPrompt(now, w)
 		case !now.Before(latest):
 			return nil, classifier.New(classifier.Overloaded, "every upstream of %s is full", x.service)
 		}
+		if refusal := x.shed(now, w, arrival); refusal != nil {
+			return nil, refusal
+		}
 		until := latest
 		if recheckAt := now.Add(backlogPollInterval); x.choice.Reason == picker.Behind && recheckAt.Before(latest) {
 			until = recheckAt
 		}
-		x.waitForCapacity(ctx, x.service, w, x.accessChangeAt(now, until))
+		x.waitForCapacity(ctx, w, x.accessChangeAt(now, until))
 		if x.r.Context().Err() != nil {
 			return nil, classifier.Wrap(classifier.CallerGone, x.r.Context().Err(), "the client left while waiting")
 		}
--- a/internal/gateway/forwarder/line.go
+++ b/internal/gateway/forwarder/line.go
@@ -1,64 +1,85 @@
 package forwarder
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"time"
+
+	"gentianstep.example/gentianstep/internal/routing/shedder"
 )
 
 // waiter is a request that waits for capacity at an upstream.
 type waiter struct {
-	priority int
-	deadline time.Time
+	// request is what the request is weighed by, as of its latest choice.
+	request shedder.Request
+	// competes is false while the request waits for something else than capacity.
+	competes bool
+	// pace is that of the request's route, work the estimate of an engine that
+	// replaces it, or 0.
+	pace *pace
+	work time.Duration
 	// ready is closed when the request should try again.
 	ready chan struct{}
 }
 
-// waitQueue holds the requests that wait for capacity of one service, ordered
-// by priority and then by deadline. A client that was refused and retries has
-// less time left, and goes before others of its priority.
+// waitQueue holds the requests that wait for capacity of one service. They are served
+// in the order of the shedder.
 type waitQueue struct {
 	waiters []*waiter
+	// paces holds how long requests of each route take, all that of all requests.
+	paces map[string]*pace
+	all   pace
+	usage shedder.Usage
+	// inFlight is the number of requests that this VM has at upstreams.
+	inFlight int
+	// returnsFrom is the time given to the client that was refused last.
+	returnsFrom time.Time
 }
 
-// add inserts a request in the order of the queue.
-func (q *waitQueue) add(w *waiter) {
-	i, _ := slices.BinarySearchFunc(q.waiters, w, func(a, b *waiter) int {
-		return cmp.Or(cmp.Compare(a.priority, b.priority), a.deadline.Compare(b.deadline))
-	})
-	q.waiters = slices.Insert(q.waiters, i, w)
+// queue returns the queue of the request's service. The caller holds x.mu.
+func (x *exchange) queue() *waitQueue {
+	q, ok := x.queues[x.service]
+	if !ok {
+		q = &waitQueue{paces: make(map[string]*pace)}
+		x.queues[x.service] = q
+	}
+	return q
+}
+
+func (q *waitQueue) add(w *waiter) { q.waiters = append(q.waiters, w) }
+
+// remove deletes a request from the queue. It reports whether it was there.
+func (q *waitQueue) remove(w *waiter) bool {
+	i := slices.Index(q.waiters, w)
+	if i < 0 {
+		return false
+	}
+	q.waiters = slices.Delete(q.waiters, i, i+1)
+	return true
 }
 
-// remove deletes a request from the queue if it is there.
-func (q *waitQueue) remove(w *waiter) {
-	if i := slices.Index(q.waiters, w); i >= 0 {
-		q.waiters = slices.Delete(q.waiters, i, i+1)
+// wake removes a request and lets it try again, if it is in the queue.
+func (q *waitQueue) wake(w *waiter) {
+	if q.remove(w) {
+		close(w.ready)
 	}
 }
 
-// wakeFirst removes the first request and lets it try again.
-func (q *waitQueue) wakeFirst() {
-	if len(q.waiters) == 0 {
-		return
+// wakeFirst wakes the first request in the order of service.
+func (q *waitQueue) wakeFirst(now time.Time) {
+	if len(q.waiters) > 0 {
+		q.wake(slices.MinFunc(q.waiters, func(a, b *waiter) int { return shedder.Compare(now, &a.request, &b.request) }))
 	}
-	w := q.waiters[0]
-	q.waiters = slices.Delete(q.waiters, 0, 1)
-	close(w.ready)
 }
 
 // waitForCapacity returns true when an upstream of the service may have
 // capacity, and false at the deadline or when ctx is done. The caller holds
-// f.mu, which is released during the wait.
-func (f *Forwarder) waitForCapacity(ctx context.Context, service string, w *waiter, deadline time.Time) bool {
-	q, ok := f.queues[service]
-	if !ok {
-		q = &waitQueue{}
-		f.queues[service] = q
-	}
+// x.mu, which is released during the wait.
+func (x *exchange) waitForCapacity(ctx context.Context, w *waiter, deadline time.Time) bool {
+	q := x.queue()
 	w.ready = make(chan struct{})
 	q.add(w)
-	f.mu.Unlock()
+	x.mu.Unlock()
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
 	woken := false
@@ -68,11 +89,11 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	f.mu.Lock()
+	x.mu.Lock()
 	if !woken {
 		select {
 		case <-w.ready:
-			q.wakeFirst() // passes the wake-up on to the next request
+			q.wakeFirst(time.Now()) // passes the wake-up on to the next request
 		default:
 			q.remove(w)
 		}
@@ -87,9 +108,10 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.picker.EndRequest(x.choice)
-	if q, ok := x.queues[x.service]; ok {
-		q.wakeFirst()
-	}
+	now, q := time.Now(), x.queue()
+	q.inFlight--
+	x.recordPace(now, q)
+	q.wakeFirst(now)
 }
 
 // markPromptRead records that the upstream has read the prompt and wakes the
@@ -102,8 +124,6 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.picker.EndPrefill(x.choice)
-	if q, ok := x.queues[x.service]; ok {
-		q.wakeFirst()
-	}
+	x.queue().wakeFirst(time.Now())
 	return true
 }
--- a/internal/gateway/forwarder/overload.go
+++ b/internal/gateway/forwarder/overload.go
@@ -64,12 +64,12 @@
 }
 
 // rejectPrompt returns the refusal of a prompt for which every engine is too far
-// behind, and records that of a long one. Short prompts are refused only while engines
-// wait for newer weights.
-func (x *exchange) rejectPrompt(now time.Time) *classifier.Error {
+// behind. The refusals of long ones determine the time to return.
+func (x *exchange) rejectPrompt(now time.Time, w *waiter) *classifier.Error {
 	if x.choice.PromptTokens >= urgentPromptTokens {
 		x.overload.recordDecision(true)
 	}
+	x.weighed = x.weighAhead(now, w, x.choice.Backlog)
 	err := classifier.New(classifier.Overloaded, "every engine of %s is too far behind", x.service)
 	err.RetryAt = now.Add(x.overload.retryAfter(x.choice.Backlog))
 	return err
--- a/internal/gateway/forwarder/query.go
+++ b/internal/gateway/forwarder/query.go
@@ -25,6 +25,7 @@
 		Exclude:   x.tried,
 		Objective: x.remainingObjective(now),
 		BodyBytes: len(x.body),
+		HoldTime:  x.queue().all.hold,
 		OtherVMs:  int(x.vms.Load()) - 1,
 		LoadAge:   x.cfg.View.LoadAge(now),
 		OtherLoad: func(id string) picker.Load {
--- a/internal/gateway/forwarder/withhold.go
+++ b/internal/gateway/forwarder/withhold.go
@@ -97,7 +97,7 @@
 	defer f.mu.Unlock()
 	for name, q := range f.queues {
 		for (service == "" || service == name) && len(q.waiters) > 0 {
-			q.wakeFirst()
+			q.wakeFirst(time.Now())
 		}
 	}
 }
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -31,9 +31,8 @@
 	// Full means that each usable upstream has reached a limit of its requests
 	// in flight.
 	Full Reason = "full"
-	// Behind means that the prefill queue of each usable engine is so long that
-	// a long prompt, and each request queued after it, would miss its
-	// objective, or that its weights may have to be replaced before a request
+	// Behind means that the queue of each usable engine is so long that the prompt
+	// would miss its objective, or that its weights may have to be replaced before a request
 	// gets a slot.
 	Behind Reason = "behind"
 )
@@ -119,8 +118,10 @@
 			continue
 		}
 		c := e.estimateCosts(u, load)
-		if p.queueTooLong(q, c) || mayStartTooLate(q, c) {
+		late := mayStartTooLate(q, c)
+		if late || p.queueTooLong(q, c) {
 			best = lessBehind(best, c)
+			best.QueueTooLong = best.QueueTooLong || !late
 			continue
 		}
 		choices = append(choices, c)
@@ -141,22 +142,43 @@
 	return q.Prompt != nil && c.WeightsVersion < q.Prompt.DueVersion && c.Load.InFlight >= max(c.Upstream.Slots, 1)
 }
 
-// queueTooLong reports whether a prompt with a long prefill would miss the
-// objective because of the engine's queue.
+// queueTooLong reports whether a prompt would miss the objective because of the
+// engine's queue.
 func (p *Picker) queueTooLong(q Query, c Choice) bool {
-	if q.Objective <= 0 || c.PromptTokens < heavyPrefillTokens {
+	if q.Objective <= 0 || q.Prompt == nil {
 		return false
 	}
+	queue := p.calibration.scale(c.Costs.Queue)
+	if c.PromptTokens < heavyPrefillTokens {
+		queue = p.shortPromptQueue(q, c)
+	}
 	prefill := p.calibration.scale(c.Costs.Prefill + c.Costs.Fetch)
 	allowed := max(q.Objective-prefill, time.Duration(minQueueShare*float64(q.Objective)))
-	return p.calibration.scale(c.Costs.Queue) > allowed
+	return queue > allowed
+}
+
+// shortPromptQueue returns the wait of a prompt with a short prefill. It is 0 at an
+// engine with a free slot, where the prompt delays no other one. The wait for a slot
+// follows from the measured time of requests at upstreams, since slotHoldTime is
+// several times too long where prompts and responses are short.
+func (p *Picker) shortPromptQueue(q Query, c Choice) time.Duration {
+	slots := max(c.Upstream.Slots, 1)
+	over := c.Load.InFlight + 1 - slots
+	if over <= 0 || q.HoldTime <= 0 {
+		return 0
+	}
+	others := c.Costs.Queue - time.Duration(over)*slotHoldTime/time.Duration(slots)
+	return p.calibration.scale(others) + time.Duration(over)*q.HoldTime/time.Duration(c.Load.InFlight)
 }
 
 // lessBehind returns the choice of no engine, given that c cannot be chosen either: the
 // shortest backlog, and the fewest tokens that an engine would have to prefill.
 func lessBehind(best, c Choice) Choice {
 	if best.Reason != Behind {
-		return Choice{Reason: Behind, Backlog: c.Costs.Queue, PromptTokens: c.PromptTokens}
+		return Choice{Reason: Behind, Backlog: c.Costs.Queue, PromptTokens: c.PromptTokens, Costs: c.Costs}
+	}
+	if c.Costs.Queue+c.Costs.Prefill+c.Costs.Fetch < best.Costs.Queue+best.Costs.Prefill+best.Costs.Fetch {
+		best.Costs = c.Costs
 	}
 	best.Backlog = shorterBacklog(best.Backlog, c.Costs.Queue)
 	best.PromptTokens = min(best.PromptTokens, c.PromptTokens)
--- a/internal/routing/picker/query.go
+++ b/internal/routing/picker/query.go
@@ -103,6 +103,9 @@
 	// Objective is the time left until the latency objective of the first
 	// event; 0 sets no bound on queues.
 	Objective time.Duration
+	// HoldTime is the mean time for which requests were at upstreams of the service
+	// lately, 0 if it is not known. Short prompts are then not held back.
+	HoldTime time.Duration
 	// Prompt is nil for a service without engines.
 	Prompt *Prompt
 	// OtherLoad returns the load that other VMs have at an upstream or store.
@@ -166,9 +169,14 @@
 	PromptTokens int
 	// Backlog is the shortest wait in a queue if the reason is Behind.
 	Backlog time.Duration
+	// QueueTooLong is true if the reason is Behind and not only because of weights that
+	// may have to be replaced.
+	QueueTooLong bool
 	// Candidates is the number of upstreams considered.
 	Candidates int
 	// Load is the load of all VMs at the upstream before this request.
-	Load  Load
+	Load Load
+	// Costs are those at the upstream, or at the one with the earliest first event if
+	// the reason is Behind.
 	Costs Costs
 }
--- a/internal/routing/shedder/load_test.go
+++ b/internal/routing/shedder/load_test.go
@@ -145,6 +145,7 @@
 	requests := make([]*shedder.Request, 0, len(p.waiting))
 	clients := make(map[*shedder.Request]*client, len(p.waiting))
 	for _, c := range p.waiting {
+		p.usage.Touch(p.now, c.Organisation)
 		c.StartAt, c.Overuse = slices.MinFunc(p.freeAt, time.Time.Compare), p.usage.Overuse(p.now, c.Organisation)
 		requests, clients[&c.Request] = append(requests, &c.Request), c
 	}
--- a/internal/routing/shedder/usage.go
+++ b/internal/routing/shedder/usage.go
@@ -25,6 +25,15 @@
 	asOf time.Time
 }
 
+// Touch makes an organisation count in fair shares while its requests wait. One whose
+// requests are never sent would otherwise have no share.
+func (u *Usage) Touch(now time.Time, organisation string) {
+	u.decay(now)
+	if u.tokens[organisation] < minUsage {
+		u.Record(now, organisation, minUsage)
+	}
+}
+
 // Record adds the tokens of a request that is sent.
 func (u *Usage) Record(now time.Time, organisation string, tokens float64) {
 	u.decay(now)
