coordinator: share samples of the speeds of engines, publish factors

Each VM sees few prompts per engine, so that its own estimate would be slow and would differ from that of others. Reports now carry the sums of samples since the last one (CBOR key 10), only for engines with samples. The hub merges them in a gauger and publishes the factors that have changed by more than a tenth (State, key 10). A VM keeps the factors of an earlier hub for 10 s. Nothing drains samples yet.

--- a/internal/peering/coordinator/frame.go
+++ b/internal/peering/coordinator/frame.go
@@ -31,6 +31,7 @@
 	h.updatePending(now, nil)
 	h.expireDepartures(now)
 	h.advanceLedger(now)
+	h.updateSpeeds(now)
 	granted := h.grantLimits(now)
 	if len(h.sessions) == 0 {
 		h.dropFrames()
@@ -53,7 +54,7 @@
 }
 
 func (h *Hub) hasChanges() bool {
-	return len(h.totals.changed)+len(h.changedEngines)+len(h.changedParts)+len(h.changedDepartures) > 0 || h.ledger.HasChanges() || h.limits.HasChanges() || h.limits.HasQuotaChanges()
+	return len(h.totals.changed)+len(h.changedEngines)+len(h.changedParts)+len(h.changedDepartures)+len(h.changedSpeeds) > 0 || h.ledger.HasChanges() || h.limits.HasChanges() || h.limits.HasQuotaChanges()
 }
 
 func (h *Hub) lastFrame() *frame {
@@ -76,6 +77,9 @@
 	for c := range h.changedParts {
 		state.Cached = append(state.Cached, h.upstreamPart(c))
 	}
+	for upstream := range h.changedSpeeds {
+		state.Speeds = append(state.Speeds, h.upstreamSpeed(upstream))
+	}
 	state.Departures = slices.Collect(maps.Keys(h.changedDepartures))
 	state.Quarantines = h.drainQuarantines(now)
 	state.Limits = newLimits(now, h.limits.DrainChanges())
@@ -115,6 +119,7 @@
 	clear(h.changedEngines)
 	clear(h.changedParts)
 	clear(h.changedDepartures)
+	clear(h.changedSpeeds)
 	h.drainQuarantines(time.Now())
 	h.limits.DrainChanges()
 }
@@ -152,6 +157,9 @@
 	for upstream := range h.totals.sums {
 		state.Loads = append(state.Loads, h.upstreamLoad(upstream))
 	}
+	for _, f := range h.speeds.Factors() {
+		state.Speeds = append(state.Speeds, h.upstreamSpeed(f.Upstream))
+	}
 	for _, e := range h.engines {
 		state.Engines = append(state.Engines, e)
 	}
@@ -162,6 +170,7 @@
 	// the table must not hold them yet. Rows that use them are left to that frame.
 	state.Names = h.names.names[:h.namesSent]
 	state.Loads = slices.DeleteFunc(state.Loads, func(l UpstreamLoad) bool { return l.Upstream >= h.namesSent })
+	state.Speeds = slices.DeleteFunc(state.Speeds, func(s UpstreamSpeed) bool { return s.Upstream >= h.namesSent })
 	state.Cached = slices.DeleteFunc(state.Cached, func(p UpstreamPart) bool { return max(p.Upstream, p.Scope) >= h.namesSent })
 	data, err := messenger.EncodeValue(state)
 	if err != nil {
--- a/internal/peering/coordinator/hub.go
+++ b/internal/peering/coordinator/hub.go
@@ -11,6 +11,7 @@
 
 	"gentianstep.example/gentianstep/internal/caching/cataloguer"
 	"gentianstep.example/gentianstep/internal/operating/pauser"
+	"gentianstep.example/gentianstep/internal/routing/gauger"
 	"gentianstep.example/gentianstep/internal/routing/quarantiner"
 	"gentianstep.example/gentianstep/internal/routing/throttler"
 )
@@ -69,12 +70,15 @@
 	// requests wait for one.
 	quotasVersion uint64
 	quotaTimer    wakeTimer
+	// speeds estimates the speeds of engines from the samples of all VMs.
+	speeds *gauger.Gauger
 
-	// changedEngines, changedParts and changedDepartures are the changes since the last
-	// frame.
+	// changedEngines, changedParts, changedDepartures and changedSpeeds are the changes since
+	// the last frame.
 	changedEngines    map[string]struct{}
 	changedParts      map[CachedPart]struct{}
 	changedDepartures map[Departure]struct{}
+	changedSpeeds     map[string]struct{}
 	// frames holds the latest frames, the newest last. The first one has the number
 	// firstFrame.
 	frames     []*frame
@@ -106,6 +110,8 @@
 		ledger:            quarantiner.NewLedger(),
 		limits:            throttler.NewAllocator[*session](),
 		changedDepartures: make(map[Departure]struct{}),
+		speeds:            gauger.New(),
+		changedSpeeds:     make(map[string]struct{}),
 		// Sessions start at frame 0, so that their first message is the full state.
 		firstFrame: 1,
 		wake:       make(chan struct{}, 1),
@@ -240,6 +246,7 @@
 	h.addDepartures(now, r.Departures)
 	h.applyEvidence(now, r.Node, r.Evidence)
 	h.applyLimits(now, s, r)
+	h.applySpeeds(now, r.Speeds)
 	h.totals.replace(s.loads, r.Loads)
 	s.loads = r.Loads
 	if h.hasChanges() || len(r.Limits)+len(r.Quotas) > 0 {
--- a/internal/peering/coordinator/message.go
+++ b/internal/peering/coordinator/message.go
@@ -95,6 +95,8 @@
 	// Quotas lists the use of quotas since the last report, and the demand of requests that
 	// wait for one.
 	Quotas []QuotaUse `cbor:"9,keyasint,omitempty"`
+	// Speeds lists the engines with samples of their speed since the last report.
+	Speeds []SpeedSample `cbor:"10,keyasint,omitempty"`
 }
 
 // Check returns an error if the node or the number is missing or a load is negative.
@@ -122,6 +124,9 @@
 	if err := checkQuotaUses(r.Quotas); err != nil {
 		return fmt.Errorf("report: %w", err)
 	}
+	if err := checkSpeedSamples(r.Speeds); err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
 	return nil
 }
 
@@ -164,6 +169,9 @@
 	Quarantines  []Quarantine `cbor:"8,keyasint,omitempty"`
 	// Limits lists the limits that have changed, or all if Full is set.
 	Limits []Limit `cbor:"9,keyasint,omitempty"`
+	// Speeds lists the engines whose speed has changed by more than a tenth, or all that do
+	// not have the mean speed if Full is set.
+	Speeds []UpstreamSpeed `cbor:"10,keyasint,omitempty"`
 	// Quotas lists the quotas whose state has changed, or all if Full is set.
 	Quotas []QuotaState `cbor:"11,keyasint,omitempty"`
 }
@@ -197,5 +205,8 @@
 	if err := checkQuotaStates(s.Quotas); err != nil {
 		return fmt.Errorf("state: %w", err)
 	}
+	if err := checkSpeeds(s.Speeds, names); err != nil {
+		return fmt.Errorf("state: %w", err)
+	}
 	return nil
 }
--- a/internal/peering/coordinator/subscriber.go
+++ b/internal/peering/coordinator/subscriber.go
@@ -15,6 +15,7 @@
 
 	"gentianstep.example/gentianstep/internal/operating/pauser"
 	"gentianstep.example/gentianstep/internal/peering/messenger"
+	"gentianstep.example/gentianstep/internal/routing/gauger"
 	"gentianstep.example/gentianstep/internal/routing/quarantiner"
 	"gentianstep.example/gentianstep/internal/routing/withholder"
 )
@@ -57,6 +58,9 @@
 	Limits Limits
 	// Quotas keeps the quotas of organisations; nil for none.
 	Quotas Quotas
+	// DrainSpeeds returns and clears the samples of the speeds of engines since the last
+	// call; nil for none.
+	DrainSpeeds func() []gauger.Sample
 	// UrgentReports signals that the loads should be reported before the next interval.
 	UrgentReports <-chan struct{}
 	View          *View
@@ -163,8 +167,9 @@
 		events := evidence.next()
 		limits, alone := s.limitReports(now, reports.isFirst())
 		quotas, aloneInQuotas := s.quotaReports()
-		if changed || len(events) > 0 || len(limits)+len(quotas) > 0 || !maps.Equal(loads, last) || len(sent) > 0 || !now.Before(keepAliveAt) {
-			report := Report{Node: s.cfg.Node, Loads: loads, SentParts: sent, Number: reports.add(now, loads), Evidence: newEvidence(now, events), Limits: limits, Alone: alone || aloneInQuotas, Quotas: quotas}
+		speeds := s.speedSamples()
+		if changed || len(events) > 0 || len(limits)+len(quotas)+len(speeds) > 0 || !maps.Equal(loads, last) || len(sent) > 0 || !now.Before(keepAliveAt) {
+			report := Report{Node: s.cfg.Node, Loads: loads, SentParts: sent, Number: reports.add(now, loads), Evidence: newEvidence(now, events), Limits: limits, Alone: alone || aloneInQuotas, Quotas: quotas, Speeds: speeds}
 			if changed {
 				report.Departures = departures
 			}
@@ -200,6 +205,13 @@
 	return newQuotaUses(list), alone
 }
 
+func (s *Subscriber) speedSamples() []SpeedSample {
+	if s.cfg.DrainSpeeds == nil {
+		return nil
+	}
+	return newSpeedSamples(s.cfg.DrainSpeeds())
+}
+
 func (s *Subscriber) departures() []Departure {
 	if s.cfg.Departures == nil {
 		return nil
--- a/internal/peering/coordinator/view.go
+++ b/internal/peering/coordinator/view.go
@@ -46,6 +46,8 @@
 	pending map[CachedPart]struct{}
 	// corrections holds the older weights that engines named, by upstream.
 	corrections map[string]correction
+	// speeds holds the factors other than 1, by upstream.
+	speeds map[string]speed
 }
 
 // engineState is an Engine with the expiry of its ChangingWeights mark and of its weights.
@@ -59,7 +61,7 @@
 func NewView() *View {
 	return &View{
 		loads: make(map[string]Load), engines: make(map[string]engineState), catalogue: cataloguer.New(),
-		pending: make(map[CachedPart]struct{}), corrections: make(map[string]correction),
+		pending: make(map[CachedPart]struct{}), corrections: make(map[string]correction), speeds: make(map[string]speed),
 	}
 }
 
@@ -79,6 +81,7 @@
 		clear(v.pending)
 	}
 	v.names = append(v.names, s.Names...)
+	v.applySpeeds(now, s)
 	for _, l := range s.Loads {
 		v.setLoad(v.names[l.Upstream], Load{l.InFlight, l.PromptTokens, l.CopyingMillis})
 	}
