picker: choose by the speeds of engines

The picker assumed the same prefill time per token at every engine, so that slow engines got as many long prompts as fast ones. Query.Speed gives the speed relative to the mean. Queue and prefill time are divided by it, the limit of requests in flight of a slow engine is lowered in proportion, homes come from weighted rendezvous hashing, and work of other VMs that is not seen yet is assumed to follow the speeds. Homes and limits use the speed in steps of a quarter, so that homes do not move with each sample.

decisions.json and all tests of the picker and the rehearser pass unchanged with equal speeds.

--- a/internal/routing/picker/estimate.go
+++ b/internal/routing/picker/estimate.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"gentianstep.example/gentianstep/internal/membership/registrar"
 )
 
@@ -81,7 +79,7 @@
 		return e
 	}
 	if q.Prompt.Long() {
-		e.home = rendezvousHome(q.Prompt.PrefixID(), e.inStoreRegion(candidates))
+		e.home = e.rendezvousHome(q.Prompt.PrefixID(), e.inStoreRegion(candidates))
 		return e
 	}
 	// Short prompts stay in the VM's availability zone if it has an upstream.
@@ -94,7 +92,7 @@
 	if len(near) == 0 {
 		near = candidates
 	}
-	e.home = rendezvousHome(q.Prompt.PrefixID(), near)
+	e.home = e.rendezvousHome(q.Prompt.PrefixID(), near)
 	return e
 }
 
@@ -116,15 +114,15 @@
 	return near
 }
 
-// rendezvousHome returns the upstream that rendezvous hashing assigns to a
-// part.
-func rendezvousHome(part string, candidates []*registrar.Upstream) *registrar.Upstream {
+// rendezvousHome returns the upstream that rendezvous hashing, weighted by speed, assigns
+// to a part.
+func (e *costEstimator) rendezvousHome(part string, candidates []*registrar.Upstream) *registrar.Upstream {
 	var best *registrar.Upstream
-	bestHash := uint64(0)
+	var bestScore homeScore
 	for _, u := range candidates {
-		hash := xxhash.Sum64String(part + "\x00" + u.ID)
-		if best == nil || hash > bestHash {
-			best, bestHash = u, hash
+		score := newHomeScore(part, u, speedStepOf(e.query.speed(u)))
+		if best == nil || score.above(bestScore) {
+			best, bestScore = u, score
 		}
 	}
 	return best
@@ -133,7 +131,7 @@
 // estimateCosts returns the choice of u with the estimated costs of sending the
 // request there.
 func (e *costEstimator) estimateCosts(u *registrar.Upstream, load Load) Choice {
-	c := Choice{Upstream: u, Reason: LowestCost, Load: load}
+	c := Choice{Upstream: u, Reason: LowestCost, Load: load, Speed: e.query.speed(u)}
 	c.Costs.Queue = time.Duration(load.InFlight) * slowdownPerRequest
 	if over := load.InFlight + 1 - max(u.Slots, 1); over > 0 {
 		c.Costs.Queue += time.Duration(over) * slotHoldTime / time.Duration(max(u.Slots, 1))
@@ -145,6 +143,7 @@
 	if e.query.Prompt != nil {
 		e.addPromptCosts(u, load, &c)
 	}
+	c.Costs.Queue, c.Costs.Prefill = atSpeed(c.Costs.Queue, c.Speed), atSpeed(c.Costs.Prefill, c.Speed)
 	return c
 }
 
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -114,7 +114,7 @@
 	choices := make([]Choice, 0, len(candidates))
 	best := Choice{Reason: Full}
 	for _, u := range candidates {
-		load, limits := p.totalLoad(q, u), q.Limits(u)
+		load, limits := p.totalLoad(q, u), q.limitsAt(u)
 		if load.InFlight >= limits.All || p.ownLoad(u.ID).InFlight >= limits.Own {
 			continue
 		}
--- a/internal/routing/picker/picker_test.go
+++ b/internal/routing/picker/picker_test.go
@@ -33,6 +33,8 @@
 	Limited bool `json:"limited"`
 	// CopyingMS is the time in ms that copies keep the upstream's link busy.
 	CopyingMS int `json:"copying_ms"`
+	// Speed is the speed relative to the mean, 0 for the mean.
+	Speed float64 `json:"speed"`
 }
 
 type decisionRow struct {
@@ -73,8 +75,13 @@
 
 func TestDecisions(t *testing.T) {
 	t.Parallel()
+	checkDecisions(t, "testdata/decisions.json")
+}
+
+func checkDecisions(t *testing.T, path string) {
+	t.Helper()
 	var rows []decisionRow
-	scripter.Read(t, "testdata/decisions.json", &rows)
+	scripter.Read(t, path, &rows)
 	for _, row := range rows {
 		t.Run(row.Name, func(t *testing.T) {
 			t.Parallel()
@@ -139,14 +146,15 @@
 }
 
 func query(row decisionRow) picker.Query {
+	rows := make(map[string]upstreamRow)
 	q := picker.Query{
 		Limits: limitsOf(24), BodyBytes: 34_000,
 		Objective: time.Duration(row.ObjectiveMS) * time.Millisecond,
 	}
+	q.Speed = func(u *registrar.Upstream) float64 { return rows[u.ID].Speed }
 	if row.Limit > 0 {
 		q.Limits = limitsOf(row.Limit)
 	}
-	rows := make(map[string]upstreamRow)
 	holders := make(map[string]cataloguer.Holding)
 	for n, u := range row.Upstreams {
 		rows[u.ID] = u
--- a/internal/routing/picker/query.go
+++ b/internal/routing/picker/query.go
@@ -98,6 +98,9 @@
 	Sources []*registrar.Upstream
 	// Limits returns the limits of an upstream.
 	Limits func(u *registrar.Upstream) Limits
+	// Speed returns the speed of an engine relative to the mean of its service; nil stands
+	// for equal speeds. All VMs should get the same one, since homes depend on it.
+	Speed func(*registrar.Upstream) float64
 	// BodyBytes is the size of the request body.
 	BodyBytes int
 	// Objective is the time left until the latency objective of the first
@@ -169,6 +172,8 @@
 	// Candidates is the number of upstreams considered.
 	Candidates int
 	// Load is the load of all VMs at the upstream before this request.
-	Load  Load
+	Load Load
+	// Speed is the speed of the upstream relative to the mean that the costs assume.
+	Speed float64
 	Costs Costs
 }
--- a/internal/routing/picker/spread.go
+++ b/internal/routing/picker/spread.go
@@ -28,13 +28,13 @@
 	return r.rate * math.Exp(-float64(now.Sub(r.updatedAt))/float64(sendRateWindow))
 }
 
-// work returns how long a request occupies the part of its upstream that others wait
-// for.
+// work returns how long a request occupies the part of an upstream of speed 1 that others
+// wait for.
 func (c Choice) work(q Query) time.Duration {
 	if q.Prompt == nil {
 		return slowdownPerRequest
 	}
-	return c.Costs.Prefill + slowdownPerRequest
+	return time.Duration(c.PromptTokens)*prefillPerToken + slowdownPerRequest
 }
 
 // unseenWork returns the work that the other VMs are expected to have sent since the
@@ -50,7 +50,7 @@
 // selectChoice returns one of the choices: the cheapest if little work is unseen. Else it
 // assumes that the other VMs fill up the upstreams of the lowest cost to the same level,
 // and returns each of those with a probability that is proportional to its distance from
-// that level. So the VMs together send to each what it has room for.
+// that level, and to its speed. So the VMs together send to each what it has room for.
 //
 // Upstreams that would read again what others hold, or what another one is about to read,
 // are left out unless the cheapest would too.
@@ -64,19 +64,21 @@
 	}
 	recompute := choices[0].Costs.Recompute
 	choices = slices.DeleteFunc(choices, func(c Choice) bool { return c.Costs.Recompute > recompute })
-	sum, n := time.Duration(0), 0
+	// sum and speeds are the costs, weighted by the speeds, and the speeds of the first n.
+	sum, speeds, n := 0.0, 0.0, 0
 	for n < len(choices) {
-		cost := choices[n].Costs.Total()
-		if time.Duration(n)*cost-sum >= unseen {
+		cost, speed := float64(choices[n].Costs.Total()), choices[n].Speed
+		if speeds*cost-sum >= float64(unseen) {
 			break
 		}
-		sum += cost
+		sum += cost * speed
+		speeds += speed
 		n++
 	}
-	level := (unseen + sum) / time.Duration(n)
+	level := time.Duration((float64(unseen) + sum) / speeds)
 	left := time.Duration(rng.Int64N(max(int64(unseen), 1)))
 	for _, c := range choices[:n] {
-		if left -= level - c.Costs.Total(); left < 0 {
+		if left -= time.Duration(float64(level-c.Costs.Total()) * c.Speed); left < 0 {
 			return c
 		}
 	}
