--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -117,11 +117,11 @@
 	best := Choice{Reason: Full}
 	room := p.rooms[q.Prompt != nil]
 	room.divide(now, p.rng, q, candidates, func(u *registrar.Upstream) (free, all int) {
-		all = q.Limits(u).All
+		all = q.limitsAt(u).All
 		return max(all-p.totalLoad(q, u).InFlight, 0), all
 	})
 	for _, u := range candidates {
-		load, limits := p.totalLoad(q, u), q.Limits(u)
+		load, limits := p.totalLoad(q, u), q.limitsAt(u)
 		if load.InFlight >= limits.All || p.ownLoad(u.ID).InFlight >= limits.Own || room.taken(u.ID) {
 			continue
 		}
