throttler: state the quota of each test of credits

Cause: merging two changes left a test with an amount that its quota admits. Change: tests name the quota that they need. Measured: the tests of credits pass.

--- a/internal/routing/throttler/quota_faults_test.go
+++ b/internal/routing/throttler/quota_faults_test.go
@@ -101,19 +101,21 @@
 	is.Equal(h.granted, 3600.0)
 	is.True(h.quotas[organisation].saved < 0)
 
-	c := newFaultCredits(modelStart)
+	c := newFaultCredits(modelStart, faultQuota)
 	lost := modelStart.Add(2 * hubTTL)
 	is.True(!c.Take(lost, organisation, 1e9))
 	is.True(c.RoomAt(lost, organisation, 1e9).After(lost.Add(maxRoom / 2)))
 	is.True(c.Take(lost, organisation, 4000)) // a debt after a calm state
 }
 
+// advanceQuota lets a VM alone use 600 in advance.
+var advanceQuota = Quota{PerSecond: 1000, Capacity: 1200, Reserve: 1200}
+
 // newFaultCredits returns the credits of the only VM, whose hub is calm.
-func newFaultCredits(now time.Time) *Credits {
+func newFaultCredits(now time.Time, quota Quota) *Credits {
 	c := NewCredits()
 	c.SetFleet(now, NewFleet("a", []string{"a"}))
-	// Half of the capacity may be used in advance: 600.
-	c.SetQuotas(now, map[string]Quota{organisation: {PerSecond: 1000, Capacity: 1200, Reserve: 1200}})
+	c.SetQuotas(now, map[string]Quota{organisation: quota})
 	c.Reports(now)
 	c.ConfirmHub(now, now)
 	c.ApplyState(now, QuotaState{Organisation: organisation, Calm: true})
@@ -125,7 +127,7 @@
 func TestUseInAdvanceCountsUntilReported(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	c := newFaultCredits(modelStart)
+	c := newFaultCredits(modelStart, advanceQuota)
 	at := func(n int) time.Time { return modelStart.Add(time.Duration(n) * reportTime) }
 	c.Reports(at(1))
 	is.True(c.Take(at(1), organisation, 500)) // at the time of the report, after it
@@ -142,13 +144,13 @@
 	t.Parallel()
 	is := is.New(t)
 	now := modelStart.Add(reportTime)
-	c := newFaultCredits(modelStart)
+	c := newFaultCredits(modelStart, advanceQuota)
 	is.True(!c.Take(now, organisation, 1500))
 	c.EndHub(now)
 	is.True(c.Take(now, organisation, 1500))
 	is.True(!c.Take(now.Add(time.Second), organisation, 100)) // the share repays the debt first
 
-	c = newFaultCredits(modelStart)
+	c = newFaultCredits(modelStart, advanceQuota)
 	c.ApplyState(modelStart, QuotaState{Organisation: organisation})
 	c.EndHub(now)
 	is.True(!c.Take(now.Add(time.Second/2), organisation, 600))
@@ -160,7 +162,7 @@
 func TestSilentHub(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	c := newFaultCredits(modelStart)
+	c := newFaultCredits(modelStart, advanceQuota)
 	is.True(c.Take(modelStart, organisation, 500))
 	c.Reports(modelStart.Add(reportTime))
 	is.True(!c.Take(modelStart.Add(reportTime), organisation, 500))
@@ -172,7 +174,7 @@
 	is.True(!c.Take(later, organisation, 700))
 	is.True(c.Take(later, organisation, 600))
 
-	c = newFaultCredits(modelStart)
+	c = newFaultCredits(modelStart, advanceQuota)
 	c.ApplyState(modelStart, QuotaState{Organisation: organisation})
 	c.SetDemand(organisation, 300, 300)
 	c.Reports(modelStart)
