forwarder: learn the speeds of engines, choose and log by them

The forwarder takes a sample from the first attempt of each prompt, reports the sums to the hub, and passes the hub's factors to the picker, or its own estimate after 10 s without a hub. The factor is in the log line of a request and, as one of three classes, in a metric.

--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -24,6 +24,7 @@
 	"gentianstep.example/gentianstep/internal/operating/meter"
 	"gentianstep.example/gentianstep/internal/peering/coordinator"
 	"gentianstep.example/gentianstep/internal/routing/budgeter"
+	"gentianstep.example/gentianstep/internal/routing/gauger"
 	"gentianstep.example/gentianstep/internal/routing/matcher"
 	"gentianstep.example/gentianstep/internal/routing/picker"
 	"gentianstep.example/gentianstep/internal/routing/throttler"
@@ -79,7 +80,7 @@
 	ended context.Context //nolint:containedctx // It ends with the Forwarder.
 	end   context.CancelCauseFunc
 
-	// mu guards picker, budget, queues, overload, returns and linkProvenAt.
+	// mu guards picker, budget, queues, overload, returns, speeds and linkProvenAt.
 	mu     sync.Mutex
 	picker *picker.Picker
 	budget *budgeter.Budgeter
@@ -88,6 +89,8 @@
 	overload overloadTracker
 	// returns holds the times at which refused clients of each service come back, if it has limits.
 	returns map[string]*throttler.Returns
+	// speeds are the samples of the speeds of engines.
+	speeds speedSamples
 	// linkProvenAt is when the latest attempt that was answered was sent.
 	linkProvenAt time.Time
 	// urgentReports has a buffer of one, so that sending never blocks a
@@ -106,6 +109,7 @@
 		budget:         budgeter.New(cfg.Budget),
 		queues:         make(map[string]*waitQueue),
 		returns:        make(map[string]*throttler.Returns),
+		speeds:         speedSamples{own: gauger.New()},
 		urgentReports:  make(chan struct{}, 1),
 		weightsChanged: make(chan struct{}, 1),
 	}
--- a/internal/gateway/forwarder/log.go
+++ b/internal/gateway/forwarder/log.go
@@ -48,6 +48,7 @@
 		fields["fingerprint"] = x.fingerprints[0]
 	}
 	x.addChoiceFields(now, fields)
+	x.recordSpeed(fields)
 	if x.events > 0 {
 		fields["events"] = x.events
 		fields["attempt_events"] = x.events - x.eventsBefore
--- a/internal/gateway/forwarder/query.go
+++ b/internal/gateway/forwarder/query.go
@@ -40,6 +40,7 @@
 	q.Limits = func(u *registrar.Upstream) picker.Limits { return x.limits(u.Slots, connections, int(vms)) }
 	if x.route.CarriesPrompt {
 		x.addPrompt(now, &q)
+		q.Speed = x.speed(now)
 	}
 	return q
 }
--- a/internal/gateway/forwarder/relay.go
+++ b/internal/gateway/forwarder/relay.go
@@ -124,6 +124,7 @@
 	if x.markPromptRead() && x.firstByteAt.IsZero() {
 		x.mu.Lock()
 		x.picker.RecordFirstEvent(x.choice, time.Since(x.sentAt))
+		x.sampleSpeed(time.Now())
 		x.mu.Unlock()
 	}
 	data, orderErr := x.dropSeenEvents(data)
--- a/internal/operating/meter/name.go
+++ b/internal/operating/meter/name.go
@@ -20,6 +20,7 @@
 	ConnectionsEvicted Name = "gentianstep_connections_gave_way_total"
 	UpstreamNotices    Name = "gentianstep_upstream_notices_total"
 	QuotaRequests      Name = "gentianstep_quota_requests_total"
+	EnginePrompts      Name = "gentianstep_engine_prompts_total"
 	Quarantines        Name = "gentianstep_quarantines_total"
 	Stopping           Name = "gentianstep_stopping"
 	Goroutines         Name = "gentianstep_goroutines"
@@ -57,6 +58,7 @@
 	Connections:        {gauge, "Open connections by listener.", "listener"},
 	ConnectionsRefused: {counter, "Connections over the limit by listener.", "listener"},
 	ConnectionsEvicted: {counter, "Connections without a request under way that were closed for new ones, by listener.", "listener"},
+	EnginePrompts:      {counter, "Prompts by the speed of their engine relative to the others of its service.", "speed"},
 	Quarantines:        {counter, "Changes of quarantines: started, ended, and requests sent on trial.", "change"},
 	QuotaRequests:      {counter, "Requests of organisations with a quota, by outcome.", "outcome"},
 	UpstreamNotices:    {counter, "What upstreams stated about themselves in responses, and requests not sent because of it.", "notice"},
--- a/internal/operating/starter/coordination.go
+++ b/internal/operating/starter/coordination.go
@@ -41,6 +41,7 @@
 			Quarantines:    g.isolator,
 			Limits:         g.noticer,
 			Quotas:         g.rationer,
+			DrainSpeeds:    g.forwarder.DrainSpeeds,
 			UrgentReports:  g.forwarder.UrgentReports(),
 			View:           g.view,
 			Client:         g.newClient(),
--- a/internal/routing/gauger/gauger.go
+++ b/internal/routing/gauger/gauger.go
@@ -53,6 +53,13 @@
 	e.observe(s)
 }
 
+// ObserveOne adds the sample of one prompt, unless it is too short.
+func (g *Gauger) ObserveOne(now time.Time, s Sample) {
+	if s.Expected >= MinExpected && s.Observed > 0 {
+		g.Observe(now, s.bounded())
+	}
+}
+
 // Factor returns the latest published factor of an engine, 1 if it is unknown.
 func (g *Gauger) Factor(upstream string) float64 {
 	if e, ok := g.engines[upstream]; ok {
