--- a/internal/gateway/forwarder/log.go
+++ b/internal/gateway/forwarder/log.go
@@ -49,6 +49,7 @@
 	}
 	x.addChoiceFields(now, fields)
 	x.weighed.addFields(fields)
+	x.recordSpeed(fields)
 	if x.events > 0 {
 		fields["events"] = x.events
 		fields["attempt_events"] = x.events - x.eventsBefore
