soaker, platformtest: check quotas of organisations

Cause: the soak knew no quotas.

Change: the stand-in's organisation has a quota in tokens above the load of its callers; revocable keys belong to one without a quota, and a step makes a third one flood. The checker finds an organisation that runs more than its quota in a window, a 429 without a quota or below the usual one, and runs that name another organisation than the call's.

--- a/cmd/standin/soak.go
+++ b/cmd/standin/soak.go
@@ -18,7 +18,7 @@
 const commandFile = "command.txt"
 
 func newSoakCommand() command {
-	cfg := soaker.Config{Gateways: 3, CallersPerGateway: 4, Length: 20 * time.Second, Crashes: true, Limits: true, Breaks: true}
+	cfg := soaker.Config{Gateways: 3, CallersPerGateway: 4, Length: 20 * time.Second, Crashes: true, Limits: true, Breaks: true, Floods: true}
 	dir, engines, services, seeds, keep := os.TempDir(), 3, 2, 1, false
 	cfg.Seed = uint64(time.Now().UnixNano()) % 1e9 //nolint:gosec // The time is positive.
 	parser := flaggy.NewSubcommand("soak")
@@ -34,6 +34,7 @@
 	parser.Bool(&cfg.Crashes, "x", "crashes", "Send calls on which engines crash.")
 	parser.Bool(&cfg.Limits, "l", "limits", "Make upstreams state limits.")
 	parser.Bool(&cfg.Breaks, "b", "breaks", "Make engines break streams and answer the next attempts wrongly.")
+	parser.Bool(&cfg.Floods, "f", "floods", "Make an organisation exceed its quota.")
 	parser.Bool(&cfg.Calm, "q", "calm", "Leave out all other steps.")
 	parser.String(&dir, "d", "dir", "Folder for the folders of failed soaks.")
 	parser.Bool(&keep, "k", "keep", "Keep the folders of soaks that pass, too.")
@@ -49,8 +50,8 @@
 		for range seeds {
 			cfg.Dir = filepath.Join(dir, fmt.Sprintf("soak-%d", cfg.Seed))
 			cfg.Site = platformtest.NewSite(engines, services)
-			text := fmt.Sprintf("%s soak --program %s --seed %d --duration %s --gateways %d --callers %d --engines %d --services %d --crashes=%t --limits=%t --breaks=%t --calm=%t --dir %s\n",
-				os.Args[0], cfg.Program, cfg.Seed, cfg.Length, cfg.Gateways, cfg.CallersPerGateway, engines, services, cfg.Crashes, cfg.Limits, cfg.Breaks, cfg.Calm, dir)
+			text := fmt.Sprintf("%s soak --program %s --seed %d --duration %s --gateways %d --callers %d --engines %d --services %d --crashes=%t --limits=%t --breaks=%t --floods=%t --calm=%t --dir %s\n",
+				os.Args[0], cfg.Program, cfg.Seed, cfg.Length, cfg.Gateways, cfg.CallersPerGateway, engines, services, cfg.Crashes, cfg.Limits, cfg.Breaks, cfg.Floods, cfg.Calm, dir)
 			passes, err := soakOnce(ctx, cfg, text, keep)
 			if err != nil {
 				return err
--- a/internal/standin/soaker/caller.go
+++ b/internal/standin/soaker/caller.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"sync/atomic"
 	"time"
 )
 
@@ -34,19 +35,23 @@
 	// stubborn is true if the caller uses a connection until it is closed, even after
 	// a response that announces its end.
 	stubborn bool
-	sent     int
+	// active, if set, is true while the caller sends calls.
+	active *atomic.Bool
+	sent   int
 }
 
 // run sends calls until ctx ends.
 func (c *caller) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if g := c.choose(); g != nil {
+		if g := c.choose(); g != nil && c.isActive() {
 			c.useConnection(ctx, g)
 		}
 		sleep(ctx, redialPause)
 	}
 }
 
+func (c *caller) isActive() bool { return c.active == nil || c.active.Load() }
+
 // choose returns a gateway in rotation, or nil.
 func (c *caller) choose() *Gateway {
 	for _, i := range c.random.Perm(len(c.gateways)) {
@@ -64,7 +69,7 @@
 	}
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && c.isActive() {
 		call := c.next(g)
 		_ = conn.SetDeadline(call.BeganAt.Add(c.wait(&call)))
 		open := c.site.Exchange(conn, reader, &call)
--- a/internal/standin/soaker/checker.go
+++ b/internal/standin/soaker/checker.go
@@ -24,6 +24,8 @@
 	// Drain is the time after a response that states that its upstream is leaving from
 	// which its gateway passes no new calls on to it.
 	Drain time.Duration
+	// Quotas are the quotas of organisations by name. Others have none.
+	Quotas map[string]Quota
 	// MemoryMiB is the memory limit of a gateway.
 	MemoryMiB int
 }
@@ -77,6 +79,7 @@
 	c.checkLeaving()
 	c.checkCrashing()
 	c.checkLimits()
+	c.checkQuotas()
 	c.checkRollback()
 	c.checkOrders()
 	c.checkBudget()
@@ -242,7 +245,8 @@
 // checkUnasked checks that upstreams ran only what callers sent.
 func (c *checker) checkUnasked() {
 	for _, r := range c.Runs {
-		if c.byID[r.ID] == nil || r.Altered {
+		call := c.byID[r.ID]
+		if call == nil || r.Altered || r.Organisation != call.Organisation {
 			c.violate(Unaltered, r.ID, "run at %s is not what a caller sent", r.Upstream)
 		}
 	}
--- a/internal/standin/soaker/checker_test.go
+++ b/internal/standin/soaker/checker_test.go
@@ -37,6 +37,10 @@
 	bounds := soaker.Bounds{
 		ConfigurationApply: 2 * time.Second, RetryRatio: 0.5, RetryExtra: 1, RetryWindow: 10 * time.Second,
 		Stable: time.Second, Recover: 4 * time.Second, Drain: 2 * time.Second,
+		Quotas: map[string]soaker.Quota{
+			"usual": {PerSecond: 10, Burst: 10, Window: 8 * time.Second, Usual: true},
+			"flood": {PerSecond: 10, Burst: 10, Over: 0.1, Slack: 1, Window: 8 * time.Second}, // 100 in 8 s
+		},
 	}
 	for _, row := range rows {
 		t.Run(row.Name, func(t *testing.T) {
@@ -60,7 +64,7 @@
 	const seeds = 100
 	targets := soaker.Targets{
 		Gateways: []string{"vm1", "vm2"}, Upstreams: []string{"e1"}, Links: []string{"e1", "vm1/front", "vm1/store"},
-		StoreFaults: []string{"slow"}, UpstreamFaults: []string{"shed"}, Keys: []string{"k1", "k2"}, Limits: true, Breaks: true,
+		StoreFaults: []string{"slow"}, UpstreamFaults: []string{"shed"}, Keys: []string{"k1", "k2"}, Limits: true, Breaks: true, Floods: true,
 	}
 	kinds := make(map[soaker.Kind]int)
 	for seed := range uint64(seeds) {
@@ -71,5 +75,5 @@
 			kinds[s.Kind]++
 		}
 	}
-	is.Equal(len(kinds), 14) // each kind occurs
+	is.Equal(len(kinds), 15) // each kind occurs
 }
--- a/internal/standin/soaker/journal.go
+++ b/internal/standin/soaker/journal.go
@@ -34,7 +34,9 @@
 	Route   string `json:"route"`
 	Service string `json:"service,omitempty"`
 	Key     string `json:"key"`
-	Gateway string `json:"gateway"`
+	// Organisation is that of the key.
+	Organisation string `json:"organisation,omitempty"`
+	Gateway      string `json:"gateway"`
 	// Process is the number of the gateway's process when the call was sent.
 	Process int `json:"process"`
 	// Repeatable is true if the call may be run more than once.
@@ -83,6 +85,10 @@
 	Route    string `json:"route"`
 	// Altered is true if what arrived is not what the caller sent.
 	Altered bool `json:"altered,omitempty"`
+	// Organisation, Amount and At are what the run uses of whose quota, and when it began.
+	Organisation string    `json:"organisation,omitempty"`
+	Amount       float64   `json:"amount,omitempty"`
+	At           time.Time `json:"at"`
 }
 
 // Order is an order that an engine received.
--- a/internal/standin/soaker/plan.go
+++ b/internal/standin/soaker/plan.go
@@ -46,6 +46,8 @@
 	Break Kind = "break_streams"
 	// Limit makes an upstream state a limit, the detail, until the end of the step.
 	Limit Kind = "limit"
+	// Flood makes further callers send calls of one organisation until the end of the step.
+	Flood Kind = "flood"
 )
 
 // Details of Restart: the process that states that it leaves.
@@ -59,6 +61,7 @@
 	storeTarget = "store"
 	frontTarget = "front"
 	crashTarget = "engines"
+	floodTarget = "callers"
 )
 
 // Step is one fault or planned change. Its times count from the start of the plan.
@@ -91,6 +94,8 @@
 	Breaks bool
 	// Limits adds steps in which upstreams state limits, also to a calm plan.
 	Limits bool
+	// Floods adds a step in which an organisation floods, also to a calm plan.
+	Floods bool
 }
 
 const (
@@ -118,6 +123,9 @@
 	// breakSeed does so for the step in which engines break streams.
 	breakSeed      = 1 << 60
 	breakStepShare = 0.8
+	// floodSeed does so for the step in which an organisation floods.
+	floodSeed      = 1 << 59
+	floodStepShare = 0.7
 	// limitSeed does so for the steps with limits. Each upstream has limitChance of one, the
 	// first of which begins at earliestLimit to latestLimit of the plan. They last
 	// minLimitShare to maxLimitShare of it, and some are followed by another.
@@ -171,6 +179,11 @@
 			Kind: Break, Target: crashTarget, Detail: strconv.Itoa(p.random.IntN(1 << 30)), Begin: begin, End: begin + share(length, breakStepShare),
 		})
 	}
+	if t.Floods {
+		p.random = rand.New(rand.NewPCG(seed, seed^floodSeed)) //nolint:gosec // A plan must be repeatable.
+		begin := p.between(share(length, earliestCrash), share(length, latestCrash))
+		p.steps = append(p.steps, Step{Kind: Flood, Target: floodTarget, Begin: begin, End: begin + share(length, floodStepShare)})
+	}
 	if t.Limits {
 		p.random = rand.New(rand.NewPCG(seed, seed^limitSeed)) //nolint:gosec // A plan must be repeatable.
 		p.addLimits(length)
--- a/internal/standin/soaker/soaker.go
+++ b/internal/standin/soaker/soaker.go
@@ -11,7 +11,9 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -70,6 +72,8 @@
 	Limits bool
 	// Breaks makes engines break streams and answer their next attempts wrongly.
 	Breaks bool
+	// Floods makes the organisation of FloodKey flood.
+	Floods bool
 	// Dir is the folder for settings, logs and the verdict.
 	Dir  string
 	Site Site
@@ -78,6 +82,8 @@
 const (
 	// revocableKeys is the number of keys that a plan may revoke.
 	revocableKeys = 6
+	// floodCallers is the number of callers for each gateway in a flood.
+	floodCallers = 3
 	// startTimeout is the time within which all gateways must be ready.
 	startTimeout = 20 * time.Second
 	pollInterval = 50 * time.Millisecond
@@ -88,6 +94,12 @@
 	weightsTimeout = 12 * time.Second
 )
 
+// Keys of organisations: that of the usual calls, and that of the calls of a flood.
+const (
+	UsualKey = "kept"
+	FloodKey = "flood"
+)
+
 // soak is one run.
 type soak struct {
 	Config
@@ -96,6 +108,8 @@
 	plan     []Step
 	keys     []string
 	variants map[string]int
+	// flooding is true while an organisation floods.
+	flooding atomic.Bool
 	// endAt is when all gateways were ready after the last step.
 	endAt time.Time
 	// idle is the highest usage of a gateway before the first call.
@@ -105,7 +119,7 @@
 // Soak runs a soak and returns its verdict. On a failure, the folder holds what is
 // needed to trace it.
 func Soak(ctx context.Context, cfg Config) (Verdict, error) {
-	s := &soak{Config: cfg, journal: &Journal{}, variants: make(map[string]int), keys: []string{"kept"}}
+	s := &soak{Config: cfg, journal: &Journal{}, variants: make(map[string]int), keys: []string{UsualKey}}
 	for i := range revocableKeys {
 		s.keys = append(s.keys, fmt.Sprintf("revocable-%d", i))
 	}
@@ -117,11 +131,11 @@
 	}
 	s.fleet = fleet
 	defer fleet.close()
-	cfg.Site.Open(ctx, fleet.upstreams, s.keys)
+	cfg.Site.Open(ctx, fleet.upstreams, append(slices.Clone(s.keys), FloodKey))
 	s.plan = NewPlan(cfg.Seed, cfg.Length, Targets{
 		Gateways: fleet.names(), Upstreams: fleet.upstreamNames(), Links: fleet.linkNames(),
 		StoreFaults: cfg.Site.StoreFaults(), UpstreamFaults: cfg.Site.UpstreamFaults(), Keys: s.keys[1:],
-		Crashes: cfg.Crashes, Calm: cfg.Calm, Limits: cfg.Limits, Breaks: cfg.Breaks,
+		Crashes: cfg.Crashes, Calm: cfg.Calm, Limits: cfg.Limits, Breaks: cfg.Breaks, Floods: cfg.Floods,
 	})
 	if err := s.writeFile("plan.json", s.plan); err != nil {
 		return Verdict{}, err
@@ -175,6 +189,13 @@
 		}
 		callers.Go(func() { c.run(callersCtx) })
 	}
+	for i := range s.Gateways * floodCallers {
+		c := &caller{
+			name: fmt.Sprintf("f%d", i), gateways: s.fleet.gateways, site: s.Site, journal: s.journal, keys: []string{FloodKey}, active: &s.flooding,
+			random: rand.New(rand.NewPCG(s.Seed, floodSeed+uint64(i))), //nolint:gosec // Calls are drawn from the seed.
+		}
+		callers.Go(func() { c.run(callersCtx) })
+	}
 	s.carryOut(ctx)
 	if !poll(ctx, startTimeout, s.fleet.isReady) && ctx.Err() == nil {
 		s.journal.Violate(Violation{Promise: Recovery, Subject: "gateways", Detail: fmt.Sprintf("not all are ready %s after the last step", startTimeout)})
--- a/internal/standin/soaker/steps.go
+++ b/internal/standin/soaker/steps.go
@@ -52,6 +52,9 @@
 		link, effect := s.fleet.links[step.Target], Effect(step.Detail)
 		link.Begin(effect)
 		return func() { link.End(effect) }
+	case Flood:
+		s.flooding.Store(true)
+		return func() { s.flooding.Store(false) }
 	default:
 		return s.Site.Begin(step)
 	}
--- a/internal/standin/soaker/verdict.go
+++ b/internal/standin/soaker/verdict.go
@@ -33,6 +33,10 @@
 	Quarantine Promise = "quarantine"
 	// WithinLimit is that upstreams get as many calls as the limits allow that they state.
 	WithinLimit Promise = "within_limit"
+	// WithinQuota is that organisations use as much as their quotas allow, and QuotaRefusal
+	// that only those that use more are refused for it.
+	WithinQuota  Promise = "within_quota"
+	QuotaRefusal Promise = "quota_refusal"
 )
 
 // Violation is a broken promise.
