--- a/cmd/gentianstep/gateway_quotas_test.go
+++ b/cmd/gentianstep/gateway_quotas_test.go
@@ -70,7 +70,9 @@
 	for _, vm := range vms {
 		group.Go(func() { p.sendEvery(ctx, vm, "steady", "", 50*time.Millisecond, refused["steady"]) })
 		for sender := range floodSenders {
-			group.Go(func() { p.sendEvery(ctx, vm, "flood", fmt.Sprint("-", sender, "-"), 10*time.Millisecond, refused["flood"]) })
+			group.Go(func() {
+				p.sendEvery(ctx, vm, "flood", fmt.Sprint("-", sender, "-"), 10*time.Millisecond, refused["flood"])
+			})
 		}
 	}
 	event := time.NewTimer(beforeEvent)
