--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -31,7 +31,7 @@
 	// engineRequestsPerSlot and plainRequestsPerSlot are the numbers of
 	// requests per slot of an upstream that all VMs together may have waiting
 	// or running there.
-	engineRequestsPerSlot = 2.0
+	engineRequestsPerSlot = 1.3
 	plainRequestsPerSlot  = 3.0
 	// imbalanceFactor raises the limit of each VM above an equal share, since
 	// some VMs get more of the traffic than others.
