forwarder: serve more urgent waiting requests before others

Cause: a less urgent request that arrived took an engine while more urgent ones waited for a shorter queue; the work of requests that are held back was taken from measurements that contain the queues they avoid, so that after some seconds of overload all of them counted as late.

A request takes no capacity while one waits that can be in time and is more urgent, or is of an organisation closer to its share (reason outranked). Short prompts are held back for the prefill queue of an engine with a free slot too.

--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -175,7 +175,7 @@
 		if refusal := x.checkSendable(now); refusal != nil {
 			return nil, refusal
 		}
-		q := x.choose(now)
+		q := x.chooseInOrder(now, w)
 		switch {
 		case x.choice.Upstream != nil:
 			x.picker.RecordSent(now, q, x.choice)
@@ -197,11 +197,7 @@
 		if refusal := x.shed(now, w, arrival); refusal != nil {
 			return nil, refusal
 		}
-		until := latest
-		if recheckAt := now.Add(backlogPollInterval); x.choice.Reason == picker.Behind && recheckAt.Before(latest) {
-			until = recheckAt
-		}
-		x.waitForCapacity(ctx, w, x.accessChangeAt(now, until))
+		x.waitForCapacity(ctx, w, x.recheckAt(now, latest))
 		if x.r.Context().Err() != nil {
 			return nil, classifier.Wrap(classifier.CallerGone, x.r.Context().Err(), "the client left while waiting")
 		}
--- a/internal/gateway/forwarder/shed.go
+++ b/internal/gateway/forwarder/shed.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -14,7 +15,7 @@
 const (
 	// returnJitterShare is the share of the time to return over which a client is
 	// spread, since other VMs refuse clients at the same time.
-	returnJitterShare = 0.3
+	returnJitterShare = 0.8
 	// lateEnginePriority is the priority, the least urgent, at which engines get
 	// prompts that are late, so that they delay none that is in time.
 	lateEnginePriority = 9
@@ -72,14 +73,44 @@
 	return now.Sub(x.arrivedAt) >= x.maxBacklogWait()
 }
 
+// isOutranked reports whether a request that goes first waits for capacity of the service.
+func (x *exchange) isOutranked(now time.Time, w *waiter) bool {
+	q := x.queue()
+	w.request.Overuse = q.usage.Overuse(now, w.request.Organisation)
+	return slices.ContainsFunc(q.waiters, func(other *waiter) bool {
+		return other.competes && shedder.Outranks(now, &other.request, &w.request)
+	})
+}
+
+// chooseInOrder chooses an upstream unless a request that goes first waits for one.
+func (x *exchange) chooseInOrder(now time.Time, w *waiter) picker.Query {
+	q := x.choose(now)
+	if x.choice.Upstream != nil && x.isOutranked(now, w) {
+		x.choice = picker.Choice{Reason: picker.Outranked, Candidates: x.choice.Candidates}
+	}
+	return q
+}
+
+// recheckAt returns when a request that found no capacity tries again, unless it is woken.
+func (x *exchange) recheckAt(now, latest time.Time) time.Time {
+	if x.choice.Reason == picker.Behind || x.choice.Reason == picker.Outranked {
+		latest = earlierTime(latest, now.Add(backlogPollInterval))
+	}
+	return x.accessChangeAt(now, latest)
+}
+
 // estimate sets the estimates of a request that found no capacity. Those of short
 // prompts and plain requests are measured at this VM.
 func (x *exchange) estimate(now time.Time, w *waiter, q *waitQueue) {
 	w.pace = q.paceOf(x.route.Name)
-	w.competes = x.choice.Reason == picker.Full || x.choice.Reason == picker.Behind
-	w.work, w.request.StartAt = 0, now
-	if x.choice.Reason == picker.Behind && x.isLong() {
-		w.work, w.request.StartAt = x.choice.Costs.Prefill+x.choice.Costs.Fetch, now.Add(x.choice.Backlog)
+	w.competes = x.choice.Reason != picker.NoUpstream
+	w.request.StartAt = now
+	if x.choice.Reason == picker.Behind {
+		// The pace includes queues of engines, which a request that is held back avoids.
+		w.work = x.choice.Costs.Prefill + x.choice.Costs.Fetch
+		if x.isLong() {
+			w.request.StartAt = now.Add(x.choice.Backlog)
+		}
 	}
 	q.usage.Touch(now, w.request.Organisation)
 	q.refresh(now, w)
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -35,6 +35,9 @@
 	// would miss its objective, or that its weights may have to be replaced before a request
 	// gets a slot.
 	Behind Reason = "behind"
+	// Outranked means that an upstream could take the request, but that others wait
+	// which go first. Callers of Choose set it.
+	Outranked Reason = "outranked"
 )
 
 const (
@@ -157,18 +160,17 @@
 	return queue > allowed
 }
 
-// shortPromptQueue returns the wait of a prompt with a short prefill. It is 0 at an
-// engine with a free slot, where the prompt delays no other one. The wait for a slot
+// shortPromptQueue returns the wait of a prompt with a short prefill. The wait for a slot
 // follows from the measured time of requests at upstreams, since slotHoldTime is
 // several times too long where prompts and responses are short.
 func (p *Picker) shortPromptQueue(q Query, c Choice) time.Duration {
-	slots := max(c.Upstream.Slots, 1)
-	over := c.Load.InFlight + 1 - slots
-	if over <= 0 || q.HoldTime <= 0 {
+	if q.HoldTime <= 0 {
 		return 0
 	}
-	others := c.Costs.Queue - time.Duration(over)*slotHoldTime/time.Duration(slots)
-	return p.calibration.scale(others) + time.Duration(over)*q.HoldTime/time.Duration(c.Load.InFlight)
+	slots := max(c.Upstream.Slots, 1)
+	over := time.Duration(max(c.Load.InFlight+1-slots, 0))
+	others := p.calibration.scale(c.Costs.Queue - over*slotHoldTime/time.Duration(slots))
+	return others + over*q.HoldTime/time.Duration(max(c.Load.InFlight, 1))
 }
 
 // lessBehind returns the choice of no engine, given that c cannot be chosen either: the
--- a/internal/routing/shedder/order.go
+++ b/internal/routing/shedder/order.go
@@ -24,6 +24,13 @@
 	return compareRank(a, b)
 }
 
+// Outranks reports whether b must not take capacity while a waits: a can be in time
+// and is more urgent, or of an organisation that is closer to its fair share. Slack and
+// work do not decide here, since b may fit where a does not.
+func Outranks(now time.Time, a, b *Request) bool {
+	return !a.Late(now) && cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Overuse, b.Overuse)) < 0
+}
+
 // compareRank is Compare for two requests that are both in time or both late.
 func compareRank(a, b *Request) int {
 	return cmp.Or(
--- a/internal/routing/shedder/property_test.go
+++ b/internal/routing/shedder/property_test.go
@@ -28,6 +28,30 @@
 	return list
 }
 
+// startOf returns the start of r behind the kept requests in time that rank before it, or
+// behind all of those and the late ones that rank before it.
+func startOf(plan shedder.Plan, r *shedder.Request, lanes float64, late bool) time.Time {
+	ahead := time.Duration(0)
+	for _, p := range plan.Places {
+		if isAhead(p, r, late) {
+			ahead += p.Request.Hold
+		}
+	}
+	at := r.StartAt
+	if at.Before(now) {
+		at = now
+	}
+	return at.Add(time.Duration(float64(ahead) / lanes))
+}
+
+func isAhead(p shedder.Place, r *shedder.Request, late bool) bool {
+	if p.Late {
+		// An hour later both are late, and rank alone decides.
+		return late && shedder.Compare(now.Add(time.Hour), p.Request, r) < 0
+	}
+	return late || shedder.Compare(now, p.Request, r) < 0
+}
+
 // TestNoRequestIsRefusedForOneThatCostsLess guards against a request that is refused, or
 // made late, although it could be served if requests that rank lower gave up their places.
 func TestNoRequestIsRefusedForOneThatCostsLess(t *testing.T) {
@@ -39,21 +63,6 @@
 		if len(plan.Places)+len(plan.Refusals) != len(requests) {
 			t.Fatalf("%d of %d requests are decided", len(plan.Places)+len(plan.Refusals), len(requests))
 		}
-		// start is that of r behind the kept requests in time, or all kept ones, that rank before it.
-		start := func(r *shedder.Request, lateOnes bool) time.Time {
-			ahead := time.Duration(0)
-			for _, p := range plan.Places {
-				higher := shedder.Compare(now, p.Request, r) < 0
-				if !p.Late && (higher || lateOnes) || p.Late && lateOnes && shedder.Compare(now.Add(time.Hour), p.Request, r) < 0 {
-					ahead += p.Request.Hold
-				}
-			}
-			at := r.StartAt
-			if at.Before(now) {
-				at = now
-			}
-			return at.Add(time.Duration(float64(ahead) / lanes))
-		}
 		late := make([]*shedder.Request, 0, len(requests))
 		for _, p := range plan.Places {
 			if p.Late {
@@ -64,7 +73,7 @@
 		}
 		for _, r := range plan.Refusals {
 			late = append(late, r.Request)
-			if !start(r.Request, true).Add(r.Request.Work).After(r.Request.Deadline) {
+			if !startOf(plan, r.Request, lanes, true).Add(r.Request.Work).After(r.Request.Deadline) {
 				t.Fatalf("%s is refused and could be answered in its place", r.Request.ID)
 			}
 			if r.ReturnAt.Before(r.StartAt) {
@@ -72,7 +81,7 @@
 			}
 		}
 		for _, r := range late {
-			if !start(r, false).Add(r.Work).After(r.DueAt) {
+			if !startOf(plan, r, lanes, false).Add(r.Work).After(r.DueAt) {
 				t.Fatalf("%s is late and could be in time in its place", r.ID)
 			}
 		}
