rehearser: replay the collapse of a deployment with the shedder

The model does not show the long collapse after the burst that processes showed without the shedder.

--- a/internal/standin/rehearser/arrival.go
+++ b/internal/standin/rehearser/arrival.go
@@ -33,7 +33,7 @@
 		subjects := rand.NewZipf(rng, zipfExponent, zipfOffset, uint64(k.Subjects-1))
 		at := time.Duration(0)
 		for {
-			rate := k.PerSecond * l.rateFactor(at)
+			rate := k.PerSecond * l.rateFactor(k, at)
 			at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
 			if at >= l.end() {
 				break
@@ -51,12 +51,12 @@
 	return list
 }
 
-// rateFactor returns the factor by which bursts multiply the request rate at a
-// point in time.
-func (l *Load) rateFactor(at time.Duration) float64 {
+// rateFactor returns the factor by which bursts multiply the request rate of a kind at
+// a point in time.
+func (l *Load) rateFactor(k *Kind, at time.Duration) float64 {
 	factor := 1.0
 	for _, b := range l.Bursts {
-		if at >= millis(b.AtMS) && at < millis(b.AtMS+b.ForMS) {
+		if at >= millis(b.AtMS) && at < millis(b.AtMS+b.ForMS) && (len(b.Kinds) == 0 || slices.Contains(b.Kinds, k.Name)) {
 			factor *= b.Factor
 		}
 	}
--- a/internal/standin/rehearser/load.go
+++ b/internal/standin/rehearser/load.go
@@ -67,6 +67,9 @@
 	// LateBenefit that of one that begins later, but within PatienceMS.
 	Benefit     float64 `json:"worth"`
 	LateBenefit float64 `json:"late"`
+	// Priority is the urgency, 0 being the most urgent.
+	Priority     int    `json:"priority"`
+	Organisation string `json:"organisation"`
 }
 
 // Burst multiplies the request rate for a limited time.
@@ -74,6 +77,8 @@
 	AtMS   int     `json:"at_ms"`
 	ForMS  int     `json:"for_ms"`
 	Factor float64 `json:"factor"`
+	// Kinds limits the burst to these kinds; empty means all.
+	Kinds []string `json:"kinds"`
 }
 
 // Crash makes a share of the engines unavailable for a limited time. Their caches
--- a/internal/standin/rehearser/policy.go
+++ b/internal/standin/rehearser/policy.go
@@ -16,10 +16,12 @@
 	RoundRobin  = "round_robin"
 	LeastLoaded = "least_loaded"
 	PrefixCost  = "prefix_cost"
+	// Shedding is PrefixCost with the gateway's order and refusals of waiting requests.
+	Shedding = "shedding"
 )
 
 // Policies returns the names of all policies that Simulate accepts.
-func Policies() []string { return []string{RoundRobin, LeastLoaded, PrefixCost} }
+func Policies() []string { return []string{RoundRobin, LeastLoaded, PrefixCost, Shedding} }
 
 const (
 	// inFlightPerSlot is the maximum number of requests in flight to an engine for
@@ -92,6 +94,8 @@
 	r      *simulation
 	vm     int
 	picker *picker.Picker
+	// last is the latest choice.
+	last picker.Choice
 }
 
 func newPrefixCost(r *simulation, vm int, seed uint64) *prefixCost {
@@ -109,7 +113,11 @@
 func (p *prefixCost) choose(now time.Duration, a arrival) (placement, bool) {
 	q := p.query(now, a)
 	at := p.r.epoch.Add(now)
+	if p.r.lines != nil {
+		q.HoldTime = p.r.lines[p.vm].all.hold
+	}
 	c := p.picker.Choose(at, q)
+	p.last = c
 	if c.Upstream == nil {
 		return placement{}, false
 	}
@@ -171,7 +179,7 @@
 		return &roundRobin{r: r, next: rand.New(rand.NewPCG(seed, 0)).IntN(len(r.engines))}, nil
 	case LeastLoaded:
 		return &leastLoaded{r: r, vm: vm}, nil
-	case PrefixCost:
+	case PrefixCost, Shedding:
 		return newPrefixCost(r, vm, seed), nil
 	}
 	return nil, fmt.Errorf("policy %q: %w", name, errUnknownPolicy)
--- a/internal/standin/rehearser/rehearser.go
+++ b/internal/standin/rehearser/rehearser.go
@@ -56,21 +56,6 @@
 	Seconds []Second `json:"seconds"`
 }
 
-// Second holds the benefit of the requests that arrived in one second. MaxBenefit is
-// the benefit if all responses were in time.
-type Second struct {
-	MaxBenefit float64 `json:"owed"`
-	Benefit    float64 `json:"earned"`
-}
-
-// Share returns the ratio of Benefit to MaxBenefit, or 1 if MaxBenefit is zero.
-func (s Second) Share() float64 {
-	if s.MaxBenefit == 0 {
-		return 1
-	}
-	return s.Benefit / s.MaxBenefit
-}
-
 // event is a callback scheduled at a point in virtual time.
 type event struct {
 	at    time.Duration
@@ -115,7 +100,9 @@
 	withholders []*withholder.Withholder
 	noticeRNG   *rand.Rand
 	sharing     sharing
-	result      Result
+	// lines holds the waiting requests of each VM under a policy that orders them, else nil.
+	lines  []*line
+	result Result
 }
 
 // Simulate simulates a load under a policy. Equal seeds give equal results.
@@ -147,6 +134,9 @@
 			return Result{}, err
 		}
 		r.policies = append(r.policies, p)
+		if policy == Shedding {
+			r.lines = append(r.lines, &line{paces: make(map[*Kind]*pace)})
+		}
 		r.loads = append(r.loads, make([]picker.Load, l.Engines.Count))
 		r.syncedLoads = append(r.syncedLoads, make([]picker.Load, l.Engines.Count))
 	}
@@ -154,8 +144,9 @@
 	for _, a := range list {
 		r.result.Requests++
 		r.result.MaxBenefit += a.kind.Benefit
+		r.secondOf(a).Requests++
 		r.secondOf(a).MaxBenefit += a.kind.Benefit
-		r.schedule(a.at, func(now time.Duration) { r.place(now, a, a.at, false) })
+		r.schedule(a.at, func(now time.Duration) { r.receive(now, a, false) })
 	}
 	for _, c := range l.Crashes {
 		r.schedule(millis(c.AtMS), func(time.Duration) { r.crash(c) })
@@ -257,8 +248,9 @@
 			r.countFirstToken(a, now)
 		}
 	})
-	r.schedule(firstToken+time.Duration(a.kind.OutputTokens)*e.decodeStep(), func(time.Duration) {
+	r.schedule(firstToken+time.Duration(a.kind.OutputTokens)*e.decodeStep(), func(now time.Duration) {
 		load.InFlight--
+		r.ended(now, sentAt, firstToken, a)
 		r.policies[a.vm].requestEnded(p)
 	})
 }
@@ -278,6 +270,7 @@
 	switch {
 	case latency <= millis(a.kind.ObjectiveMS):
 		r.result.InTime++
+		r.secondOf(a).InTime++
 	case latency <= millis(a.kind.PatienceMS):
 		r.result.Late++
 	}
--- a/internal/standin/rehearser/rehearser_test.go
+++ b/internal/standin/rehearser/rehearser_test.go
@@ -86,6 +86,37 @@
 	}
 }
 
+// TestServiceRecoversAfterOverload guards against a collapse in which late and returning
+// requests keep those in time from being served after a burst has ended.
+func TestServiceRecoversAfterOverload(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	l := readLoad(t, filepath.Join(loadsDir, "overload", "collapse.json"))
+	from := (l.Bursts[0].AtMS+l.Bursts[0].ForMS)/1000 + overloadRecoverySeconds
+	for seed := range uint64(overloadSeeds) {
+		before, after := simulate(t, l, rehearser.PrefixCost, seed+1), simulate(t, l, rehearser.Shedding, seed+1)
+		t.Logf("seed %d: %d in time and benefit %.0f, %d and %.0f without the shedder", seed+1, after.InTime, after.Benefit, before.InTime, before.Benefit)
+		is.True(after.InTime > before.InTime)
+		is.True(after.Benefit > before.Benefit)
+		calm, back := timelyShare(after.Seconds[:l.Bursts[0].AtMS/1000]), timelyShare(after.Seconds[from:from+overloadRecoverySeconds])
+		t.Logf("share in time %.3f before the burst, %.3f from second %d on; without the shedder %.3f", calm, back, from, timelyShare(before.Seconds[from:from+overloadRecoverySeconds]))
+		burst := func(r rehearser.Result) float64 {
+			return timelyShare(r.Seconds[l.Bursts[0].AtMS/1000 : from-overloadRecoverySeconds])
+		}
+		t.Logf("in the burst %.3f, without the shedder %.3f", burst(after), burst(before))
+		is.True(back >= recovered*calm) // timely answers are back
+	}
+}
+
+// timelyShare returns the share of the requests of some seconds that were answered in time.
+func timelyShare(seconds []rehearser.Second) float64 {
+	inTime, requests := 0, 0
+	for _, s := range seconds {
+		inTime, requests = inTime+s.InTime, requests+s.Requests
+	}
+	return float64(inTime) / float64(requests)
+}
+
 // TestNoticesAreHeeded plays engines that leave and that refuse requests, with and without
 // entries that show it, on some engines, on all, and again and again.
 func TestNoticesAreHeeded(t *testing.T) {
@@ -133,6 +164,9 @@
 	// crash, from the stated target of the fleet.
 	recovered       = 0.9
 	recoverySeconds = 5
+	// overloadRecoverySeconds is the target for the recovery from an overload.
+	overloadRecoverySeconds = 3
+	overloadSeeds           = 3
 	// minBoundShare is the stated target for the benefit as a share of the bound.
 	minBoundShare = 0.85
 )
