--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -180,7 +180,7 @@
 		if refusal := x.checkSendable(now); refusal != nil {
 			return nil, refusal
 		}
-		q := x.choose(now)
+		q := x.chooseInOrder(now, w)
 		switch {
 		case x.choice.Upstream != nil:
 			x.picker.RecordSent(now, q, x.choice)
@@ -202,14 +202,7 @@
 		if refusal := x.shed(now, w, arrival); refusal != nil {
 			return nil, refusal
 		}
-		until := latest
-		switch x.choice.Reason {
-		case picker.Behind:
-			until = earlierTime(until, now.Add(backlogPollInterval))
-		case picker.Full:
-			until = earlierTime(until, now.Add(fullPollInterval))
-		}
-		x.waitForCapacity(ctx, w, x.accessChangeAt(now, until))
+		x.waitForCapacity(ctx, w, x.recheckAt(now, latest))
 		if x.r.Context().Err() != nil {
 			return nil, classifier.Wrap(classifier.CallerGone, x.r.Context().Err(), "the client left while waiting")
 		}
--- a/internal/standin/rehearser/policy.go
+++ b/internal/standin/rehearser/policy.go
@@ -16,13 +16,15 @@
 	RoundRobin  = "round_robin"
 	LeastLoaded = "least_loaded"
 	PrefixCost  = "prefix_cost"
+	// Shedding is PrefixCost with the gateway's order and refusals of waiting requests.
+	Shedding = "shedding"
 	// PrefixCostEqualSpeeds is PrefixCost without estimates of the speeds of engines. It is
 	// simulated for comparison only, and is not one of Policies.
 	PrefixCostEqualSpeeds = "prefix_cost_equal_speeds"
 )
 
 // Policies returns the names of the policies that are compared.
-func Policies() []string { return []string{RoundRobin, LeastLoaded, PrefixCost} }
+func Policies() []string { return []string{RoundRobin, LeastLoaded, PrefixCost, Shedding} }
 
 const (
 	// inFlightPerSlot is the maximum number of requests in flight to an engine for
@@ -97,6 +99,8 @@
 	picker *picker.Picker
 	// equalSpeeds makes it take all engines for equally fast.
 	equalSpeeds bool
+	// last is the latest choice.
+	last picker.Choice
 }
 
 func newPrefixCost(r *simulation, vm int, seed uint64) *prefixCost {
@@ -114,7 +118,11 @@
 func (p *prefixCost) choose(now time.Duration, a arrival) (placement, bool) {
 	q := p.query(now, a)
 	at := p.r.epoch.Add(now)
+	if p.r.lines != nil {
+		q.HoldTime = p.r.lines[p.vm].all.hold
+	}
 	c := p.picker.Choose(at, q)
+	p.last = c
 	if c.Upstream == nil {
 		return placement{}, false
 	}
@@ -177,7 +185,7 @@
 		return &roundRobin{r: r, next: rand.New(rand.NewPCG(seed, 0)).IntN(len(r.engines))}, nil
 	case LeastLoaded:
 		return &leastLoaded{r: r, vm: vm}, nil
-	case PrefixCost, PrefixCostEqualSpeeds:
+	case PrefixCost, PrefixCostEqualSpeeds, Shedding:
 		p := newPrefixCost(r, vm, seed)
 		p.equalSpeeds = name == PrefixCostEqualSpeeds
 		return p, nil
--- a/internal/standin/rehearser/rehearser.go
+++ b/internal/standin/rehearser/rehearser.go
@@ -57,21 +57,6 @@
 	Seconds []Second `json:"seconds"`
 }
 
-// Second holds the benefit of the requests that arrived in one second. MaxBenefit is
-// the benefit if all responses were in time.
-type Second struct {
-	MaxBenefit float64 `json:"owed"`
-	Benefit    float64 `json:"earned"`
-}
-
-// Share returns the ratio of Benefit to MaxBenefit, or 1 if MaxBenefit is zero.
-func (s Second) Share() float64 {
-	if s.MaxBenefit == 0 {
-		return 1
-	}
-	return s.Benefit / s.MaxBenefit
-}
-
 // event is a callback scheduled at a point in virtual time.
 type event struct {
 	at    time.Duration
@@ -119,6 +104,8 @@
 	// gauger is the hub's estimate of the speeds of engines, sums the samples of each VM.
 	gauger *gauger.Gauger
 	sums   []gauger.Sums
+	// lines holds the waiting requests of each VM under a policy that orders them, else nil.
+	lines  []*line
 	result Result
 }
 
@@ -153,6 +140,9 @@
 			return Result{}, err
 		}
 		r.policies = append(r.policies, p)
+		if policy == Shedding {
+			r.lines = append(r.lines, &line{paces: make(map[*Kind]*pace)})
+		}
 		r.loads = append(r.loads, make([]picker.Load, l.Engines.Count))
 		r.syncedLoads = append(r.syncedLoads, make([]picker.Load, l.Engines.Count))
 	}
@@ -160,8 +150,9 @@
 	for _, a := range list {
 		r.result.Requests++
 		r.result.MaxBenefit += a.kind.Benefit
+		r.secondOf(a).Requests++
 		r.secondOf(a).MaxBenefit += a.kind.Benefit
-		r.schedule(a.at, func(now time.Duration) { r.place(now, a, a.at, false) })
+		r.schedule(a.at, func(now time.Duration) { r.receive(now, a, false) })
 	}
 	for _, c := range l.Crashes {
 		r.schedule(millis(c.AtMS), func(time.Duration) { r.crash(c) })
@@ -265,8 +256,9 @@
 			r.sampleSpeed(a.vm, p, now-sentAt)
 		}
 	})
-	r.schedule(firstToken+time.Duration(a.kind.OutputTokens)*e.decodeStep(sentAt), func(time.Duration) {
+	r.schedule(firstToken+time.Duration(a.kind.OutputTokens)*e.decodeStep(sentAt), func(now time.Duration) {
 		load.InFlight--
+		r.ended(now, sentAt, firstToken, a)
 		r.policies[a.vm].requestEnded(p)
 	})
 }
@@ -286,6 +278,7 @@
 	switch {
 	case latency <= millis(a.kind.ObjectiveMS):
 		r.result.InTime++
+		r.secondOf(a).InTime++
 	case latency <= millis(a.kind.PatienceMS):
 		r.result.Late++
 	}
