coordinator: one condition fewer in the loop of reports; glossary: speed

The linter found the loop too complex since samples of speeds were added. The decision when to send a report is the same: the lengths are added up.

--- a/internal/peering/coordinator/subscriber.go
+++ b/internal/peering/coordinator/subscriber.go
@@ -168,7 +168,7 @@
 		limits, alone := s.limitReports(now, reports.isFirst())
 		quotas, aloneInQuotas := s.quotaReports()
 		speeds := s.speedSamples()
-		if changed || len(events) > 0 || len(limits)+len(quotas)+len(speeds) > 0 || !maps.Equal(loads, last) || len(sent) > 0 || !now.Before(keepAliveAt) {
+		if changed || len(events)+len(limits)+len(quotas)+len(speeds)+len(sent) > 0 || !maps.Equal(loads, last) || !now.Before(keepAliveAt) {
 			report := Report{Node: s.cfg.Node, Loads: loads, SentParts: sent, Number: reports.add(now, loads), Evidence: newEvidence(now, events), Limits: limits, Alone: alone || aloneInQuotas, Quotas: quotas, Speeds: speeds}
 			if changed {
 				report.Departures = departures
