coordinator, rationer, gentianstep: faults of make lint

Cause: three findings of the linter in files of quotas.

Change: one sum in place of three comparisons in runReports; a test in parallel.

--- a/cmd/gentianstep/gateway_quotas_test.go
+++ b/cmd/gentianstep/gateway_quotas_test.go
@@ -43,6 +43,7 @@
 // TestQuotaHoldsOverAllGateways guards against an organisation that gets its quota, or a part of
 // it beyond the tolerance, at each gateway, and against refusals of one that stays below its own.
 func TestQuotaHoldsOverAllGateways(t *testing.T) {
+	t.Parallel()
 	var rows []quotaRow
 	scripter.Read(t, "testdata/quotas.json", &rows)
 	for _, row := range rows {
--- a/internal/gateway/rationer/rationer_test.go
+++ b/internal/gateway/rationer/rationer_test.go
@@ -47,7 +47,7 @@
 // answer applies a message of the hub to a report that was sent now.
 func (f *fixture) answer(state throttler.QuotaState, amounts ...float64) {
 	state.Organisation = f.limited.Name
-	var grants []throttler.QuotaGrant
+	grants := make([]throttler.QuotaGrant, 0, len(amounts))
 	for _, amount := range amounts {
 		grants = append(grants, throttler.QuotaGrant{Organisation: f.limited.Name, Amount: amount})
 	}
--- a/internal/peering/coordinator/subscriber.go
+++ b/internal/peering/coordinator/subscriber.go
@@ -166,7 +166,7 @@
 		events := evidence.next()
 		limits, alone := s.limitReports(now, reports.isFirst())
 		quotas, aloneInQuotas := s.quotaReports()
-		if changed || len(events) > 0 || len(limits)+len(quotas) > 0 || !maps.Equal(loads, last) || len(sent) > 0 || !now.Before(keepAliveAt) {
+		if changed || len(events)+len(limits)+len(quotas)+len(sent) > 0 || !maps.Equal(loads, last) || !now.Before(keepAliveAt) {
 			report := Report{Node: s.cfg.Node, Loads: loads, SentParts: sent, Number: reports.add(time.Now(), loads), Evidence: newEvidence(now, events), Limits: limits, Alone: alone || aloneInQuotas, Quotas: quotas}
 			if changed {
 				report.Departures = departures
