--- a/internal/routing/picker/room_test.go
+++ b/internal/routing/picker/room_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -18,6 +20,10 @@
 	// roomLoadAge is the time between two updates of the loads that VMs know.
 	roomLoadAge = 100 * time.Millisecond
 	roomSeed    = 20261206
+	// roomServiceTime is the mean time of a request, and roomWaiting the number of requests
+	// that wait at a VM; further ones are refused.
+	roomServiceTime = 400 * time.Millisecond
+	roomWaiting     = 5
 )
 
 // roomRow is a fleet of VMs whose requests exceed the places at all engines.
@@ -37,8 +43,8 @@
 
 // roomRequest is a request that an engine runs.
 type roomRequest struct {
-	vm, engine int
-	choice     picker.Choice
+	vm     int
+	choice picker.Choice
 }
 
 // TestScarcePlacesAreDivided guards against an engine that gets a request of each VM in the
@@ -62,89 +68,109 @@
 	}
 }
 
-// playRoom returns the largest number of requests at an engine after a second, and the mean
-// share of the places that is used.
-func playRoom(row roomRow) (most int, used float64) {
-	rng := rand.New(rand.NewPCG(roomSeed, 1))
-	now := time.Unix(0, 0)
-	var engines []*registrar.Upstream
+// roomModel is a row that is played.
+type roomModel struct {
+	row     roomRow
+	rng     *rand.Rand
+	engines []*registrar.Upstream
+	vms     []*picker.Picker
+	// own holds the requests in flight of each VM by engine, inFlight those of all. seen and
+	// seenOwn are these as of seenAt.
+	own, seenOwn   []map[string]int
+	inFlight, seen map[string]int
+	seenAt         time.Time
+	waiting        []int
+	running        []roomRequest
+}
+
+func newRoomModel(row roomRow, now time.Time) *roomModel {
+	m := &roomModel{
+		row: row, rng: rand.New(rand.NewPCG(roomSeed, 1)), seenAt: now, waiting: make([]int, row.VMs),
+		inFlight: make(map[string]int), seen: make(map[string]int), seenOwn: make([]map[string]int, row.VMs),
+	}
 	for n := range row.Engines {
-		engines = append(engines, &registrar.Upstream{ID: fmt.Sprint("e", n), Address: netip.MustParseAddrPort("10.0.0.1:80"), AvailabilityZone: "z", Slots: row.Limit})
+		m.engines = append(m.engines, &registrar.Upstream{ID: fmt.Sprint("e", n), Address: netip.MustParseAddrPort("10.0.0.1:80"), AvailabilityZone: "z", Slots: row.Limit})
 	}
-	var vms []*picker.Picker
-	own, waiting := make([]map[string]int, row.VMs), make([]int, row.VMs)
 	for n := range row.VMs {
-		vms = append(vms, picker.New(picker.Config{AvailabilityZone: "z", Seed: uint64(n)}))
-		own[n] = make(map[string]int)
+		m.vms = append(m.vms, picker.New(picker.Config{AvailabilityZone: "z", Seed: uint64(n)}))
+		m.own = append(m.own, make(map[string]int))
 	}
-	inFlight, seen, seenAt := make(map[string]int), make(map[string]int), now
-	seenOwn := make([]map[string]int, row.VMs)
-	var running []roomRequest
-	const serviceTime = 400 * time.Millisecond
+	return m
+}
+
+// playRoom returns the largest number of requests at an engine after a second, and the mean
+// share of the places that is used.
+func playRoom(row roomRow) (most int, used float64) {
+	began := time.Unix(0, 0)
+	m := newRoomModel(row, began)
 	due, sum, ticks := 0.0, 0.0, 0
-	for ; now.Before(time.Unix(0, 0).Add(roomRun)); now = now.Add(roomTick) {
-		kept := running[:0]
-		for _, r := range running {
-			if rng.Float64() < roomTick.Seconds()/serviceTime.Seconds() {
-				id := engines[r.engine].ID
-				inFlight[id]--
-				own[r.vm][id]--
-				vms[r.vm].EndPrefill(r.choice)
-				vms[r.vm].EndRequest(r.choice)
-				continue
-			}
-			kept = append(kept, r)
-		}
-		running = kept
-		if now.Sub(seenAt) >= roomLoadAge {
-			seenAt = now
-			for id, n := range inFlight {
-				seen[id] = n
-			}
-			for n := range own {
-				seenOwn[n] = make(map[string]int)
-				for id, count := range own[n] {
-					seenOwn[n][id] = count
-				}
-			}
+	for now := began; now.Before(began.Add(roomRun)); now = now.Add(roomTick) {
+		m.endRequests()
+		m.updateLoads(now)
+		for due += row.Ratio * float64(row.Engines*row.Limit) * roomTick.Seconds() / roomServiceTime.Seconds(); due >= 1; due-- {
+			m.waiting[m.rng.IntN(row.VMs)]++
 		}
-		for due += row.Ratio * float64(row.Engines*row.Limit) * roomTick.Seconds() / serviceTime.Seconds(); due >= 1; due-- {
-			waiting[rng.IntN(row.VMs)]++
+		for n := range m.vms {
+			m.send(now, n)
 		}
-		for n, vm := range vms {
-			q := picker.Query{
-				Upstreams: engines,
-				Limits:    func(*registrar.Upstream) picker.Limits { return picker.Limits{Own: row.Limit, All: row.Limit} },
-				OtherVMs:  row.VMs - 1,
-				LoadAge:   now.Sub(seenAt) + roomTick,
-				LoadsAt:   seenAt,
-				OtherLoad: func(id string) picker.Load { return picker.Load{InFlight: max(seen[id]-seenOwn[n][id], 0)} },
-			}
-			for waiting[n] > 0 {
-				c := vm.Choose(now, q)
-				if c.Upstream == nil {
-					waiting[n] = min(waiting[n], 5) // the others are refused
-					break
-				}
-				vm.RecordSent(now, q, c)
-				waiting[n]--
-				inFlight[c.Upstream.ID]++
-				own[n][c.Upstream.ID]++
-				for e, u := range engines {
-					if u == c.Upstream {
-						running = append(running, roomRequest{n, e, c})
-					}
-				}
-			}
-		}
-		if now.Sub(time.Unix(0, 0)) < time.Second {
+		if now.Sub(began) < time.Second {
 			continue
 		}
 		ticks++
-		sum += float64(len(running)) / float64(row.Engines*row.Limit)
-		for _, n := range inFlight {
+		sum += float64(len(m.running)) / float64(row.Engines*row.Limit)
+		for _, n := range m.inFlight {
 			most = max(most, n)
 		}
 	}
 	return most, sum / float64(ticks)
 }
+
+// endRequests ends some of the running requests.
+func (m *roomModel) endRequests() {
+	m.running = slices.DeleteFunc(m.running, func(r roomRequest) bool {
+		if m.rng.Float64() >= roomTick.Seconds()/roomServiceTime.Seconds() {
+			return false
+		}
+		id := r.choice.Upstream.ID
+		m.inFlight[id]--
+		m.own[r.vm][id]--
+		m.vms[r.vm].EndPrefill(r.choice)
+		m.vms[r.vm].EndRequest(r.choice)
+		return true
+	})
+}
+
+// updateLoads tells all VMs the loads, if that is due.
+func (m *roomModel) updateLoads(now time.Time) {
+	if now.Sub(m.seenAt) < roomLoadAge {
+		return
+	}
+	m.seenAt, m.seen = now, maps.Clone(m.inFlight)
+	for n, own := range m.own {
+		m.seenOwn[n] = maps.Clone(own)
+	}
+}
+
+// send sends the waiting requests of a VM that find a place. The VM keeps a few of the others.
+func (m *roomModel) send(now time.Time, n int) {
+	limits := picker.Limits{Own: m.row.Limit, All: m.row.Limit}
+	q := picker.Query{
+		Upstreams: m.engines,
+		Limits:    func(*registrar.Upstream) picker.Limits { return limits },
+		OtherVMs:  m.row.VMs - 1,
+		LoadAge:   now.Sub(m.seenAt) + roomTick,
+		LoadsAt:   m.seenAt,
+		OtherLoad: func(id string) picker.Load { return picker.Load{InFlight: max(m.seen[id]-m.seenOwn[n][id], 0)} },
+	}
+	for ; m.waiting[n] > 0; m.waiting[n]-- {
+		c := m.vms[n].Choose(now, q)
+		if c.Upstream == nil {
+			m.waiting[n] = min(m.waiting[n], roomWaiting)
+			return
+		}
+		m.vms[n].RecordSent(now, q, c)
+		m.inFlight[c.Upstream.ID]++
+		m.own[n][c.Upstream.ID]++
+		m.running = append(m.running, roomRequest{n, c})
+	}
+}
