--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -30,7 +30,8 @@
 	replacedCooldown = 5 * time.Second
 	// engineRequestsPerSlot and plainRequestsPerSlot are the numbers of
 	// requests per slot of an upstream that all VMs together may have waiting
-	// or running there.
+	// or running there. Few wait at engines, where a VM can neither reorder nor
+	// refuse them and which lose them in a crash.
 	engineRequestsPerSlot = 1.3
 	plainRequestsPerSlot  = 3.0
 	// imbalanceFactor raises the limit of each VM above an equal share, since
