--- a/cmd/gentianstep/gateway_fixture_test.go
+++ b/cmd/gentianstep/gateway_fixture_test.go
@@ -22,6 +22,8 @@
 	client   string
 	ready    string
 	metrics  string
+	// peers is the address for other VMs.
+	peers string
 }
 
 // registration is what the entry of a worker states besides its own state.
@@ -44,11 +46,16 @@
 	// graceS is the stop grace period of VMs in seconds, and routeTimeoutMS the timeout of routes.
 	graceS         float64
 	routeTimeoutMS int
+	// organisations, if set, replace the only one, and bounds are further lines of settings.
+	organisations []any
+	bounds        string
+	// maxBodyBytes is the limit of a request body in the configuration.
+	maxBodyBytes int
 }
 
 func newPlatform(t *testing.T) *platformFixture {
 	t.Helper()
-	p := &platformFixture{t: t, store: platformtest.NewStore(), registrations: make(map[*platformtest.Worker]registration), client: &http.Client{Timeout: 10 * time.Second}, graceS: 8, routeTimeoutMS: 3000}
+	p := &platformFixture{t: t, store: platformtest.NewStore(), registrations: make(map[*platformtest.Worker]registration), client: &http.Client{Timeout: 10 * time.Second}, graceS: 8, routeTimeoutMS: 3000, maxBodyBytes: bodyLimit}
 	p.door = p.store.NewEndpoint()
 	server := httptest.NewServer(p.door)
 	t.Cleanup(func() {
@@ -88,6 +95,10 @@
 			"target_latency_ms": 800, "priority": 1, "max_attempts": 2, "sticky": sticky, "resumable": resumable, "gap_target_ms": 300,
 		}
 	}
+	organisations := p.organisations
+	if organisations == nil {
+		organisations = []any{map[string]any{"name": "o1", "api_keys": keys, "priority": 1, "isolated": false}}
+	}
 	p.store.Put("op/config", map[string]any{
 		"version": version,
 		"routes": []any{
@@ -100,8 +111,8 @@
 			map[string]any{"name": "app", "max_connections": 110},
 			map[string]any{"name": "llm", "max_connections": 210, "engine": map[string]any{"slots": 8, "token_kv_bytes": 1000, "link_mbps": 1000.0}},
 		},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []any{map[string]any{"name": "o1", "api_keys": keys, "priority": 1, "isolated": false}},
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": p.maxBodyBytes, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": organisations,
 	})
 }
 
@@ -141,6 +152,7 @@
 		client:   fmt.Sprintf("%s:%d", launcher.Host(), ports[0]),
 		ready:    fmt.Sprintf("http://%s:%d/api/ready", launcher.Host(), ports[1]),
 		metrics:  fmt.Sprintf("http://%s:%d/metrics", launcher.Host(), ports[3]),
+		peers:    fmt.Sprintf("%s:%d", launcher.Host(), ports[2]),
 	}
 	p.writeSettings(vm, node, ports)
 	return vm
@@ -162,7 +174,7 @@
 ready = "%s:%d"
 [limits]
 memory_mb = %d
-max_fds = 4100
+max_fds = %d
 [bounds]
 drain_ms = 2500
 grace_s = %g
@@ -173,10 +185,10 @@
 budget_window_s = 10
 lease_ms = 3000
 require_fencing = true
-[platform]
+%s[platform]
 address = %q
 ttl_min_ms = 1000
-`, node, launcher.Host(), ports[2], ports[3], vm.client, launcher.Host(), ports[1], memoryLimitMB, p.graceS, p.address)
+`, node, launcher.Host(), ports[2], ports[3], vm.client, launcher.Host(), ports[1], memoryLimitMB, descriptorLimit, p.graceS, p.bounds, p.address)
 	if err := os.WriteFile(vm.settings, []byte(text), 0o600); err != nil {
 		p.t.Fatal(err)
 	}
--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -11,6 +11,7 @@
 	"gentianstep.example/gentianstep/internal/failure/classifier"
 	"gentianstep.example/gentianstep/internal/gateway/rationer"
 	"gentianstep.example/gentianstep/internal/membership/registrar"
+	"gentianstep.example/gentianstep/internal/operating/reserver"
 	"gentianstep.example/gentianstep/internal/routing/matcher"
 	"gentianstep.example/gentianstep/internal/routing/picker"
 	"gentianstep.example/gentianstep/internal/routing/quarantiner"
@@ -29,8 +30,9 @@
 	replacedCooldown = 5 * time.Second
 	// engineRequestsPerSlot and plainRequestsPerSlot are the numbers of
 	// requests per slot of an upstream that all VMs together may have waiting
-	// or running there.
-	engineRequestsPerSlot = 2.0
+	// or running there. Few wait at engines, where a VM can neither reorder nor
+	// refuse them and which lose them in a crash.
+	engineRequestsPerSlot = 1.3
 	plainRequestsPerSlot  = 3.0
 	// imbalanceFactor raises the limit of each VM above an equal share, since
 	// some VMs get more of the traffic than others.
@@ -61,10 +63,14 @@
 	organisation  *matcher.Organisation
 	service       string
 	// charge is what the request has used of its organisation's quota.
-	charge    *rationer.Charge
-	body      []byte
-	arrivedAt time.Time
-	deadline  time.Time
+	charge *rationer.Charge
+	// body is the body of the request, reservation its memory. bodyReleased is true once no
+	// further attempt may be made.
+	body         []byte
+	reservation  *reserver.Reservation
+	bodyReleased bool
+	arrivedAt    time.Time
+	deadline     time.Time
 	// fingerprints are what the request may have in common with others under which
 	// upstreams crash.
 	fingerprints []quarantiner.Fingerprint
@@ -94,6 +100,8 @@
 	firstByteSentAt atomic.Pointer[time.Time]
 	// pass holds the trials that permit the latest attempt. The transport sets it.
 	pass atomic.Pointer[quarantiner.Pass]
+	// weighed is what the refused request was weighed against, or nil.
+	weighed *weighed
 	// readingPrompt is true from sending an attempt until the upstream has read
 	// the prompt.
 	readingPrompt bool
@@ -167,16 +175,17 @@
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	w := &waiter{priority: x.priority(), deadline: x.deadline}
-	for {
+	w := x.newWaiter(latest)
+	for arrival := true; ; arrival = false {
 		now := time.Now()
 		if refusal := x.checkSendable(now); refusal != nil {
 			return nil, refusal
 		}
-		q := x.choose(now)
+		q := x.chooseInOrder(now, w)
 		switch {
 		case x.choice.Upstream != nil:
 			x.picker.RecordSent(now, q, x.choice)
+			x.recordSent(now)
 			if x.choice.PromptTokens >= urgentPromptTokens {
 				x.overload.recordDecision(false)
 				x.RequestUrgentReport()
@@ -186,16 +195,15 @@
 			if refusal := x.refuseNoUpstream(now, latest); refusal != nil {
 				return nil, refusal
 			}
-		case x.choice.Reason == picker.Behind && now.Sub(x.arrivedAt) >= x.maxBacklogWait():
-			return nil, x.rejectPrompt(now)
+		case x.backlogWaitEnded(now):
+			return nil, x.rejectPrompt(now, w)
 		case !now.Before(latest):
 			return nil, classifier.New(classifier.Overloaded, "every upstream of %s is full", x.service)
 		}
-		until := latest
-		if recheckAt := now.Add(backlogPollInterval); x.choice.Reason == picker.Behind && recheckAt.Before(latest) {
-			until = recheckAt
+		if refusal := x.shed(now, w, arrival); refusal != nil {
+			return nil, refusal
 		}
-		x.waitForCapacity(ctx, x.service, w, x.accessChangeAt(now, until))
+		x.waitForCapacity(ctx, w, x.recheckAt(now, latest))
 		if x.r.Context().Err() != nil {
 			return nil, classifier.Wrap(classifier.CallerGone, x.r.Context().Err(), "the client left while waiting")
 		}
--- a/internal/gateway/forwarder/query.go
+++ b/internal/gateway/forwarder/query.go
@@ -25,8 +25,10 @@
 		Exclude:   x.tried,
 		Objective: x.remainingObjective(now),
 		BodyBytes: len(x.body),
+		HoldTime:  x.queue().all.hold,
 		OtherVMs:  int(x.vms.Load()) - 1,
 		LoadAge:   x.cfg.View.LoadAge(now),
+		LoadsAt:   x.cfg.View.LoadsAt(now),
 		OtherLoad: func(id string) picker.Load {
 			load := x.cfg.View.OtherLoad(now, id)
 			return picker.Load{
@@ -40,6 +42,7 @@
 	q.Limits = func(u *registrar.Upstream) picker.Limits { return x.limits(u.Slots, connections, int(vms)) }
 	if x.route.CarriesPrompt {
 		x.addPrompt(now, &q)
+		q.Speed = x.speed(now)
 	}
 	return q
 }
--- a/internal/gateway/forwarder/relay.go
+++ b/internal/gateway/forwarder/relay.go
@@ -124,6 +124,7 @@
 	if x.markPromptRead() && x.firstByteAt.IsZero() {
 		x.mu.Lock()
 		x.picker.RecordFirstEvent(x.choice, time.Since(x.sentAt))
+		x.sampleSpeed(time.Now())
 		x.mu.Unlock()
 	}
 	data, orderErr := x.dropSeenEvents(data)
@@ -136,6 +137,7 @@
 	if err := x.beginStream(answer); err != nil {
 		return err
 	}
+	x.releaseSentBody(answer)
 	if _, err := x.response.Write(data); err != nil {
 		return fmt.Errorf("%w: %w", errClientGone, err)
 	}
--- a/internal/peering/coordinator/subscriber.go
+++ b/internal/peering/coordinator/subscriber.go
@@ -15,6 +15,7 @@
 
 	"gentianstep.example/gentianstep/internal/operating/pauser"
 	"gentianstep.example/gentianstep/internal/peering/messenger"
+	"gentianstep.example/gentianstep/internal/routing/gauger"
 	"gentianstep.example/gentianstep/internal/routing/quarantiner"
 	"gentianstep.example/gentianstep/internal/routing/withholder"
 )
@@ -57,6 +58,9 @@
 	Limits Limits
 	// Quotas keeps the quotas of organisations; nil for none.
 	Quotas Quotas
+	// DrainSpeeds returns and clears the samples of the speeds of engines since the last
+	// call; nil for none.
+	DrainSpeeds func() []gauger.Sample
 	// UrgentReports signals that the loads should be reported before the next interval.
 	UrgentReports <-chan struct{}
 	View          *View
@@ -90,6 +94,9 @@
 	for ctx.Err() == nil {
 		if hub, ok := s.cfg.Hub(); ok && (hub != lastHub || !time.Now().Before(retryAt)) {
 			err := s.subscribe(ctx, hub)
+			if s.cfg.Quotas != nil {
+				s.cfg.Quotas.EndHub()
+			}
 			s.cfg.Log.WithError(err).WithFields(logrus.Fields{"event": "hub_lost", "hub": hub.String()}).Info("connection to hub ended")
 			lastHub, retryAt = hub, time.Now().Add(reconnectDelay+rand.N(reconnectDelay))
 		}
@@ -163,8 +170,9 @@
 		events := evidence.next()
 		limits, alone := s.limitReports(now, reports.isFirst())
 		quotas, aloneInQuotas := s.quotaReports()
-		if changed || len(events) > 0 || len(limits)+len(quotas) > 0 || !maps.Equal(loads, last) || len(sent) > 0 || !now.Before(keepAliveAt) {
-			report := Report{Node: s.cfg.Node, Loads: loads, SentParts: sent, Number: reports.add(now, loads), Evidence: newEvidence(now, events), Limits: limits, Alone: alone || aloneInQuotas, Quotas: quotas}
+		speeds := s.speedSamples()
+		if changed || len(events)+len(limits)+len(quotas)+len(speeds)+len(sent) > 0 || !maps.Equal(loads, last) || !now.Before(keepAliveAt) {
+			report := Report{Node: s.cfg.Node, Loads: loads, SentParts: sent, Number: reports.add(time.Now(), loads), Evidence: newEvidence(now, events), Limits: limits, Alone: alone || aloneInQuotas, Quotas: quotas, Speeds: speeds}
 			if changed {
 				report.Departures = departures
 			}
@@ -200,6 +208,13 @@
 	return newQuotaUses(list), alone
 }
 
+func (s *Subscriber) speedSamples() []SpeedSample {
+	if s.cfg.DrainSpeeds == nil {
+		return nil
+	}
+	return newSpeedSamples(s.cfg.DrainSpeeds())
+}
+
 func (s *Subscriber) departures() []Departure {
 	if s.cfg.Departures == nil {
 		return nil
--- a/internal/routing/picker/picker.go
+++ b/internal/routing/picker/picker.go
@@ -31,11 +31,13 @@
 	// Full means that each usable upstream has reached a limit of its requests
 	// in flight.
 	Full Reason = "full"
-	// Behind means that the prefill queue of each usable engine is so long that
-	// a long prompt, and each request queued after it, would miss its
-	// objective, or that its weights may have to be replaced before a request
+	// Behind means that the queue of each usable engine is so long that the prompt
+	// would miss its objective, or that its weights may have to be replaced before a request
 	// gets a slot.
 	Behind Reason = "behind"
+	// Outranked means that an upstream could take the request, but that others wait
+	// which go first. Callers of Choose set it.
+	Outranked Reason = "outranked"
 )
 
 const (
@@ -81,6 +83,8 @@
 	pendingParts []SentPart
 	// sendRates holds the rates of work sent to engines (true) and plain services.
 	sendRates map[bool]*sendRate
+	// rooms holds this VM's part of the free places at engines (true) and plain services.
+	rooms map[bool]*room
 }
 
 // SentPart is a shared part that was sent to an upstream for prefill.
@@ -99,6 +103,7 @@
 		calibration: newCalibration(),
 		sent:        make(map[string]sentPart),
 		sendRates:   make(map[bool]*sendRate),
+		rooms:       map[bool]*room{true: {}, false: {}},
 	}
 }
 
@@ -113,14 +118,21 @@
 	e := newCostEstimator(now, p, q, candidates)
 	choices := make([]Choice, 0, len(candidates))
 	best := Choice{Reason: Full}
+	room := p.rooms[q.Prompt != nil]
+	room.divide(now, p.rng, q, candidates, func(u *registrar.Upstream) (free, all int) {
+		all = q.limitsAt(u).All
+		return max(all-p.totalLoad(q, u).InFlight, 0), all
+	})
 	for _, u := range candidates {
-		load, limits := p.totalLoad(q, u), q.Limits(u)
-		if load.InFlight >= limits.All || p.ownLoad(u.ID).InFlight >= limits.Own {
+		load, limits := p.totalLoad(q, u), q.limitsAt(u)
+		if load.InFlight >= limits.All || p.ownLoad(u.ID).InFlight >= limits.Own || room.taken(u.ID) {
 			continue
 		}
 		c := e.estimateCosts(u, load)
-		if p.queueTooLong(q, c) || mayStartTooLate(q, c) {
+		late := mayStartTooLate(q, c)
+		if late || p.queueTooLong(q, c) {
 			best = lessBehind(best, c)
+			best.QueueTooLong = best.QueueTooLong || !late
 			continue
 		}
 		choices = append(choices, c)
@@ -128,6 +140,7 @@
 	if len(choices) > 0 {
 		own := slices.MinFunc(choices, func(a, b Choice) int { return cmp.Compare(a.Costs.Total(), b.Costs.Total()) }).work(q)
 		best = selectChoice(p.rng, choices, p.unseenWork(now, q), own)
+		best.prompt = q.Prompt != nil
 	}
 	best.Candidates = len(candidates)
 	return best
@@ -141,22 +154,42 @@
 	return q.Prompt != nil && c.WeightsVersion < q.Prompt.DueVersion && c.Load.InFlight >= max(c.Upstream.Slots, 1)
 }
 
-// queueTooLong reports whether a prompt with a long prefill would miss the
-// objective because of the engine's queue.
+// queueTooLong reports whether a prompt would miss the objective because of the
+// engine's queue.
 func (p *Picker) queueTooLong(q Query, c Choice) bool {
-	if q.Objective <= 0 || c.PromptTokens < heavyPrefillTokens {
+	if q.Objective <= 0 || q.Prompt == nil {
 		return false
 	}
+	queue := p.calibration.scale(c.Costs.Queue)
+	if c.PromptTokens < heavyPrefillTokens {
+		queue = p.shortPromptQueue(q, c)
+	}
 	prefill := p.calibration.scale(c.Costs.Prefill + c.Costs.Fetch)
 	allowed := max(q.Objective-prefill, time.Duration(minQueueShare*float64(q.Objective)))
-	return p.calibration.scale(c.Costs.Queue) > allowed
+	return queue > allowed
+}
+
+// shortPromptQueue returns the wait of a prompt with a short prefill. The wait for a slot
+// follows from the measured time of requests at upstreams, since slotHoldTime is
+// several times too long where prompts and responses are short.
+func (p *Picker) shortPromptQueue(q Query, c Choice) time.Duration {
+	if q.HoldTime <= 0 {
+		return 0
+	}
+	slots := max(c.Upstream.Slots, 1)
+	over := time.Duration(max(c.Load.InFlight+1-slots, 0))
+	others := p.calibration.scale(c.Costs.Queue - over*slotHoldTime/time.Duration(slots))
+	return others + over*q.HoldTime/time.Duration(max(c.Load.InFlight, 1))
 }
 
 // lessBehind returns the choice of no engine, given that c cannot be chosen either: the
 // shortest backlog, and the fewest tokens that an engine would have to prefill.
 func lessBehind(best, c Choice) Choice {
 	if best.Reason != Behind {
-		return Choice{Reason: Behind, Backlog: c.Costs.Queue, PromptTokens: c.PromptTokens}
+		return Choice{Reason: Behind, Backlog: c.Costs.Queue, PromptTokens: c.PromptTokens, Costs: c.Costs}
+	}
+	if c.Costs.Queue+c.Costs.Prefill+c.Costs.Fetch < best.Costs.Queue+best.Costs.Prefill+best.Costs.Fetch {
+		best.Costs = c.Costs
 	}
 	best.Backlog = shorterBacklog(best.Backlog, c.Costs.Queue)
 	best.PromptTokens = min(best.PromptTokens, c.PromptTokens)
@@ -211,6 +244,7 @@
 	s := p.touchState(now, c.Upstream.ID)
 	s.load.InFlight++
 	s.load.PromptTokens += c.PromptTokens
+	p.rooms[q.Prompt != nil].add(c.Upstream.ID, -1)
 	rate := p.sendRates[q.Prompt != nil]
 	if rate == nil {
 		rate = &sendRate{}
@@ -256,4 +290,7 @@
 
 // EndRequest records that a request has ended. The end of its prefill must have
 // been recorded before.
-func (p *Picker) EndRequest(c Choice) { p.states[c.Upstream.ID].load.InFlight-- }
+func (p *Picker) EndRequest(c Choice) {
+	p.states[c.Upstream.ID].load.InFlight--
+	p.rooms[c.prompt].add(c.Upstream.ID, 1)
+}
--- a/internal/routing/picker/query.go
+++ b/internal/routing/picker/query.go
@@ -98,11 +98,17 @@
 	Sources []*registrar.Upstream
 	// Limits returns the limits of an upstream.
 	Limits func(u *registrar.Upstream) Limits
+	// Speed returns the speed of an engine relative to the mean of its service; nil stands
+	// for equal speeds. All VMs should get the same one, since homes depend on it.
+	Speed func(*registrar.Upstream) float64
 	// BodyBytes is the size of the request body.
 	BodyBytes int
 	// Objective is the time left until the latency objective of the first
 	// event; 0 sets no bound on queues.
 	Objective time.Duration
+	// HoldTime is the mean time for which requests were at upstreams of the service
+	// lately, 0 if it is not known. Short prompts are then not held back.
+	HoldTime time.Duration
 	// Prompt is nil for a service without engines.
 	Prompt *Prompt
 	// OtherLoad returns the load that other VMs have at an upstream or store.
@@ -111,6 +117,8 @@
 	// the age of the loads that this VM knows of them.
 	OtherVMs int
 	LoadAge  time.Duration
+	// LoadsAt is when the latest loads of the other VMs were received, zero if none are known.
+	LoadsAt time.Time
 	// Usable reports whether an upstream can serve the request; nil admits all.
 	Usable func(*registrar.Upstream) bool
 	// Exclude holds the IDs of upstreams at which the request has already
@@ -166,9 +174,19 @@
 	PromptTokens int
 	// Backlog is the shortest wait in a queue if the reason is Behind.
 	Backlog time.Duration
+	// QueueTooLong is true if the reason is Behind and not only because of weights that
+	// may have to be replaced.
+	QueueTooLong bool
 	// Candidates is the number of upstreams considered.
 	Candidates int
 	// Load is the load of all VMs at the upstream before this request.
-	Load  Load
+	Load Load
+	// Speed is the speed of the upstream relative to the mean that the costs assume.
+	Speed float64
+	// Costs are those at the upstream, or at the one with the earliest first event if
+	// the reason is Behind.
 	Costs Costs
+
+	// prompt is true if the request has a prompt.
+	prompt bool
 }
--- a/internal/routing/throttler/quota_test.go
+++ b/internal/routing/throttler/quota_test.go
@@ -41,6 +41,8 @@
 	Restarts   float64 `json:"restarts"`
 	Held       float64 `json:"held"`
 	HubMovesMS int     `json:"hub_moves_ms"`
+	// LostS is the time after which no VM has a hub.
+	LostS int `json:"lost_s"`
 	// MinUsed is the least share of the quota that is used, MaxRefused the largest share of
 	// requests that are refused.
 	MinUsed    float64 `json:"min_used"`
@@ -130,6 +132,7 @@
 		m.hubs = append(m.hubs, a)
 	}
 	for _, vm := range m.vms {
+		vm.credits.EndHub(now)
 		vm.newSession()
 	}
 }
@@ -144,6 +147,9 @@
 		if m.row.Lowered > 0 && now.Equal(modelStart.Add(modelRun/2)) {
 			m.lower(now)
 		}
+		if m.row.LostS > 0 && now.Equal(modelStart.Add(time.Duration(m.row.LostS)*time.Second)) {
+			m.loseHubs()
+		}
 		m.deliver(now)
 		m.arrive(now)
 		for n, vm := range m.vms {
@@ -159,6 +165,13 @@
 	}
 }
 
+func (m *quotaModel) loseHubs() {
+	for _, vm := range m.vms {
+		vm.hub = -1
+		vm.newSession()
+	}
+}
+
 func (m *quotaModel) lower(now time.Time) {
 	m.config.PerSecond *= m.row.Lowered
 	m.config.Burst *= m.row.Lowered
@@ -232,6 +245,9 @@
 	if m.rng.Float64() < m.row.Cuts*quotaTick.Seconds() && vm.hub >= 0 {
 		vm.cutUntil = now.Add(time.Duration(m.rng.Int64N(int64(5 * time.Second))))
 		m.hubs[vm.hub].RemoveVM(now, [2]int{n, vm.session})
+		if m.rng.IntN(2) == 0 { // else its messages are lost
+			vm.credits.EndHub(now)
+		}
 		vm.newSession()
 	}
 	if m.rng.Float64() < m.row.Restarts*quotaTick.Seconds() {
--- a/internal/standin/rehearser/policy.go
+++ b/internal/standin/rehearser/policy.go
@@ -16,10 +16,15 @@
 	RoundRobin  = "round_robin"
 	LeastLoaded = "least_loaded"
 	PrefixCost  = "prefix_cost"
+	// Shedding is PrefixCost with the gateway's order and refusals of waiting requests.
+	Shedding = "shedding"
+	// PrefixCostEqualSpeeds is PrefixCost without estimates of the speeds of engines. It is
+	// simulated for comparison only, and is not one of Policies.
+	PrefixCostEqualSpeeds = "prefix_cost_equal_speeds"
 )
 
-// Policies returns the names of all policies that Simulate accepts.
-func Policies() []string { return []string{RoundRobin, LeastLoaded, PrefixCost} }
+// Policies returns the names of the policies that are compared.
+func Policies() []string { return []string{RoundRobin, LeastLoaded, PrefixCost, Shedding} }
 
 const (
 	// inFlightPerSlot is the maximum number of requests in flight to an engine for
@@ -92,6 +97,10 @@
 	r      *simulation
 	vm     int
 	picker *picker.Picker
+	// equalSpeeds makes it take all engines for equally fast.
+	equalSpeeds bool
+	// last is the latest choice.
+	last picker.Choice
 }
 
 func newPrefixCost(r *simulation, vm int, seed uint64) *prefixCost {
@@ -109,7 +118,11 @@
 func (p *prefixCost) choose(now time.Duration, a arrival) (placement, bool) {
 	q := p.query(now, a)
 	at := p.r.epoch.Add(now)
+	if p.r.lines != nil {
+		q.HoldTime = p.r.lines[p.vm].all.hold
+	}
 	c := p.picker.Choose(at, q)
+	p.last = c
 	if c.Upstream == nil {
 		return placement{}, false
 	}
@@ -130,6 +143,7 @@
 		Limits: func(*registrar.Upstream) picker.Limits {
 			return picker.Limits{Own: max(2*limit/p.r.load.VMs, 2), All: limit}
 		},
+		Speed:     p.speed,
 		OtherVMs:  p.r.load.VMs - 1,
 		LoadAge:   now % max(millis(p.r.load.LoadSyncMS), time.Millisecond),
 		Objective: max(millis(a.kind.ObjectiveMS)-(now-a.at), time.Millisecond),
@@ -171,8 +185,10 @@
 		return &roundRobin{r: r, next: rand.New(rand.NewPCG(seed, 0)).IntN(len(r.engines))}, nil
 	case LeastLoaded:
 		return &leastLoaded{r: r, vm: vm}, nil
-	case PrefixCost:
-		return newPrefixCost(r, vm, seed), nil
+	case PrefixCost, PrefixCostEqualSpeeds, Shedding:
+		p := newPrefixCost(r, vm, seed)
+		p.equalSpeeds = name == PrefixCostEqualSpeeds
+		return p, nil
 	}
 	return nil, fmt.Errorf("policy %q: %w", name, errUnknownPolicy)
 }
