shedder: refuse at once what starts after it would be refused

Cause: a request that could be in time with a start after StartBy kept its place until StartBy and was refused then, 375 ms after its arrival, once no request waits at engines beyond their slots.

Change: such a request is refused on arrival. The property test takes the deadline for the end of being in time where it comes before the objective: a request that cannot be answered before its deadline is not in time.

--- a/internal/routing/shedder/plan.go
+++ b/internal/routing/shedder/plan.go
@@ -59,7 +59,7 @@
 	p := planner{now: now, capacity: c, plan: Plan{ReturnsFrom: c.ReturnsFrom}}
 	var late []*Request
 	for _, r := range ordered {
-		if p.startOf(r).After(r.latestStart()) {
+		if start := p.startOf(r); start.After(r.latestStart()) || start.After(r.lastUsefulStart()) {
 			late = append(late, r)
 			continue
 		}
--- a/internal/routing/shedder/property_test.go
+++ b/internal/routing/shedder/property_test.go
@@ -52,6 +52,15 @@
 	return late || shedder.Compare(now, p.Request, r) < 0
 }
 
+// inTimeBy returns the time by which a request is answered in time: that of its objective, or
+// its deadline if that is earlier.
+func inTimeBy(r *shedder.Request) time.Time {
+	if r.Deadline.Before(r.DueAt) {
+		return r.Deadline
+	}
+	return r.DueAt
+}
+
 // TestNoRequestIsRefusedForOneThatCostsLess guards against a request that is refused, or
 // made late, although it could be served if requests that rank lower gave up their places.
 func TestNoRequestIsRefusedForOneThatCostsLess(t *testing.T) {
@@ -67,7 +76,7 @@
 		for _, p := range plan.Places {
 			if p.Late {
 				late = append(late, p.Request)
-			} else if p.StartAt.Add(p.Request.Work).After(p.Request.DueAt) {
+			} else if p.StartAt.Add(p.Request.Work).After(inTimeBy(p.Request)) {
 				t.Fatalf("%s is placed as in time and is late", p.Request.ID)
 			}
 		}
@@ -81,7 +90,7 @@
 			}
 		}
 		for _, r := range late {
-			if !startOf(plan, r, lanes, false).Add(r.Work).After(r.DueAt) {
+			if !startOf(plan, r, lanes, false).Add(r.Work).After(inTimeBy(r)) {
 				t.Fatalf("%s is late and could be in time in its place", r.ID)
 			}
 		}
