review: show that entries of another writer end all processes

Another writer puts 160 entries of 1 MiB, which can't be read, below the workers' prefix of the store. Every gateway of 134 MB exceeds its memory while it lists them, is killed, and is killed again at each start, so that no request is served.

--- a/review/_rig/chunks.go
+++ b/review/_rig/chunks.go
@@ -119,7 +119,7 @@
 	e.store.put("op/config", configuration(1, []map[string]any{
 		route("book", "non_idempotent", "desk", int(bookTimeout.Milliseconds())), route("note", "idempotent", "desk", 4000),
 	}, "desk"))
-	g := newGateway(e.dir, "vm1", "127.0.0.2", e.storeAddress, machine{memoryMB: 134, maxFDs: 4100}, siteBounds)
+	g := newGateway(e.dir, "vm1", "127.0.0.2", e.storeAddress, machine{memoryMB: siteMemoryMB, maxFDs: siteMaxFDs}, siteBounds)
 	g.start(e.program)
 	defer g.stop()
 	if !g.waitReady(15 * time.Second) {
--- a/review/_rig/memory.go
+++ b/review/_rig/memory.go
@@ -14,6 +14,9 @@
 func init() { cases["bodies"] = playBodies }
 
 const (
+	// siteMemoryMB and siteMaxFDs are those of a machine of the site dysgl-ops.
+	siteMemoryMB = 134
+	siteMaxFDs   = 4100
 	// bodyClients is the number of clients at one machine that stop short of the end of a body.
 	bodyClients = 3000
 	// bodyBytes is the size of a body, far below the limit of the configuration, and bodyChunk
@@ -135,14 +138,12 @@
 	k := newWorker("i-1", "desk", e.rec)
 	k.serve(e.store, "127.0.0.1")
 	e.store.put("op/config", configuration(1, []map[string]any{route("look", "idempotent", "desk", 6000)}, "desk"))
-	machines := []*guardedMachine{}
-	for i, name := range []string{"vm1", "vm2"} {
-		g := newGateway(e.dir, name, fmt.Sprintf("127.0.0.%d", i+2), e.storeAddress, machine{memoryMB: 134, maxFDs: 4100}, siteBounds)
-		g.start(e.program)
-		m := &guardedMachine{e: e, g: g, memoryMB: 134}
-		machines = append(machines, m)
-		defer func() { m.g.stop() }()
-	}
+	machines := startGuarded(e)
+	defer func() {
+		for _, m := range machines {
+			m.g.stop()
+		}
+	}()
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
 	for _, m := range machines {
@@ -170,6 +171,28 @@
 	if !e.trouble {
 		length /= 4
 	}
+	broke := watchEnds(e, machines, length)
+	close(stop)
+	if broke {
+		return broken
+	}
+	return held
+}
+
+// startGuarded starts two machines of the site dysgl-ops.
+func startGuarded(e *env) []*guardedMachine {
+	machines := []*guardedMachine{}
+	for i, name := range []string{"vm1", "vm2"} {
+		g := newGateway(e.dir, name, fmt.Sprintf("127.0.0.%d", i+2), e.storeAddress, machine{memoryMB: siteMemoryMB, maxFDs: siteMaxFDs}, siteBounds)
+		g.start(e.program)
+		machines = append(machines, &guardedMachine{e: e, g: g, memoryMB: siteMemoryMB})
+	}
+	return machines
+}
+
+// watchEnds records what the machines did until the processes of each have ended as often as
+// breaks the rule, and reports whether they have within a time.
+func watchEnds(e *env, machines []*guardedMachine, length time.Duration) bool {
 	broke := func() bool {
 		return machines[0].ends.Load() >= endsToBreak && machines[1].ends.Load() >= endsToBreak
 	}
@@ -179,12 +202,8 @@
 				m.g.name, m.sent.Load(), m.served.Load(), m.refused.Load(), m.failed.Load(), m.mostMB.Load())
 		}
 	}
-	close(stop)
 	for _, m := range machines {
 		e.rec.add("%s: %d ends of its process, most memory %d MB", m.g.name, m.ends.Load(), m.mostMB.Load())
 	}
-	if broke() {
-		return broken
-	}
-	return held
+	return broke()
 }
--- a/review/_rig/store.go
+++ b/review/_rig/store.go
@@ -72,6 +72,13 @@
 	s.write(key, data, 0)
 }
 
+// putBytes writes bytes that may be no JSON.
+func (s *store) putBytes(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.write(key, value, 0)
+}
+
 func (s *store) remove(key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -176,9 +183,14 @@
 	revision := s.revision
 	s.mu.Unlock()
 	sort.Slice(list, func(a, b int) bool { return list[a].Key < list[b].Key })
-	const page = 500
-	more := len(list) > page
-	list = list[:min(len(list), page)]
+	const pageItems, pageBytes = 500, 1 << 20
+	n, size := 0, 0
+	for n < len(list) && n < pageItems && (n == 0 || size+len(list[n].Value) <= pageBytes) {
+		size += len(list[n].Value)
+		n++
+	}
+	more := n < len(list)
+	list = list[:n]
 	reply(w, http.StatusOK, map[string]any{"items": list, "has_more": more, "current_rev": revision})
 }
 
