--- a/review/_rig/unnamed.go
+++ b/review/_rig/unnamed.go
@@ -10,7 +10,7 @@
 const (
 	// unnamedEntries is the number of entries of a service that no configuration names, and
 	// unnamedInterval the time after which each is written again.
-	unnamedEntries  = 3000
+	unnamedEntries  = 4000
 	unnamedInterval = 5 * time.Second
 	unnamedLength   = 40 * time.Second
 )
--- a/review/_rig/worker.go
+++ b/review/_rig/worker.go
@@ -16,8 +16,6 @@
 	slots                      int
 	born                       int64
 	rec                        *record
-	// models are those of an engine.
-	models []map[string]any
 	// handle serves a request whose body was read; nil answers it with success at once.
 	handle func(w http.ResponseWriter, r *http.Request, body []byte)
 
@@ -49,14 +47,10 @@
 func (k *worker) close() { _ = k.server.Close() }
 
 func (k *worker) entry() map[string]any {
-	entry := map[string]any{
+	return map[string]any{
 		"service": k.service, "address": k.address, "zone": k.zone, "version": "v1", "slots": k.slots,
 		"state": "ready", "cold_remaining_ms": 0, "sequence": 0, "born": k.born,
 	}
-	if k.models != nil {
-		entry["stage"], entry["models"] = "combined", k.models
-	}
-	return entry
 }
 
 // ServeHTTP implements http.Handler.
