upstream/screener: take no reset within an upload for the end of a response

Callers got a part of a response as a whole 200: an upstream answered a long upload at once, without a length, sent a part of the body and reset the connection while the upload was still being written.

Cause: the kernel reports a reset once, to the system call that asks first. If that is the write of the upload, the next read returns 0 bytes, which Go gives as io.EOF. Nothing compared the two, so that the end of a connection that was reset was also the end of a response that ends with its connection.

screener.Conn now stands below all connections of caller.Caller, which the gateway and the router share. A write that fails with anything but EPIPE has found the connection dead; the read that gets the end of the connection then returns ErrReset. EPIPE is what a write gets after the peer's side has ended in order, so that early responses of upstreams that close their side stay whole, also if they reset the connection afterwards. The read of 0 bytes can return before the failed write has: writes hold a lock until their result is noted, and the read takes it before it decides. A write that waits for an upstream that has closed its side only is ended first, by a deadline: a connection that can no longer be read has no use for the rest of a request.

Such an attempt has failed like any other: sent again where the route allows, else outcome_unknown, with the reset in the log. Refusals that were not run, those with a length, and responses without one that end in order stay as they were; a row for each.

--- a/internal/gateway/forwarder/fixture_test.go
+++ b/internal/gateway/forwarder/fixture_test.go
@@ -56,6 +56,8 @@
 	startedAt time.Time
 	// dialDelay is the time to open a connection to a worker in ns.
 	dialDelay atomic.Int64
+	// upstreams, if set, opens the connections to all workers.
+	upstreams caller.DialFunc
 	// dials counts the connections that are being opened. Transports open some for
 	// requests that others have served meanwhile.
 	dials sync.WaitGroup
@@ -210,6 +212,9 @@
 
 // dial opens a connection to a worker after dialDelay.
 func (f *fixture) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if f.upstreams != nil {
+		return f.upstreams(ctx, network, address)
+	}
 	f.dials.Add(1)
 	defer f.dials.Done()
 	select {
--- a/internal/upstream/caller/connection.go
+++ b/internal/upstream/caller/connection.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"sync/atomic"
+
+	"gentianstep.example/gentianstep/internal/upstream/screener"
 )
 
 var (
@@ -37,7 +39,7 @@
 func newConnection(conn net.Conn) *connection {
 	unreadable := make(chan struct{})
 	return &connection{
-		Conn:           conn,
+		Conn:           screener.NewConn(conn),
 		unreadable:     unreadable,
 		markUnreadable: sync.OnceFunc(func() { close(unreadable) }),
 	}
@@ -123,7 +125,11 @@
 // reset closes a connection and drops the bytes that were not sent yet. TLS would first
 // write a message, which may wait behind them for seconds.
 func reset(conn net.Conn) error {
-	if c, ok := conn.(interface{ NetConn() net.Conn }); ok {
+	for {
+		c, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
 		conn = c.NetConn()
 	}
 	if c, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
