upstream/screener: refuse responses whose heads hold malformed names

Clients got responses of upstreams in trouble in whose head the name of a field held a blank: as a 200 without that line, or, if the line said where the body ends, with the chunks as sent or with more bytes than the length states. On a connection that stays open they waited until the time of the route was over. What else such a head stated was believed: that the request was not run, that the upstream leaves, holds off requests, has a limit, or serves other weights.

Cause: net/http keeps a name with a blank as it stands, so that it is another name than the one that was meant, and joins a line that begins with a blank to the field before it. RFC 9112 makes the first malformed and lets a gateway refuse the second (5.2), but nobody looked. The library refuses all other bytes that a name must not hold.

screener.Conn, through which gateway and router read all their responses, now checks each line of a head as its bytes arrive, those of interim responses included, before net/http sees its end. The names are checked by x/net/http/httpguts. The read fails, so that the attempt has failed before anything of its head is believed: it is sent again where the route allows, else its outcome is unknown, and the log has the name. Checking http.Header later would not do: folded lines and heads of interim responses cannot be seen there.

--- a/internal/serving/receiver/scripted_answer_test.go
+++ b/internal/serving/receiver/scripted_answer_test.go
@@ -61,7 +61,7 @@
 	for name, value := range a.Header {
 		header[name] = value
 	}
-	head := fmt.Sprintf("HTTP/1.1 %d %s\r\n", a.Status, http.StatusText(a.Status))
+	head := fmt.Sprintf("HTTP/1.1 %03d %s\r\n", a.Status, http.StatusText(a.Status))
 	for name, value := range header {
 		if value != "" {
 			head += name + ": " + value + "\r\n"
--- a/internal/upstream/caller/connection.go
+++ b/internal/upstream/caller/connection.go
@@ -20,7 +20,7 @@
 // connection records whether a byte of the current request may have been sent. It
 // is reset if that request is abandoned.
 type connection struct {
-	net.Conn
+	*screener.Conn
 
 	mu sync.Mutex
 	// owner is the exchange whose request the connection carries, or has carried
@@ -53,6 +53,7 @@
 	reused := c.owner != nil
 	c.owner, c.ended = e, false
 	c.sent.Store(false)
+	c.BeginRequest()
 	return reused
 }
 
@@ -69,7 +70,7 @@
 // still run it, whatever they say.
 func (c *connection) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
-	if n > 0 && !c.sent.Load() {
+	if (n > 0 || errors.Is(err, screener.ErrHead)) && !c.sent.Load() {
 		c.refuseSend()
 		n, err = 0, errEarlyData
 	}
--- a/internal/upstream/screener/conn.go
+++ b/internal/upstream/screener/conn.go
@@ -22,12 +22,16 @@
 // DialFunc opens a connection.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Conn is a client's connection whose reads return io.EOF only if the server has ended it in
-// order. The kernel reports a reset once: if a write gets it, the next read gets the end of the
-// connection, which would also be that of a response without a length.
+// Conn is a client's connection whose reads fail on a response with a malformed head, and
+// return io.EOF only if the server has ended the connection in order. The kernel reports a
+// reset once: if a write gets it, the next read gets the end of the connection, which would
+// also be that of a response without a length.
 type Conn struct {
 	net.Conn
 
+	headMu sync.Mutex
+	head   head
+
 	// writeMu is held during a write.
 	writeMu sync.Mutex
 	// writeErr is the error of the write that has found the connection dead.
@@ -58,16 +62,33 @@
 	return errors.As(err, &errno) && errno != syscall.EPIPE
 }
 
-// Read implements net.Conn. It returns ErrReset in place of io.EOF if a write got the reset.
-// Nothing more can be written once it has returned either of them.
+// BeginRequest tells that a request is about to be sent, and no response is under way.
+func (c *Conn) BeginRequest() {
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	c.head = head{}
+}
+
+// Read implements net.Conn. It returns ErrHead and nothing of the bytes that it has read if
+// they make a head malformed, and ErrReset in place of io.EOF if a write got the reset.
+// Nothing more can be written once it has returned io.EOF or ErrReset.
 func (c *Conn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
+	if headErr := c.checkHead(data[:n]); headErr != nil {
+		return 0, headErr
+	}
 	if errors.Is(err, io.EOF) {
 		err = c.endError(err)
 	}
 	return n, err
 }
 
+func (c *Conn) checkHead(data []byte) error {
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	return c.head.check(data)
+}
+
 // endError returns the error for reads that have got the end of the connection. A write that
 // has got the reset before may not have returned yet, so that it waits for it; one that waits
 // for a server that has closed its side only gets none.
