upstream/screener: refuse statuses below 100 before their heads are believed

A response whose status is 000 never reached a client: caller.Do refused all statuses below 100. The router believed what the head stated all the same: an upstream that named itself leaving beside such a status got no more requests.

Cause: the status was checked together with the ID that a response echoes, and a response that fails that check still tells that its upstream leaves, since it is a sound one to another call. The gateway checks the status first.

The check moves into the check of heads, where nothing of the head has been believed yet, and where the calls that do not go through caller.Do can have it as well. The tests of the status stay as they are.

Evidence: "leaving, status 000" of TestStatementsOfBrokenHeadAreDropped failed before; it and the 128 tests of broken statuses pass. A status of 600 or more is passed on as before: clients have to treat it as 5xx (RFC 9110, 15).

--- a/internal/upstream/caller/caller.go
+++ b/internal/upstream/caller/caller.go
@@ -165,11 +165,8 @@
 // of call.
 func checkResponse(response *http.Response, call Call, reused bool) error {
 	header := response.Header
-	switch {
-	case response.StatusCode == http.StatusSwitchingProtocols:
+	if response.StatusCode == http.StatusSwitchingProtocols {
 		return errProtocolSwitch
-	case response.StatusCode < http.StatusContinue:
-		return fmt.Errorf("status %03d: %w", response.StatusCode, errStatus)
 	}
 	if call.Head != nil {
 		return call.Head.CheckResponse(response.StatusCode, header, reused)
--- a/internal/upstream/caller/failure.go
+++ b/internal/upstream/caller/failure.go
@@ -17,9 +17,6 @@
 // not end with the call, and no call requests it.
 var errProtocolSwitch = errors.New("upstream switches to another protocol")
 
-// errStatus reports a response whose status is below all that HTTP has.
-var errStatus = errors.New("upstream response has no valid status")
-
 // Failure is a failed call to an upstream. Only errors of the call itself have
 // this type.
 type Failure struct {
--- a/internal/upstream/screener/head.go
+++ b/internal/upstream/screener/head.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"net/http"
+	"strconv"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -25,8 +27,9 @@
 )
 
 // head checks the head of a response, and those of interim responses before it, as their
-// bytes arrive. Of what RFC 9112 does not allow, net/http takes names with a blank, and joins
-// a line that begins with one to the field before it. The transport bounds the size of heads.
+// bytes arrive. Of what RFC 9112 does not allow, net/http takes statuses below 100 and names
+// with a blank, and joins a line that begins with one to the field before it. The transport
+// bounds the size of heads.
 type head struct {
 	part part
 	// interim is true if another head follows.
@@ -55,8 +58,8 @@
 func (h *head) endLine(line []byte) error {
 	switch {
 	case h.part == statusLine:
-		h.readStatus(line)
 		h.part = fieldLines
+		return h.checkStatus(line)
 	case len(line) > 0:
 		return checkField(line)
 	case h.interim:
@@ -67,11 +70,15 @@
 	return nil
 }
 
-// readStatus reads a status line, which net/http checks.
-func (h *head) readStatus(line []byte) {
+// checkStatus checks the status in a status line, whose version net/http checks.
+func (h *head) checkStatus(line []byte) error {
 	_, status, _ := bytes.Cut(line, []byte(" "))
-	status = bytes.TrimLeft(status, " ")
-	h.interim = bytes.HasPrefix(status, []byte("1")) && !bytes.HasPrefix(status, []byte("101"))
+	code, _, _ := bytes.Cut(bytes.TrimLeft(status, " "), []byte(" "))
+	if n, err := strconv.ParseUint(string(code), 10, 16); err != nil || n < http.StatusContinue {
+		return fmt.Errorf("%w: status %q", ErrHead, quoted(code))
+	}
+	h.interim = code[0] == '1' && string(code) != "101"
+	return nil
 }
 
 // checkField checks a line of the head. One that begins with a blank would continue the field
