operating/starter: refuse broken answers to the calls of a VM's own

Orders were taken as accepted, reports, events, entries of the store and decisions as read, and a health check as passed, on answers whose heads hold malformed names; a health check also on a status of 000. A write to the store was taken as done on a part of an answer whose connection was reset within the upload. Seen in tests alone, not on machines.

Cause: the two faults that the requests of callers had. These calls use clients of net/http of their own, so that the checks of caller.Do are not theirs.

screener.Transport puts the same connections below such a client, and tells them when a request begins. All clients of gateways, controllers, routers and commands are built with it: store, reports, orders, events and lists of caches, health checks, peers, hub, relays and decisions. A call whose answer is broken fails; an order's outcome is unknown then, and the store's callers treat a write as one whose answer is lost.

--- a/internal/operating/starter/dial.go
+++ b/internal/operating/starter/dial.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sys/unix"
 
 	"gentianstep.example/gentianstep/internal/upstream/caller"
+	"gentianstep.example/gentianstep/internal/upstream/screener"
 )
 
 const (
@@ -60,14 +61,14 @@
 // newClient returns an HTTP client with connections of its own, without TLS. It does not
 // follow redirects, which may lead to other hosts.
 func (g *gateway) newClient() *http.Client {
-	return &http.Client{Transport: g.newTransport(), CheckRedirect: caller.DisableRedirects}
+	return &http.Client{Transport: screener.NewTransport(g.newTransport()), CheckRedirect: caller.DisableRedirects}
 }
 
 // newUnpooledClient is newClient with a new connection for each call.
 func (g *gateway) newUnpooledClient() *http.Client {
 	t := g.newTransport()
 	t.DisableKeepAlives = true
-	return &http.Client{Transport: t, CheckRedirect: caller.DisableRedirects}
+	return &http.Client{Transport: screener.NewTransport(t), CheckRedirect: caller.DisableRedirects}
 }
 
 func (g *gateway) newTransport() *http.Transport {
--- a/internal/operating/starter/endless_test.go
+++ b/internal/operating/starter/endless_test.go
@@ -20,6 +20,7 @@
 	"gentianstep.example/gentianstep/internal/testing/flooder"
 	"gentianstep.example/gentianstep/internal/testing/scripter"
 	"gentianstep.example/gentianstep/internal/upstream/observer"
+	"gentianstep.example/gentianstep/internal/upstream/screener"
 	"gentianstep.example/gentianstep/platform"
 )
 
@@ -88,11 +89,12 @@
 			is := is.New(t)
 			server := flooder.New(row.Form)
 			g := &gateway{dial: server.Dial}
-			controller := newTransport(nil)
-			controller.DialContext = server.Dial
+			base := newBaseTransport(nil)
+			base.DialContext = server.Dial
+			controller := &http.Client{Transport: screener.NewTransport(base)}
 			ctx, cancel := context.WithTimeout(t.Context(), endlessTimeout)
 			defer cancel()
-			err := endlessCalls[row.Call](ctx, g.newClient(), &http.Client{Transport: controller}, netip.MustParseAddrPort("10.0.0.1:80"))
+			err := endlessCalls[row.Call](ctx, g.newClient(), controller, netip.MustParseAddrPort("10.0.0.1:80"))
 			is.NoErr(ctx.Err()) // it does not take the time of the call to notice
 			if row.Form != flooder.Idle {
 				is.True(err != nil || row.Call == "order")
--- a/internal/operating/starter/transport.go
+++ b/internal/operating/starter/transport.go
@@ -9,14 +9,19 @@
 	"gentianstep.example/gentianstep/internal/operating/configurer"
 	"gentianstep.example/gentianstep/internal/upstream/caller"
 	"gentianstep.example/gentianstep/internal/upstream/noticer"
+	"gentianstep.example/gentianstep/internal/upstream/screener"
 )
 
 // maxIdlePerHost limits the idle connections kept open to each host.
 const maxIdlePerHost = 64
 
 // newTransport returns an HTTP transport for http:// URLs whose connections use
-// TLS configured by c, or plain TCP if c is nil.
-func newTransport(c *certifier.Certifier) *http.Transport {
+// TLS configured by c, or plain TCP if c is nil. It fails on broken responses.
+func newTransport(c *certifier.Certifier) *screener.Transport {
+	return screener.NewTransport(newBaseTransport(c))
+}
+
+func newBaseTransport(c *certifier.Certifier) *http.Transport {
 	t := &http.Transport{
 		MaxIdleConnsPerHost:    maxIdlePerHost,
 		IdleConnTimeout:        idleTimeout,
@@ -33,9 +38,9 @@
 // responses do not name their order, and one on a kept connection may be that to an earlier
 // call.
 func newOrderClient(c *certifier.Certifier, processes *noticer.Processes) *http.Client {
-	t := newTransport(c)
+	t := newBaseTransport(c)
 	t.DisableKeepAlives = true
-	return &http.Client{Transport: &noticer.Transport{Processes: processes, Base: t}}
+	return &http.Client{Transport: &noticer.Transport{Processes: processes, Base: screener.NewTransport(t)}}
 }
 
 // newCaller returns a caller of upstreams that heeds notices. Its connections use
--- a/internal/upstream/screener/conn.go
+++ b/internal/upstream/screener/conn.go
@@ -3,7 +3,6 @@
 package screener
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -19,9 +18,6 @@
 // writeDeadlinePassed ends a write that waits.
 var writeDeadlinePassed = time.Unix(1, 0)
 
-// DialFunc opens a connection.
-type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
-
 // Conn is a client's connection whose reads fail on a response with a malformed head, and
 // return io.EOF only if the server has ended the connection in order. The kernel reports a
 // reset once: if a write gets it, the next read gets the end of the connection, which would
