upstream/screener: refuse responses whose trailers hold malformed names

A response in chunks was whole for clients although a name in its trailer held a blank.

Cause: that of the heads. net/http keeps such names in Response.Trailer, which nobody looked at; it refuses other bytes that a name must not hold.

The body of a response in chunks now checks the trailer where it ends, for caller.Do and screener.Transport alike, and gives ErrTrailer in place of io.EOF. Events of a stream that came before reach the client; the stream is then resumed, or broken off, as with any other end of a connection. Folded lines in a trailer cannot be seen behind net/http and stay open; trailers are passed to nobody.

--- a/internal/upstream/caller/caller.go
+++ b/internal/upstream/caller/caller.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"gentianstep.example/gentianstep/internal/streaming/encoder"
+	"gentianstep.example/gentianstep/internal/upstream/screener"
 )
 
 // connectTimeout bounds the time to open a connection.
@@ -114,6 +115,7 @@
 		cancel(nil)
 		return nil, &Failure{Upstream: target.Name, Sent: sent, NotRun: !sent, Reused: e.wasReused(), Err: err}
 	}
+	screener.CheckTrailer(httpResponse)
 	response := &Response{
 		Status:            httpResponse.StatusCode,
 		Header:            httpResponse.Header,
--- a/internal/upstream/screener/transport.go
+++ b/internal/upstream/screener/transport.go
@@ -30,7 +30,13 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	return t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: beginRequest})))
+	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: beginRequest})
+	response, err := t.base.RoundTrip(r.WithContext(ctx))
+	if err != nil {
+		return nil, err
+	}
+	CheckTrailer(response)
+	return response, nil
 }
 
 func beginRequest(info httptrace.GotConnInfo) {
