--- a/internal/operating/starter/broken_answer_test.go
+++ b/internal/operating/starter/broken_answer_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -149,3 +151,26 @@
 		}
 	}
 }
+
+// TestBrokenAnswerOfUpstreamIsMetered checks that the router's caller of upstreams counts a
+// broken response.
+func TestBrokenAnswerOfUpstreamIsMetered(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX A: 1\r\nContent-Length: 0\r\n\r\n") // fails if the caller has left
+		_ = conn.Close()
+	}))
+	defer upstream.Close()
+	m := meter.New()
+	calls := newCaller(nil, nil, m)
+	defer calls.Close()
+	is.True(!callSucceeds(t, calls, netip.MustParseAddrPort(upstream.Listener.Addr().String())))
+	var text strings.Builder
+	is.NoErr(m.Write(&text))
+	is.True(strings.Contains(text.String(), string(meter.BrokenResponses)+`{reason="head"} 1`))
+}
