--- /dev/null
+++ b/review/_harness/server.go
@@ -0,0 +1,194 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// run is a request that a server ran.
+type run struct {
+	id     string
+	server string
+	tenant string
+	at     time.Time
+}
+
+// cachedPart is what an engine keeps of one part of a prompt.
+type cachedPart struct {
+	tenant string
+	at     time.Time
+}
+
+// use is the use of a cached part that a request of another tenant made.
+type use struct {
+	id, server, salt, part string
+	tenant, maker          string
+	at, madeAt             time.Time
+}
+
+// server is a worker: an engine if it has a model, a plain service otherwise.
+type server struct {
+	id, service, address, zone, model string
+	slots                             chan struct{}
+	// work is the time of a request up to its answer, or to the first event of its stream.
+	work   time.Duration
+	events int
+	gap    time.Duration
+	born   int64
+
+	mu       sync.Mutex
+	version  int
+	sequence int
+	runs     []run
+	cache    map[string]cachedPart
+	uses     []use
+	serving  *http.Server
+}
+
+const slotsPerEngine = 24
+
+func newServer(id, service, zone, model string, slots int, work time.Duration) *server {
+	return &server{
+		id: id, service: service, zone: zone, model: model, slots: make(chan struct{}, slots), work: work,
+		events: 3, gap: 5 * time.Millisecond, born: time.Now().UnixMilli(), version: 1, cache: map[string]cachedPart{},
+	}
+}
+
+func (s *server) listen(h http.Handler) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		fail("listen: %v", err)
+	}
+	s.address = l.Addr().String()
+	s.serving = &http.Server{Handler: h}
+	go func() { _ = s.serving.Serve(l) }()
+}
+
+func (s *server) entry() map[string]any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := map[string]any{
+		"service": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": cap(s.slots),
+		"state": "ready", "cold_remaining_ms": 0, "sequence": s.sequence, "born": s.born,
+	}
+	if s.model != "" {
+		e["stage"], e["models"] = "combined", s.models()
+	}
+	return e
+}
+
+func (s *server) models() []any {
+	return []any{map[string]any{"name": s.model, "version": s.version, "adapters": []any{}}}
+}
+
+func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != s.id {
+		w.Header().Set("Instance-Id", s.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	switch r.URL.Path {
+	case "/health":
+		w.Header().Set("Instance-Id", s.id)
+		w.WriteHeader(http.StatusOK)
+		return
+	case "/api/report":
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		reply(w, http.StatusOK, map[string]any{"stage": "combined", "models": s.models(), "busy": false, "sequence": s.sequence, "waiting": 0, "running": len(s.slots), "kv_used": 0, "kv_total": 150000, "handles": 0, "born": s.born})
+		return
+	case "/api/kv-events":
+		wait, _ := strconv.Atoi(r.Header.Get("Wait-Ms"))
+		select {
+		case <-time.After(time.Duration(wait) * time.Millisecond):
+		case <-r.Context().Done():
+		}
+		since, _ := strconv.Atoi(r.URL.Query().Get("since"))
+		reply(w, http.StatusOK, map[string]any{"epoch": s.born, "next": since, "lost": false, "events": []any{}, "born": s.born})
+		return
+	case "/api/kv-list":
+		reply(w, http.StatusOK, map[string]any{"epoch": s.born, "next": 0, "held": []any{}, "born": s.born})
+		return
+	}
+	if _, err := io.ReadAll(r.Body); err != nil {
+		return
+	}
+	s.serve(w, r)
+}
+
+func (s *server) currentVersion() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
+func (s *server) serve(w http.ResponseWriter, r *http.Request) {
+	h := w.Header()
+	h.Set("Request-Id", r.Header.Get("Request-Id"))
+	if expected := r.Header.Get("Expect-Version"); expected != "" && expected != strconv.Itoa(s.currentVersion()) {
+		h.Set("Instance-Id", s.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	select {
+	case s.slots <- struct{}{}:
+	case <-r.Context().Done():
+		return
+	}
+	defer func() { <-s.slots }()
+	s.mu.Lock()
+	s.runs = append(s.runs, s.newRun(r))
+	if s.model != "" {
+		s.readPrompt(r)
+	}
+	s.mu.Unlock()
+	select {
+	case <-time.After(s.work):
+	case <-r.Context().Done():
+		return
+	}
+	h.Set("Server-Signature", "sig."+r.Header.Get("Request-Id")+"."+s.id)
+	if s.model == "" {
+		body := "answer to " + r.Header.Get("Request-Id")
+		h.Set("Content-Length", strconv.Itoa(len(body)))
+		_, _ = io.WriteString(w, body)
+		return
+	}
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Weight-Versions", strconv.Itoa(s.currentVersion()))
+	for n := 1; n <= s.events; n++ {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d of %s\n\n", n, n, r.Header.Get("Request-Id"))
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(s.gap)
+	}
+}
+
+func (s *server) newRun(r *http.Request) run {
+	return run{id: r.Header.Get("Request-Id"), server: s.id, tenant: r.Header.Get("Tenant-Id"), at: time.Now()}
+}
+
+// readPrompt reads the parts of a prompt: those that are kept under the same text, with all
+// parts before them, are used. The caller holds mu.
+func (s *server) readPrompt(r *http.Request) {
+	salt, tenant := r.Header.Get("Cache-Salt"), r.Header.Get("Tenant-Id")
+	prefix, kept := "", true
+	for _, entry := range strings.Split(r.Header.Get("Prompt-Prefix"), ",") {
+		part, _, _ := strings.Cut(entry, ":")
+		prefix += "/" + part
+		key := salt + "|" + s.model + "|" + prefix
+		known, ok := s.cache[key]
+		if kept = kept && ok; kept {
+			if known.tenant != tenant {
+				s.uses = append(s.uses, use{id: r.Header.Get("Request-Id"), server: s.id, salt: salt, part: part, tenant: tenant, maker: known.tenant, at: time.Now(), madeAt: known.at})
+			}
+			continue
+		}
+		s.cache[key] = cachedPart{tenant: tenant, at: time.Now()}
+	}
+}
