Show that silent store connections stop all roll-outs of weights

After the holder of the lease has left as planned, no gateway takes the lease, no engine gets new weights, and gateways refuse three of four prompts.

Order of events: the open connections to the store go silent without a reset; 3 s later the lease holder gets SIGTERM and leaves; new weights are named when it has ended. All other gateways wait for a watch of 20 s and believe in the old holder.

--- a/review/_harness/deployment.go
+++ b/review/_harness/deployment.go
@@ -22,7 +22,6 @@
 	storeAddr     string
 	storeListener *mutableListener
 	bounds        string
-	memoryMB      int
 	servers       []*server
 	gateways      []*gateway
 	started       time.Time
@@ -56,7 +55,7 @@
 	if err != nil {
 		fail("%v", err)
 	}
-	d := &deployment{root: root, dir: dir, store: newStore(), bounds: bounds, memoryMB: 184, started: time.Now()}
+	d := &deployment{root: root, dir: dir, store: newStore(), bounds: bounds, started: time.Now()}
 	go d.store.run()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -88,7 +87,8 @@
 func (d *deployment) addServer(s *server) *server {
 	s.listen(s)
 	d.servers = append(d.servers, s)
-	d.store.write("servers/"+s.id, s.entry())
+	s.onChange = func() { d.store.write("servers/"+s.id, s.entry()) }
+	s.onChange()
 	return s
 }
 
@@ -131,7 +131,7 @@
 [limits]
 cpu_share = 0.4
 cores = 1
-memory_mb = %d
+memory_mb = 184
 max_fds = 4100
 link_mbps = 200.0
 disk_mb = 0
@@ -145,7 +145,7 @@
 history_s = 20
 value_bytes = 1048576
 ttl_min_ms = 1000
-`, g.node, ip, zone, name, ports+3, ports+6, machineIP(0), ports+2, machineIP(1), ports+2, g.front, g.ready, ip, ports+2, d.memoryMB, d.bounds, d.storeAddr)
+`, g.node, ip, zone, name, ports+3, ports+6, machineIP(0), ports+2, machineIP(1), ports+2, g.front, g.ready, ip, ports+2, d.bounds, d.storeAddr)
 		if err := os.WriteFile(g.settings, []byte(text), 0o600); err != nil {
 			fail("%v", err)
 		}
@@ -260,3 +260,21 @@
 	d.saveRecord()
 	return held
 }
+
+// holdsLease reports whether the process has taken the lease for roll-outs and not lost it.
+func (g *gateway) holdsLease() bool {
+	text := g.log()
+	return strings.LastIndex(text, `"event":"lease_taken"`) > strings.LastIndex(text, `"event":"lease_ended"`)
+}
+
+// leaseHolder returns the gateway that holds the lease for roll-outs.
+func (d *deployment) leaseHolder() *gateway {
+	for _, g := range d.gateways {
+		if g.holdsLease() {
+			return g
+		}
+	}
+	d.close()
+	fail("no gateway holds the lease")
+	return nil
+}
--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -19,9 +19,9 @@
 
 func main() {
 	cases := map[string]func() bool{
-		"crowd":          crowd,
-		"wall":           wall,
-		"config-silence": configSilence,
+		"wall":            wall,
+		"version-silence": versionSilence,
+		"config-silence":  configSilence,
 	}
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
 		fail("want the name of a case")
--- a/review/_harness/server.go
+++ b/review/_harness/server.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -49,8 +50,24 @@
 	cache    map[string]cachedPart
 	uses     []use
 	serving  *http.Server
+	fence    uint64
+	loading  bool
+	orders   []order
+	// onChange is called after the weights have changed.
+	onChange func()
 }
 
+// order is an order that a server has accepted.
+type order struct {
+	holder  string
+	fence   uint64
+	version int
+	at      time.Time
+}
+
+// loadTime is the time to load new weights, as on the sheet of dysgl-ops.
+const loadTime = 290 * time.Millisecond
+
 const slotsPerEngine = 24
 
 func newServer(id, service, zone, model string, slots int, work time.Duration) *server {
@@ -101,7 +118,10 @@
 	case "/api/report":
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		reply(w, http.StatusOK, map[string]any{"stage": "combined", "models": s.models(), "busy": false, "sequence": s.sequence, "waiting": 0, "running": len(s.slots), "kv_used": 0, "kv_total": 150000, "handles": 0, "born": s.born})
+		reply(w, http.StatusOK, map[string]any{"stage": "combined", "models": s.models(), "busy": s.loading, "sequence": s.sequence, "waiting": 0, "running": len(s.slots), "kv_used": 0, "kv_total": 150000, "handles": 0, "born": s.born})
+		return
+	case "/api/order":
+		s.serveOrder(w, r)
 		return
 	case "/api/kv-events":
 		wait, _ := strconv.Atoi(r.Header.Get("Wait-Ms"))
@@ -122,6 +142,43 @@
 	s.serve(w, r)
 }
 
+// serveOrder takes an order to load another version of the weights.
+func (s *server) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var o struct {
+		Version  int    `json:"version"`
+		Holder   string `json:"holder"`
+		Fence    uint64 `json:"fence"`
+		Expected *int   `json:"expected"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || o.Holder == "" {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case o.Fence < s.fence:
+		w.WriteHeader(http.StatusPreconditionFailed)
+		return
+	case s.loading || o.Expected != nil && *o.Expected != s.sequence:
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	s.fence, s.loading = o.Fence, true
+	s.sequence++
+	s.orders = append(s.orders, order{holder: o.Holder, fence: o.Fence, version: o.Version, at: time.Now()})
+	time.AfterFunc(loadTime, func() { s.endLoad(o.Version) })
+	w.WriteHeader(http.StatusAccepted)
+}
+
+// endLoad puts new weights in place, which discards what was kept.
+func (s *server) endLoad(version int) {
+	s.mu.Lock()
+	s.version, s.loading, s.cache = version, false, map[string]cachedPart{}
+	s.mu.Unlock()
+	s.onChange()
+}
+
 func (s *server) currentVersion() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
