Play the lost leases of quotas with gateways as processes

Order of events: flood and silence begin together; the store comes back after 4.5 s without entries of gateways; calls of that time stay unanswered.

--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -19,6 +19,7 @@
 
 func main() {
 	cases := map[string]func() bool{
+		"quota":           quota,
 		"wall":            wall,
 		"version-silence": versionSilence,
 		"config-silence":  configSilence,
--- a/review/_harness/server.go
+++ b/review/_harness/server.go
@@ -17,6 +17,7 @@
 	id     string
 	server string
 	tenant string
+	tokens int
 	at     time.Time
 }
 
@@ -227,7 +228,12 @@
 }
 
 func (s *server) newRun(r *http.Request) run {
-	return run{id: r.Header.Get("Request-Id"), server: s.id, tenant: r.Header.Get("Tenant-Id"), at: time.Now()}
+	tokens := 0
+	for _, text := range strings.Split(r.Header.Get("Token-Usage"), ",") {
+		n, _ := strconv.Atoi(text)
+		tokens += n
+	}
+	return run{id: r.Header.Get("Request-Id"), server: s.id, tenant: r.Header.Get("Tenant-Id"), tokens: tokens, at: time.Now()}
 }
 
 // readPrompt reads the parts of a prompt: those that are kept under the same text, with all
--- a/review/_harness/store.go
+++ b/review/_harness/store.go
@@ -34,6 +34,8 @@
 	leases   map[uint64]*lease
 	nextID   uint64
 	changed  chan struct{}
+	// silent is true while the store answers no call. Leases run out meanwhile.
+	silent bool
 }
 
 func newStore() *store {
@@ -101,7 +103,23 @@
 	s.put(key, data, 0)
 }
 
+func (s *store) setSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+}
+
+func (s *store) isSilent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silent
+}
+
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.isSilent() {
+		<-r.Context().Done() // nothing follows on the channel of a lost response
+		return
+	}
 	w.Header().Set("Store-Era", "1")
 	switch {
 	case r.URL.Path == "/api/kv-key":
@@ -190,6 +208,10 @@
 		}
 		revision, changed := s.revision, s.changed
 		s.mu.Unlock()
+		if s.isSilent() {
+			<-r.Context().Done()
+			return
+		}
 		if len(events) > 0 {
 			reply(w, http.StatusOK, map[string]any{"events": events, "current_rev": revision})
 			return
