--- a/review/_harness/deployment.go
+++ b/review/_harness/deployment.go
@@ -156,7 +156,13 @@
 	}
 }
 
-func machineIP(n int) string { return fmt.Sprintf("127.0.7.%d", n+1) }
+// machineIP returns the loopback address of a machine. Cases that run side by side have different
+// ones, so that they do not take each other's ports.
+func machineIP(n int) string {
+	const most = 250
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid/most%most, 1+pid%most, n+1)
+}
 
 // freePorts returns the first of seven consecutive ports that are free on all machines.
 func (d *deployment) freePorts(machines int) int {
--- a/review/_harness/server.go
+++ b/review/_harness/server.go
@@ -23,8 +23,10 @@
 
 // cachedPart is what an engine keeps of one part of a prompt.
 type cachedPart struct {
-	tenant string
-	at     time.Time
+	salt, id string
+	tokens   int
+	tenant   string
+	at       time.Time
 }
 
 // use is the use of a cached part that a request of another tenant made.
@@ -51,9 +53,11 @@
 	cache    map[string]cachedPart
 	uses     []use
 	serving  *http.Server
-	fence    uint64
-	loading  bool
-	orders   []order
+	// changes are the events of cache: [number, + or -, salt, ID, tokens stored now, model].
+	changes [][]any
+	fence   uint64
+	loading bool
+	orders  []order
 	// onChange is called after the weights have changed.
 	onChange func()
 }
@@ -125,16 +129,16 @@
 		s.serveOrder(w, r)
 		return
 	case "/api/kv-events":
-		wait, _ := strconv.Atoi(r.Header.Get("Wait-Ms"))
-		select {
-		case <-time.After(time.Duration(wait) * time.Millisecond):
-		case <-r.Context().Done():
-		}
-		since, _ := strconv.Atoi(r.URL.Query().Get("since"))
-		reply(w, http.StatusOK, map[string]any{"epoch": s.born, "next": since, "lost": false, "events": []any{}, "born": s.born})
+		s.serveEvents(w, r)
 		return
 	case "/api/kv-list":
-		reply(w, http.StatusOK, map[string]any{"epoch": s.born, "next": 0, "held": []any{}, "born": s.born})
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		held := [][]any{}
+		for _, part := range s.cache {
+			held = append(held, []any{part.salt, part.id, part.tokens, s.model})
+		}
+		reply(w, http.StatusOK, map[string]any{"epoch": s.born, "next": len(s.changes), "held": held, "born": s.born})
 		return
 	}
 	if _, err := io.ReadAll(r.Body); err != nil {
@@ -143,6 +147,32 @@
 	s.serve(w, r)
 }
 
+// eventPoll is how often a call that waits for events looks for some.
+const eventPoll = 20 * time.Millisecond
+
+// serveEvents answers with the events of cache after a number, as soon as there are some.
+func (s *server) serveEvents(w http.ResponseWriter, r *http.Request) {
+	wait, _ := strconv.Atoi(r.Header.Get("Wait-Ms"))
+	since, _ := strconv.Atoi(r.URL.Query().Get("since"))
+	deadline := time.Now().Add(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		next := len(s.changes)
+		events := append([][]any{}, s.changes[min(since, next):]...)
+		s.mu.Unlock()
+		if len(events) > 0 || !time.Now().Before(deadline) || r.Context().Err() != nil {
+			reply(w, http.StatusOK, map[string]any{"epoch": s.born, "next": next, "lost": since > next, "events": events, "born": s.born})
+			return
+		}
+		time.Sleep(eventPoll)
+	}
+}
+
+// recordChange adds an event of cache. The caller holds mu.
+func (s *server) recordChange(sign string, p cachedPart, tokens int) {
+	s.changes = append(s.changes, []any{len(s.changes) + 1, sign, p.salt, p.id, tokens, s.model})
+}
+
 // serveOrder takes an order to load another version of the weights.
 func (s *server) serveOrder(w http.ResponseWriter, r *http.Request) {
 	var o struct {
@@ -175,6 +205,9 @@
 // endLoad puts new weights in place, which discards what was kept.
 func (s *server) endLoad(version int) {
 	s.mu.Lock()
+	for _, part := range s.cache {
+		s.recordChange("-", part, 0)
+	}
 	s.version, s.loading, s.cache = version, false, map[string]cachedPart{}
 	s.mu.Unlock()
 	s.onChange()
@@ -242,7 +275,7 @@
 	salt, tenant := r.Header.Get("Cache-Salt"), r.Header.Get("Tenant-Id")
 	prefix, kept := "", true
 	for _, entry := range strings.Split(r.Header.Get("Prompt-Prefix"), ",") {
-		part, _, _ := strings.Cut(entry, ":")
+		part, count, _ := strings.Cut(entry, ":")
 		prefix += "/" + part
 		key := salt + "|" + s.model + "|" + prefix
 		known, ok := s.cache[key]
@@ -252,6 +285,10 @@
 			}
 			continue
 		}
-		s.cache[key] = cachedPart{tenant: tenant, at: time.Now()}
+		tokens, _ := strconv.Atoi(count)
+		s.cache[key] = cachedPart{salt: salt, id: part, tokens: tokens, tenant: tenant, at: time.Now()}
+		if !ok {
+			s.recordChange("+", s.cache[key], tokens)
+		}
 	}
 }
