matcher: derive the shared cache scope from the isolated organisations

Cause: the cache scope of all organisations that are not isolated was one text for all time. A change moved the isolated organisation into a scope of its own and left in the common one what it had written there. The scope was also taken from the configuration at a request's arrival, so that requests that waited, were tried again or resumed were sent in the scope of then, and those that waited at their engines began in it.

Change: the common scope is a digest of the names of the isolated organisations, and the text that it was if there are none. It follows from the newest configuration alone, so that VMs agree on it without having seen another, and none of the isolated ones has written to it. Each attempt derives it anew; it is checked right before the first byte, and an attempt that waits at its engine is withdrawn 500 ms after its VM has learned of the change, if somebody who may have written to its scope has become isolated. Names are escaped, so that no two scopes are equal.

--- a/internal/gateway/forwarder/attempt.go
+++ b/internal/gateway/forwarder/attempt.go
@@ -24,7 +24,7 @@
 	x.pass.Store(nil)
 	options := x.attemptOptions(now, u)
 	x.newConnection = x.needsNewConnection(now)
-	ctx, x.withdrawal = x.watchWeights(ctx, u, options.WeightsVersion)
+	ctx, x.withdrawal = x.watchWaiting(ctx, u, options.WeightsVersion)
 	defer x.withdrawal.stop()
 	var head ResponseHead
 	answer, err := x.cfg.Caller.Do(ctx, caller.Target{Name: u.ID, Address: u.Address}, caller.Call{
@@ -89,7 +89,7 @@
 
 // attemptOptions returns what the gateway adds to the request for an attempt.
 func (x *exchange) attemptOptions(now time.Time, u *registrar.Upstream) AttemptOptions {
-	options := AttemptOptions{Upstream: u.ID, Deadline: x.deadline, Priority: -1, CacheScope: x.isolationScope(), ResumeAfter: x.sequence.last}
+	options := AttemptOptions{Upstream: u.ID, Deadline: x.deadline, Priority: -1, CacheScope: x.scoped.CacheScope(x.organisation), ResumeAfter: x.sequence.last}
 	options.WeightsVersion = x.expectedWeights(now)
 	if x.choice.Scope != "" {
 		options.CacheScope, options.WeightsVersion = x.choice.Scope, x.choice.WeightsVersion
--- a/internal/gateway/forwarder/exchange.go
+++ b/internal/gateway/forwarder/exchange.go
@@ -82,6 +82,9 @@
 	// addresses holds those to which an attempt was sent, if only a part of it.
 	addresses map[netip.AddrPort]bool
 	choice    picker.Choice
+	// scoped is the configuration from which the cache scope of the latest choice was
+	// derived. It may be newer than that of the request.
+	scoped *matcher.Matcher
 	// access is the access to the upstreams at the time of the choice.
 	access noticer.Split
 	// lastResort is true if the chosen upstream is leaving.
--- a/internal/gateway/forwarder/forwarder.go
+++ b/internal/gateway/forwarder/forwarder.go
@@ -97,22 +97,22 @@
 	// urgentReports has a buffer of one, so that sending never blocks a
 	// request.
 	urgentReports chan struct{}
-	// weightsChanged has a buffer of one as well.
-	weightsChanged chan struct{}
-	waiting        waitingSet
+	// waitingCheck has a buffer of one as well; see CheckWaiting.
+	waitingCheck chan struct{}
+	waiting      waitingSet
 }
 
 // New returns a Forwarder with the limits of a single VM; see SetVMs.
 func New(cfg Config) *Forwarder {
 	f := &Forwarder{
-		cfg:            cfg,
-		picker:         picker.New(cfg.Picker),
-		budget:         budgeter.New(cfg.Budget),
-		queues:         make(map[string]*waitQueue),
-		returns:        make(map[string]*throttler.Returns),
-		speeds:         speedSamples{own: gauger.New()},
-		urgentReports:  make(chan struct{}, 1),
-		weightsChanged: make(chan struct{}, 1),
+		cfg:           cfg,
+		picker:        picker.New(cfg.Picker),
+		budget:        budgeter.New(cfg.Budget),
+		queues:        make(map[string]*waitQueue),
+		returns:       make(map[string]*throttler.Returns),
+		speeds:        speedSamples{own: gauger.New()},
+		urgentReports: make(chan struct{}, 1),
+		waitingCheck:  make(chan struct{}, 1),
 	}
 	f.ended, f.end = context.WithCancelCause(context.Background())
 	cfg.Noticer.SetOnChange(f.wakeWaiting)
@@ -133,7 +133,7 @@
 // SetBounds replaces the retry budget and the time for applying new weights.
 func (f *Forwarder) SetBounds(budget budgeter.Config, weightsApply time.Duration) {
 	f.weightsApply.Store(int64(weightsApply))
-	f.HandleWeightsChange()
+	f.CheckWaiting()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.budget.SetConfig(budget)
--- a/internal/gateway/forwarder/outdated.go
+++ b/internal/gateway/forwarder/outdated.go
@@ -6,11 +6,18 @@
 	"time"
 
 	"gentianstep.example/gentianstep/internal/membership/registrar"
+	"gentianstep.example/gentianstep/internal/routing/matcher"
 )
 
-// errOutdated is the error of an attempt that was not sent since its engine's weights
-// had become too old while a connection was opened.
-var errOutdated = errors.New("weights of the engine are too old to be sent to")
+// errOutdated is the error of an attempt that was not sent since its engine's weights had
+// become too old, or its cache scope was no longer allowed, while a connection was opened.
+var errOutdated = errors.New("weights or cache scope of the attempt are too old")
+
+// Causes for which an attempt is not sent or withdrawn, in the log.
+const (
+	causeWeights = "weights"
+	causeScope   = "scope"
+)
 
 // checkWeights returns errOutdated if weights of a version must not be used for new
 // requests any more. It is called right before the first byte of an attempt.
@@ -22,7 +29,17 @@
 	if oldest, _, _ := x.wantedWeights(now, x.request.Prompt.Model); version >= oldest {
 		return nil
 	}
-	x.logAttempt("attempt_outdated", now, u).Info("request is not sent, the weights of its engine are too old")
+	x.logAttempt("attempt_outdated", now, u).WithField("cause", causeWeights).Info("request is not sent, the weights of its engine are too old")
+	return errOutdated
+}
+
+// checkScope returns errOutdated if an organisation that may have written to the cache scope
+// of the attempt has become isolated. It is called right before the first byte of an attempt.
+func (x *exchange) checkScope(u *registrar.Upstream, scoped *matcher.Matcher) error {
+	if !x.route.CarriesPrompt || x.cfg.Directory.Matcher().AllowsScopeOf(scoped, x.organisation) {
+		return nil
+	}
+	x.logAttempt("attempt_outdated", time.Now(), u).WithField("cause", causeScope).Info("request is not sent, its cache scope is no longer allowed")
 	return errOutdated
 }
 
--- a/internal/gateway/forwarder/query.go
+++ b/internal/gateway/forwarder/query.go
@@ -40,6 +40,7 @@
 	}
 	vms, connections := x.vms.Load(), x.configuration.Services[x.service].MaxConnections
 	q.Limits = func(u *registrar.Upstream) picker.Limits { return x.limits(u.Slots, connections, int(vms)) }
+	x.scoped = x.cfg.Directory.Matcher()
 	if x.route.CarriesPrompt {
 		x.addPrompt(now, &q)
 		q.Speed = x.speed(now)
@@ -73,11 +74,12 @@
 // their weights or whose weights are too old.
 func (x *exchange) addPrompt(now time.Time, q *picker.Query) {
 	view, model := x.cfg.View, x.request.Prompt.Model
+	scope := x.scoped.CacheScope(x.organisation)
 	prompt := &picker.Prompt{
 		Tokens:         x.request.Prompt.Tokens,
 		WeightsVersion: func(u *registrar.Upstream) uint64 { return view.WeightsVersion(now, u, model) },
 		Holders:        view.Holders,
-		Scope:          func(version uint64) string { return x.cacheScope(version) },
+		Scope:          func(version uint64) string { return versionedScope(scope, version) },
 	}
 	if parts := x.request.Prompt.Parts; len(parts) > 1 {
 		for _, part := range parts[:len(parts)-1] {
@@ -142,21 +144,11 @@
 	return oldest, due, newest
 }
 
-// cacheScope returns the scope of the KV cache that the request may use. It
-// names the version of the weights, since cache is copied between engines, and
-// the organisation if that is isolated.
-func (x *exchange) cacheScope(version uint64) string {
-	return x.isolationScope() + scopeVersionSeparator + strconv.FormatUint(version, 10)
+// versionedScope adds the version of the weights to a cache scope, since cache is copied
+// between engines.
+func versionedScope(scope string, version uint64) string {
+	return scope + scopeVersionSeparator + strconv.FormatUint(version, 10)
 }
 
 // scopeVersionSeparator precedes the version of the weights in a cache scope.
 const scopeVersionSeparator = "@"
-
-// isolationScope returns the name of the organisation if it shares no cache
-// with others, and an empty string otherwise.
-func (x *exchange) isolationScope() string {
-	if x.organisation != nil && x.organisation.Isolated {
-		return x.organisation.Name
-	}
-	return ""
-}
--- a/internal/gateway/forwarder/waiting.go
+++ b/internal/gateway/forwarder/waiting.go
@@ -37,24 +37,24 @@
 	return list
 }
 
-// HandleWeightsChange signals that the history of desired weights has changed. It never
-// blocks.
-func (f *Forwarder) HandleWeightsChange() {
+// CheckWaiting signals that the history of desired weights or the configuration has changed,
+// so that waiting attempts may have to be withdrawn. It never blocks.
+func (f *Forwarder) CheckWaiting() {
 	select {
-	case f.weightsChanged <- struct{}{}:
+	case f.waitingCheck <- struct{}{}:
 	default: // a check is due already
 	}
 }
 
-// Run checks the waiting attempts after each change of the desired weights, until ctx is
-// done. A version may count from earlier than when this VM learned of it, so that the
-// time for an engine's weights ends before the timers of the attempts.
+// Run checks the waiting attempts after each call of CheckWaiting, until ctx is done. A
+// version may count from earlier than when this VM learned of it, so that the time for an
+// engine's weights ends before the timers of the attempts.
 func (f *Forwarder) Run(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-f.weightsChanged:
+		case <-f.waitingCheck:
 			for _, w := range f.waiting.list() {
 				w.check()
 			}
--- a/internal/gateway/forwarder/withdraw.go
+++ b/internal/gateway/forwarder/withdraw.go
@@ -12,6 +12,7 @@
 
 	"gentianstep.example/gentianstep/internal/membership/registrar"
 	"gentianstep.example/gentianstep/internal/operating/meter"
+	"gentianstep.example/gentianstep/internal/routing/matcher"
 )
 
 // withdrawShare is the share of weightsApply after which a request that waits
@@ -23,8 +24,13 @@
 // weights are wanted. A change of the wanted ones checks it at once.
 const minCheckInterval = time.Second
 
+// scopeGrace is how long an attempt may still wait at its engine after an organisation that
+// may have written to its cache scope has become isolated. Engines begin most requests within
+// that time, and it leaves most of the time in which a configuration is to be in force.
+const scopeGrace = 500 * time.Millisecond
+
 // errWithdrawn is the error of an attempt that was withdrawn.
-var errWithdrawn = errors.New("withdrawn before its engine began it on older weights")
+var errWithdrawn = errors.New("withdrawn before its engine began it")
 
 // withdrawal cancels an attempt whose engine has not begun it when the time for
 // its weights ends. Its connection is closed, and engines drop a request that
@@ -36,22 +42,27 @@
 	// expected is the only version of the weights that may run the attempt, 0 if
 	// any may. It is not what the VM knows of the engine, which may be wrong.
 	expected uint64
+	// scoped is the configuration from which the cache scope of the attempt was derived.
+	scoped *matcher.Matcher
 
 	mu    sync.Mutex
 	timer *time.Timer
 	// version is the version of the weights that the engine has stated in the
 	// head of its response; 0 if none has arrived.
 	version uint64
+	// scopeEndsAt is when the time for the attempt's cache scope ends, zero while the
+	// newest configuration allows that scope.
+	scopeEndsAt time.Time
 	// ended is true once the attempt has begun, has ended or was withdrawn.
 	ended     bool
 	withdrawn bool
 }
 
-// watchWeights returns the context of an attempt that is withdrawn unless end is
+// watchWaiting returns the context of an attempt that is withdrawn unless end is
 // called in time.
-func (x *exchange) watchWeights(ctx context.Context, u *registrar.Upstream, expected uint64) (context.Context, *withdrawal) {
+func (x *exchange) watchWaiting(ctx context.Context, u *registrar.Upstream, expected uint64) (context.Context, *withdrawal) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	w := &withdrawal{x: x, upstream: u, cancel: cancel, expected: expected}
+	w := &withdrawal{x: x, upstream: u, cancel: cancel, expected: expected, scoped: x.scoped}
 	if x.route.CarriesPrompt {
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -62,7 +73,7 @@
 	return ctx, w
 }
 
-// check withdraws the attempt if the time for the engine's weights has ended. It
+// check withdraws the attempt if the time for the engine's weights or for the cache scope has ended. It
 // is called again when that may next be the case.
 func (w *withdrawal) check() {
 	w.mu.Lock()
@@ -77,12 +88,12 @@
 	}
 	w.ended, w.withdrawn = true, true
 	w.x.waiting.remove(w)
-	w.x.logWithdrawn(now, w.upstream)
+	w.logWithdrawn(now)
 	w.cancel(errWithdrawn)
 }
 
-// nextCheck returns when the time for the engine's weights ends, or may end if
-// newer weights are named from now on. The caller holds w.mu.
+// nextCheck returns when the time for the engine's weights or for the cache scope ends, or may
+// end if newer weights are named from now on. The caller holds w.mu.
 func (w *withdrawal) nextCheck(now time.Time) time.Time {
 	version := cmp.Or(w.version, w.expected)
 	allowed := time.Duration(withdrawShare * float64(w.x.weightsApply.Load()))
@@ -92,9 +103,23 @@
 			next = end
 		}
 	}
+	if w.updateScopeEnd(now); !w.scopeEndsAt.IsZero() {
+		next = earlierTime(next, w.scopeEndsAt)
+	}
 	return next
 }
 
+// updateScopeEnd begins or cancels the time for the attempt's cache scope. The time begins anew
+// while nothing was sent, since checkScope then stops the attempt. The caller holds w.mu.
+func (w *withdrawal) updateScopeEnd(now time.Time) {
+	switch allowed := w.x.cfg.Directory.Matcher().AllowsScopeOf(w.scoped, w.x.organisation); {
+	case allowed:
+		w.scopeEndsAt = time.Time{}
+	case w.scopeEndsAt.IsZero() || w.x.firstByteSentAt.Load() == nil:
+		w.scopeEndsAt = now.Add(scopeGrace)
+	}
+}
+
 // setVersion records the version of the weights that the engine has stated.
 func (w *withdrawal) setVersion(version uint64) {
 	w.mu.Lock()
@@ -160,9 +185,14 @@
 }
 
 // logWithdrawn logs the withdrawal of an attempt.
-func (x *exchange) logWithdrawn(now time.Time, u *registrar.Upstream) {
-	x.cfg.Meter.Count(meter.Withdrawn, "", 1)
-	x.logAttempt("attempt_withdrawn", now, u).Info("request is withdrawn, its engine has older weights")
+// logWithdrawn logs a withdrawal with its cause. The caller holds w.mu.
+func (w *withdrawal) logWithdrawn(now time.Time) {
+	w.x.cfg.Meter.Count(meter.Withdrawn, "", 1)
+	cause := causeWeights
+	if !w.scopeEndsAt.IsZero() && !now.Before(w.scopeEndsAt) {
+		cause = causeScope
+	}
+	w.x.logAttempt("attempt_withdrawn", now, w.upstream).WithField("cause", cause).Info("request is withdrawn, its engine has not begun it in time")
 }
 
 // logAttempt returns a log entry for an attempt that its engine's weights have ended.
--- a/internal/gateway/forwarder/withhold.go
+++ b/internal/gateway/forwarder/withhold.go
@@ -125,11 +125,14 @@
 // more, by its entry or its notices, and errOutdated if its weights have become too
 // old.
 func (x *exchange) admission(u *registrar.Upstream) func() error {
-	lastResort, source, version := x.lastResort, x.sourceUpstream(), x.choice.WeightsVersion
+	lastResort, source, version, scoped := x.lastResort, x.sourceUpstream(), x.choice.WeightsVersion, x.scoped
 	return func() error {
 		if err := x.checkWeights(u, version); err != nil {
 			return err
 		}
+		if err := x.checkScope(u, scoped); err != nil {
+			return err
+		}
 		usable := slices.ContainsFunc(x.cfg.Directory.Usable(x.service), func(current *registrar.Upstream) bool {
 			return current.ID == u.ID && current.Address == u.Address
 		})
--- a/internal/membership/informer/informer.go
+++ b/internal/membership/informer/informer.go
@@ -42,6 +42,9 @@
 	// OnWeights, if not nil, is called when the desired versions of weights or the times
 	// from which they count have changed. It must not block.
 	OnWeights func()
+	// OnConfiguration, if not nil, is called when a configuration has come into force. It
+	// must not block.
+	OnConfiguration func()
 	// OnRestore, if not nil, is called for each prefix in which an era of the store starts.
 	OnRestore func(prefix string)
 	// Suspended returns for how long the monotonic clock has stood still since the VM
--- a/internal/membership/informer/informer_test.go
+++ b/internal/membership/informer/informer_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,8 +30,10 @@
 // its peers.
 type vm struct {
 	informer *informer.Informer
-	door     *platformtest.Endpoint
-	stop     context.CancelFunc
+	// announced counts the calls of OnConfiguration.
+	announced atomic.Int32
+	door      *platformtest.Endpoint
+	stop      context.CancelFunc
 }
 
 func peerAddress(n int) netip.AddrPort {
@@ -73,6 +76,7 @@
 		VMPrefix:          "own/",
 		Started:           time.Now(),
 		InitialWeightsAge: 4 * time.Second,
+		OnConfiguration:   func() { v.announced.Add(1) },
 		Log:               log,
 	})
 	exchange := exchanger.New(exchanger.Config{
@@ -204,6 +208,7 @@
 		store.Compact() // drops the history, so that the watch needs a new snapshot
 		time.Sleep(time.Second)
 		is.Equal(v.version(), uint64(9))
+		is.Equal(v.announced.Load(), int32(2)) // versions 5 and 9
 		v.stop()
 		network.Close()
 	})
--- a/internal/membership/informer/take.go
+++ b/internal/membership/informer/take.go
@@ -113,6 +113,9 @@
 		fieldRevision: c.Revision,
 		"routes":      len(configuration.Routes),
 	}).Info("applied configuration")
+	if i.cfg.OnConfiguration != nil {
+		i.cfg.OnConfiguration()
+	}
 }
 
 // applyWeights records the desired version of a model's weights. An invalid
--- a/internal/operating/meter/name.go
+++ b/internal/operating/meter/name.go
@@ -49,7 +49,7 @@
 
 var descriptions = map[Name]description{
 	Requests:           {counter, "Requests of callers by HTTP status.", "status"},
-	Withdrawn:          {counter, "Attempts that were withdrawn from engines with older weights.", ""},
+	Withdrawn:          {counter, "Attempts that were withdrawn before their engines began them.", ""},
 	Failures:           {counter, "Failures by error kind.", "kind"},
 	FirstByteSeconds:   {summary, "Seconds from a request's arrival to the first byte of its answer.", ""},
 	RequestSeconds:     {summary, "Seconds from a request's arrival to the end of its answer.", ""},
--- a/internal/routing/matcher/matcher.go
+++ b/internal/routing/matcher/matcher.go
@@ -14,6 +14,7 @@
 	// first.
 	routesByHost       map[string][]*Route
 	organisationsByKey map[string]*Organisation
+	isolation          isolation
 }
 
 // New returns a Matcher for a configuration that has passed Check.
@@ -22,6 +23,7 @@
 		configuration:      c,
 		routesByHost:       make(map[string][]*Route),
 		organisationsByKey: make(map[string]*Organisation),
+		isolation:          newIsolation(c.Organisations),
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
