reserver: count all that clients make a process hold as one sum

No body was large: 16 KB, or none at all behind a head of many fields.

Cause: bounds that were kept one by one, each sized as if the others were not used. Requests up to 16 KiB got memory whatever the budget; connections, heads and what the kernel had received were in no budget; net/http takes some 150 bytes more for each field of a head, so that 14 KB of short fields are 247 KB; the soft limit of the runtime left no room for the program's file.

Change: connections, heads (by bytes and lines as they arrive), bodies and buffers of responses are reserved from one budget, in gateway and router. Small requests have a part of it that nothing else may use, and up to 2 KiB always get memory, which their connection has reserved. A connection that is idle or sends its head slowly may be evicted, and a request goes with its connection; a new connection evicts the one that has been incomplete for longest. Listeners for clients bound what the kernel holds for each connection, more for a large body if there is memory. Budget, soft limit, program and unread bytes fit the limit together.

--- a/cmd/gentianstep/gateway_fixture_test.go
+++ b/cmd/gentianstep/gateway_fixture_test.go
@@ -51,11 +51,13 @@
 	bounds        string
 	// maxBodyBytes is the limit of a request body in the configuration.
 	maxBodyBytes int
+	// memoryMB and descriptors are the limits of a VM.
+	memoryMB, descriptors int
 }
 
 func newPlatform(t *testing.T) *platformFixture {
 	t.Helper()
-	p := &platformFixture{t: t, store: platformtest.NewStore(), registrations: make(map[*platformtest.Worker]registration), client: &http.Client{Timeout: 10 * time.Second}, graceS: 8, routeTimeoutMS: 3000, maxBodyBytes: bodyLimit}
+	p := &platformFixture{t: t, store: platformtest.NewStore(), registrations: make(map[*platformtest.Worker]registration), client: &http.Client{Timeout: 10 * time.Second}, graceS: 8, routeTimeoutMS: 3000, maxBodyBytes: bodyLimit, memoryMB: memoryLimitMB, descriptors: descriptorLimit}
 	p.door = p.store.NewEndpoint()
 	server := httptest.NewServer(p.door)
 	t.Cleanup(func() {
@@ -188,7 +190,7 @@
 %s[platform]
 address = %q
 ttl_min_ms = 1000
-`, node, launcher.Host(), ports[2], ports[3], vm.client, launcher.Host(), ports[1], memoryLimitMB, descriptorLimit, p.graceS, p.bounds, p.address)
+`, node, launcher.Host(), ports[2], ports[3], vm.client, launcher.Host(), ports[1], p.memoryMB, p.descriptors, p.graceS, p.bounds, p.address)
 	if err := os.WriteFile(vm.settings, []byte(text), 0o600); err != nil {
 		p.t.Fatal(err)
 	}
--- a/internal/gateway/forwarder/body.go
+++ b/internal/gateway/forwarder/body.go
@@ -26,6 +26,7 @@
 	}
 	keepReadDeadline := x.endReadAtShutdown()
 	x.reservation = x.cfg.Memory.OpenRequest(x.endRead)
+	x.reservation.Join(x.r.Context())
 	body, err := x.reservation.ReadAll(x.response.limitBody(x.r.Body, limit), x.r.ContentLength, limit+1)
 	if err == nil {
 		err = x.reservation.Complete()
--- a/internal/operating/limiter/conn.go
+++ b/internal/operating/limiter/conn.go
@@ -3,11 +3,39 @@
 import (
 	"container/list"
 	"crypto/tls"
+	"errors"
+	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
+
+	"gentianstep.example/gentianstep/internal/operating/reserver"
+)
+
+const (
+	// receiveBytes is the size of the receive buffer of a connection in the kernel, without
+	// what the kernel adds. It bounds the bytes that are received and not read: 12 KiB.
+	receiveBytes = 8 << 10
+	// widenedBytes is the bound for a connection that sends a large body, and kernelFactor how
+	// much more the kernel takes than the size of the buffer.
+	widenedBytes = 128 << 10
+	kernelFactor = 2
 )
 
+// LimitReceiving is a callback for net.ListenConfig.Control. It bounds the bytes that each
+// connection of a listener has received and the process has not read.
+func LimitReceiving(_, _ string, socket syscall.RawConn) error {
+	var err error
+	controlErr := socket.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBytes)
+	})
+	return errors.Join(controlErr, err)
+}
+
 // Conn is a connection that counts against the limit of a Listener.
 type Conn struct {
 	net.Conn
@@ -19,6 +47,15 @@
 	// maxOverLimit. It is closed at once.
 	overflow bool
 	listener *Listener
+	// memory is the memory of the connection and of the head of its request.
+	memory *reserver.Reservation
+	// headCost is the cost of the head that is being read, and inHandler is true once it was
+	// read.
+	headCost  atomic.Int64
+	inHandler atomic.Bool
+	// widened is true if more bytes may be received than by default. Only the goroutine that
+	// serves the connection uses it.
+	widened bool
 
 	// The fields below are guarded by listener.mu.
 
@@ -32,6 +69,8 @@
 	receiving bool
 	// hijacked is true once the connection no longer carries requests.
 	hijacked bool
+	// ending is true from the eviction until http.Server closes the connection.
+	ending bool
 	// removed is true once the connection is closed or evicted.
 	removed bool
 }
@@ -40,10 +79,77 @@
 func (c *Conn) Close() error {
 	c.listener.mu.Lock()
 	c.listener.remove(c)
+	if c.ending {
+		c.ending = false
+		c.listener.ending--
+	}
 	c.listener.mu.Unlock()
+	c.memory.Release()
 	return c.Conn.Close()
 }
 
+// Read implements net.Conn. It fails if there is no memory for the head of a request.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n == 0 || c.inHandler.Load() {
+		return n, err
+	}
+	c.memory.RecordProgress(n)
+	cost := reserver.HeadCost(p[:n])
+	if c.listener.cfg.Encrypted {
+		cost = reserver.EncryptedHeadCost(n)
+	}
+	before := c.headCost.Add(cost) - cost
+	excess := max(before+cost-reserver.HeadAllowance, 0) - max(before-reserver.HeadAllowance, 0)
+	if excess > 0 {
+		if memoryErr := c.memory.Reserve(excess); memoryErr != nil {
+			_ = c.Conn.Close()
+			return 0, fmt.Errorf("read head: %w", memoryErr)
+		}
+	}
+	return n, err
+}
+
+// widen lets a connection receive more bytes at once, for a large body. Without memory for them
+// it stays as it is.
+func (c *Conn) widen() {
+	conn, ok := c.Conn.(interface{ SetReadBuffer(bytes int) error })
+	if !ok || c.widened || !c.memory.ReserveFree(widenedBytes) {
+		return
+	}
+	c.widened = conn.SetReadBuffer(widenedBytes/kernelFactor) == nil
+}
+
+// narrow undoes widen.
+func (c *Conn) narrow() {
+	if conn, ok := c.Conn.(interface{ SetReadBuffer(bytes int) error }); ok && c.widened {
+		c.widened = conn.SetReadBuffer(receiveBytes) != nil
+	}
+}
+
+// bytes returns the memory of the connection without large heads.
+func (c *Conn) bytes() int64 {
+	if c.listener.cfg.Encrypted {
+		return reserver.ConnectionBytes + reserver.EncryptedBytes
+	}
+	return reserver.ConnectionBytes
+}
+
+// beginRequest notes that the head of a request was read. It returns false if the connection
+// was evicted.
+func (c *Conn) beginRequest() bool {
+	c.inHandler.Store(true)
+	return c.memory.Complete() == nil
+}
+
+// awaitRequest releases the memory of the head of a request that has ended.
+func (c *Conn) awaitRequest() {
+	c.narrow()
+	c.memory.Await(c.bytes())
+	c.headCost.Store(0)
+	c.inHandler.Store(false)
+}
+
 // SetLinger sets what becomes of unsent data when the connection is closed, as that of a
 // net.TCPConn does. Connections of other kinds have no such setting.
 func (c *Conn) SetLinger(seconds int) error {
@@ -86,6 +192,9 @@
 	if !ok {
 		return
 	}
+	if state == http.StateIdle {
+		c.awaitRequest()
+	}
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
 	switch state {
--- a/internal/operating/limiter/handler.go
+++ b/internal/operating/limiter/handler.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"gentianstep.example/gentianstep/internal/failure/classifier"
+	"gentianstep.example/gentianstep/internal/operating/reserver"
 	"gentianstep.example/gentianstep/internal/streaming/encoder"
 )
 
@@ -27,7 +28,7 @@
 	if !ok {
 		return ctx
 	}
-	return context.WithValue(ctx, connKey{}, c)
+	return reserver.WithConnection(context.WithValue(ctx, connKey{}, c), c.memory)
 }
 
 // HandlerConfig configures a Handler.
@@ -46,6 +47,8 @@
 		c, ok := r.Context().Value(connKey{}).(*Conn)
 		switch {
 		case !ok:
+		case !c.beginRequest():
+			panic(http.ErrAbortHandler)
 		case r.Body != nil && r.Body != http.NoBody:
 			r.Body = &trackedBody{ReadCloser: r.Body, conn: c}
 		case !c.markServing():
@@ -64,11 +67,16 @@
 	io.ReadCloser
 
 	conn *Conn
+	// read is the number of bytes read so far.
+	read int
 }
 
 // Read implements io.Reader.
 func (b *trackedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if b.read += n; err == nil && b.read > reserver.SmallBytes {
+		b.conn.widen()
+	}
 	if errors.Is(err, io.EOF) && !b.conn.markServing() {
 		return n, net.ErrClosed
 	}
--- a/internal/operating/limiter/listener.go
+++ b/internal/operating/limiter/listener.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"gentianstep.example/gentianstep/internal/operating/meter"
+	"gentianstep.example/gentianstep/internal/operating/reserver"
 )
 
 const (
@@ -26,7 +27,11 @@
 	Name string
 	// Limit is the maximum number of concurrent connections that are served.
 	Limit int
-	Meter *meter.Meter
+	// Memory is the budget of the bytes that are held for clients; nil sets no limit.
+	Memory *reserver.Reserver
+	// Encrypted is true if the connections use TLS.
+	Encrypted bool
+	Meter     *meter.Meter
 }
 
 // Listener limits the open connections of the listener that it wraps. At the limit
@@ -37,6 +42,8 @@
 
 	mu   sync.Mutex
 	open int
+	// ending is the number of evicted connections that http.Server has not closed yet.
+	ending int
 	// hijacked is the number of open connections that no longer carry requests.
 	hijacked int
 	// draining is true once Drain was called.
@@ -63,9 +70,12 @@
 		c, evicted := l.add(conn, time.Now())
 		if evicted != nil {
 			l.cfg.Meter.Count(meter.ConnectionsEvicted, l.cfg.Name, 1)
-			_ = evicted.Close()
+			_ = evicted.Conn.Close()
 		}
-		if c.OverLimit {
+		if !c.overflow {
+			c.overflow = !l.reserve(c)
+		}
+		if c.OverLimit || c.overflow {
 			l.cfg.Meter.Count(meter.ConnectionsRefused, l.cfg.Name, 1)
 		}
 		if c.overflow {
@@ -87,6 +97,7 @@
 	l.open++
 	l.cfg.Meter.Set(meter.Connections, l.cfg.Name, int64(l.open))
 	c = &Conn{
+		memory:    l.cfg.Memory.OpenConnection(func() { _ = conn.Close() }),
 		Conn:      conn,
 		OverLimit: l.open > l.cfg.Limit,
 		overflow:  l.open > l.cfg.Limit+maxOverLimit,
@@ -96,6 +107,31 @@
 	return c, evicted
 }
 
+// reserve reserves the memory of a new connection, and evicts another one if there is none
+// left. It returns false if no connection can be evicted, or if too many evicted ones still
+// hold their memory.
+func (l *Listener) reserve(c *Conn) bool {
+	if c.memory.Reserve(c.bytes()) == nil {
+		return true
+	}
+	l.mu.Lock()
+	var evicted *Conn
+	if l.ending < maxOverLimit {
+		c.dequeue() // it is not evicted for itself
+		now := time.Now()
+		evicted = l.evict(now)
+		l.incomplete.push(c, now)
+	}
+	l.mu.Unlock()
+	if evicted == nil {
+		return false
+	}
+	l.cfg.Meter.Count(meter.ConnectionsEvicted, l.cfg.Name, 1)
+	_ = evicted.Conn.Close()
+	c.memory.ReserveAnyway(c.bytes())
+	return true
+}
+
 // evict stops counting one connection and returns it for closing: the oldest
 // incomplete one if it is older than requestGracePeriod, else the one idle for
 // longest, else the oldest incomplete one. It returns nil if all connections serve
@@ -109,6 +145,8 @@
 	}
 	if c != nil {
 		l.remove(c)
+		c.ending = true
+		l.ending++
 	}
 	return c
 }
--- a/internal/operating/reserver/reservation.go
+++ b/internal/operating/reserver/reservation.go
@@ -1,6 +1,8 @@
 package reserver
 
 import (
+	"cmp"
+	"context"
 	"errors"
 	"io"
 	"time"
@@ -18,6 +20,10 @@
 type Reservation struct {
 	reserver *Reserver
 	evict    func()
+	// connection is true for that of a connection, parent is the connection of a request, or
+	// nil.
+	connection bool
+	parent     *Reservation
 
 	// The following fields are guarded by reserver.mu.
 	bytes    int64
@@ -29,7 +35,10 @@
 
 // Reserve reserves n bytes more. It returns ErrNoMemory or ErrEvicted if they are not
 // available.
-func (v *Reservation) Reserve(n int64) error {
+func (v *Reservation) Reserve(n int64) error { return v.reserve(n, 0) }
+
+// reserve reserves n bytes more for a request of a size, by default of all its bytes.
+func (v *Reservation) reserve(n, size int64) error {
 	if v.reserver == nil {
 		return nil
 	}
@@ -38,13 +47,78 @@
 	switch {
 	case v.evicted:
 		return ErrEvicted
-	case !v.reserver.makeRoom(v, n):
+	case !v.reserver.makeRoom(v, n, cmp.Or(size, v.bytes+n)):
 		return ErrNoMemory
 	}
+	v.add(n)
+	return nil
+}
+
+// Join makes the request part of the connection in ctx, if any. A request is evicted with its
+// connection. Join must be called before the first bytes are reserved.
+func (v *Reservation) Join(ctx context.Context) {
+	if connection, ok := ctx.Value(connectionKey{}).(*Reservation); ok && connection.reserver == v.reserver {
+		v.parent = connection
+	}
+}
+
+// parentBytes returns the memory of the connection of a request. The caller holds reserver.mu.
+func (v *Reservation) parentBytes() int64 {
+	if v.parent == nil {
+		return 0
+	}
+	return v.parent.bytes
+}
+
+// ReserveCopies reserves the memory of copies of a request of n bytes. It counts as large as
+// one of them.
+func (v *Reservation) ReserveCopies(copies, n int64) error { return v.reserve(copies*n, n) }
+
+// ReserveFree reserves n bytes more if a large request would get them without an eviction, and
+// reports whether it has.
+func (v *Reservation) ReserveFree(n int64) bool {
+	if v.reserver == nil {
+		return true
+	}
+	v.reserver.mu.Lock()
+	defer v.reserver.mu.Unlock()
+	if v.evicted || v.reserver.held+n > int64(largeShare*float64(v.reserver.cfg.Bytes)) {
+		return false
+	}
+	v.add(n)
+	return true
+}
+
+// ReserveAnyway reserves n bytes more even if that exceeds the budget.
+func (v *Reservation) ReserveAnyway(n int64) {
+	if v.reserver == nil {
+		return
+	}
+	v.reserver.mu.Lock()
+	defer v.reserver.mu.Unlock()
+	v.add(n)
+}
+
+// add adds n bytes. The caller holds reserver.mu.
+func (v *Reservation) add(n int64) {
 	v.bytes += n
 	v.reserver.held += n
 	v.reserver.reservations[v] = struct{}{}
-	return nil
+}
+
+// Await makes a connection whose request has ended wait for the next one: it may be evicted
+// again, and holds n bytes.
+func (v *Reservation) Await(n int64) {
+	if v.reserver == nil {
+		return
+	}
+	v.reserver.mu.Lock()
+	defer v.reserver.mu.Unlock()
+	v.complete, v.progress = false, evictor.NewProgress(time.Now())
+	if excess := v.bytes - n; excess > 0 {
+		v.bytes -= excess
+		v.reserver.held -= excess
+	}
 }
 
 // Release returns all bytes. It may be called more than once.
@@ -76,7 +150,7 @@
 // the first byte, -1 means that none is known. Bytes that were read before an error are
 // returned with it and stay reserved.
 func (v *Reservation) ReadAll(r io.Reader, announced, limit int64) ([]byte, error) {
-	size := min(SmallBytes, limit)
+	size := min(tinyBytes, limit)
 	if announced >= 0 {
 		size = min(announced+1, limit) // one byte more, since the end is seen behind the last byte
 	}
@@ -95,7 +169,7 @@
 		case int64(len(data)) == limit:
 			return data, ErrFull
 		}
-		v.recordProgress(n)
+		v.RecordProgress(n)
 		if len(data) == cap(data) {
 			if data, err = v.grow(data, limit); err != nil {
 				return data, err
@@ -108,7 +182,7 @@
 func (v *Reservation) grow(data []byte, limit int64) ([]byte, error) {
 	before := int64(cap(data))
 	size := min(growth*before, limit)
-	if err := v.Reserve(size); err != nil {
+	if err := v.reserve(size, size); err != nil {
 		return data, err
 	}
 	larger := make([]byte, len(data), size)
@@ -129,7 +203,8 @@
 	v.reserver.held -= n
 }
 
-func (v *Reservation) recordProgress(n int) {
+// RecordProgress records the arrival of n bytes.
+func (v *Reservation) RecordProgress(n int) {
 	if v.reserver == nil {
 		return
 	}
--- a/internal/operating/reserver/reserver_test.go
+++ b/internal/operating/reserver/reserver_test.go
@@ -151,3 +151,71 @@
 	readers.Wait()
 	is.Equal(r.Held(), int64(0))
 }
+
+// TestSmallRequestsAreBoundedInSum guards against requests that get memory because they are
+// small, whatever the budget.
+func TestSmallRequestsAreBoundedInSum(t *testing.T) {
+	t.Parallel()
+	for name, size := range map[string]int64{"small": 16 * kib, "medium": 64 * kib, "large": 256 * kib} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			r, _ := newReserver()
+			for range 1000 {
+				_ = r.OpenRequest(nil).Reserve(size) // refused once the budget is exhausted
+			}
+			is.True(r.Held() > 0)
+			is.True(r.Held() <= reserver.Total(testBudget))
+			is.NoErr(r.OpenRequest(nil).Reserve(2 * kib)) // an ordinary request is served all the same
+		})
+	}
+}
+
+// TestSmallRequestsFitBesideConnections guards against connections that leave no memory for
+// requests on them.
+func TestSmallRequestsFitBesideConnections(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	r, _ := newReserver()
+	connections := 0
+	for r.OpenConnection(nil).Reserve(reserver.ConnectionBytes) == nil {
+		connections++
+	}
+	is.Equal(connections, testBudget/reserver.ConnectionBytes)
+	is.NoErr(r.OpenRequest(nil).Reserve(16 * kib))
+	is.Equal(r.OpenRequest(nil).Reserve(64*kib), reserver.ErrNoMemory)
+}
+
+// TestRequestIsEvictedWithItsConnection guards against a stalled request that keeps the memory
+// of a large head because its body is small.
+func TestRequestIsEvictedWithItsConnection(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r, _ := newReserver()
+		connection := r.OpenConnection(func() { t.Error("a connection was evicted without its request") })
+		is.NoErr(connection.Reserve(600 * kib))
+		is.NoErr(connection.Complete())
+		evicted := false
+		request := r.OpenRequest(func() { evicted = true })
+		request.Join(reserver.WithConnection(t.Context(), connection))
+		is.NoErr(request.Reserve(kib))
+		time.Sleep(2 * time.Second)
+		is.NoErr(r.OpenRequest(nil).Reserve(500 * kib))
+		is.True(evicted)
+		is.Equal(r.Held(), int64(500*kib))
+		connection.Release()
+		is.Equal(r.Held(), int64(500*kib))
+	})
+}
+
+// TestHeadCost checks that many short fields cost more than one of the same length.
+func TestHeadCost(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	one := []byte("X: " + strings.Repeat("y", 4*kib) + "\r\n")
+	many := []byte(strings.Repeat("X: y\r\n", len(one)/6))
+	is.True(reserver.HeadCost(one) >= 2*int64(len(one)))
+	is.True(reserver.HeadCost(many) > 10*reserver.HeadCost(one))
+	is.True(reserver.HeadCost([]byte(strings.Repeat("Field: ordinary value\r\n", 12))) <= reserver.HeadAllowance)
+}
--- a/internal/operating/starter/client_memory.go
+++ b/internal/operating/starter/client_memory.go
@@ -9,21 +9,35 @@
 )
 
 const (
-	// processBytes is what a process holds besides the bytes of its clients. A gateway with 300
-	// idle connections has 29 MB in memory, one with 300 large heads 37 MB.
-	processBytes = 40 << 20
-	// clientMemoryShare is the share of the rest for the bytes of clients. What remains covers
+	// memoryLimitShare is the largest fraction of the process's memory limit that is set as the
+	// soft limit of the Go runtime, runtimeShare that of what programBytes leave. The rest is for
+	// bytes that connections have received and the process has not read.
+	memoryLimitShare = 0.7
+	runtimeShare     = 0.75
+	// programBytes is the memory that the Go runtime does not count: pages of the program file,
+	// and of the C library.
+	programBytes = 28 << 20
+	// processBytes is what the runtime holds besides the memory of clients, without responses of
+	// the store and of engines.
+	processBytes = 20 << 20
+	// clientMemoryShare is the share of the rest for the memory of clients. What remains covers
 	// garbage that is not collected yet and reads of the store.
-	clientMemoryShare = 0.7
+	clientMemoryShare = 0.75
 	// minClientMemoryShare is the least share of the memory limit, for processes with little.
 	minClientMemoryShare = 0.125
 )
 
-// clientMemory returns the budget for the bytes of clients of a process with a memory limit,
+// softLimit returns the soft limit of the Go runtime for a process with a memory limit.
+func softLimit(limit int64) int64 {
+	share := int64(memoryLimitShare * float64(limit))
+	return max(min(share, int64(runtimeShare*float64(limit-programBytes))), share/2)
+}
+
+// clientMemory returns the budget for the memory of clients of a process with a memory limit,
 // 0 if it has no limit.
 func clientMemory(limit int64) int64 {
-	rest := memoryLimitShare*float64(limit) - processBytes
-	return int64(max(clientMemoryShare*rest, minClientMemoryShare*float64(limit)))
+	rest := float64(softLimit(limit)) - processBytes
+	return reserver.BudgetFor(int64(max(clientMemoryShare*rest, minClientMemoryShare*float64(limit))))
 }
 
 // routerMemory returns the memory limit of a router in bytes.
--- a/internal/operating/starter/gateway.go
+++ b/internal/operating/starter/gateway.go
@@ -62,9 +62,6 @@
 	// client connections. The rest is reserved for upstreams, the store and other
 	// VMs.
 	clientDescriptorShare = 0.6
-	// memoryLimitShare is the fraction of the process's memory limit that is set as
-	// the soft limit of the Go runtime.
-	memoryLimitShare = 0.7
 	// responseMemoryShare is the fraction of the process's memory limit for the responses
 	// of the store that are read at the same time, and again for those of engines.
 	responseMemoryShare = 0.125
@@ -105,6 +102,7 @@
 	view         *coordinator.View
 	noticer      *noticer.Noticer
 	isolator     *isolator.Isolator
+	memory       *reserver.Reserver
 	rationer     *rationer.Rationer
 	engineClient EngineClient
 	stopping     atomic.Bool
@@ -115,7 +113,7 @@
 func RunGateway(ctx context.Context, settings *configurer.VMSettings, p Platform, log *logrus.Entry) error {
 	debug.SetGCPercent(gcPercent)
 	if settings.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.MemoryBytes)))
+		debug.SetMemoryLimit(softLimit(settings.MemoryBytes))
 	}
 	g := newGateway(gatewayConfig{
 		Settings: settings,
@@ -175,6 +173,7 @@
 		OnDemand:      func() { g.forwarder.RequestUrgentReport() },
 		Meter:         g.meter,
 	})
+	g.memory = reserver.New(reserver.Config{Bytes: clientMemory(settings.MemoryBytes), Meter: g.meter, Log: log})
 	g.forwarder = forwarder.New(forwarder.Config{
 		Dialect:   p.Dialect,
 		Directory: g.informer,
@@ -190,7 +189,7 @@
 		},
 		Budget:       g.retryBudget(settings),
 		WeightsApply: settings.Bounds.WeightsApply,
-		Memory:       reserver.New(reserver.Config{Bytes: clientMemory(settings.MemoryBytes), Meter: g.meter, Log: log}),
+		Memory:       g.memory,
 		Meter:        g.meter,
 		Log:          log,
 	})
--- a/internal/operating/starter/gateway_run.go
+++ b/internal/operating/starter/gateway_run.go
@@ -72,7 +72,7 @@
 // and waits for open requests. The background loops run until the end.
 func (g *gateway) run(ctx context.Context) error {
 	settings := g.settings.Load()
-	clients, err := g.listen(ctx, settings.ClientAddress, limiter.TrackRequests(g.forwarder))
+	clients, err := g.listenForClients(ctx, settings.ClientAddress, limiter.TrackRequests(g.forwarder))
 	if err != nil {
 		return err
 	}
@@ -80,6 +80,7 @@
 		Listener: clients.listener,
 		Name:     callersListener,
 		Limit:    int(clientDescriptorShare * float64(settings.MaxDescriptors)),
+		Memory:   g.memory,
 		Meter:    g.meter,
 	})
 	servers := []*http.Server{}
--- a/internal/operating/starter/gateway_server.go
+++ b/internal/operating/starter/gateway_server.go
@@ -39,8 +39,18 @@
 	listener net.Listener
 }
 
+// listenForClients is listen with a bound of the bytes that connections have received.
+func (g *gateway) listenForClients(ctx context.Context, address netip.AddrPort, handler http.Handler) (httpListener, error) {
+	return g.listenWith(ctx, net.ListenConfig{Control: limiter.LimitReceiving}, address, handler)
+}
+
 func (g *gateway) listen(ctx context.Context, address netip.AddrPort, handler http.Handler) (httpListener, error) {
-	l, err := (&net.ListenConfig{KeepAliveConfig: newDialer().KeepAliveConfig}).Listen(ctx, "tcp", address.String())
+	return g.listenWith(ctx, net.ListenConfig{}, address, handler)
+}
+
+func (g *gateway) listenWith(ctx context.Context, cfg net.ListenConfig, address netip.AddrPort, handler http.Handler) (httpListener, error) {
+	cfg.KeepAliveConfig = newDialer().KeepAliveConfig
+	l, err := cfg.Listen(ctx, "tcp", address.String())
 	if err != nil {
 		return httpListener{}, fmt.Errorf("listen on %s: %w", address, err)
 	}
--- a/internal/operating/starter/router.go
+++ b/internal/operating/starter/router.go
@@ -17,6 +17,7 @@
 	"gentianstep.example/gentianstep/internal/operating/explainer"
 	"gentianstep.example/gentianstep/internal/operating/limiter"
 	"gentianstep.example/gentianstep/internal/operating/meter"
+	"gentianstep.example/gentianstep/internal/operating/reserver"
 	"gentianstep.example/gentianstep/internal/peering/connector"
 	"gentianstep.example/gentianstep/internal/peering/inquirer"
 	"gentianstep.example/gentianstep/internal/peering/messenger"
@@ -47,6 +48,8 @@
 	dispatcher *dispatcher.Dispatcher
 	receiver   *receiver.Receiver
 	admission  *gatekeeper.Gate
+	// memory is the budget of the bytes that are held for callers.
+	memory *reserver.Reserver
 	// node is the name of this router's VM.
 	node string
 	// routers is the number of routers in the deployment.
@@ -59,7 +62,7 @@
 	if err != nil {
 		return err
 	}
-	debug.SetMemoryLimit(int64(memoryLimitShare * float64(routerMemory(settings))))
+	debug.SetMemoryLimit(softLimit(routerMemory(settings)))
 	m := meter.New()
 	r, err := newRouter(settings, certificates, m, log)
 	if err != nil {
@@ -78,6 +81,7 @@
 		address:        settings.Router.CallerAddress,
 		handler:        callerHandler(settings, d, m, handler, log),
 		maxConnections: settings.Router.MaxConnections,
+		memory:         r.memory,
 		certifier:      certificates.callers,
 		meter:          m,
 		log:            log,
@@ -161,7 +165,8 @@
 		Count:    func(o dispatcher.AnswerEvent, n int) { m.Count(meter.AnswerEvents, string(o), int64(n)) },
 		Log:      log,
 	})
-	r.receiver = receiver.New(receiver.Config{Holder: r.bundles, Dispatcher: r.dispatcher, AdmissionQueue: r.admission, RateLimiter: r.rationer, Memory: newRouterReserver(settings, m, log), Log: log})
+	r.memory = newRouterReserver(settings, m, log)
+	r.receiver = receiver.New(receiver.Config{Holder: r.bundles, Dispatcher: r.dispatcher, AdmissionQueue: r.admission, RateLimiter: r.rationer, Memory: r.memory, Log: log})
 	return r, nil
 }
 
--- a/internal/operating/starter/server.go
+++ b/internal/operating/starter/server.go
@@ -18,6 +18,7 @@
 	"gentianstep.example/gentianstep/internal/operating/certifier"
 	"gentianstep.example/gentianstep/internal/operating/limiter"
 	"gentianstep.example/gentianstep/internal/operating/meter"
+	"gentianstep.example/gentianstep/internal/operating/reserver"
 )
 
 const (
@@ -43,6 +44,8 @@
 	handler http.Handler
 	// maxConnections limits the open connections.
 	maxConnections int
+	// memory is the budget of the bytes that are held for clients; nil sets no limit.
+	memory *reserver.Reserver
 	// certifier provides the TLS certificate; nil disables TLS.
 	certifier *certifier.Certifier
 	meter     *meter.Meter
@@ -60,15 +63,21 @@
 
 // listen opens a listener and returns a server that is not yet accepting.
 func listen(ctx context.Context, cfg serverConfig) (*server, error) {
-	plain, err := (&net.ListenConfig{}).Listen(ctx, "tcp", cfg.address.String())
+	listenConfig := net.ListenConfig{}
+	if cfg.memory != nil {
+		listenConfig.Control = limiter.LimitReceiving
+	}
+	plain, err := listenConfig.Listen(ctx, "tcp", cfg.address.String())
 	if err != nil {
 		return nil, fmt.Errorf("open %s listener: %w", cfg.name, err)
 	}
 	connections := limiter.NewListener(limiter.ListenerConfig{
-		Listener: plain,
-		Name:     cfg.name,
-		Limit:    cfg.maxConnections,
-		Meter:    cfg.meter,
+		Listener:  plain,
+		Name:      cfg.name,
+		Limit:     cfg.maxConnections,
+		Memory:    cfg.memory,
+		Encrypted: cfg.certifier != nil,
+		Meter:     cfg.meter,
 	})
 	var listener net.Listener = connections
 	if cfg.certifier != nil {
--- a/internal/serving/receiver/body.go
+++ b/internal/serving/receiver/body.go
@@ -26,7 +26,9 @@
 // openMemory returns the reservation of the memory of a request.
 func (r *Receiver) openMemory(ctx iris.Context) *reserver.Reservation {
 	control := http.NewResponseController(ctx.ResponseWriter().Naive())
-	return r.cfg.Memory.OpenRequest(func() { _ = control.SetReadDeadline(readDeadlinePassed) }) // fails only on a closed connection
+	memory := r.cfg.Memory.OpenRequest(func() { _ = control.SetReadDeadline(readDeadlinePassed) }) // fails only on a closed connection
+	memory.Join(ctx.Request().Context())
+	return memory
 }
 
 // readBody reads the request body up to maxBodyBytes, and reserves the memory for it and its
@@ -40,8 +42,8 @@
 	if err == nil {
 		err = memory.Complete()
 	}
-	if err == nil && len(body) > reserver.SmallBytes {
-		err = memory.Reserve(bodyCopies * int64(len(body)))
+	if err == nil {
+		err = memory.ReserveCopies(bodyCopies, int64(len(body)))
 	}
 	if err != nil {
 		memory.Release()
