--- a/internal/gateway/forwarder/withdraw.go
+++ b/internal/gateway/forwarder/withdraw.go
@@ -73,8 +73,8 @@
 	return ctx, w
 }
 
-// check withdraws the attempt if the time for the engine's weights or for the cache scope has ended. It
-// is called again when that may next be the case.
+// check withdraws the attempt if the time for the engine's weights or for the cache scope has
+// ended. It is called again when that may next be the case.
 func (w *withdrawal) check() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/operating/reserver/reserver.go
+++ b/internal/operating/reserver/reserver.go
@@ -1,5 +1,5 @@
-// Package reserver is the memory budget of a process for the bytes that it holds for
-// clients: bodies of requests and buffers of responses.
+// Package reserver is the memory budget of a process for all that it holds for clients:
+// connections, heads and bodies of requests, and buffers of responses.
 package reserver
 
 import (
@@ -26,8 +26,8 @@
 	// tinyBytes is the size up to which a request always gets memory, so that ordinary requests
 	// are served while the budget is exhausted. Its connection has reserved that.
 	tinyBytes = 2 << 10
-	// SmallBytes is the size up to which a request may use smallShare more than the budget, so
-	// that larger ones and connections leave a part for it.
+	// SmallBytes is the size up to which a request may use smallShare of the budget more than
+	// all of it, so that larger ones and connections leave a part for it.
 	SmallBytes = 16 << 10
 	smallShare = 0.125
 	// mediumBytes is the size up to which a request may use the whole budget. Larger ones
